Lay out the workspace, with base, kernel and the shared types

Cause: every area needs the same ids, findings, events, services and records before it can be built beside the others. Ruled out: deriving with macro_rules, since the formatter leaves macro bodies alone; a small attribute macro keeps the items plain.

--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,41 @@
+//! What every other crate of the workspace shares.
+//!
+//! - [`ids`]: type aliases for ids and numbers that travel between processes.
+//! - [`finding`]: [`Finding`](finding::Finding) and [`Findings`](finding::Findings), problems
+//!   collected with their place and reported together.
+//! - [`hash`]: stable hashing, and rendezvous hashing for soft ownership.
+//! - [`clock`]: the hybrid logical clock that orders events over processes.
+//! - [`event`]: the typed events of the time line.
+//! - [`prelude`]: the common types, for a glob import.
+//!
+//! ```
+//! use base::prelude::*;
+//!
+//! let mut findings = Findings::default();
+//! findings.add("$.listen.caller", "port 70000 is above 65535");
+//! assert_eq!(findings.to_string(), "$.listen.caller: port 70000 is above 65535");
+//! ```
+
+pub mod clock;
+pub mod event;
+pub mod finding;
+pub mod hash;
+pub mod ids;
+
+/// The common types of the workspace.
+pub mod prelude {
+    pub use std::time::Duration;
+    pub use std::time::SystemTime;
+
+    pub use mac::data;
+    pub use mac::key;
+    pub use mac::wire;
+
+    pub use crate::clock::Hlc;
+    pub use crate::clock::HlcClock;
+    pub use crate::event::Event;
+    pub use crate::event::Stamped;
+    pub use crate::finding::Finding;
+    pub use crate::finding::Findings;
+    pub use crate::ids::*;
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,48 @@
+//! The micro-kernel of a daemon: services that find each other by name.
+//!
+//! - [`Kernel`](kernel::Kernel): starts services in dependency order and stops them in reverse.
+//! - [`Service`](service::Service): a name, the names it needs, and the future that it runs.
+//! - [`Context`](service::Context): what a running service gets: registry, timer, recorder, stop.
+//! - [`Registry`](registry::Registry): typed mailboxes, views and handles, found by service name.
+//! - [`Timer`](timer::Timer): periodic and single ticks that services subscribe to.
+//! - [`Recorder`](recorder::Recorder): the bounded ring of the process's events.
+//!
+//! ```
+//! use kernel::prelude::*;
+//!
+//! # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+//! let mut kernel = Kernel::new("node-1".into());
+//! kernel.add(Service::new("greeter", &[], |cx| async move {
+//!     let mut inbox = cx.mailbox::<String>("greeter", 4);
+//!     cx.ready();
+//!     tokio::select! {
+//!         _ = cx.stopping() => Ok(()),
+//!         greeting = inbox.recv() => { assert!(greeting.is_some()); Ok(()) }
+//!     }
+//! }));
+//! let stop = kernel.stop_handle();
+//! stop.cancel();
+//! kernel.run().await.unwrap();
+//! # });
+//! ```
+
+pub mod kernel;
+pub mod recorder;
+pub mod registry;
+pub mod service;
+pub mod timer;
+
+/// The common types of this crate.
+pub mod prelude {
+    pub use crate::kernel::Kernel;
+    pub use crate::kernel::KernelError;
+    pub use crate::recorder::Recorder;
+    pub use crate::registry::Missing;
+    pub use crate::registry::Registry;
+    pub use crate::service::Context;
+    pub use crate::service::Fault;
+    pub use crate::service::Service;
+    pub use crate::service::ServiceName;
+    pub use crate::timer::Ticks;
+    pub use crate::timer::Timer;
+}
--- /dev/null
+++ b/crates/kernel/src/recorder.rs
@@ -0,0 +1,66 @@
+//! The bounded ring of the process's events.
+//!
+//! Events are numbered without gaps, so a reader that finds a gap between two events of one
+//! process knows that the ring overflowed in between.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use base::prelude::*;
+use parking_lot::Mutex;
+
+struct Ring {
+    events: VecDeque<Stamped>,
+    clock: HlcClock,
+    next: u64,
+}
+
+/// Records the events of one process. Clones share the same ring.
+#[derive(Clone)]
+pub struct Recorder {
+    node: NodeId,
+    capacity: usize,
+    ring: Arc<Mutex<Ring>>,
+}
+
+impl Recorder {
+    /// Makes an empty ring of `capacity` events for the process `node`.
+    pub fn new(node: NodeId, capacity: usize) -> Self {
+        let ring = Ring { events: VecDeque::new(), clock: HlcClock::default(), next: 0 };
+        Recorder { node, capacity, ring: Arc::new(Mutex::new(ring)) }
+    }
+
+    /// Records an event now; the oldest one goes when the ring is full.
+    pub fn record(&self, event: Event) {
+        let mut ring = self.ring.lock();
+        let at = ring.clock.tick(wall_millis());
+        let number = ring.next;
+        ring.next += 1;
+        if ring.events.len() == self.capacity {
+            ring.events.pop_front();
+        }
+        ring.events.push_back(Stamped { at, node: self.node.clone(), number, event });
+    }
+
+    /// Returns a stamp to send with a message.
+    pub fn stamp(&self) -> Hlc {
+        self.ring.lock().clock.tick(wall_millis())
+    }
+
+    /// Notes the stamp of a message from another process.
+    pub fn observe(&self, seen: Hlc) {
+        self.ring.lock().clock.observe(seen);
+    }
+
+    /// Returns the recorded events with a number of at least `from`, oldest first.
+    pub fn since(&self, from: u64) -> Vec<Stamped> {
+        self.ring.lock().events.iter().filter(|event| event.number >= from).cloned().collect()
+    }
+}
+
+fn wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/kernel/src/service.rs
@@ -0,0 +1,202 @@
+//! A service and the context that it runs in.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::prelude::*;
+use displaydoc::Display;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::recorder::Recorder;
+use crate::registry::Missing;
+use crate::registry::Registry;
+use crate::timer::Ticks;
+use crate::timer::Timer;
+
+/// Name of a service, unique in its process.
+pub type ServiceName = &'static str;
+
+/// Why a service ended early.
+#[derive(Debug, Display)]
+pub enum Fault {
+    /// {0}
+    Missing(Missing),
+    /// {place}: {problem}
+    Failed {
+        /// What failed: an address, a file, a peer.
+        place: Box<str>,
+        /// How.
+        problem: Box<str>,
+    },
+}
+
+impl Fault {
+    /// Returns the fault of `problem` at `place`.
+    pub fn new(place: impl Into<Box<str>>, problem: impl ToString) -> Self {
+        Fault::Failed { place: place.into(), problem: problem.to_string().into() }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl From<Missing> for Fault {
+    fn from(missing: Missing) -> Self {
+        Fault::Missing(missing)
+    }
+}
+
+pub(crate) type Run =
+    Box<dyn FnOnce(Context) -> BoxFuture<'static, Result<(), Fault>> + Send + 'static>;
+
+/// A part of the daemon with a name of its own.
+pub struct Service {
+    pub(crate) name: ServiceName,
+    pub(crate) needs: &'static [ServiceName],
+    pub(crate) run: Run,
+}
+
+impl Service {
+    /// Describes the service `name`, which runs after all of `needs` are ready.
+    ///
+    /// The future must call [`Context::ready`] once what it offers can be used, and return soon
+    /// after [`Context::stopping`] resolves. By then all services that need it have ended.
+    pub fn new<F, Fut>(name: ServiceName, needs: &'static [ServiceName], run: F) -> Self
+    where
+        F: FnOnce(Context) -> Fut + Send + 'static,
+        Fut: Future<Output = Result<(), Fault>> + Send + 'static,
+    {
+        Service { name, needs, run: Box::new(move |cx| run(cx).boxed()) }
+    }
+
+    /// Returns the service's name.
+    pub fn name(&self) -> ServiceName {
+        self.name
+    }
+}
+
+/// What the kernel gives to a running service. Clones are the same context.
+#[derive(Clone)]
+pub struct Context {
+    pub(crate) node: NodeId,
+    pub(crate) boot: BootId,
+    pub(crate) started: Instant,
+    pub(crate) registry: Registry,
+    pub(crate) timer: Timer,
+    pub(crate) recorder: Recorder,
+    pub(crate) ready: Arc<Notify>,
+    pub(crate) stop: CancellationToken,
+    pub(crate) stop_all: CancellationToken,
+}
+
+impl Context {
+    /// Returns the name of this process.
+    pub fn node(&self) -> &NodeId {
+        &self.node
+    }
+
+    /// Returns the id of this life of the process.
+    pub fn boot(&self) -> BootId {
+        self.boot
+    }
+
+    /// Returns the monotonic time since the process started.
+    pub fn now(&self) -> Mono {
+        self.started.elapsed()
+    }
+
+    /// Tells the kernel that what this service offers can be used.
+    pub fn ready(&self) {
+        self.ready.notify_one();
+    }
+
+    /// Resolves when this service shall end; all services that need it have ended by then.
+    pub async fn stopping(&self) {
+        self.stop.cancelled().await;
+    }
+
+    /// Returns the token that is cancelled when this service shall end.
+    pub fn stop_token(&self) -> CancellationToken {
+        self.stop.clone()
+    }
+
+    /// Resolves as soon as the process begins to stop, before any service is asked to end.
+    pub async fn process_stopping(&self) {
+        self.stop_all.cancelled().await;
+    }
+
+    /// Returns whether the process has begun to stop.
+    pub fn is_process_stopping(&self) -> bool {
+        self.stop_all.is_cancelled()
+    }
+
+    /// Asks the whole process to stop.
+    pub fn stop_process(&self) {
+        self.stop_all.cancel();
+    }
+
+    /// Returns the registry of the process.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Returns the timer service.
+    pub fn timer(&self) -> &Timer {
+        &self.timer
+    }
+
+    /// Subscribes to a tick each `period`.
+    pub fn every(&self, period: Duration) -> Ticks {
+        self.timer.every(period)
+    }
+
+    /// Records an event of the time line.
+    pub fn record(&self, event: Event) {
+        self.recorder.record(event);
+    }
+
+    /// Returns the recorder of the time line.
+    pub fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    /// Opens a mailbox of `service`; see [`Registry::mailbox`].
+    pub fn mailbox<M: Send + 'static>(
+        &self,
+        service: ServiceName,
+        depth: usize,
+    ) -> mpsc::Receiver<M> {
+        self.registry.mailbox(service, depth)
+    }
+
+    /// Finds a mailbox of `service`; see [`Registry::sender`].
+    pub fn sender<M: Send + 'static>(
+        &self,
+        service: ServiceName,
+    ) -> Result<mpsc::Sender<M>, Missing> {
+        self.registry.sender(service)
+    }
+
+    /// Opens a view of `service`; see [`Registry::publish`].
+    pub fn publish<T: Send + Sync + 'static>(
+        &self,
+        service: ServiceName,
+        first: T,
+    ) -> watch::Sender<Arc<T>> {
+        self.registry.publish(service, first)
+    }
+
+    /// Finds a view of `service`; see [`Registry::view`].
+    pub fn view<T: Send + Sync + 'static>(
+        &self,
+        service: ServiceName,
+    ) -> Result<watch::Receiver<Arc<T>>, Missing> {
+        self.registry.view(service)
+    }
+}
--- /dev/null
+++ b/crates/kv/src/memory.rs
@@ -0,0 +1,102 @@
+//! A store in memory, for tests and the stand-in service.
+//!
+//! Revisions count writes over all keys. Watches get every change after they were opened; a
+//! watch that falls behind its channel is closed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+
+use crate::store::Answer;
+use crate::store::Store;
+use crate::store::Swap;
+use crate::store::Versioned;
+use crate::store::WatchEvent;
+
+/// Changes that a watch may be behind before it is closed.
+const WATCH_DEPTH_CHANGES: usize = 1024;
+
+struct Watch {
+    prefix: Box<str>,
+    tx: mpsc::Sender<WatchEvent>,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    values: BTreeMap<Box<str>, Versioned>,
+    watches: Vec<Watch>,
+}
+
+/// A store in memory. Clones share the same values.
+#[derive(Clone, Default)]
+pub struct MemoryStore {
+    state: Arc<Mutex<State>>,
+}
+
+impl MemoryStore {
+    fn change(&self, key: &str, expected: u64, value: Option<Arc<[u8]>>) -> Swap {
+        let mut state = self.state.lock();
+        let current = state.values.get(key).cloned();
+        if current.as_ref().map_or(0, |current| current.mod_revision) != expected {
+            return Swap::Conflict { current };
+        }
+        state.revision += 1;
+        let mod_revision = state.revision;
+        let versioned = value.map(|value| Versioned { value, mod_revision });
+        match &versioned {
+            Some(versioned) => state.values.insert(key.into(), versioned.clone()),
+            None => state.values.remove(key),
+        };
+        let event = WatchEvent { key: key.into(), value: versioned };
+        state.watches.retain(|watch| {
+            !key.starts_with(&*watch.prefix) || watch.tx.try_send(event.clone()).is_ok()
+        });
+        Swap::Done { mod_revision }
+    }
+
+    fn open_watch(&self, prefix: &str, after: u64) -> mpsc::Receiver<WatchEvent> {
+        let (tx, rx) = mpsc::channel(WATCH_DEPTH_CHANGES);
+        let mut state = self.state.lock();
+        for (key, versioned) in &state.values {
+            if key.starts_with(prefix) && versioned.mod_revision > after {
+                let event = WatchEvent { key: key.clone(), value: Some(versioned.clone()) };
+                // The channel is new, so it takes the first changes; past its depth it closes.
+                if tx.try_send(event).is_err() {
+                    return rx;
+                }
+            }
+        }
+        state.watches.push(Watch { prefix: prefix.into(), tx });
+        rx
+    }
+}
+
+impl Store for MemoryStore {
+    fn get<'a>(&'a self, key: &'a str) -> Answer<'a, Option<Versioned>> {
+        Box::pin(async move { Ok(self.state.lock().values.get(key).cloned()) })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Vec<(Box<str>, Versioned)>> {
+        Box::pin(async move {
+            let state = self.state.lock();
+            let rows = state.values.range(Box::from(prefix)..);
+            let rows = rows.take_while(|(key, _)| key.starts_with(prefix));
+            Ok(rows.map(|(key, value)| (key.clone(), value.clone())).collect())
+        })
+    }
+
+    fn swap<'a>(&'a self, key: &'a str, expected: u64, value: Arc<[u8]>) -> Answer<'a, Swap> {
+        Box::pin(async move { Ok(self.change(key, expected, Some(value))) })
+    }
+
+    fn delete<'a>(&'a self, key: &'a str, expected: u64) -> Answer<'a, Swap> {
+        Box::pin(async move { Ok(self.change(key, expected, None)) })
+    }
+
+    fn watch<'a>(&'a self, prefix: &'a str, after: u64) -> Answer<'a, mpsc::Receiver<WatchEvent>> {
+        Box::pin(async move { Ok(self.open_watch(prefix, after)) })
+    }
+}
