Read recorded traces with all their faults reported

Cause: decisions of several areas are to be replayed from one form of trace. Change: base::trace reads JSON lines; every misfit is a finding with its line.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`hash`]: stable hashing, and rendezvous hashing for soft ownership.
 //! - [`clock`]: the hybrid logical clock that orders events over processes.
 //! - [`event`]: the typed events of the time line.
+//! - [`trace`]: recorded traces that are replayed through an area's decisions.
 //! - [`prelude`]: the common types, for a glob import.
 //!
 //! ```
@@ -21,6 +22,7 @@
 pub mod finding;
 pub mod hash;
 pub mod ids;
+pub mod trace;
 
 /// The common types of the workspace.
 pub mod prelude {
