--- /dev/null
+++ b/crates/member/src/sync.rs
@@ -0,0 +1,1 @@
+//! How a process keeps up with the revisions of the configuration.
