Read settings whole, with every fault and its path

Cause: a settings file with several faults must be mended in one go, and credentials must not reach logs. Ruled out: serde's derive for the raw form, since it stops at the first fault. Change: config::Fields reads field by field and collects findings; Settings is declared once with defaults and bounds, prints as it is read, and hides credentials.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,25 @@
-//! Placeholder.
+//! The daemon's settings: JSON, read raw, checked whole, printable.
+//!
+//! - [`settings`]: [`Settings`](settings::Settings) and its parts, declared once with their
+//!   defaults and bounds.
+//! - [`fields`]: [`Fields`](fields::Fields), which reads a JSON object and collects every misfit
+//!   with its path.
+//! - [`secret`]: [`Secret`](secret::Secret), text that is never printed.
+//!
+//! ```
+//! use config::prelude::*;
+//!
+//! let text = r#"{"node": "a-1", "failure_domain": "a", "keeper": {"probe_period_ms": 0}}"#;
+//! let findings = Settings::try_from(text).unwrap_err();
+//! assert!(findings.to_string().contains("$.keeper.probe_period_ms: found 0"));
+//! ```
+
+pub mod fields;
+pub mod secret;
+pub mod settings;
+
+/// The common types of this crate.
+pub mod prelude {
+    pub use crate::secret::Secret;
+    pub use crate::settings::*;
+}
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,399 @@
+//! The daemon's settings, declared once with their defaults and bounds.
+//!
+//! `TryFrom<&str>` reads the JSON text and checks it whole: either all of it fits, or every
+//! finding is returned with its JSON path. The `Serialize` form is the effective settings with
+//! all defaults and without credentials.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use serde::Serialize;
+use serde::Serializer;
+use serde_json::Value;
+
+use crate::fields::Fields;
+use crate::secret::Secret;
+
+/// Shortest credential that is allowed.
+pub const MIN_SECRET_BYTES: usize = 16;
+/// Longest time that a setting may give.
+const MAX_MILLIS: u64 = 24 * 60 * 60 * 1_000;
+/// Largest size that a setting may give.
+const MAX_BYTES: u64 = 1 << 30;
+
+/// The daemon's settings.
+#[data]
+#[derive(Serialize)]
+pub struct Settings {
+    /// Name of this process, unique in the deployment.
+    pub node: NodeId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Its region.
+    pub region: Box<str>,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The platform's key-value service.
+    pub kv: Kv,
+    /// The platform's list of VMs.
+    pub vm_list: VmList,
+    /// The other processes of the deployment.
+    pub peers: Peers,
+    /// Who may use the operator API.
+    pub operators: Operators,
+    /// Bounds of the caller API.
+    pub caller: Caller,
+    /// How requests are carried out.
+    pub requests: Requests,
+    /// How replica groups are probed.
+    pub keeper: Keeper,
+    /// How the process stops.
+    pub shutdown: Shutdown,
+    /// What is logged.
+    pub log: Log,
+}
+
+/// Where the daemon listens.
+#[data]
+#[derive(Serialize)]
+pub struct Listen {
+    /// Caller HTTP.
+    pub caller: SocketAddr,
+    /// Operator HTTP.
+    pub operator: SocketAddr,
+    /// Peer gRPC over TCP.
+    pub peer: SocketAddr,
+    /// Membership over UDP.
+    pub gossip: SocketAddr,
+}
+
+/// The platform's key-value service.
+#[data]
+#[derive(Serialize)]
+pub struct Kv {
+    /// Its endpoints, tried in turn.
+    pub endpoints: Vec<SocketAddr>,
+    /// The credential sent to it.
+    pub token: Option<Secret>,
+    /// How long a call may take.
+    #[serde(rename = "timeout_ms", serialize_with = "millis")]
+    pub timeout: Duration,
+    /// Reads a second that this process may make.
+    pub reads_per_second: f64,
+    /// Writes a second that this process may make.
+    pub writes_per_second: f64,
+}
+
+/// The platform's list of VMs.
+#[data]
+#[derive(Serialize)]
+pub struct VmList {
+    /// Where it answers; none if the platform has none.
+    pub address: Option<SocketAddr>,
+    /// How often it is read.
+    #[serde(rename = "period_ms", serialize_with = "millis")]
+    pub period: Duration,
+}
+
+/// The other processes of the deployment.
+#[data]
+#[derive(Serialize)]
+pub struct Peers {
+    /// Gossip addresses of processes to join.
+    pub seeds: Vec<SocketAddr>,
+    /// The shared secrets; the first signs, all are accepted.
+    pub secrets: Vec<Secret>,
+    /// How long this process serves without the key-value service and without any peer.
+    #[serde(rename = "staleness_bound_ms", serialize_with = "millis")]
+    pub staleness_bound: Duration,
+}
+
+/// Who may use the operator API.
+#[data]
+#[derive(Serialize)]
+pub struct Operators {
+    /// Tokens that may read.
+    pub viewer_tokens: Vec<Secret>,
+    /// Tokens that may read and write.
+    pub operator_tokens: Vec<Secret>,
+}
+
+/// Bounds of the caller API.
+#[data]
+#[derive(Serialize)]
+pub struct Caller {
+    /// Largest request body in bytes.
+    pub max_body_bytes: usize,
+    /// Most bytes of a request's headers.
+    pub max_header_bytes: usize,
+    /// How long a connection may take to send its first headers.
+    #[serde(rename = "header_timeout_ms", serialize_with = "millis")]
+    pub header_timeout: Duration,
+    /// How long a connection may sit without a request.
+    #[serde(rename = "idle_timeout_ms", serialize_with = "millis")]
+    pub idle_timeout: Duration,
+    /// Most open connections.
+    pub max_connections: usize,
+}
+
+/// How requests are carried out.
+#[data]
+#[derive(Serialize)]
+pub struct Requests {
+    /// How long a backend server may take to connect.
+    #[serde(rename = "connect_timeout_ms", serialize_with = "millis")]
+    pub connect_timeout: Duration,
+    /// How long an attempt may show no progress before its first token.
+    #[serde(rename = "first_token_timeout_ms", serialize_with = "millis")]
+    pub first_token_timeout: Duration,
+    /// How long a stream may show no progress after that.
+    #[serde(rename = "progress_timeout_ms", serialize_with = "millis")]
+    pub progress_timeout: Duration,
+    /// Deadline of a request that names none.
+    #[serde(rename = "default_deadline_ms", serialize_with = "millis")]
+    pub default_deadline: Duration,
+    /// Most requests that wait at once.
+    pub max_queued: usize,
+    /// Retries as a fraction of recent requests.
+    pub retry_fraction: f64,
+}
+
+/// How replica groups are probed.
+#[data]
+#[derive(Serialize)]
+pub struct Keeper {
+    /// Time between two probes of a member.
+    #[serde(rename = "probe_period_ms", serialize_with = "millis")]
+    pub probe_period: Duration,
+    /// How long a probe may take.
+    #[serde(rename = "probe_timeout_ms", serialize_with = "millis")]
+    pub probe_timeout: Duration,
+    /// How long a voucher lasts from the moment its probe was sent.
+    #[serde(rename = "voucher_ttl_ms", serialize_with = "millis")]
+    pub voucher_ttl: Duration,
+}
+
+/// How the process stops.
+#[data]
+#[derive(Serialize)]
+pub struct Shutdown {
+    /// Longest wait for open streams; none waits for the last one.
+    #[serde(rename = "max_drain_ms", serialize_with = "optional_millis")]
+    pub max_drain: Option<Duration>,
+}
+
+/// What is logged.
+#[data]
+#[derive(Serialize)]
+pub struct Log {
+    /// Level of all targets that are not named.
+    pub level: LogLevel,
+    /// Level by target.
+    #[serde(serialize_with = "by_name")]
+    pub targets: Vec<(Box<str>, LogLevel)>,
+}
+
+/// A level of logging.
+#[key]
+pub enum LogLevel {
+    /// Nothing.
+    Off,
+    /// What needs the operator.
+    Error,
+    /// What may need the operator.
+    Warn,
+    /// What happens rarely.
+    Info,
+    /// What helps to find a fault.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+const LOG_LEVELS: [(&str, LogLevel); 6] = [
+    ("off", LogLevel::Off),
+    ("error", LogLevel::Error),
+    ("warn", LogLevel::Warn),
+    ("info", LogLevel::Info),
+    ("debug", LogLevel::Debug),
+    ("trace", LogLevel::Trace),
+];
+
+fn millis<S: Serializer>(time: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_u128(time.as_millis())
+}
+
+fn optional_millis<S: Serializer>(
+    time: &Option<Duration>,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    time.map(|time| time.as_millis()).serialize(serializer)
+}
+
+fn by_name<S: Serializer>(
+    levels: &[(Box<str>, LogLevel)],
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.collect_map(levels.iter().map(|(name, level)| (name, level)))
+}
+
+impl TryFrom<&str> for Settings {
+    type Error = Findings;
+
+    fn try_from(text: &str) -> Result<Self, Findings> {
+        let mut findings = Findings::default();
+        let value: Value = match serde_json::from_str(text) {
+            Ok(value) => value,
+            Err(error) => {
+                let place = format!("line {} column {}", error.line(), error.column());
+                findings.add(place, error.to_string());
+                return Err(findings);
+            }
+        };
+        let mut fields = Fields::new("$", Some(&value), &mut findings);
+        let settings = Settings::read(&mut fields);
+        fields.finish();
+        settings.check(&mut findings);
+        findings.into_result(settings)
+    }
+}
+
+impl Settings {
+    fn read(f: &mut Fields<'_>) -> Self {
+        Settings {
+            node: f.text("node", None),
+            failure_domain: f.text("failure_domain", None),
+            region: f.text("region", Some("default")),
+            listen: f.nested("listen", Listen::read),
+            kv: f.nested("kv", Kv::read),
+            vm_list: f.nested("vm_list", VmList::read),
+            peers: f.nested("peers", Peers::read),
+            operators: f.nested("operators", Operators::read),
+            caller: f.nested("caller", Caller::read),
+            requests: f.nested("requests", Requests::read),
+            keeper: f.nested("keeper", Keeper::read),
+            shutdown: f.nested("shutdown", Shutdown::read),
+            log: f.nested("log", Log::read),
+        }
+    }
+
+    /// Checks what spans several fields.
+    fn check(&self, findings: &mut Findings) {
+        let keeper = &self.keeper;
+        findings.check(keeper.probe_timeout <= keeper.voucher_ttl, "$.keeper", || {
+            format!(
+                "probe_timeout_ms {} is above voucher_ttl_ms {}",
+                keeper.probe_timeout.as_millis(),
+                keeper.voucher_ttl.as_millis(),
+            )
+        });
+        findings.check(keeper.probe_period < keeper.voucher_ttl, "$.keeper", || {
+            format!(
+                "probe_period_ms {} is not below voucher_ttl_ms {}",
+                keeper.probe_period.as_millis(),
+                keeper.voucher_ttl.as_millis(),
+            )
+        });
+    }
+}
+
+impl Listen {
+    fn read(f: &mut Fields<'_>) -> Self {
+        Listen {
+            caller: f.address("caller", "127.0.0.1:8080"),
+            operator: f.address("operator", "127.0.0.1:8081"),
+            peer: f.address("peer", "127.0.0.1:8082"),
+            gossip: f.address("gossip", "127.0.0.1:8083"),
+        }
+    }
+}
+
+impl Kv {
+    fn read(f: &mut Fields<'_>) -> Self {
+        Kv {
+            endpoints: f.addresses("endpoints"),
+            token: f.optional_secret("token"),
+            timeout: f.millis("timeout_ms", 1_000, 1..=60_000),
+            reads_per_second: f.number("reads_per_second", 100.0, 0.1..=1e6),
+            writes_per_second: f.number("writes_per_second", 50.0, 0.1..=1e6),
+        }
+    }
+}
+
+impl VmList {
+    fn read(f: &mut Fields<'_>) -> Self {
+        VmList {
+            address: f.optional_address("address"),
+            period: f.millis("period_ms", 1_000, 10..=MAX_MILLIS),
+        }
+    }
+}
+
+impl Peers {
+    fn read(f: &mut Fields<'_>) -> Self {
+        Peers {
+            seeds: f.addresses("seeds"),
+            secrets: f.secrets("secrets", MIN_SECRET_BYTES),
+            staleness_bound: f.millis("staleness_bound_ms", 60_000, 1_000..=MAX_MILLIS),
+        }
+    }
+}
+
+impl Operators {
+    fn read(f: &mut Fields<'_>) -> Self {
+        Operators {
+            viewer_tokens: f.secrets("viewer_tokens", MIN_SECRET_BYTES),
+            operator_tokens: f.secrets("operator_tokens", MIN_SECRET_BYTES),
+        }
+    }
+}
+
+impl Caller {
+    fn read(f: &mut Fields<'_>) -> Self {
+        Caller {
+            max_body_bytes: f.size("max_body_bytes", 4 << 20, 1..=MAX_BYTES),
+            max_header_bytes: f.size("max_header_bytes", 32 << 10, 1_024..=MAX_BYTES),
+            header_timeout: f.millis("header_timeout_ms", 10_000, 1..=MAX_MILLIS),
+            idle_timeout: f.millis("idle_timeout_ms", 75_000, 1..=MAX_MILLIS),
+            max_connections: f.size("max_connections", 8_192, 1..=1_000_000),
+        }
+    }
+}
+
+impl Requests {
+    fn read(f: &mut Fields<'_>) -> Self {
+        Requests {
+            connect_timeout: f.millis("connect_timeout_ms", 500, 1..=MAX_MILLIS),
+            first_token_timeout: f.millis("first_token_timeout_ms", 5_000, 1..=MAX_MILLIS),
+            progress_timeout: f.millis("progress_timeout_ms", 2_000, 1..=MAX_MILLIS),
+            default_deadline: f.millis("default_deadline_ms", 600_000, 1..=MAX_MILLIS),
+            max_queued: f.size("max_queued", 1_024, 0..=1_000_000),
+            retry_fraction: f.number("retry_fraction", 0.1, 0.0..=1.0),
+        }
+    }
+}
+
+impl Keeper {
+    fn read(f: &mut Fields<'_>) -> Self {
+        Keeper {
+            probe_period: f.millis("probe_period_ms", 500, 10..=MAX_MILLIS),
+            probe_timeout: f.millis("probe_timeout_ms", 500, 10..=MAX_MILLIS),
+            voucher_ttl: f.millis("voucher_ttl_ms", 2_000, 20..=MAX_MILLIS),
+        }
+    }
+}
+
+impl Shutdown {
+    fn read(f: &mut Fields<'_>) -> Self {
+        Shutdown { max_drain: f.optional_millis("max_drain_ms", 1..=MAX_MILLIS) }
+    }
+}
+
+impl Log {
+    fn read(f: &mut Fields<'_>) -> Self {
+        Log {
+            level: f.choice("level", LogLevel::Info, &LOG_LEVELS),
+            targets: f.choices_by_name("targets", &LOG_LEVELS),
+        }
+    }
+}
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -55,7 +55,7 @@
     },
 }
 
-impl std::error::Error for ClientError {}
+impl Error for ClientError {}
 
 /// What to send.
 #[derive(Clone, Debug)]
