Decide one request's life in a pure state machine

Cause: an answer must reach its caller whole, never mixed with another's, and 'not run' must be proof. Ruled out: a reorder buffer, since resuming from the next piece covers gaps without holding pieces that may be wrong. Seen failing: without the attempt check a foreign piece was delivered; without the count of the end a truncated answer was called whole; without the note that a broken attempt may have run, and with a deadline that ignored the attempt under way, 'not run' was told of an admitted request; with a second attempt after a loss, a non-idempotent request was admitted twice.

--- /dev/null
+++ b/crates/relay/src/life.rs
@@ -0,0 +1,323 @@
+//! The state machine of one request.
+//!
+//! The machine is told what happened and answers with what to do next. It holds these promises:
+//!
+//! - It ends with [`Outcome::NotRun`] only if every attempt so far was not sent, or refused before
+//!   admission.
+//! - A request that is not idempotent is sent again only while that holds.
+//! - An attempt that shows no progress or whose connection breaks is first resumed at the same
+//!   group over a new connection; only an idempotent request then goes to another group, never to
+//!   one that failed it, and goes on from the last delivered piece.
+//! - Pieces reach the caller through the [`Assembler`] only.
+//! - After [`Action::Finish`] nothing more is done.
+
+use base::prelude::*;
+use engine::prelude::*;
+
+use crate::outcome::Failure;
+use crate::outcome::Outcome;
+use crate::stream::Assembler;
+use crate::stream::Verdict;
+
+/// Resumes of one attempt without a new piece in between.
+const MAX_FRUITLESS_RESUMES: u32 = 2;
+/// When to come back after a refusal that names no time.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the machine needs to know of the request.
+#[data]
+pub struct Request {
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// When the caller no longer waits.
+    pub deadline: Mono,
+}
+
+/// What happened.
+#[data]
+pub enum Event {
+    /// The request was accepted, and its key claimed where it needs one.
+    Accepted,
+    /// Routing picked a group, and this attempt id was drawn.
+    Picked {
+        /// The group.
+        group: GroupId,
+        /// The new attempt.
+        attempt: AttemptId,
+    },
+    /// Routing has no group for it.
+    NotPicked {
+        /// Why.
+        failure: Failure,
+        /// When to come back.
+        retry_after: Option<Duration>,
+    },
+    /// The attempt, or a resume of it, was surely not sent.
+    NotSent,
+    /// The engine refused the attempt or the resume.
+    Refused(RefusalReason),
+    /// An item of the stream arrived.
+    Item(Item),
+    /// The stream broke off, or was silent for too long.
+    Broken,
+    /// The deadline passed.
+    DeadlinePassed,
+    /// The caller went away.
+    CallerGone,
+}
+
+/// What to do next.
+#[data]
+pub enum Action {
+    /// Ask routing for a group other than these.
+    Pick {
+        /// Groups that failed this request.
+        exclude: Vec<GroupId>,
+    },
+    /// Send a new attempt.
+    Send {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The group.
+        group: GroupId,
+        /// Pieces that were delivered before.
+        skip: u32,
+    },
+    /// Resume the attempt at its group over a new connection.
+    Resume {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The first piece to send.
+        from: u32,
+    },
+    /// Tell the engine that nobody waits any more.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Deliver this text to the caller.
+    Deliver {
+        /// The piece's number.
+        seq: u32,
+        /// The text.
+        text: Box<str>,
+    },
+    /// Tell routing that the group crashed while it ran this request.
+    ReportCrash {
+        /// The group.
+        group: GroupId,
+    },
+    /// End the request.
+    Finish(Outcome),
+}
+
+#[data]
+struct Current {
+    attempt: AttemptId,
+    group: GroupId,
+    stream: Assembler,
+    resuming: bool,
+    fruitless_resumes: u32,
+    /// Whether an item of it has arrived, which proves that it was admitted.
+    admitted: bool,
+}
+
+/// The state machine of one request.
+#[data]
+pub struct Life {
+    request: Request,
+    delivered: u32,
+    current: Option<Current>,
+    failed_groups: Vec<GroupId>,
+    /// Whether some attempt may have been run.
+    may_have_run: bool,
+    finished: bool,
+}
+
+impl Life {
+    /// Begins the life of `request`.
+    pub fn new(request: Request) -> Self {
+        Life {
+            request,
+            delivered: 0,
+            current: None,
+            failed_groups: Vec::new(),
+            may_have_run: false,
+            finished: false,
+        }
+    }
+
+    /// Returns whether the request has ended.
+    pub fn is_finished(&self) -> bool {
+        self.finished
+    }
+
+    /// Returns how many pieces were delivered.
+    pub fn delivered(&self) -> u32 {
+        self.delivered
+    }
+
+    /// Returns what to do after `event` at `now`.
+    pub fn decide(&mut self, event: Event, now: Mono) -> Vec<Action> {
+        if self.finished {
+            return Vec::new();
+        }
+        match event {
+            Event::CallerGone => self.abandon(),
+            Event::DeadlinePassed => self.give_up(Failure::Deadline),
+            _ if now >= self.request.deadline => self.give_up(Failure::Deadline),
+            Event::Accepted => vec![self.pick()],
+            Event::Picked { group, attempt } => self.send(group, attempt),
+            Event::NotPicked { failure, retry_after } => self.not_picked(failure, retry_after),
+            Event::NotSent => self.not_sent(),
+            Event::Refused(reason) => self.refused(reason),
+            Event::Item(item) => self.item(item),
+            Event::Broken => self.broken(),
+        }
+    }
+
+    fn pick(&self) -> Action {
+        Action::Pick { exclude: self.failed_groups.clone() }
+    }
+
+    fn send(&mut self, group: GroupId, attempt: AttemptId) -> Vec<Action> {
+        debug_assert!(!self.failed_groups.contains(&group), "a failed group was picked again");
+        debug_assert!(self.request.idempotent || !self.may_have_run, "it may run twice");
+        let skip = self.delivered;
+        self.current = Some(Current {
+            attempt,
+            group: group.clone(),
+            stream: Assembler::new(attempt, skip),
+            resuming: false,
+            fruitless_resumes: 0,
+            admitted: false,
+        });
+        vec![Action::Send { attempt, group, skip }]
+    }
+
+    fn not_picked(&mut self, failure: Failure, retry_after: Option<Duration>) -> Vec<Action> {
+        let outcome = if self.may_have_run {
+            self.run_outcome(failure)
+        } else {
+            Outcome::NotRun { failure, retry_after }
+        };
+        self.finish(outcome)
+    }
+
+    /// The attempt was not sent, or a resume of it did not reach the engine.
+    fn not_sent(&mut self) -> Vec<Action> {
+        let Some(current) = self.current.take() else { return Vec::new() };
+        if !current.resuming {
+            return self.next_group(current.group);
+        }
+        // The engine took the attempt or may have, and now nothing listens there.
+        self.may_have_run = true;
+        let crash = Action::ReportCrash { group: current.group.clone() };
+        let mut actions = vec![crash];
+        actions.extend(self.after_loss(current.group, Failure::Crashed));
+        actions
+    }
+
+    fn refused(&mut self, reason: RefusalReason) -> Vec<Action> {
+        let Some(current) = self.current.take() else { return Vec::new() };
+        if !current.resuming {
+            return self.next_group(current.group);
+        }
+        // A refused resume says that the engine lost the attempt, not that it never ran.
+        self.may_have_run = true;
+        let mut actions = Vec::new();
+        if current.admitted && reason == RefusalReason::UnknownAttempt {
+            actions.push(Action::ReportCrash { group: current.group.clone() });
+        }
+        actions.extend(self.after_loss(current.group, Failure::Broken));
+        actions
+    }
+
+    fn item(&mut self, item: Item) -> Vec<Action> {
+        let Some(current) = &mut self.current else { return Vec::new() };
+        match current.stream.accept(item) {
+            Verdict::Deliver(text) => {
+                let seq = current.stream.next() - 1;
+                current.admitted = true;
+                current.resuming = false;
+                current.fruitless_resumes = 0;
+                self.may_have_run = true;
+                self.delivered = seq + 1;
+                vec![Action::Deliver { seq, text }]
+            }
+            Verdict::Whole { finish } => {
+                let pieces = self.delivered;
+                self.finish(Outcome::Done { finish, pieces })
+            }
+            Verdict::Duplicate | Verdict::Foreign => Vec::new(),
+            Verdict::Gap { .. } => self.broken(),
+        }
+    }
+
+    fn broken(&mut self) -> Vec<Action> {
+        let Some(current) = &mut self.current else { return Vec::new() };
+        self.may_have_run = true;
+        if current.fruitless_resumes < MAX_FRUITLESS_RESUMES {
+            current.fruitless_resumes += 1;
+            current.resuming = true;
+            let from = current.stream.next();
+            return vec![Action::Resume { attempt: current.attempt, from }];
+        }
+        let attempt = current.attempt;
+        let group = current.group.clone();
+        self.current = None;
+        let mut actions = vec![Action::Cancel { attempt }];
+        actions.extend(self.after_loss(group, Failure::Broken));
+        actions
+    }
+
+    /// Goes on elsewhere after an attempt that was surely not run.
+    fn next_group(&mut self, failed: GroupId) -> Vec<Action> {
+        self.failed_groups.push(failed);
+        vec![self.pick()]
+    }
+
+    /// Goes on elsewhere after an attempt that may have been run, if the request allows it.
+    fn after_loss(&mut self, failed: GroupId, failure: Failure) -> Vec<Action> {
+        if self.request.idempotent {
+            return self.next_group(failed);
+        }
+        let outcome = self.run_outcome(failure);
+        self.finish(outcome)
+    }
+
+    fn give_up(&mut self, failure: Failure) -> Vec<Action> {
+        // An attempt that is on its way may be admitted at any moment.
+        let under_way = self.current.is_some();
+        let outcome = if self.may_have_run || under_way {
+            self.run_outcome(failure)
+        } else {
+            Outcome::NotRun { failure, retry_after: Some(DEFAULT_RETRY_AFTER) }
+        };
+        self.finish(outcome)
+    }
+
+    fn abandon(&mut self) -> Vec<Action> {
+        self.finish(Outcome::Abandoned)
+    }
+
+    /// Returns the outcome of a request that may have been run.
+    fn run_outcome(&self, failure: Failure) -> Outcome {
+        if self.request.idempotent {
+            Outcome::Failed { failure }
+        } else {
+            Outcome::Unknown { failure }
+        }
+    }
+
+    fn finish(&mut self, outcome: Outcome) -> Vec<Action> {
+        self.finished = true;
+        let mut actions = Vec::new();
+        let done = matches!(outcome, Outcome::Done { .. });
+        if let Some(current) = self.current.take().filter(|_| !done) {
+            actions.push(Action::Cancel { attempt: current.attempt });
+        }
+        actions.push(Action::Finish(outcome));
+        actions
+    }
+}
--- /dev/null
+++ b/crates/relay/src/trace.rs
@@ -0,0 +1,143 @@
+//! Replays recorded traces through the state machine of one request.
+//!
+//! The first event is `request`; each later one is an event of the machine. An expectation names
+//! the actions of the event before it, or the text delivered so far.
+
+use base::finding::Findings;
+use base::prelude::*;
+use base::trace::Step;
+use base::trace::StepKind;
+use base::trace::Trace;
+use engine::prelude::*;
+
+use crate::life::Action;
+use crate::life::Event;
+use crate::life::Life;
+use crate::life::Request;
+use crate::outcome::Failure;
+use crate::outcome::Outcome;
+
+#[wire]
+#[serde(rename_all = "snake_case")]
+enum Input {
+    Request { idempotent: bool, deadline_ms: u64 },
+    Accepted,
+    Picked { group: GroupId, attempt: AttemptId },
+    NotPicked { failure: Failure, retry_after_ms: Option<u64> },
+    NotSent,
+    Refused(RefusalReason),
+    Piece { attempt: AttemptId, seq: u32, text: Box<str> },
+    End { attempt: AttemptId, count: u32 },
+    Broken,
+    DeadlinePassed,
+    CallerGone,
+}
+
+#[wire]
+#[serde(rename_all = "snake_case")]
+enum Expectation {
+    /// The actions of the last event, by name.
+    Actions(Vec<Box<str>>),
+    /// All text that was delivered.
+    Delivered(Box<str>),
+}
+
+#[derive(Default)]
+struct Player {
+    life: Option<Life>,
+    last: Vec<Box<str>>,
+    delivered: String,
+}
+
+/// Replays `trace`; the findings are expectations that did not hold, and lines that don't fit.
+pub fn replay(trace: &Trace) -> Result<(), Findings> {
+    let mut findings = Findings::default();
+    let mut player = Player::default();
+    for step in &trace.steps {
+        match step.kind {
+            StepKind::Event => player.play(step, &mut findings),
+            StepKind::Expect => player.expect(step, &mut findings),
+        }
+    }
+    findings.into_result(())
+}
+
+impl Player {
+    fn play(&mut self, step: &Step, findings: &mut Findings) {
+        let Some(input) = step.read::<Input>(findings) else { return };
+        if let Input::Request { idempotent, deadline_ms } = input {
+            let deadline = Duration::from_millis(deadline_ms);
+            self.life = Some(Life::new(Request { idempotent, deadline }));
+            return;
+        }
+        let Some(life) = &mut self.life else {
+            findings.add(step.place(), "the first event must be `request`");
+            return;
+        };
+        let actions = life.decide(event(input), step.at);
+        self.last = actions.iter().map(name).collect();
+        for action in actions {
+            if let Action::Deliver { text, .. } = action {
+                self.delivered.push_str(&text);
+            }
+        }
+    }
+
+    fn expect(&self, step: &Step, findings: &mut Findings) {
+        match step.read::<Expectation>(findings) {
+            Some(Expectation::Actions(wanted)) => {
+                findings.check(self.last == wanted, &step.place(), || {
+                    format!("the actions were {:?}, not {wanted:?}", self.last)
+                });
+            }
+            Some(Expectation::Delivered(wanted)) => {
+                findings.check(*self.delivered == *wanted, &step.place(), || {
+                    format!("delivered was {:?}, not {wanted:?}", self.delivered)
+                });
+            }
+            None => {}
+        }
+    }
+}
+
+fn event(input: Input) -> Event {
+    match input {
+        Input::Request { .. } | Input::Accepted => Event::Accepted,
+        Input::Picked { group, attempt } => Event::Picked { group, attempt },
+        Input::NotPicked { failure, retry_after_ms } => {
+            Event::NotPicked { failure, retry_after: retry_after_ms.map(Duration::from_millis) }
+        }
+        Input::NotSent => Event::NotSent,
+        Input::Refused(reason) => Event::Refused(reason),
+        Input::Piece { attempt, seq, text } => {
+            Event::Item(Item::Piece(Piece { attempt, seq, text }))
+        }
+        Input::End { attempt, count } => {
+            Event::Item(Item::End(End { attempt, count, finish: FinishReason::Stop }))
+        }
+        Input::Broken => Event::Broken,
+        Input::DeadlinePassed => Event::DeadlinePassed,
+        Input::CallerGone => Event::CallerGone,
+    }
+}
+
+/// Returns the text form of an action: its name and what matters of it.
+fn name(action: &Action) -> Box<str> {
+    match action {
+        Action::Pick { exclude } => format!("pick without {exclude:?}"),
+        Action::Send { attempt, group, skip } => format!("send {attempt} to {group} from {skip}"),
+        Action::Resume { attempt, from } => format!("resume {attempt} from {from}"),
+        Action::Cancel { attempt } => format!("cancel {attempt}"),
+        Action::Deliver { seq, .. } => format!("deliver {seq}"),
+        Action::ReportCrash { group } => format!("crash of {group}"),
+        Action::Finish(outcome) => finish_name(outcome),
+    }
+    .into()
+}
+
+fn finish_name(outcome: &Outcome) -> String {
+    match outcome.failure() {
+        Some(failure) => format!("finish {}: {failure}", outcome.name()),
+        None => format!("finish {}", outcome.name()),
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/life.rs
@@ -0,0 +1,226 @@
+//! Property tests of one request's life, and replays of its traces.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::trace::Trace;
+use engine::prelude::*;
+use proptest::prelude::*;
+use relay::prelude::*;
+
+/// What the fake engine does with the next call, stream item or wait.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    NotSent,
+    Refuse,
+    BreakBefore,
+    BreakAfterAdmission,
+    Drop,
+    Double,
+    Skip,
+    Foreign,
+    Crash,
+    NoGroup,
+    Deadline,
+    DeadlineAfterAdmission,
+    CallerGone,
+}
+
+fn faults() -> impl Strategy<Value = Vec<Fault>> {
+    use Fault::*;
+    let one = prop_oneof![
+        6 => Just(None),
+        1 => Just(NotSent),
+        1 => Just(Refuse),
+        1 => Just(BreakBefore),
+        4 => Just(BreakAfterAdmission),
+        1 => Just(Drop),
+        1 => Just(Double),
+        1 => Just(Skip),
+        1 => Just(Foreign),
+        1 => Just(Crash),
+        2 => Just(NoGroup),
+        1 => Just(Deadline),
+        1 => Just(DeadlineAfterAdmission),
+        1 => Just(CallerGone),
+    ];
+    proptest::collection::vec(one, 0..40)
+}
+
+/// A fake engine and network: runs attempts, and counts how often each was admitted.
+struct World {
+    faults: std::vec::IntoIter<Fault>,
+    text: Vec<&'static str>,
+    admitted: BTreeMap<u64, u32>,
+    next_attempt: u64,
+    delivered: String,
+    outcome: Option<Outcome>,
+}
+
+impl World {
+    fn new(faults: Vec<Fault>) -> Self {
+        World {
+            faults: faults.into_iter(),
+            text: vec!["a", "b", "c", "d"],
+            admitted: BTreeMap::new(),
+            next_attempt: 1,
+            delivered: String::new(),
+            outcome: None,
+        }
+    }
+
+    fn fault(&mut self) -> Fault {
+        self.faults.next().unwrap_or(Fault::None)
+    }
+
+    /// Returns the events that carrying out `action` brings about.
+    fn carry_out(&mut self, action: Action) -> Vec<Event> {
+        match action {
+            Action::Pick { exclude } => self.pick(exclude.len()),
+            Action::Send { attempt, skip, .. } => self.call(attempt, skip, false),
+            Action::Resume { attempt, from } => self.call(attempt, from, true),
+            Action::Deliver { text, .. } => {
+                self.delivered.push_str(&text);
+                Vec::new()
+            }
+            Action::Finish(outcome) => {
+                assert!(self.outcome.replace(outcome).is_none(), "finished twice");
+                Vec::new()
+            }
+            Action::Cancel { .. } | Action::ReportCrash { .. } => Vec::new(),
+        }
+    }
+
+    fn pick(&mut self, failed: usize) -> Vec<Event> {
+        match self.fault() {
+            Fault::NoGroup => {
+                vec![Event::NotPicked { failure: Failure::NoGroup, retry_after: None }]
+            }
+            Fault::Deadline => vec![Event::DeadlinePassed],
+            Fault::CallerGone => vec![Event::CallerGone],
+            _ => {
+                let attempt = self.next_attempt;
+                self.next_attempt += 1;
+                vec![Event::Picked { group: format!("g{failed}").into(), attempt }]
+            }
+        }
+    }
+
+    fn call(&mut self, attempt: u64, from: u32, resume: bool) -> Vec<Event> {
+        let fault = self.fault();
+        match fault {
+            Fault::NotSent => return vec![Event::NotSent],
+            Fault::Refuse => return vec![Event::Refused(RefusalReason::Full)],
+            Fault::BreakBefore => return vec![Event::Broken],
+            Fault::Deadline => return vec![Event::DeadlinePassed],
+            Fault::CallerGone => return vec![Event::CallerGone],
+            _ if resume && !self.admitted.contains_key(&attempt) => {
+                return vec![Event::Refused(RefusalReason::UnknownAttempt)];
+            }
+            _ if !resume => *self.admitted.entry(attempt).or_default() += 1,
+            _ => {}
+        }
+        if matches!(fault, Fault::DeadlineAfterAdmission) {
+            return vec![Event::DeadlinePassed];
+        }
+        if matches!(fault, Fault::BreakAfterAdmission | Fault::Crash) {
+            return vec![Event::Broken];
+        }
+        self.stream(attempt, from)
+    }
+
+    fn stream(&mut self, attempt: u64, from: u32) -> Vec<Event> {
+        let mut events = Vec::new();
+        for seq in from..u32::try_from(self.text.len()).unwrap() {
+            let text = self.text[seq as usize];
+            let item = |attempt, text: &str| {
+                Event::Item(Item::Piece(Piece { attempt, seq, text: text.into() }))
+            };
+            let piece = |attempt| item(attempt, text);
+            match self.fault() {
+                Fault::Drop => {}
+                Fault::Double => events.extend([piece(attempt), piece(attempt)]),
+                Fault::Foreign => events.extend([item(attempt + 1000, "foreign"), piece(attempt)]),
+                Fault::Skip => break,
+                Fault::Crash | Fault::BreakAfterAdmission => {
+                    events.push(Event::Broken);
+                    return events;
+                }
+                _ => events.push(piece(attempt)),
+            }
+        }
+        let count = u32::try_from(self.text.len()).unwrap();
+        events.push(Event::Item(Item::End(End { attempt, count, finish: FinishReason::Stop })));
+        events
+    }
+}
+
+fn run(idempotent: bool, faults: Vec<Fault>) -> World {
+    let mut world = World::new(faults);
+    let mut life = Life::new(Request { idempotent, deadline: Duration::from_secs(60) });
+    let mut events = std::collections::VecDeque::from([Event::Accepted]);
+    for step in 0..10_000u64 {
+        let Some(event) = events.pop_front() else { break };
+        let actions = life.decide(event, Duration::from_millis(step));
+        let asks = |action: &Action| {
+            matches!(action, Action::Send { .. } | Action::Resume { .. } | Action::Pick { .. })
+        };
+        if actions.iter().any(asks) {
+            // A new call replaces the stream before it.
+            events.clear();
+        }
+        for action in actions {
+            events.extend(world.carry_out(action));
+        }
+    }
+    world
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    #[test]
+    fn the_answer_is_whole_or_a_prefix_and_the_request_always_ends(
+        faults in faults(),
+        idempotent in any::<bool>(),
+    ) {
+        let world = run(idempotent, faults);
+        let outcome = world.outcome.expect("the request has ended");
+        prop_assert!("abcd".starts_with(&world.delivered), "{}", world.delivered);
+        if matches!(outcome, Outcome::Done { .. }) {
+            prop_assert_eq!(world.delivered, "abcd");
+        }
+    }
+
+    #[test]
+    fn what_is_told_as_not_run_was_admitted_nowhere(
+        faults in faults(),
+        idempotent in any::<bool>(),
+    ) {
+        let world = run(idempotent, faults);
+        if let Some(Outcome::NotRun { .. }) = world.outcome {
+            prop_assert!(world.admitted.is_empty(), "{:?}", world.admitted);
+        }
+    }
+
+    #[test]
+    fn a_request_that_is_not_idempotent_is_admitted_at_most_once(faults in faults()) {
+        let world = run(false, faults);
+        let total: u32 = world.admitted.values().sum();
+        prop_assert!(total <= 1, "{:?}", world.admitted);
+    }
+}
+
+#[test]
+fn traces_of_the_relay_replay_as_stated() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../traces/relay");
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        let text = std::fs::read_to_string(&path).unwrap();
+        let trace = Trace::try_from(text.as_str()).unwrap();
+        if let Err(findings) = relay::trace::replay(&trace) {
+            panic!("{}:\n{findings}", path.display());
+        }
+    }
+}
