Meet the key-value service over the network, with a stand-in for it

Cause: the daemons need the platform's key-value service, and tests need its faults. Ruled out: a protocol of our own over HTTP, since the platform's service is met through the published etcd v3 protocol; a lazily connecting channel, since its failures do not tell whether a write was sent. Change: crate protogen writes the committed code of proto from a list of files; kv::etcd is the store over tonic (one connection at a time, proved by a read before the first write, condemned on silence); lab::kv is the stand-in with outages, silence, slowness, lost answers, rate limits, leases and cut watches. tonic gets the feature router, which serving several services needs. Conclusion: a write without an answer is Unclear, and Down is said only when none was sent.

--- a/crates/kv/src/memory.rs
+++ b/crates/kv/src/memory.rs
@@ -37,6 +37,16 @@
 }
 
 impl MemoryStore {
+    /// Returns the revision of the last write of any key.
+    pub fn revision(&self) -> u64 {
+        self.state.lock().revision
+    }
+
+    /// Closes all watches.
+    pub fn cut_watches(&self) {
+        self.state.lock().watches.clear();
+    }
+
     fn change(&self, key: &str, expected: u64, value: Option<Arc<[u8]>>) -> Swap {
         let mut state = self.state.lock();
         let current = state.values.get(key).cloned();
--- /dev/null
+++ b/crates/lab/src/kv.rs
@@ -0,0 +1,71 @@
+//! A stand-in for the platform's key-value service.
+//!
+//! It speaks the etcd v3 protocol over a store in memory, limits the rates of reads and writes,
+//! expires leases, counts calls by kind, and has faults that are switched while it runs; see
+//! [`faults`]. Transactions compare the modification revision of one key and change that key.
+
+pub mod faults;
+mod leases;
+mod limit;
+mod link;
+mod service;
+mod watch;
+
+use std::sync::Arc;
+
+use kv::memory::MemoryStore;
+use proto::etcdserverpb::kv_server;
+use proto::etcdserverpb::lease_server;
+use proto::etcdserverpb::watch_server;
+use tokio::net::TcpListener;
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+pub use self::faults::KvCounts;
+pub use self::faults::KvFaults;
+pub use self::faults::KvOrder;
+pub use self::faults::Outage;
+use self::link::Link;
+use self::service::Service;
+use self::watch::Watches;
+
+/// Longest message that is read, in bytes: a value of up to 1 MB and its frame.
+const MAX_MESSAGE_BYTES: usize = 2 << 20;
+
+/// The stand-in key-value service.
+#[derive(Clone, Default)]
+pub struct KvServer {
+    /// What it holds.
+    pub store: MemoryStore,
+    /// Its faults, limits and counters.
+    pub faults: KvFaults,
+}
+
+impl KvServer {
+    /// Serves callers at `listener` until the future is dropped.
+    ///
+    /// # Errors
+    ///
+    /// An error of the transport ends the service.
+    pub async fn serve(self, listener: TcpListener) -> Result<(), tonic::transport::Error> {
+        let faults = self.faults.clone();
+        let incoming = TcpListenerStream::new(listener).filter_map(move |stream| match stream {
+            Ok(stream) if faults.refuses_connections() => {
+                drop(stream);
+                None
+            }
+            Ok(stream) => Some(Ok(Link::new(stream, faults.clone()))),
+            Err(error) => Some(Err(error)),
+        });
+        let service = Arc::new(Service::new(self.store, self.faults));
+        tokio::spawn(leases::expire(Arc::downgrade(&service)));
+        let kv = kv_server::KvServer::from_arc(service.clone());
+        Server::builder()
+            .add_service(kv.max_decoding_message_size(MAX_MESSAGE_BYTES))
+            .add_service(watch_server::WatchServer::new(Watches(service.clone())))
+            .add_service(lease_server::LeaseServer::from_arc(service))
+            .serve_with_incoming(incoming)
+            .await
+    }
+}
--- /dev/null
+++ b/crates/lab/src/kv/link.rs
@@ -0,0 +1,115 @@
+//! A connection that can be reset or go silent for good.
+//!
+//! A silent connection swallows what is written and never has anything to read, as when a
+//! middlebox has lost track of it.
+
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tonic::transport::server::Connected;
+
+use super::faults::KvFaults;
+use super::faults::Outage;
+
+/// A caller's connection.
+pub(super) struct Link {
+    stream: TcpStream,
+    faults: KvFaults,
+    resets: u64,
+    silences: u64,
+}
+
+enum Health {
+    Well,
+    Reset,
+    Silent,
+}
+
+impl Link {
+    /// Wraps an accepted connection.
+    pub(super) fn new(stream: TcpStream, faults: KvFaults) -> Self {
+        let _ = stream.set_nodelay(true);
+        let (resets, mut silences) = faults.marks();
+        if faults.outage() == Outage::Silent {
+            // Silent from the start, and for good.
+            silences = u64::MAX;
+        }
+        Link { stream, faults, resets, silences }
+    }
+
+    fn health(&self) -> Health {
+        let (resets, silences) = self.faults.marks();
+        if resets != self.resets {
+            Health::Reset
+        } else if silences != self.silences {
+            Health::Silent
+        } else {
+            Health::Well
+        }
+    }
+}
+
+fn reset<T>() -> Poll<io::Result<T>> {
+    Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
+}
+
+impl AsyncRead for Link {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        match self.health() {
+            Health::Reset => reset(),
+            Health::Silent => match polled {
+                // The peer gave the connection up.
+                Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+                Poll::Ready(Ok(())) if buf.filled().len() == filled => reset(),
+                Poll::Ready(Ok(())) => {
+                    buf.set_filled(filled);
+                    // What has arrived is swallowed, and more may come.
+                    cx.waker().wake_by_ref();
+                    Poll::Pending
+                }
+                Poll::Pending => Poll::Pending,
+            },
+            Health::Well => polled,
+        }
+    }
+}
+
+impl AsyncWrite for Link {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match self.health() {
+            Health::Reset => reset(),
+            Health::Silent => Poll::Ready(Ok(buf.len())),
+            Health::Well => Pin::new(&mut self.stream).poll_write(cx, buf),
+        }
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+impl Connected for Link {
+    type ConnectInfo = ();
+
+    fn connect_info(&self) {}
+}
--- /dev/null
+++ b/crates/lab/tests/kv_server.rs
@@ -0,0 +1,143 @@
+//! The store over the network against the stand-in service and its faults.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use kv::prelude::*;
+use lab::kv::KvOrder;
+use lab::kv::Outage;
+use lab::prelude::*;
+use tokio::net::TcpListener;
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+
+struct Bench {
+    store: Arc<EtcdStore>,
+    server: KvServer,
+}
+
+async fn start() -> Bench {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = format!("http://{}", listener.local_addr().expect("an address"));
+    let server = KvServer::default();
+    tokio::spawn(server.clone().serve(listener));
+    let mut settings = EtcdSettings::new(vec![address.into()]);
+    settings.call_timeout = CALL_TIMEOUT;
+    let store = Arc::new(EtcdStore::new(settings).expect("settings"));
+    Bench { store, server }
+}
+
+fn bytes(text: &str) -> Arc<[u8]> {
+    Arc::from(text.as_bytes())
+}
+
+fn order(outage: Outage) -> KvOrder {
+    KvOrder { outage: Some(outage), ..KvOrder::default() }
+}
+
+async fn write(store: &EtcdStore, key: &str, expected: u64, text: &str) -> u64 {
+    match store.swap(key, expected, bytes(text)).await {
+        Ok(Swap::Done { mod_revision }) => mod_revision,
+        other => panic!("{key} was not written: {other:?}"),
+    }
+}
+
+#[tokio::test]
+async fn calls_reach_the_stand_in() {
+    let Bench { store, server } = start().await;
+    assert_eq!(store.get("a/1").await, Ok(None));
+    let first = write(&store, "a/1", 0, "one").await;
+    let conflict = store.swap("a/1", 0, bytes("other")).await;
+    let current = Some(Versioned { value: bytes("one"), mod_revision: first });
+    assert_eq!(conflict, Ok(Swap::Conflict { current }));
+    let second = write(&store, "a/1", first, "two").await;
+    assert!(second > first);
+    write(&store, "a/2", 0, "three").await;
+    write(&store, "b/1", 0, "four").await;
+    let rows = store.list("a/").await.expect("rows");
+    let keys: Vec<&str> = rows.iter().map(|(key, _)| &**key).collect();
+    assert_eq!(keys, ["a/1", "a/2"]);
+    assert!(matches!(store.delete("a/1", second).await, Ok(Swap::Done { .. })));
+    assert_eq!(store.get("a/1").await, Ok(None));
+    assert_eq!(server.faults.counts().written, 5);
+}
+
+#[tokio::test]
+async fn watch_tells_each_change_after_a_revision() {
+    let Bench { store, server } = start().await;
+    let first = write(&store, "w/1", 0, "one").await;
+    let second = write(&store, "w/1", first, "two").await;
+    let mut watch = store.watch("w/", first).await.expect("a watch");
+    let event = watch.recv().await.expect("an event");
+    assert_eq!(event.value.map(|value| value.mod_revision), Some(second));
+    store.delete("w/1", second).await.expect("deleted");
+    let event = watch.recv().await.expect("an event");
+    assert_eq!((&*event.key, event.value), ("w/1", None));
+    server.faults.apply(KvOrder { cut_watches: true, ..KvOrder::default() });
+    assert_eq!(watch.recv().await, None);
+}
+
+#[tokio::test]
+async fn write_with_a_lost_answer_is_unclear_and_stands() {
+    let Bench { store, server } = start().await;
+    server.faults.apply(KvOrder { lose_answers: Some(1), ..KvOrder::default() });
+    assert_eq!(store.swap("k", 0, bytes("mine")).await, Err(KvError::Unclear));
+    let stands = store.get("k").await.expect("an answer").expect("a value");
+    assert_eq!(stands.value, bytes("mine"));
+}
+
+#[tokio::test]
+async fn outage_is_told_as_down_and_ends() {
+    let Bench { store, server } = start().await;
+    write(&store, "k", 0, "one").await;
+    server.faults.apply(order(Outage::NoLeader));
+    assert_eq!(store.swap("k2", 0, bytes("two")).await, Err(KvError::Down));
+    server.faults.apply(order(Outage::Reset));
+    // The first call may find out by the reset of its connection; no later one is sent.
+    let _ = store.swap("k2", 0, bytes("two")).await;
+    assert_eq!(store.swap("k2", 0, bytes("two")).await, Err(KvError::Down));
+    server.faults.apply(order(Outage::None));
+    let deadline = Instant::now() + Duration::from_secs(20);
+    while store.get("k").await.is_err() && Instant::now() < deadline {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(store.get("k2").await, Ok(None));
+    write(&store, "k2", 0, "two").await;
+}
+
+#[tokio::test]
+async fn silent_connection_is_given_up_and_replaced() {
+    let Bench { store, server } = start().await;
+    write(&store, "k", 0, "one").await;
+    server.faults.apply(KvOrder { silence_connections: true, ..KvOrder::default() });
+    assert_eq!(store.swap("k2", 0, bytes("two")).await, Err(KvError::Unclear));
+    // A new connection is made; the silent one would never answer.
+    write(&store, "k3", 0, "three").await;
+    assert_eq!(store.get("k2").await, Ok(None));
+}
+
+#[tokio::test]
+async fn silence_from_the_start_is_down_for_a_write() {
+    let Bench { store, server } = start().await;
+    server.faults.apply(order(Outage::Silent));
+    assert_eq!(store.swap("k", 0, bytes("one")).await, Err(KvError::Down));
+}
+
+#[tokio::test]
+async fn rate_limit_refuses_without_carrying_out() {
+    let Bench { store, server } = start().await;
+    server.faults.apply(KvOrder { writes_per_second: Some(1), ..KvOrder::default() });
+    write(&store, "k1", 0, "one").await;
+    let limited = store.swap("k2", 0, bytes("two")).await;
+    assert!(matches!(limited, Err(KvError::Limited { .. })), "{limited:?}");
+    assert_eq!(store.get("k2").await, Ok(None));
+}
+
+#[test]
+fn order_with_an_unknown_fault_is_refused() {
+    let faults = KvFaults::default();
+    let findings = faults.apply_json(&serde_json::json!({"outage": "flood"})).unwrap_err();
+    assert!(findings.to_string().contains("unknown variant `flood`"), "{findings}");
+    faults.apply_json(&serde_json::json!({"outage": "no_leader"})).expect("an order");
+}
--- /dev/null
+++ b/crates/protogen/src/main.rs
@@ -0,0 +1,23 @@
+//! Generates the Rust code of the protocols, for the crate `proto`.
+//!
+//! Run `cargo run -p protogen` at the repository's root after a change to one of [`PROTOS`] and
+//! commit what it writes, so that the build needs no generator.
+
+use std::path::Path;
+
+/// The protocol files, below [`PROTO_DIR`].
+const PROTOS: &[&str] = &["mvcc.proto", "etcd.proto"];
+/// Where the protocol files are, from the repository's root.
+const PROTO_DIR: &str = "crates/proto/protos";
+/// Where the generated code goes, from the repository's root.
+const OUT_DIR: &str = "crates/proto/src/gen";
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let descriptors = protox::compile(PROTOS, [root.join(PROTO_DIR)])?;
+    tonic_prost_build::configure()
+        .out_dir(root.join(OUT_DIR))
+        .bytes(".")
+        .compile_fds(descriptors)?;
+    Ok(())
+}
