Go on with a request that another process began

Cause: a caller whose entry VM died comes back through another one. Change: Life::resume begins with the known attempt; engines get further sampling options as they came.

--- a/crates/engine/src/generate.rs
+++ b/crates/engine/src/generate.rs
@@ -8,6 +8,9 @@
 use base::prelude::*;
 use displaydoc::Display;
 
+/// Options of the sampling that engines read and the system passes on.
+pub type Options = serde_json::Map<String, serde_json::Value>;
+
 /// Asks an engine for text.
 #[wire]
 pub struct Generate {
@@ -32,6 +35,9 @@
     pub seed: u64,
     /// Priority; a higher one goes first.
     pub priority: u8,
+    /// Further options of the sampling, as the caller gave them.
+    #[serde(default)]
+    pub options: Options,
     /// Number of the first piece to send; the ones before are generated and not sent.
     #[serde(default)]
     pub skip: u32,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,3 +9,12 @@
 pub mod kv;
 pub mod text;
 pub mod weights;
+
+/// The common types of this crate.
+pub mod prelude {
+    pub use crate::engine::Engine;
+    pub use crate::engine::EngineOptions;
+    pub use crate::kv::KvFaults;
+    pub use crate::kv::KvServer;
+    pub use crate::weights::WeightStore;
+}
--- a/crates/relay/src/life.rs
+++ b/crates/relay/src/life.rs
@@ -147,6 +147,24 @@
         }
     }
 
+    /// Continues the life of a request whose attempt at `group` another process began, after
+    /// `delivered` pieces.
+    pub fn resume(request: Request, group: GroupId, attempt: AttemptId, delivered: u32) -> Self {
+        let current = Current {
+            attempt,
+            group,
+            stream: Assembler::new(attempt, delivered),
+            resuming: true,
+            fruitless_resumes: 0,
+            admitted: false,
+        };
+        let mut life = Life::new(request);
+        life.delivered = delivered;
+        life.current = Some(current);
+        life.may_have_run = true;
+        life
+    }
+
     /// Returns whether the request has ended.
     pub fn is_finished(&self) -> bool {
         self.finished
@@ -166,7 +184,7 @@
             Event::CallerGone => self.abandon(),
             Event::DeadlinePassed => self.give_up(Failure::Deadline),
             _ if now >= self.request.deadline => self.give_up(Failure::Deadline),
-            Event::Accepted => vec![self.pick()],
+            Event::Accepted => vec![self.begin()],
             Event::Picked { group, attempt } => self.send(group, attempt),
             Event::NotPicked { failure, retry_after } => self.not_picked(failure, retry_after),
             Event::NotSent => self.not_sent(),
@@ -176,6 +194,15 @@
         }
     }
 
+    fn begin(&self) -> Action {
+        match &self.current {
+            Some(current) => {
+                Action::Resume { attempt: current.attempt, from: current.stream.next() }
+            }
+            None => self.pick(),
+        }
+    }
+
     fn pick(&self) -> Action {
         Action::Pick { exclude: self.failed_groups.clone() }
     }
