--- /dev/null
+++ b/crates/daemon/src/entry.rs
@@ -0,0 +1,182 @@
+//! The caller API, as callers' ordinary client libraries expect it.
+//!
+//! | path | what |
+//! |---|---|
+//! | `POST /v1/chat/completions`, `POST /v1/completions` | text, streamed or whole |
+//! | `GET /v1/models` | the models that the workspace sees |
+//! | `/apps/{service}/…` | calls to plain services, passed on as they are |
+//! | `GET /healthz` | 200 while the process runs |
+//!
+//! - [`auth`]: finds the workspace of a bearer key.
+//! - [`ask`]: reads and checks a request for text.
+//! - [`answer`]: writes streamed and whole answers.
+//! - [`apps`]: passes calls to plain services.
+//! - [`problem`]: errors in the API's shape.
+//! - [`token`]: tokens by which a caller resumes through another process.
+
+pub mod answer;
+pub mod apps;
+pub mod ask;
+pub mod auth;
+pub mod problem;
+pub mod token;
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use config::prelude::*;
+use futures::FutureExt;
+use http::Method;
+use http::StatusCode;
+use kernel::prelude::*;
+use serde::Serialize;
+use spec::prelude::Catalog;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use web::prelude::*;
+
+use crate::announce::Addresses;
+use crate::entry::auth::Keys;
+use crate::entry::problem::Problem;
+use crate::entry::token::Signer;
+use crate::metrics::Metrics;
+use crate::names;
+use crate::route::RouteMessage;
+
+/// What the handlers share.
+pub struct State {
+    /// The service's context.
+    pub cx: Context,
+    /// The settings.
+    pub settings: Arc<Settings>,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The configuration in force.
+    pub catalog: watch::Receiver<Arc<Catalog>>,
+    /// The workspaces' keys.
+    pub keys: Keys,
+    /// Routing.
+    pub route: mpsc::Sender<RouteMessage>,
+    /// Calls to backend servers that may be repeated.
+    pub pooled: Client,
+    /// Calls to backend servers over a new connection each.
+    pub fresh: Client,
+    /// Signs resume tokens.
+    pub signer: Signer,
+}
+
+/// Describes the service.
+pub fn service() -> Service {
+    Service::new(names::ENTRY, &[names::CATALOG, names::ROUTE], |cx| async move {
+        let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
+        let addresses: Addresses = cx.registry().find(names::PROCESS)?;
+        let listener = TcpListener::bind(settings.listen.caller)
+            .await
+            .map_err(|error| Fault::new(settings.listen.caller.to_string(), error))?;
+        let local = listener.local_addr().map_err(|error| Fault::new("caller", error))?;
+        addresses.add("caller", local);
+        let state = Arc::new(state(&cx, settings.clone())?);
+        cx.ready();
+        let drain = Drain::default();
+        let stop = cx.stop_token();
+        let limit = settings.shutdown.max_drain;
+        let handler = Arc::new(move |req: Request| handle(state.clone(), req).boxed());
+        let served = serve(listener, limits(&settings.caller), handler, drain, stop.clone());
+        tokio::select! {
+            served = served => served.map_err(|error| Fault::new("caller", error)),
+            () = drain_limit(stop, limit) => {
+                log::warn!("open streams are cut off: shutdown.max_drain_ms has passed");
+                Ok(())
+            }
+        }
+    })
+}
+
+fn state(cx: &Context, settings: Arc<Settings>) -> Result<State, Fault> {
+    let connect_timeout = settings.requests.connect_timeout;
+    Ok(State {
+        metrics: cx.registry().find(names::PROCESS)?,
+        catalog: cx.view(names::CATALOG)?,
+        keys: Keys::default(),
+        route: cx.sender(names::ROUTE)?,
+        pooled: Client::pooled(connect_timeout),
+        fresh: Client::fresh(connect_timeout),
+        signer: Signer::new(&settings.peers.secrets),
+        settings,
+        cx: cx.clone(),
+    })
+}
+
+fn limits(caller: &Caller) -> ServerLimits {
+    ServerLimits {
+        max_header_bytes: caller.max_header_bytes,
+        header_timeout: caller.header_timeout,
+        idle_timeout: caller.idle_timeout,
+        max_connections: caller.max_connections,
+    }
+}
+
+/// Resolves when a stop has taken longer than the operator allows; never without a limit.
+async fn drain_limit(stop: tokio_util::sync::CancellationToken, limit: Option<Duration>) {
+    stop.cancelled().await;
+    match limit {
+        Some(limit) => tokio::time::sleep(limit).await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn handle(state: Arc<State>, req: Request) -> Response {
+    if &*req.path == "/healthz" {
+        return reply::text(StatusCode::OK, "ok");
+    }
+    let catalog = state.catalog.borrow().clone();
+    let Some(workspace) = state.keys.workspace_of(&catalog, req.bearer()) else {
+        state.metrics.refusals.with_label_values(&["caller", "unauthorized"]).inc();
+        return Problem::unauthorized().response();
+    };
+    let answered = match (&req.method, &*req.path) {
+        (&Method::POST, "/v1/chat/completions") => {
+            answer::text(&state, &catalog, workspace, ask::Shape::Chat, req).await
+        }
+        (&Method::POST, "/v1/completions") => {
+            answer::text(&state, &catalog, workspace, ask::Shape::Completion, req).await
+        }
+        (&Method::GET, "/v1/models") => Ok(models(&catalog, &workspace)),
+        (_, path) if path.starts_with("/apps/") => {
+            apps::pass_on(&state, &catalog, workspace, req).await
+        }
+        (_, path) => Err(Problem::not_found(format!("path \"{path}\" does not exist"))),
+    };
+    answered.unwrap_or_else(|problem| {
+        state.metrics.refusals.with_label_values(&["caller", problem.code]).inc();
+        problem.response()
+    })
+}
+
+#[derive(Serialize)]
+struct ModelList<'a> {
+    object: &'static str,
+    data: Vec<ModelEntry<'a>>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    owned_by: &'a str,
+}
+
+fn models(catalog: &Catalog, workspace: &str) -> Response {
+    let found = catalog.workspaces.get(workspace);
+    let data = found.iter().flat_map(|found| {
+        found.models.iter().map(|access| ModelEntry {
+            id: &access.alias,
+            object: "model",
+            created: 0,
+            owned_by: &found.brand,
+        })
+    });
+    reply::json(StatusCode::OK, &ModelList { object: "list", data: data.collect() })
+}
--- /dev/null
+++ b/crates/daemon/src/entry/answer.rs
@@ -0,0 +1,317 @@
+//! Writes streamed and whole answers.
+//!
+//! A streamed answer begins with the first piece: until then a failure still gets its own status.
+//! Each event has the number of its piece as `id`, and comments carry the resume token. A caller
+//! whose connection broke sends the same body again, to any process, with the headers
+//! `Samphire-Resume: <token>` and `Last-Event-ID: <number of the last piece it got>`.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use http::HeaderValue;
+use http::StatusCode;
+use relay::prelude::*;
+use serde::Serialize;
+use spec::prelude::Catalog;
+use tokio::sync::mpsc;
+use web::body;
+use web::prelude::*;
+
+use crate::entry::State;
+use crate::entry::ask;
+use crate::entry::ask::Ask;
+use crate::entry::ask::Shape;
+use crate::entry::problem::Problem;
+use crate::entry::token::ResumePoint;
+use crate::exec::Exec;
+use crate::exec::Output;
+use crate::exec::Start;
+
+/// Outputs that may wait for the writer.
+const OUTPUT_DEPTH: usize = 64;
+/// Header by which a caller says how long it waits, in milliseconds.
+const DEADLINE_HEADER: &str = "samphire-deadline-ms";
+/// Header with a resume token.
+const RESUME_HEADER: &str = "samphire-resume";
+/// Header with the number of the last piece that the caller got.
+const LAST_EVENT_HEADER: &str = "last-event-id";
+/// Header with the request's id, for the time line.
+const REQUEST_HEADER: &str = "samphire-request";
+
+/// Answers a request for text.
+pub async fn text(
+    state: &Arc<State>,
+    catalog: &Catalog,
+    workspace: WorkspaceId,
+    shape: Shape,
+    req: Request,
+) -> Result<Response, Problem> {
+    let patience = patience(state, &req)?;
+    let token = req.header(RESUME_HEADER).map(str::to_owned);
+    let last_event = last_event(&req)?;
+    let bytes =
+        body::read(req.body, state.settings.caller.max_body_bytes).await.map_err(|error| {
+            match error {
+                BodyError::TooLarge { .. } => Problem::too_large(error.to_string()),
+                BodyError::Broken(_) => Problem::bad_request(None, error.to_string()),
+            }
+        })?;
+    let mut ask = ask::read(catalog, &workspace, shape, &bytes)?;
+    let resume = match token {
+        None => None,
+        Some(token) => Some((resume_point(state, &workspace, &mut ask, &token)?, last_event)),
+    };
+    let request = resume.as_ref().map_or_else(draw_id, |(point, _)| point.request);
+    let writer = Writer::new(request, &ask);
+    let stream = ask.stream;
+    let (tx, rx) = mpsc::channel(OUTPUT_DEPTH);
+    let start = Start { request, workspace, ask, idempotent: true, patience, resume };
+    tokio::spawn(Exec::new(state.clone(), start, tx).run());
+    let mut response = if stream { writer.stream(rx).await? } else { writer.whole(rx).await? };
+    let value = HeaderValue::from_str(&format!("{request:016x}"));
+    response.headers_mut().insert(REQUEST_HEADER, value.expect("digits are valid"));
+    Ok(response)
+}
+
+fn patience(state: &State, req: &Request) -> Result<Duration, Problem> {
+    let longest = state.settings.requests.default_deadline;
+    match req.header(DEADLINE_HEADER) {
+        None => Ok(longest),
+        Some(text) => match text.parse() {
+            Ok(millis) => Ok(Duration::from_millis(millis).min(longest)),
+            Err(_) => {
+                let problem = format!(
+                    "header \"{DEADLINE_HEADER}\": found \"{text}\"; allowed is an integer"
+                );
+                Err(Problem::bad_request(Some(DEADLINE_HEADER), problem))
+            }
+        },
+    }
+}
+
+/// Returns the number of the first piece that the caller has not got.
+fn last_event(req: &Request) -> Result<u32, Problem> {
+    let Some(text) = req.header(LAST_EVENT_HEADER) else { return Ok(0) };
+    match text.parse::<u32>() {
+        Ok(last) => Ok(last.saturating_add(1)),
+        Err(_) => {
+            let problem =
+                format!("header \"{LAST_EVENT_HEADER}\": found \"{text}\"; allowed is an integer");
+            Err(Problem::bad_request(Some(LAST_EVENT_HEADER), problem))
+        }
+    }
+}
+
+/// Checks a resume token against the request, and pins version and seed to those of the attempt.
+fn resume_point(
+    state: &State,
+    workspace: &str,
+    ask: &mut Ask,
+    token: &str,
+) -> Result<ResumePoint, Problem> {
+    let point = state.signer.check(token);
+    let fits = |point: &ResumePoint| {
+        &*point.workspace == workspace && point.fingerprint == ask.fingerprint
+    };
+    let Some(point) = point.filter(fits) else {
+        return Err(Problem::forbidden("the resume token does not belong to this request"));
+    };
+    ask.access.version = point.version.clone();
+    ask.seed = point.seed;
+    Ok(point)
+}
+
+#[derive(Serialize)]
+struct Document<'a> {
+    id: &'a str,
+    object: &'a str,
+    created: u64,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Message<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Message<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct Message<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct Usage {
+    completion_tokens: u32,
+}
+
+/// Writes one answer.
+struct Writer {
+    id: String,
+    created: u64,
+    alias: Box<str>,
+    shape: Shape,
+}
+
+impl Writer {
+    fn new(request: RequestId, ask: &Ask) -> Self {
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let prefix = match ask.shape {
+            Shape::Chat => "chatcmpl",
+            Shape::Completion => "cmpl",
+        };
+        Writer {
+            id: format!("{prefix}-{request:016x}"),
+            created: since.as_secs(),
+            alias: ask.alias.clone(),
+            shape: ask.shape,
+        }
+    }
+
+    /// Collects the whole answer.
+    async fn whole(self, mut rx: mpsc::Receiver<Output>) -> Result<Response, Problem> {
+        let mut text = String::new();
+        loop {
+            match rx.recv().await {
+                Some(Output::Token(_)) => {}
+                Some(Output::Piece { text: piece, .. }) => text.push_str(&piece),
+                Some(Output::End(outcome)) => return self.whole_answer(&text, &outcome),
+                None => return Err(ended_without_outcome()),
+            }
+        }
+    }
+
+    fn whole_answer(&self, text: &str, outcome: &Outcome) -> Result<Response, Problem> {
+        if let Some(problem) = Problem::of_outcome(outcome) {
+            return Err(problem);
+        }
+        let Outcome::Done { finish, pieces } = outcome else { return Err(ended_without_outcome()) };
+        let message = Message { role: Some("assistant"), content: Some(text) };
+        let (message, text) = match self.shape {
+            Shape::Chat => (Some(message), None),
+            Shape::Completion => (None, Some(text)),
+        };
+        let finish_reason = Some(finish.name());
+        let choice = Choice { index: 0, delta: None, message, text, finish_reason };
+        let object = match self.shape {
+            Shape::Chat => "chat.completion",
+            Shape::Completion => "text_completion",
+        };
+        let usage = Some(Usage { completion_tokens: *pieces });
+        Ok(reply::json(StatusCode::OK, &self.document(object, choice, usage)))
+    }
+
+    /// Begins a streamed answer with its first piece.
+    async fn stream(self, mut rx: mpsc::Receiver<Output>) -> Result<Response, Problem> {
+        let mut first = Vec::new();
+        loop {
+            let Some(output) = rx.recv().await else { return Err(ended_without_outcome()) };
+            if let Output::End(outcome) = &output
+                && let Some(problem) = Problem::of_outcome(outcome)
+            {
+                return Err(problem);
+            }
+            let is_token = matches!(output, Output::Token(_));
+            first.push(output);
+            if !is_token {
+                break;
+            }
+        }
+        let (tx, stream) = body::stream(());
+        tokio::spawn(self.write(first, rx, tx));
+        let mut response = reply::with_type(StatusCode::OK, "text/event-stream", stream);
+        let no_cache = HeaderValue::from_static("no-cache");
+        response.headers_mut().insert(http::header::CACHE_CONTROL, no_cache);
+        Ok(response)
+    }
+
+    async fn write(self, first: Vec<Output>, mut rx: mpsc::Receiver<Output>, tx: BodySender) {
+        for output in first {
+            if !self.write_one(output, &tx).await {
+                return;
+            }
+        }
+        while let Some(output) = rx.recv().await {
+            if !self.write_one(output, &tx).await {
+                return;
+            }
+        }
+    }
+
+    /// Writes one output; `false` after the last one, or if the caller has gone.
+    async fn write_one(&self, output: Output, tx: &BodySender) -> bool {
+        match output {
+            Output::Token(token) => tx.send(format!(": resume {token}\n\n")).await,
+            Output::Piece { seq, text } => {
+                let role = (seq == 0).then_some("assistant");
+                let chunk = self.chunk(Message { role, content: Some(&text) }, None);
+                tx.send(format!("id: {seq}\ndata: {chunk}\n\n")).await
+            }
+            Output::End(outcome) => {
+                tx.send(self.end(&outcome)).await;
+                false
+            }
+        }
+    }
+
+    fn end(&self, outcome: &Outcome) -> String {
+        match (outcome, Problem::of_outcome(outcome)) {
+            (Outcome::Done { finish, .. }, _) => {
+                let empty = Message { role: None, content: None };
+                let chunk = self.chunk(empty, Some(finish.name()));
+                format!("data: {chunk}\n\ndata: [DONE]\n\n")
+            }
+            (_, Some(problem)) => format!("event: error\ndata: {}\n\n", problem.json()),
+            (_, None) => String::new(),
+        }
+    }
+
+    fn chunk(&self, delta: Message<'_>, finish_reason: Option<&str>) -> String {
+        let object = match self.shape {
+            Shape::Chat => "chat.completion.chunk",
+            Shape::Completion => "text_completion",
+        };
+        let (delta, text) = match self.shape {
+            Shape::Chat => (Some(delta), None),
+            Shape::Completion => (None, Some(delta.content.unwrap_or(""))),
+        };
+        let choice = Choice { index: 0, delta, message: None, text, finish_reason };
+        let document = self.document(object, choice, None);
+        serde_json::to_string(&document).expect("the chunk has a JSON form")
+    }
+
+    fn document<'a>(
+        &'a self,
+        object: &'a str,
+        choice: Choice<'a>,
+        usage: Option<Usage>,
+    ) -> Document<'a> {
+        Document {
+            id: &self.id,
+            object,
+            created: self.created,
+            model: &self.alias,
+            choices: [choice],
+            usage,
+        }
+    }
+}
+
+/// The request's task ended without an outcome, as when it panicked.
+fn ended_without_outcome() -> Problem {
+    let failure = Failure::Broken;
+    let problem = Problem::of_outcome(&Outcome::Unknown { failure });
+    problem.expect("an unknown outcome is a problem")
+}
--- /dev/null
+++ b/crates/daemon/src/entry/apps.rs
@@ -0,0 +1,114 @@
+//! Passes calls to plain services, with method, headers and body as they are.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use http::HeaderMap;
+use http::HeaderName;
+use relay::prelude::*;
+use spec::prelude::*;
+use web::body;
+use web::client::Call;
+use web::prelude::*;
+
+use crate::entry::State;
+use crate::entry::problem::Problem;
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+];
+
+/// Passes the call `/apps/{service}/{rest}` on to an instance of the service as `/{rest}`.
+pub async fn pass_on(
+    state: &Arc<State>,
+    catalog: &Catalog,
+    workspace: WorkspaceId,
+    req: Request,
+) -> Result<Response, Problem> {
+    let rest = req.path.strip_prefix("/apps/").unwrap_or("");
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = service(catalog, &workspace, name)?.clone();
+    let name: ServiceId = name.into();
+    let path =
+        if req.query.is_empty() { format!("/{path}") } else { format!("/{path}?{}", req.query) };
+    let limit = state.settings.caller.max_body_bytes;
+    let method = req.method.clone();
+    let headers = passed_headers(&req.headers);
+    let bytes =
+        body::read(req.body, limit).await.map_err(|error| Problem::too_large(error.to_string()))?;
+    let call = Call { method, path: &path, headers, body: bytes };
+    call_any(state, &name, &service, call).await
+}
+
+fn service<'a>(catalog: &'a Catalog, workspace: &str, name: &str) -> Result<&'a Service, Problem> {
+    let allowed = catalog
+        .workspaces
+        .get(workspace)
+        .is_some_and(|workspace| workspace.services.iter().any(|service| &**service == name));
+    let found = catalog.services.get(name).filter(|_| allowed);
+    found.ok_or_else(|| Problem::not_found(format!("service \"{name}\" does not exist")))
+}
+
+fn passed_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = HeaderMap::new();
+    for (name, value) in headers {
+        if !is_hop_by_hop(name) && name != http::header::AUTHORIZATION {
+            passed.append(name, value.clone());
+        }
+    }
+    passed
+}
+
+fn is_hop_by_hop(name: &HeaderName) -> bool {
+    HOP_BY_HOP.contains(&name.as_str())
+}
+
+/// Calls the instances in turn until one gets the call; a call that was sent is not repeated.
+async fn call_any(
+    state: &State,
+    name: &str,
+    service: &Service,
+    call: Call<'_>,
+) -> Result<Response, Problem> {
+    let timeout = state.settings.requests.default_deadline;
+    let start = usize::try_from(draw_id() % 1_024).unwrap_or(0);
+    let count = service.addresses.len();
+    for index in 0..count {
+        let address = service.addresses[(start + index) % count];
+        match state.fresh.send(address, call.clone(), timeout).await {
+            Ok(response) => return Ok(passed_response(response)),
+            Err(ClientError::NotSent { problem, .. }) => {
+                log::warn!("service `{name}` at {address}: {problem}");
+            }
+            Err(error) => {
+                log::warn!("service `{name}`: {error}");
+                let failure = Failure::Broken;
+                return Err(outcome(Outcome::Unknown { failure }));
+            }
+        }
+    }
+    let retry_after = Some(Duration::from_secs(1));
+    Err(outcome(Outcome::NotRun { failure: Failure::NoGroup, retry_after }))
+}
+
+fn outcome(outcome: Outcome) -> Problem {
+    Problem::of_outcome(&outcome).expect("an outcome without an answer is a problem")
+}
+
+fn passed_response(mut response: Response) -> Response {
+    let names: Vec<_> = response.headers().keys().filter(|name| is_hop_by_hop(name)).collect();
+    let names: Vec<HeaderName> = names.into_iter().cloned().collect();
+    for name in names {
+        response.headers_mut().remove(name);
+    }
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/entry/problem.rs
@@ -0,0 +1,180 @@
+//! Errors in the caller API's shape.
+//!
+//! `{"error": {"message", "type", "param", "code", "not_run"}}`. `not_run` is true only if no
+//! backend server ran any part of the request; the header `Samphire-Not-Run: true` says the same.
+
+use base::prelude::*;
+use http::HeaderValue;
+use http::StatusCode;
+use relay::prelude::*;
+use serde::Serialize;
+use web::prelude::*;
+
+/// Header that says that a request was not run.
+pub const NOT_RUN_HEADER: &str = "samphire-not-run";
+
+/// Why a request gets no answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Problem {
+    /// The status.
+    pub status: StatusCode,
+    /// The error's type, as client libraries know it.
+    pub kind: &'static str,
+    /// The error's code, for programs.
+    pub code: &'static str,
+    /// What was wrong, for people.
+    pub message: Box<str>,
+    /// The field that was wrong.
+    pub param: Option<Box<str>>,
+    /// Whether it is known that nothing was run.
+    pub not_run: bool,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+#[derive(Serialize)]
+struct Envelope<'a> {
+    error: Body<'a>,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    message: &'a str,
+    #[serde(rename = "type")]
+    kind: &'a str,
+    param: Option<&'a str>,
+    code: &'a str,
+    not_run: bool,
+}
+
+impl Problem {
+    /// Returns the problem of a request that is itself wrong.
+    pub fn bad_request(param: Option<&str>, message: impl Into<Box<str>>) -> Self {
+        Problem {
+            status: StatusCode::BAD_REQUEST,
+            kind: "invalid_request_error",
+            code: "invalid_request",
+            message: message.into(),
+            param: param.map(Into::into),
+            not_run: true,
+            retry_after: None,
+        }
+    }
+
+    /// Returns the problem of a missing or unknown key.
+    pub fn unauthorized() -> Self {
+        let problem = Problem::bad_request(None, "the API key is missing or not valid");
+        Problem {
+            status: StatusCode::UNAUTHORIZED,
+            kind: "authentication_error",
+            code: "invalid_api_key",
+            ..problem
+        }
+    }
+
+    /// Returns the problem of something that does not exist, or not for this workspace.
+    pub fn not_found(message: impl Into<Box<str>>) -> Self {
+        let problem = Problem::bad_request(None, message);
+        Problem { status: StatusCode::NOT_FOUND, code: "not_found", ..problem }
+    }
+
+    /// Returns the problem of a body that is too large.
+    pub fn too_large(message: impl Into<Box<str>>) -> Self {
+        let problem = Problem::bad_request(None, message);
+        Problem { status: StatusCode::PAYLOAD_TOO_LARGE, code: "body_too_large", ..problem }
+    }
+
+    /// Returns the problem of a resume that is not allowed.
+    pub fn forbidden(message: impl Into<Box<str>>) -> Self {
+        let problem = Problem::bad_request(None, message);
+        Problem {
+            status: StatusCode::FORBIDDEN,
+            kind: "permission_error",
+            code: "forbidden",
+            ..problem
+        }
+    }
+
+    /// Returns the problem of an outcome without a whole answer, or `None` for one with it.
+    pub fn of_outcome(outcome: &Outcome) -> Option<Self> {
+        let failure = outcome.failure()?;
+        let (not_run, retry_after) = match outcome {
+            Outcome::NotRun { retry_after, .. } => (true, *retry_after),
+            _ => (false, None),
+        };
+        let unknown = matches!(outcome, Outcome::Unknown { .. });
+        let what = match (not_run, unknown) {
+            (true, _) => "the request was not run",
+            (_, true) => "it is not known whether the request was run",
+            _ => "the answer is not whole",
+        };
+        Some(Problem {
+            status: status(failure, unknown),
+            kind: "server_error",
+            code: if unknown { "outcome_unknown" } else { code(failure) },
+            message: format!("{what}: {failure}").into(),
+            param: None,
+            not_run,
+            retry_after,
+        })
+    }
+
+    /// Returns the error as JSON text on one line, for the body or an event of a stream.
+    pub fn json(&self) -> String {
+        let error = Body {
+            message: &self.message,
+            kind: self.kind,
+            param: self.param.as_deref(),
+            code: self.code,
+            not_run: self.not_run,
+        };
+        serde_json::to_string(&Envelope { error }).expect("the error has a JSON form")
+    }
+
+    /// Returns the error as a response.
+    pub fn response(&self) -> Response {
+        let mut response = reply::with_type(self.status, "application/json", self.json());
+        let headers = response.headers_mut();
+        if self.not_run {
+            headers.insert(NOT_RUN_HEADER, HeaderValue::from_static("true"));
+        }
+        if let Some(retry_after) = self.retry_after {
+            let seconds = retry_after.as_millis().div_ceil(1_000).max(1);
+            let value = HeaderValue::from_str(&seconds.to_string());
+            headers.insert(http::header::RETRY_AFTER, value.expect("digits are valid"));
+        }
+        response
+    }
+}
+
+fn status(failure: Failure, unknown: bool) -> StatusCode {
+    if unknown {
+        return StatusCode::INTERNAL_SERVER_ERROR;
+    }
+    match failure {
+        Failure::Limited => StatusCode::TOO_MANY_REQUESTS,
+        Failure::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        Failure::Broken | Failure::Crashed => StatusCode::BAD_GATEWAY,
+        Failure::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+        Failure::NoGroup
+        | Failure::Overloaded
+        | Failure::Refused
+        | Failure::NotClaimed
+        | Failure::RetryBudget => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn code(failure: Failure) -> &'static str {
+    match failure {
+        Failure::NoGroup => "no_group",
+        Failure::Limited => "rate_limit_exceeded",
+        Failure::Overloaded => "overloaded",
+        Failure::Deadline => "deadline_exceeded",
+        Failure::Refused => "refused",
+        Failure::Broken => "stream_broken",
+        Failure::Crashed => "group_crashed",
+        Failure::Quarantined => "quarantined",
+        Failure::NotClaimed => "not_claimed",
+        Failure::RetryBudget => "retry_budget",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/exec.rs
@@ -0,0 +1,477 @@
+//! Carries out the actions of a request's life.
+//!
+//! The decisions are [`relay::life`]'s; this shell asks routing, calls engines, watches deadlines
+//! and progress, and hands pieces to the answer's writer. Every await gives way to the deadline
+//! and to the caller's going away.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use base::prelude::*;
+use engine::prelude::*;
+use http::Method;
+use http::StatusCode;
+use relay::prelude::*;
+use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use web::body;
+use web::client::Call;
+use web::prelude::Client;
+use web::prelude::ClientError;
+use web::prelude::Response;
+use web::sse;
+
+use crate::entry::State;
+use crate::entry::ask::Ask;
+use crate::entry::token::ResumePoint;
+use crate::route::AttemptEnd;
+use crate::route::Need;
+use crate::route::Picked;
+use crate::route::Report;
+use crate::route::RouteMessage;
+use crate::route::Target;
+
+/// Longest wait for the answer to a cancellation.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest refusal that is read.
+const MAX_REFUSAL_BYTES: usize = 4_096;
+
+/// What the answer's writer gets.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// A new attempt runs; from here on this token resumes it.
+    Token(String),
+    /// The next piece.
+    Piece {
+        /// Its number.
+        seq: u32,
+        /// Its text.
+        text: Box<str>,
+    },
+    /// The request has ended.
+    End(Outcome),
+}
+
+/// One request while it is carried out.
+pub struct Exec {
+    state: Arc<State>,
+    /// The request's id.
+    request: RequestId,
+    workspace: WorkspaceId,
+    ask: Ask,
+    idempotent: bool,
+    deadline: Instant,
+    accepted: Instant,
+    life: Life,
+    tx: mpsc::Sender<Output>,
+    target: Option<Target>,
+    stream: Option<ItemStream>,
+    attempt: Option<Attempt>,
+}
+
+/// What is measured of the attempt in progress.
+struct Attempt {
+    id: AttemptId,
+    group: GroupId,
+    sent: Instant,
+    first: Option<Instant>,
+    last: Instant,
+    pieces: u32,
+}
+
+/// What a new request brings.
+pub struct Start {
+    /// The request's id.
+    pub request: RequestId,
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// What is asked.
+    pub ask: Ask,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// How long the caller waits.
+    pub patience: Duration,
+    /// Where another process left off, and how many pieces the caller has.
+    pub resume: Option<(ResumePoint, u32)>,
+}
+
+impl Exec {
+    /// Prepares a request.
+    pub fn new(state: Arc<State>, start: Start, tx: mpsc::Sender<Output>) -> Self {
+        let accepted = Instant::now();
+        let deadline = accepted + start.patience;
+        let request = RequestTerms {
+            idempotent: start.idempotent,
+            deadline: state.cx.now() + start.patience,
+        };
+        let (life, target, attempt) = match start.resume {
+            None => (Life::new(request), None, None),
+            Some((point, delivered)) => {
+                let life = Life::resume(request, point.group.clone(), point.attempt, delivered);
+                let attempt = Attempt::begin(point.attempt, point.group.clone());
+                let target = Target { group: point.group, generation: 0, leader: point.leader };
+                (life, Some(target), Some(attempt))
+            }
+        };
+        Exec {
+            request: start.request,
+            workspace: start.workspace,
+            ask: start.ask,
+            idempotent: start.idempotent,
+            deadline,
+            accepted,
+            life,
+            tx,
+            target,
+            stream: None,
+            attempt,
+            state,
+        }
+    }
+
+    /// Carries the request out to its end.
+    pub async fn run(mut self) {
+        self.record("accepted", String::new());
+        let mut event = LifeEvent::Accepted;
+        loop {
+            let now = self.state.cx.now();
+            let mut actions = VecDeque::from(self.life.decide(event, now));
+            let mut next = None;
+            while let Some(action) = actions.pop_front() {
+                if let Some(came) = self.carry_out(action).await {
+                    debug_assert!(actions.is_empty(), "an action that brings an event is the last");
+                    next = Some(came);
+                }
+            }
+            if self.life.is_finished() {
+                return;
+            }
+            event = match next {
+                Some(event) => event,
+                None => self.next_item().await,
+            };
+        }
+    }
+
+    async fn carry_out(&mut self, action: Action) -> Option<LifeEvent> {
+        match action {
+            Action::Pick { exclude } => {
+                self.attempt_ended(AttemptEnd::NotRun);
+                let state = self.state.clone();
+                let need = self.need(exclude);
+                let picked = self.unless_given_up(pick(&state, need)).await;
+                Some(self.picked(picked))
+            }
+            Action::Send { attempt, group, skip } => Some(self.send(attempt, group, skip).await?),
+            Action::Resume { attempt, from } => Some(self.resume(attempt, from).await?),
+            Action::Cancel { attempt } => {
+                self.cancel(attempt);
+                None
+            }
+            Action::Deliver { seq, text } => self.deliver(seq, text).await,
+            Action::ReportCrash { .. } => {
+                self.attempt_ended(AttemptEnd::Crashed);
+                None
+            }
+            Action::Finish(outcome) => {
+                self.finish(outcome).await;
+                None
+            }
+        }
+    }
+
+    fn need(&self, exclude: Vec<GroupId>) -> Need {
+        Need {
+            request: self.request,
+            workspace: self.workspace.clone(),
+            model: self.ask.access.model.clone(),
+            version: self.ask.access.version.clone(),
+            adapter: self.ask.access.adapter.clone(),
+            prompt: self.ask.prompt.clone(),
+            fingerprint: self.ask.fingerprint,
+            priority: self.ask.priority,
+            max_tokens: self.ask.max_tokens,
+            deadline: self.state.cx.now() + (self.deadline - Instant::now()),
+            exclude,
+        }
+    }
+
+    fn picked(&mut self, picked: Result<Picked, LifeEvent>) -> LifeEvent {
+        match picked {
+            Err(event) => event,
+            Ok(Picked::Refused { failure, retry_after }) => {
+                LifeEvent::NotPicked { failure, retry_after }
+            }
+            Ok(Picked::Group(target)) => {
+                let group = target.group.clone();
+                self.target = Some(target);
+                LifeEvent::Picked { group, attempt: draw_id() }
+            }
+        }
+    }
+
+    /// Sends a new attempt; `None` means that its stream has begun.
+    async fn send(&mut self, attempt: AttemptId, group: GroupId, skip: u32) -> Option<LifeEvent> {
+        let target = self.target.clone()?;
+        self.attempt = Some(Attempt::begin(attempt, group.clone()));
+        self.record_attempt(attempt, &group, "sent");
+        let token = self.state.signer.sign(&self.resume_point(attempt, &target));
+        if self.tx.send(Output::Token(token)).await.is_err() {
+            return Some(LifeEvent::CallerGone);
+        }
+        let generate = Generate {
+            attempt,
+            group,
+            generation: target.generation,
+            model: self.ask.access.model.clone(),
+            version: self.ask.access.version.clone(),
+            adapter: self.ask.access.adapter.clone(),
+            prompt: (*self.ask.prompt).into(),
+            max_tokens: self.ask.max_tokens,
+            seed: self.ask.seed,
+            priority: self.ask.priority,
+            options: self.ask.options.clone(),
+            skip,
+        };
+        // A pooled connection may be stale, which would leave the outcome of a call unknown.
+        let state = self.state.clone();
+        let client = if self.idempotent { &state.pooled } else { &state.fresh };
+        self.open(client, target, "/v1/generate", &generate).await
+    }
+
+    async fn resume(&mut self, attempt: AttemptId, from: u32) -> Option<LifeEvent> {
+        let target = self.target.clone()?;
+        self.record_attempt(attempt, &target.group.clone(), "resumed");
+        let state = self.state.clone();
+        self.open(&state.fresh, target, "/v1/resume", &Resume { attempt, from }).await
+    }
+
+    fn resume_point(&self, attempt: AttemptId, target: &Target) -> ResumePoint {
+        ResumePoint {
+            workspace: self.workspace.clone(),
+            fingerprint: self.ask.fingerprint,
+            request: self.request,
+            attempt,
+            group: target.group.clone(),
+            leader: target.leader,
+            version: self.ask.access.version.clone(),
+            seed: self.ask.seed,
+        }
+    }
+
+    /// Opens a stream; `None` means that it has begun.
+    async fn open<T: Serialize>(
+        &mut self,
+        client: &Client,
+        target: Target,
+        path: &str,
+        message: &T,
+    ) -> Option<LifeEvent> {
+        self.stream = None;
+        let body = serde_json::to_vec(message).expect("messages have a JSON form").into();
+        let call = Call { body, ..Call::new(Method::POST, path) };
+        let timeout = self.state.settings.requests.first_token_timeout;
+        let sent = client.send(target.leader, call, timeout);
+        let response = match self.unless_given_up(sent).await {
+            Err(event) => return Some(event),
+            Ok(Err(ClientError::NotSent { .. })) => return Some(LifeEvent::NotSent),
+            Ok(Err(_)) => return Some(LifeEvent::Broken),
+            Ok(Ok(response)) => response,
+        };
+        match response.status() {
+            StatusCode::OK => {
+                self.stream = Some(ItemStream::new(response));
+                None
+            }
+            StatusCode::CONFLICT => Some(refusal(response).await),
+            status => {
+                log::warn!("group `{}` answered {path} with status {status}", target.group);
+                Some(LifeEvent::Broken)
+            }
+        }
+    }
+
+    async fn next_item(&mut self) -> LifeEvent {
+        let requests = &self.state.settings.requests;
+        let began = self.attempt.as_ref().is_some_and(|attempt| attempt.first.is_some());
+        let timeout = if began { requests.progress_timeout } else { requests.first_token_timeout };
+        let Some(mut stream) = self.stream.take() else { return LifeEvent::Broken };
+        let next = self.unless_given_up(tokio::time::timeout(timeout, stream.next())).await;
+        match next {
+            Err(event) => event,
+            Ok(Ok(Some(item))) => {
+                self.stream = Some(stream);
+                LifeEvent::Item(item)
+            }
+            // A stream that ended, broke or was silent is not read again.
+            Ok(Ok(None)) | Ok(Err(_)) => LifeEvent::Broken,
+        }
+    }
+
+    async fn deliver(&mut self, seq: u32, text: Box<str>) -> Option<LifeEvent> {
+        if let Some(attempt) = &mut self.attempt {
+            attempt.note_piece();
+        }
+        if seq == 0 {
+            let seconds = self.accepted.elapsed().as_secs_f64();
+            let metric = &self.state.metrics.first_token_seconds;
+            metric.with_label_values(&[&*self.workspace]).observe(seconds);
+            self.record("streaming", String::new());
+        }
+        match self.unless_given_up(self.tx.send(Output::Piece { seq, text })).await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(LifeEvent::CallerGone),
+            Err(event) => Some(event),
+        }
+    }
+
+    async fn finish(&mut self, outcome: Outcome) {
+        let end = match outcome {
+            Outcome::Done { .. } => AttemptEnd::Done,
+            _ => AttemptEnd::Broken,
+        };
+        self.attempt_ended(end);
+        self.stream = None;
+        self.state.metrics.requests.with_label_values(&[outcome.name()]).inc();
+        let pieces = self.state.metrics.pieces.with_label_values(&[&*self.workspace]);
+        pieces.inc_by(u64::from(self.life.delivered()));
+        let detail = match outcome.failure() {
+            Some(failure) => format!("{}: {failure}", outcome.name()),
+            None => outcome.name().to_owned(),
+        };
+        self.record("final", detail);
+        // A caller that has gone needs no end.
+        let _ = self.tx.send(Output::End(outcome)).await;
+    }
+
+    fn cancel(&mut self, attempt: AttemptId) {
+        self.stream = None;
+        let Some(target) = self.target.clone() else { return };
+        let client = self.state.pooled.clone();
+        tokio::spawn(async move {
+            let body = serde_json::to_vec(&Cancel { attempt }).expect("it has a JSON form").into();
+            let call = Call { body, ..Call::new(Method::POST, "/v1/cancel") };
+            if let Err(error) = client.send(target.leader, call, CANCEL_TIMEOUT).await {
+                log::debug!("attempt {attempt} was not cancelled: {error}");
+            }
+        });
+    }
+
+    /// Tells routing how the attempt in progress ended, if there is one.
+    fn attempt_ended(&mut self, end: AttemptEnd) {
+        let Some(attempt) = self.attempt.take() else { return };
+        let name = match end {
+            AttemptEnd::Done => "done",
+            AttemptEnd::NotRun => "not_run",
+            AttemptEnd::Broken => "broken",
+            AttemptEnd::Crashed => "crashed",
+        };
+        self.state.metrics.attempts.with_label_values(&[name]).inc();
+        self.record_attempt(attempt.id, &attempt.group, name);
+        let report = attempt.report(self.request, self.ask.fingerprint, end);
+        if self.state.route.try_send(RouteMessage::Ended(report)).is_err() {
+            log::warn!("routing is behind; the end of an attempt was not counted");
+        }
+    }
+
+    /// Waits for `work`, or returns the event that the request is given up.
+    async fn unless_given_up<T>(&self, work: impl Future<Output = T>) -> Result<T, LifeEvent> {
+        tokio::select! {
+            biased;
+            done = work => Ok(done),
+            () = self.tx.closed() => Err(LifeEvent::CallerGone),
+            () = tokio::time::sleep_until(self.deadline) => Err(LifeEvent::DeadlinePassed),
+        }
+    }
+
+    fn record(&self, stage: &str, detail: String) {
+        self.state.cx.record(Event::Request {
+            request: self.request,
+            workspace: self.workspace.clone(),
+            stage: stage.into(),
+            detail: detail.into(),
+        });
+    }
+
+    fn record_attempt(&self, attempt: AttemptId, group: &GroupId, outcome: &str) {
+        self.state.cx.record(Event::Attempt {
+            request: self.request,
+            attempt,
+            group: group.clone(),
+            outcome: outcome.into(),
+        });
+    }
+}
+
+impl Attempt {
+    fn begin(id: AttemptId, group: GroupId) -> Self {
+        let now = Instant::now();
+        Attempt { id, group, sent: now, first: None, last: now, pieces: 0 }
+    }
+
+    fn note_piece(&mut self) {
+        self.last = Instant::now();
+        self.first.get_or_insert(self.last);
+        self.pieces += 1;
+    }
+
+    fn report(&self, request: RequestId, fingerprint: u64, end: AttemptEnd) -> Report {
+        Report {
+            request,
+            fingerprint,
+            group: self.group.clone(),
+            end,
+            first_token: self.first.map(|first| first - self.sent),
+            pieces: self.pieces,
+            streaming: self.first.map_or(Duration::ZERO, |first| self.last - first),
+        }
+    }
+}
+
+async fn pick(state: &State, need: Need) -> Picked {
+    let (tx, rx) = oneshot::channel();
+    let message = RouteMessage::Pick { need: Box::new(need), reply: tx };
+    let stopped = Picked::Refused { failure: Failure::NoGroup, retry_after: None };
+    if state.route.send(message).await.is_err() {
+        return stopped;
+    }
+    rx.await.unwrap_or(stopped)
+}
+
+async fn refusal(response: Response) -> LifeEvent {
+    let bytes = body::read(response.into_body(), MAX_REFUSAL_BYTES).await;
+    let refusal = bytes.ok().and_then(|bytes| serde_json::from_slice::<Refusal>(&bytes).ok());
+    match refusal {
+        Some(refusal) => LifeEvent::Refused(refusal.reason),
+        None => LifeEvent::Broken,
+    }
+}
+
+/// The items of an engine's stream.
+struct ItemStream {
+    response: Response,
+    reader: sse::Reader,
+}
+
+impl ItemStream {
+    fn new(response: Response) -> Self {
+        ItemStream { response, reader: sse::Reader::default() }
+    }
+
+    /// Returns the next item; `None` if the stream has ended, broken or is malformed.
+    async fn next(&mut self) -> Option<Item> {
+        loop {
+            while let Some(line) = self.reader.next_line() {
+                if let sse::Line::Data(data) = line {
+                    return serde_json::from_str(&data).ok();
+                }
+            }
+            let chunk = body::next(self.response.body_mut()).await?.ok()?;
+            if !self.reader.push(&chunk) {
+                return None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operator.rs
@@ -0,0 +1,172 @@
+//! The operator API, health, metrics and the time line.
+//!
+//! | path | answer |
+//! |---|---|
+//! | `GET /healthz` | 200 while the process runs |
+//! | `GET /readyz` | 200 while new requests are welcome, else 503 with the reason |
+//! | `GET /metrics` | metrics as Prometheus reads them |
+//! | `GET /api/v1/timeline?from=N` | this process's events with a number of at least N |
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use config::prelude::*;
+use futures::FutureExt;
+use http::Method;
+use http::StatusCode;
+use kernel::prelude::*;
+use serde::Serialize;
+use spec::prelude::Catalog;
+use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use web::prelude::*;
+
+use crate::announce::Addresses;
+use crate::metrics::Metrics;
+use crate::names;
+
+/// What the handlers share.
+pub struct State {
+    /// The service's context.
+    pub cx: Context,
+    /// The settings.
+    pub settings: Arc<Settings>,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The configuration in force.
+    pub catalog: watch::Receiver<Arc<Catalog>>,
+}
+
+/// The events of one process.
+#[derive(Serialize)]
+pub struct Timeline {
+    /// The process.
+    pub node: NodeId,
+    /// Its life.
+    pub boot: BootId,
+    /// Its events, oldest first.
+    pub events: Vec<Stamped>,
+}
+
+/// Who asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    /// May read.
+    Viewer,
+    /// May read and write.
+    Operator,
+}
+
+/// Describes the service.
+pub fn service() -> Service {
+    Service::new(names::OPERATOR, &[names::CATALOG], |cx| async move {
+        let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
+        let addresses: Addresses = cx.registry().find(names::PROCESS)?;
+        let listener = TcpListener::bind(settings.listen.operator)
+            .await
+            .map_err(|error| Fault::new(settings.listen.operator.to_string(), error))?;
+        let local = listener.local_addr().map_err(|error| Fault::new("operator", error))?;
+        addresses.add("operator", local);
+        let state = Arc::new(State {
+            metrics: cx.registry().find(names::PROCESS)?,
+            catalog: cx.view(names::CATALOG)?,
+            settings,
+            cx: cx.clone(),
+        });
+        cx.ready();
+        let handler = Arc::new(move |req: Request| handle(state.clone(), req).boxed());
+        let limits = ServerLimits::default();
+        let served = serve(listener, limits, handler, Drain::default(), cx.stop_token()).await;
+        served.map_err(|error| Fault::new("operator", error))
+    })
+}
+
+async fn handle(state: Arc<State>, req: Request) -> Response {
+    match (&req.method, &*req.path) {
+        (&Method::GET, "/healthz") => reply::text(StatusCode::OK, "ok"),
+        (&Method::GET, "/readyz") => ready(&state),
+        (&Method::GET, "/metrics") => reply::text(StatusCode::OK, state.metrics.text()),
+        (&Method::GET, "/api/v1/timeline") => match authorize(&state, &req, Role::Viewer) {
+            Ok(_) => timeline(&state, &req),
+            Err(refused) => refused.response(),
+        },
+        _ => reply::text(StatusCode::NOT_FOUND, format!("no such path: {}", req.path)),
+    }
+}
+
+fn ready(state: &State) -> Response {
+    if state.cx.is_process_stopping() {
+        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "the process is stopping");
+    }
+    if state.catalog.borrow().revision == 0 {
+        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration is in force yet");
+    }
+    reply::text(StatusCode::OK, "ready")
+}
+
+fn timeline(state: &State, req: &Request) -> Response {
+    let from = req.query_value("from").and_then(|from| from.parse().ok()).unwrap_or(0);
+    let timeline = Timeline {
+        node: state.cx.node().clone(),
+        boot: state.cx.boot(),
+        events: state.cx.recorder().since(from),
+    };
+    reply::json(StatusCode::OK, &timeline)
+}
+
+/// Why a call to the operator API is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// The token is missing or unknown.
+    Unauthorized,
+    /// The token may not do this.
+    Forbidden,
+}
+
+impl Refused {
+    /// Returns the refusal as a response.
+    pub fn response(self) -> Response {
+        match self {
+            Refused::Unauthorized => reply::text(
+                StatusCode::UNAUTHORIZED,
+                "unauthorized: the token is missing or unknown",
+            ),
+            Refused::Forbidden => {
+                reply::text(StatusCode::FORBIDDEN, "forbidden: the token may only read")
+            }
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            Refused::Unauthorized => "unauthorized",
+            Refused::Forbidden => "forbidden",
+        }
+    }
+}
+
+/// Returns the caller's role if it is at least `needed`; a refusal is logged and counted.
+pub fn authorize(state: &State, req: &Request, needed: Role) -> Result<Role, Refused> {
+    let role = req.bearer().and_then(|token| role_of(&state.settings.operators, token));
+    let refused = match role {
+        Some(role) if role >= needed => return Ok(role),
+        Some(_) => Refused::Forbidden,
+        None => Refused::Unauthorized,
+    };
+    state.metrics.refusals.with_label_values(&["operator", refused.name()]).inc();
+    log::warn!("{} {} from {:?} was refused: {}", req.method, req.path, req.peer, refused.name());
+    Err(refused)
+}
+
+fn role_of(operators: &Operators, token: &str) -> Option<Role> {
+    let is_in = |list: &[Secret]| {
+        list.iter().fold(false, |found, secret| {
+            found | bool::from(secret.expose().as_bytes().ct_eq(token.as_bytes()))
+        })
+    };
+    if is_in(&operators.operator_tokens) {
+        return Some(Role::Operator);
+    }
+    is_in(&operators.viewer_tokens).then_some(Role::Viewer)
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,62 @@
+//! Starts all services of a daemon.
+
+use std::sync::Arc;
+
+use config::prelude::*;
+use kernel::prelude::*;
+
+use crate::announce;
+use crate::announce::Addresses;
+use crate::catalog;
+use crate::entry;
+use crate::groups;
+use crate::metrics::Metrics;
+use crate::names;
+use crate::operator;
+use crate::route;
+use crate::store;
+
+/// Services that must be ready before the process announces itself.
+const ANNOUNCED: &[ServiceName] = &[names::ENTRY, names::OPERATOR];
+
+/// Makes the kernel with all services for `settings`; `print` gets the line that announces where
+/// the process listens.
+pub fn kernel(settings: Settings, print: fn(&str)) -> Kernel {
+    let settings = Arc::new(settings);
+    let mut kernel = Kernel::new(settings.node.clone());
+    let registry = kernel.registry();
+    registry.offer(names::PROCESS, Metrics::new());
+    registry.offer(names::PROCESS, Addresses::default());
+    registry.offer(names::PROCESS, settings.clone());
+    kernel.add(store::service(settings.kv.clone()));
+    kernel.add(catalog::service());
+    kernel.add(groups::service());
+    kernel.add(route::service());
+    kernel.add(entry::service());
+    kernel.add(operator::service());
+    kernel.add(announce::service(ANNOUNCED, print));
+    kernel
+}
+
+/// Runs a daemon until SIGTERM or SIGINT, or until a service ends early.
+pub async fn run(settings: Settings) -> Result<(), KernelError> {
+    let kernel = kernel(settings, |line| println!("{line}"));
+    let stop = kernel.stop_handle();
+    tokio::spawn(async move {
+        wait_for_signal().await;
+        log::info!("a signal asks the process to stop; open streams are finished first");
+        stop.cancel();
+    });
+    kernel.run().await
+}
+
+async fn wait_for_signal() {
+    use tokio::signal::unix::SignalKind;
+    use tokio::signal::unix::signal;
+    let mut term = signal(SignalKind::terminate()).expect("SIGTERM can be handled");
+    let mut int = signal(SignalKind::interrupt()).expect("SIGINT can be handled");
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,13 +1,25 @@
 //! Stand-ins for the systems around the daemon, a load generator, and measurements.
 //!
 //! - [`kv`]: [`KvServer`](kv::KvServer), the platform's key-value service.
+//! - [`vms`]: the platform's list of VMs.
 //! - [`engine`]: [`Engine`](engine::Engine), a model engine.
 //! - [`weights`]: the weight store that engines load from.
+//! - [`plain`]: a plain service.
 //! - [`text`]: the text that a request must produce.
+//! - [`sample`]: the sample deployment that demo, load and tests use.
+//! - [`caller`]: a caller that checks its answers.
+//! - [`standin`]: the stand-ins as processes of their own.
+//! - [`demo`]: the whole path in one process.
 
+pub mod caller;
+pub mod demo;
 pub mod engine;
 pub mod kv;
+pub mod plain;
+pub mod sample;
+pub mod standin;
 pub mod text;
+pub mod vms;
 pub mod weights;
 
 /// The common types of this crate.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,8 +12,8 @@
 //! use relay::prelude::*;
 //! use std::time::Duration;
 //!
-//! let mut life = Life::new(Request { idempotent: true, deadline: Duration::from_secs(5) });
-//! let actions = life.decide(Event::Accepted, Duration::ZERO);
+//! let mut life = Life::new(RequestTerms { idempotent: true, deadline: Duration::from_secs(5) });
+//! let actions = life.decide(LifeEvent::Accepted, Duration::ZERO);
 //! assert_eq!(actions, [Action::Pick { exclude: vec![] }]);
 //! ```
 
@@ -25,9 +25,9 @@
 /// The common types of this crate.
 pub mod prelude {
     pub use crate::life::Action;
-    pub use crate::life::Event;
     pub use crate::life::Life;
-    pub use crate::life::Request;
+    pub use crate::life::LifeEvent;
+    pub use crate::life::RequestTerms;
     pub use crate::outcome::Failure;
     pub use crate::outcome::Outcome;
     pub use crate::stream::Assembler;
--- a/crates/relay/src/life.rs
+++ b/crates/relay/src/life.rs
@@ -26,7 +26,7 @@
 
 /// What the machine needs to know of the request.
 #[data]
-pub struct Request {
+pub struct RequestTerms {
     /// Whether it may run more than once.
     pub idempotent: bool,
     /// When the caller no longer waits.
@@ -35,7 +35,7 @@
 
 /// What happened.
 #[data]
-pub enum Event {
+pub enum LifeEvent {
     /// The request was accepted, and its key claimed where it needs one.
     Accepted,
     /// Routing picked a group, and this attempt id was drawn.
@@ -125,7 +125,7 @@
 /// The state machine of one request.
 #[data]
 pub struct Life {
-    request: Request,
+    request: RequestTerms,
     delivered: u32,
     current: Option<Current>,
     failed_groups: Vec<GroupId>,
@@ -136,7 +136,7 @@
 
 impl Life {
     /// Begins the life of `request`.
-    pub fn new(request: Request) -> Self {
+    pub fn new(request: RequestTerms) -> Self {
         Life {
             request,
             delivered: 0,
@@ -149,7 +149,12 @@
 
     /// Continues the life of a request whose attempt at `group` another process began, after
     /// `delivered` pieces.
-    pub fn resume(request: Request, group: GroupId, attempt: AttemptId, delivered: u32) -> Self {
+    pub fn resume(
+        request: RequestTerms,
+        group: GroupId,
+        attempt: AttemptId,
+        delivered: u32,
+    ) -> Self {
         let current = Current {
             attempt,
             group,
@@ -176,21 +181,21 @@
     }
 
     /// Returns what to do after `event` at `now`.
-    pub fn decide(&mut self, event: Event, now: Mono) -> Vec<Action> {
+    pub fn decide(&mut self, event: LifeEvent, now: Mono) -> Vec<Action> {
         if self.finished {
             return Vec::new();
         }
         match event {
-            Event::CallerGone => self.abandon(),
-            Event::DeadlinePassed => self.give_up(Failure::Deadline),
+            LifeEvent::CallerGone => self.abandon(),
+            LifeEvent::DeadlinePassed => self.give_up(Failure::Deadline),
             _ if now >= self.request.deadline => self.give_up(Failure::Deadline),
-            Event::Accepted => vec![self.begin()],
-            Event::Picked { group, attempt } => self.send(group, attempt),
-            Event::NotPicked { failure, retry_after } => self.not_picked(failure, retry_after),
-            Event::NotSent => self.not_sent(),
-            Event::Refused(reason) => self.refused(reason),
-            Event::Item(item) => self.item(item),
-            Event::Broken => self.broken(),
+            LifeEvent::Accepted => vec![self.begin()],
+            LifeEvent::Picked { group, attempt } => self.send(group, attempt),
+            LifeEvent::NotPicked { failure, retry_after } => self.not_picked(failure, retry_after),
+            LifeEvent::NotSent => self.not_sent(),
+            LifeEvent::Refused(reason) => self.refused(reason),
+            LifeEvent::Item(item) => self.item(item),
+            LifeEvent::Broken => self.broken(),
         }
     }
 
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -11,9 +11,9 @@
 use engine::prelude::*;
 
 use crate::life::Action;
-use crate::life::Event;
 use crate::life::Life;
-use crate::life::Request;
+use crate::life::LifeEvent;
+use crate::life::RequestTerms;
 use crate::outcome::Failure;
 use crate::outcome::Outcome;
 
@@ -67,7 +67,7 @@
         let Some(input) = step.read::<Input>(findings) else { return };
         if let Input::Request { idempotent, deadline_ms } = input {
             let deadline = Duration::from_millis(deadline_ms);
-            self.life = Some(Life::new(Request { idempotent, deadline }));
+            self.life = Some(Life::new(RequestTerms { idempotent, deadline }));
             return;
         }
         let Some(life) = &mut self.life else {
@@ -100,24 +100,24 @@
     }
 }
 
-fn event(input: Input) -> Event {
+fn event(input: Input) -> LifeEvent {
     match input {
-        Input::Request { .. } | Input::Accepted => Event::Accepted,
-        Input::Picked { group, attempt } => Event::Picked { group, attempt },
+        Input::Request { .. } | Input::Accepted => LifeEvent::Accepted,
+        Input::Picked { group, attempt } => LifeEvent::Picked { group, attempt },
         Input::NotPicked { failure, retry_after_ms } => {
-            Event::NotPicked { failure, retry_after: retry_after_ms.map(Duration::from_millis) }
+            LifeEvent::NotPicked { failure, retry_after: retry_after_ms.map(Duration::from_millis) }
         }
-        Input::NotSent => Event::NotSent,
-        Input::Refused(reason) => Event::Refused(reason),
+        Input::NotSent => LifeEvent::NotSent,
+        Input::Refused(reason) => LifeEvent::Refused(reason),
         Input::Piece { attempt, seq, text } => {
-            Event::Item(Item::Piece(Piece { attempt, seq, text }))
+            LifeEvent::Item(Item::Piece(Piece { attempt, seq, text }))
         }
         Input::End { attempt, count } => {
-            Event::Item(Item::End(End { attempt, count, finish: FinishReason::Stop }))
+            LifeEvent::Item(Item::End(End { attempt, count, finish: FinishReason::Stop }))
         }
-        Input::Broken => Event::Broken,
-        Input::DeadlinePassed => Event::DeadlinePassed,
-        Input::CallerGone => Event::CallerGone,
+        Input::Broken => LifeEvent::Broken,
+        Input::DeadlinePassed => LifeEvent::DeadlinePassed,
+        Input::CallerGone => LifeEvent::CallerGone,
     }
 }
 
--- a/crates/relay/tests/life.rs
+++ b/crates/relay/tests/life.rs
@@ -75,7 +75,7 @@
     }
 
     /// Returns the events that carrying out `action` brings about.
-    fn carry_out(&mut self, action: Action) -> Vec<Event> {
+    fn carry_out(&mut self, action: Action) -> Vec<LifeEvent> {
         match action {
             Action::Pick { exclude } => self.pick(exclude.len()),
             Action::Send { attempt, skip, .. } => self.call(attempt, skip, false),
@@ -92,50 +92,50 @@
         }
     }
 
-    fn pick(&mut self, failed: usize) -> Vec<Event> {
+    fn pick(&mut self, failed: usize) -> Vec<LifeEvent> {
         match self.fault() {
             Fault::NoGroup => {
-                vec![Event::NotPicked { failure: Failure::NoGroup, retry_after: None }]
+                vec![LifeEvent::NotPicked { failure: Failure::NoGroup, retry_after: None }]
             }
-            Fault::Deadline => vec![Event::DeadlinePassed],
-            Fault::CallerGone => vec![Event::CallerGone],
+            Fault::Deadline => vec![LifeEvent::DeadlinePassed],
+            Fault::CallerGone => vec![LifeEvent::CallerGone],
             _ => {
                 let attempt = self.next_attempt;
                 self.next_attempt += 1;
-                vec![Event::Picked { group: format!("g{failed}").into(), attempt }]
+                vec![LifeEvent::Picked { group: format!("g{failed}").into(), attempt }]
             }
         }
     }
 
-    fn call(&mut self, attempt: u64, from: u32, resume: bool) -> Vec<Event> {
+    fn call(&mut self, attempt: u64, from: u32, resume: bool) -> Vec<LifeEvent> {
         let fault = self.fault();
         match fault {
-            Fault::NotSent => return vec![Event::NotSent],
-            Fault::Refuse => return vec![Event::Refused(RefusalReason::Full)],
-            Fault::BreakBefore => return vec![Event::Broken],
-            Fault::Deadline => return vec![Event::DeadlinePassed],
-            Fault::CallerGone => return vec![Event::CallerGone],
+            Fault::NotSent => return vec![LifeEvent::NotSent],
+            Fault::Refuse => return vec![LifeEvent::Refused(RefusalReason::Full)],
+            Fault::BreakBefore => return vec![LifeEvent::Broken],
+            Fault::Deadline => return vec![LifeEvent::DeadlinePassed],
+            Fault::CallerGone => return vec![LifeEvent::CallerGone],
             _ if resume && !self.admitted.contains_key(&attempt) => {
-                return vec![Event::Refused(RefusalReason::UnknownAttempt)];
+                return vec![LifeEvent::Refused(RefusalReason::UnknownAttempt)];
             }
             _ if !resume => *self.admitted.entry(attempt).or_default() += 1,
             _ => {}
         }
         if matches!(fault, Fault::DeadlineAfterAdmission) {
-            return vec![Event::DeadlinePassed];
+            return vec![LifeEvent::DeadlinePassed];
         }
         if matches!(fault, Fault::BreakAfterAdmission | Fault::Crash) {
-            return vec![Event::Broken];
+            return vec![LifeEvent::Broken];
         }
         self.stream(attempt, from)
     }
 
-    fn stream(&mut self, attempt: u64, from: u32) -> Vec<Event> {
+    fn stream(&mut self, attempt: u64, from: u32) -> Vec<LifeEvent> {
         let mut events = Vec::new();
         for seq in from..u32::try_from(self.text.len()).unwrap() {
             let text = self.text[seq as usize];
             let item = |attempt, text: &str| {
-                Event::Item(Item::Piece(Piece { attempt, seq, text: text.into() }))
+                LifeEvent::Item(Item::Piece(Piece { attempt, seq, text: text.into() }))
             };
             let piece = |attempt| item(attempt, text);
             match self.fault() {
@@ -144,22 +144,22 @@
                 Fault::Foreign => events.extend([item(attempt + 1000, "foreign"), piece(attempt)]),
                 Fault::Skip => break,
                 Fault::Crash | Fault::BreakAfterAdmission => {
-                    events.push(Event::Broken);
+                    events.push(LifeEvent::Broken);
                     return events;
                 }
                 _ => events.push(piece(attempt)),
             }
         }
         let count = u32::try_from(self.text.len()).unwrap();
-        events.push(Event::Item(Item::End(End { attempt, count, finish: FinishReason::Stop })));
+        events.push(LifeEvent::Item(Item::End(End { attempt, count, finish: FinishReason::Stop })));
         events
     }
 }
 
 fn run(idempotent: bool, faults: Vec<Fault>) -> World {
     let mut world = World::new(faults);
-    let mut life = Life::new(Request { idempotent, deadline: Duration::from_secs(60) });
-    let mut events = std::collections::VecDeque::from([Event::Accepted]);
+    let mut life = Life::new(RequestTerms { idempotent, deadline: Duration::from_secs(60) });
+    let mut events = std::collections::VecDeque::from([LifeEvent::Accepted]);
     for step in 0..10_000u64 {
         let Some(event) = events.pop_front() else { break };
         let actions = life.decide(event, Duration::from_millis(step));
