Choose who watches the configuration, and measure the gossip

Cause: revisions must reach every process with few calls to the key-value service, and the cost of the membership must be known. Change: `member::sync` picks two watchers a failure domain by rendezvous, announces rising revisions as a fact, and asks the announcer if a process stays behind for 2 s; a revision that comes into force is passed on at once. `samphire-lab measure gossip` runs 8 to 512 members in one process with codec and authentication. An update that another member passes on as well counts as three times passed on. Ruled out: a fact for each process's revision (1,100 facts for each change); every packet names the revision in force at its sender instead. Seen failing: watchers by position (`a_domain_has_its_watchers_...`), announcing everything ("1 after 11"), asking each tick ("asked again before the patience was over"), never asking, a watch that never ends; each in tests/sync.rs. Conclusion: which catalog is in force stays with `spec`; this decides who asks whom.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,11 +10,13 @@
 //! - [`caller`]: a caller that checks its answers.
 //! - [`standin`]: the stand-ins as processes of their own.
 //! - [`demo`]: the whole path in one process.
+//! - [`measure`]: measurements that print their figures.
 
 pub mod caller;
 pub mod demo;
 pub mod engine;
 pub mod kv;
+pub mod measure;
 pub mod plain;
 pub mod sample;
 pub mod standin;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,8 @@
 use clap::Parser;
 use clap::Subcommand;
 use lab::demo;
+use lab::measure;
+use lab::measure::Measurement;
 use lab::standin;
 use lab::standin::StandIn;
 
@@ -20,6 +22,11 @@
 enum Command {
     /// Run the whole path in one process, and tell what happens.
     Demo,
+    /// Measure something and print its figures as JSON.
+    Measure {
+        /// What is measured.
+        what: Measurement,
+    },
     /// Run one stand-in as a process of its own.
     #[command(subcommand)]
     StandIn(StandIn),
@@ -47,6 +54,10 @@
     let done = runtime.block_on(async {
         match args.command {
             Command::Demo => demo::run().await,
+            Command::Measure { what } => {
+                println!("{:#}", measure::run(what).await);
+                Ok(())
+            }
             Command::StandIn(what) => standin::run(what).await,
         }
     });
--- a/crates/member/src/decide.rs
+++ b/crates/member/src/decide.rs
@@ -99,7 +99,7 @@
         Event::Tick => tick(state, now, &mut out),
         Event::Received { from, packet } => receive(state, from, &packet, now, &mut out),
         Event::Tell(fact) => facts::tell(state, fact, now, &mut out),
-        Event::InForce(revision) => state.revision = state.revision.max(revision),
+        Event::InForce(revision) => in_force(state, revision),
         Event::Seeds(seeds) => state.seeds = seeds,
         Event::Leave => leave(state, now, &mut out),
     }
@@ -139,6 +139,12 @@
     spread_rumours(state, now, out);
 }
 
+/// Notes the revision in force and passes it on at once: each packet names it.
+fn in_force(state: &mut State, revision: Revision) {
+    state.has_rumour |= revision > state.revision;
+    state.revision = state.revision.max(revision);
+}
+
 /// Returns the time of the next round; missed rounds are dropped.
 fn next_due(due: Mono, period: Duration, now: Mono) -> Mono {
     if due + period > now { due + period } else { now + period }
@@ -287,6 +293,10 @@
     match state.peers.get(&claim.name) {
         None => add(state, claim, source, now, out),
         Some(peer) if claim.rank() > peer.rank() => replace(state, claim, now, out),
+        Some(peer) if claim.rank() == peer.rank() && source == Source::Gossip => {
+            let limit = state.settings.transmissions(state.members());
+            state.queue.heard_again(&Subject::Member(claim.name.clone()), limit);
+        }
         Some(_) => {}
     }
 }
--- a/crates/member/src/facts.rs
+++ b/crates/member/src/facts.rs
@@ -50,7 +50,11 @@
     if fact.lifetime.is_zero() || !make_room(state, &fact) {
         return;
     }
-    if state.facts.get(&fact.key).is_some_and(|held| !fact.supersedes(&held.fact)) {
+    if let Some(held) = state.facts.get(&fact.key).filter(|held| !fact.supersedes(&held.fact)) {
+        if fact.version == held.fact.version {
+            let limit = state.settings.transmissions(state.members());
+            state.queue.heard_again(&Subject::Fact(fact.key), limit);
+        }
         return;
     }
     state.queue.push(Subject::Fact(fact.key.clone()));
--- a/crates/member/src/queue.rs
+++ b/crates/member/src/queue.rs
@@ -3,6 +3,10 @@
 //! Updates go out by priority, then those that were passed on least, then the newest. Each is
 //! passed on a bounded number of times, which grows with the logarithm of the members; a newer
 //! update of the same subject replaces it.
+//!
+//! Hearing from another member what waits here counts as [`DUPLICATE_WEIGHT`] times passed on, as
+//! the update is then widely known. So a change of the whole fleet at once, such as the return of a
+//! region, is over sooner; what it might miss is brought by the exchange of digests.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -12,6 +16,9 @@
 use crate::fact::FactKey;
 use crate::fact::Priority;
 
+/// How often an update counts as passed on when another member passes it on to this one.
+pub const DUPLICATE_WEIGHT: u32 = 3;
+
 /// What an update is about.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Subject {
@@ -72,6 +79,16 @@
         }
     }
 
+    /// Notes that another member passed on what waits here for `subject`.
+    pub fn heard_again(&mut self, subject: &Subject, limit: u32) {
+        let Some((sent, number)) = self.places.get(subject).copied() else { return };
+        self.remove(subject);
+        let sent = sent + DUPLICATE_WEIGHT;
+        if sent < limit {
+            self.insert(subject.clone(), sent, number);
+        }
+    }
+
     /// Returns how many updates wait.
     pub fn len(&self) -> usize {
         self.places.len()
--- /dev/null
+++ b/crates/member/tests/sync.rs
@@ -0,0 +1,98 @@
+//! Tests of who watches the key-value service, and of announcements.
+
+use member::prelude::*;
+use member::sync;
+use member::sync::Action as SyncAction;
+use member::sync::Event as SyncEvent;
+use member::sync::PATIENCE;
+use member::sync::Sync;
+use member::sync::WATCHERS_PER_DOMAIN;
+use proptest::prelude::*;
+
+fn secs(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn without(names: &[NodeId], me: &NodeId) -> Vec<NodeId> {
+    names.iter().filter(|name| *name != me).cloned().collect()
+}
+
+proptest! {
+    #[test]
+    fn a_domain_has_its_watchers_and_a_loss_moves_at_most_one_watch(
+        names in proptest::collection::btree_set("[a-z]{1,8}", 1..20),
+        gone in any::<prop::sample::Index>(),
+    ) {
+        let names: Vec<NodeId> = names.into_iter().map(NodeId::from).collect();
+        let watchers = |names: &[NodeId]| -> Vec<NodeId> {
+            let is = |me: &&NodeId| sync::is_watcher(me, &without(names, me));
+            names.iter().filter(is).cloned().collect()
+        };
+        let before = watchers(&names);
+        prop_assert_eq!(before.len(), WATCHERS_PER_DOMAIN.min(names.len()));
+        let gone = &names[gone.index(names.len())];
+        let after = watchers(&without(&names, gone));
+        let kept = before.iter().filter(|name| *name != gone).all(|name| after.contains(name));
+        prop_assert!(kept, "a watcher stopped though another process went");
+    }
+
+    #[test]
+    fn announcements_rise_and_the_late_ask_in_time(
+        events in proptest::collection::vec((0..3_u8, 1..20_u64), 1..60),
+    ) {
+        let mut sync = Sync::new("me".into());
+        let (mut highest, mut in_force, mut last_ask) = (0, 0, None);
+        for (index, (kind, revision)) in events.into_iter().enumerate() {
+            let now = secs(index as u64);
+            let event = match kind {
+                0 => SyncEvent::InForce(revision),
+                1 => SyncEvent::Announced { revision, owner: "other".into() },
+                _ => SyncEvent::Tick,
+            };
+            for action in sync.decide(event, now) {
+                match action {
+                    SyncAction::Announce(announced) => {
+                        prop_assert!(announced > highest, "{announced} after {highest}");
+                    }
+                    SyncAction::Ask { revision, .. } => {
+                        prop_assert!(revision > in_force);
+                        let early = last_ask.is_some_and(|last| now < last + PATIENCE);
+                        prop_assert!(!early, "asked again before the patience was over");
+                        last_ask = Some(now);
+                    }
+                    SyncAction::Watch(_) => prop_assert!(false, "the members did not change"),
+                }
+            }
+            if kind == 0 {
+                in_force = in_force.max(revision);
+            }
+            if kind < 2 {
+                highest = highest.max(revision);
+            }
+            prop_assert_eq!(sync.highest(), highest);
+        }
+    }
+}
+
+#[test]
+fn a_process_that_stays_behind_asks_the_one_that_announced() {
+    let mut sync = Sync::new("me".into());
+    sync.decide(SyncEvent::Announced { revision: 7, owner: "other".into() }, secs(0));
+    assert_eq!(sync.decide(SyncEvent::Tick, secs(1)), []);
+    let ask = SyncAction::Ask { owner: "other".into(), revision: 7 };
+    assert_eq!(sync.decide(SyncEvent::Tick, secs(2)), [ask]);
+    assert_eq!(sync.decide(SyncEvent::Tick, secs(3)), []);
+    sync.decide(SyncEvent::InForce(7), secs(3));
+    assert_eq!(sync.decide(SyncEvent::Tick, secs(9)), []);
+}
+
+#[test]
+fn a_watch_begins_and_ends_with_the_members_of_the_domain() {
+    let others: Vec<NodeId> = (0..20).map(|index| format!("node-{index}").into()).collect();
+    let mut sync = Sync::new("entry".into());
+    assert!(sync.watches(), "a process that knows nobody watches");
+    let chosen = sync::is_watcher("entry", &others);
+    assert!(!chosen, "the example needs a process that is not chosen");
+    assert_eq!(sync.decide(SyncEvent::Domain(others), secs(0)), [SyncAction::Watch(false)]);
+    assert_eq!(sync.decide(SyncEvent::Domain(Vec::new()), secs(1)), [SyncAction::Watch(true)]);
+}
