--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,55 @@
+//! Tests of the program's settings options.
+
+use std::process::Command;
+
+fn write(name: &str, text: &str) -> std::path::PathBuf {
+    let path = std::env::temp_dir().join(format!("{}-{name}.json", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+#[test]
+fn a_file_with_six_faults_is_refused_with_all_of_them() {
+    let path = write(
+        "six-faults",
+        r#"{"node": "", "region": 7, "listen": {"peer": "here"}, "kv": {"timeout_ms": 0},
+            "caller": {"max_body": 1}}"#,
+    );
+    let out = Command::new(env!("CARGO_BIN_EXE_samphired"))
+        .arg("--check-settings")
+        .arg(&path)
+        .output()
+        .unwrap();
+    std::fs::remove_file(path).unwrap();
+    assert_eq!(out.status.code(), Some(2));
+    let text = String::from_utf8(out.stderr).unwrap();
+    for place in [
+        "$.node:",
+        "$.failure_domain: missing",
+        "$.region: found 7",
+        "$.listen.peer: found \"here\"",
+        "$.kv.timeout_ms: found 0",
+        "$.caller.max_body: unknown field",
+    ] {
+        assert!(text.contains(place), "{place} is not in:\n{text}");
+    }
+}
+
+#[test]
+fn the_effective_settings_are_printed_with_defaults_and_without_credentials() {
+    let path = write(
+        "effective",
+        r#"{"node": "a-1", "failure_domain": "a", "peers": {"secrets": ["a-secret-of-peers"]}}"#,
+    );
+    let out = Command::new(env!("CARGO_BIN_EXE_samphired"))
+        .arg("--print-settings")
+        .arg("--settings")
+        .arg(&path)
+        .output()
+        .unwrap();
+    std::fs::remove_file(path).unwrap();
+    assert_eq!(out.status.code(), Some(0));
+    let text = String::from_utf8(out.stdout).unwrap();
+    assert!(text.contains("\"voucher_ttl_ms\": 2000"), "{text}");
+    assert!(!text.contains("a-secret-of-peers"), "{text}");
+}
--- /dev/null
+++ b/crates/lab/tests/procs/mod.rs
@@ -0,0 +1,204 @@
+//! Starts stand-ins and daemons as separate processes, for end-to-end tests.
+//!
+//! All processes are killed when their handles are dropped.
+#![allow(dead_code, unreachable_pub)]
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use lab::sample;
+use lab::sample::Vm;
+use serde_json::Value;
+use web::prelude::Client;
+
+/// Longest wait for something that must happen soon; far above what it takes.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A running process.
+pub struct Proc {
+    child: Child,
+    listening: Vec<(String, SocketAddr)>,
+    settings: Option<PathBuf>,
+}
+
+/// Returns the path of a program of this workspace.
+pub fn program(name: &str) -> PathBuf {
+    let lab = PathBuf::from(env!("CARGO_BIN_EXE_samphire-lab"));
+    let path = lab.with_file_name(name);
+    assert!(path.exists(), "{name} is not built; run: cargo build --workspace --bins");
+    path
+}
+
+impl Proc {
+    /// Starts a program and reads the addresses of its first `lines` lines of output.
+    pub fn start(command: &mut Command, lines: usize) -> Proc {
+        let mut child = command.stdout(Stdio::piped()).spawn().expect("the program starts");
+        let mut out = BufReader::new(child.stdout.take().expect("it was piped"));
+        let mut listening = Vec::new();
+        for _ in 0..lines {
+            let mut line = String::new();
+            out.read_line(&mut line).expect("the program tells where it listens");
+            let value: Value = serde_json::from_str(&line).expect("the line is JSON");
+            for entry in value["listening"].as_array().expect("a list") {
+                let name = entry["name"].as_str().unwrap().to_owned();
+                listening.push((name, entry["address"].as_str().unwrap().parse().unwrap()));
+            }
+        }
+        Proc { child, listening, settings: None }
+    }
+
+    /// Starts a stand-in.
+    pub fn stand_in(args: &[&str], lines: usize) -> Proc {
+        let mut command = Command::new(program("samphire-lab"));
+        Proc::start(command.arg("stand-in").args(args), lines)
+    }
+
+    /// Starts a daemon with `settings`, JSON text.
+    pub fn daemon(settings: &str) -> Proc {
+        let name = format!("samphired-{}-{:x}.json", std::process::id(), base::ids::draw_id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, settings).unwrap();
+        let mut command = Command::new(program("samphired"));
+        let mut proc = Proc::start(command.arg("--settings").arg(&path), 1);
+        proc.settings = Some(path);
+        proc
+    }
+
+    /// Returns where `name` listens.
+    pub fn at(&self, name: &str) -> SocketAddr {
+        let found = self.listening.iter().find(|(listening, _)| listening == name);
+        found.unwrap_or_else(|| panic!("nothing named {name} listens")).1
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", signal, &id]).status().unwrap();
+        assert!(sent.success(), "signal {signal} to {id}");
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits until the process ends by itself and returns its exit code.
+    pub async fn wait(&mut self) -> Option<i32> {
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(tokio::time::Instant::now() < deadline, "the process did not end");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Returns whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Proc {
+    fn drop(&mut self) {
+        self.kill();
+        if let Some(path) = &self.settings {
+            let _ = std::fs::remove_file(path);
+        }
+    }
+}
+
+/// Stand-ins with the sample deployment, and daemons.
+pub struct Deployment {
+    pub kv: Proc,
+    pub plain: Proc,
+    pub vm_list: Proc,
+    pub engines: Vec<Proc>,
+    pub vms: Vec<Vm>,
+    pub daemons: Vec<Proc>,
+}
+
+impl Deployment {
+    /// Starts the stand-ins with `vms` engines and `daemons` daemons, and waits until all daemons
+    /// serve.
+    pub async fn start(vms: usize, daemons: usize, engine_args: &[&str]) -> Deployment {
+        let kv = Proc::stand_in(&["kv"], 2);
+        let plain = Proc::stand_in(&["plain"], 1);
+        let vm_list = Proc::stand_in(&["vms"], 1);
+        let mut deployment =
+            Deployment { kv, plain, vm_list, engines: vec![], vms: vec![], daemons: vec![] };
+        for index in 0..vms {
+            let name = format!("vm-{index}");
+            let args: Vec<&str> =
+                ["engine", "--vm", &name].iter().chain(engine_args).copied().collect();
+            let engine = Proc::stand_in(&args, 1);
+            let address = engine.at("engine");
+            deployment.vms.push(Vm { name: name.into(), address });
+            deployment.engines.push(engine);
+        }
+        deployment.seed().await;
+        for index in 0..daemons {
+            deployment.start_daemon(&format!("node-{index}"));
+        }
+        deployment.wait_serving().await;
+        deployment
+    }
+
+    async fn seed(&self) {
+        let records = sample::fabric_records(&self.vms);
+        sample::order_engines(&self.vms, &records).await.unwrap();
+        let catalog = sample::catalog(&self.vms, vec![self.plain.at("plain")]);
+        sample::seed(&self.store(), &catalog, &records).await.unwrap();
+    }
+
+    /// Returns a connection to the key-value stand-in.
+    pub fn store(&self) -> kv::etcd::EtcdStore {
+        let endpoint = format!("http://{}", self.kv.at("kv")).into();
+        kv::etcd::EtcdStore::new(kv::etcd::EtcdSettings::new(vec![endpoint])).unwrap()
+    }
+
+    /// Starts one more daemon, which joins the first one's membership.
+    pub fn start_daemon(&mut self, node: &str) {
+        let gossip = |proc: &Proc| {
+            proc.listening.iter().find(|(name, _)| name == "gossip").map(|(_, at)| *at)
+        };
+        let seeds: Vec<SocketAddr> = self.daemons.iter().filter_map(gossip).collect();
+        let vm_list = Some(self.vm_list.at("vms"));
+        let settings = sample::settings(node, self.kv.at("kv"), &seeds, vm_list);
+        self.daemons.push(Proc::daemon(&settings));
+    }
+
+    /// Returns where the callers of each daemon go.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.at("caller")).collect()
+    }
+
+    async fn wait_serving(&self) {
+        let client = Client::pooled(Duration::from_secs(5));
+        for at in self.callers() {
+            wait_until("a daemon serves", || async {
+                let first = lab::caller::TextCall::small("first", 0);
+                lab::caller::call(&client, at, &first).await.ended
+            })
+            .await;
+        }
+    }
+}
+
+/// Waits until `holds` is true.
+pub async fn wait_until<F: Future<Output = bool>>(what: &str, holds: impl Fn() -> F) {
+    let deadline = tokio::time::Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(tokio::time::Instant::now() < deadline, "never happened: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
