Bring every key-value write to a known end, within a share of the rates

Cause: a write whose answer was lost may stand, may land later, or may have been built upon. Ruled out: reading back once and believing an unchanged revision (a write under way lands later; the property test shows it), and a write id alone (another writer replaces it). Change: record keeps a numbered history of write ids, update decides from it and sends the same write again where the record has not moved on; gate is a token bucket by kind with reserves for urgent calls, and a circuit; budgeted counts calls by kind.

--- /dev/null
+++ b/crates/kv/src/budgeted.rs
@@ -0,0 +1,158 @@
+//! A store whose calls are counted by kind and kept within one process's share.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Instant;
+
+use base::prelude::*;
+use parking_lot::Mutex;
+use rand::Rng;
+use tokio::sync::mpsc;
+
+use crate::gate::CallKind;
+use crate::gate::Gate;
+use crate::gate::Priority;
+use crate::gate::Share;
+use crate::store::Answer;
+use crate::store::KvError;
+use crate::store::Store;
+use crate::store::Swap;
+use crate::store::Versioned;
+use crate::store::WatchEvent;
+
+/// Calls by kind and outcome.
+#[wire]
+#[derive(Copy, Default)]
+pub struct CallCounts {
+    /// Reads of one key that went out.
+    pub gets: u64,
+    /// Reads of a prefix that went out.
+    pub lists: u64,
+    /// Compare-and-swaps that went out.
+    pub swaps: u64,
+    /// Deletions that went out.
+    pub deletes: u64,
+    /// Watches that were opened.
+    pub watches: u64,
+    /// Compare-and-swaps and deletions that met another value.
+    pub conflicts: u64,
+    /// Writes without a clear answer.
+    pub unclear: u64,
+    /// Calls that failed because the service was down.
+    pub down: u64,
+    /// Calls that the service refused for its rate.
+    pub limited: u64,
+    /// Calls that were held back by the share or the open circuit and never went out.
+    pub held_back: u64,
+}
+
+struct Shared {
+    store: Arc<dyn Store>,
+    started: Instant,
+    gate: Mutex<Gate>,
+    counts: Mutex<CallCounts>,
+}
+
+/// A store within one process's share. Clones share the share and the counters.
+#[derive(Clone)]
+pub struct BudgetedStore {
+    shared: Arc<Shared>,
+    priority: Priority,
+}
+
+impl BudgetedStore {
+    /// Wraps `store`; calls have the priority of claims.
+    pub fn new(store: Arc<dyn Store>, share: Share) -> Self {
+        let shared = Shared {
+            store,
+            started: Instant::now(),
+            gate: Mutex::new(Gate::new(share)),
+            counts: Mutex::default(),
+        };
+        BudgetedStore { shared: Arc::new(shared), priority: Priority::Claim }
+    }
+
+    /// Returns the same store, for calls of another priority.
+    pub fn with_priority(&self, priority: Priority) -> Self {
+        BudgetedStore { shared: self.shared.clone(), priority }
+    }
+
+    /// Returns the calls counted so far.
+    pub fn counts(&self) -> CallCounts {
+        *self.shared.counts.lock()
+    }
+
+    /// Returns whether the service is held to be up.
+    pub fn is_up(&self) -> bool {
+        self.shared.gate.lock().is_closed()
+    }
+
+    async fn pass<T>(
+        &self,
+        kind: CallKind,
+        count: impl FnOnce(&mut CallCounts),
+        call: impl Future<Output = Result<T, KvError>>,
+    ) -> Result<T, KvError> {
+        let shared = &self.shared;
+        let admitted = shared.gate.lock().admit(kind, self.priority, shared.started.elapsed());
+        if let Err(error) = admitted {
+            shared.counts.lock().held_back += 1;
+            return Err(error);
+        }
+        count(&mut shared.counts.lock());
+        let sent = Instant::now();
+        let answer = call.await;
+        let draw = rand::rng().random_range(0.0..1.0);
+        let error = answer.as_ref().err();
+        shared.gate.lock().note(error, sent.elapsed(), shared.started.elapsed(), draw);
+        let mut counts = shared.counts.lock();
+        match error {
+            Some(KvError::Down) => counts.down += 1,
+            Some(KvError::Limited { .. }) => counts.limited += 1,
+            Some(KvError::Unclear) => counts.unclear += 1,
+            Some(KvError::Malformed { .. }) | None => {}
+        }
+        answer
+    }
+
+    fn count_conflict(&self, answer: &Result<Swap, KvError>) {
+        if matches!(answer, Ok(Swap::Conflict { .. })) {
+            self.shared.counts.lock().conflicts += 1;
+        }
+    }
+}
+
+impl Store for BudgetedStore {
+    fn get<'a>(&'a self, key: &'a str) -> Answer<'a, Option<Versioned>> {
+        let call = self.shared.store.get(key);
+        Box::pin(self.pass(CallKind::Read, |counts| counts.gets += 1, call))
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Vec<(Box<str>, Versioned)>> {
+        let call = self.shared.store.list(prefix);
+        Box::pin(self.pass(CallKind::Read, |counts| counts.lists += 1, call))
+    }
+
+    fn swap<'a>(&'a self, key: &'a str, expected: u64, value: Arc<[u8]>) -> Answer<'a, Swap> {
+        Box::pin(async move {
+            let call = self.shared.store.swap(key, expected, value);
+            let answer = self.pass(CallKind::Write, |counts| counts.swaps += 1, call).await;
+            self.count_conflict(&answer);
+            answer
+        })
+    }
+
+    fn delete<'a>(&'a self, key: &'a str, expected: u64) -> Answer<'a, Swap> {
+        Box::pin(async move {
+            let call = self.shared.store.delete(key, expected);
+            let answer = self.pass(CallKind::Write, |counts| counts.deletes += 1, call).await;
+            self.count_conflict(&answer);
+            answer
+        })
+    }
+
+    fn watch<'a>(&'a self, prefix: &'a str, after: u64) -> Answer<'a, mpsc::Receiver<WatchEvent>> {
+        let call = self.shared.store.watch(prefix, after);
+        Box::pin(self.pass(CallKind::Read, |counts| counts.watches += 1, call))
+    }
+}
--- a/crates/kv/src/lib.rs
+++ b/crates/kv/src/lib.rs
@@ -1,22 +1,49 @@
 //! The client side of the platform's key-value service.
 //!
 //! - [`store`]: [`Store`](store::Store), the trait at the process's edge, and its errors.
-//! - [`memory`]: [`MemoryStore`](memory::MemoryStore), a store in memory for tests.
 //! - [`etcd`]: [`EtcdStore`](etcd::EtcdStore), the store reached over the network.
+//! - [`memory`]: [`MemoryStore`](memory::MemoryStore), a store in memory for tests.
+//! - [`gate`] and [`budgeted`]: one process's share of the service's rates, and a circuit.
+//! - [`record`] and [`update`]: records that tell whether a write took effect, and changes of them
+//!   that end with a known outcome where that is possible.
+//!
+//! ```
+//! use kv::prelude::*;
+//! use std::time::Duration;
+//!
+//! let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+//! runtime.block_on(async {
+//!     let store = MemoryStore::default();
+//!     let count = |stands: Option<&Stored<u64>>| Some(stands.map_or(0, |s| s.record.body) + 1);
+//!     let outcome = kv::update::run(&store, "count", Duration::from_secs(1), count).await;
+//!     assert!(matches!(outcome, Outcome::Written { record, .. } if record.body == 1));
+//! });
+//! ```
 
+pub mod budgeted;
 pub mod etcd;
 mod etcd_watch;
+pub mod gate;
 pub mod memory;
+pub mod record;
 pub mod store;
+pub mod update;
 
 /// The common types of this crate.
 pub mod prelude {
+    pub use crate::budgeted::BudgetedStore;
+    pub use crate::budgeted::CallCounts;
     pub use crate::etcd::EtcdSettings;
     pub use crate::etcd::EtcdStore;
+    pub use crate::gate::Priority;
+    pub use crate::gate::Share;
     pub use crate::memory::MemoryStore;
+    pub use crate::record::Record;
+    pub use crate::record::Stored;
     pub use crate::store::KvError;
     pub use crate::store::Store;
     pub use crate::store::Swap;
     pub use crate::store::Versioned;
     pub use crate::store::WatchEvent;
+    pub use crate::update::Outcome;
 }
--- /dev/null
+++ b/crates/kv/tests/gate.rs
@@ -0,0 +1,114 @@
+//! The share of the service's rates, and the circuit.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kv::gate::CallKind;
+use kv::gate::Gate;
+use kv::prelude::*;
+use proptest::prelude::*;
+
+fn priorities() -> impl Strategy<Value = Priority> {
+    prop_oneof![
+        Just(Priority::Claim),
+        Just(Priority::Group),
+        Just(Priority::Config),
+        Just(Priority::Background),
+    ]
+}
+
+/// Bursts, and now and then an idle time.
+fn gaps() -> impl Strategy<Value = u64> {
+    prop_oneof![9 => 0..20u64, 1 => 1_000..5_000u64]
+}
+
+proptest! {
+    #[test]
+    fn calls_stay_within_the_share(
+        calls in proptest::collection::vec((gaps(), priorities(), any::<bool>()), 1..400),
+    ) {
+        let share = Share { writes_per_second: 20.0, reads_per_second: 50.0, ..Share::default() };
+        let mut gate = Gate::new(share);
+        let mut now = Duration::ZERO;
+        let mut admitted = [Vec::new(), Vec::new()];
+        for (gap_ms, priority, is_write) in calls {
+            now += Duration::from_millis(gap_ms);
+            let kind = if is_write { CallKind::Write } else { CallKind::Read };
+            if gate.admit(kind, priority, now).is_ok() {
+                admitted[usize::from(is_write)].push(now);
+            }
+        }
+        let rates = [share.reads_per_second, share.writes_per_second];
+        for (times, rate) in admitted.iter().zip(rates) {
+            for (i, first) in times.iter().enumerate() {
+                for (count, last) in times[i..].iter().enumerate() {
+                    let most = rate * ((*last - *first).as_secs_f64() + share.burst_seconds);
+                    prop_assert!(count as f64 + 1.0 <= most + 0.001, "{count} from {first:?}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn low_priorities_leave_tokens_for_claims() {
+    let share = Share { writes_per_second: 20.0, ..Share::default() };
+    let mut gate = Gate::new(share);
+    let now = Duration::ZERO;
+    let mut reading_along = 0;
+    while gate.admit(CallKind::Write, Priority::Background, now).is_ok() {
+        reading_along += 1;
+    }
+    let mut claims = 0;
+    while gate.admit(CallKind::Write, Priority::Claim, now).is_ok() {
+        claims += 1;
+    }
+    assert_eq!((reading_along, claims), (10, 10));
+}
+
+#[test]
+fn circuit_opens_tries_once_and_closes() {
+    let mut gate = Gate::new(Share::default());
+    let mut now = Duration::from_secs(1);
+    for _ in 0..kv::gate::CIRCUIT_FAILURES {
+        gate.admit(CallKind::Read, Priority::Claim, now).expect("closed");
+        gate.note(Some(&KvError::Down), Duration::ZERO, now, 1.0);
+    }
+    assert_eq!(gate.admit(CallKind::Read, Priority::Claim, now), Err(KvError::Down));
+    now += Duration::from_millis(250);
+    assert_eq!(gate.admit(CallKind::Read, Priority::Claim, now), Ok(()));
+    assert_eq!(gate.admit(CallKind::Read, Priority::Claim, now), Err(KvError::Down));
+    gate.note(Some(&KvError::Unclear), Duration::ZERO, now, 1.0);
+    now += Duration::from_millis(499);
+    assert_eq!(gate.admit(CallKind::Read, Priority::Claim, now), Err(KvError::Down));
+    now += Duration::from_millis(1);
+    assert_eq!(gate.admit(CallKind::Read, Priority::Claim, now), Ok(()));
+    gate.note(None, Duration::ZERO, now, 1.0);
+    assert!(gate.is_closed());
+}
+
+#[test]
+fn slow_answers_open_the_circuit() {
+    let mut gate = Gate::new(Share::default());
+    for _ in 0..kv::gate::CIRCUIT_FAILURES {
+        gate.note(None, Duration::from_secs(1), Duration::ZERO, 0.0);
+    }
+    assert!(!gate.is_closed());
+}
+
+#[tokio::test]
+async fn calls_are_counted_by_kind() {
+    let share = Share { writes_per_second: 2.0, ..Share::default() };
+    let store = BudgetedStore::new(Arc::new(MemoryStore::default()), share);
+    let value: Arc<[u8]> = Arc::from(&b"x"[..]);
+    store.swap("a", 0, value.clone()).await.expect("written");
+    let lost = store.with_priority(Priority::Claim).swap("a", 0, value.clone()).await;
+    assert!(matches!(lost, Ok(Swap::Conflict { .. })));
+    let held_back = store.swap("a", 0, value).await;
+    assert!(matches!(held_back, Err(KvError::Limited { .. })), "{held_back:?}");
+    store.get("a").await.expect("read");
+    store.list("a").await.expect("read");
+    let counts = store.counts();
+    assert_eq!((counts.swaps, counts.conflicts, counts.held_back), (2, 1, 1));
+    assert_eq!((counts.gets, counts.lists), (1, 1));
+}
