Claim request keys so that non-idempotent requests run at most once

Cause: a resend of a non-idempotent request must never run it a second time, whatever is lost. Ruled out: one log entry a flush (its index may be dropped and written anew by a late write), deleting old segments (a late create brings them back), and settings for the shards alone (two processes with different ones would not see each other's claims, so the layout stands in the key-value service). A dropped key is told as unknown and not as not run, since it may have run. Change: crate once: keys, segments in a ring of records that only moves forward, apply (what a batch makes of a segment), gather (group commit), claimant (one send), committer (the task), held answers, a world for drawn schedules and seven traces. kv::update can start from what is known, and goes on from a first conflict without another read. Figures: 400 claims of 200 keys by two owners of each shard make fewer than 200 writes.

--- a/crates/kv/src/update.rs
+++ b/crates/kv/src/update.rs
@@ -207,6 +207,11 @@
                 self.state = State::InDoubt(draft);
                 self.pause(now, draw)
             }
+            // The first conflict tells what stands; later ones mean that many write.
+            _ if self.pauses == 0 && current.is_some() => {
+                self.pauses = 1;
+                self.ask(current)
+            }
             _ => self.pause(now, draw),
         }
     }
@@ -251,12 +256,42 @@
     limit: Duration,
     mut next: impl FnMut(Option<&Stored<T>>) -> Option<T>,
 ) -> Outcome<T>
+where
+    T: Clone + Serialize + for<'de> Deserialize<'de>,
+{
+    run_event(store, key, limit, Event::Begun, &mut next).await
+}
+
+/// Makes one change as [`run`] does, without a read before the first write if `known` is given.
+///
+/// If `known` no longer stands, the write meets a conflict, and the change goes on from there. A
+/// change that is declined was decided on `known` as it was.
+pub async fn run_from<T>(
+    store: &dyn Store,
+    key: &str,
+    limit: Duration,
+    known: Option<Stored<T>>,
+    mut next: impl FnMut(Option<&Stored<T>>) -> Option<T>,
+) -> Outcome<T>
+where
+    T: Clone + Serialize + for<'de> Deserialize<'de>,
+{
+    let event = known.map_or(Event::Begun, |known| Event::Read(Ok(Some(known))));
+    run_event(store, key, limit, event, &mut next).await
+}
+
+async fn run_event<T>(
+    store: &dyn Store,
+    key: &str,
+    limit: Duration,
+    mut event: Event<T>,
+    next: &mut impl FnMut(Option<&Stored<T>>) -> Option<T>,
+) -> Outcome<T>
 where
     T: Clone + Serialize + for<'de> Deserialize<'de>,
 {
     let begun = Instant::now();
     let mut update = Update::new(limit);
-    let mut event = Event::Begun;
     loop {
         let draw = rand::rng().random_range(0.0..1.0);
         event = match update.decide(event, begun.elapsed(), draw) {
--- /dev/null
+++ b/crates/once/src/committer.rs
@@ -0,0 +1,304 @@
+//! The task that writes the batches.
+//!
+//! It asks [`Gather`] when to write, and makes each write as one change of a record, which ends
+//! with a known outcome where that is possible ([`kv::update`]). It remembers the segments that it
+//! wrote last, which saves the read before each write; what it remembers may be outdated, so a
+//! batch that changes nothing by it is decided again on what is read. Reports that could not be
+//! written are tried again until they are too old to matter.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use base::prelude::*;
+use kv::record::Stored;
+use kv::store::KvError;
+use kv::store::Store;
+use kv::update;
+use kv::update::Outcome;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::apply::Entry;
+use crate::apply::Verdict;
+use crate::apply::apply;
+use crate::claimant::Answer;
+use crate::gather::Action;
+use crate::gather::Event;
+use crate::gather::Gather;
+use crate::gather::Ticket;
+use crate::segment::Segment;
+use crate::settings::LAYOUT_KEY;
+use crate::settings::Layout;
+use crate::settings::OnceSettings;
+use crate::settings::Place;
+
+/// Asks that may wait for the task.
+const INBOX_DEPTH: usize = 4_096;
+/// Segments remembered for each shard: the present one and the one before.
+const REMEMBERED_SEGMENTS: usize = 2;
+/// Pause before a report that could not be written is tried again.
+const REPORT_PAUSE: Duration = Duration::from_secs(2);
+/// Time for which a report is tried.
+const REPORT_LIFETIME: Duration = Duration::from_secs(300);
+
+struct Ask {
+    place: Place,
+    entry: Entry,
+    reply: Option<oneshot::Sender<Answer>>,
+}
+
+/// Handle of the task; the task ends when all handles are gone.
+#[derive(Clone)]
+pub struct Committer {
+    tx: mpsc::Sender<Ask>,
+    cfg: OnceSettings,
+}
+
+/// Returns the layout that all processes use, and writes the proposed one if none stands.
+///
+/// # Errors
+///
+/// [`KvError`] if the key-value service gives no layout.
+pub async fn agree_layout(
+    store: &dyn Store,
+    proposed: Layout,
+    limit: Duration,
+) -> Result<Layout, KvError> {
+    let propose = |stands: Option<&Stored<Layout>>| stands.is_none().then_some(proposed);
+    match update::run(store, LAYOUT_KEY, limit, propose).await {
+        Outcome::Written { record, .. } => Ok(record.body),
+        Outcome::Declined(Some(stands)) => Ok(stands.record.body),
+        Outcome::Declined(None) | Outcome::Unknown => Err(KvError::Unclear),
+        Outcome::NotWritten(error) => Err(error),
+    }
+}
+
+impl Committer {
+    /// Starts the task. `cfg.layout` must be the agreed layout; see [`agree_layout`].
+    pub fn start(store: Arc<dyn Store>, cfg: OnceSettings) -> Self {
+        let (tx, rx) = mpsc::channel(INBOX_DEPTH);
+        let task = Task::new(store, cfg);
+        tokio::spawn(task.run(rx));
+        Committer { tx, cfg }
+    }
+
+    /// Returns the settings, with the agreed layout.
+    pub fn settings(&self) -> &OnceSettings {
+        &self.cfg
+    }
+
+    /// Asks for a claim or gives a report, for a key issued at `issued_ms`, and waits for what
+    /// becomes of it.
+    pub async fn ask(&self, entry: Entry, issued_ms: u64) -> Answer {
+        let (reply, answer) = oneshot::channel();
+        let place = self.cfg.layout.place(entry.key(), issued_ms);
+        let ask = Ask { place, entry, reply: Some(reply) };
+        if self.tx.try_send(ask).is_err() {
+            return Answer::NotWritten { retry_after: None };
+        }
+        answer.await.unwrap_or(Answer::InDoubt)
+    }
+
+    /// Gives a report and does not wait. It is tried again while the key-value service is down.
+    pub fn report(&self, entry: Entry, issued_ms: u64) {
+        let place = self.cfg.layout.place(entry.key(), issued_ms);
+        if self.tx.try_send(Ask { place, entry, reply: None }).is_err() {
+            log::warn!("the report of a claim's end was dropped: too many wait");
+        }
+    }
+}
+
+struct Waiter {
+    place: Place,
+    entry: Entry,
+    reply: Option<oneshot::Sender<Answer>>,
+    since: Instant,
+}
+
+struct Landed {
+    place: Place,
+    batch: Vec<(Ticket, Entry)>,
+    answers: Vec<Answer>,
+    known: Option<Stored<Segment>>,
+}
+
+struct Task {
+    store: Arc<dyn Store>,
+    cfg: OnceSettings,
+    started: Instant,
+    gather: Gather,
+    next: Ticket,
+    waiters: BTreeMap<Ticket, Waiter>,
+    known: BTreeMap<u32, Vec<Stored<Segment>>>,
+    landed_tx: mpsc::UnboundedSender<Landed>,
+    landed_rx: mpsc::UnboundedReceiver<Landed>,
+    wake_at: Option<Mono>,
+}
+
+impl Task {
+    fn new(store: Arc<dyn Store>, cfg: OnceSettings) -> Self {
+        let (landed_tx, landed_rx) = mpsc::unbounded_channel();
+        Task {
+            store,
+            cfg,
+            started: Instant::now(),
+            gather: Gather::new(&cfg),
+            next: 0,
+            waiters: BTreeMap::new(),
+            known: BTreeMap::new(),
+            landed_tx,
+            landed_rx,
+            wake_at: None,
+        }
+    }
+
+    async fn run(mut self, mut rx: mpsc::Receiver<Ask>) {
+        let mut open = true;
+        while open || !self.waiters.is_empty() {
+            let wake = wait_until(self.wake_at.map(|at| self.started + at));
+            tokio::select! {
+                ask = rx.recv(), if open => match ask {
+                    Some(ask) => self.arrived(ask),
+                    None => open = false,
+                },
+                Some(landed) = self.landed_rx.recv() => self.landed(landed),
+                () = wake => {
+                    self.wake_at = None;
+                    self.step(Event::Woken);
+                }
+            }
+        }
+    }
+
+    fn arrived(&mut self, ask: Ask) {
+        let delay = match ask.entry {
+            Entry::Claim { .. } => Duration::ZERO,
+            Entry::Report { .. } => Duration::from_millis(self.cfg.report_delay_ms),
+        };
+        let Ask { place, entry, reply } = ask;
+        self.wait(Waiter { place, entry, reply, since: Instant::now() }, delay);
+    }
+
+    fn wait(&mut self, waiter: Waiter, delay: Duration) {
+        let ticket = self.next;
+        self.next += 1;
+        let (place, entry) = (waiter.place, waiter.entry);
+        self.waiters.insert(ticket, waiter);
+        self.step(Event::Arrived { place, ticket, entry, delay });
+    }
+
+    fn step(&mut self, event: Event) {
+        for action in self.gather.decide(event, self.started.elapsed()) {
+            match action {
+                Action::Flush { place, batch } => self.flush(place, batch),
+                Action::Refuse { ticket } => {
+                    let waiter = self.waiters.remove(&ticket);
+                    if let Some(reply) = waiter.and_then(|waiter| waiter.reply) {
+                        let _ = reply.send(Answer::NotWritten { retry_after: None });
+                    }
+                }
+                Action::WakeAt(at) => {
+                    self.wake_at = Some(self.wake_at.map_or(at, |wake_at| wake_at.min(at)));
+                }
+            }
+        }
+    }
+
+    fn flush(&mut self, place: Place, batch: Vec<(Ticket, Entry)>) {
+        let store = self.store.clone();
+        let cfg = self.cfg;
+        let tx = self.landed_tx.clone();
+        let known = self.known.get(&place.shard).and_then(|list| {
+            let same = |stored: &&Stored<Segment>| stored.record.body.slot == place.slot;
+            list.iter().find(same).cloned()
+        });
+        tokio::spawn(async move {
+            let entries: Vec<Entry> = batch.iter().map(|(_, entry)| *entry).collect();
+            let (answers, known) = write(&*store, place, &entries, known, &cfg).await;
+            let _ = tx.send(Landed { place, batch, answers, known });
+        });
+    }
+
+    fn landed(&mut self, landed: Landed) {
+        let Landed { place, batch, answers, known } = landed;
+        self.remember(place, known);
+        for ((ticket, _), answer) in batch.into_iter().zip(answers) {
+            let Some(waiter) = self.waiters.remove(&ticket) else { continue };
+            match waiter.reply {
+                Some(reply) => {
+                    let _ = reply.send(answer);
+                }
+                None => self.reported(waiter, answer),
+            }
+        }
+        self.step(Event::Landed { shard: place.shard });
+    }
+
+    fn remember(&mut self, place: Place, known: Option<Stored<Segment>>) {
+        let list = self.known.entry(place.shard).or_default();
+        list.retain(|stored| stored.record.body.slot != place.slot);
+        list.extend(known.filter(|stored| stored.record.body.slot == place.slot));
+        list.sort_by_key(|stored| std::cmp::Reverse(stored.record.body.slot));
+        list.truncate(REMEMBERED_SEGMENTS);
+    }
+
+    /// Tries a report again that was not written.
+    fn reported(&mut self, waiter: Waiter, answer: Answer) {
+        let written = matches!(answer, Answer::Decided(_));
+        if !written && waiter.since.elapsed() < REPORT_LIFETIME {
+            self.wait(waiter, REPORT_PAUSE);
+        }
+    }
+}
+
+async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Writes a batch, and returns the answers and what is known to stand.
+async fn write(
+    store: &dyn Store,
+    place: Place,
+    entries: &[Entry],
+    known: Option<Stored<Segment>>,
+    cfg: &OnceSettings,
+) -> (Vec<Answer>, Option<Stored<Segment>>) {
+    let key = cfg.layout.record_key(place);
+    let limit = Duration::from_millis(cfg.claim_timeout_ms);
+    let mut verdicts: Vec<Verdict> = Vec::new();
+    let mut next = |stands: Option<&Stored<Segment>>| {
+        let segment = stands.map(|stands| &stands.record.body);
+        let applied = apply(segment, place.slot, entries, wall_ms(), cfg);
+        verdicts = applied.verdicts;
+        applied.next
+    };
+    let remembered = known.is_some();
+    let mut outcome = update::run_from(store, &key, limit, known, &mut next).await;
+    if remembered && matches!(outcome, Outcome::Declined(_)) {
+        outcome = update::run(store, &key, limit, &mut next).await;
+    }
+    let decided = |verdicts: Vec<Verdict>| verdicts.into_iter().map(Answer::Decided).collect();
+    let all = |answer: Answer| vec![answer; entries.len()];
+    match outcome {
+        Outcome::Written { stands, .. } => (decided(verdicts), Some(stands)),
+        Outcome::Declined(stands) => (decided(verdicts), stands),
+        Outcome::NotWritten(error) => {
+            let retry_after = match error {
+                KvError::Limited { retry_after } => Some(retry_after),
+                _ => None,
+            };
+            (all(Answer::NotWritten { retry_after }), None)
+        }
+        Outcome::Unknown => (all(Answer::InDoubt), None),
+    }
+}
+
+/// Returns the wall clock in milliseconds since the Unix epoch.
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -1,1 +1,58 @@
-//! Placeholder.
+//! Non-idempotent requests run at most once.
+//!
+//! Such a request carries a [`RequestKey`](key::RequestKey) with its issue time, and its key is
+//! claimed in the key-value service before it is dispatched. Whoever holds the claim may dispatch
+//! once; every later send of the key gets the recorded outcome, or "unknown" while there is none.
+//!
+//! - [`key`]: request keys, their hashes, and fingerprints of requests.
+//! - [`settings`]: the settings, and the [`Layout`](settings::Layout) that all processes share.
+//! - [`segment`]: the record that holds the claims of a shard and time slot, and its verifier.
+//! - [`apply`]: decides what a batch of claims and reports makes of a segment.
+//! - [`gather`]: decides when a shard's batch is written (group commit).
+//! - [`claimant`]: decides what one send of a request does, from its key to its reply.
+//! - [`committer`]: the task that writes the batches.
+//! - [`held`]: answers that this process still holds for resends.
+//! - [`trace`] and [`world`]: replay of recorded traces and drawn schedules.
+//!
+//! ```
+//! use once::prelude::*;
+//!
+//! let key = RequestKey::try_from(RawKey {
+//!     workspace: "wioslarz",
+//!     key: "1764794098000-entry-17",
+//!     issued_ms: None,
+//! });
+//! assert_eq!(key.unwrap().issued_ms, 1_764_794_098_000);
+//! ```
+
+pub mod apply;
+pub mod claimant;
+pub mod committer;
+pub mod gather;
+pub mod held;
+pub mod key;
+pub mod segment;
+pub mod settings;
+pub mod trace;
+pub mod world;
+
+/// The common types of this crate.
+pub mod prelude {
+    pub use crate::apply::Entry;
+    pub use crate::apply::Verdict;
+    pub use crate::claimant::Claimant;
+    pub use crate::claimant::Reply;
+    pub use crate::committer::Committer;
+    pub use crate::held::HeldAnswers;
+    pub use crate::key::ClaimId;
+    pub use crate::key::Fingerprint;
+    pub use crate::key::KeyHash;
+    pub use crate::key::RawKey;
+    pub use crate::key::RequestKey;
+    pub use crate::segment::Claim;
+    pub use crate::segment::ClaimState;
+    pub use crate::segment::End;
+    pub use crate::segment::Segment;
+    pub use crate::settings::Layout;
+    pub use crate::settings::OnceSettings;
+}
--- /dev/null
+++ b/crates/once/tests/at_most_once.rs
@@ -0,0 +1,76 @@
+//! At most one run for each key, for any schedule.
+
+use std::time::Duration;
+
+use once::segment::End;
+use once::trace::Fault;
+use once::trace::Step;
+use once::world::OWNERS;
+use once::world::World;
+use proptest::prelude::*;
+
+const SENDS: u64 = 5;
+/// Issue time of each key; two of them share a record of the ring.
+const ISSUED_MS: [u64; 3] = [0, 3_000, 1_000];
+
+fn faults() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        5 => Just(Fault::None),
+        1 => Just(Fault::AnswerLost),
+        1 => Just(Fault::LandsLate),
+        1 => Just(Fault::Down),
+    ]
+}
+
+fn ends() -> impl Strategy<Value = End> {
+    prop_oneof![Just(End::Done { digest: 7 }), Just(End::Failed), Just(End::Unknown),]
+}
+
+fn steps() -> impl Strategy<Value = Step> {
+    let send = 0..SENDS;
+    let owner = 0..OWNERS;
+    let key = prop_oneof![6 => Just(0usize), 1 => Just(1), 1 => Just(2)];
+    let body = prop_oneof![9 => Just(1u64), 1 => Just(2)];
+    prop_oneof![
+        3 => (send.clone(), key, body).prop_map(|(send, key, body)| Step::Begin {
+            send,
+            key: key as u64,
+            issued_ms: ISSUED_MS[key],
+            body,
+        }),
+        5 => (send.clone(), owner.clone()).prop_map(|(send, owner)| Step::Ask { send, owner }),
+        1 => send.clone().prop_map(|send| Step::LoseAsk { send }),
+        8 => (owner.clone(), faults()).prop_map(|(owner, fault)| Step::Call { owner, fault }),
+        2 => Just(Step::Land),
+        5 => send.clone().prop_map(|send| Step::Answer { send }),
+        1 => send.clone().prop_map(|send| Step::Deadline { send }),
+        1 => (send.clone(), ends()).prop_map(|(send, end)| Step::End { send, end }),
+        1 => send.clone().prop_map(|send| Step::Refuse { send }),
+        3 => (send, owner.clone()).prop_map(|(send, owner)| Step::Report { send, owner }),
+        1 => owner.clone().prop_map(|owner| Step::Restart { owner }),
+        1 => (owner, prop_oneof![Just(0u64), Just(1_500)])
+            .prop_map(|(owner, behind_ms)| Step::Clock { owner, behind_ms }),
+    ]
+}
+
+/// Milliseconds between steps; now and then a segment's time passes.
+fn gaps() -> impl Strategy<Value = u64> {
+    prop_oneof![30 => 0..10u64, 2 => 100..400u64, 1 => 500..1_500u64]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(6_000))]
+
+    #[test]
+    fn key_runs_at_most_once(
+        schedule in proptest::collection::vec((gaps(), steps()), 20..140),
+    ) {
+        let mut world = World::default();
+        let mut now = Duration::ZERO;
+        for (gap_ms, step) in schedule {
+            now += Duration::from_millis(gap_ms);
+            world.step(now, step);
+        }
+        prop_assert!(world.findings().is_empty(), "{}", world.findings());
+    }
+}
--- /dev/null
+++ b/crates/once/tests/committer.rs
@@ -0,0 +1,69 @@
+//! The task that writes the batches, over a store in memory.
+
+use std::sync::Arc;
+
+use kv::prelude::*;
+use once::claimant::Answer;
+use once::committer::agree_layout;
+use once::committer::wall_ms;
+use once::prelude::*;
+
+const CLAIMS: u64 = 200;
+
+fn claim(key: u64, boot: u64) -> Entry {
+    let holder = ClaimId { boot, attempt: key };
+    Entry::Claim { key: u128::from(key), fingerprint: 1, holder }
+}
+
+fn settings() -> OnceSettings {
+    let layout = Layout { shards: 2, ..Layout::default() };
+    OnceSettings { layout, flush_period_ms: 5, report_delay_ms: 5, ..OnceSettings::default() }
+}
+
+#[tokio::test]
+async fn doubled_owners_grant_each_key_once() {
+    let store = Arc::new(MemoryStore::default());
+    let issued_ms = wall_ms();
+    let mut asks = tokio::task::JoinSet::new();
+    for boot in 1..=2 {
+        let committer = Committer::start(store.clone(), settings());
+        for key in 0..CLAIMS {
+            let committer = committer.clone();
+            asks.spawn(async move { committer.ask(claim(key, boot), issued_ms).await });
+        }
+    }
+    let answers = asks.join_all().await;
+    let granted = answers.iter().filter(|answer| **answer == Answer::Decided(Verdict::Granted));
+    assert_eq!(granted.count() as u64, CLAIMS);
+    let taken = |answer: &&Answer| matches!(answer, Answer::Decided(Verdict::Taken { .. }));
+    assert_eq!(answers.iter().filter(taken).count() as u64, CLAIMS);
+    assert!(store.revision() < CLAIMS, "{} writes", store.revision());
+}
+
+#[tokio::test]
+async fn outcome_of_another_process_is_seen() {
+    let store = Arc::new(MemoryStore::default());
+    let issued_ms = wall_ms();
+    let first = Committer::start(store.clone(), settings());
+    let second = Committer::start(store.clone(), settings());
+    assert_eq!(first.ask(claim(1, 1), issued_ms).await, Answer::Decided(Verdict::Granted));
+    // The second one now remembers the claim without an end.
+    second.ask(claim(1, 2), issued_ms).await;
+    let holder = ClaimId { boot: 1, attempt: 1 };
+    let end = End::Done { digest: 9 };
+    let report = Entry::Report { key: 1, fingerprint: 1, holder, end };
+    assert_eq!(first.ask(report, issued_ms).await, Answer::Decided(Verdict::Recorded));
+    let state = ClaimState::Ended(end);
+    let taken = Answer::Decided(Verdict::Taken { state, holder });
+    assert_eq!(second.ask(claim(1, 3), issued_ms).await, taken);
+}
+
+#[tokio::test]
+async fn first_layout_stands_for_all() {
+    let store = MemoryStore::default();
+    let limit = std::time::Duration::from_secs(1);
+    let first = Layout { shards: 4, ..Layout::default() };
+    let second = Layout { shards: 8, ..Layout::default() };
+    assert_eq!(agree_layout(&store, first, limit).await, Ok(first));
+    assert_eq!(agree_layout(&store, second, limit).await, Ok(first));
+}
--- /dev/null
+++ b/crates/once/tests/segments.rs
@@ -0,0 +1,181 @@
+//! Keys, the form and verifier of segments, settings, group commit, and held answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::Findings;
+use once::gather::Action;
+use once::gather::Event;
+use once::gather::Gather;
+use once::key::answer_digest;
+use once::key::fingerprint;
+use once::prelude::*;
+use once::segment::CLAIM_BYTES;
+use once::segment::RawSegment;
+use once::settings::Place;
+use proptest::prelude::*;
+
+fn states() -> impl Strategy<Value = ClaimState> {
+    prop_oneof![
+        Just(ClaimState::Claimed),
+        any::<u64>().prop_map(|digest| ClaimState::Ended(End::Done { digest })),
+        Just(ClaimState::Ended(End::Failed)),
+        Just(ClaimState::Ended(End::Unknown)),
+        Just(ClaimState::Ended(End::Released)),
+    ]
+}
+
+fn claims() -> impl Strategy<Value = Claim> {
+    (any::<u128>(), any::<u64>(), 1..u64::MAX, any::<u64>(), states()).prop_map(
+        |(key, fingerprint, boot, attempt, state)| Claim {
+            key,
+            fingerprint,
+            holder: ClaimId { boot, attempt },
+            state,
+        },
+    )
+}
+
+proptest! {
+    #[test]
+    fn segment_survives_its_json(mut claims in proptest::collection::vec(claims(), 0..20)) {
+        claims.sort_by_key(|claim| claim.key);
+        claims.dedup_by_key(|claim| claim.key);
+        let segment = Segment { slot: 7, sealed: true, claims };
+        let text = serde_json::to_string(&segment).expect("JSON");
+        prop_assert!(text.len() <= 64 + segment.claims.len() * CLAIM_BYTES, "{}", text.len());
+        prop_assert_eq!(serde_json::from_str::<Segment>(&text).expect("a segment"), segment);
+    }
+
+    #[test]
+    fn any_text_is_a_claim_or_an_error(text in "[0-9a-f.dcu-]{0,120}") {
+        if let Ok(claim) = text.parse::<Claim>() {
+            prop_assert_eq!(claim.to_string().parse::<Claim>(), Ok(claim));
+        }
+    }
+}
+
+#[test]
+fn every_fault_of_a_segment_is_found() {
+    let claim =
+        |key: u32, boot: u32| format!("{key:032x}.{:016x}.{boot:016x}-1.c", 0).into_boxed_str();
+    let raw = RawSegment {
+        slot: 1,
+        sealed: false,
+        claims: vec![claim(2, 1), claim(2, 1), "x.y".into(), claim(1, 0)],
+    };
+    let findings = Segment::try_from(raw).unwrap_err();
+    let places: Vec<&str> = findings.iter().map(|finding| &*finding.place).collect();
+    assert_eq!(places, ["$.claims[2]", "$.claims[1]", "$.claims[2]", "$.claims[2]"]);
+}
+
+#[test]
+fn raw_keys_are_checked() {
+    let raw = |key, issued_ms| RequestKey::try_from(RawKey { workspace: "w", key, issued_ms });
+    assert_eq!(raw("17-a", None).expect("a key").issued_ms, 17);
+    assert_eq!(raw("a", Some("18")).expect("a key").issued_ms, 18);
+    let findings = raw("\u{e9}", None).unwrap_err();
+    assert_eq!(findings.len(), 2, "{findings}");
+    let other = RequestKey { workspace: "v".into(), ..raw("17-a", None).expect("a key") };
+    assert_ne!(raw("17-a", None).expect("a key").hash(), other.hash());
+    assert_ne!(fingerprint("POST", "/a", b"b"), fingerprint("POST", "/", b"ab"));
+}
+
+#[test]
+fn every_fault_of_the_settings_is_found() {
+    let mut findings = Findings::default();
+    let layout = Layout { shards: 0, slot_ms: 1_000, ring_slots: 3 };
+    let cfg = OnceSettings { layout, claim_timeout_ms: 100, ..OnceSettings::default() };
+    cfg.check("$.once", &mut findings);
+    let places: Vec<&str> = findings.iter().map(|finding| &*finding.place).collect();
+    assert_eq!(
+        places,
+        ["$.once.layout.shards", "$.once.layout.ring_slots", "$.once.flush_period_ms"]
+    );
+    let mut findings = Findings::default();
+    OnceSettings::default().check("$.once", &mut findings);
+    assert!(findings.is_empty(), "{findings}");
+}
+
+fn claim(key: u128) -> Entry {
+    Entry::Claim { key, fingerprint: 1, holder: ClaimId { boot: 1, attempt: 1 } }
+}
+
+fn arrived(ticket: u64, slot: u64, delay: Duration) -> Event {
+    Event::Arrived { place: Place { shard: 0, slot }, ticket, entry: claim(1), delay }
+}
+
+fn flushed(actions: &[Action]) -> Vec<u64> {
+    let batch = actions.iter().filter_map(|action| match action {
+        Action::Flush { batch, .. } => Some(batch.iter().map(|(ticket, _)| *ticket)),
+        _ => None,
+    });
+    batch.flatten().collect()
+}
+
+#[test]
+fn idle_shard_writes_at_once_and_a_busy_one_gathers() {
+    let cfg = OnceSettings { flush_period_ms: 100, ..OnceSettings::default() };
+    let mut gather = Gather::new(&cfg);
+    let ms = Duration::from_millis;
+    assert_eq!(flushed(&gather.decide(arrived(1, 5, ms(0)), ms(0))), [1]);
+    assert_eq!(gather.decide(arrived(2, 5, ms(0)), ms(1)), []);
+    let landed = gather.decide(Event::Landed { shard: 0 }, ms(3));
+    assert_eq!(landed, [Action::WakeAt(ms(100))]);
+    assert_eq!(gather.decide(arrived(3, 6, ms(0)), ms(4)), [Action::WakeAt(ms(100))]);
+    assert_eq!(gather.decide(arrived(4, 5, ms(0)), ms(5)), [Action::WakeAt(ms(100))]);
+    assert_eq!(flushed(&gather.decide(Event::Woken, ms(100))), [2, 4]);
+    gather.decide(Event::Landed { shard: 0 }, ms(103));
+    assert_eq!(flushed(&gather.decide(Event::Woken, ms(200))), [3]);
+    assert_eq!(gather.waiting(), 0);
+}
+
+#[test]
+fn report_waits_for_a_claim_to_go_with() {
+    let mut gather = Gather::new(&OnceSettings::default());
+    let ms = Duration::from_millis;
+    let report = gather.decide(arrived(1, 5, ms(500)), ms(0));
+    assert_eq!(report, [Action::WakeAt(ms(500))]);
+    assert_eq!(flushed(&gather.decide(arrived(2, 5, ms(0)), ms(10))), [1, 2]);
+}
+
+#[test]
+fn full_gatherer_refuses() {
+    let mut gather = Gather::new(&OnceSettings::default());
+    let hour = Duration::from_secs(3_600);
+    for ticket in 0..once::gather::MAX_WAITING_ENTRIES as u64 {
+        gather.decide(arrived(ticket, 5, hour), Duration::ZERO);
+    }
+    let refused = gather.decide(arrived(99_999, 5, hour), Duration::ZERO);
+    assert_eq!(refused, [Action::Refuse { ticket: 99_999 }]);
+}
+
+#[test]
+fn held_answers_are_bounded_and_checked() {
+    let mut held = HeldAnswers::new(10);
+    let first: Arc<[u8]> = Arc::from(&b"123456"[..]);
+    held.hold(1, first.clone());
+    assert_eq!(held.get(1, answer_digest(&first)), Some(first.clone()));
+    assert_eq!(held.get(1, answer_digest(b"other")), None);
+    held.hold(2, Arc::from(&b"654321"[..]));
+    assert_eq!(held.get(1, answer_digest(&first)), None);
+    assert_eq!(held.bytes(), 6);
+}
+
+#[test]
+fn full_segment_takes_no_more_claims() {
+    let row = |key: usize| Claim {
+        key: key as u128,
+        fingerprint: 1,
+        holder: ClaimId { boot: 1, attempt: 1 },
+        state: ClaimState::Claimed,
+    };
+    let claims: Vec<Claim> = (0..once::segment::MAX_CLAIMS).map(row).collect();
+    let segment = Segment { slot: 0, sealed: false, claims };
+    let cfg = OnceSettings::default();
+    let applied = once::apply::apply(Some(&segment), 0, &[claim(u128::MAX)], 0, &cfg);
+    assert_eq!(applied.verdicts, [Verdict::Full]);
+    assert!(applied.next.is_none());
+    let text = serde_json::to_string(&segment).expect("JSON");
+    assert!(text.len() < 1 << 20, "{} bytes", text.len());
+}
