Measure claims and key-value calls over the stand-in

Cause: group commit has to be weighed with figures against a swap for each request and tickets. Ruled out: closed-loop load, which hides waiting.

--- a/crates/lab/src/kv/faults.rs
+++ b/crates/lab/src/kv/faults.rs
@@ -77,6 +77,8 @@
     pub limited: u64,
     /// Writes that took effect and whose answers were lost.
     pub lost: u64,
+    /// Bytes of all values written.
+    pub written_bytes: u64,
     /// Largest value written, in bytes.
     pub largest_value: u64,
 }
@@ -223,6 +225,7 @@
     pub(super) fn written(&self, value_bytes: usize) -> bool {
         let mut state = self.state.lock();
         state.counts.written += 1;
+        state.counts.written_bytes += value_bytes as u64;
         state.counts.largest_value = state.counts.largest_value.max(value_bytes as u64);
         let share = state.lose_share;
         let lost = if state.lose_answers > 0 {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,12 +9,14 @@
 //! - [`sample`]: the sample deployment that demo, load and tests use.
 //! - [`caller`]: a caller that checks its answers.
 //! - [`standin`]: the stand-ins as processes of their own.
+//! - [`measure`]: named measurements.
 //! - [`demo`]: the whole path in one process.
 
 pub mod caller;
 pub mod demo;
 pub mod engine;
 pub mod kv;
+pub mod measure;
 pub mod plain;
 pub mod sample;
 pub mod standin;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,8 @@
 use clap::Parser;
 use clap::Subcommand;
 use lab::demo;
+use lab::measure;
+use lab::measure::Measure;
 use lab::standin;
 use lab::standin::StandIn;
 
@@ -20,6 +22,11 @@
 enum Command {
     /// Run the whole path in one process, and tell what happens.
     Demo,
+    /// Run a measurement and print its figures as JSON.
+    Measure {
+        /// Which one.
+        name: Measure,
+    },
     /// Run one stand-in as a process of its own.
     #[command(subcommand)]
     StandIn(StandIn),
@@ -47,6 +54,10 @@
     let done = runtime.block_on(async {
         match args.command {
             Command::Demo => demo::run().await,
+            Command::Measure { name } => {
+                println!("{:#}", measure::run(name).await);
+                Ok(())
+            }
             Command::StandIn(what) => standin::run(what).await,
         }
     });
--- /dev/null
+++ b/crates/lab/src/measure/kv.rs
@@ -0,0 +1,158 @@
+//! Calls to the key-value service by kind, through an outage and after it.
+//!
+//! Eight processes claim keys and read along, each through its own share. The stand-in counts what
+//! arrives in each window; the outage is a service without a leader, which answers and can be
+//! counted, or a silent one.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::prelude::draw_id;
+use kv::prelude::*;
+use once::claimant::Answer;
+use once::committer::wall_ms;
+use once::prelude::*;
+use serde_json::Value;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use crate::kv::KvCounts;
+use crate::kv::KvOrder;
+use crate::kv::Outage;
+use crate::measure::load::Arrivals;
+use crate::measure::load::Standin;
+use crate::measure::load::sleep_until;
+
+/// Processes.
+const PROCESSES: usize = 8;
+/// Claims a second over all processes.
+const CLAIM_RATE: f64 = 200.0;
+/// Reads a second of each process that reads along.
+const READ_ALONG_RATE: f64 = 5.0;
+/// Window of counting.
+const WINDOW: Duration = Duration::from_millis(250);
+/// Time before the outage.
+const BEFORE: Duration = Duration::from_secs(3);
+/// Length of the outage.
+const OUTAGE: Duration = Duration::from_secs(5);
+/// Time after the outage.
+const AFTER: Duration = Duration::from_secs(5);
+/// Seed of the arrivals.
+const SEED: u64 = 20_261_203;
+
+struct Process {
+    store: BudgetedStore,
+    committer: Committer,
+}
+
+fn start(standin: &Standin, share: Share) -> Process {
+    let store = BudgetedStore::new(standin.store(), share);
+    let committer = Committer::start(Arc::new(store.clone()), OnceSettings::default());
+    Process { store, committer }
+}
+
+/// Returns when the claim was answered, and whether it was granted.
+async fn claim(process: &Process, begun: Instant) -> (Duration, bool) {
+    let issued_ms = wall_ms();
+    let key = u128::from(draw_id());
+    let holder = ClaimId { boot: 1, attempt: draw_id() };
+    let entry = Entry::Claim { key, fingerprint: 1, holder };
+    let answer = process.committer.ask(entry, issued_ms).await;
+    (begun.elapsed(), answer == Answer::Decided(Verdict::Granted))
+}
+
+async fn read_along(process: Arc<Process>, begun: Instant, index: u64) {
+    let store = process.store.with_priority(Priority::Background);
+    for at in Arrivals::new(SEED + index, READ_ALONG_RATE, BEFORE + OUTAGE + AFTER) {
+        sleep_until(begun, at).await;
+        let _ = store.get("config/revision").await;
+    }
+}
+
+async fn count_windows(standin: &Standin, begun: Instant) -> Vec<KvCounts> {
+    let windows = (BEFORE + OUTAGE + AFTER).as_millis() / WINDOW.as_millis();
+    let mut counts = vec![standin.server.faults.counts()];
+    for window in 1..=windows as u32 {
+        sleep_until(begun, WINDOW * window).await;
+        counts.push(standin.server.faults.counts());
+    }
+    counts
+}
+
+/// Returns the calls a second in the mean and in the busiest window between two times.
+fn rates(counts: &[KvCounts], from: Duration, to: Duration) -> Value {
+    let index = |at: Duration| (at.as_millis() / WINDOW.as_millis()) as usize;
+    let range = &counts[index(from)..=index(to)];
+    let per_second = 1.0 / WINDOW.as_secs_f64();
+    let each = |kind: fn(&KvCounts) -> u64| {
+        let windows = range.windows(2).map(|pair| kind(&pair[1]) - kind(&pair[0]));
+        let busiest = windows.max().unwrap_or(0) as f64 * per_second;
+        let all = kind(&range[range.len() - 1]) - kind(&range[0]);
+        json!({ "mean": all as f64 / (to - from).as_secs_f64(), "busiest_window": busiest })
+    };
+    json!({
+        "reads_per_second": each(|counts| counts.reads),
+        "writes_per_second": each(|counts| counts.writes),
+        "limited_per_second": each(|counts| counts.limited),
+    })
+}
+
+async fn measure(outage: Outage) -> Value {
+    let standin = Standin::start(2).await;
+    let share = Share::default();
+    let processes: Vec<_> = (0..PROCESSES).map(|_| Arc::new(start(&standin, share))).collect();
+    let begun = Instant::now();
+    let mut tasks = JoinSet::new();
+    for (index, process) in processes.iter().enumerate() {
+        tasks.spawn(read_along(process.clone(), begun, index as u64));
+    }
+    let mut claims = JoinSet::new();
+    for (number, at) in Arrivals::new(SEED, CLAIM_RATE, BEFORE + OUTAGE + AFTER).enumerate() {
+        let process = processes[number % PROCESSES].clone();
+        claims.spawn(async move {
+            sleep_until(begun, at).await;
+            claim(&process, begun).await
+        });
+    }
+    let faults = standin.server.faults.clone();
+    tasks.spawn(async move {
+        sleep_until(begun, BEFORE).await;
+        faults.apply(KvOrder { outage: Some(outage), ..KvOrder::default() });
+        sleep_until(begun, BEFORE + OUTAGE).await;
+        faults.apply(KvOrder { outage: Some(Outage::None), ..KvOrder::default() });
+    });
+    let counts = count_windows(&standin, begun).await;
+    let mut answers = Vec::new();
+    while let Some(Ok(answer)) = claims.join_next().await {
+        answers.push(answer);
+    }
+    tasks.join_all().await;
+    let phase = |from: Duration, to: Duration| {
+        let within = answers.iter().filter(|(at, _)| (from..to).contains(at));
+        let granted = within.clone().filter(|(_, granted)| *granted).count();
+        json!({ "granted": granted, "refused": within.count() - granted, "calls": rates(&counts, from, to) })
+    };
+    let up = BEFORE + OUTAGE;
+    let first = answers.iter().filter(|(at, granted)| *granted && *at > up).map(|(at, _)| *at);
+    let first_ms = first.min().map(|at| (at - up).as_millis() as u64);
+    let by_process: Vec<CallCounts> =
+        processes.iter().map(|process| process.store.counts()).collect();
+    json!({
+        "outage": outage,
+        "before": phase(Duration::ZERO, BEFORE),
+        "during": phase(BEFORE, up),
+        "after": phase(up, up + AFTER),
+        "first_grant_after_outage_ms": first_ms,
+        "share_of_each_process": share,
+        "calls_of_first_process": by_process[0],
+        "held_back_by_all": by_process.iter().map(|counts| counts.held_back).sum::<u64>(),
+    })
+}
+
+/// Runs the measurement.
+pub async fn run() -> Value {
+    let no_leader = measure(Outage::NoLeader).await;
+    let silent = measure(Outage::Silent).await;
+    json!({ "processes": PROCESSES, "claim_rate": CLAIM_RATE, "runs": [no_leader, silent] })
+}
