Read manifests and verify catalogs, with all findings at once

Cause: operators need one report of everything wrong with what they write; serde stops at the first misfit, and references between resources were not checked at all. Ruled out: a raw twin of each spec with optional fields (nine types twice, and misfits of type still end the reading). Change: `read_with` reads beside an example, mends each misfit with the example's part and goes on; manifests go from raw to checked; `verify` checks references, unique keys and addresses; a row carries the revision of its last change; the catalog keeps the latest 512 write ids with their revisions; typed status and conditions. Seen failing: with unknown fields skipped, the reference check off, the model comparison off, the address index off, or the hash length unchecked, the tests of crates/spec/tests/manifest.rs report each missing place.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -1,22 +1,50 @@
 //! The resources that operators declare, and the accepted configuration that they form.
 //!
-//! - [`resource`]: the kinds of resource and their specs.
+//! - [`resource`]: the kinds of resource and their specs; [`kind`]: a resource of any kind.
 //! - [`catalog`]: [`Catalog`](catalog::Catalog), all accepted resources at one revision.
+//! - [`manifest`]: [`Manifest`](manifest::Manifest), what operators write, from raw to checked;
+//!   [`read`] reports all misfits of a JSON value, [`rules`] checks one resource by itself.
+//! - [`verify`]: checks the references of a whole catalog.
+//! - [`status`]: the reported state of resources.
 //!
 //! ```
 //! use spec::prelude::*;
 //!
+//! let text = r#"{"kind": "model", "name": "tide", "spec": {"max_output_tokens": 4096}}"#;
+//! let manifests = read_manifests(text).unwrap();
 //! let mut catalog = Catalog::default();
-//! catalog.models.put("tide", Model { max_output_tokens: 4096 });
+//! for manifest in manifests {
+//!     catalog.set(&manifest.name, manifest.resource, 1);
+//! }
 //! assert!(catalog.models.get("tide").is_some());
+//! assert!(verify(&catalog).is_ok());
 //! ```
 
 pub mod catalog;
+pub mod kind;
+pub mod manifest;
+pub mod read;
 pub mod resource;
+pub mod rules;
+pub mod status;
+pub mod verify;
 
 /// The common types of this crate.
 pub mod prelude {
+    pub use crate::catalog::CATALOG_KEY;
     pub use crate::catalog::Catalog;
+    pub use crate::catalog::Fate;
+    pub use crate::catalog::Held;
+    pub use crate::catalog::Row;
     pub use crate::catalog::Table;
+    pub use crate::kind::Resource;
+    pub use crate::manifest::Manifest;
+    pub use crate::manifest::RawManifest;
+    pub use crate::manifest::read_manifests;
     pub use crate::resource::*;
+    pub use crate::status::Condition;
+    pub use crate::status::ConditionKind;
+    pub use crate::status::ObservedGroup;
+    pub use crate::status::Status;
+    pub use crate::verify::verify;
 }
--- /dev/null
+++ b/crates/spec/src/manifest.rs
@@ -0,0 +1,161 @@
+//! Manifests: what operators write in files and send to the operator API.
+//!
+//! A manifest is `{"kind": "...", "name": "...", "spec": {...}, "revision": N}`. The optional
+//! revision makes the change conditional: it is accepted only if the resource's revision is still
+//! `N`, where 0 means that the resource must not exist. A file holds one manifest, an array of
+//! them, or several one after the other.
+//!
+//! Reading goes from raw to checked: each manifest's own fields and values are checked here, all
+//! findings at once. References between resources are checked by [`crate::verify`].
+
+use base::prelude::*;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::kind::Resource;
+use crate::read::read_with;
+use crate::resource::*;
+use crate::rules::check_name;
+use crate::rules::check_resource;
+
+/// A checked manifest.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Manifest {
+    /// The resource's name.
+    pub name: Box<str>,
+    /// The kind and spec.
+    pub resource: Resource,
+    /// The revision that the resource must have; 0 if it must not exist, `None` if any will do.
+    pub revision: Option<Revision>,
+}
+
+/// A manifest as it stands in a file.
+#[wire]
+pub struct RawManifest {
+    /// The kind's name.
+    pub kind: Box<str>,
+    /// The resource's name.
+    pub name: Box<str>,
+    /// The spec, in the form of its kind.
+    pub spec: Value,
+    /// The revision that the resource must have.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<Revision>,
+}
+
+impl From<&Manifest> for RawManifest {
+    fn from(manifest: &Manifest) -> Self {
+        RawManifest {
+            kind: manifest.resource.kind().as_str().into(),
+            name: manifest.name.clone(),
+            spec: manifest.resource.to_json(),
+            revision: manifest.revision,
+        }
+    }
+}
+
+impl Serialize for Manifest {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        RawManifest::from(self).serialize(serializer)
+    }
+}
+
+impl TryFrom<RawManifest> for Manifest {
+    type Error = Findings;
+
+    fn try_from(raw: RawManifest) -> Result<Self, Findings> {
+        let mut findings = Findings::default();
+        let manifest = check(raw, "$", &mut findings);
+        match manifest {
+            Some(manifest) => findings.into_result(manifest),
+            None => Err(findings),
+        }
+    }
+}
+
+/// Reads all manifests of a file or request body; all findings are reported at once.
+pub fn read_manifests(text: &str) -> Result<Vec<Manifest>, Findings> {
+    let mut findings = Findings::default();
+    let values = values(text, &mut findings);
+    let mut manifests = Vec::new();
+    for (place, value) in values {
+        let example = json!({"kind": "", "name": "", "spec": null, "revision": 0});
+        let raw = read_with::<RawManifest>(value, &example, &place, &mut findings);
+        if let Some(manifest) = raw.and_then(|raw| check(raw, &place, &mut findings)) {
+            manifests.push(manifest);
+        }
+    }
+    findings.into_result(manifests)
+}
+
+/// Splits a text into JSON values with their places.
+fn values(text: &str, findings: &mut Findings) -> Vec<(String, Value)> {
+    let mut list = Vec::new();
+    for value in serde_json::Deserializer::from_str(text).into_iter::<Value>() {
+        match value {
+            Ok(Value::Array(items)) => list.extend(items),
+            Ok(value) => list.push(value),
+            Err(error) => {
+                findings.add(format!("$[{}]", list.len()), error.to_string());
+                break;
+            }
+        }
+    }
+    findings.check(!list.is_empty() || !findings.is_empty(), "$", || "no manifest".to_owned());
+    let single = list.len() == 1 && !text.trim_start().starts_with('[');
+    let place = |index: usize| if single { "$".to_owned() } else { format!("$[{index}]") };
+    list.into_iter().enumerate().map(|(index, value)| (place(index), value)).collect()
+}
+
+fn check(raw: RawManifest, place: &str, findings: &mut Findings) -> Option<Manifest> {
+    check_name(&raw.name, &format!("{place}.name"), findings);
+    let kind = match raw.kind.parse::<Kind>() {
+        Ok(kind) => kind,
+        Err(error) => {
+            findings.add(format!("{place}.kind"), error.to_string());
+            return None;
+        }
+    };
+    let spec_place = format!("{place}.spec");
+    let mut misfits = Findings::default();
+    let resource = read_resource(kind, raw.spec, &spec_place, &mut misfits);
+    let mut faults = Findings::default();
+    if let Some(resource) = &resource {
+        check_resource(resource, &spec_place, &mut faults);
+    }
+    // Where a misfit was replaced by the example's part, a fault says nothing about the input.
+    let replaced = |place: &str| misfits.iter().any(|misfit| place.starts_with(&*misfit.place));
+    for fault in faults.iter().filter(|fault| !replaced(&fault.place)) {
+        findings.add(fault.place.clone(), fault.problem.clone());
+    }
+    findings.merge(misfits);
+    let resource = resource?;
+    Some(Manifest { name: raw.name, resource, revision: raw.revision })
+}
+
+/// Reads the spec of a resource of `kind`; all misfits are added to `findings` below `place`.
+pub fn read_resource(
+    kind: Kind,
+    spec: Value,
+    place: &str,
+    findings: &mut Findings,
+) -> Option<Resource> {
+    let example = Resource::example(kind).to_json();
+    macro_rules! read {
+        ($variant:ident) => {
+            read_with(spec, &example, place, findings).map(Resource::$variant)
+        };
+    }
+    match kind {
+        Kind::Model => read!(Model),
+        Kind::Version => read!(Version),
+        Kind::Adapter => read!(Adapter),
+        Kind::Brand => read!(Brand),
+        Kind::Workspace => read!(Workspace),
+        Kind::Replica => read!(Replica),
+        Kind::BackendServer => read!(BackendServer),
+        Kind::Service => read!(Service),
+        Kind::Limits => read!(Limits),
+    }
+}
--- /dev/null
+++ b/crates/spec/src/status.rs
@@ -0,0 +1,186 @@
+//! The reported state of resources, computed from what the daemon sees of the replica groups.
+//!
+//! A status is never stored: each process computes it from the catalog in force and its own view
+//! of the groups, so it costs no write and is as fresh as that view.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+
+use crate::catalog::Catalog;
+use crate::catalog::Held;
+use crate::kind::Resource;
+use crate::resource::*;
+
+/// What a condition is about.
+#[key]
+pub enum ConditionKind {
+    /// The resource is part of the configuration in force.
+    Accepted,
+    /// All declared replica groups serve, or everything that a workspace names is served.
+    Ready,
+    /// There are enough VMs for the declared replica groups.
+    Placeable,
+    /// A backend server holds no group and gets none.
+    Drained,
+}
+
+/// One condition of a resource.
+#[wire]
+pub struct Condition {
+    /// What it is about.
+    pub kind: ConditionKind,
+    /// Whether it holds.
+    pub holds: bool,
+    /// Why, as one word for programs.
+    pub reason: Box<str>,
+    /// Why, as a sentence for people.
+    pub message: Box<str>,
+}
+
+/// The reported state of a resource.
+#[wire]
+#[derive(Default)]
+pub struct Status {
+    /// The conditions, by kind.
+    pub conditions: Vec<Condition>,
+}
+
+impl Status {
+    /// Returns the condition of `kind`.
+    pub fn condition(&self, kind: ConditionKind) -> Option<&Condition> {
+        self.conditions.iter().find(|condition| condition.kind == kind)
+    }
+
+    fn add(&mut self, kind: ConditionKind, holds: bool, reason: &str, message: String) {
+        let message = message.into();
+        self.conditions.push(Condition { kind, holds, reason: reason.into(), message });
+    }
+}
+
+/// A replica group as the reporting process sees it.
+#[data]
+pub struct ObservedGroup {
+    /// Its name.
+    pub id: GroupId,
+    /// The declared replica that it belongs to.
+    pub replica: Box<str>,
+    /// The model.
+    pub model: ModelId,
+    /// The version.
+    pub version: VersionId,
+    /// Its loaded adapters.
+    pub adapters: Vec<AdapterId>,
+    /// Whether it may get new work.
+    pub serving: bool,
+    /// Its state in one word.
+    pub state: Box<str>,
+    /// The VMs of its members.
+    pub vms: Vec<VmId>,
+}
+
+/// Computes the status of a resource from the catalog in force and the groups seen.
+pub fn status(catalog: &Catalog, held: &Held, groups: &[ObservedGroup]) -> Status {
+    let mut status = Status::default();
+    let message = format!("last changed by revision {}", held.revision);
+    status.add(ConditionKind::Accepted, true, "Accepted", message);
+    match &held.resource {
+        Resource::Replica(replica) => replica_status(catalog, held, replica, groups, &mut status),
+        Resource::BackendServer(server) => server_status(held, server, groups, &mut status),
+        Resource::Workspace(workspace) => workspace_status(workspace, groups, &mut status),
+        _ => {}
+    }
+    status
+}
+
+fn replica_status(
+    catalog: &Catalog,
+    held: &Held,
+    replica: &Replica,
+    groups: &[ObservedGroup],
+    status: &mut Status,
+) {
+    let own: Vec<&ObservedGroup> =
+        groups.iter().filter(|group| group.replica == held.name).collect();
+    let serving = own.iter().filter(|group| group.serving).count();
+    let declared = replica.count as usize;
+    let ready = serving >= declared;
+    let reason = match (ready, own.is_empty()) {
+        (true, _) => "AllServing",
+        (false, true) => "NoGroups",
+        (false, false) => "TooFewServing",
+    };
+    let others: Vec<String> = own
+        .iter()
+        .filter(|group| !group.serving)
+        .map(|group| format!("{} is {}", group.id, group.state))
+        .collect();
+    let mut message = format!("{serving} of {declared} declared groups serve");
+    if !others.is_empty() {
+        message.push_str(&format!("; {}", others.join(", ")));
+    }
+    status.add(ConditionKind::Ready, ready, reason, message);
+    placeable(catalog, replica, status);
+}
+
+fn placeable(catalog: &Catalog, replica: &Replica, status: &mut Status) {
+    let mut by_fabric: BTreeMap<&str, u32> = BTreeMap::new();
+    for (_, server) in catalog.backend_servers.iter() {
+        if !server.drain && (replica.fabrics.is_empty() || replica.fabrics.contains(&server.fabric))
+        {
+            *by_fabric.entry(&server.fabric).or_default() += 1;
+        }
+    }
+    let fits: u32 = by_fabric.values().map(|servers| servers / replica.vms.max(1)).sum();
+    let holds = fits >= replica.count;
+    let reason = if holds { "EnoughVms" } else { "TooFewVms" };
+    let message = format!(
+        "the fabric domains allowed have room for {fits} groups of {} VMs, {} are declared, not \
+         counting other replicas",
+        replica.vms, replica.count
+    );
+    status.add(ConditionKind::Placeable, holds, reason, message);
+}
+
+fn server_status(
+    held: &Held,
+    server: &BackendServer,
+    groups: &[ObservedGroup],
+    status: &mut Status,
+) {
+    let group = groups.iter().find(|group| group.vms.contains(&held.name));
+    let (holds, reason, message) = match (server.drain, group) {
+        (true, None) => (true, "Empty", "it holds no group and gets none".to_owned()),
+        (true, Some(group)) => (false, "InUse", format!("group {} is {}", group.id, group.state)),
+        (false, None) => (false, "Free", "it holds no group".to_owned()),
+        (false, Some(group)) => {
+            (false, "Assigned", format!("group {} is {}", group.id, group.state))
+        }
+    };
+    status.add(ConditionKind::Drained, holds, reason, message);
+}
+
+fn workspace_status(workspace: &Workspace, groups: &[ObservedGroup], status: &mut Status) {
+    let served = |access: &ModelAccess| {
+        groups.iter().any(|group| {
+            let adapter = access.adapter.as_ref();
+            group.serving
+                && group.model == access.model
+                && group.version == access.version
+                && adapter.is_none_or(|adapter| group.adapters.contains(adapter))
+        })
+    };
+    let missing: Vec<&str> = workspace
+        .models
+        .iter()
+        .filter(|access| !served(access))
+        .map(|access| &*access.alias)
+        .collect();
+    let holds = missing.is_empty();
+    let reason = if holds { "AllServed" } else { "NotServed" };
+    let message = match holds {
+        true => "a group serves each of its models".to_owned(),
+        false => format!("no group serves {}", missing.join(", ")),
+    };
+    status.add(ConditionKind::Ready, holds, reason, message);
+}
