Accept operators' changes by compare-and-swap, with true answers

Cause: operators race through different daemons, and a write may take effect though its answer was lost, or later, or under another writer's change. Ruled out: asking only whether the last write id is ours (denies a write on which another operator has built: the recorded trace fails with it); a write repeated without reading back; one key per resource (references over keys cannot be checked by one compare-and-swap). Change: `Acceptor::decide` gathers changes, evaluates them on what was read and writes once; an unclear write is settled by its marks in the catalog, or is written again from the same base. Five traces, and a property test over 2000 interleavings of three daemons with lost answers, delayed writes, outages, kills and deadlines. Seen failing: only the last write id kept -> Unknown fate differs; unclear writes not noted, or given up at once, or at the deadline -> "write 18 stands, but was answered NotApplied"; verdicts on unwritten changes answered early -> "did not change"; mark window one too long -> forgotten write is denied; users not named -> trace of the used adapter; no gathering -> 50 writes for a burst.

--- /dev/null
+++ b/crates/spec/src/accept/change.rs
@@ -0,0 +1,255 @@
+//! A change that an operator asks for, and its evaluation on a catalog.
+
+use base::prelude::*;
+
+use crate::catalog::Catalog;
+use crate::manifest::Manifest;
+use crate::resource::Kind;
+use crate::verify::Issue;
+use crate::verify::issues;
+use crate::verify::users;
+
+/// One edit of a change.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Edit {
+    /// Add or replace a resource.
+    Apply(Manifest),
+    /// Delete a resource.
+    Delete {
+        /// Its kind.
+        kind: Kind,
+        /// Its name.
+        name: Box<str>,
+        /// The revision that it must have, if any.
+        revision: Option<Revision>,
+    },
+}
+
+impl Edit {
+    /// Returns the kind and name of the resource.
+    pub fn target(&self) -> (Kind, &str) {
+        match self {
+            Edit::Apply(manifest) => (manifest.resource.kind(), &manifest.name),
+            Edit::Delete { kind, name, .. } => (*kind, name),
+        }
+    }
+
+    fn expected(&self) -> Option<Revision> {
+        match self {
+            Edit::Apply(manifest) => manifest.revision,
+            Edit::Delete { revision, .. } => *revision,
+        }
+    }
+}
+
+/// Edits that are accepted together or not at all.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// The id of the change, unlike that of any other.
+    pub write_id: WriteId,
+    /// Who asks for it.
+    pub operator: Box<str>,
+    /// The edits.
+    pub edits: Vec<Edit>,
+    /// Whether to check only.
+    pub dry_run: bool,
+}
+
+impl Change {
+    /// Returns the place of an edit in findings.
+    fn place(&self, index: usize) -> String {
+        if self.edits.len() == 1 { "$".to_owned() } else { format!("$[{index}]") }
+    }
+
+    fn position(&self, kind: Kind, name: &str) -> Option<usize> {
+        self.edits.iter().position(|edit| edit.target() == (kind, name))
+    }
+}
+
+/// A resource that has another revision than the change wants.
+#[wire]
+pub struct Stale {
+    /// Its kind.
+    pub kind: Kind,
+    /// Its name.
+    pub name: Box<str>,
+    /// The revision that the change wants.
+    pub expected: Revision,
+    /// The revision that it has; 0 if it does not exist.
+    pub current: Revision,
+}
+
+/// The result of evaluating a change.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// The change was made on the working catalog.
+    Changed {
+        /// The revision that it brought.
+        revision: Revision,
+    },
+    /// All that the change wants holds already.
+    Unchanged {
+        /// The highest revision of its resources.
+        revision: Revision,
+    },
+    /// A dry run found nothing.
+    Checked {
+        /// Whether the change would change anything.
+        changed: bool,
+    },
+    /// A resource has another revision than the change wants.
+    Conflict {
+        /// All such resources.
+        stale: Vec<Stale>,
+    },
+    /// A resource to delete does not exist.
+    NotFound {
+        /// Its kind.
+        kind: Kind,
+        /// Its name.
+        name: Box<str>,
+    },
+    /// The change breaks rules.
+    Refused {
+        /// All that was found.
+        findings: Findings,
+    },
+}
+
+/// A catalog on which changes are evaluated one after the other.
+#[derive(Clone, Debug)]
+pub struct Working {
+    catalog: Catalog,
+    first: Revision,
+    /// Problems that stood before; a change is not blamed for them.
+    known: Vec<Issue>,
+}
+
+impl Working {
+    /// Starts from an accepted catalog.
+    pub fn new(catalog: &Catalog) -> Self {
+        let known = issues(catalog);
+        Working { catalog: catalog.clone(), first: catalog.revision, known }
+    }
+
+    /// Returns whether any change was made.
+    pub fn is_changed(&self) -> bool {
+        self.catalog.revision != self.first
+    }
+
+    /// Returns the catalog with all changes.
+    pub fn into_catalog(self) -> Catalog {
+        self.catalog
+    }
+
+    /// Evaluates a change, and makes it if nothing speaks against it.
+    pub fn evaluate(&mut self, change: &Change) -> Verdict {
+        if let Some(refusal) = self.refusal(change) {
+            return refusal;
+        }
+        let mut after = self.catalog.clone();
+        let changed = make(change, &mut after);
+        let after_issues = issues(&after);
+        let findings = self.findings(change, &after, &after_issues);
+        if !findings.is_empty() {
+            return Verdict::Refused { findings };
+        }
+        if change.dry_run {
+            return Verdict::Checked { changed };
+        }
+        if !changed {
+            let revision = change.edits.iter().map(|edit| self.revision_of(edit)).max();
+            return Verdict::Unchanged { revision: revision.unwrap_or_default() };
+        }
+        let revision = after.mark(change.write_id);
+        self.catalog = after;
+        self.known = after_issues;
+        Verdict::Changed { revision }
+    }
+
+    fn revision_of(&self, edit: &Edit) -> Revision {
+        let (kind, name) = edit.target();
+        self.catalog.revision_of(kind, name)
+    }
+
+    /// Returns a conflict, a resource that is not found, or an edit that stands twice.
+    fn refusal(&self, change: &Change) -> Option<Verdict> {
+        let mut stale = Vec::new();
+        let mut findings = Findings::default();
+        for (index, edit) in change.edits.iter().enumerate() {
+            let (kind, name) = edit.target();
+            let current = self.revision_of(edit);
+            if let Some(expected) = edit.expected().filter(|expected| *expected != current) {
+                stale.push(Stale { kind, name: name.into(), expected, current });
+            }
+            let first = change.position(kind, name) == Some(index);
+            findings.check(first, &change.place(index), || format!("{kind} `{name}` stands twice"));
+        }
+        findings.check(!change.edits.is_empty(), "$", || "the change has no edit".to_owned());
+        if !stale.is_empty() {
+            return Some(Verdict::Conflict { stale });
+        }
+        if !findings.is_empty() {
+            return Some(Verdict::Refused { findings });
+        }
+        let missing = change.edits.iter().find_map(|edit| match edit {
+            Edit::Delete { kind, name, .. } => {
+                (!self.catalog.contains(*kind, name)).then(|| (*kind, name.clone()))
+            }
+            Edit::Apply(_) => None,
+        });
+        missing.map(|(kind, name)| Verdict::NotFound { kind, name })
+    }
+
+    fn findings(&self, change: &Change, after: &Catalog, issues: &[Issue]) -> Findings {
+        let mut findings = Findings::default();
+        for (index, edit) in change.edits.iter().enumerate() {
+            if let Edit::Delete { kind, name, .. } = edit {
+                let users = users(after, *kind, name);
+                let names: Vec<String> =
+                    users.iter().map(|(kind, name)| format!("{kind} `{name}`")).collect();
+                findings.check(users.is_empty(), &change.place(index), || {
+                    format!("{kind} `{name}` is in use by {}", names.join(", "))
+                });
+            }
+        }
+        let in_use = !findings.is_empty();
+        for issue in issues.iter().filter(|issue| !self.known.contains(issue)) {
+            match change.position(issue.kind, &issue.name) {
+                Some(index) => {
+                    let place = format!("{}{}", change.place(index), issue.path);
+                    findings.add(place, issue.problem.clone());
+                }
+                // A deletion that is in use was named above, with its users.
+                None if in_use => {}
+                None => {
+                    let place = format!("{}/{}{}", issue.kind, issue.name, issue.path);
+                    findings.add(place, issue.problem.clone());
+                }
+            }
+        }
+        findings
+    }
+}
+
+/// Makes the edits with the revision that they will bring; returns whether anything changed.
+fn make(change: &Change, catalog: &mut Catalog) -> bool {
+    let revision = catalog.revision + 1;
+    let mut changed = false;
+    for edit in &change.edits {
+        match edit {
+            Edit::Apply(manifest) => {
+                let kind = manifest.resource.kind();
+                let same = catalog
+                    .find(kind, &manifest.name)
+                    .is_some_and(|held| held.resource == manifest.resource);
+                if !same {
+                    catalog.set(&manifest.name, manifest.resource.clone(), revision);
+                    changed = true;
+                }
+            }
+            Edit::Delete { kind, name, .. } => changed |= catalog.unset(*kind, name),
+        }
+    }
+    changed
+}
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -5,7 +5,9 @@
 //! - [`manifest`]: [`Manifest`](manifest::Manifest), what operators write, from raw to checked;
 //!   [`read`] reports all misfits of a JSON value, [`rules`] checks one resource by itself.
 //! - [`verify`]: checks the references of a whole catalog.
+//! - [`accept`]: [`Acceptor`](accept::Acceptor), which changes are accepted and in which order.
 //! - [`status`]: the reported state of resources.
+//! - [`trace`]: replays traces of racing operators.
 //!
 //! ```
 //! use spec::prelude::*;
@@ -20,6 +22,7 @@
 //! assert!(verify(&catalog).is_ok());
 //! ```
 
+pub mod accept;
 pub mod catalog;
 pub mod kind;
 pub mod manifest;
@@ -27,10 +30,15 @@
 pub mod resource;
 pub mod rules;
 pub mod status;
+pub mod trace;
 pub mod verify;
 
 /// The common types of this crate.
 pub mod prelude {
+    pub use crate::accept::Acceptor;
+    pub use crate::accept::Change;
+    pub use crate::accept::Edit;
+    pub use crate::accept::Outcome;
     pub use crate::catalog::CATALOG_KEY;
     pub use crate::catalog::Catalog;
     pub use crate::catalog::Fate;
--- /dev/null
+++ b/crates/spec/src/trace.rs
@@ -0,0 +1,359 @@
+//! Replays traces of racing operators through acceptors and a faulty store of one value.
+//!
+//! A [`Scene`] is a few daemons' acceptors, and a store that loses answers, delays writes and goes
+//! away as its steps say. Traces and property tests drive the same scene.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use base::prelude::*;
+use base::trace::StepKind;
+use base::trace::Trace;
+use serde_json::Value;
+
+use crate::accept::Acceptor;
+use crate::accept::Action;
+use crate::accept::Change;
+use crate::accept::Edit;
+use crate::accept::Event;
+use crate::accept::Outcome;
+use crate::accept::Stored;
+use crate::accept::Ticket;
+use crate::accept::Written;
+use crate::manifest::Manifest;
+use crate::manifest::RawManifest;
+use crate::resource::Kind;
+
+/// When to come back after a call that was not carried out.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the store does with a call.
+#[key]
+pub enum Delivery {
+    /// It carries the call out and answers.
+    Normal,
+    /// It carries the call out, and the answer is lost.
+    AnswerLost,
+    /// The call is lost, and no answer comes.
+    CallLost,
+    /// No answer comes, and a write is carried out later, by [`Scene::land`].
+    Delayed,
+    /// It refuses the call and does not carry it out.
+    Down,
+}
+
+/// A write on its way.
+#[derive(Clone, Debug, PartialEq)]
+struct Write {
+    expected: u64,
+    catalog: Arc<crate::catalog::Catalog>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Call {
+    Read,
+    Write(Write),
+}
+
+#[derive(Clone, Debug, Default)]
+struct Daemon {
+    acceptor: Acceptor,
+    call: Option<Call>,
+}
+
+/// The answer that a change got.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answered {
+    /// The change.
+    pub change: Change,
+    /// The answer; `None` if the daemon was killed before.
+    pub outcome: Option<Outcome>,
+}
+
+/// Acceptors of several daemons and the store between them.
+#[derive(Clone, Debug, Default)]
+pub struct Scene {
+    daemons: Vec<Daemon>,
+    stored: Stored,
+    /// Every value that the store ever held, oldest first.
+    history: Vec<Stored>,
+    delayed: VecDeque<Write>,
+    answers: Vec<Answered>,
+    now: Mono,
+}
+
+impl Scene {
+    /// Makes a scene of `count` daemons and an empty store.
+    pub fn new(count: usize) -> Self {
+        Scene { daemons: vec![Daemon::default(); count], ..Scene::default() }
+    }
+
+    /// Returns the value that the store holds.
+    pub fn stored(&self) -> &Stored {
+        &self.stored
+    }
+
+    /// Returns every value that the store ever held, oldest first.
+    pub fn history(&self) -> &[Stored] {
+        &self.history
+    }
+
+    /// Returns all changes with their answers, in the order in which they were submitted.
+    pub fn answers(&self) -> &[Answered] {
+        &self.answers
+    }
+
+    /// Returns whether any daemon has a call outstanding or a change without an answer.
+    pub fn is_busy(&self) -> bool {
+        let busy = |d: &Daemon| d.call.is_some() || d.acceptor.open_changes() > 0;
+        self.daemons.iter().any(busy)
+    }
+
+    /// Submits a change to a daemon.
+    pub fn submit(&mut self, daemon: usize, change: Change) {
+        let ticket = self.answers.len() as Ticket;
+        self.answers.push(Answered { change: change.clone(), outcome: None });
+        self.feed(daemon, Event::Submitted { ticket, change });
+    }
+
+    /// Deals with the outstanding call of a daemon, if there is one.
+    pub fn deliver(&mut self, daemon: usize, delivery: Delivery) {
+        let event = match (self.daemons[daemon].call.take(), delivery) {
+            (None, _) => return,
+            (Some(Call::Read), Delivery::Normal) => Event::Read(self.stored.clone()),
+            (Some(Call::Read), _) => Event::ReadFailed { retry_after: RETRY_AFTER },
+            (Some(Call::Write(write)), delivery) => {
+                Event::Written(self.deliver_write(write, delivery))
+            }
+        };
+        self.feed(daemon, event);
+    }
+
+    fn deliver_write(&mut self, write: Write, delivery: Delivery) -> Written {
+        match delivery {
+            Delivery::Normal => match self.apply(write) {
+                true => Written::Done,
+                false => Written::Conflict { current: self.stored.clone() },
+            },
+            Delivery::AnswerLost => {
+                self.apply(write);
+                Written::Unclear
+            }
+            Delivery::CallLost => Written::Unclear,
+            Delivery::Delayed => {
+                self.delayed.push_back(write);
+                Written::Unclear
+            }
+            Delivery::Down => Written::NotCarriedOut { retry_after: RETRY_AFTER },
+        }
+    }
+
+    /// Carries out the oldest delayed write.
+    pub fn land(&mut self) {
+        if let Some(write) = self.delayed.pop_front() {
+            self.apply(write);
+        }
+    }
+
+    /// Kills a daemon and starts it anew; a write of it that is on its way may land later.
+    pub fn kill(&mut self, daemon: usize) {
+        let dead = std::mem::take(&mut self.daemons[daemon]);
+        if let Some(Call::Write(write)) = dead.call {
+            self.delayed.push_back(write);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, time: Duration) {
+        self.now += time;
+        for daemon in 0..self.daemons.len() {
+            self.feed(daemon, Event::Tick);
+        }
+    }
+
+    fn apply(&mut self, write: Write) -> bool {
+        if write.expected != self.stored.mod_revision {
+            return false;
+        }
+        let mod_revision = self.stored.mod_revision + 1;
+        self.stored = Stored { catalog: write.catalog, mod_revision };
+        self.history.push(self.stored.clone());
+        true
+    }
+
+    fn feed(&mut self, daemon: usize, event: Event) {
+        let now = self.now;
+        for action in self.daemons[daemon].acceptor.decide(event, now) {
+            match action {
+                Action::Read => self.call(daemon, Call::Read),
+                Action::Write { expected, catalog } => {
+                    self.call(daemon, Call::Write(Write { expected, catalog }));
+                }
+                Action::Answer { ticket, outcome } => {
+                    let answered = &mut self.answers[ticket as usize];
+                    debug_assert!(answered.outcome.is_none(), "a change is answered once");
+                    answered.outcome = Some(outcome);
+                }
+                Action::Stands(_) | Action::Wake(_) => {}
+            }
+        }
+    }
+
+    fn call(&mut self, daemon: usize, call: Call) {
+        let before = self.daemons[daemon].call.replace(call);
+        debug_assert!(before.is_none(), "a daemon has one call outstanding");
+    }
+}
+
+/// An event of a trace.
+#[derive(Debug, serde::Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+enum TraceEvent {
+    /// Makes the scene anew.
+    Daemons(usize),
+    /// Submits a change.
+    Submit {
+        daemon: usize,
+        write_id: WriteId,
+        #[serde(default)]
+        apply: Vec<RawManifest>,
+        #[serde(default)]
+        delete: Vec<Target>,
+    },
+    /// Deals with the outstanding call of a daemon.
+    Deliver { daemon: usize, how: Delivery },
+    /// Carries out the oldest delayed write.
+    Land,
+    /// Kills a daemon.
+    Kill(usize),
+}
+
+#[derive(Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Target {
+    kind: Kind,
+    name: Box<str>,
+    #[serde(default)]
+    revision: Option<Revision>,
+}
+
+/// An expectation of a trace.
+#[derive(Debug, serde::Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+enum Expectation {
+    /// The answer to a change; `null` if there is none yet.
+    Answer {
+        write_id: WriteId,
+        outcome: Option<Box<str>>,
+        #[serde(default)]
+        revision: Option<Revision>,
+        /// A text that the findings must contain.
+        #[serde(default)]
+        says: Box<str>,
+    },
+    /// The revision that the store holds.
+    Revision(Revision),
+    /// The spec that the store holds; `null` if there is none.
+    Spec { kind: Kind, name: Box<str>, spec: Value },
+}
+
+/// Replays a trace of this area; every outcome that differs is a finding.
+pub fn replay(trace: &Trace) -> Result<(), Findings> {
+    let mut findings = Findings::default();
+    let mut scene = Scene::new(2);
+    for step in &trace.steps {
+        let now = scene.now;
+        scene.pass(step.at.saturating_sub(now));
+        match step.kind {
+            StepKind::Event => {
+                if let Some(event) = step.read::<TraceEvent>(&mut findings) {
+                    play(&mut scene, event, &step.place(), &mut findings);
+                }
+            }
+            StepKind::Expect => {
+                if let Some(expectation) = step.read::<Expectation>(&mut findings) {
+                    expect(&scene, expectation, &step.place(), &mut findings);
+                }
+            }
+        }
+    }
+    findings.into_result(())
+}
+
+fn play(scene: &mut Scene, event: TraceEvent, place: &str, findings: &mut Findings) {
+    match event {
+        TraceEvent::Daemons(count) => *scene = Scene::new(count),
+        TraceEvent::Submit { daemon, write_id, apply, delete } => {
+            let mut edits = Vec::new();
+            for raw in apply {
+                match Manifest::try_from(raw) {
+                    Ok(manifest) => edits.push(Edit::Apply(manifest)),
+                    Err(faults) => findings.add(place, faults.to_string()),
+                }
+            }
+            edits.extend(delete.into_iter().map(|target| Edit::Delete {
+                kind: target.kind,
+                name: target.name,
+                revision: target.revision,
+            }));
+            let change = Change { write_id, operator: "trace".into(), edits, dry_run: false };
+            scene.submit(daemon, change);
+        }
+        TraceEvent::Deliver { daemon, how } => scene.deliver(daemon, how),
+        TraceEvent::Land => scene.land(),
+        TraceEvent::Kill(daemon) => scene.kill(daemon),
+    }
+}
+
+fn expect(scene: &Scene, expectation: Expectation, place: &str, findings: &mut Findings) {
+    match expectation {
+        Expectation::Answer { write_id, outcome, revision, says } => {
+            let mut answers = BTreeMap::new();
+            for answered in scene.answers() {
+                answers.insert(answered.change.write_id, answered.outcome.as_ref());
+            }
+            let found = answers.get(&write_id).copied().flatten();
+            let name = found.map(name_of);
+            findings.check(name == outcome.as_deref(), place, || {
+                format!("the answer to {write_id} is {found:?}, not {outcome:?}")
+            });
+            let got = match found {
+                Some(Outcome::Accepted { revision, .. }) => Some(*revision),
+                _ => None,
+            };
+            findings.check(revision.is_none() || got == revision, place, || {
+                format!("{write_id} was accepted as {got:?}, not {revision:?}")
+            });
+            let text = match found {
+                Some(Outcome::Refused { findings }) => findings.to_string(),
+                other => format!("{other:?}"),
+            };
+            findings.check(text.contains(&*says), place, || format!("`{says}` is not in: {text}"));
+        }
+        Expectation::Revision(revision) => {
+            let found = scene.stored().catalog.revision;
+            findings.check(found == revision, place, || {
+                format!("the store holds revision {found}, not {revision}")
+            });
+        }
+        Expectation::Spec { kind, name, spec } => {
+            let held = scene.stored().catalog.find(kind, &name);
+            let found = held.map_or(Value::Null, |held| held.resource.to_json());
+            findings.check(found == spec, place, || format!("{kind} `{name}` is {found}"));
+        }
+    }
+}
+
+/// Returns the name of an outcome in traces.
+fn name_of(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Accepted { .. } => "accepted",
+        Outcome::Checked { .. } => "checked",
+        Outcome::Conflict { .. } => "conflict",
+        Outcome::NotFound { .. } => "not_found",
+        Outcome::Refused { .. } => "refused",
+        Outcome::NotApplied { .. } => "not_applied",
+        Outcome::Unknown { .. } => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/spec/tests/accept.rs
@@ -0,0 +1,228 @@
+//! Tests of the acceptance of changes: the recorded traces, and racing operators over all
+//! interleavings of lost answers, delayed writes, outages and kills.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use proptest::prelude::*;
+use spec::accept::Stale;
+use spec::accept::Verdict;
+use spec::accept::Working;
+use spec::catalog::KEPT_WRITES;
+use spec::prelude::*;
+use spec::trace::Answered;
+use spec::trace::Delivery;
+use spec::trace::Scene;
+
+const DAEMONS: usize = 3;
+
+#[test]
+fn recorded_traces_have_their_stated_outcomes() {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../../traces/spec");
+    let mut count = 0;
+    for entry in std::fs::read_dir(root).unwrap() {
+        let path = entry.unwrap().path();
+        let text = std::fs::read_to_string(&path).unwrap();
+        let trace = base::trace::Trace::try_from(&*text).unwrap();
+        if let Err(findings) = spec::trace::replay(&trace) {
+            panic!("{}: {findings}", path.display());
+        }
+        count += 1;
+    }
+    assert!(count >= 5);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Submit { daemon: usize, target: usize, value: u32, expected: Option<u64>, delete: bool },
+    Deliver { daemon: usize, delivery: Delivery },
+    Land,
+    Kill { daemon: usize },
+    Pass { millis: u64 },
+}
+
+fn delivery() -> impl Strategy<Value = Delivery> {
+    prop_oneof![
+        6 => Just(Delivery::Normal),
+        2 => Just(Delivery::AnswerLost),
+        1 => Just(Delivery::CallLost),
+        2 => Just(Delivery::Delayed),
+        1 => Just(Delivery::Down),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let submit = (0..DAEMONS, 0..3_usize, 1..4_u32, prop::option::of(0..6_u64), any::<bool>());
+    let submit = submit.prop_map(|(daemon, target, value, expected, delete)| Step::Submit {
+        daemon,
+        target,
+        value,
+        expected,
+        delete,
+    });
+    let deliver = (0..DAEMONS, delivery());
+    prop_oneof![
+        4 => submit,
+        10 => deliver.prop_map(|(daemon, delivery)| Step::Deliver { daemon, delivery }),
+        2 => Just(Step::Land),
+        1 => (0..DAEMONS).prop_map(|daemon| Step::Kill { daemon }),
+        1 => prop_oneof![Just(10), Just(100), Just(6000)].prop_map(|millis| Step::Pass { millis }),
+    ]
+}
+
+/// Edits of three resources, the third of which names the first: some are refused.
+fn edit(target: usize, value: u32, expected: Option<u64>, delete: bool) -> Edit {
+    let (name, resource) = match target {
+        0 => ("m", Resource::Model(Model { max_output_tokens: value })),
+        1 => ("b", Resource::Brand(Brand { display_name: value.to_string().into() })),
+        _ => {
+            let weight_bytes = u64::from(value);
+            let version = Version { model: "m".into(), weights: "w".into(), weight_bytes };
+            ("v", Resource::Version(version))
+        }
+    };
+    if delete {
+        Edit::Delete { kind: resource.kind(), name: name.into(), revision: expected }
+    } else {
+        Edit::Apply(Manifest { name: name.into(), resource, revision: expected })
+    }
+}
+
+fn play(steps: &[Step]) -> Scene {
+    let mut scene = Scene::new(DAEMONS);
+    for (number, step) in steps.iter().enumerate() {
+        match *step {
+            Step::Submit { daemon, target, value, expected, delete } => {
+                let edits = vec![edit(target, value, expected, delete)];
+                let write_id = number as u64 + 1;
+                let change = Change { write_id, operator: "o".into(), edits, dry_run: false };
+                scene.submit(daemon, change);
+            }
+            Step::Deliver { daemon, delivery } => scene.deliver(daemon, delivery),
+            Step::Land => scene.land(),
+            Step::Kill { daemon } => scene.kill(daemon),
+            Step::Pass { millis } => scene.pass(Duration::from_millis(millis)),
+        }
+    }
+    while scene.is_busy() {
+        for daemon in 0..DAEMONS {
+            scene.deliver(daemon, Delivery::Normal);
+        }
+        scene.pass(Duration::from_millis(100));
+    }
+    // Whatever is still on its way lands now, after all answers.
+    for _ in 0..steps.len() {
+        scene.land();
+    }
+    scene
+}
+
+/// Returns the revision of each applied write, and checks that there is one order of them.
+fn applied(scene: &Scene) -> BTreeMap<WriteId, Revision> {
+    let mut applied = BTreeMap::new();
+    let mut last = 0;
+    for stored in scene.history() {
+        assert!(stored.catalog.revision > last, "a lower revision was written");
+        for mark in stored.catalog.writes.iter().filter(|mark| mark.revision > last) {
+            let before = applied.insert(mark.id, mark.revision);
+            assert_eq!(before, None, "write {} was applied twice", mark.id);
+        }
+        last = stored.catalog.revision;
+    }
+    applied
+}
+
+fn check_answers(scene: &Scene, applied: &BTreeMap<WriteId, Revision>) {
+    for answered in scene.answers() {
+        let id = answered.change.write_id;
+        let stands = applied.get(&id).copied();
+        match &answered.outcome {
+            Some(Outcome::Accepted { revision, changed: true }) => {
+                assert_eq!(stands, Some(*revision), "accepted write {id} does not stand");
+            }
+            Some(Outcome::Unknown { base, .. }) => {
+                let fate = scene.stored().catalog.fate(id, *base);
+                match stands {
+                    Some(revision) => assert_eq!(fate, Fate::Applied { revision }),
+                    None => assert!(matches!(fate, Fate::NeverApplied | Fate::MayStillLand)),
+                }
+            }
+            Some(outcome) => {
+                assert_eq!(stands, None, "write {id} stands, but was answered {outcome:?}");
+            }
+            None => {}
+        }
+    }
+}
+
+/// Checks that each conflict names a revision that changed the resource.
+fn check_conflicts(scene: &Scene, applied: &BTreeMap<WriteId, Revision>) {
+    for answered in scene.answers() {
+        let Some(Outcome::Conflict { stale }) = &answered.outcome else { continue };
+        for Stale { kind, name, current, .. } in stale {
+            let brought = |other: &&Answered| {
+                applied.get(&other.change.write_id) == Some(current)
+                    && other.change.edits.iter().any(|edit| edit.target() == (*kind, &**name))
+            };
+            let known = *current == 0 || scene.answers().iter().any(|other| brought(&other));
+            assert!(known, "revision {current} did not change {kind} {name}");
+        }
+    }
+}
+
+/// Checks that making the applied changes one after the other gives what the store holds.
+fn check_replay(scene: &Scene, applied: &BTreeMap<WriteId, Revision>) {
+    let mut order: Vec<(Revision, WriteId)> = applied.iter().map(|(id, at)| (*at, *id)).collect();
+    order.sort_unstable();
+    let mut working = Working::new(&Catalog::default());
+    for (revision, id) in order {
+        let answered = scene.answers().iter().find(|answered| answered.change.write_id == id);
+        let verdict = working.evaluate(&answered.unwrap().change);
+        assert_eq!(verdict, Verdict::Changed { revision }, "write {id} was lost or reverted");
+    }
+    assert_eq!(working.into_catalog(), *scene.stored().catalog);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2000))]
+    #[test]
+    fn racing_operators_have_one_order_and_true_answers(
+        steps in prop::collection::vec(step(), 1..60)
+    ) {
+        let scene = play(&steps);
+        let applied = applied(&scene);
+        check_answers(&scene, &applied);
+        check_conflicts(&scene, &applied);
+        check_replay(&scene, &applied);
+    }
+}
+
+#[test]
+fn a_write_whose_mark_was_dropped_is_forgotten_and_not_denied() {
+    let mut catalog = Catalog::default();
+    for id in 1..=KEPT_WRITES as u64 {
+        catalog.mark(id);
+    }
+    let missing = u64::MAX;
+    assert_eq!(catalog.fate(missing, 0), Fate::NeverApplied);
+    assert_eq!(catalog.fate(missing, catalog.revision), Fate::MayStillLand);
+    catalog.mark(KEPT_WRITES as u64 + 1);
+    assert_eq!(catalog.fate(1, 0), Fate::Forgotten);
+    assert_eq!(catalog.fate(missing, 1), Fate::NeverApplied);
+}
+
+#[test]
+fn a_burst_of_changes_is_one_write() {
+    let mut scene = Scene::new(1);
+    for number in 0..50 {
+        let edits = vec![edit(1, number + 1, None, false)];
+        let write_id = u64::from(number) + 1;
+        scene.submit(0, Change { write_id, operator: "o".into(), edits, dry_run: false });
+    }
+    while scene.is_busy() {
+        scene.deliver(0, Delivery::Normal);
+    }
+    // The first change starts the first batch; all others wait for it and are the second.
+    assert_eq!(scene.history().len(), 2);
+    assert_eq!(scene.stored().catalog.revision, 50);
+}
