Test that verdicts on unwritten changes wait for their write

Seen failing with the verdict answered early: the third change is answered with a conflict on revision 1, which never was.

--- a/crates/spec/tests/accept.rs
+++ b/crates/spec/tests/accept.rs
@@ -226,3 +226,21 @@
     assert_eq!(scene.history().len(), 2);
     assert_eq!(scene.stored().catalog.revision, 50);
 }
+
+#[test]
+fn a_verdict_on_a_change_of_the_same_batch_waits_for_the_write() {
+    let mut scene = Scene::new(1);
+    let mut submit = |write_id, expected| {
+        let edits = vec![edit(1, write_id as u32, expected, false)];
+        scene.submit(0, Change { write_id, operator: "o".into(), edits, dry_run: false });
+    };
+    // The first starts a read; the second and third are then one batch.
+    submit(1, Some(9));
+    submit(2, None);
+    submit(3, Some(9));
+    scene.deliver(0, Delivery::Normal);
+    scene.deliver(0, Delivery::Normal);
+    scene.deliver(0, Delivery::Down);
+    let third = scene.answers()[2].outcome.clone();
+    assert!(matches!(third, Some(Outcome::NotApplied { .. })), "{third:?}");
+}
