Spread catalogs by deltas, and decide which one is in force

Cause: processes that do not watch the store must get what they miss from each other, for few bytes, and must never go back. Ruled out: deletions remembered by each process from its own steps: a process that skips a revision never sees a row that came and went in it, and the property test showed the mismatch ("Mismatch { to: 17 }"). So the catalog keeps its latest 512 deletions, and any process can serve any puller. Change: `update_since` and `Update::apply` with a digest; `InForce::decide`: start from the store or the highest peer, pull, read the store when no peer delivers, admit requests only with a catalog and within the staleness bound.

--- a/crates/spec/src/accept/change.rs
+++ b/crates/spec/src/accept/change.rs
@@ -248,7 +248,7 @@
                     changed = true;
                 }
             }
-            Edit::Delete { kind, name, .. } => changed |= catalog.unset(*kind, name),
+            Edit::Delete { kind, name, .. } => changed |= catalog.delete(*kind, name, revision),
         }
     }
     changed
--- a/crates/spec/src/catalog.rs
+++ b/crates/spec/src/catalog.rs
@@ -24,6 +24,8 @@
 
 /// Key of the catalog in the key-value service.
 pub const CATALOG_KEY: &str = "spec/catalog";
+/// Deletions that the catalog keeps; a process that is further behind pulls the whole catalog.
+pub const KEPT_DELETIONS: usize = 512;
 /// Accepted writes whose ids the catalog keeps.
 pub const KEPT_WRITES: usize = 512;
 
@@ -109,6 +111,17 @@
     pub revision: Revision,
 }
 
+/// A resource that was deleted.
+#[wire]
+pub struct Deletion {
+    /// Its kind.
+    pub kind: Kind,
+    /// Its name.
+    pub name: Box<str>,
+    /// The revision that deleted it.
+    pub revision: Revision,
+}
+
 /// What became of a write whose answer was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fate {
@@ -136,6 +149,10 @@
     pub write_id: WriteId,
     /// The latest accepted writes, oldest first; at most [`KEPT_WRITES`].
     pub writes: VecDeque<WriteMark>,
+    /// The latest deletions, oldest first; at most [`KEPT_DELETIONS`].
+    pub deletions: VecDeque<Deletion>,
+    /// All deletions after this revision are kept.
+    pub deletions_after: Revision,
     /// Models.
     pub models: Table<Model>,
     /// Versions of models.
@@ -217,6 +234,19 @@
         })
     }
 
+    /// Returns the resources of `kind` that changed after the revision `from`.
+    pub fn changed_since(&self, kind: Kind, from: Revision) -> Vec<Held> {
+        table_of!([&] self, kind, (table, variant) => {
+            let changed = table.rows().filter(|(_, row)| row.revision > from);
+            changed.map(|(name, row)| held(name, row, variant)).collect()
+        })
+    }
+
+    /// Returns the names of the resources of `kind`.
+    pub fn names(&self, kind: Kind) -> Vec<&str> {
+        table_of!([&] self, kind, (table, _variant) => table.rows().map(|(name, _)| name).collect())
+    }
+
     /// Returns the revision of the resource; 0 if it does not exist.
     pub fn revision_of(&self, kind: Kind, name: &str) -> Revision {
         table_of!([&] self, kind, (table, _variant) => {
@@ -246,20 +276,49 @@
         }
     }
 
-    /// Removes a resource; returns whether it was there.
-    pub fn unset(&mut self, kind: Kind, name: &str) -> bool {
+    /// Deletes a resource as of `revision`; returns whether it was there.
+    pub fn delete(&mut self, kind: Kind, name: &str, revision: Revision) -> bool {
+        let there = self.unset(kind, name);
+        if there {
+            self.keep_deletion(Deletion { kind, name: name.into(), revision });
+        }
+        there
+    }
+
+    /// Takes over a deletion from another process that is at a higher revision than `current`.
+    pub(crate) fn replay_deletion(&mut self, deletion: &Deletion, current: Revision) {
+        self.unset(deletion.kind, &deletion.name);
+        if deletion.revision > current {
+            self.keep_deletion(deletion.clone());
+        }
+    }
+
+    fn unset(&mut self, kind: Kind, name: &str) -> bool {
         table_of!([&mut] self, kind, (table, _variant) => table.remove(name).is_some())
     }
 
+    fn keep_deletion(&mut self, deletion: Deletion) {
+        self.deletions.push_back(deletion);
+        while self.deletions.len() > KEPT_DELETIONS {
+            let dropped = self.deletions.pop_front();
+            self.deletions_after = dropped.map_or(0, |dropped| dropped.revision);
+        }
+    }
+
     /// Raises the revision by one for the accepted write `id`, and returns it.
     pub fn mark(&mut self, id: WriteId) -> Revision {
         self.revision += 1;
         self.write_id = id;
-        self.writes.push_back(WriteMark { id, revision: self.revision });
+        self.keep_mark(WriteMark { id, revision: self.revision });
+        self.revision
+    }
+
+    /// Keeps the mark of an accepted write; the oldest goes when there are too many.
+    pub(crate) fn keep_mark(&mut self, mark: WriteMark) {
+        self.writes.push_back(mark);
         while self.writes.len() > KEPT_WRITES {
             self.writes.pop_front();
         }
-        self.revision
     }
 
     /// Tells what became of the write `id` that was based on the revision `base`.
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -6,6 +6,7 @@
 //!   [`read`] reports all misfits of a JSON value, [`rules`] checks one resource by itself.
 //! - [`verify`]: checks the references of a whole catalog.
 //! - [`accept`]: [`Acceptor`](accept::Acceptor), which changes are accepted and in which order.
+//! - [`delta`]: what changed between two revisions; [`force`]: which catalog is in force.
 //! - [`status`]: the reported state of resources.
 //! - [`trace`]: replays traces of racing operators.
 //!
@@ -24,6 +25,8 @@
 
 pub mod accept;
 pub mod catalog;
+pub mod delta;
+pub mod force;
 pub mod kind;
 pub mod manifest;
 pub mod read;
@@ -45,6 +48,10 @@
     pub use crate::catalog::Held;
     pub use crate::catalog::Row;
     pub use crate::catalog::Table;
+    pub use crate::delta::Delta;
+    pub use crate::delta::Update;
+    pub use crate::delta::update_since;
+    pub use crate::force::InForce;
     pub use crate::kind::Resource;
     pub use crate::manifest::Manifest;
     pub use crate::manifest::RawManifest;
--- /dev/null
+++ b/crates/spec/tests/force.rs
@@ -0,0 +1,187 @@
+//! Tests of spreading accepted catalogs: deltas, and which catalog is in force.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use proptest::prelude::*;
+use spec::accept::Working;
+use spec::delta::UpdateError;
+use spec::force::Action;
+use spec::force::Event;
+use spec::force::PULL_PATIENCE;
+use spec::force::START_LISTEN_PERIOD;
+use spec::prelude::*;
+
+const STALENESS_BOUND: Duration = Duration::from_secs(60);
+
+/// Makes the catalogs of a run of edits of a few models and brands, oldest first.
+fn catalogs(edits: &[(u8, u32, bool)]) -> Vec<Arc<Catalog>> {
+    let mut working = Working::new(&Catalog::default());
+    let mut list = vec![Arc::new(Catalog::default())];
+    for (number, (name, value, delete)) in edits.iter().enumerate() {
+        let name: Box<str> = format!("m{name}").into();
+        let edit = if *delete {
+            Edit::Delete { kind: Kind::Model, name, revision: None }
+        } else {
+            let resource = Resource::Model(Model { max_output_tokens: *value });
+            Edit::Apply(Manifest { name, resource, revision: None })
+        };
+        let write_id = number as u64 + 1;
+        let change = Change { write_id, operator: "o".into(), edits: vec![edit], dry_run: false };
+        working.evaluate(&change);
+        let catalog = working.clone().into_catalog();
+        if catalog.revision > list.last().unwrap().revision {
+            list.push(Arc::new(catalog));
+        }
+    }
+    list
+}
+
+fn edits() -> impl Strategy<Value = Vec<(u8, u32, bool)>> {
+    prop::collection::vec((0..12_u8, 1..5_u32, prop::bool::weighted(0.3)), 1..60)
+}
+
+proptest! {
+    #[test]
+    fn an_update_brings_every_earlier_revision_to_the_current_one(
+        edits in edits(),
+    ) {
+        let all = catalogs(&edits);
+        let current = all.last().unwrap();
+        for old in &all[..all.len() - 1] {
+            let update = Update::decode(&update_since(current, old.revision).encode()).unwrap();
+            let next = update.apply(old).unwrap().unwrap();
+            prop_assert_eq!(&next, current);
+        }
+    }
+}
+
+#[test]
+fn a_delta_that_ends_elsewhere_or_lower_is_not_applied() {
+    let edits: Vec<_> = (0..20).map(|n| (n, 1, false)).chain([(3, 9, false)]).collect();
+    let all = catalogs(&edits);
+    let [.., before, last] = &all[..] else { panic!() };
+    let Update::Delta(delta) = update_since(last, before.revision) else { panic!() };
+    assert!(matches!(delta.apply(last), Err(UpdateError::NotHigher { .. })));
+    assert!(matches!(delta.apply(&all[2]), Err(UpdateError::Gap { .. })));
+    let mut other = Catalog::clone(before);
+    other.set("foreign", Resource::Model(Model { max_output_tokens: 1 }), 2);
+    assert!(matches!(delta.apply(&other), Err(UpdateError::Mismatch { .. })));
+    let lower = Update::Snapshot(Arc::clone(before));
+    assert!(matches!(lower.apply(last), Err(UpdateError::NotHigher { .. })));
+}
+
+fn in_force() -> InForce {
+    InForce::new(Mono::ZERO, STALENESS_BOUND)
+}
+
+fn heard(peer: &str, revision: Revision) -> Event {
+    Event::Heard { peer: peer.into(), revision }
+}
+
+#[test]
+fn a_new_process_starts_from_the_highest_of_its_peers_when_the_store_is_down() {
+    let all = catalogs(&[(1, 1, false), (2, 1, false), (3, 1, false)]);
+    let mut process = in_force();
+    assert_eq!(process.decide(Event::Tick, Mono::ZERO), [Action::Read]);
+    let early = Duration::from_millis(10);
+    assert_eq!(process.decide(heard("a", 1), early), []);
+    assert_eq!(process.decide(Event::ReadFailed, early), []);
+    assert_eq!(process.decide(heard("b", 3), early * 2), []);
+    let late = START_LISTEN_PERIOD;
+    assert_eq!(process.decide(Event::Tick, late), [Action::Pull { peer: "b".into(), from: 0 }]);
+    let update = Some(Update::Snapshot(Arc::clone(&all[3])));
+    let actions = process.decide(Event::Pulled { peer: "b".into(), update }, late);
+    assert!(matches!(actions[0], Action::PutInForce { .. }));
+    assert_eq!(actions[1], Action::TakeRequests(true));
+    // The store comes back with an older view of a cut-off replica of it: not put in force.
+    let actions = process.decide(Event::Stored(Arc::clone(&all[2])), late);
+    assert_eq!(actions, []);
+    assert_eq!(process.revision(), 3);
+}
+
+#[test]
+fn a_process_without_any_contact_takes_no_requests_past_the_staleness_bound() {
+    let all = catalogs(&[(1, 1, false)]);
+    let mut process = in_force();
+    process.decide(Event::Stored(Arc::clone(&all[1])), Mono::ZERO);
+    assert_eq!(process.decide(Event::Tick, STALENESS_BOUND - PULL_PATIENCE), []);
+    assert_eq!(process.decide(Event::Tick, STALENESS_BOUND), [Action::TakeRequests(false)]);
+    let actions = process.decide(heard("a", 1), STALENESS_BOUND * 2);
+    assert_eq!(actions, [Action::TakeRequests(true)]);
+}
+
+#[test]
+fn a_process_that_gets_a_heard_revision_from_no_peer_reads_the_store() {
+    let all = catalogs(&[(1, 1, false), (2, 1, false)]);
+    let mut process = in_force();
+    process.decide(Event::Stored(Arc::clone(&all[1])), Mono::ZERO);
+    let mut now = Mono::ZERO;
+    assert_eq!(process.decide(heard("a", 2), now).len(), 1);
+    assert_eq!(process.decide(heard("b", 2), now), []);
+    now += PULL_PATIENCE;
+    assert!(matches!(process.decide(Event::Tick, now)[..], [Action::Pull { .. }]));
+    now += PULL_PATIENCE;
+    assert_eq!(process.decide(Event::Tick, now), [Action::Read]);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Stored(usize),
+    Heard(u8, u64),
+    Pulled(u8, usize, u64),
+    Lost(u8),
+    ReadFailed,
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..60_usize).prop_map(Step::Stored),
+        (0..4_u8, 0..60_u64).prop_map(|(peer, revision)| Step::Heard(peer, revision)),
+        (0..4_u8, 0..60_usize, 0..60_u64).prop_map(|(peer, at, from)| Step::Pulled(peer, at, from)),
+        (0..4_u8).prop_map(Step::Lost),
+        Just(Step::ReadFailed),
+        (1..70_000_u64).prop_map(Step::Pass),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn the_revision_in_force_only_rises_and_requests_need_one(
+        edits in edits(),
+        steps in prop::collection::vec(step(), 1..80),
+    ) {
+        let all = catalogs(&edits);
+        let at = |index: usize| Arc::clone(&all[index % all.len()]);
+        let (mut process, mut now, mut last, mut any) = (in_force(), Mono::ZERO, 0, false);
+        for step in steps {
+            let event = match step {
+                Step::Stored(index) => Event::Stored(at(index)),
+                Step::Heard(peer, revision) => heard(&peer.to_string(), revision),
+                Step::Lost(peer) => Event::Lost(peer.to_string().into()),
+                Step::ReadFailed => Event::ReadFailed,
+                Step::Pulled(peer, index, from) => {
+                    let update = Some(update_since(&at(index), from));
+                    Event::Pulled { peer: peer.to_string().into(), update }
+                }
+                Step::Pass(millis) => {
+                    now += Duration::from_millis(millis);
+                    Event::Tick
+                }
+            };
+            for action in process.decide(event, now) {
+                match action {
+                    Action::PutInForce { catalog, .. } => {
+                        prop_assert!(!any || catalog.revision > last);
+                        prop_assert_eq!(&catalog, &at(catalog.revision as usize));
+                        (last, any) = (catalog.revision, true);
+                    }
+                    Action::TakeRequests(takes) => prop_assert!(!takes || any),
+                    Action::Pull { from, .. } => prop_assert_eq!(from, last),
+                    Action::Read => {}
+                }
+            }
+        }
+    }
+}
--- a/crates/spec/tests/manifest.rs
+++ b/crates/spec/tests/manifest.rs
@@ -88,7 +88,7 @@
     verify(&whole).unwrap();
     for kind in [Kind::Model, Kind::Version, Kind::Adapter, Kind::Brand, Kind::Limits] {
         let mut catalog = whole.clone();
-        catalog.unset(kind, kind.as_str());
+        catalog.delete(kind, kind.as_str(), 2);
         let findings = verify(&catalog).unwrap_err();
         let users = users(&whole, kind, kind.as_str());
         let named =
