Add the operators' tool

Cause: operators need to apply, read, watch, drain and ask from the shell, and a server that falls silent must not make them write twice. Ruled out: sending a write again with the same id to the next server (safe while the id is remembered, yet a refusal there says nothing about the first copy). Change: `samphire` with apply, get, describe, delete, watch, drain, undrain, status, timeline, check and completions; exit codes 0 to 5; a write goes on only past a server that surely did not apply it, else its fate is asked for by id. `spec::api` holds the bodies that daemon and tool exchange. Seen failing: a silent server passed over -> the write is sent twice; NotApplied taken as final -> no second server is tried; gaps not looked for -> none shown. Conclusion: 5 tests and the doc test pass against stand-ins of a daemon.

--- /dev/null
+++ b/crates/cli/src/command/status.rs
@@ -0,0 +1,142 @@
+//! `status`: the revision in force at each process, and why some are behind.
+
+use base::prelude::*;
+use serde::Serialize;
+use spec::api::FateView;
+use spec::api::ProcessView;
+
+use super::print_json;
+use crate::args::Output;
+use crate::failure::Failure;
+use crate::servers::Servers;
+use crate::table::Table;
+
+/// One line of the status.
+#[derive(Clone, Debug, Serialize)]
+struct Line {
+    node: Box<str>,
+    server: Box<str>,
+    revision: Option<Revision>,
+    boot: Option<BootId>,
+    failure_domain: Box<str>,
+    /// Whether the process has the highest revision that any process knows of, and is ready.
+    current: bool,
+    reason: Box<str>,
+}
+
+/// Shows all processes that a server was given for, and those that they have heard of.
+pub(super) async fn processes(servers: &Servers, output: Output) -> Result<(), Failure> {
+    let mut views: Vec<ProcessView> = Vec::new();
+    let mut answering = Vec::new();
+    let mut lines = Vec::new();
+    for address in servers.addresses() {
+        match servers.read_from::<ProcessView>(*address, "/api/v1/status").await {
+            Ok(view) => {
+                views.push(view);
+                answering.push(address);
+            }
+            Err(Failure::Unreachable(problem)) => lines.push(silent(address, problem)),
+            Err(failure) => return Err(failure),
+        }
+    }
+    if views.is_empty() {
+        return Err(Failure::Unreachable("no server answered".into()));
+    }
+    let highest = views.iter().map(|view| view.highest.max(view.revision)).max().unwrap_or(0);
+    for (view, address) in views.iter().zip(answering) {
+        lines.push(answered(view, &address.to_string(), highest));
+    }
+    lines.extend(heard(&views, highest));
+    print(&lines, output);
+    Ok(())
+}
+
+fn silent(address: &std::net::SocketAddr, problem: Box<str>) -> Line {
+    Line {
+        node: "?".into(),
+        server: address.to_string().into(),
+        revision: None,
+        boot: None,
+        failure_domain: "".into(),
+        current: false,
+        reason: problem,
+    }
+}
+
+fn answered(view: &ProcessView, server: &str, highest: Revision) -> Line {
+    let behind = highest.saturating_sub(view.revision);
+    let reason = match (behind, view.reason.is_empty()) {
+        (0, _) => view.reason.clone(),
+        (_, true) => format!("{behind} revisions behind").into(),
+        (_, false) => format!("{behind} revisions behind: {}", view.reason).into(),
+    };
+    Line {
+        node: view.node.clone(),
+        server: server.into(),
+        revision: Some(view.revision),
+        boot: Some(view.boot),
+        failure_domain: view.failure_domain.clone(),
+        current: behind == 0 && view.ready,
+        reason,
+    }
+}
+
+/// Returns the processes that did not answer themselves, as the others have heard of them.
+fn heard(views: &[ProcessView], highest: Revision) -> Vec<Line> {
+    let mut lines: Vec<Line> = Vec::new();
+    for peer in views.iter().flat_map(|view| &view.peers) {
+        let known = views.iter().any(|view| view.node == peer.node)
+            || lines.iter().any(|line| line.node == peer.node);
+        if !known {
+            lines.push(Line {
+                node: peer.node.clone(),
+                server: "".into(),
+                revision: Some(peer.revision),
+                boot: None,
+                failure_domain: "".into(),
+                current: peer.revision >= highest && &*peer.state == "alive",
+                reason: format!("heard of by others: {}", peer.state).into(),
+            });
+        }
+    }
+    lines
+}
+
+fn print(lines: &[Line], output: Output) {
+    if output == Output::Json {
+        print_json(&lines);
+        return;
+    }
+    let mut table = Table::new(&["NODE", "SERVER", "REVISION", "CURRENT", "BOOT", "REASON"]);
+    let text = |number: Option<u64>| number.map_or("?".to_owned(), |number| number.to_string());
+    for line in lines {
+        table.row([
+            line.node.to_string(),
+            line.server.to_string(),
+            text(line.revision),
+            line.current.to_string(),
+            line.boot.map_or("?".to_owned(), |boot| format!("{boot:016x}")),
+            line.reason.to_string(),
+        ]);
+    }
+    print!("{table}");
+}
+
+/// Shows what became of a write.
+pub(super) async fn write(servers: &Servers, id: WriteId, output: Output) -> Result<(), Failure> {
+    let fate: FateView = servers.read(&format!("/api/v1/writes/{id}")).await?;
+    if output == Output::Json {
+        print_json(&fate);
+    }
+    match fate {
+        FateView::Applied { revision } => {
+            if output == Output::Table {
+                println!("write {id} was accepted as revision {revision}");
+            }
+            Ok(())
+        }
+        FateView::NeverApplied | FateView::Open | FateView::Forgotten => {
+            Err(Failure::Unknown { write_id: id })
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/servers.rs
@@ -0,0 +1,209 @@
+//! Calls to the daemons' operator API.
+//!
+//! A read goes to the servers in turn until one answers. A write goes on to the next server only
+//! when it was surely not applied: it was never sent, or the server says so. When a server falls
+//! silent after a write was sent, the others are asked for the write's fate by its id; the write
+//! itself is not sent again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::prelude::*;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::header::AUTHORIZATION;
+use http::header::IF_MATCH;
+use serde::de::DeserializeOwned;
+use spec::api::ChangeView;
+use spec::api::ErrorKind;
+use spec::api::ErrorView;
+use spec::api::FateView;
+use spec::api::WRITE_ID_HEADER;
+use web::body;
+use web::client::Call;
+use web::prelude::*;
+
+use crate::failure::Failure;
+
+/// How long a connection to a server may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long the fate of a write is asked for; longer than a daemon works on a change.
+const ASK_PERIOD: Duration = Duration::from_secs(8);
+/// Pause between two rounds of asking.
+const ASK_PAUSE: Duration = Duration::from_millis(250);
+/// The largest answer that is read.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// The servers that a command may use.
+#[derive(Clone)]
+pub struct Servers {
+    addresses: Vec<SocketAddr>,
+    token: Option<Box<str>>,
+    timeout: Duration,
+    ask_period: Duration,
+    client: Client,
+}
+
+/// A write to send.
+#[derive(Clone, Debug)]
+pub struct Write {
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub path: String,
+    /// The body.
+    pub body: String,
+    /// The revision that the resource must have.
+    pub revision: Option<Revision>,
+    /// The id of the write.
+    pub write_id: WriteId,
+}
+
+impl Servers {
+    /// Makes a client of `addresses`.
+    pub fn new(addresses: Vec<SocketAddr>, token: Option<Box<str>>, timeout: Duration) -> Self {
+        let client = Client::fresh(CONNECT_TIMEOUT);
+        Servers { addresses, token, timeout, ask_period: ASK_PERIOD, client }
+    }
+
+    /// Asks for the fate of an unclear write for `period` in place of the default.
+    pub fn with_ask_period(self, period: Duration) -> Self {
+        Servers { ask_period: period, ..self }
+    }
+
+    /// Returns the servers' addresses.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// Reads `path` from the first server that answers.
+    pub async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, Failure> {
+        let mut problems = Vec::new();
+        for address in &self.addresses {
+            match self.read_from(*address, path).await {
+                Err(Failure::Unreachable(problem)) => problems.push(problem),
+                answer => return answer,
+            }
+        }
+        Err(Failure::Unreachable(problems.join("; ").into()))
+    }
+
+    /// Reads `path` from one server.
+    pub async fn read_from<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<T, Failure> {
+        let call = self.call(Method::GET, path, None);
+        match self.exchange(address, call).await {
+            Ok(answer) => answer.and_then(|text| parse(address, &text)),
+            Err(error) => Err(Failure::Unreachable(error.to_string().into())),
+        }
+    }
+
+    /// Opens a streamed answer of the first server that answers.
+    pub async fn open(&self, path: &str) -> Result<Response, Failure> {
+        let mut problems = Vec::new();
+        for address in &self.addresses {
+            let call = self.call(Method::GET, path, None);
+            match self.client.send(*address, call, self.timeout).await {
+                Ok(response) if response.status().is_success() => return Ok(response),
+                Ok(response) => {
+                    let status = response.status();
+                    let text = body::read(response.into_body(), MAX_ANSWER_BYTES).await;
+                    let text = text.unwrap_or_default();
+                    return Err(failure(status, &String::from_utf8_lossy(&text)));
+                }
+                Err(error) => problems.push(error.to_string()),
+            }
+        }
+        Err(Failure::Unreachable(problems.join("; ").into()))
+    }
+
+    /// Sends a write, and finds out what became of it if a server falls silent.
+    pub async fn write(&self, write: &Write) -> Result<ChangeView, Failure> {
+        let mut last = Failure::Unreachable("no server was given".into());
+        for address in &self.addresses {
+            let mut call = self.call(write.method.clone(), &write.path, Some(write));
+            call.body = write.body.clone().into();
+            last = match self.exchange(*address, call).await {
+                Ok(Ok(text)) => return parse(*address, &text),
+                Ok(Err(failure @ Failure::NotApplied(_))) => failure,
+                Ok(Err(failure)) => return Err(failure),
+                Err(ClientError::NotSent { problem, .. }) => {
+                    Failure::Unreachable(format!("{address}: {problem}").into())
+                }
+                Err(_) => return self.ask(write.write_id).await,
+            };
+        }
+        Err(last)
+    }
+
+    /// Asks all servers for the fate of a write until one knows that it was applied.
+    async fn ask(&self, write_id: WriteId) -> Result<ChangeView, Failure> {
+        let began = Instant::now();
+        while began.elapsed() < self.ask_period {
+            for address in &self.addresses {
+                let path = format!("/api/v1/writes/{write_id}");
+                let fate = self.read_from::<FateView>(*address, &path).await;
+                if let Ok(FateView::Applied { revision }) = fate {
+                    return Ok(ChangeView { revision, changed: true, write_id, dry_run: false });
+                }
+            }
+            tokio::time::sleep(ASK_PAUSE).await;
+        }
+        Err(Failure::Unknown { write_id })
+    }
+
+    fn call<'a>(&self, method: Method, path: &'a str, write: Option<&Write>) -> Call<'a> {
+        let mut headers = HeaderMap::new();
+        if let Some(token) = &self.token
+            && let Ok(mut value) = HeaderValue::from_str(&format!("Bearer {token}"))
+        {
+            value.set_sensitive(true);
+            headers.insert(AUTHORIZATION, value);
+        }
+        if let Some(write) = write {
+            headers.insert(WRITE_ID_HEADER, HeaderValue::from(write.write_id));
+            if let Some(revision) = write.revision
+                && let Ok(value) = HeaderValue::from_str(&format!("\"{revision}\""))
+            {
+                headers.insert(IF_MATCH, value);
+            }
+        }
+        Call { headers, ..Call::new(method, path) }
+    }
+
+    /// Sends a call and reads the whole answer: its text, or the failure that it tells of.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        call: Call<'_>,
+    ) -> Result<Result<String, Failure>, ClientError> {
+        let response = self.client.send(address, call, self.timeout).await?;
+        let status = response.status();
+        let broken = |problem: String| ClientError::Broken { address, problem: problem.into() };
+        let read = body::read(response.into_body(), MAX_ANSWER_BYTES);
+        let bytes = tokio::time::timeout(self.timeout, read).await;
+        let bytes = bytes.map_err(|_| broken("the answer stopped".to_owned()))?;
+        let bytes = bytes.map_err(|error| broken(error.to_string()))?;
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        Ok(if status.is_success() { Ok(text) } else { Err(failure(status, &text)) })
+    }
+}
+
+fn parse<T: DeserializeOwned>(address: SocketAddr, text: &str) -> Result<T, Failure> {
+    serde_json::from_str(text).map_err(|error| {
+        let message = format!("{address}: the answer is malformed: {error}");
+        Failure::from_answer(ErrorView::new(ErrorKind::BadRequest, message))
+    })
+}
+
+fn failure(status: http::StatusCode, text: &str) -> Failure {
+    let answer = serde_json::from_str(text).unwrap_or_else(|_| {
+        ErrorView::new(ErrorKind::BadRequest, format!("status {status}: {}", text.trim()))
+    });
+    Failure::from_answer(answer)
+}
--- /dev/null
+++ b/crates/cli/tests/cli.rs
@@ -0,0 +1,158 @@
+//! Tests of the tool's own logic: servers that fall silent, the merged time line, offline checks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use base::prelude::*;
+use cli::args::TimelineArgs;
+use cli::command::merge;
+use cli::prelude::*;
+use cli::servers::Write;
+use futures::FutureExt;
+use http::Method;
+use http::StatusCode;
+use spec::api::ChangeView;
+use spec::api::ErrorKind;
+use spec::api::ErrorView;
+use spec::api::FateView;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use web::prelude::*;
+
+/// How a stand-in of a daemon answers writes.
+#[derive(Clone, Copy)]
+enum Behavior {
+    Accepts,
+    FallsSilent,
+    NotApplied,
+}
+
+/// Starts a stand-in and returns its address and the number of writes that it got.
+async fn daemon(behavior: Behavior, fate: FateView) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let writes = Arc::new(AtomicUsize::new(0));
+    let count = writes.clone();
+    let handler = Arc::new(move |req: Request| {
+        let (fate, count) = (fate.clone(), count.clone());
+        async move {
+            if req.method == Method::GET {
+                return reply::json(StatusCode::OK, &fate);
+            }
+            count.fetch_add(1, Ordering::SeqCst);
+            match behavior {
+                Behavior::Accepts => {
+                    let view =
+                        ChangeView { revision: 7, changed: true, write_id: 1, dry_run: false };
+                    reply::json(StatusCode::OK, &view)
+                }
+                Behavior::FallsSilent => std::future::pending().await,
+                Behavior::NotApplied => {
+                    let error = ErrorView::new(ErrorKind::NotApplied, "down");
+                    reply::json(StatusCode::SERVICE_UNAVAILABLE, &error)
+                }
+            }
+        }
+        .boxed()
+    });
+    let stop = CancellationToken::new();
+    tokio::spawn(serve(listener, ServerLimits::default(), handler, Drain::default(), stop));
+    (address, writes)
+}
+
+/// Returns an address at which nothing listens.
+async fn unused() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+async fn write(addresses: Vec<SocketAddr>) -> Result<ChangeView, Failure> {
+    let write = Write {
+        method: Method::POST,
+        path: "/api/v1/apply".to_owned(),
+        body: "[]".to_owned(),
+        revision: None,
+        write_id: 1,
+    };
+    let servers = Servers::new(addresses, None, Duration::from_millis(300));
+    servers.with_ask_period(Duration::from_millis(600)).write(&write).await
+}
+
+#[tokio::test]
+async fn a_write_goes_on_only_past_servers_that_surely_did_not_apply_it() {
+    let (refusing, first) = daemon(Behavior::NotApplied, FateView::Open).await;
+    let (accepting, second) = daemon(Behavior::Accepts, FateView::Open).await;
+    let answer = write(vec![unused().await, refusing, accepting]).await.unwrap();
+    assert_eq!(answer.revision, 7);
+    assert_eq!((first.load(Ordering::SeqCst), second.load(Ordering::SeqCst)), (1, 1));
+}
+
+#[tokio::test]
+async fn a_write_to_a_server_that_falls_silent_is_asked_for_and_not_sent_again() {
+    let (silent, first) = daemon(Behavior::FallsSilent, FateView::Open).await;
+    let fate = FateView::Applied { revision: 9 };
+    let (other, second) = daemon(Behavior::Accepts, fate).await;
+    let answer = write(vec![silent, other]).await.unwrap();
+    assert_eq!(answer.revision, 9);
+    assert_eq!((first.load(Ordering::SeqCst), second.load(Ordering::SeqCst)), (1, 0));
+}
+
+#[tokio::test]
+async fn a_write_whose_fate_nobody_knows_is_told_as_unknown() {
+    let (silent, writes) = daemon(Behavior::FallsSilent, FateView::Open).await;
+    let failure = write(vec![silent]).await.unwrap_err();
+    assert_eq!(failure, Failure::Unknown { write_id: 1 });
+    assert_eq!((failure.exit_code(), writes.load(Ordering::SeqCst)), (4, 1));
+    let failure = write(vec![unused().await]).await.unwrap_err();
+    assert_eq!(failure.exit_code(), 3);
+}
+
+fn stamped(node: &str, millis: u64, number: u64, request: u64) -> Stamped {
+    let event = Event::Request {
+        request,
+        workspace: "w".into(),
+        stage: "accepted".into(),
+        detail: "".into(),
+    };
+    Stamped { at: Hlc { millis, count: 0 }, node: node.into(), number, event }
+}
+
+#[test]
+fn the_time_line_is_ordered_over_processes_and_shows_gaps() {
+    let events = |node: &str, list: Vec<Stamped>| {
+        let text = serde_json::json!({"node": node, "boot": 1, "events": list}).to_string();
+        serde_json::from_str(&text).unwrap()
+    };
+    let a = events("a", vec![stamped("a", 10, 0, 1), stamped("a", 30, 4, 1)]);
+    let b = events("b", vec![stamped("b", 20, 0, 1), stamped("b", 25, 1, 2)]);
+    let filter = TimelineArgs { request: Some(1), ..TimelineArgs::default() };
+    let merged = merge(vec![a, b], &filter);
+    let order: Vec<_> = merged.events.iter().map(|event| (&*event.node, event.number)).collect();
+    assert_eq!(order, [("a", 0), ("b", 0), ("a", 4)]);
+    let [gap] = &merged.gaps[..] else { panic!("{:?}", merged.gaps) };
+    assert_eq!((&*gap.node, gap.before.millis, gap.missing), ("a", 30, 3));
+}
+
+#[test]
+fn a_file_of_manifests_or_settings_is_checked_without_a_server() {
+    let dir = std::env::temp_dir().join(format!("samphire-check-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let check = |text: &str| {
+        let file = dir.join("file.json");
+        std::fs::write(&file, text).unwrap();
+        cli::command::check(&file)
+    };
+    check(r#"{"kind": "model", "name": "m", "spec": {"max_output_tokens": 1}}"#).unwrap();
+    check(
+        r#"{"node": "a-1", "failure_domain": "a", "kv": {"endpoints": ["127.0.0.1:1"]},
+        "peers": {"secrets": ["0123456789abcdef"]}}"#,
+    )
+    .unwrap();
+    let failure = check(r#"{"kind": "model", "name": "M", "spec": {}}"#).unwrap_err();
+    let text = failure.to_string();
+    assert!(text.contains("$.name") && text.contains("$.spec: missing field"), "{text}");
+    assert_eq!(failure.exit_code(), 2);
+    assert_eq!(check(r#"{"node": 1}"#).unwrap_err().exit_code(), 2);
+    std::fs::remove_dir_all(&dir).unwrap();
+}
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`verify`]: checks the references of a whole catalog.
 //! - [`accept`]: [`Acceptor`](accept::Acceptor), which changes are accepted and in which order.
 //! - [`delta`]: what changed between two revisions; [`force`]: which catalog is in force.
+//! - [`api`]: the bodies of the operator API.
 //! - [`status`]: the reported state of resources.
 //! - [`trace`]: replays traces of racing operators.
 //!
@@ -24,6 +25,7 @@
 //! ```
 
 pub mod accept;
+pub mod api;
 pub mod catalog;
 pub mod delta;
 pub mod force;
