Name the catalog's key as the daemon does

Cause: the daemon's first form reads `samphire/catalog`; two names for one key would let the acceptance write where nobody reads. Change: the constant in `spec` has the daemon's value. Conclusion: one place names the key once the daemon uses this constant.

--- a/crates/spec/src/catalog.rs
+++ b/crates/spec/src/catalog.rs
@@ -23,7 +23,7 @@
 use crate::resource::*;
 
 /// Key of the catalog in the key-value service.
-pub const CATALOG_KEY: &str = "spec/catalog";
+pub const CATALOG_KEY: &str = "samphire/catalog";
 /// Deletions that the catalog keeps; a process that is further behind pulls the whole catalog.
 pub const KEPT_DELETIONS: usize = 512;
 /// Accepted writes whose ids the catalog keeps.
