Keep the prelude of spec to the configuration's own types

Cause: the preludes of relay and spec both named an `Outcome`, which is ambiguous where both are imported by glob. Ruled out: a rename, as each is the right word in its own crate. Change: acceptance, deltas and statuses are imported from their modules.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -40,28 +40,14 @@
 
 /// The common types of this crate.
 pub mod prelude {
-    pub use crate::accept::Acceptor;
-    pub use crate::accept::Change;
-    pub use crate::accept::Edit;
-    pub use crate::accept::Outcome;
     pub use crate::catalog::CATALOG_KEY;
     pub use crate::catalog::Catalog;
-    pub use crate::catalog::Fate;
     pub use crate::catalog::Held;
-    pub use crate::catalog::Row;
     pub use crate::catalog::Table;
-    pub use crate::delta::Delta;
-    pub use crate::delta::Update;
-    pub use crate::delta::update_since;
-    pub use crate::force::InForce;
     pub use crate::kind::Resource;
     pub use crate::manifest::Manifest;
     pub use crate::manifest::RawManifest;
     pub use crate::manifest::read_manifests;
     pub use crate::resource::*;
-    pub use crate::status::Condition;
-    pub use crate::status::ConditionKind;
-    pub use crate::status::ObservedGroup;
-    pub use crate::status::Status;
     pub use crate::verify::verify;
 }
--- a/crates/spec/tests/accept.rs
+++ b/crates/spec/tests/accept.rs
@@ -5,9 +5,13 @@
 
 use base::prelude::*;
 use proptest::prelude::*;
+use spec::accept::Change;
+use spec::accept::Edit;
+use spec::accept::Outcome;
 use spec::accept::Stale;
 use spec::accept::Verdict;
 use spec::accept::Working;
+use spec::catalog::Fate;
 use spec::catalog::KEPT_WRITES;
 use spec::prelude::*;
 use spec::trace::Answered;
--- a/crates/spec/tests/force.rs
+++ b/crates/spec/tests/force.rs
@@ -4,10 +4,15 @@
 
 use base::prelude::*;
 use proptest::prelude::*;
+use spec::accept::Change;
+use spec::accept::Edit;
 use spec::accept::Working;
+use spec::delta::Update;
 use spec::delta::UpdateError;
+use spec::delta::update_since;
 use spec::force::Action;
 use spec::force::Event;
+use spec::force::InForce;
 use spec::force::PULL_PATIENCE;
 use spec::force::START_LISTEN_PERIOD;
 use spec::prelude::*;
--- a/crates/spec/tests/manifest.rs
+++ b/crates/spec/tests/manifest.rs
@@ -3,6 +3,8 @@
 use base::prelude::*;
 use spec::kind::ALL_KINDS;
 use spec::prelude::*;
+use spec::status::ConditionKind;
+use spec::status::ObservedGroup;
 use spec::verify::users;
 
 fn places(findings: &Findings) -> Vec<&str> {
