--- a/crates/spec/src/accept.rs
+++ b/crates/spec/src/accept.rs
@@ -51,10 +51,10 @@
 pub const ANSWER_DEADLINE: Duration = Duration::from_secs(5);
 /// Time during which changes are refused at once after a read has failed.
 pub const CLOSED_PERIOD: Duration = Duration::from_millis(500);
-/// Pause before an unclear write is read back again, and unit of the pause after a lost race.
+/// Longest first pause after a lost race, or before an unclear write is read back again.
 const RETRY_PAUSE: Duration = Duration::from_millis(5);
-/// The pause after a lost race grows up to this many units.
-const MAX_PAUSE_UNITS: u64 = 16;
+/// The pause doubles with each further failure, up to this often.
+const MAX_PAUSE_DOUBLINGS: u32 = 6;
 
 #[derive(Clone, Debug)]
 struct Pending {
@@ -82,7 +82,7 @@
     batch: Vec<Pending>,
     phase: Phase,
     /// Lost races and unclear answers of the batch so far.
-    failures: u64,
+    failures: u32,
     closed_until: Mono,
 }
 
@@ -110,6 +110,7 @@
             }
             Event::ReadFailed { retry_after } => {
                 self.closed_until = now + CLOSED_PERIOD;
+                self.failures += 1;
                 self.give_up_unwritten(retry_after, "the key-value service is down", &mut actions);
                 self.pause(now);
             }
@@ -187,6 +188,7 @@
                 }
             }
             Written::NotCarriedOut { retry_after } => {
+                self.failures += 1;
                 self.give_up_unwritten(retry_after, "the write was not carried out", actions);
                 self.pause(now);
             }
@@ -242,9 +244,9 @@
             self.phase = Phase::Idle;
             return;
         }
-        let seed = self.batch[0].change.write_id ^ self.failures;
-        let units = 1 + stable(&seed.to_le_bytes()) % (1 + self.failures.min(MAX_PAUSE_UNITS));
-        let until = now + RETRY_PAUSE * u32::try_from(units).unwrap_or(1);
+        let seed = self.batch[0].change.write_id ^ u64::from(self.failures);
+        let longest = RETRY_PAUSE * (1 << self.failures.min(MAX_PAUSE_DOUBLINGS));
+        let until = now + longest.mul_f64(0.5 + 0.5 * fraction(seed));
         self.phase = Phase::Pausing { until };
     }
 
@@ -297,6 +299,11 @@
     }
 }
 
+/// Returns a fraction from 0 to 1 that is spread evenly over seeds.
+fn fraction(seed: u64) -> f64 {
+    stable(&seed.to_le_bytes()) as f64 / u64::MAX as f64
+}
+
 /// Settles one change on the stored catalog: an answer, or `None` if it waits for the write.
 fn settle_one(pending: &mut Pending, stored: &Catalog, working: &mut Working) -> Option<Outcome> {
     let write_id = pending.change.write_id;
--- a/crates/spec/src/api.rs
+++ b/crates/spec/src/api.rs
@@ -106,6 +106,9 @@
     /// The revision to ask with, when the outcome is unknown.
     #[serde(default)]
     pub base: Option<Revision>,
+    /// When to come back, in milliseconds, if nothing was applied for now.
+    #[serde(default)]
+    pub retry_after_ms: Option<u64>,
 }
 
 impl ErrorView {
@@ -118,6 +121,7 @@
             stale: Vec::new(),
             write_id: None,
             base: None,
+            retry_after_ms: None,
         }
     }
 }
--- a/crates/spec/src/delta.rs
+++ b/crates/spec/src/delta.rs
@@ -166,7 +166,7 @@
         return Update::Current;
     }
     let snapshot = || Update::Snapshot(Arc::clone(catalog));
-    if from < catalog.deletions_after {
+    if from == 0 || from < catalog.deletions_after {
         return snapshot();
     }
     let mut changed = Vec::new();
