--- /dev/null
+++ b/crates/route/src/bucket.rs
@@ -0,0 +1,66 @@
+//! A token bucket whose rate may change.
+//!
+//! Invariant: the level never exceeds the burst, and elapsed time is credited at the lower of
+//! the old and the new rate, so a change of rate never grants more than either rate would.
+
+use base::prelude::*;
+
+/// A token bucket.
+#[data]
+pub struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: Mono,
+}
+
+impl Bucket {
+    /// Makes a full bucket that gains `rate` tokens a second up to `burst`.
+    pub fn new(rate: f64, burst: f64, now: Mono) -> Self {
+        Bucket { rate, burst, level: burst, at: now }
+    }
+
+    /// Sets rate and burst; tokens above the new burst are lost.
+    pub fn resize(&mut self, rate: f64, burst: f64, now: Mono) {
+        self.credit(self.rate.min(rate), now);
+        self.rate = rate;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
+    /// Takes `amount` tokens if there are as many.
+    pub fn try_take(&mut self, amount: f64, now: Mono) -> bool {
+        self.credit(self.rate, now);
+        if self.level < amount {
+            return false;
+        }
+        self.level -= amount;
+        true
+    }
+
+    /// Returns whether there are `amount` tokens.
+    pub fn holds(&mut self, amount: f64, now: Mono) -> bool {
+        self.credit(self.rate, now);
+        self.level >= amount
+    }
+
+    /// Takes `amount` tokens into debt if need be; a negative amount gives tokens back.
+    pub fn charge(&mut self, amount: f64, now: Mono) {
+        self.credit(self.rate, now);
+        self.level = (self.level - amount).min(self.burst);
+    }
+
+    /// Returns how long it takes until there are `amount` tokens, at most `longest`.
+    pub fn wait(&self, amount: f64, longest: Duration) -> Duration {
+        let missing = (amount - self.level).max(0.0);
+        let seconds = if self.rate > 0.0 { missing / self.rate } else { f64::INFINITY };
+        Duration::try_from_secs_f64(seconds).map_or(longest, |wait| wait.min(longest))
+    }
+
+    fn credit(&mut self, rate: f64, now: Mono) {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        self.level = (self.level + elapsed * rate).min(self.burst);
+        self.at = self.at.max(now);
+        debug_assert!(self.level <= self.burst, "the level is above the burst");
+    }
+}
--- /dev/null
+++ b/crates/route/src/choose.rs
@@ -0,0 +1,142 @@
+//! The choice of a group for one request.
+//!
+//! *Prefix affinity* ranks the candidates by rendezvous hashing of the request's affinity key, so
+//! all processes agree on the order without talking, and the loss of a group moves only its own
+//! keys. It takes the first candidate in that order whose estimated load is within a bound of the
+//! mean (bounded-load rendezvous), else the least loaded one. A straggler's load counts as many
+//! times as it is slower than its peers, so it gets less.
+//!
+//! The baselines are *two choices* (the less loaded of two random candidates) and *random*.
+//!
+//! Invariants: only routable groups that hold version and adapter are candidates; an excluded
+//! group is never chosen; the same input and number give the same choice.
+
+use base::hash::weight;
+use base::prelude::*;
+use group::view::GroupTable;
+use group::view::GroupView;
+
+use crate::load::Loads;
+use crate::need::Need;
+
+/// How many times the mean load a group may have and still be chosen by affinity.
+pub const DEFAULT_LOAD_BOUND: f64 = 1.25;
+/// Requests at one group, above the bound, that cost less than a lost prefix does.
+const LOAD_SLACK: f64 = 3.0;
+
+/// How a group is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Policy {
+    /// Bounded-load rendezvous on the prefix.
+    Affinity {
+        /// How many times the mean load a group may have and still be chosen.
+        load_bound: f64,
+    },
+    /// The less loaded of two random candidates.
+    TwoChoices,
+    /// A random candidate.
+    Random,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Policy::Affinity { load_bound: DEFAULT_LOAD_BOUND }
+    }
+}
+
+/// A group that may take the request, with its load as it counts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate<'a> {
+    /// The group.
+    pub view: &'a GroupView,
+    /// Estimated requests there, waiting or running.
+    pub estimate: u32,
+    /// How many times slower than its peers it is.
+    pub slowness: f64,
+}
+
+impl Candidate<'_> {
+    /// Returns the load once the request would be there, weighted by slowness.
+    fn cost(&self) -> f64 {
+        (f64::from(self.estimate) + 1.0) * self.slowness
+    }
+}
+
+/// Returns whether the group holds what the request needs, whatever its state.
+pub fn holds(view: &GroupView, need: &Need) -> bool {
+    let adapter = need.adapter.as_ref().is_none_or(|adapter| view.adapters.contains(adapter));
+    view.model == need.model && view.version == need.version && adapter
+}
+
+/// Returns the groups that may take the request now.
+pub fn candidates<'a>(
+    table: &'a GroupTable,
+    loads: &Loads,
+    need: &Need,
+    now: Mono,
+) -> Vec<Candidate<'a>> {
+    let held: Vec<&GroupView> =
+        table.groups.iter().filter(|view| view.is_routable(now) && holds(view, need)).collect();
+    let usable = held.iter().filter(|view| !need.excluded.contains(&view.id));
+    usable
+        .map(|view| Candidate {
+            view,
+            estimate: loads.estimate(view),
+            slowness: loads.slowness(&view.id, &held, now),
+        })
+        .collect()
+}
+
+/// Returns the position of the chosen candidate, or `None` if there are no candidates.
+///
+/// `draw` is a random number; equal numbers give equal choices.
+pub fn choose(
+    policy: Policy,
+    candidates: &[Candidate<'_>],
+    need: &Need,
+    draw: u64,
+) -> Option<usize> {
+    if candidates.is_empty() {
+        return None;
+    }
+    let count = candidates.len() as u64;
+    match policy {
+        Policy::Random => Some((draw % count) as usize),
+        Policy::TwoChoices => {
+            let first = (draw % count) as usize;
+            let second = ((draw >> 32) % count) as usize;
+            Some(less_loaded(candidates, first, second))
+        }
+        Policy::Affinity { load_bound } => Some(by_affinity(candidates, need, load_bound)),
+    }
+}
+
+/// Returns the group that is the request's first choice whatever the load.
+pub fn home<'a>(
+    groups: impl IntoIterator<Item = &'a GroupView>,
+    need: &Need,
+) -> Option<&'a GroupView> {
+    let key = format!("{:x}", need.affinity_key());
+    groups.into_iter().max_by_key(|view| (weight(&key, &view.id), &view.id))
+}
+
+fn less_loaded(candidates: &[Candidate<'_>], first: usize, second: usize) -> usize {
+    if candidates[second].cost() < candidates[first].cost() { second } else { first }
+}
+
+fn by_affinity(candidates: &[Candidate<'_>], need: &Need, load_bound: f64) -> usize {
+    let total: f64 = candidates.iter().map(|candidate| f64::from(candidate.estimate)).sum();
+    let mean = (total + 1.0) / candidates.len() as f64;
+    let bound = load_bound * mean + LOAD_SLACK;
+    let key = format!("{:x}", need.affinity_key());
+    let rank = |i: &usize| (weight(&key, &candidates[*i].view.id), &candidates[*i].view.id);
+    (0..candidates.len())
+        .filter(|i| candidates[*i].cost() <= bound)
+        .max_by_key(rank)
+        .unwrap_or_else(|| least_loaded(candidates))
+}
+
+fn least_loaded(candidates: &[Candidate<'_>]) -> usize {
+    (0..candidates.len()).reduce(|best, i| less_loaded(candidates, best, i)).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/route/src/limits.rs
@@ -0,0 +1,167 @@
+//! Limits of workspaces: request rate with burst, requests in progress, and token rate.
+//!
+//! The limits hold over the deployment; this process keeps its fraction of them (see
+//! [`share`](crate::share)). Tokens are charged as estimated when a request is admitted and
+//! corrected when it ends, so a bucket can be in debt. Token capacity that no workspace uses is
+//! shared by weight among those that ask for more than they are guaranteed.
+//!
+//! Invariant: a request that is refused leaves no charge.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use displaydoc::Display;
+use spec::resource::Limits;
+
+use crate::bucket::Bucket;
+use crate::share::Claim;
+use crate::share::Shares;
+use crate::share::fair_shares;
+
+/// The longest time that a refused caller is told to stay away.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// When to come back if too many requests are in progress.
+const CONCURRENCY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Seconds of token rate that a bucket holds.
+const TOKEN_BURST_SECONDS: f64 = 10.0;
+
+/// Limits by workspace.
+pub type WorkspaceLimits = BTreeMap<WorkspaceId, Limits>;
+
+/// Why a workspace's limits refuse a request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Denial {
+    /// more than the workspace's requests a second; retry after {0:?}
+    Rate(Duration),
+    /// more than the workspace's concurrent requests; retry after {0:?}
+    Concurrency(Duration),
+    /// more than the workspace's tokens a second; retry after {0:?}
+    Tokens(Duration),
+}
+
+impl std::error::Error for Denial {}
+
+#[data]
+struct Row {
+    limits: Limits,
+    fraction: f64,
+    requests: Bucket,
+    tokens: Bucket,
+    tokens_per_second: f64,
+    asked_tokens: f64,
+    running: u32,
+}
+
+/// The limits of all workspaces at this process.
+#[data]
+#[derive(Default)]
+pub struct LimitTable {
+    rows: BTreeMap<WorkspaceId, Row>,
+    refreshed_at: Mono,
+}
+
+impl LimitTable {
+    /// Puts the accepted limits in force; what runs stays counted.
+    pub fn set(&mut self, limits: &WorkspaceLimits, now: Mono) {
+        self.rows.retain(|workspace, row| limits.contains_key(workspace) || row.running > 0);
+        for (workspace, limits) in limits {
+            match self.rows.get_mut(workspace) {
+                Some(row) => row.limits = limits.clone(),
+                None => {
+                    self.rows.insert(workspace.clone(), Row::new(limits.clone(), now));
+                }
+            }
+        }
+    }
+
+    /// Adapts the buckets to this process's fractions and to the free token capacity.
+    ///
+    /// `capacity` is the token rate of all groups together, if it is known.
+    pub fn refresh(&mut self, shares: &Shares, capacity: Option<f64>, now: Mono) {
+        let seconds = now.saturating_sub(self.refreshed_at).as_secs_f64().max(0.001);
+        self.refreshed_at = now;
+        for (workspace, row) in &mut self.rows {
+            row.fraction = shares.fraction(workspace, now);
+        }
+        let rates = self.token_rates(capacity, seconds);
+        for (row, rate) in self.rows.values_mut().zip(rates) {
+            row.tokens_per_second = rate;
+            row.asked_tokens = 0.0;
+            row.resize(now);
+        }
+    }
+
+    /// Admits a request that is expected to generate `tokens`, or says why not.
+    pub fn admit(&mut self, workspace: &str, tokens: u32, now: Mono) -> Result<(), Denial> {
+        let Some(row) = self.rows.get_mut(workspace) else { return Ok(()) };
+        row.asked_tokens += f64::from(tokens);
+        if row.running >= row.concurrent() {
+            return Err(Denial::Concurrency(CONCURRENCY_RETRY_AFTER));
+        }
+        if !row.tokens.holds(0.0, now) {
+            return Err(Denial::Tokens(row.tokens.wait(0.0, MAX_RETRY_AFTER)));
+        }
+        if !row.requests.try_take(1.0, now) {
+            return Err(Denial::Rate(row.requests.wait(1.0, MAX_RETRY_AFTER)));
+        }
+        row.tokens.charge(f64::from(tokens), now);
+        row.running += 1;
+        Ok(())
+    }
+
+    /// Notes that an admitted request ended after `generated` of `expected` tokens.
+    pub fn ended(&mut self, workspace: &str, expected: u32, generated: u32, now: Mono) {
+        let Some(row) = self.rows.get_mut(workspace) else { return };
+        row.running = row.running.saturating_sub(1);
+        row.tokens.charge(f64::from(generated) - f64::from(expected), now);
+    }
+
+    /// Returns the requests of the workspace that are in progress here.
+    pub fn running(&self, workspace: &str) -> u32 {
+        self.rows.get(workspace).map_or(0, |row| row.running)
+    }
+
+    /// Returns the token rate that each workspace may use over the deployment.
+    fn token_rates(&self, capacity: Option<f64>, seconds: f64) -> Vec<f64> {
+        let guaranteed = |row: &Row| row.limits.tokens_per_second;
+        let Some(capacity) = capacity else { return self.rows.values().map(guaranteed).collect() };
+        let claims: Vec<Claim> = self
+            .rows
+            .values()
+            .map(|row| Claim {
+                demand: (row.asked_tokens / seconds / row.fraction).max(guaranteed(row)),
+                guaranteed: guaranteed(row),
+                share: row.limits.share,
+            })
+            .collect();
+        fair_shares(capacity, &claims)
+    }
+}
+
+impl Row {
+    fn new(limits: Limits, now: Mono) -> Self {
+        let rate = limits.tokens_per_second;
+        Row {
+            fraction: 1.0,
+            requests: Bucket::new(limits.requests_per_second, f64::from(limits.burst), now),
+            tokens: Bucket::new(rate, rate * TOKEN_BURST_SECONDS, now),
+            tokens_per_second: rate,
+            asked_tokens: 0.0,
+            running: 0,
+            limits,
+        }
+    }
+
+    fn resize(&mut self, now: Mono) {
+        let rate = self.limits.requests_per_second * self.fraction;
+        let burst = (f64::from(self.limits.burst) * self.fraction).max(1.0);
+        self.requests.resize(rate, burst, now);
+        let rate = self.tokens_per_second * self.fraction;
+        self.tokens.resize(rate, (rate * TOKEN_BURST_SECONDS).max(1.0), now);
+    }
+
+    fn concurrent(&self) -> u32 {
+        let part = f64::from(self.limits.concurrent) * self.fraction;
+        (part as u32).max(1)
+    }
+}
--- /dev/null
+++ b/crates/route/src/router.rs
@@ -0,0 +1,153 @@
+//! The state of routing at one process, and its decisions.
+//!
+//! The relay tells what happens to its requests as [`RouteEvent`]s and carries out the
+//! [`RouteAction`]s that come back. A request is asked for once per attempt, and ends with
+//! `Finished`, `GaveUp` or a `Refuse` action.
+//!
+//! Each attempt passes these steps, and the first that refuses ends it at once: quarantine,
+//! deadline, overload and limits (first attempt) or retry budget (later ones), trial permission
+//! for suspects, choice of a group, queue.
+//!
+//! Invariants: a request is sent only to a routable group that holds its version and is not
+//! excluded; a suspect only as granted; nothing is sent that can't end by its deadline.
+
+mod act;
+mod event;
+mod place;
+mod settings;
+mod vet;
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use group::view::GroupTable;
+
+use crate::limits::LimitTable;
+use crate::load::Loads;
+use crate::need::Need;
+use crate::poison::Quarantine;
+use crate::queue::Queue;
+use crate::retry::RetryBudget;
+use crate::share::Shares;
+use crate::shed::Shed;
+use crate::trial::Trials;
+
+pub use event::Failure;
+pub use event::RouteAction;
+pub use event::RouteEvent;
+pub use settings::RouteSettings;
+
+/// Time for which a group that failed here gets nothing, unless its generation rises.
+pub const LOCAL_DOWN: Duration = Duration::from_secs(2);
+/// Time after a group went down during which requests that would have gone to it need permission.
+pub const VETTING_WINDOW: Duration = Duration::from_secs(10);
+
+/// Where a request stands.
+#[data]
+enum Stage {
+    /// Waits in the queue.
+    Queued,
+    /// Waits for the coordinator's answer, or to ask again.
+    Vetting {
+        /// When to ask again; `None` while an answer is awaited.
+        again_at: Option<Mono>,
+        /// The backoff that is still to be kept.
+        wait: Duration,
+    },
+    /// Was sent to a group.
+    Sent(Flight),
+    /// An attempt failed, and the relay has not asked again yet.
+    Between,
+}
+
+/// An attempt in progress.
+#[data]
+struct Flight {
+    group: GroupId,
+    generation: Generation,
+    sent_at: Mono,
+    last_token_at: Option<Mono>,
+    tokens: u32,
+    vetted: bool,
+}
+
+#[data]
+struct Row {
+    need: Need,
+    stage: Stage,
+    vetted: bool,
+}
+
+/// A group that went down, as noticed here.
+#[data]
+struct Down {
+    generation: Generation,
+    at: Mono,
+    view: Option<group::view::GroupView>,
+}
+
+/// Routing at one process.
+#[derive(Clone, Debug)]
+pub struct Router {
+    node: NodeId,
+    settings: RouteSettings,
+    clock: HlcClock,
+    table: GroupTable,
+    loads: Loads,
+    downs: BTreeMap<GroupId, Down>,
+    limits: LimitTable,
+    shares: Shares,
+    queue: Queue,
+    shed: Shed,
+    retries: RetryBudget,
+    quarantine: Quarantine,
+    trials: Trials,
+    rows: BTreeMap<RequestId, Row>,
+}
+
+impl Router {
+    /// Starts without groups, limits and peers.
+    pub fn new(node: NodeId, settings: RouteSettings) -> Self {
+        Router {
+            shares: Shares::new(node.clone(), settings.boot),
+            node,
+            clock: HlcClock::default(),
+            table: GroupTable::default(),
+            loads: Loads::default(),
+            downs: BTreeMap::new(),
+            limits: LimitTable::default(),
+            queue: Queue::new(settings.queue_capacity),
+            shed: Shed::new(settings.shed),
+            retries: RetryBudget::default(),
+            quarantine: Quarantine::default(),
+            trials: Trials::default(),
+            rows: BTreeMap::new(),
+            settings,
+        }
+    }
+
+    /// Returns what is known of requests that crash groups.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
+    /// Returns the number of requests that wait in the queue.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the number of requests that are known, in whatever stage.
+    pub fn requests(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns the wall-clock milliseconds at `now`.
+    pub fn wall_millis(&self, now: Mono) -> u64 {
+        self.settings.wall_millis_at_start + now.as_millis() as u64
+    }
+
+    fn stamp(&mut self, now: Mono) -> Hlc {
+        let millis = self.wall_millis(now);
+        self.clock.tick(millis)
+    }
+}
--- /dev/null
+++ b/crates/route/src/router/event.rs
@@ -0,0 +1,132 @@
+//! What routing is told, and what it orders.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use group::view::GroupTable;
+
+use crate::limits::WorkspaceLimits;
+use crate::need::Fingerprint;
+use crate::need::Need;
+use crate::need::Refusal;
+use crate::poison::PoisonFact;
+use crate::share::UsageFact;
+use crate::trial::Grant;
+use crate::trial::TrialAsk;
+
+/// How an attempt failed.
+#[key]
+pub enum Failure {
+    /// The group's engine died while it ran the request: the connection broke and a new one was
+    /// refused, or the engine came back with another boot id.
+    Crashed,
+    /// The group refused it before admission.
+    Refused,
+    /// Nothing was sent: no connection could be made.
+    NotSent,
+    /// No progress within its deadline, or a broken connection to a group that lives.
+    Silent,
+}
+
+/// What routing is told.
+#[data]
+pub enum RouteEvent {
+    /// A request wants an attempt.
+    Ask(Need),
+    /// The first token of a request's answer came.
+    FirstToken(RequestId),
+    /// This many further tokens came.
+    Tokens(RequestId, u32),
+    /// The whole answer came.
+    Finished(RequestId),
+    /// The attempt failed; the relay asks again or gives up.
+    Failed(RequestId, Failure),
+    /// The request ended without an answer, or its caller went away.
+    GaveUp(RequestId),
+    /// The coordinator answered a trial ask of this process.
+    Granted(RequestId, Grant),
+    /// Another process, or this one, asks this process as coordinator.
+    TrialAsked {
+        /// Matches the answer to the ask.
+        ask_id: u64,
+        /// The ask.
+        ask: TrialAsk,
+    },
+    /// A trial that this process granted has ended.
+    Released(Fingerprint),
+    /// The groups as they are known now.
+    View(GroupTable),
+    /// The limits in force.
+    Limits(WorkspaceLimits),
+    /// The processes that membership holds live.
+    Live(Vec<NodeId>),
+    /// A peer's publication of its demand.
+    Usage(UsageFact),
+    /// What a peer knows of a request that may crash groups.
+    Poison(PoisonFact),
+    /// An operator ends a quarantine.
+    Lift(Fingerprint),
+    /// Time passed; sent every few tens of milliseconds.
+    Tick,
+}
+
+/// What routing orders.
+#[data]
+pub enum RouteAction {
+    /// Send the request's attempt.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// The group.
+        group: GroupId,
+        /// Its fencing number.
+        generation: Generation,
+        /// Where its rank 0 listens.
+        leader: SocketAddr,
+        /// How long to wait before sending.
+        wait: Duration,
+    },
+    /// The request waits in the queue; `Send` or `Refuse` follows.
+    Queued {
+        /// The request.
+        request: RequestId,
+        /// How long it is expected to wait.
+        wait: Duration,
+    },
+    /// Tell the caller at once that the request, or its further attempt, is refused.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// Why, and when to come back.
+        refusal: Refusal,
+    },
+    /// Ask the coordinator for permission, and pass on its answer as `Granted`.
+    AskTrial {
+        /// The request.
+        request: RequestId,
+        /// The ask; the coordinator is the soft owner of its model version.
+        ask: TrialAsk,
+    },
+    /// Tell the coordinator that the trial has ended.
+    Release {
+        /// The model.
+        model: ModelId,
+        /// The version.
+        version: VersionId,
+        /// The request's fingerprint.
+        fingerprint: Fingerprint,
+    },
+    /// Answer a trial ask.
+    Grant {
+        /// The ask that is answered.
+        ask_id: u64,
+        /// The answer.
+        grant: Grant,
+    },
+    /// Spread this to all other processes, with the priority of downs.
+    SpreadPoison(PoisonFact),
+    /// Spread this to all other processes.
+    SpreadUsage(UsageFact),
+    /// Record this in the time line.
+    Record(Event),
+}
--- /dev/null
+++ b/crates/route/src/trace.rs
@@ -0,0 +1,388 @@
+//! Replay of recorded traces through a router.
+//!
+//! Events are those of [`TraceEvent`]. The router coordinates its own trials, so a permission is
+//! answered at once. Expectations are those of [`Expectation`]: where a request stands, and how
+//! many requests each group got.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use base::trace::Step;
+use base::trace::StepKind;
+use base::trace::Trace;
+use group::record::GroupState;
+use group::view::GroupTable;
+use group::view::GroupView;
+
+use crate::limits::WorkspaceLimits;
+use crate::need::Need;
+use crate::need::Priority;
+use crate::need::RefusalReason;
+use crate::poison::Verdict;
+use crate::router::Failure;
+use crate::router::RouteAction;
+use crate::router::RouteEvent;
+use crate::router::RouteSettings;
+use crate::router::Router;
+
+/// Number from which the replay's draws are made.
+const DRAW_SEED: u64 = 20_261_203;
+
+/// A group as a trace describes it; all groups hold version `v` of model `m`.
+#[wire]
+pub struct TraceGroup {
+    id: GroupId,
+    #[serde(default = "serving")]
+    state: GroupState,
+    #[serde(default)]
+    generation: Generation,
+    #[serde(default = "far")]
+    vouched_until_ms: u64,
+    #[serde(default)]
+    queued: u32,
+    #[serde(default)]
+    running: u32,
+}
+
+fn serving() -> GroupState {
+    GroupState::Serving
+}
+
+fn far() -> u64 {
+    u64::MAX
+}
+
+/// One or more requests that ask for an attempt.
+#[wire]
+pub struct TraceAsk {
+    /// The first request's id; the others follow it.
+    request: RequestId,
+    #[serde(default = "one")]
+    count: u64,
+    #[serde(default = "workspace")]
+    workspace: WorkspaceId,
+    /// The prompt; requests with the same one have the same fingerprint.
+    prompt: Box<str>,
+    #[serde(default)]
+    priority: Priority,
+    /// The deadline on the trace's clock.
+    #[serde(default = "patient")]
+    deadline_ms: u64,
+    #[serde(default = "few")]
+    tokens: u32,
+    #[serde(default)]
+    attempts: u32,
+    #[serde(default)]
+    excluded: Vec<GroupId>,
+    #[serde(default = "yes")]
+    repeatable: bool,
+}
+
+fn one() -> u64 {
+    1
+}
+
+fn workspace() -> WorkspaceId {
+    "w".into()
+}
+
+fn patient() -> u64 {
+    600_000
+}
+
+fn few() -> u32 {
+    10
+}
+
+fn yes() -> bool {
+    true
+}
+
+/// What happens in a trace.
+#[wire]
+#[serde(rename_all = "snake_case")]
+pub enum TraceEvent {
+    /// The router starts anew with these settings.
+    Settings(RouteSettings),
+    /// The limits in force.
+    Limits(WorkspaceLimits),
+    /// All groups that are known now.
+    Groups(Vec<TraceGroup>),
+    /// Requests ask.
+    Ask(TraceAsk),
+    /// The first token of each of these requests came.
+    FirstToken(Vec<RequestId>),
+    /// One more token of each of these requests came.
+    Token(Vec<RequestId>),
+    /// These requests were answered.
+    Finished(Vec<RequestId>),
+    /// The attempts of these requests failed.
+    Failed {
+        /// The requests.
+        requests: Vec<RequestId>,
+        /// How.
+        failure: Failure,
+    },
+    /// Time passed.
+    Tick {},
+}
+
+/// Where a request stands.
+#[key]
+pub enum Standing {
+    /// Sent to a group and in progress.
+    Sent,
+    /// In the queue.
+    Queued,
+    /// Waits for permission to be tried.
+    Waiting,
+    /// Answered.
+    Finished,
+    /// Its attempt failed and it has not asked again.
+    Failed,
+    /// Refused.
+    Refused,
+}
+
+/// What must hold; absent fields say nothing.
+#[wire]
+pub struct Expectation {
+    #[serde(default)]
+    request: Option<RequestId>,
+    #[serde(default)]
+    standing: Option<Standing>,
+    #[serde(default)]
+    group: Option<GroupId>,
+    #[serde(default)]
+    reason: Option<RefusalReason>,
+    #[serde(default)]
+    verdict: Option<Verdict>,
+    /// How many attempts the group got at least.
+    #[serde(default)]
+    sent_at_least: Option<u64>,
+    /// How many attempts the group got at most.
+    #[serde(default)]
+    sent_at_most: Option<u64>,
+    /// How many requests, from 1 on, were refused for `reason` at least.
+    #[serde(default)]
+    refused_at_least: Option<u64>,
+    /// How many requests were refused for `reason` at most.
+    #[serde(default)]
+    refused_at_most: Option<u64>,
+}
+
+#[derive(Default)]
+struct Seen {
+    standing: Option<Standing>,
+    group: Option<GroupId>,
+    reason: Option<RefusalReason>,
+    fingerprint: u64,
+}
+
+struct Replay {
+    router: Router,
+    draw: u64,
+    seen: BTreeMap<RequestId, Seen>,
+    sent: BTreeMap<GroupId, u64>,
+    refused: BTreeMap<RefusalReason, u64>,
+}
+
+/// Replays a trace and returns all expectations that did not hold.
+pub fn replay(trace: &Trace) -> Result<(), Findings> {
+    let mut findings = Findings::default();
+    let mut replay = Replay::new(RouteSettings::default());
+    for step in &trace.steps {
+        match step.kind {
+            StepKind::Event => {
+                if let Some(event) = step.read::<TraceEvent>(&mut findings) {
+                    replay.event(event, step.at);
+                }
+            }
+            StepKind::Expect => {
+                if let Some(expected) = step.read::<Expectation>(&mut findings) {
+                    replay.check(&expected, step, &mut findings);
+                }
+            }
+        }
+    }
+    findings.into_result(())
+}
+
+impl Replay {
+    fn new(settings: RouteSettings) -> Self {
+        Replay {
+            router: Router::new("replay".into(), settings),
+            draw: DRAW_SEED,
+            seen: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            refused: BTreeMap::new(),
+        }
+    }
+
+    fn event(&mut self, event: TraceEvent, now: Mono) {
+        match event {
+            TraceEvent::Settings(settings) => *self = Replay::new(settings),
+            TraceEvent::Limits(limits) => self.decide(RouteEvent::Limits(limits), now),
+            TraceEvent::Groups(groups) => {
+                let groups = groups.into_iter().map(|group| view(group, now)).collect();
+                self.decide(RouteEvent::View(GroupTable { groups }), now);
+            }
+            TraceEvent::Ask(ask) => needs(&ask).into_iter().for_each(|need| {
+                self.seen(need.request).fingerprint = need.fingerprint;
+                self.decide(RouteEvent::Ask(need), now);
+            }),
+            TraceEvent::FirstToken(requests) => {
+                requests.into_iter().for_each(|id| self.decide(RouteEvent::FirstToken(id), now));
+            }
+            TraceEvent::Token(requests) => {
+                requests.into_iter().for_each(|id| self.decide(RouteEvent::Tokens(id, 1), now));
+            }
+            TraceEvent::Finished(requests) => requests.into_iter().for_each(|id| {
+                self.seen(id).standing = Some(Standing::Finished);
+                self.decide(RouteEvent::Finished(id), now);
+            }),
+            TraceEvent::Failed { requests, failure } => requests.into_iter().for_each(|id| {
+                self.seen(id).standing = Some(Standing::Failed);
+                self.decide(RouteEvent::Failed(id, failure), now);
+            }),
+            TraceEvent::Tick {} => self.decide(RouteEvent::Tick, now),
+        }
+    }
+
+    fn decide(&mut self, event: RouteEvent, now: Mono) {
+        self.draw = base::hash::stable(&self.draw.to_le_bytes());
+        for action in self.router.decide(event, now, self.draw) {
+            self.act(action, now);
+        }
+    }
+
+    fn act(&mut self, action: RouteAction, now: Mono) {
+        match action {
+            RouteAction::Send { request, group, .. } => {
+                *self.sent.entry(group.clone()).or_default() += 1;
+                let seen = self.seen(request);
+                seen.standing = Some(Standing::Sent);
+                seen.group = Some(group);
+            }
+            RouteAction::Queued { request, .. } => {
+                self.seen(request).standing = Some(Standing::Queued);
+            }
+            RouteAction::Refuse { request, refusal } => {
+                *self.refused.entry(refusal.reason).or_default() += 1;
+                let seen = self.seen(request);
+                seen.standing = Some(Standing::Refused);
+                seen.reason = Some(refusal.reason);
+            }
+            RouteAction::AskTrial { request, ask } => {
+                self.seen(request).standing = Some(Standing::Waiting);
+                self.decide(RouteEvent::TrialAsked { ask_id: request, ask }, now);
+            }
+            RouteAction::Grant { ask_id, grant } => {
+                self.decide(RouteEvent::Granted(ask_id, grant), now);
+            }
+            RouteAction::Release { fingerprint, .. } => {
+                self.decide(RouteEvent::Released(fingerprint), now);
+            }
+            RouteAction::SpreadPoison(_) | RouteAction::SpreadUsage(_) | RouteAction::Record(_) => {
+            }
+        }
+    }
+
+    fn seen(&mut self, request: RequestId) -> &mut Seen {
+        self.seen.entry(request).or_default()
+    }
+
+    fn check(&mut self, expected: &Expectation, step: &Step, findings: &mut Findings) {
+        let place = step.place();
+        if let Some(request) = expected.request {
+            self.check_request(request, expected, step, findings);
+        } else if let Some(group) = &expected.group {
+            let sent = self.sent.get(group).copied().unwrap_or(0);
+            check_range(sent, expected.sent_at_least, expected.sent_at_most, &place, findings);
+        } else if let Some(reason) = &expected.reason {
+            let refused = self.refused.get(reason).copied().unwrap_or(0);
+            let (least, most) = (expected.refused_at_least, expected.refused_at_most);
+            check_range(refused, least, most, &place, findings);
+        } else {
+            findings.add(place, "the expectation names no request, group or reason");
+        }
+    }
+
+    fn check_request(
+        &mut self,
+        request: RequestId,
+        expected: &Expectation,
+        step: &Step,
+        findings: &mut Findings,
+    ) {
+        let place = step.place();
+        let millis = self.router.wall_millis(step.at);
+        let Some(seen) = self.seen.get(&request) else {
+            return findings.add(place, format!("request {request} has not asked"));
+        };
+        let verdict = self.router.quarantine().verdict(seen.fingerprint, millis);
+        differ(&expected.standing, &seen.standing, &place, findings);
+        differ(&expected.group, &seen.group, &place, findings);
+        differ(&expected.reason, &seen.reason, &place, findings);
+        differ(&expected.verdict, &Some(verdict), &place, findings);
+    }
+}
+
+fn differ<T: PartialEq + std::fmt::Debug>(
+    expected: &Option<T>,
+    seen: &Option<T>,
+    place: &str,
+    findings: &mut Findings,
+) {
+    findings.check(expected.is_none() || expected == seen, place, || {
+        format!("expected {expected:?}, found {seen:?}")
+    });
+}
+
+fn check_range(
+    found: u64,
+    least: Option<u64>,
+    most: Option<u64>,
+    place: &str,
+    findings: &mut Findings,
+) {
+    let range = least.unwrap_or(0)..=most.unwrap_or(u64::MAX);
+    findings
+        .check(range.contains(&found), place, || format!("found {found}, allowed is {range:?}"));
+}
+
+fn view(group: TraceGroup, now: Mono) -> GroupView {
+    GroupView {
+        id: group.id,
+        model: "m".into(),
+        version: "v".into(),
+        adapters: Vec::new(),
+        generation: group.generation,
+        state: group.state,
+        leader: SocketAddr::from(([127, 0, 0, 1], 1)),
+        vouched_until: Duration::from_millis(group.vouched_until_ms),
+        queued: group.queued,
+        running: group.running,
+        reported_at: now,
+    }
+}
+
+fn needs(ask: &TraceAsk) -> Vec<Need> {
+    let make = |index: u64| {
+        let request = ask.request + index;
+        let prompt = match ask.count {
+            1 => ask.prompt.to_string(),
+            _ => format!("{} {index}", ask.prompt),
+        };
+        let mut need = Need::new(request, &ask.workspace, "m", "v", prompt.as_bytes());
+        need.priority = ask.priority;
+        need.deadline = Duration::from_millis(ask.deadline_ms);
+        need.tokens = ask.tokens;
+        need.attempts = ask.attempts;
+        need.excluded = ask.excluded.clone();
+        need.repeatable = ask.repeatable;
+        need
+    };
+    (0..ask.count).map(make).collect()
+}
--- /dev/null
+++ b/crates/route/tests/choose.rs
@@ -0,0 +1,137 @@
+//! Tests of load estimates and of the choice of a group.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::table;
+use common::view;
+use group::view::GroupTable;
+use proptest::prelude::*;
+use route::choose::Policy;
+use route::choose::candidates;
+use route::choose::choose;
+use route::load::Loads;
+use route::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn pick(groups: &GroupTable, loads: &Loads, need: &Need, now: Duration) -> Option<Box<str>> {
+    let open = candidates(groups, loads, need, now);
+    choose(Policy::default(), &open, need, 0).map(|chosen| open[chosen].view.id.clone())
+}
+
+#[test]
+fn a_report_is_corrected_by_own_sends_since_it_was_made() {
+    let mut loads = Loads::default();
+    let mut group = view("g1", 5);
+    group.reported_at = SECOND;
+    loads.sent("g1", SECOND / 2);
+    loads.sent("g1", 2 * SECOND);
+    loads.sent("g1", 3 * SECOND);
+    loads.ended("g1", 4 * SECOND);
+    assert_eq!(loads.estimate(&group), 6, "5 reported, 2 sent and 1 ended since");
+    group.running = 0;
+    assert_eq!(loads.estimate(&group), 2, "never below what this process has there");
+}
+
+#[test]
+fn losing_a_group_moves_only_the_prefixes_that_it_had() {
+    let groups = table(8, 0);
+    let loads = Loads::default();
+    let mut fewer = groups.clone();
+    let lost = fewer.groups.remove(3).id;
+    for i in 0..200 {
+        let need = Need::new(i, "w", "m", "v", format!("prompt {i}").as_bytes());
+        let before = pick(&groups, &loads, &need, SECOND).unwrap();
+        let after = pick(&fewer, &loads, &need, SECOND).unwrap();
+        assert!(before == after || before == lost, "prefix {i} moved from {before} to {after}");
+    }
+}
+
+#[test]
+fn a_full_first_choice_is_left_for_one_within_the_bound() {
+    let mut groups = table(4, 2);
+    let need = Need::new(1, "w", "m", "v", b"one prompt");
+    let home = pick(&groups, &Loads::default(), &need, SECOND).unwrap();
+    let loaded = groups.groups.iter_mut().find(|group| group.id == home).unwrap();
+    loaded.running = 40;
+    let other = pick(&groups, &Loads::default(), &need, SECOND).unwrap();
+    assert_ne!(home, other);
+}
+
+#[test]
+fn a_straggler_gets_less_and_is_judged_anew_when_its_samples_are_old() {
+    let groups = table(4, 8);
+    let mut loads = Loads::default();
+    for step in 0..20 {
+        for (i, group) in groups.groups.iter().enumerate() {
+            let gap = Duration::from_millis(if i == 0 { 120 } else { 30 });
+            loads.token_gap(&group.id, gap, step * SECOND / 10);
+        }
+    }
+    let share = |now: Duration| {
+        let homes = (0..400u64).filter(|i| {
+            let need = Need::new(*i, "w", "m", "v", format!("prompt {i}").as_bytes());
+            pick(&groups, &loads, &need, now).as_deref() == Some("g0")
+        });
+        homes.count()
+    };
+    assert_eq!(share(2 * SECOND), 0, "loaded like its peers but four times slower");
+    assert!(share(60 * SECOND) > 50, "old samples say nothing");
+}
+
+proptest! {
+    #[test]
+    fn only_routable_groups_that_hold_the_version_and_are_not_excluded_are_chosen(
+        lapsed in proptest::collection::btree_set(0usize..6, 0..4),
+        wrong in proptest::collection::btree_set(0usize..6, 0..4),
+        excluded in proptest::collection::btree_set(0usize..6, 0..4),
+        running in proptest::collection::vec(0u32..60, 6),
+        policy in 0usize..3,
+        draw: u64,
+    ) {
+        let mut groups = table(6, 0);
+        for (i, group) in groups.groups.iter_mut().enumerate() {
+            group.running = running[i];
+            if lapsed.contains(&i) {
+                group.vouched_until = SECOND;
+            }
+            if wrong.contains(&i) {
+                group.version = "w".into();
+            }
+        }
+        let mut need = Need::new(1, "w", "m", "v", b"prompt");
+        need.excluded = excluded.iter().map(|i| groups.groups[*i].id.clone()).collect();
+        let policy = [Policy::default(), Policy::TwoChoices, Policy::Random][policy];
+        let open = candidates(&groups, &Loads::default(), &need, SECOND);
+        let allowed: BTreeSet<usize> = (0..6)
+            .filter(|i| !lapsed.contains(i) && !wrong.contains(i) && !excluded.contains(i))
+            .collect();
+        let chosen = choose(policy, &open, &need, draw).map(|i| &open[i].view.id);
+        match chosen {
+            None => prop_assert!(allowed.is_empty()),
+            Some(id) => {
+                let index = groups.groups.iter().position(|group| group.id == *id).unwrap();
+                prop_assert!(allowed.contains(&index), "chose {id}");
+            }
+        }
+    }
+
+    #[test]
+    fn prompts_share_as_many_hashes_as_leading_blocks(
+        shared in 0usize..1200, a in 1usize..600, b in 1usize..600,
+    ) {
+        let block = route::need::PREFIX_BLOCK_BYTES;
+        let prompt = |fill: u8, rest: usize| {
+            let mut prompt = vec![7u8; shared];
+            prompt.extend(std::iter::repeat_n(fill, rest));
+            prompt
+        };
+        let one = route::need::prefix_chain(&prompt(1, a));
+        let two = route::need::prefix_chain(&prompt(2, b));
+        let common = one.iter().zip(&two).take_while(|(one, two)| one == two).count();
+        let whole = (shared / block).min(one.len()).min(two.len());
+        prop_assert_eq!(common, whole);
+    }
+}
--- /dev/null
+++ b/crates/route/tests/limits.rs
@@ -0,0 +1,213 @@
+//! Tests of limits and of their fractions over processes.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use route::limits::Denial;
+use route::limits::LimitTable;
+use route::limits::WorkspaceLimits;
+use route::prelude::UsageFact;
+use route::share::Claim;
+use route::share::PUBLISH_PERIOD;
+use route::share::SPREAD_BOUND;
+use route::share::Shares;
+use route::share::fair_shares;
+use spec::resource::Limits;
+use std::time::Duration;
+
+const STEP: Duration = Duration::from_millis(20);
+const RATE: f64 = 100.0;
+const BURST: u32 = 20;
+
+fn limits(share: f64) -> Limits {
+    Limits {
+        requests_per_second: RATE,
+        burst: BURST,
+        concurrent: 1_000_000,
+        tokens_per_second: 1e9,
+        share,
+    }
+}
+
+fn only(limits: Limits) -> WorkspaceLimits {
+    BTreeMap::from([("w".into(), limits)])
+}
+
+/// Processes that exchange their usage with random delays up to the spread bound.
+struct Fleet {
+    nodes: Vec<(Shares, LimitTable)>,
+    heads: Vec<f64>,
+    mail: Vec<(Duration, usize, UsageFact)>,
+    rng: ChaCha8Rng,
+    now: Duration,
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64) -> Self {
+        let name = |i: usize| -> Box<str> { format!("n{i}").into() };
+        let node = |i: usize| {
+            let mut shares = Shares::new(name(i), 1);
+            shares.set_live((0..count).map(name).collect());
+            let mut table = LimitTable::default();
+            table.set(&only(limits(1.0)), Duration::ZERO);
+            table.refresh(&shares, None, Duration::ZERO);
+            (shares, table)
+        };
+        Fleet {
+            nodes: (0..count).map(node).collect(),
+            heads: vec![0.0; count],
+            mail: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Duration::ZERO,
+        }
+    }
+
+    /// Lets one step pass in which each process's callers bring `rates` requests a second.
+    ///
+    /// Processes for which `cut` holds neither send nor receive. Returns what was admitted.
+    fn step(&mut self, rates: &[f64], cut: impl Fn(usize) -> bool) -> u32 {
+        self.now += STEP;
+        let now = self.now;
+        let due = self.mail.extract_if(.., |(at, _, _)| *at <= now).collect::<Vec<_>>();
+        for (_, to, fact) in due.into_iter().filter(|(_, to, _)| !cut(*to)) {
+            self.nodes[to].0.merge(&fact, now);
+        }
+        let mut admitted = 0;
+        for (i, rate) in rates.iter().enumerate() {
+            if self.nodes[i].0.is_due(now, PUBLISH_PERIOD) {
+                let fact = self.nodes[i].0.publish(now);
+                self.post(i, &fact, &cut);
+            }
+            let (shares, table) = &mut self.nodes[i];
+            table.refresh(shares, None, now);
+            self.heads[i] += rate * STEP.as_secs_f64();
+            while self.heads[i] >= 1.0 {
+                self.heads[i] -= 1.0;
+                shares.arrived("w");
+                admitted += u32::from(table.admit("w", 1, now).is_ok());
+            }
+        }
+        admitted
+    }
+
+    fn post(&mut self, from: usize, fact: &UsageFact, cut: &impl Fn(usize) -> bool) {
+        for to in (0..self.nodes.len()).filter(|to| *to != from && !cut(from) && !cut(*to)) {
+            let delay = SPREAD_BOUND.mul_f64(self.rng.random_range(0.0..0.99));
+            self.mail.push((self.now + delay, to, fact.clone()));
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// The bound of the module's page: `L * W * (1 + c / N) + B + N` in every window.
+    #[test]
+    fn a_fleet_admits_at_most_the_stated_bound(
+        nodes in 2usize..9,
+        seed: u64,
+        phases in proptest::collection::vec(proptest::collection::vec(0.0f64..300.0, 9), 4),
+        cut_off in 0usize..4,
+    ) {
+        let mut fleet = Fleet::new(nodes, seed);
+        let cut_off = cut_off.min((nodes - 1) / 2);
+        let mut admitted = vec![0.0f64];
+        for (phase, rates) in phases.iter().enumerate() {
+            for _ in 0..200 {
+                let some = fleet.step(&rates[..nodes], |i| phase == 2 && i < cut_off);
+                admitted.push(admitted.last().unwrap() + f64::from(some));
+            }
+        }
+        let fault = 1.0 + cut_off as f64 / nodes as f64;
+        let slack = f64::from(BURST) + nodes as f64;
+        // The greatest excess over any window ends at a step and starts at the least one before.
+        let mut least = f64::INFINITY;
+        for (i, total) in admitted.iter().enumerate() {
+            let line = RATE * fault * STEP.as_secs_f64() * i as f64;
+            least = least.min(total - line);
+            let excess = total - line - least;
+            prop_assert!(excess <= slack + 1e-6, "{excess} above {slack} at step {i}");
+        }
+    }
+}
+
+#[test]
+fn uneven_callers_get_the_whole_limit_and_a_lost_process_returns_its_share() {
+    let mut fleet = Fleet::new(8, 1);
+    let mut rates = [10.0; 8];
+    rates[0] = 400.0;
+    rates[1] = 200.0;
+    let mut seconds = |rates: &[f64; 8], fleet: &mut Fleet, count: u32| -> f64 {
+        let steps = count * 50;
+        let total: u32 = (0..steps).map(|_| fleet.step(rates, |i| i == 1 && rates[1] == 0.0)).sum();
+        f64::from(total) / f64::from(count)
+    };
+    seconds(&rates, &mut fleet, 10);
+    let settled = seconds(&rates, &mut fleet, 10);
+    assert!((95.0..=102.0).contains(&settled), "{settled} of {RATE} a second");
+    rates[1] = 0.0;
+    let lost = seconds(&rates, &mut fleet, 3);
+    assert!(lost >= 60.0, "only the lost process's share is missing: {lost}");
+    for (shares, _) in &mut fleet.nodes {
+        shares.set_live((0..8).filter(|i| *i != 1).map(|i| format!("n{i}").into()).collect());
+    }
+    seconds(&rates, &mut fleet, 3);
+    let after = seconds(&rates, &mut fleet, 10);
+    assert!((95.0..=102.0).contains(&after), "{after} of {RATE} a second");
+}
+
+#[test]
+fn each_limit_refuses_with_a_time_to_come_back_and_a_refusal_leaves_no_charge() {
+    let now = Duration::from_secs(1);
+    let mut table = LimitTable::default();
+    let few = Limits { concurrent: 1, burst: 2, ..limits(1.0) };
+    table.set(&only(few), now);
+    assert_eq!(table.admit("w", 1, now), Ok(()));
+    assert!(matches!(table.admit("w", 1, now), Err(Denial::Concurrency(_))));
+    table.ended("w", 1, 1, now);
+    assert_eq!(table.admit("w", 1, now), Ok(()), "the refusal took no request of the burst");
+    table.ended("w", 1, 1, now);
+    assert!(matches!(table.admit("w", 1, now), Err(Denial::Rate(after)) if after <= STEP));
+    let slow = Limits { tokens_per_second: 10.0, ..limits(1.0) };
+    let mut table = LimitTable::default();
+    table.set(&only(slow), now);
+    assert_eq!(table.admit("w", 200, now), Ok(()), "a bucket may go into debt once");
+    let denial = table.admit("w", 1, now);
+    assert_eq!(denial, Err(Denial::Tokens(Duration::from_secs(10))), "100 tokens at 10 a second");
+    table.ended("w", 200, 50, now);
+    assert_eq!(table.admit("w", 1, now), Ok(()), "tokens that were not generated come back");
+}
+
+proptest! {
+    #[test]
+    fn free_capacity_goes_by_weight_and_none_is_left_while_a_demand_is_unmet(
+        claims in proptest::collection::vec((0.0f64..100.0, 0.0f64..50.0, 0.1f64..5.0), 1..8),
+        capacity in 0.0f64..400.0,
+    ) {
+        let claims: Vec<Claim> = claims
+            .into_iter()
+            .map(|(demand, guaranteed, share)| Claim { demand, guaranteed, share })
+            .collect();
+        let given = fair_shares(capacity, &claims);
+        let total: f64 = given.iter().sum();
+        let asked: f64 = claims.iter().map(|claim| claim.demand).sum();
+        prop_assert!((total - asked.min(capacity)).abs() < 1e-6, "{total} of {capacity}");
+        let floor: f64 = claims.iter().map(|claim| claim.demand.min(claim.guaranteed)).sum();
+        for (claim, given) in claims.iter().zip(&given) {
+            prop_assert!(*given <= claim.demand + 1e-9);
+            let least = claim.demand.min(claim.guaranteed);
+            prop_assert!(floor > capacity || *given >= least - 1e-9);
+        }
+        let extra = |i: usize| given[i] - claims[i].demand.min(claims[i].guaranteed);
+        for i in 0..claims.len() {
+            for j in 0..claims.len() {
+                let unmet = given[i] < claims[i].demand - 1e-6 && floor < capacity;
+                let more = extra(j) / claims[j].share - extra(i) / claims[i].share;
+                prop_assert!(!unmet || more < 1e-6, "{j} got more by weight than {i}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/queue.rs
@@ -0,0 +1,92 @@
+//! Tests of the queue and of overload control.
+
+use proptest::prelude::*;
+use route::prelude::*;
+use route::queue::Queue;
+use route::queue::Waiting;
+use route::shed::ADAPT_PERIOD;
+use route::shed::MAX_LEVEL;
+use route::shed::Shed;
+use route::shed::ShedPolicy;
+
+fn waiting(request: u64, priority: Priority, deadline_ms: u64) -> Waiting {
+    let mut need = Need::new(request, "w", "m", "v", b"prompt");
+    need.priority = priority;
+    need.deadline = Duration::from_millis(deadline_ms);
+    Waiting { need, service: Duration::from_millis(10) }
+}
+
+fn priority() -> impl Strategy<Value = Priority> {
+    prop_oneof![Just(Priority::Low), Just(Priority::Normal), Just(Priority::High)]
+}
+
+proptest! {
+    #[test]
+    fn a_full_queue_keeps_and_serves_what_goes_first(
+        entries in proptest::collection::vec((priority(), 0u64..1000), 1..60),
+        capacity in 1usize..20,
+    ) {
+        let mut queue = Queue::new(capacity);
+        for (i, (priority, deadline)) in entries.iter().enumerate() {
+            queue.push(waiting(i as u64, *priority, *deadline));
+            prop_assert!(queue.len() <= capacity);
+        }
+        let mut best: Vec<(Priority, u64, u64)> = entries
+            .iter()
+            .enumerate()
+            .map(|(i, (priority, deadline))| (*priority, *deadline, i as u64))
+            .collect();
+        best.sort_by_key(|(priority, deadline, i)| (std::cmp::Reverse(*priority), *deadline, *i));
+        best.truncate(capacity);
+        let served: Vec<u64> = std::iter::from_fn(|| queue.pop(|_| true))
+            .map(|waiting| waiting.need.request)
+            .collect();
+        prop_assert_eq!(served, best.iter().map(|(_, _, i)| *i).collect::<Vec<_>>());
+    }
+
+    #[test]
+    fn what_cannot_end_in_time_is_given_up_at_once(
+        deadlines in proptest::collection::vec(0u64..200, 1..40), now in 0u64..200,
+    ) {
+        let mut queue = Queue::new(100);
+        for (i, deadline) in deadlines.iter().enumerate() {
+            queue.push(waiting(i as u64, Priority::Normal, *deadline));
+        }
+        let late = queue.expire(Duration::from_millis(now));
+        let hopeless = deadlines.iter().filter(|deadline| now + 10 > **deadline).count();
+        prop_assert_eq!(late.len(), hopeless);
+        prop_assert_eq!(queue.len(), deadlines.len() - hopeless);
+    }
+}
+
+#[test]
+fn the_three_segments_step_up_in_overload_hold_when_stable_and_step_down_when_ideal() {
+    let mut shed = Shed::new(ShedPolicy::ThreeSegments { ideal: 0.3, overload: 0.7 });
+    let mut now = Duration::ZERO;
+    let mut step = |shed: &mut Shed, fullness: f64| {
+        now += ADAPT_PERIOD;
+        shed.adapt(fullness, now);
+        shed.level()
+    };
+    assert_eq!(step(&mut shed, 0.8), 1);
+    assert_eq!(step(&mut shed, 0.9), 2);
+    assert_eq!(step(&mut shed, 0.8), 2, "it shrinks, so the level is enough");
+    assert_eq!(step(&mut shed, 0.5), 2, "stable");
+    assert_eq!(step(&mut shed, 0.2), 1);
+    assert_eq!(step(&mut shed, 0.25), 1, "it grows, so the level is low enough");
+    assert_eq!(step(&mut shed, 0.1), 0);
+}
+
+#[test]
+fn the_high_class_is_never_shed_and_the_low_class_goes_first() {
+    let mut shed = Shed::new(ShedPolicy::Threshold { above: 0.5 });
+    shed.adapt(0.9, Duration::ZERO);
+    assert_eq!(shed.level(), MAX_LEVEL);
+    let refused = |class| (0..100).filter(|draw| shed.refuses(class, *draw)).count();
+    assert_eq!(refused(Priority::High), 0);
+    assert_eq!(refused(Priority::Low), 100);
+    let mut shed = Shed::new(ShedPolicy::ThreeSegments { ideal: 0.3, overload: 0.7 });
+    (1..=5).for_each(|i| shed.adapt(0.9, i * ADAPT_PERIOD));
+    let refused = |class| (0..100).filter(|draw| shed.refuses(class, *draw)).count();
+    assert_eq!((refused(Priority::Low), refused(Priority::Normal)), (50, 0));
+}
--- /dev/null
+++ b/crates/route/tests/retry.rs
@@ -0,0 +1,69 @@
+//! Tests of the retry budget.
+
+use proptest::prelude::*;
+use route::prelude::*;
+use route::retry::NoRetry;
+use route::retry::RETRY_FRACTION;
+use route::retry::RETRY_RESERVE;
+use route::retry::RetryBudget;
+use route::retry::backoff;
+
+const SERVICE: Duration = Duration::from_millis(100);
+
+fn need(workspace: &str) -> Need {
+    let mut need = Need::new(1, workspace, "m", "v", b"prompt");
+    need.attempts = 1;
+    need
+}
+
+proptest! {
+    #[test]
+    fn retries_stay_below_the_fraction_of_first_attempts_and_the_reserve(
+        steps in proptest::collection::vec((any::<bool>(), 0usize..3), 1..600),
+    ) {
+        let mut budget = RetryBudget::default();
+        let (mut firsts, mut retries) = (0.0, 0.0);
+        for (is_first, workspace) in steps {
+            let workspace = ["a", "b", "c"][workspace];
+            if is_first {
+                budget.first_attempt(workspace);
+                firsts += 1.0;
+            } else if budget.retry(&need(workspace), SERVICE, Duration::ZERO, 0).is_ok() {
+                retries += 1.0;
+            }
+            prop_assert!(retries <= RETRY_RESERVE + RETRY_FRACTION * firsts + 1e-6);
+        }
+    }
+
+    #[test]
+    fn backoff_is_within_its_doubling_bound(attempts in 1u32..40, draw: u64) {
+        let bound = Duration::from_millis(20) * 2u32.pow((attempts - 1).min(10));
+        prop_assert!(backoff(attempts, draw) <= bound.min(Duration::from_secs(2)));
+    }
+}
+
+#[test]
+fn one_workspace_cannot_spend_the_retries_of_another() {
+    let mut budget = RetryBudget::default();
+    for _ in 0..400 {
+        budget.first_attempt("quiet");
+        budget.first_attempt("broken");
+        let _ = budget.retry(&need("broken"), SERVICE, Duration::ZERO, 0);
+    }
+    let refused = budget.retry(&need("broken"), SERVICE, Duration::ZERO, 0);
+    assert_eq!(refused, Err(NoRetry::WorkspaceBudget));
+    assert!(budget.retry(&need("quiet"), SERVICE, Duration::ZERO, 0).is_ok());
+}
+
+#[test]
+fn no_retry_that_is_unsafe_or_cannot_end_in_time() {
+    let mut budget = RetryBudget::default();
+    let mut request = need("w");
+    request.repeatable = false;
+    assert_eq!(budget.retry(&request, SERVICE, Duration::ZERO, 0), Err(NoRetry::Unsafe));
+    let mut request = need("w");
+    request.deadline = Duration::from_millis(150);
+    let now = Duration::from_millis(60);
+    assert_eq!(budget.retry(&request, SERVICE, now, 0), Err(NoRetry::Late));
+    assert_eq!(budget.retry(&request, SERVICE, Duration::from_millis(50), 0), Ok(Duration::ZERO));
+}
