Complete the record of a fabric domain's groups, with its moves

Cause: the first form of the record had no spares, roles, verifier or moves. Ruled out: a record for each group, since two writes could then name one VM; states checked where they are set, since the table would stand many times.

--- /dev/null
+++ b/crates/group/src/moves.rs
@@ -0,0 +1,283 @@
+//! The moves of a fabric domain's record, each to be written by one compare-and-swap.
+//!
+//! [`apply`] is a pure function from a record and a [`Move`] to the next record, or to all
+//! findings that forbid the move. A move names the generation that its author saw, so a move
+//! that was decided on an older record is refused even when the names still fit.
+//!
+//! Every change of members, and every return of a broken group to work, takes a new generation
+//! from `last_generation`, which only grows. So an order of an earlier assignment of a VM always
+//! carries a lower fencing number than the orders of its present one.
+
+use base::prelude::*;
+
+use crate::record::FabricRecord;
+use crate::record::GroupRecord;
+use crate::record::GroupState;
+use crate::record::Member;
+
+/// The boot id that a member answered with.
+#[wire]
+pub struct MemberBoot {
+    /// The VM.
+    pub vm: VmId,
+    /// The life of its engine.
+    pub boot: BootId,
+}
+
+/// What a group of a declared replica holds.
+#[wire]
+pub struct Purpose {
+    /// The declared replica.
+    pub replica: Box<str>,
+    /// The model.
+    pub model: ModelId,
+    /// The version.
+    pub version: VersionId,
+    /// The adapters.
+    pub adapters: Vec<AdapterId>,
+}
+
+/// A group as its author saw it.
+#[wire]
+pub struct Target {
+    /// The group.
+    pub group: GroupId,
+    /// The generation that its author saw.
+    pub generation: Generation,
+}
+
+/// One change of a fabric domain's record.
+#[wire]
+#[serde(tag = "move", rename_all = "snake_case")]
+pub enum Move {
+    /// A new group takes free VMs, in the order of their ranks.
+    Form {
+        /// What it serves.
+        purpose: Purpose,
+        /// Its VMs.
+        vms: Vec<VmId>,
+    },
+    /// All members answered; their boot ids are recorded and loading may begin.
+    ConfirmLoading {
+        /// The group.
+        target: Target,
+        /// The boot id of each member.
+        boots: Vec<MemberBoot>,
+    },
+    /// All members are ready.
+    Serve {
+        /// The group.
+        target: Target,
+    },
+    /// A member is missing.
+    Break {
+        /// The group.
+        target: Target,
+    },
+    /// A free VM or spare takes the place of a member of a broken group.
+    Swap {
+        /// The group.
+        target: Target,
+        /// The VM that leaves.
+        out: VmId,
+        /// The VM that takes its rank.
+        into: VmId,
+    },
+    /// A broken group takes members of another, which is dissolved.
+    Merge {
+        /// The group that becomes whole.
+        target: Target,
+        /// The group that is dissolved.
+        from: Target,
+        /// The members to replace.
+        out: Vec<VmId>,
+        /// The members of the dissolved group that take their ranks, in the same order.
+        into: Vec<VmId>,
+    },
+    /// All members of a broken group are there again.
+    Rejoin {
+        /// The group.
+        target: Target,
+    },
+    /// The group gets no new work.
+    Drain {
+        /// The group.
+        target: Target,
+    },
+    /// The group is gone and its members are free.
+    Dissolve {
+        /// The group.
+        target: Target,
+    },
+    /// The VMs that are kept free as spares change.
+    SetSpares {
+        /// All spares of the domain.
+        spares: Vec<VmId>,
+    },
+}
+
+/// Returns the record after `change`, bearing `write_id`, or everything that forbids the change.
+///
+/// A result always passes [`FabricRecord::verify`].
+pub fn apply(
+    record: &FabricRecord,
+    change: &Move,
+    write_id: WriteId,
+) -> Result<FabricRecord, Findings> {
+    let mut next = FabricRecord { write_id, ..record.clone() };
+    let mut findings = Findings::default();
+    match change {
+        Move::Form { purpose, vms } => form(&mut next, purpose, vms, &mut findings),
+        Move::ConfirmLoading { target, boots } => {
+            confirm(&mut next, target, boots, &mut findings);
+        }
+        Move::Serve { target } => enter(&mut next, target, GroupState::Serving, &mut findings),
+        Move::Break { target } => enter(&mut next, target, GroupState::Broken, &mut findings),
+        Move::Swap { target, out, into } => {
+            next.spares.retain(|spare| spare != into);
+            reform(
+                &mut next,
+                target,
+                std::slice::from_ref(out),
+                std::slice::from_ref(into),
+                &mut findings,
+            );
+        }
+        Move::Merge { target, from, out, into } => {
+            merge(&mut next, target, from, out, into, &mut findings);
+        }
+        Move::Rejoin { target } => reform(&mut next, target, &[], &[], &mut findings),
+        Move::Drain { target } => enter(&mut next, target, GroupState::Draining, &mut findings),
+        Move::Dissolve { target } => dissolve(&mut next, target, &mut findings),
+        Move::SetSpares { spares } => next.spares = spares.clone(),
+    }
+    findings.merge(next.verify());
+    findings.into_result(next)
+}
+
+/// Returns the name of the group that a domain's next `Form` makes, unique over the deployment.
+pub fn next_group_id(record: &FabricRecord, replica: &str) -> GroupId {
+    format!("{replica}.{}.{}", record.fabric, record.last_generation + 1).into()
+}
+
+fn next_generation(record: &mut FabricRecord) -> Generation {
+    record.last_generation += 1;
+    record.last_generation
+}
+
+fn form(record: &mut FabricRecord, purpose: &Purpose, vms: &[VmId], findings: &mut Findings) {
+    for vm in vms {
+        findings.check(!record.spares.contains(vm), "$.vms", || {
+            format!("VM `{vm}` is kept as a spare")
+        });
+    }
+    let id = next_group_id(record, &purpose.replica);
+    let generation = next_generation(record);
+    let members = vms.iter().zip(0..).map(|(vm, rank)| Member::new(vm.clone(), rank)).collect();
+    record.groups.push(GroupRecord {
+        id,
+        replica: purpose.replica.clone(),
+        model: purpose.model.clone(),
+        version: purpose.version.clone(),
+        adapters: purpose.adapters.clone(),
+        generation,
+        state: GroupState::Forming,
+        members,
+    });
+}
+
+/// Finds the group and checks that the move to `next` is legal; adds findings otherwise.
+fn take<'a>(
+    record: &'a mut FabricRecord,
+    target: &Target,
+    next: GroupState,
+    findings: &mut Findings,
+) -> Option<&'a mut GroupRecord> {
+    let Some(group) = record.groups.iter_mut().find(|group| group.id == target.group) else {
+        findings.add("$.groups", format!("group `{}` does not stand in the record", target.group));
+        return None;
+    };
+    let place = format!("$.groups[{}]", group.id);
+    findings.check(group.generation == target.generation, &place, || {
+        format!("generation is {}, the move is for {}", group.generation, target.generation)
+    });
+    findings.check(group.state.may_become(next), &place, || {
+        format!("state `{}` may not become `{}`", group.state.name(), next.name())
+    });
+    Some(group)
+}
+
+fn enter(record: &mut FabricRecord, target: &Target, next: GroupState, findings: &mut Findings) {
+    if let Some(group) = take(record, target, next, findings) {
+        group.state = next;
+    }
+}
+
+fn confirm(
+    record: &mut FabricRecord,
+    target: &Target,
+    boots: &[MemberBoot],
+    findings: &mut Findings,
+) {
+    let Some(group) = take(record, target, GroupState::Loading, findings) else { return };
+    group.state = GroupState::Loading;
+    for member in &mut group.members {
+        match boots.iter().find(|boot| boot.vm == member.vm) {
+            Some(boot) => member.boot = boot.boot,
+            None => findings.add("$.boots", format!("VM `{}` has no boot id", member.vm)),
+        }
+    }
+}
+
+/// Puts `into` in the ranks of `out`, forgets all boot ids and takes a new generation.
+fn reform(
+    record: &mut FabricRecord,
+    target: &Target,
+    out: &[VmId],
+    into: &[VmId],
+    findings: &mut Findings,
+) {
+    let generation = next_generation(record);
+    let Some(group) = take(record, target, GroupState::Forming, findings) else { return };
+    group.state = GroupState::Forming;
+    group.generation = generation;
+    findings.check(out.len() == into.len(), "$.into", || {
+        format!("{} VMs leave and {} come", out.len(), into.len())
+    });
+    for (out, into) in out.iter().zip(into) {
+        match group.members.iter_mut().find(|member| member.vm == *out) {
+            Some(member) => member.vm = into.clone(),
+            None => findings.add("$.out", format!("VM `{out}` is no member of the group")),
+        }
+    }
+    for member in &mut group.members {
+        member.boot = 0;
+    }
+}
+
+fn merge(
+    record: &mut FabricRecord,
+    target: &Target,
+    from: &Target,
+    out: &[VmId],
+    into: &[VmId],
+    findings: &mut Findings,
+) {
+    let giver = record.group(&from.group);
+    findings.check(giver.is_some_and(|group| group.state == GroupState::Broken), "$.from", || {
+        format!("group `{}` is not broken", from.group)
+    });
+    findings.check(
+        into.iter().all(|vm| giver.is_some_and(|group| group.member(vm).is_some())),
+        "$.into",
+        || format!("a VM is no member of group `{}`", from.group),
+    );
+    dissolve(record, from, findings);
+    reform(record, target, out, into, findings);
+}
+
+fn dissolve(record: &mut FabricRecord, target: &Target, findings: &mut Findings) {
+    if take(record, target, GroupState::Dissolved, findings).is_some() {
+        record.groups.retain(|group| group.id != target.group);
+    }
+}
--- a/crates/group/src/record.rs
+++ b/crates/group/src/record.rs
@@ -1,14 +1,19 @@
 //! All assignments of one fabric domain, kept as one value in the key-value service.
 //!
 //! Forming, repairing, swapping a member and dissolving are each one compare-and-swap of this
-//! value, so a VM in two groups cannot be written.
+//! value, so a VM in two groups cannot be written. Free VMs are not listed: a VM of the domain
+//! that stands neither in a group nor among the spares is free.
+//!
+//! Invariants, checked by [`FabricRecord::verify`](crate::verify): a VM stands in at most one
+//! place, generations never exceed `last_generation`, ranks are dense, rank 0 leads, and a
+//! group that loads or serves knows the boot id of each member.
 
 use base::prelude::*;
 
 /// State of a replica group.
 #[key]
 pub enum GroupState {
-    /// Members are assigned; no order has been confirmed yet.
+    /// Members are assigned; their boot ids are not confirmed yet.
     Forming,
     /// Members load weights.
     Loading,
@@ -18,10 +23,61 @@
     Draining,
     /// A member is missing.
     Broken,
-    /// The group is gone; its members are free.
+    /// The group is gone; its members are free. A record never lists such a group.
     Dissolved,
 }
 
+/// All states, in the order of [`LEGAL_MOVES`].
+pub const STATES: [GroupState; 6] = [
+    GroupState::Forming,
+    GroupState::Loading,
+    GroupState::Serving,
+    GroupState::Draining,
+    GroupState::Broken,
+    GroupState::Dissolved,
+];
+
+/// The one table of legal moves: each state with the states that may follow it.
+pub const LEGAL_MOVES: [(GroupState, &[GroupState]); 6] = {
+    use GroupState::*;
+    [
+        (Forming, &[Loading, Broken, Dissolved]),
+        (Loading, &[Serving, Broken, Dissolved]),
+        (Serving, &[Draining, Broken]),
+        (Draining, &[Broken, Dissolved]),
+        (Broken, &[Forming, Dissolved]),
+        (Dissolved, &[]),
+    ]
+};
+
+impl GroupState {
+    /// Returns whether [`LEGAL_MOVES`] lets a group go from this state to `next`.
+    pub fn may_become(self, next: GroupState) -> bool {
+        LEGAL_MOVES.iter().any(|(from, to)| *from == self && to.contains(&next))
+    }
+
+    /// Returns the state's name as it stands in JSON and in events.
+    pub fn name(self) -> &'static str {
+        match self {
+            GroupState::Forming => "forming",
+            GroupState::Loading => "loading",
+            GroupState::Serving => "serving",
+            GroupState::Draining => "draining",
+            GroupState::Broken => "broken",
+            GroupState::Dissolved => "dissolved",
+        }
+    }
+}
+
+/// What a member does in its group.
+#[key]
+pub enum Role {
+    /// Takes the group's requests; rank 0.
+    Leader,
+    /// Computes its share of the model for the leader.
+    Worker,
+}
+
 /// One member of a replica group.
 #[wire]
 pub struct Member {
@@ -31,6 +87,16 @@
     pub boot: BootId,
     /// Its rank; rank 0 takes the group's requests.
     pub rank: u32,
+    /// Its role.
+    pub role: Role,
+}
+
+impl Member {
+    /// Returns the member of rank `rank` on `vm` whose boot id is not known yet.
+    pub fn new(vm: VmId, rank: u32) -> Self {
+        let role = if rank == 0 { Role::Leader } else { Role::Worker };
+        Member { vm, boot: 0, rank, role }
+    }
 }
 
 /// One replica group.
@@ -54,6 +120,13 @@
     pub members: Vec<Member>,
 }
 
+impl GroupRecord {
+    /// Returns the member on `vm`.
+    pub fn member(&self, vm: &str) -> Option<&Member> {
+        self.members.iter().find(|member| &*member.vm == vm)
+    }
+}
+
 /// All assignments of one fabric domain.
 #[wire]
 pub struct FabricRecord {
@@ -65,4 +138,44 @@
     pub last_generation: Generation,
     /// Its groups.
     pub groups: Vec<GroupRecord>,
+    /// VMs that are kept free to take the place of a missing member.
+    pub spares: Vec<VmId>,
+}
+
+impl FabricRecord {
+    /// Returns the record of a domain without groups, before its first write.
+    pub fn empty(fabric: FabricId) -> Self {
+        FabricRecord { fabric, write_id: 0, last_generation: 0, groups: vec![], spares: vec![] }
+    }
+
+    /// Returns the group `id`.
+    pub fn group(&self, id: &str) -> Option<&GroupRecord> {
+        self.groups.iter().find(|group| &*group.id == id)
+    }
+
+    /// Returns the group that `vm` is a member of.
+    pub fn group_of(&self, vm: &str) -> Option<&GroupRecord> {
+        self.groups.iter().find(|group| group.member(vm).is_some())
+    }
+
+    /// Returns the record's JSON text.
+    pub fn to_text(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a record has no map with keys that are not text")
+    }
+}
+
+/// Reads a record from its JSON text and verifies it.
+impl TryFrom<&[u8]> for FabricRecord {
+    type Error = Findings;
+
+    fn try_from(text: &[u8]) -> Result<Self, Findings> {
+        match serde_json::from_slice::<FabricRecord>(text) {
+            Ok(record) => record.verify().into_result(record),
+            Err(error) => {
+                let mut findings = Findings::default();
+                findings.add("$", error.to_string());
+                Err(findings)
+            }
+        }
+    }
 }
