Keep groups by a pure state machine, with vouchers, orders and fencing

Ruled out: vouchers by absolute time, since clocks would be compared; a heartbeat that lists its groups, since its cost follows groups; counting a voucher from its receipt, since a message under way would stretch it (the property test then finds a daemon that routes beyond the bound). Change: Keeper::decide over events; one numbered list of vouchers a process, with heartbeats of constant size that echo the daemon's own stamp and life; orders leave only within the right that a read of the record gives, and for engines that ignore fencing numbers only after older orders ran out; one load schedule a weight store; fifteen traces in a small world of engines, keepers and daemons; moves of all groups are gathered into one write. Seen failing: boot id, generation, silence, leaving marks, wait-out, right to order, echo, life and numbering checks were each taken out and found by the property tests or a trace. The ttl check at a member alone was not found: the ledger's count from the probe's sending covers the same case. Conclusion: no schedule of faults tried routes beyond the bound, and all groups serve again once the faults end.

--- /dev/null
+++ b/crates/group/src/keeper.rs
@@ -0,0 +1,326 @@
+//! The keeper of one fabric domain's groups, as a pure state machine.
+//!
+//! [`Keeper::decide`] takes an event and the time and returns actions; the shell around it does
+//! the I/O and reports outcomes as further events. The keeper probes every member, compares boot
+//! id, generation, rank and version with the record, vouches for groups that are whole, withdraws
+//! at the first doubt, and moves groups through their states by compare-and-swap.
+//!
+//! Being the keeper is a soft matter: two processes may both believe that they are. Nothing is
+//! unsafe then, because
+//! - each change of the record is one compare-and-swap on the version that was read;
+//! - each order carries its generation, and leaves only while the keeper's right to order stands
+//!   ([`crate::fence`]);
+//! - a voucher is backed by probes that this very keeper sent, and holds only `vouch_ttl` from
+//!   their sending.
+//!
+//! An answer to a probe is looked at for its own group only; everything else happens on ticks, so
+//! the cost follows probes and ticks times members.
+//!
+//! Withdrawals stand first among the actions of a call. Moves of all groups are gathered into
+//! one write for each tick, so that a domain that goes dark costs a few writes.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::order::OrderMessage;
+use crate::order::OrderOutcome;
+use crate::probe::Load;
+use crate::probe::ProbeAnswer;
+use crate::record::FabricRecord;
+use crate::record::GroupRecord;
+use crate::settings::KeeperSettings;
+
+mod group;
+mod member;
+mod orders;
+mod write;
+
+pub use self::group::GroupStatus;
+use self::group::GroupWatch;
+pub use self::member::VmStatus;
+use self::member::VmWatch;
+use self::write::Held;
+
+/// What the configuration and the VM list say of a VM of the domain.
+#[data]
+pub struct VmFacts {
+    /// The VM.
+    pub vm: VmId,
+    /// Whether its engine refuses an order with an old fencing number.
+    pub checks_fencing: bool,
+    /// Whether an operator or the VM list says that it is leaving.
+    pub leaving: bool,
+}
+
+/// A value as the key-value service holds it.
+#[data]
+pub struct StoredRecord {
+    /// The service's revision of its last write.
+    pub revision: u64,
+    /// The record.
+    pub record: FabricRecord,
+}
+
+/// How a write ended.
+#[data]
+pub enum WriteOutcome {
+    /// It stands, with this revision.
+    Done(u64),
+    /// Another value stood there.
+    Conflict,
+    /// It was not carried out: the service is down or its rate is exhausted.
+    Refused,
+    /// It may have been carried out.
+    Unclear,
+}
+
+/// What a keeper is told.
+#[data]
+pub enum KeeperEvent {
+    /// This process owns the domain's keeping from now on.
+    Owned,
+    /// Another process owns it from now on.
+    Lost,
+    /// The VMs of the domain and what is known of them.
+    Vms(Vec<VmFacts>),
+    /// A read of the record ended; `None` if no value stands.
+    Read(Option<StoredRecord>),
+    /// A read of the record got no answer.
+    ReadFailed,
+    /// The write with this id ended.
+    Written(WriteId, WriteOutcome),
+    /// A VM answered the probe of this number.
+    Answered(VmId, u64, ProbeAnswer),
+    /// The probe of this number got no answer.
+    Unanswered(VmId, u64),
+    /// The order of this number ended.
+    Ordered(VmId, u64, OrderOutcome),
+    /// The load schedule lets these VMs load.
+    MayLoad(Vec<VmId>),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a keeper asks its shell to do.
+#[data]
+pub enum KeeperAction {
+    /// Withdraw the voucher for a group, at all daemons, at once.
+    Withdraw(GroupId, Generation),
+    /// Vouch for a group whose oldest probe was sent at the given time.
+    Vouch(Box<GroupRecord>, Mono),
+    /// Let the voucher for a group run out.
+    Release(GroupId),
+    /// Pass a group's load on to routing.
+    ReportLoad(GroupId, Load),
+    /// Probe a VM.
+    Probe(VmId, u64),
+    /// Send an order, unless it is later than the given time when it is about to leave.
+    Order(VmId, u64, OrderMessage, Mono),
+    /// Ask the load schedule to let a VM load.
+    AskLoad {
+        /// The VM.
+        vm: VmId,
+        /// Its group.
+        group: GroupId,
+        /// The version to load.
+        version: VersionId,
+        /// Members of the group.
+        members: u32,
+        /// Members that are not ready yet.
+        missing: u32,
+    },
+    /// Tell the load schedule that a VM needs no load any more.
+    EndLoad(VmId),
+    /// Read the record.
+    Read,
+    /// Write the record if the value with this revision still stands (0: none).
+    Write(u64, Box<FabricRecord>),
+    /// Record an event of the time line.
+    Record(Event),
+}
+
+/// What an event may have changed.
+enum Scope {
+    All,
+    GroupOf(VmId),
+    Nothing,
+}
+
+impl Scope {
+    fn of(event: &KeeperEvent) -> Self {
+        match event {
+            KeeperEvent::Answered(vm, ..) | KeeperEvent::Unanswered(vm, _) => {
+                Scope::GroupOf(vm.clone())
+            }
+            KeeperEvent::Ordered(..) | KeeperEvent::MayLoad(_) | KeeperEvent::ReadFailed => {
+                Scope::Nothing
+            }
+            _ => Scope::All,
+        }
+    }
+}
+
+/// The keeper of one fabric domain's groups.
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    settings: KeeperSettings,
+    fabric: FabricId,
+    rng: ChaCha8Rng,
+    owned: bool,
+    held: Option<Held>,
+    /// When the read under way was sent.
+    reading: Option<Mono>,
+    /// When the write under way was sent, and its id.
+    writing: Option<(WriteId, Mono)>,
+    next_read: Mono,
+    next_write: Mono,
+    vms: BTreeMap<VmId, VmWatch>,
+    groups: BTreeMap<GroupId, GroupWatch>,
+    last_number: u64,
+}
+
+impl Keeper {
+    /// Returns a keeper that does not own its domain yet.
+    pub fn new(fabric: FabricId, settings: KeeperSettings, seed: u64) -> Self {
+        Keeper {
+            settings,
+            fabric,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            owned: false,
+            held: None,
+            reading: None,
+            writing: None,
+            next_read: Mono::ZERO,
+            next_write: Mono::ZERO,
+            vms: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            last_number: 0,
+        }
+    }
+
+    /// Takes in an event at `now` and returns what to do, withdrawals first.
+    pub fn decide(&mut self, event: KeeperEvent, now: Mono) -> Vec<KeeperAction> {
+        let mut actions = Vec::new();
+        let scope = Scope::of(&event);
+        self.take_in(event, now, &mut actions);
+        match scope {
+            Scope::All if self.owned => self.review(now, &mut actions),
+            Scope::GroupOf(vm) if self.owned => self.review_group_of(&vm, now, &mut actions),
+            _ => {}
+        }
+        actions.sort_by_key(|action| !matches!(action, KeeperAction::Withdraw(..)));
+        actions
+    }
+
+    /// Returns whether this process owns the domain.
+    pub fn is_owned(&self) -> bool {
+        self.owned
+    }
+
+    /// Returns the record as last read or written.
+    pub fn record(&self) -> Option<&FabricRecord> {
+        self.held.as_ref().map(|held| &held.record)
+    }
+
+    /// Returns when the oldest probe behind the present vouchers was sent.
+    pub fn oldest_probe(&self) -> Option<Mono> {
+        let vouched = self.groups.values().filter_map(GroupWatch::fresh_since);
+        vouched.min()
+    }
+
+    /// Returns what is known of each VM of the domain, for the planner.
+    pub fn vm_statuses(&self) -> Vec<VmStatus> {
+        self.vms.iter().map(|(vm, watch)| watch.status(vm)).collect()
+    }
+
+    /// Returns each group's state and why it is not serving, for operators.
+    pub fn group_statuses(&self) -> Vec<GroupStatus> {
+        let groups = self.record().map_or(&[][..], |record| &record.groups);
+        groups.iter().map(|group| self.group_status(group)).collect()
+    }
+
+    fn take_in(&mut self, event: KeeperEvent, now: Mono, actions: &mut Vec<KeeperAction>) {
+        match event {
+            KeeperEvent::Owned => self.gain(now),
+            KeeperEvent::Lost => self.lose(actions),
+            KeeperEvent::Vms(facts) => self.set_vms(facts, now),
+            KeeperEvent::Read(found) => self.on_read(found, now, actions),
+            KeeperEvent::ReadFailed => self.reading = None,
+            KeeperEvent::Written(id, outcome) => self.on_written(id, outcome, now, actions),
+            KeeperEvent::Answered(vm, probe, answer) => {
+                self.on_answer(&vm, probe, answer, now, actions);
+            }
+            KeeperEvent::Unanswered(vm, probe) => {
+                if let Some(watch) = self.vms.get_mut(&vm) {
+                    watch.fail(probe);
+                }
+            }
+            KeeperEvent::Ordered(vm, order, outcome) => {
+                self.on_ordered(&vm, order, outcome, actions);
+            }
+            KeeperEvent::MayLoad(vms) => {
+                for vm in vms {
+                    if let Some(watch) = self.vms.get_mut(&vm) {
+                        watch.may_load = true;
+                    }
+                }
+            }
+            KeeperEvent::Tick => {}
+        }
+    }
+
+    /// Starts anew: nothing that an earlier ownership knew is trusted.
+    fn gain(&mut self, now: Mono) {
+        if self.owned {
+            return;
+        }
+        self.owned = true;
+        self.held = None;
+        self.reading = None;
+        self.writing = None;
+        self.next_read = now;
+        self.groups.clear();
+        let spread = self.settings.probe_period / 4;
+        for watch in self.vms.values_mut() {
+            watch.restart(now + spread.mul_f64(self.rng.random()));
+        }
+    }
+
+    fn lose(&mut self, actions: &mut Vec<KeeperAction>) {
+        self.owned = false;
+        for (id, watch) in &mut self.groups {
+            if watch.withdraw() {
+                actions.push(KeeperAction::Release(id.clone()));
+            }
+        }
+    }
+
+    fn set_vms(&mut self, facts: Vec<VmFacts>, now: Mono) {
+        self.vms.retain(|vm, _| facts.iter().any(|fact| fact.vm == *vm));
+        let spread = self.settings.probe_period / 4;
+        for fact in facts {
+            let first = now + spread.mul_f64(self.rng.random());
+            let watch = self.vms.entry(fact.vm).or_insert_with(|| VmWatch::new(first));
+            watch.checks_fencing = fact.checks_fencing;
+            watch.leaving = fact.leaving;
+        }
+    }
+
+    /// Looks at everything that time or the last event may have changed.
+    fn review(&mut self, now: Mono, actions: &mut Vec<KeeperAction>) {
+        self.review_probes(now, actions);
+        self.review_record(now, actions);
+        let moves = self.review_groups(now, actions);
+        self.write_moves(moves, now, actions);
+        self.review_orders(now, actions);
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+}
--- /dev/null
+++ b/crates/group/src/keeper/group.rs
@@ -0,0 +1,305 @@
+//! What a keeper does about each group: vouch or withdraw, move it on, order its members.
+
+use base::prelude::*;
+
+use crate::fence;
+use crate::keeper::Keeper;
+use crate::keeper::KeeperAction;
+
+use crate::moves::MemberBoot;
+use crate::moves::Move;
+use crate::moves::Target;
+
+use crate::probe::Doubt;
+use crate::record::GroupRecord;
+use crate::record::GroupState;
+use crate::record::Member;
+
+/// What operators are told of a group.
+#[wire]
+pub struct GroupStatus {
+    /// The group.
+    pub group: GroupId,
+    /// Its state in the record.
+    pub state: GroupState,
+    /// Whether this keeper vouches for it now.
+    pub vouched: bool,
+    /// The first member in doubt and why, if any.
+    pub doubt: Option<MemberDoubt>,
+}
+
+/// A member in doubt.
+#[wire]
+pub struct MemberDoubt {
+    /// The VM.
+    pub vm: VmId,
+    /// Why it does not count as there.
+    pub doubt: Doubt,
+}
+
+/// What a keeper knows of a group beyond its record.
+#[derive(Clone, Debug)]
+pub(super) struct GroupWatch {
+    pub(super) generation: Generation,
+    state: Option<GroupState>,
+    /// When this keeper first saw the present generation.
+    pub(super) first_seen: Mono,
+    /// When this keeper first saw the present state.
+    entered: Mono,
+    /// When the oldest probe behind the present voucher was sent.
+    vouched: Option<Mono>,
+    doubt: Option<MemberDoubt>,
+    doubt_since: Option<Mono>,
+}
+
+impl GroupWatch {
+    pub(super) fn new(now: Mono) -> Self {
+        GroupWatch {
+            generation: 0,
+            state: None,
+            first_seen: now,
+            entered: now,
+            vouched: None,
+            doubt: None,
+            doubt_since: None,
+        }
+    }
+
+    pub(super) fn fresh_since(&self) -> Option<Mono> {
+        self.vouched
+    }
+
+    /// Forgets the voucher and returns whether there was one.
+    pub(super) fn withdraw(&mut self) -> bool {
+        self.vouched.take().is_some()
+    }
+
+    /// Follows the record and returns whether the group's state or generation changed.
+    pub(super) fn follow(&mut self, group: &GroupRecord, now: Mono) -> bool {
+        let changed = self.generation != group.generation || self.state != Some(group.state);
+        if self.generation != group.generation {
+            self.first_seen = now;
+        }
+        if changed {
+            self.entered = now;
+            self.doubt_since = None;
+        }
+        self.generation = group.generation;
+        self.state = Some(group.state);
+        changed
+    }
+
+    /// Returns why the group is in doubt, for events.
+    pub(super) fn reason(&self) -> &'static str {
+        self.doubt.as_ref().map_or("whole", |doubt| doubt.doubt.name())
+    }
+
+    fn doubted_for(&self, now: Mono) -> Duration {
+        self.doubt_since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+}
+
+fn target(group: &GroupRecord) -> Target {
+    Target { group: group.id.clone(), generation: group.generation }
+}
+
+impl Keeper {
+    /// Brings vouchers up to date and returns the moves that are due.
+    pub(super) fn review_groups(
+        &mut self,
+        now: Mono,
+        actions: &mut Vec<KeeperAction>,
+    ) -> Vec<Move> {
+        let Some(held) = self.held.take() else { return Vec::new() };
+        let mut moves = Vec::new();
+        for group in &held.record.groups {
+            let check = self.check_group(group, now);
+            self.note_doubt(group, &check, now);
+            self.review_voucher(group, &check, now, actions);
+            moves.extend(self.due_move(group, &check, now));
+        }
+        self.held = Some(held);
+        moves
+    }
+
+    /// Brings the voucher of the group of `vm` up to date.
+    pub(super) fn review_group_of(&mut self, vm: &str, now: Mono, actions: &mut Vec<KeeperAction>) {
+        let Some(held) = self.held.take() else { return };
+        if let Some(group) = held.group_of(vm) {
+            let check = self.check_group(group, now);
+            self.note_doubt(group, &check, now);
+            self.review_voucher(group, &check, now, actions);
+        }
+        self.held = Some(held);
+    }
+
+    /// Returns when the oldest probe behind a whole group was sent, or the first doubt.
+    ///
+    /// Doubts about a member's being there come before doubts about its readiness.
+    fn check_group(&self, group: &GroupRecord, now: Mono) -> Result<Mono, MemberDoubt> {
+        let mut oldest = now;
+        let mut worst: Option<MemberDoubt> = None;
+        for member in &group.members {
+            match self.check_member(group, member, now) {
+                Ok(sent_at) => oldest = oldest.min(sent_at),
+                Err(doubt) if worst.as_ref().is_none_or(|worst| doubt < worst.doubt) => {
+                    worst = Some(MemberDoubt { vm: member.vm.clone(), doubt });
+                }
+                Err(_) => {}
+            }
+        }
+        worst.map_or(Ok(oldest), Err)
+    }
+
+    pub(super) fn check_member(
+        &self,
+        group: &GroupRecord,
+        member: &Member,
+        now: Mono,
+    ) -> Result<Mono, Doubt> {
+        let watch = self.vms.get(&member.vm).ok_or(Doubt::Silent)?;
+        watch.check(group, member, self.settings.vouch_ttl, now)
+    }
+
+    pub(super) fn group_status(&self, group: &GroupRecord) -> GroupStatus {
+        let watch = self.groups.get(&group.id);
+        GroupStatus {
+            group: group.id.clone(),
+            state: group.state,
+            vouched: watch.is_some_and(|watch| watch.vouched.is_some()),
+            doubt: watch.and_then(|watch| watch.doubt.clone()),
+        }
+    }
+
+    fn note_doubt(&mut self, group: &GroupRecord, check: &Result<Mono, MemberDoubt>, now: Mono) {
+        let Some(watch) = self.groups.get_mut(&group.id) else { return };
+        watch.doubt = check.as_ref().err().cloned();
+        match check {
+            Ok(_) => watch.doubt_since = None,
+            Err(_) => {
+                watch.doubt_since.get_or_insert(now);
+            }
+        }
+    }
+
+    fn review_voucher(
+        &mut self,
+        group: &GroupRecord,
+        check: &Result<Mono, MemberDoubt>,
+        now: Mono,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        let may_serve = group.state == GroupState::Serving && self.may_vouch(group, now);
+        let Some(watch) = self.groups.get_mut(&group.id) else { return };
+        match check {
+            Ok(oldest) if may_serve => {
+                if watch.vouched.replace(*oldest).is_none() {
+                    actions.push(KeeperAction::Vouch(Box::new(group.clone()), *oldest));
+                }
+            }
+            _ => {
+                if watch.withdraw() {
+                    actions.push(KeeperAction::Withdraw(group.id.clone(), group.generation));
+                }
+            }
+        }
+    }
+
+    /// Returns whether no order of an earlier assignment can still reach a member that would
+    /// follow it.
+    fn may_vouch(&self, group: &GroupRecord, now: Mono) -> bool {
+        group.members.iter().all(|member| self.is_quiet(group, &member.vm, now))
+    }
+
+    pub(super) fn is_quiet(&self, group: &GroupRecord, vm: &VmId, now: Mono) -> bool {
+        let (Some(watch), Some(vm)) = (self.groups.get(&group.id), self.vms.get(vm)) else {
+            return false;
+        };
+        now >= fence::orders_from(watch.first_seen, vm.checks_fencing, &self.settings)
+    }
+
+    /// Returns the move that is due for `group`.
+    fn due_move(
+        &self,
+        group: &GroupRecord,
+        check: &Result<Mono, MemberDoubt>,
+        now: Mono,
+    ) -> Option<Move> {
+        let target = target(group);
+        match group.state {
+            GroupState::Forming | GroupState::Broken => {
+                let boots = self.answered_boots(group, now);
+                match (group.state, boots) {
+                    (GroupState::Forming, Some(boots)) => {
+                        Some(Move::ConfirmLoading { target, boots })
+                    }
+                    (GroupState::Forming, None) => self.break_if_due(group, check, now),
+                    (_, Some(_)) => Some(Move::Rejoin { target }),
+                    (_, None) => None,
+                }
+            }
+            GroupState::Loading => match check {
+                Ok(_) if self.may_vouch(group, now) => Some(Move::Serve { target }),
+                _ => self.break_if_due(group, check, now),
+            },
+            GroupState::Serving => match check {
+                Err(doubt) if doubt.doubt == Doubt::Leaving => Some(Move::Drain { target }),
+                _ => self.break_if_due(group, check, now),
+            },
+            GroupState::Draining => self.end_draining(group, check, now),
+            GroupState::Dissolved => None,
+        }
+    }
+
+    /// Returns the boot id of each member, if all answered lately and none is leaving.
+    fn answered_boots(&self, group: &GroupRecord, now: Mono) -> Option<Vec<MemberBoot>> {
+        let ttl = self.settings.vouch_ttl;
+        let boot = |member: &Member| {
+            let watch = self.vms.get(&member.vm)?;
+            let seen = watch.fresh(ttl, now).filter(|_| !watch.is_leaving())?;
+            Some(MemberBoot { vm: member.vm.clone(), boot: seen.answer.boot })
+        };
+        group.members.iter().map(boot).collect()
+    }
+
+    fn break_if_due(
+        &self,
+        group: &GroupRecord,
+        check: &Result<Mono, MemberDoubt>,
+        now: Mono,
+    ) -> Option<Move> {
+        let doubt = check.as_ref().err()?.doubt;
+        let watch = self.groups.get(&group.id)?;
+        let lasted = watch.doubted_for(now) >= self.settings.break_after;
+        let due = match (group.state, doubt) {
+            (GroupState::Serving, Doubt::Restarted | Doubt::Misassigned) => true,
+            (GroupState::Loading, Doubt::Restarted) => true,
+            // Members of a group that loads get their orders and become ready in their time.
+            (GroupState::Loading, Doubt::Misassigned | Doubt::NotReady) => false,
+            (GroupState::Forming, Doubt::Restarted | Doubt::Misassigned) => false,
+            (_, Doubt::Silent | Doubt::NotReady | Doubt::Leaving) => lasted,
+            _ => lasted,
+        };
+        due.then(|| Move::Break { target: target(group) })
+    }
+
+    /// Dissolves a draining group once nothing runs that any daemon may have sent.
+    fn end_draining(
+        &self,
+        group: &GroupRecord,
+        check: &Result<Mono, MemberDoubt>,
+        now: Mono,
+    ) -> Option<Move> {
+        let watch = self.groups.get(&group.id)?;
+        if matches!(check, Err(doubt) if doubt.doubt < Doubt::NotReady) {
+            return self.break_if_due(group, check, now);
+        }
+        let leader = self.vms.get(&group.members[0].vm)?;
+        let seen = leader.fresh(self.settings.vouch_ttl, now)?;
+        // No daemon sends new work later than this, whichever keeper vouched last.
+        let closed = watch.entered + self.settings.detection_bound() + self.settings.record_poll;
+        let load = &seen.answer.load;
+        let idle = seen.sent_at >= closed && load.queued == 0 && load.running == 0;
+        idle.then(|| Move::Dissolve { target: target(group) })
+    }
+}
--- /dev/null
+++ b/crates/group/src/keeper/member.rs
@@ -0,0 +1,211 @@
+//! Probing of the VMs of a domain.
+//!
+//! A VM has at most one probe under way, and probes of a VM are at least half a period apart,
+//! so the rate of probes is bounded by VMs over half the period whatever happens.
+
+use base::prelude::*;
+use rand::Rng;
+
+use crate::keeper::Keeper;
+use crate::keeper::KeeperAction;
+use crate::probe::Doubt;
+use crate::probe::Load;
+use crate::probe::ProbeAnswer;
+use crate::record::GroupRecord;
+use crate::record::Member;
+
+/// What the planner is told of a VM.
+#[wire]
+pub struct VmStatus {
+    /// The VM.
+    pub vm: VmId,
+    /// Whether it answered its last probe.
+    pub is_up: bool,
+    /// Whether it is leaving, by whatever word.
+    pub leaving: bool,
+    /// The life of its engine that answered last; 0 if none did.
+    pub boot: BootId,
+    /// When the first of its present run of unanswered probes was sent.
+    pub silent_since: Option<Mono>,
+}
+
+/// An answered probe.
+#[derive(Clone, Debug)]
+pub(super) struct Seen {
+    pub(super) sent_at: Mono,
+    pub(super) answer: ProbeAnswer,
+}
+
+/// A message whose outcome is awaited.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnderWay {
+    pub(super) number: u64,
+    pub(super) sent_at: Mono,
+}
+
+/// What a keeper knows of a VM.
+#[derive(Clone, Debug)]
+pub(super) struct VmWatch {
+    pub(super) checks_fencing: bool,
+    pub(super) leaving: bool,
+    pub(super) may_load: bool,
+    pub(super) seen: Option<Seen>,
+    pub(super) silent_since: Option<Mono>,
+    pub(super) probe: Option<UnderWay>,
+    pub(super) next_probe: Mono,
+    pub(super) order: Option<UnderWay>,
+    pub(super) next_order: Mono,
+    pub(super) next_ask: Mono,
+}
+
+impl VmWatch {
+    pub(super) fn new(first_probe: Mono) -> Self {
+        VmWatch {
+            checks_fencing: false,
+            leaving: false,
+            may_load: false,
+            seen: None,
+            silent_since: None,
+            probe: None,
+            next_probe: first_probe,
+            order: None,
+            next_order: Mono::ZERO,
+            next_ask: Mono::ZERO,
+        }
+    }
+
+    /// Forgets all but what the configuration says.
+    pub(super) fn restart(&mut self, first_probe: Mono) {
+        let fresh = VmWatch::new(first_probe);
+        *self = VmWatch { checks_fencing: self.checks_fencing, leaving: self.leaving, ..fresh };
+    }
+
+    /// Notes that the probe `number` got no answer.
+    pub(super) fn fail(&mut self, number: u64) {
+        let Some(probe) = self.probe.take_if(|probe| probe.number == number) else { return };
+        self.silent_since.get_or_insert(probe.sent_at);
+    }
+
+    fn succeed(&mut self, number: u64, answer: ProbeAnswer) -> bool {
+        let Some(probe) = self.probe.take_if(|probe| probe.number == number) else { return false };
+        self.silent_since = None;
+        self.seen = Some(Seen { sent_at: probe.sent_at, answer });
+        true
+    }
+
+    /// Returns whether the engine holds the weights of `member` of `group`, of an earlier
+    /// generation, so that an order costs the weight store nothing.
+    pub(super) fn has_loaded(&self, group: &GroupRecord, member: &Member) -> bool {
+        self.seen.as_ref().is_some_and(|seen| {
+            let held = seen.answer.assignment.as_ref();
+            seen.answer.ready
+                && held.is_some_and(|held| {
+                    held.group == group.id
+                        && held.rank == member.rank
+                        && held.version == group.version
+                })
+        })
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving || self.seen.as_ref().is_some_and(|seen| seen.answer.leaving)
+    }
+
+    /// Returns the last answer, if it is no older than `ttl` and no later probe failed.
+    pub(super) fn fresh(&self, ttl: Duration, now: Mono) -> Option<&Seen> {
+        let seen = self.seen.as_ref()?;
+        (self.silent_since.is_none() && now < seen.sent_at + ttl).then_some(seen)
+    }
+
+    /// Returns when the probe behind `member` of `group` was sent, or why it is in doubt.
+    pub(super) fn check(
+        &self,
+        group: &GroupRecord,
+        member: &Member,
+        ttl: Duration,
+        now: Mono,
+    ) -> Result<Mono, Doubt> {
+        let seen = self.fresh(ttl, now).ok_or(Doubt::Silent)?;
+        match seen.answer.doubt(group, member) {
+            Some(doubt) => Err(doubt),
+            None if self.leaving => Err(Doubt::Leaving),
+            None => Ok(seen.sent_at),
+        }
+    }
+
+    pub(super) fn status(&self, vm: &VmId) -> VmStatus {
+        VmStatus {
+            vm: vm.clone(),
+            is_up: self.seen.is_some() && self.silent_since.is_none(),
+            leaving: self.is_leaving(),
+            boot: self.seen.as_ref().map_or(0, |seen| seen.answer.boot),
+            silent_since: self.silent_since,
+        }
+    }
+}
+
+impl Keeper {
+    /// Gives up probes that are overdue and sends those that are due.
+    pub(super) fn review_probes(&mut self, now: Mono, actions: &mut Vec<KeeperAction>) {
+        let timeout = self.settings.probe_timeout;
+        let vms: Vec<VmId> = self.vms.keys().cloned().collect();
+        for vm in vms {
+            let watch = &self.vms[&vm];
+            let overdue = watch.probe.filter(|probe| now >= probe.sent_at + timeout);
+            let due = now >= watch.next_probe;
+            if let Some(probe) = overdue {
+                self.watch_mut(&vm).fail(probe.number);
+            }
+            if due && self.vms[&vm].probe.is_none() {
+                self.send_probe(vm, now, actions);
+            }
+        }
+    }
+
+    pub(super) fn on_answer(
+        &mut self,
+        vm: &VmId,
+        number: u64,
+        answer: ProbeAnswer,
+        now: Mono,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        let timeout = self.settings.probe_timeout;
+        let Some(watch) = self.vms.get_mut(vm) else { return };
+        // A process that was paused finds the answers of long ago in its sockets.
+        if watch.probe.is_some_and(|probe| now >= probe.sent_at + timeout) {
+            watch.fail(number);
+            return;
+        }
+        let load = answer.load.clone();
+        if watch.succeed(number, answer) {
+            self.pass_load_on(vm, load, actions);
+        }
+    }
+
+    pub(super) fn watch_mut(&mut self, vm: &VmId) -> &mut VmWatch {
+        self.vms.get_mut(vm).expect("the VM is one of the domain")
+    }
+
+    fn send_probe(&mut self, vm: VmId, now: Mono, actions: &mut Vec<KeeperAction>) {
+        let is_member = self.held.as_ref().is_some_and(|held| held.group_of(&vm).is_some());
+        let period = match is_member {
+            true => self.settings.probe_period,
+            false => self.settings.idle_probe_period,
+        };
+        let wait = period.mul_f64(self.rng.random_range(0.5..=1.0));
+        let number = self.next_number();
+        let watch = self.watch_mut(&vm);
+        watch.probe = Some(UnderWay { number, sent_at: now });
+        watch.next_probe = now + wait;
+        actions.push(KeeperAction::Probe(vm, number));
+    }
+
+    /// Reports the load of the group whose rank 0 answered.
+    fn pass_load_on(&self, vm: &VmId, load: Load, actions: &mut Vec<KeeperAction>) {
+        let group = self.held.as_ref().and_then(|held| held.group_of(vm));
+        if let Some(group) = group.filter(|group| group.members[0].vm == *vm) {
+            actions.push(KeeperAction::ReportLoad(group.id.clone(), load));
+        }
+    }
+}
--- /dev/null
+++ b/crates/group/src/keeper/orders.rs
@@ -0,0 +1,200 @@
+//! Orders to the members of groups that load, and to VMs that no group holds any more.
+//!
+//! No order leaves later than the right to order allows, and none to an engine that ignores
+//! fencing numbers before orders of earlier assignments have run out; see [`crate::fence`].
+
+use base::prelude::*;
+
+use crate::fence;
+use crate::keeper::Keeper;
+use crate::keeper::KeeperAction;
+use crate::keeper::member::UnderWay;
+use crate::keeper::write::Held;
+use crate::order::Order;
+use crate::order::OrderMessage;
+use crate::order::OrderOutcome;
+use crate::record::GroupRecord;
+use crate::record::GroupState;
+use crate::record::Member;
+
+impl Keeper {
+    /// Sends the orders that are due and allowed.
+    pub(super) fn review_orders(&mut self, now: Mono, actions: &mut Vec<KeeperAction>) {
+        let Some(held) = self.held.take() else { return };
+        let deadline = fence::order_deadline(held.confirmed, &self.settings);
+        let longest = self.settings.order_flight * 2;
+        for watch in self.vms.values_mut() {
+            watch.order.take_if(|order| now >= order.sent_at + longest);
+        }
+        self.end_loads(&held, now, actions);
+        if now < deadline {
+            for group in held.record.groups.iter().filter(|g| g.state == GroupState::Loading) {
+                self.order_loads(group, deadline, now, actions);
+            }
+            self.order_releases(&held, deadline, now, actions);
+        }
+        self.held = Some(held);
+    }
+
+    fn order_loads(
+        &mut self,
+        group: &GroupRecord,
+        deadline: Mono,
+        now: Mono,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        let doubts: Vec<&Member> = group
+            .members
+            .iter()
+            .filter(|member| self.check_member(group, member, now).is_err())
+            .collect();
+        for member in &doubts {
+            if !self.needs_order(group, member, now) {
+                continue;
+            }
+            let watch = &self.vms[&member.vm];
+            if watch.may_load || watch.has_loaded(group, member) {
+                let message = load_order(group, member);
+                self.send_order(member.vm.clone(), message, deadline, now, actions);
+                continue;
+            }
+            if now < watch.next_ask {
+                continue;
+            }
+            let next_ask = now + self.settings.order_retry;
+            self.watch_mut(&member.vm).next_ask = next_ask;
+            actions.push(KeeperAction::AskLoad {
+                vm: member.vm.clone(),
+                group: group.id.clone(),
+                version: group.version.clone(),
+                members: group.members.len() as u32,
+                missing: doubts.len() as u32,
+            });
+        }
+    }
+
+    /// Returns whether `member` does not hold its assignment and may be told so now.
+    fn needs_order(&self, group: &GroupRecord, member: &Member, now: Mono) -> bool {
+        let Some(watch) = self.vms.get(&member.vm) else { return false };
+        let Some(seen) = &watch.seen else { return false };
+        let quiet = self.is_quiet(group, &member.vm, now);
+        let free = watch.order.is_none() && now >= watch.next_order;
+        quiet && free && !seen.answer.holds(group, member)
+    }
+
+    /// Ends the place in the load schedule of each VM that is ready or loads no more.
+    fn end_loads(&mut self, held: &Held, now: Mono, actions: &mut Vec<KeeperAction>) {
+        let loads = |vm: &VmId| {
+            let group = held.group_of(vm).filter(|group| group.state == GroupState::Loading)?;
+            let member = group.member(vm)?;
+            self.check_member(group, member, now).err()
+        };
+        let ended: Vec<VmId> = self
+            .vms
+            .iter()
+            .filter(|(vm, watch)| watch.may_load && loads(vm).is_none())
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in ended {
+            self.watch_mut(&vm).may_load = false;
+            actions.push(KeeperAction::EndLoad(vm));
+        }
+    }
+
+    /// Releases VMs that still hold an assignment of a group which the record no longer gives them.
+    fn order_releases(
+        &mut self,
+        held: &Held,
+        deadline: Mono,
+        now: Mono,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        let mut due = Vec::new();
+        for (vm, watch) in &self.vms {
+            let Some(seen) = &watch.seen else { continue };
+            let Some(assignment) = &seen.answer.assignment else { continue };
+            let free = held.group_of(vm).is_none();
+            if free && watch.order.is_none() && now >= watch.next_order {
+                due.push((
+                    vm.clone(),
+                    OrderMessage {
+                        group: assignment.group.clone(),
+                        generation: assignment.generation,
+                        order: Order::Release,
+                    },
+                ));
+            }
+        }
+        for (vm, message) in due {
+            self.send_order(vm, message, deadline, now, actions);
+        }
+    }
+
+    fn send_order(
+        &mut self,
+        vm: VmId,
+        message: OrderMessage,
+        deadline: Mono,
+        now: Mono,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        let number = self.next_number();
+        let retry = self.settings.order_retry;
+        let watch = self.watch_mut(&vm);
+        watch.order = Some(UnderWay { number, sent_at: now });
+        watch.next_order = now + retry;
+        actions.push(order_event(&vm, &message, "sent"));
+        actions.push(KeeperAction::Order(vm, number, message, deadline));
+    }
+
+    pub(super) fn on_ordered(
+        &mut self,
+        vm: &VmId,
+        number: u64,
+        outcome: OrderOutcome,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        let Some(watch) = self.vms.get_mut(vm) else { return };
+        if watch.order.take_if(|order| order.number == number).is_none() {
+            return;
+        }
+        if outcome == OrderOutcome::Fenced {
+            // Another keeper went further: its record is there to be read.
+            self.next_read = Mono::ZERO;
+        }
+        let group = self.held.as_ref().and_then(|held| held.group_of(vm));
+        if let Some(group) = group {
+            actions.push(KeeperAction::Record(Event::Order {
+                vm: vm.clone(),
+                group: group.id.clone(),
+                generation: group.generation,
+                order: "load".into(),
+                outcome: outcome.name().into(),
+            }));
+        }
+    }
+}
+
+fn load_order(group: &GroupRecord, member: &Member) -> OrderMessage {
+    OrderMessage {
+        group: group.id.clone(),
+        generation: group.generation,
+        order: Order::Load {
+            model: group.model.clone(),
+            version: group.version.clone(),
+            adapters: group.adapters.clone(),
+            rank: member.rank,
+            members: group.members.iter().map(|member| member.vm.clone()).collect(),
+        },
+    }
+}
+
+fn order_event(vm: &VmId, message: &OrderMessage, outcome: &str) -> KeeperAction {
+    KeeperAction::Record(Event::Order {
+        vm: vm.clone(),
+        group: message.group.clone(),
+        generation: message.generation,
+        order: message.order.name().into(),
+        outcome: outcome.into(),
+    })
+}
--- /dev/null
+++ b/crates/group/src/keeper/write.rs
@@ -0,0 +1,169 @@
+//! Reading and writing the record.
+//!
+//! At most one call is under way. A refused write is tried again after a drawn part of
+//! `record_poll`, so an outage and its end bring no burst of calls. After an unclear one the record is read: whether the write
+//! took effect or not, the next decisions follow from what stands. A write that takes effect
+//! even later meets the compare-and-swap of all later ones.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use rand::Rng;
+
+use crate::keeper::Keeper;
+use crate::keeper::KeeperAction;
+use crate::keeper::StoredRecord;
+use crate::keeper::WriteOutcome;
+use crate::keeper::group::GroupWatch;
+use crate::moves;
+use crate::moves::Move;
+use crate::record::FabricRecord;
+use crate::record::GroupRecord;
+use crate::record::GroupState;
+
+/// The record as this keeper knows it.
+#[derive(Clone, Debug)]
+pub(super) struct Held {
+    pub(super) record: FabricRecord,
+    /// The service's revision of its last write; 0 if it was never written.
+    pub(super) revision: u64,
+    /// When the call that last showed it as standing was sent.
+    pub(super) confirmed: Mono,
+    /// The record that a write under way would make it.
+    pub(super) next: Option<Box<FabricRecord>>,
+    /// The place of each member's group in the record.
+    places: BTreeMap<VmId, usize>,
+}
+
+impl Held {
+    fn new(record: FabricRecord, revision: u64, confirmed: Mono) -> Self {
+        let groups = record.groups.iter().enumerate();
+        let places = groups
+            .flat_map(|(i, group)| group.members.iter().map(move |member| (member.vm.clone(), i)))
+            .collect();
+        Held { record, revision, confirmed, next: None, places }
+    }
+
+    /// Returns the group that `vm` is a member of.
+    pub(super) fn group_of(&self, vm: &str) -> Option<&GroupRecord> {
+        self.places.get(vm).map(|i| &self.record.groups[*i])
+    }
+}
+
+impl Keeper {
+    /// Reads the record when it is due.
+    pub(super) fn review_record(&mut self, now: Mono, actions: &mut Vec<KeeperAction>) {
+        if self.reading.is_none() && self.writing.is_none() && now >= self.next_read {
+            self.reading = Some(now);
+            let wait = self.settings.record_poll.mul_f64(self.rng.random_range(0.5..=1.0));
+            self.next_read = now + wait;
+            actions.push(KeeperAction::Read);
+        }
+    }
+
+    pub(super) fn on_read(
+        &mut self,
+        found: Option<StoredRecord>,
+        now: Mono,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        let Some(sent_at) = self.reading.take() else { return };
+        // A read that was answered after a write began may show what stood before it.
+        if self.writing.is_some() {
+            return;
+        }
+        let stored = found.unwrap_or_else(|| StoredRecord {
+            revision: 0,
+            record: FabricRecord::empty(self.fabric.clone()),
+        });
+        if self.held.as_ref().is_some_and(|held| stored.revision < held.revision) {
+            return;
+        }
+        self.adopt(stored.record, stored.revision, sent_at, now, actions);
+    }
+
+    pub(super) fn on_written(
+        &mut self,
+        id: WriteId,
+        outcome: WriteOutcome,
+        now: Mono,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        let Some((_, sent_at)) = self.writing.take_if(|(writing, _)| *writing == id) else {
+            return;
+        };
+        let next = self.held.as_mut().and_then(|held| held.next.take());
+        match (outcome, next) {
+            (WriteOutcome::Done(revision), Some(next)) => {
+                self.adopt(*next, revision, sent_at, now, actions);
+            }
+            (WriteOutcome::Refused, _) => {
+                let wait = self.settings.record_poll.mul_f64(self.rng.random_range(0.5..=1.0));
+                self.next_write = now + wait;
+            }
+            _ => self.next_read = now,
+        }
+    }
+
+    /// Applies all moves that are legal and writes the result.
+    pub(super) fn write_moves(
+        &mut self,
+        moves: Vec<Move>,
+        now: Mono,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        let waits = self.writing.is_some() || self.reading.is_some() || now < self.next_write;
+        if moves.is_empty() || waits {
+            return;
+        }
+        let write_id = self.rng.random_range(1..=u64::MAX);
+        let Some(held) = &mut self.held else { return };
+        let mut next = held.record.clone();
+        for change in &moves {
+            match moves::apply(&next, change, write_id) {
+                Ok(changed) => next = changed,
+                Err(findings) => debug_assert!(false, "{change:?}: {findings}"),
+            }
+        }
+        held.next = Some(Box::new(next.clone()));
+        self.writing = Some((write_id, now));
+        actions.push(KeeperAction::Write(held.revision, Box::new(next)));
+    }
+
+    /// Takes over a record that stands, and records what it changes.
+    fn adopt(
+        &mut self,
+        record: FabricRecord,
+        revision: u64,
+        sent_at: Mono,
+        now: Mono,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        self.groups.retain(|id, watch| {
+            let stays = record.group(id).is_some();
+            if !stays && watch.withdraw() {
+                actions.push(KeeperAction::Withdraw(id.clone(), watch.generation));
+            }
+            if !stays {
+                actions.push(event(id, watch.generation, GroupState::Dissolved, "dissolved"));
+            }
+            stays
+        });
+        for group in &record.groups {
+            let watch = self.groups.entry(group.id.clone()).or_insert_with(|| GroupWatch::new(now));
+            if watch.follow(group, now) {
+                actions.push(event(&group.id, group.generation, group.state, watch.reason()));
+            }
+        }
+        self.held = Some(Held::new(record, revision, sent_at));
+    }
+}
+
+fn event(id: &GroupId, generation: Generation, state: GroupState, reason: &str) -> KeeperAction {
+    KeeperAction::Record(Event::Group {
+        group: id.clone(),
+        generation,
+        state: state.name().into(),
+        reason: reason.into(),
+    })
+}
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -5,6 +5,13 @@
 //! - [`verify`]: the verifier of such a record.
 //! - [`moves`]: [`Move`](moves::Move) and [`apply`](moves::apply), each one compare-and-swap.
 //! - [`size`]: the size of a record at the target, and how the largest domains are split.
+//! - [`settings`]: [`KeeperSettings`](settings::KeeperSettings) and the detection bound.
+//! - [`keeper`]: [`Keeper`](keeper::Keeper), the pure state machine that probes the members,
+//!   vouches for whole groups and moves groups through their states.
+//! - [`probe`], [`order`]: what engines answer and are told; [`fence`]: when orders may leave.
+//! - [`loads`]: [`LoadSchedule`](loads::LoadSchedule), the loads of one weight store.
+//! - [`vouch`]: vouchers from a keeper's process to all daemons.
+//! - [`trace`]: replays of recorded traces, in a small world of engines, keepers and daemons.
 //! - [`view`]: [`GroupView`](view::GroupView), what routing knows of one group.
 //!
 //! ```
@@ -23,25 +30,52 @@
 //! # Ok::<(), base::prelude::Findings>(())
 //! ```
 
+pub mod fence;
+pub mod keeper;
+pub mod loads;
 pub mod moves;
+pub mod order;
+pub mod probe;
 pub mod record;
+pub mod settings;
 pub mod size;
+pub mod trace;
 pub mod verify;
 pub mod view;
+pub mod vouch;
 
 /// The common types of this crate.
 pub mod prelude {
+    pub use crate::keeper::Keeper;
+    pub use crate::keeper::KeeperAction;
+    pub use crate::keeper::KeeperEvent;
+    pub use crate::keeper::StoredRecord;
+    pub use crate::keeper::VmFacts;
+    pub use crate::keeper::WriteOutcome;
+    pub use crate::loads::LoadSchedule;
+    pub use crate::loads::LoadWish;
     pub use crate::moves::MemberBoot;
     pub use crate::moves::Move;
     pub use crate::moves::Purpose;
     pub use crate::moves::Target;
     pub use crate::moves::apply;
     pub use crate::moves::next_group_id;
+    pub use crate::order::Order;
+    pub use crate::order::OrderMessage;
+    pub use crate::order::OrderOutcome;
+    pub use crate::probe::Assignment;
+    pub use crate::probe::Doubt;
+    pub use crate::probe::Load;
+    pub use crate::probe::ProbeAnswer;
     pub use crate::record::FabricRecord;
     pub use crate::record::GroupRecord;
     pub use crate::record::GroupState;
     pub use crate::record::Member;
     pub use crate::record::Role;
+    pub use crate::settings::KeeperSettings;
     pub use crate::view::GroupTable;
     pub use crate::view::GroupView;
+    pub use crate::vouch::GroupFacts;
+    pub use crate::vouch::ledger::Ledger;
+    pub use crate::vouch::table::VoucherTable;
 }
--- /dev/null
+++ b/crates/group/src/loads.rs
@@ -0,0 +1,111 @@
+//! One schedule of loads for each weight store, which respects the store's rate.
+//!
+//! A member that needs weights asks; the schedule starts loads in the order of how near their
+//! group is to serving (members still missing weights, then who asked first), and keeps as many
+//! bytes under way as the rate moves within [`LOAD_WINDOW`], and always at least one load. A
+//! store at its rate gains nothing from more loads at once: each would only end later, and the
+//! groups near to serving with them.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+
+/// Time whose worth of bytes may be under way at once.
+pub const LOAD_WINDOW: Duration = Duration::from_secs(10);
+/// How long a started load may show no end before its share is given to others.
+pub const LOAD_GRACE_FACTOR: u32 = 4;
+
+/// A member's wish to load.
+#[data]
+pub struct LoadWish {
+    /// The group.
+    pub group: GroupId,
+    /// The VM.
+    pub vm: VmId,
+    /// Bytes to load.
+    pub bytes: u64,
+    /// Members of the group that are not ready yet, this one included.
+    pub missing: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    wish: LoadWish,
+    asked_at: Mono,
+    started_at: Option<Mono>,
+}
+
+/// The loads of one weight store.
+#[derive(Clone, Debug)]
+pub struct LoadSchedule {
+    bytes_per_second: u64,
+    entries: BTreeMap<VmId, Entry>,
+}
+
+impl LoadSchedule {
+    /// Returns the empty schedule of a store that delivers `bytes_per_second`.
+    pub fn new(bytes_per_second: u64) -> Self {
+        debug_assert!(bytes_per_second > 0, "a store delivers something");
+        LoadSchedule { bytes_per_second, entries: BTreeMap::new() }
+    }
+
+    /// Adds a wish, or brings one up to date; its place by time of asking stays.
+    pub fn ask(&mut self, wish: LoadWish, now: Mono) {
+        match self.entries.get_mut(&wish.vm) {
+            Some(entry) if entry.wish.group == wish.group => entry.wish = wish,
+            _ => {
+                let entry = Entry { wish, asked_at: now, started_at: None };
+                self.entries.insert(entry.wish.vm.clone(), entry);
+            }
+        }
+    }
+
+    /// Notes that `vm` has loaded, or needs no load any more.
+    pub fn end(&mut self, vm: &str) {
+        self.entries.remove(vm);
+    }
+
+    /// Returns whether the load of `vm` has been started.
+    pub fn is_started(&self, vm: &str) -> bool {
+        self.entries.get(vm).is_some_and(|entry| entry.started_at.is_some())
+    }
+
+    /// Starts what the rate allows and returns the VMs whose loads begin now.
+    pub fn start(&mut self, now: Mono) -> Vec<VmId> {
+        self.drop_stuck(now);
+        let window = self.bytes_per_second.saturating_mul(LOAD_WINDOW.as_secs());
+        let mut under_way: u64 = self.started().map(|entry| entry.wish.bytes).sum();
+        let mut waiting: Vec<&mut Entry> =
+            self.entries.values_mut().filter(|entry| entry.started_at.is_none()).collect();
+        waiting.sort_by(|a, b| {
+            let key = |entry: &Entry| (entry.wish.missing, entry.asked_at);
+            key(a).cmp(&key(b)).then_with(|| a.wish.group.cmp(&b.wish.group))
+        });
+        let mut begun = Vec::new();
+        for entry in waiting {
+            if under_way > 0 && under_way + entry.wish.bytes > window {
+                break;
+            }
+            under_way += entry.wish.bytes;
+            entry.started_at = Some(now);
+            begun.push(entry.wish.vm.clone());
+        }
+        begun
+    }
+
+    fn started(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values().filter(|entry| entry.started_at.is_some())
+    }
+
+    /// Puts loads that should have ended long ago back into the queue.
+    fn drop_stuck(&mut self, now: Mono) {
+        let rate = self.bytes_per_second as f64;
+        for entry in self.entries.values_mut() {
+            let due = Duration::from_secs_f64(entry.wish.bytes as f64 / rate) + LOAD_WINDOW;
+            if entry.started_at.is_some_and(|at| now > at + due * LOAD_GRACE_FACTOR) {
+                entry.started_at = None;
+                entry.asked_at = now;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/group/src/probe.rs
@@ -0,0 +1,102 @@
+//! What a backend server's engine answers to a probe.
+
+use base::prelude::*;
+
+use crate::record::GroupRecord;
+use crate::record::Member;
+
+/// What an engine believes to be assigned to.
+#[wire]
+pub struct Assignment {
+    /// The group.
+    pub group: GroupId,
+    /// The generation of the last order that it took.
+    pub generation: Generation,
+    /// Its rank.
+    pub rank: u32,
+    /// The version that it holds or loads.
+    pub version: VersionId,
+}
+
+/// Requests at an engine, as it last reported.
+#[wire]
+#[derive(Default)]
+pub struct Load {
+    /// Requests that wait.
+    pub queued: u32,
+    /// Requests that run.
+    pub running: u32,
+}
+
+/// An engine's answer to a probe.
+#[wire]
+pub struct ProbeAnswer {
+    /// The life of the engine.
+    pub boot: BootId,
+    /// Its assignment, if it took an order since it started.
+    #[serde(default)]
+    pub assignment: Option<Assignment>,
+    /// Whether all that was ordered is loaded.
+    pub ready: bool,
+    /// Whether the engine asks to be left.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Its requests.
+    #[serde(default)]
+    pub load: Load,
+}
+
+/// Why a member does not count as there.
+#[key]
+pub enum Doubt {
+    /// It did not answer the last probe, or its last answer is too old.
+    Silent,
+    /// Another life of its engine answered.
+    Restarted,
+    /// It holds another group, generation, rank or version.
+    Misassigned,
+    /// It has not loaded all yet.
+    NotReady,
+    /// It asks to be left, or an operator or the VM list says so.
+    Leaving,
+}
+
+impl Doubt {
+    /// Returns the doubt's name in events.
+    pub fn name(self) -> &'static str {
+        match self {
+            Doubt::Silent => "silent",
+            Doubt::Restarted => "restarted",
+            Doubt::Misassigned => "misassigned",
+            Doubt::NotReady => "not_ready",
+            Doubt::Leaving => "leaving",
+        }
+    }
+}
+
+impl ProbeAnswer {
+    /// Returns whether the engine holds the assignment of `member` in `group`.
+    pub fn holds(&self, group: &GroupRecord, member: &Member) -> bool {
+        self.assignment.as_ref().is_some_and(|held| {
+            held.group == group.id
+                && held.generation == group.generation
+                && held.rank == member.rank
+                && held.version == group.version
+        })
+    }
+
+    /// Returns why the answer does not show `member` of `group` as there and ready.
+    pub fn doubt(&self, group: &GroupRecord, member: &Member) -> Option<Doubt> {
+        if self.boot != member.boot {
+            Some(Doubt::Restarted)
+        } else if !self.holds(group, member) {
+            Some(Doubt::Misassigned)
+        } else if self.leaving {
+            Some(Doubt::Leaving)
+        } else if !self.ready {
+            Some(Doubt::NotReady)
+        } else {
+            None
+        }
+    }
+}
