Plan placement and repair by expected costs

Ruled out: acting at once on every missing member, since a short absence costs less than a whole load elsewhere (trace waits_for_a_pause); waiting by a fixed time, since the best moment depends on the price of the other way.

Also mends a documentation link in group that the linter refused.

--- a/crates/group/src/trace.rs
+++ b/crates/group/src/trace.rs
@@ -1,6 +1,6 @@
 //! Replays of recorded traces through the keeper, with stated outcomes.
 //!
-//! The first event sets up a [`World`](world::World); each further one is a fault, its end, or a
+//! The first event sets up a [`World`]; each further one is a fault, its end, or a
 //! planner's move. An expectation is checked at its time. Whatever a trace expects, its end also
 //! checks that the world saw no breach: no daemon routed to a group with a missing member beyond
 //! the detection bound, and every written record was sound.
--- /dev/null
+++ b/crates/plan/src/settings.rs
@@ -0,0 +1,85 @@
+//! Settings of the planner, and its outlook on missing members.
+
+use base::prelude::*;
+
+/// How long members that went missing stay away.
+///
+/// Two kinds are told apart only by time: short absences (pauses, restarts) and long ones (failed
+/// VMs), each with an exponential distribution.
+#[data]
+pub struct Outlook {
+    /// Share of absences that are short.
+    pub short_share: f64,
+    /// Mean of a short absence.
+    pub short_mean: Duration,
+    /// Mean of a long absence.
+    pub long_mean: Duration,
+}
+
+impl Default for Outlook {
+    fn default() -> Self {
+        Outlook {
+            short_share: 0.7,
+            short_mean: Duration::from_secs(30),
+            long_mean: Duration::from_secs(3600),
+        }
+    }
+}
+
+impl Outlook {
+    /// Returns the chances that a member missing for `silent` is away shortly and long.
+    fn weights(&self, silent: Duration) -> (f64, f64) {
+        let still = |mean: Duration| (-silent.as_secs_f64() / mean.as_secs_f64()).exp();
+        let short = self.short_share * still(self.short_mean);
+        let long = (1.0 - self.short_share) * still(self.long_mean);
+        // Both underflow after a very long silence, which then is a long absence.
+        if short + long <= f64::MIN_POSITIVE {
+            return (0.0, 1.0);
+        }
+        (short / (short + long), long / (short + long))
+    }
+
+    /// Returns the rate, in 1/s, at which a member missing for `silent` comes back.
+    pub fn return_rate(&self, silent: Duration) -> f64 {
+        let (short, long) = self.weights(silent);
+        short / self.short_mean.as_secs_f64() + long / self.long_mean.as_secs_f64()
+    }
+
+    /// Returns for how many more seconds a member missing for `silent` is expected to be away.
+    pub fn expected_absence(&self, silent: Duration) -> f64 {
+        let (short, long) = self.weights(silent);
+        short * self.short_mean.as_secs_f64() + long * self.long_mean.as_secs_f64()
+    }
+}
+
+/// Settings of the planner.
+#[data]
+pub struct PlanSettings {
+    /// The outlook on missing members.
+    pub outlook: Outlook,
+    /// Downtime weight from which on a roll-out without room never takes down a serving group.
+    pub in_place_below: f64,
+    /// How a broken group is repaired.
+    pub policy: RepairPolicy,
+}
+
+impl Default for PlanSettings {
+    fn default() -> Self {
+        PlanSettings {
+            outlook: Outlook::default(),
+            in_place_below: 0.5,
+            policy: RepairPolicy::Weighed,
+        }
+    }
+}
+
+/// How broken groups are repaired.
+#[key]
+pub enum RepairPolicy {
+    /// By the ways' expected costs; see [`crate::repair`].
+    Weighed,
+    /// Baseline: always wait for the member.
+    AlwaysWait,
+    /// Baseline: always rebuild elsewhere at once.
+    AlwaysRebuild,
+}
--- /dev/null
+++ b/crates/plan/src/trace.rs
@@ -0,0 +1,223 @@
+//! Replays of recorded traces through the planner, with stated outcomes.
+//!
+//! The world is planned and settled each [`STEP`]; every plan is checked. Expectations name
+//! replicas and count their groups by phase.
+
+use base::prelude::*;
+use base::trace::StepKind;
+use base::trace::Trace;
+
+use crate::command::Command;
+use crate::command::check;
+use crate::fleet::Fleet;
+use crate::planner::Scratch;
+use crate::planner::plan;
+use crate::settings::PlanSettings;
+use crate::world::Group;
+use crate::world::Phase;
+use crate::world::ReplicaNeed;
+use crate::world::Vm;
+use crate::world::VmState;
+
+/// Time between two plans.
+pub const STEP: Duration = Duration::from_secs(1);
+
+/// What happens in a trace.
+#[wire]
+#[serde(rename_all = "snake_case")]
+pub enum TraceEvent {
+    /// A fabric domain with its VMs.
+    Fabric {
+        /// Its name.
+        name: Box<str>,
+        /// Its failure domain.
+        failure_domain: Box<str>,
+        /// Its VMs.
+        vms: Vec<VmId>,
+    },
+    /// A replica is declared.
+    Replica {
+        /// Its name.
+        name: Box<str>,
+        /// How many groups.
+        count: u32,
+        /// How many VMs each.
+        vms: u32,
+        /// Spares in each fabric domain.
+        spares: u32,
+        /// The weight of downtime.
+        downtime_weight: f64,
+    },
+    /// A replica's declared count changes.
+    Count(Box<str>, u32),
+    /// A replica's version changes to the one of this number.
+    Version(Box<str>, u32),
+    /// VMs fall silent.
+    Silent(Vec<VmId>),
+    /// VMs answer, as what they were or anew.
+    Up(Vec<VmId>),
+    /// VMs are to be emptied.
+    Leaving(Vec<VmId>),
+}
+
+/// What must hold in a trace.
+#[wire]
+#[serde(rename_all = "snake_case")]
+pub enum TraceExpect {
+    /// How many groups of the replica serve.
+    Serving(Box<str>, usize),
+    /// How many groups of the replica are broken.
+    Broken(Box<str>, usize),
+    /// How many groups of the replica there are, in any phase.
+    Groups(Box<str>, usize),
+    /// How many of its groups that serve hold the version of this number.
+    OnVersion(Box<str>, u32, usize),
+    /// How many of its groups that serve are in the failure domain.
+    InDomain(Box<str>, Box<str>, usize),
+    /// The fewest of its groups that served at any step since the last such expectation.
+    ServedAtLeast(Box<str>, usize),
+    /// Whether the VM is free, in no group.
+    Free(VmId, bool),
+    /// The planner has wanted nothing for this many steps.
+    SilentFor(u32),
+}
+
+#[derive(Default)]
+struct Replay {
+    fleet: Fleet,
+    scratch: Scratch,
+    now: Mono,
+    silent_steps: u32,
+    least_serving: Vec<usize>,
+    findings: Findings,
+}
+
+/// Replays a trace and returns everything that did not come out as stated.
+pub fn replay(trace: &Trace) -> Result<(), Findings> {
+    let mut replay = Replay::default();
+    for step in &trace.steps {
+        while replay.now < step.at {
+            replay.step(&step.place());
+        }
+        match step.kind {
+            StepKind::Event => {
+                if let Some(event) = step.read::<TraceEvent>(&mut replay.findings) {
+                    replay.bring_about(event);
+                }
+            }
+            StepKind::Expect => {
+                if let Some(expect) = step.read::<TraceExpect>(&mut replay.findings) {
+                    replay.compare(&expect, &step.place());
+                }
+            }
+        }
+    }
+    replay.findings.into_result(())
+}
+
+impl Replay {
+    fn step(&mut self, place: &str) {
+        self.now += STEP;
+        self.fleet.settle(self.now);
+        let settings = PlanSettings::default();
+        let commands: Vec<Command> =
+            plan(&self.fleet.world, &settings, self.now, &mut self.scratch);
+        for finding in check(&self.fleet.world, &commands).iter() {
+            self.findings.add(place, finding.to_string());
+        }
+        self.silent_steps = if commands.is_empty() { self.silent_steps + 1 } else { 0 };
+        self.fleet.carry_out(&commands, self.now);
+        for replica in 0..self.least_serving.len() {
+            let serving = self.count(replica, |_, phase| phase == Phase::Serving);
+            self.least_serving[replica] = self.least_serving[replica].min(serving);
+        }
+    }
+
+    fn bring_about(&mut self, event: TraceEvent) {
+        let world = &mut self.fleet.world;
+        match event {
+            TraceEvent::Fabric { name, failure_domain, vms } => {
+                let fabric = world.add_fabric(&name, &failure_domain);
+                for vm in &vms {
+                    world.add_vm(vm, fabric, 8);
+                }
+            }
+            TraceEvent::Replica { name, count, vms, spares, downtime_weight } => {
+                let need = ReplicaNeed::new(&name, count, vms);
+                world.add_replica(ReplicaNeed { spares, downtime_weight, ..need });
+                self.least_serving.push(usize::MAX);
+            }
+            TraceEvent::Count(name, count) => self.with_need(&name, |need| need.count = count),
+            TraceEvent::Version(name, version) => {
+                self.with_need(&name, |need| need.version = version);
+            }
+            TraceEvent::Silent(vms) => self.set_state(&vms, VmState::Silent(self.now)),
+            TraceEvent::Up(vms) => self.set_state(&vms, VmState::Up),
+            TraceEvent::Leaving(vms) => self.set_state(&vms, VmState::Leaving),
+        }
+    }
+
+    fn with_need(&mut self, name: &str, change: impl FnOnce(&mut ReplicaNeed)) {
+        let replica = self.replica(name);
+        if let Some(need) = self.fleet.world.replicas.get_mut(replica) {
+            change(need);
+        }
+    }
+
+    fn set_state(&mut self, vms: &[VmId], state: VmState) {
+        for vm in self.fleet.world.vms.iter_mut().filter(|vm| vms.contains(&vm.name)) {
+            vm.state = state;
+        }
+    }
+
+    fn replica(&self, name: &str) -> usize {
+        let position = self.fleet.world.replicas.iter().position(|need| &*need.name == name);
+        position.unwrap_or(usize::MAX)
+    }
+
+    fn count(&self, replica: usize, matches: impl Fn(&Group, Phase) -> bool) -> usize {
+        let of_replica = |group: &&Group| group.replica == Some(replica as u32);
+        let groups = self.fleet.world.groups.iter().filter(of_replica);
+        groups.filter(|group| matches(group, group.phase)).count()
+    }
+
+    fn compare(&mut self, expect: &TraceExpect, place: &str) {
+        let serving = |phase| phase == Phase::Serving;
+        let (wanted, found) = match expect {
+            TraceExpect::Serving(name, wanted) => {
+                (*wanted, self.count(self.replica(name), |_, phase| serving(phase)))
+            }
+            TraceExpect::Broken(name, wanted) => {
+                (*wanted, self.count(self.replica(name), |_, phase| phase == Phase::Broken))
+            }
+            TraceExpect::Groups(name, wanted) => {
+                (*wanted, self.count(self.replica(name), |_, _| true))
+            }
+            TraceExpect::OnVersion(name, version, wanted) => {
+                let on = |group: &Group, phase| serving(phase) && group.version == *version;
+                (*wanted, self.count(self.replica(name), on))
+            }
+            TraceExpect::InDomain(name, domain, wanted) => {
+                let world = &self.fleet.world;
+                let inside = |group: &Group, phase| {
+                    let at = world.fabrics[group.fabric as usize].domain;
+                    serving(phase) && world.domains[at as usize] == *domain
+                };
+                (*wanted, self.count(self.replica(name), inside))
+            }
+            TraceExpect::ServedAtLeast(name, wanted) => {
+                let replica = self.replica(name);
+                let least = std::mem::replace(&mut self.least_serving[replica], usize::MAX);
+                (*wanted, least.min(*wanted))
+            }
+            TraceExpect::Free(vm, wanted) => {
+                let free = |row: &Vm| row.name == *vm && row.group.is_none();
+                (usize::from(*wanted), usize::from(self.fleet.world.vms.iter().any(free)))
+            }
+            TraceExpect::SilentFor(steps) => {
+                (*steps as usize, self.silent_steps.min(*steps) as usize)
+            }
+        };
+        self.findings.check(wanted == found, place, || format!("{expect:?}: found {found}"));
+    }
+}
--- /dev/null
+++ b/crates/plan/tests/traces.rs
@@ -0,0 +1,22 @@
+//! Replays all recorded traces of the area `plan`.
+
+use base::prelude::*;
+use base::trace::Trace;
+
+#[test]
+fn traces_come_out_as_stated() {
+    let mut findings = Findings::default();
+    let mut files: Vec<_> =
+        std::fs::read_dir("../../traces/plan").unwrap().map(|file| file.unwrap().path()).collect();
+    files.sort();
+    for file in &files {
+        let text = std::fs::read_to_string(file).unwrap();
+        let outcome = Trace::try_from(&*text).and_then(|trace| plan::trace::replay(&trace));
+        for finding in outcome.err().unwrap_or_default().iter() {
+            let name = file.file_name().unwrap().to_string_lossy();
+            findings.add(format!("{name} {}", finding.place), &*finding.problem);
+        }
+    }
+    assert!(files.len() >= 3, "there are {} traces", files.len());
+    assert!(findings.is_empty(), "{findings}");
+}
