--- a/crates/lab/src/sample.rs
+++ b/crates/lab/src/sample.rs
@@ -135,6 +135,7 @@
                 write_id: 1,
                 last_generation: 1,
                 groups: Vec::new(),
+                spares: Vec::new(),
             });
         }
         let record = records.last_mut().expect("one was pushed");
@@ -144,11 +145,8 @@
 }
 
 fn group_record(index: usize, members: &[Vm]) -> GroupRecord {
-    let member = |(rank, vm): (usize, &Vm)| Member {
-        vm: vm.name.clone(),
-        boot: 0,
-        rank: u32::try_from(rank).unwrap_or(0),
-    };
+    let member =
+        |(rank, vm): (usize, &Vm)| Member::new(vm.name.clone(), u32::try_from(rank).unwrap_or(0));
     GroupRecord {
         id: format!("main-{index}").into(),
         replica: "main".into(),
