--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,8 +9,8 @@
 //! - [`sample`]: the sample deployment that demo, load and tests use.
 //! - [`caller`]: a caller that checks its answers.
 //! - [`standin`]: the stand-ins as processes of their own.
+//! - [`measure`]: named measurements.
 //! - [`demo`]: the whole path in one process.
-//! - [`measure`]: measurements that print their figures.
 
 pub mod caller;
 pub mod demo;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,7 @@
 use clap::Subcommand;
 use lab::demo;
 use lab::measure;
-use lab::measure::Measurement;
+use lab::measure::Measure;
 use lab::standin;
 use lab::standin::StandIn;
 
@@ -22,10 +22,10 @@
 enum Command {
     /// Run the whole path in one process, and tell what happens.
     Demo,
-    /// Measure something and print its figures as JSON.
+    /// Run a measurement and print its figures as JSON.
     Measure {
-        /// What is measured.
-        what: Measurement,
+        /// Which one.
+        name: Measure,
     },
     /// Run one stand-in as a process of its own.
     #[command(subcommand)]
@@ -54,8 +54,8 @@
     let done = runtime.block_on(async {
         match args.command {
             Command::Demo => demo::run().await,
-            Command::Measure { what } => {
-                println!("{:#}", measure::run(what).await);
+            Command::Measure { name } => {
+                println!("{:#}", measure::run(name).await);
                 Ok(())
             }
             Command::StandIn(what) => standin::run(what).await,
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -1,22 +1,29 @@
-//! Measurements, each a function that returns its figures as JSON.
-//!
-//! - [`gossip`]: bytes, processor time and memory of the membership, and how fast facts spread.
+//! Named measurements; `samphire-lab measure NAME` runs one and prints JSON.
+
+pub mod claims;
+pub mod gossip;
+pub mod kv;
+pub mod load;
 
 use clap::ValueEnum;
 use serde_json::Value;
 
-pub mod gossip;
-
-/// What is measured.
+/// The measurements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
-pub enum Measurement {
+pub enum Measure {
+    /// Claims of request keys: key-value writes and added latency, against two other ways.
+    Claims,
     /// The membership: bytes, processor time, memory, and how fast facts spread.
     Gossip,
+    /// Calls to the key-value service by kind, through an outage and after it.
+    Kv,
 }
 
-/// Runs a measurement and returns its figures.
-pub async fn run(measurement: Measurement) -> Value {
-    match measurement {
-        Measurement::Gossip => gossip::run(),
+/// Runs a measurement.
+pub async fn run(measure: Measure) -> Value {
+    match measure {
+        Measure::Claims => claims::run().await,
+        Measure::Gossip => gossip::run(),
+        Measure::Kv => kv::run().await,
     }
 }
