Serve the resources over the operator API, and accept changes

Cause: operators could not change anything; the catalog was written by hand. Ruled out: answering from the key-value service on each read (its rate does not grow with the fleet), so reads answer from the configuration in force; a reply before the change is in force here, which makes operators read old state. Change: the service `accept` around `spec::accept`, one call at a time and none repeated; get, list, put, delete, apply, watch, writes and status below /api/v1/; the groups service also publishes the fabric domains' records, for the statuses. Seen failing: a viewer may write -> 200 for 403; dry run ignored; If-Match ignored; an unclear write told as not carried out -> 503 for 200 after a lost answer, and "a-26-0 is in force, but was told as not applied" end to end; a conflict taken as done -> "two changes have one revision"; an empty catalog put in force now and then -> a sampler sees revision 0 after a higher one.

--- /dev/null
+++ b/crates/daemon/src/accept.rs
@@ -0,0 +1,215 @@
+//! Accepts operators' changes: the calls around the decisions of [`spec::accept`].
+//!
+//! Offers a mailbox for [`Ask`] under [`names::ACCEPT`]. Every call to the key-value service is
+//! made once, and its outcome is told as it is: a call without a clear answer is never repeated
+//! here.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use base::prelude::*;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use kernel::prelude::*;
+use kv::prelude::*;
+use spec::accept::Acceptor;
+use spec::accept::Action;
+use spec::accept::Change;
+use spec::accept::Event as Input;
+use spec::accept::Outcome;
+use spec::accept::Stored;
+use spec::accept::Ticket;
+use spec::accept::Written;
+use spec::prelude::CATALOG_KEY;
+use spec::prelude::Catalog;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::names;
+
+/// Changes that may wait for the service to take them in.
+const MAILBOX_DEPTH: usize = 256;
+/// Time after which a call to the key-value service counts as without an answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time to come back when the service is down.
+const DOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The largest catalog that is written, below the largest value that the service holds.
+const MAX_CATALOG_BYTES: usize = 1_000_000;
+
+/// A change and where its outcome goes.
+pub struct Ask {
+    /// The change.
+    pub change: Change,
+    /// Gets the outcome; nothing if the process stops before there is one.
+    pub reply: oneshot::Sender<Outcome>,
+}
+
+/// Describes the service.
+pub fn service() -> Service {
+    Service::new(names::ACCEPT, &[names::STORE], |cx| async move {
+        let store: Arc<dyn Store> = cx.registry().find(names::STORE)?;
+        let inbox = cx.mailbox::<Ask>(names::ACCEPT, MAILBOX_DEPTH);
+        cx.ready();
+        let shell = Shell {
+            cx: cx.clone(),
+            store,
+            acceptor: Acceptor::default(),
+            asks: HashMap::new(),
+            next_ticket: 0,
+            call: None,
+            wake: None,
+        };
+        tokio::select! {
+            () = shell.run(inbox) => {}
+            () = cx.stopping() => {}
+        }
+        Ok(())
+    })
+}
+
+struct Shell {
+    cx: Context,
+    store: Arc<dyn Store>,
+    acceptor: Acceptor,
+    asks: HashMap<Ticket, Waiting>,
+    next_ticket: Ticket,
+    /// The outstanding call; there is at most one.
+    call: Option<BoxFuture<'static, Input>>,
+    wake: Option<Mono>,
+}
+
+struct Waiting {
+    operator: Box<str>,
+    reply: oneshot::Sender<Outcome>,
+}
+
+impl Shell {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Ask>) {
+        loop {
+            let wait = self.wake.map(|at| at.saturating_sub(self.cx.now()));
+            let mut wake = wait.map(|wait| self.cx.timer().after(wait));
+            let input = tokio::select! {
+                ask = inbox.recv() => match ask {
+                    Some(ask) => self.take_in(ask),
+                    None => return,
+                },
+                input = outstanding(&mut self.call) => input,
+                () = tick(&mut wake) => Input::Tick,
+            };
+            self.wake = None;
+            let now = self.cx.now();
+            for action in self.acceptor.decide(input, now) {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn take_in(&mut self, ask: Ask) -> Input {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let operator = ask.change.operator.clone();
+        self.asks.insert(ticket, Waiting { operator, reply: ask.reply });
+        Input::Submitted { ticket, change: ask.change }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Read => {
+                debug_assert!(self.call.is_none());
+                self.call = Some(read(self.store.clone()).boxed());
+            }
+            Action::Write { expected, catalog } => {
+                debug_assert!(self.call.is_none());
+                self.call = Some(write(self.store.clone(), expected, catalog).boxed());
+            }
+            Action::Answer { ticket, outcome } => self.answer(ticket, outcome),
+            // The watch of the key-value service puts it in force.
+            Action::Stands(_) => {}
+            Action::Wake(at) => self.wake = Some(at),
+        }
+    }
+
+    fn answer(&mut self, ticket: Ticket, outcome: Outcome) {
+        let Some(waiting) = self.asks.remove(&ticket) else { return };
+        let operator = waiting.operator;
+        match &outcome {
+            Outcome::Accepted { revision, changed: true } => {
+                log::info!("revision {revision}: a change by {operator} was accepted");
+                self.cx.record(Event::Accepted { revision: *revision, operator });
+            }
+            outcome => log::info!("a change by {operator} ended: {outcome:?}"),
+        }
+        // A client that has gone can ask with the write id.
+        let _ = waiting.reply.send(outcome);
+    }
+}
+
+/// Resolves with the outcome of the outstanding call; pends if there is none.
+async fn outstanding(call: &mut Option<BoxFuture<'static, Input>>) -> Input {
+    match call {
+        Some(pending) => {
+            let input = pending.await;
+            *call = None;
+            input
+        }
+        None => std::future::pending().await,
+    }
+}
+
+async fn tick(wake: &mut Option<Ticks>) {
+    match wake {
+        Some(ticks) => ticks.tick().await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn read(store: Arc<dyn Store>) -> Input {
+    match read_stored(&*store).await {
+        Ok(stored) => Input::Read(stored),
+        Err(error) => {
+            log::warn!("key `{CATALOG_KEY}`: {error}");
+            Input::ReadFailed { retry_after: retry_after(&error) }
+        }
+    }
+}
+
+/// Reads the catalog as the key-value service holds it.
+pub async fn read_stored(store: &dyn Store) -> Result<Stored, KvError> {
+    let found = tokio::time::timeout(CALL_TIMEOUT, store.get(CATALOG_KEY)).await;
+    decode(found.unwrap_or(Err(KvError::Unclear))?)
+}
+
+fn decode(found: Option<Versioned>) -> Result<Stored, KvError> {
+    let Some(found) = found else { return Ok(Stored::default()) };
+    let catalog: Catalog = serde_json::from_slice(&found.value).map_err(|error| {
+        KvError::Malformed { key: CATALOG_KEY.into(), problem: error.to_string().into() }
+    })?;
+    Ok(Stored { catalog: Arc::new(catalog), mod_revision: found.mod_revision })
+}
+
+async fn write(store: Arc<dyn Store>, expected: u64, catalog: Arc<Catalog>) -> Input {
+    let bytes = serde_json::to_vec(&*catalog).expect("a catalog has a JSON form");
+    if bytes.len() > MAX_CATALOG_BYTES {
+        return Input::Written(Written::TooLarge { bytes: bytes.len() });
+    }
+    let call = store.swap(CATALOG_KEY, expected, bytes.into());
+    let written = tokio::time::timeout(CALL_TIMEOUT, call).await;
+    Input::Written(match written.unwrap_or(Err(KvError::Unclear)) {
+        Ok(Swap::Done { .. }) => Written::Done,
+        Ok(Swap::Conflict { current }) => match decode(current) {
+            Ok(current) => Written::Conflict { current },
+            Err(error) => Written::NotCarriedOut { retry_after: retry_after(&error) },
+        },
+        Err(error @ (KvError::Down | KvError::Limited { .. })) => {
+            Written::NotCarriedOut { retry_after: retry_after(&error) }
+        }
+        Err(KvError::Unclear | KvError::Malformed { .. }) => Written::Unclear,
+    })
+}
+
+fn retry_after(error: &KvError) -> Duration {
+    match error {
+        KvError::Limited { retry_after } => *retry_after,
+        _ => DOWN_RETRY_AFTER,
+    }
+}
--- a/crates/daemon/src/catalog.rs
+++ b/crates/daemon/src/catalog.rs
@@ -9,14 +9,13 @@
 use base::prelude::*;
 use kernel::prelude::*;
 use kv::prelude::*;
+use spec::prelude::CATALOG_KEY;
 use spec::prelude::Catalog;
 use tokio::sync::watch;
 
 use crate::metrics::Metrics;
 use crate::names;
 
-/// Key of the catalog in the key-value service.
-pub const CATALOG_KEY: &str = "samphire/catalog";
 /// Wait after a failed call to the key-value service.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
--- a/crates/daemon/src/groups.rs
+++ b/crates/daemon/src/groups.rs
@@ -25,12 +25,21 @@
 
 type Records = BTreeMap<Box<str>, FabricRecord>;
 
+/// The records of all fabric domains.
+#[data]
+#[derive(Default)]
+pub struct FabricRecords {
+    /// The records, in the order of the domains' names.
+    pub list: Vec<FabricRecord>,
+}
+
 /// Describes the service.
 pub fn service() -> Service {
     Service::new(names::GROUPS, &[names::STORE, names::CATALOG], |cx| async move {
         let store: Arc<dyn Store> = cx.registry().find(names::STORE)?;
         let catalog = cx.view::<Catalog>(names::CATALOG)?;
         let tx = cx.publish(names::GROUPS, GroupTable::default());
+        let records_tx = cx.publish(names::GROUPS, FabricRecords::default());
         cx.ready();
         let records = watch::Sender::new(Records::new());
         let follow = async {
@@ -41,7 +50,7 @@
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         };
-        let publish = publish(records.subscribe(), catalog, &tx);
+        let publish = publish(records.subscribe(), catalog, &tx, &records_tx);
         tokio::select! {
             () = follow => {}
             () = publish => {}
@@ -56,10 +65,13 @@
     mut records: watch::Receiver<Records>,
     mut catalog: watch::Receiver<Arc<Catalog>>,
     tx: &watch::Sender<Arc<GroupTable>>,
+    records_tx: &watch::Sender<Arc<FabricRecords>>,
 ) {
     loop {
         let table = table(&records.borrow_and_update(), &catalog.borrow_and_update());
         tx.send_replace(Arc::new(table));
+        let list = records.borrow().values().cloned().collect();
+        records_tx.send_replace(Arc::new(FabricRecords { list }));
         let changed = tokio::select! {
             changed = records.changed() => changed,
             changed = catalog.changed() => changed,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,10 +8,12 @@
 //! - [`groups`]: what is known of the replica groups.
 //! - [`catalog`]: the accepted configuration in force in this process.
 //! - [`store`]: the connection to the key-value service.
+//! - [`accept`]: accepts operators' changes.
 //! - [`operator`]: the operator API, health, metrics and the time line.
 //! - [`announce`]: tells on standard output where the process listens.
 //! - [`logging`]: logs as JSON lines.
 
+pub mod accept;
 pub mod announce;
 pub mod catalog;
 pub mod entry;
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -12,6 +12,8 @@
 pub const ROUTE: ServiceName = "route";
 /// The caller API.
 pub const ENTRY: ServiceName = "entry";
+/// Accepts operators' changes.
+pub const ACCEPT: ServiceName = "accept";
 /// The operator API.
 pub const OPERATOR: ServiceName = "operator";
 /// Tells where the process listens.
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -5,24 +5,35 @@
 //! | `GET /healthz` | 200 while the process runs |
 //! | `GET /readyz` | 200 while new requests are welcome, else 503 with the reason |
 //! | `GET /metrics` | metrics as Prometheus reads them |
+//! | `/api/v1/...` | the resources; see the module `resources` |
 //! | `GET /api/v1/timeline?from=N` | this process's events with a number of at least N |
 
+mod observe;
+mod process;
+mod resources;
+mod watch;
+
 use std::sync::Arc;
 
 use base::prelude::*;
 use config::prelude::*;
 use futures::FutureExt;
+use group::view::GroupTable;
 use http::Method;
 use http::StatusCode;
 use kernel::prelude::*;
+use kv::prelude::Store;
 use serde::Serialize;
 use spec::prelude::Catalog;
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::mpsc;
+use tokio::sync::watch::Receiver;
 use web::prelude::*;
 
+use crate::accept::Ask;
 use crate::announce::Addresses;
+use crate::groups::FabricRecords;
 use crate::metrics::Metrics;
 use crate::names;
 
@@ -35,7 +46,15 @@
     /// The metrics.
     pub metrics: Metrics,
     /// The configuration in force.
-    pub catalog: watch::Receiver<Arc<Catalog>>,
+    pub catalog: Receiver<Arc<Catalog>>,
+    /// The replica groups that routing knows.
+    pub groups: Receiver<Arc<GroupTable>>,
+    /// The records of the replica groups.
+    pub records: Receiver<Arc<FabricRecords>>,
+    /// The key-value service.
+    pub store: Arc<dyn Store>,
+    /// Accepts changes.
+    pub accept: mpsc::Sender<Ask>,
 }
 
 /// The events of one process.
@@ -58,9 +77,11 @@
     Operator,
 }
 
+const NEEDS: &[ServiceName] = &[names::CATALOG, names::GROUPS, names::STORE, names::ACCEPT];
+
 /// Describes the service.
 pub fn service() -> Service {
-    Service::new(names::OPERATOR, &[names::CATALOG], |cx| async move {
+    Service::new(names::OPERATOR, NEEDS, |cx| async move {
         let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
         let addresses: Addresses = cx.registry().find(names::PROCESS)?;
         let listener = TcpListener::bind(settings.listen.operator)
@@ -71,6 +92,10 @@
         let state = Arc::new(State {
             metrics: cx.registry().find(names::PROCESS)?,
             catalog: cx.view(names::CATALOG)?,
+            groups: cx.view(names::GROUPS)?,
+            records: cx.view(names::GROUPS)?,
+            store: cx.registry().find(names::STORE)?,
+            accept: cx.sender(names::ACCEPT)?,
             settings,
             cx: cx.clone(),
         });
@@ -91,6 +116,7 @@
             Ok(_) => timeline(&state, &req),
             Err(refused) => refused.response(),
         },
+        (_, path) if path.starts_with("/api/v1/") => resources::handle(state, req).await,
         _ => reply::text(StatusCode::NOT_FOUND, format!("no such path: {}", req.path)),
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -5,6 +5,7 @@
 use config::prelude::*;
 use kernel::prelude::*;
 
+use crate::accept;
 use crate::announce;
 use crate::announce::Addresses;
 use crate::catalog;
@@ -33,6 +34,7 @@
     kernel.add(groups::service());
     kernel.add(route::service());
     kernel.add(entry::service());
+    kernel.add(accept::service());
     kernel.add(operator::service());
     kernel.add(announce::service(ANNOUNCED, print));
     kernel
--- a/crates/lab/src/sample.rs
+++ b/crates/lab/src/sample.rs
@@ -225,7 +225,7 @@
     records: &[FabricRecord],
 ) -> Result<(), KvError> {
     let bytes = serde_json::to_vec(catalog).expect("the catalog has a JSON form");
-    store.swap(daemon::catalog::CATALOG_KEY, 0, bytes.into()).await?;
+    store.swap(CATALOG_KEY, 0, bytes.into()).await?;
     for record in records {
         let key = format!("{}{}", daemon::groups::FABRIC_PREFIX, record.fabric);
         let bytes = serde_json::to_vec(record).expect("the record has a JSON form");
