--- a/crates/lab/tests/operator_api.rs
+++ b/crates/lab/tests/operator_api.rs
@@ -177,6 +177,13 @@
     let put = async |tokens| {
         call(at, sample::OPERATOR_TOKEN, Method::PUT, PATH, &[], &model(tokens)).await
     };
+    let others: Vec<Value> = (0..4)
+        .map(
+            |n| json!({"kind": "model", "name": format!("m{n}"), "spec": {"max_output_tokens": 1}}),
+        )
+        .collect();
+    let others = Value::Array(others);
+    call(at, sample::OPERATOR_TOKEN, Method::POST, "/api/v1/apply", &[], &others).await;
     put(1).await;
     let mut body = servers.open("/api/v1/watch?from=0").await.unwrap().into_body();
     let next = async |body: &mut _| {
@@ -184,11 +191,24 @@
         serde_json::from_slice::<Value>(&chunk).unwrap()
     };
     let first = next(&mut body).await;
-    assert_eq!((&first["revision"], &first["whole"]), (&json!(1), &json!(true)));
+    assert_eq!((&first["revision"], &first["whole"]), (&json!(2), &json!(true)));
     put(2).await;
-    let second = next(&mut body).await;
-    assert_eq!(second["changes"][0]["spec"], json!({"max_output_tokens": 2}));
+    let expected = json!({"kind": "model", "name": "tide", "revision": 3,
+        "spec": {"max_output_tokens": 2}});
+    assert_eq!(next(&mut body).await["changes"], json!([expected]));
     call(at, sample::OPERATOR_TOKEN, Method::DELETE, PATH, &[], &Value::Null).await;
-    let third = next(&mut body).await;
-    assert_eq!((&third["revision"], &third["changes"][0]["spec"]), (&json!(3), &Value::Null));
+    let expected = json!({"kind": "model", "name": "tide", "revision": 4, "spec": null});
+    assert_eq!(next(&mut body).await["changes"], json!([expected]));
+}
+
+#[tokio::test]
+async fn an_operator_reads_what_was_just_accepted() {
+    let (kv, at) = start().await;
+    for tokens in 1..4 {
+        // The change reaches this daemon only by its next read.
+        kv.faults.apply_json(&json!({"cut_watches": true})).unwrap();
+        call(at, sample::OPERATOR_TOKEN, Method::PUT, PATH, &[], &model(tokens)).await;
+        let read = call(at, sample::VIEWER_TOKEN, Method::GET, PATH, &[], &Value::Null).await;
+        assert_eq!(read.body["spec"]["max_output_tokens"], json!(tokens));
+    }
 }
