Cut the watch before the change in the test of own reads

Change: the test waits until no watch is open before it makes the change. Seen failing now, with the wait taken out: the read after a change is empty.

--- a/crates/lab/tests/operator_api.rs
+++ b/crates/lab/tests/operator_api.rs
@@ -207,6 +207,9 @@
     for tokens in 1..4 {
         // The change reaches this daemon only by its next read.
         kv.faults.apply_json(&json!({"cut_watches": true})).unwrap();
+        while kv.faults.counts().watching > 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
         call(at, sample::OPERATOR_TOKEN, Method::PUT, PATH, &[], &model(tokens)).await;
         let read = call(at, sample::VIEWER_TOKEN, Method::GET, PATH, &[], &Value::Null).await;
         assert_eq!(read.body["spec"]["max_output_tokens"], json!(tokens));
