Serve peers over gRPC and gossip over UDP in the daemon

Cause: the daemons did not know each other, and each watched the key-value service. Change: services "peer" and "member"; the catalog follows spec::force and member::sync. Conclusion: builds; not yet driven end to end.

--- a/crates/daemon/src/catalog.rs
+++ b/crates/daemon/src/catalog.rs
@@ -1,86 +1,60 @@
 //! The accepted configuration in force in this process.
 //!
-//! Publishes a [`Catalog`] under [`names::CATALOG`]. It is read from the key-value service, then
-//! watched; a lower revision is never put in force.
+//! Offers under [`names::CATALOG`]:
+//!
+//! - a view of [`Catalog`]: the configuration in force, which never gets lower;
+//! - a view of [`Admission`]: whether this process takes new requests;
+//! - a view of [`Highest`]: the highest revision that this process knows to stand;
+//! - a mailbox for [`Stands`]: a catalog that is known to stand in the key-value service.
+//!
+//! The decisions are those of [`spec::force`] and [`member::sync`]; the calls around them are in
+//! [`crate::config_sync`].
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use base::prelude::*;
 use kernel::prelude::*;
-use kv::prelude::*;
-use spec::prelude::CATALOG_KEY;
 use spec::prelude::Catalog;
-use tokio::sync::watch;
 
-use crate::metrics::Metrics;
+use crate::config_sync;
 use crate::names;
 
-/// Wait after a failed call to the key-value service.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Catalogs that may wait for the service.
+const MAILBOX_DEPTH: usize = 64;
 
-/// Describes the service.
-pub fn service() -> Service {
-    Service::new(names::CATALOG, &[names::STORE], |cx| async move {
-        let store: Arc<dyn Store> = cx.registry().find(names::STORE)?;
-        let metrics: Metrics = cx.registry().find(names::PROCESS)?;
-        let tx = cx.publish(names::CATALOG, Catalog::default());
-        cx.ready();
-        let in_force = InForce { cx: cx.clone(), tx, metrics };
-        tokio::select! {
-            () = in_force.follow(store) => {}
-            () = cx.stopping() => {}
-        }
-        Ok(())
-    })
+/// Whether this process takes new requests.
+#[data]
+pub struct Admission {
+    /// Whether it does: a configuration is in force and fresh enough.
+    pub takes_requests: bool,
 }
 
-struct InForce {
-    cx: Context,
-    tx: watch::Sender<Arc<Catalog>>,
-    metrics: Metrics,
+/// The highest revision that this process knows to stand, in force here or not.
+#[data]
+pub struct Highest {
+    /// The revision.
+    pub revision: Revision,
 }
 
-impl InForce {
-    async fn follow(&self, store: Arc<dyn Store>) {
-        loop {
-            if let Err(error) = self.read_and_watch(&*store).await {
-                log::warn!("key `{CATALOG_KEY}`: {error}");
-            }
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
-    }
+/// A catalog that is known to stand in the key-value service, from an accepted change.
+#[data]
+pub struct Stands(pub Arc<Catalog>);
 
-    async fn read_and_watch(&self, store: &dyn Store) -> Result<(), KvError> {
-        let mut seen = 0;
-        if let Some(found) = store.get(CATALOG_KEY).await? {
-            seen = found.mod_revision;
-            self.put_in_force(&found.value);
-        }
-        let mut changes = store.watch(CATALOG_KEY, seen).await?;
-        while let Some(change) = changes.recv().await {
-            if let Some(value) = change.value {
-                self.put_in_force(&value.value);
-            }
-        }
-        Ok(())
-    }
-
-    fn put_in_force(&self, bytes: &[u8]) {
-        let catalog: Catalog = match serde_json::from_slice(bytes) {
-            Ok(catalog) => catalog,
-            Err(error) => {
-                log::error!("key `{CATALOG_KEY}`: {error}; the revision in force stays");
-                return;
-            }
+/// Describes the service.
+pub fn service() -> Service {
+    let needs = &[names::STORE, names::PEER, names::MEMBER];
+    Service::new(names::CATALOG, needs, |cx| async move {
+        let views = config_sync::Views {
+            catalog: cx.publish(names::CATALOG, Catalog::default()),
+            admission: cx.publish(names::CATALOG, Admission { takes_requests: false }),
+            highest: cx.publish(names::CATALOG, Highest { revision: 0 }),
         };
-        let revision = catalog.revision;
-        if revision <= self.tx.borrow().revision {
-            return;
+        let inbox = cx.mailbox::<Stands>(names::CATALOG, MAILBOX_DEPTH);
+        let shell = config_sync::Shell::new(&cx, views)?;
+        cx.ready();
+        tokio::select! {
+            ended = shell.run(inbox) => ended,
+            () = cx.stopping() => Ok(()),
         }
-        self.tx.send_replace(Arc::new(catalog));
-        self.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
-        self.cx.record(Event::InForce { revision, source: "kv".into() });
-        log::info!("revision {revision} is in force");
-    }
+    })
 }
--- /dev/null
+++ b/crates/daemon/src/config_sync.rs
@@ -0,0 +1,354 @@
+//! Keeps up with the revisions of the configuration: the calls around the decisions.
+//!
+//! A few processes of a failure domain watch the key-value service ([`member::sync`]); all others
+//! hear of revisions by gossip and pull them from peers ([`spec::force`]). A process that hears no
+//! peer makes sure now and then that the key-value service still answers, because without either
+//! it must stop to take new requests in the end.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use config::prelude::*;
+use kernel::prelude::*;
+use kv::prelude::*;
+use member::prelude::Fact;
+use member::prelude::FactKey;
+use member::sync;
+use member::sync::Sync;
+use rand::Rng;
+use spec::force;
+use spec::force::InForce;
+use spec::force::Source;
+use spec::prelude::CATALOG_KEY;
+use spec::prelude::Catalog;
+use tokio::sync::broadcast;
+use tokio::sync::broadcast::error::RecvError;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+use crate::catalog::Admission;
+use crate::catalog::Highest;
+use crate::catalog::Stands;
+use crate::member::Facts;
+use crate::member::Heard;
+use crate::member::MemberMessage;
+use crate::member::View;
+use crate::metrics::Metrics;
+use crate::names;
+use crate::peer::client::PeerClient;
+
+/// Period of the decisions' ticks.
+const TICK: Duration = Duration::from_millis(100);
+/// Least and greatest wait after a failed watch of the key-value service.
+const RETRY_PAUSE_MS: std::ops::Range<u64> = 200..1_000;
+/// A key that is never written: reading it costs little and shows that the service answers.
+const CONTACT_KEY: &str = "samphire/contact";
+/// A process without peers reads [`CONTACT_KEY`] this often within the staleness bound.
+const CONTACTS_PER_BOUND: u32 = 4;
+/// Lifetime of the fact that announces a revision.
+const REVISION_LIFETIME: Duration = Duration::from_secs(600);
+/// Outcomes of calls that may wait.
+const OUTCOME_DEPTH: usize = 64;
+
+/// What other services see.
+pub(crate) struct Views {
+    pub(crate) catalog: watch::Sender<Arc<Catalog>>,
+    pub(crate) admission: watch::Sender<Arc<Admission>>,
+    pub(crate) highest: watch::Sender<Arc<Highest>>,
+}
+
+/// The outcome of a call that ran beside the decisions.
+enum Outcome {
+    /// What the key-value service holds, or that it gave no answer.
+    Read(Result<Arc<Catalog>, KvError>),
+    /// The service answered, though not with the catalog.
+    Contact,
+    /// An event for the decision which catalog is in force.
+    Force(force::Event),
+}
+
+/// The running service.
+pub(crate) struct Shell {
+    cx: Context,
+    settings: Arc<Settings>,
+    metrics: Metrics,
+    store: Arc<dyn Store>,
+    client: PeerClient,
+    views: Views,
+    members: watch::Receiver<Arc<View>>,
+    facts: watch::Receiver<Arc<Facts>>,
+    heard: broadcast::Receiver<Heard>,
+    member: mpsc::Sender<MemberMessage>,
+    force: InForce,
+    sync: Sync,
+    outcomes: mpsc::Sender<Outcome>,
+    finished: Option<mpsc::Receiver<Outcome>>,
+    watch: Option<AbortHandle>,
+    /// When this process last heard a peer or the key-value service.
+    last_contact: Mono,
+}
+
+impl Shell {
+    pub(crate) fn new(cx: &Context, views: Views) -> Result<Self, Fault> {
+        let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
+        let (outcomes, finished) = mpsc::channel(OUTCOME_DEPTH);
+        let heard: broadcast::Sender<Heard> = cx.registry().find(names::MEMBER)?;
+        Ok(Shell {
+            metrics: cx.registry().find(names::PROCESS)?,
+            store: cx.registry().find(names::STORE)?,
+            client: cx.registry().find(names::PEER)?,
+            members: cx.view(names::MEMBER)?,
+            facts: cx.view(names::MEMBER)?,
+            heard: heard.subscribe(),
+            member: cx.sender(names::MEMBER)?,
+            force: InForce::new(cx.now(), settings.peers.staleness_bound),
+            sync: Sync::new(cx.node().clone()),
+            last_contact: cx.now(),
+            cx: cx.clone(),
+            settings,
+            views,
+            outcomes,
+            finished: Some(finished),
+            watch: None,
+        })
+    }
+
+    pub(crate) async fn run(mut self, mut inbox: mpsc::Receiver<Stands>) -> Result<(), Fault> {
+        let mut ticks = self.cx.every(TICK);
+        let Some(mut finished) = self.finished.take() else { return Ok(()) };
+        self.set_watch(self.sync.watches());
+        loop {
+            tokio::select! {
+                () = ticks.tick() => self.tick(),
+                Some(outcome) = finished.recv() => self.finish(outcome),
+                Some(Stands(catalog)) = inbox.recv() => self.stored(catalog),
+                heard = self.heard.recv() => match heard {
+                    Ok(heard) => self.hear(heard),
+                    // Every process speaks again soon.
+                    Err(RecvError::Lagged(_)) => {}
+                    Err(RecvError::Closed) => return Ok(()),
+                },
+                Ok(()) = self.members.changed() => self.note_members(),
+                Ok(()) = self.facts.changed() => self.note_facts(),
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.decide_force(force::Event::Tick);
+        self.decide_sync(sync::Event::Tick);
+        let period = self.settings.peers.staleness_bound / CONTACTS_PER_BOUND;
+        if self.cx.now() >= self.last_contact + period {
+            self.last_contact = self.cx.now();
+            self.spawn(|store, _| async move {
+                let found = store.get(CONTACT_KEY).await;
+                found.is_ok().then_some(Outcome::Contact)
+            });
+        }
+        let revision = self.sync.highest();
+        self.views.highest.send_if_modified(|highest| {
+            let is_higher = revision > highest.revision;
+            if is_higher {
+                *highest = Arc::new(Highest { revision });
+            }
+            is_higher
+        });
+    }
+
+    fn hear(&mut self, Heard { peer, revision }: Heard) {
+        self.last_contact = self.cx.now();
+        self.decide_force(force::Event::Heard { peer, revision });
+    }
+
+    fn stored(&mut self, catalog: Arc<Catalog>) {
+        self.last_contact = self.cx.now();
+        self.decide_force(force::Event::Stored(catalog));
+    }
+
+    fn finish(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Read(Ok(catalog)) => self.stored(catalog),
+            Outcome::Read(Err(error)) => {
+                log::warn!("key `{CATALOG_KEY}`: {error}");
+                self.decide_force(force::Event::ReadFailed);
+            }
+            Outcome::Contact => {
+                let catalog = self.views.catalog.borrow().clone();
+                if catalog.revision > 0 {
+                    self.stored(catalog);
+                }
+            }
+            Outcome::Force(event) => self.decide_force(event),
+        }
+    }
+
+    fn note_members(&mut self) {
+        let view = self.members.borrow_and_update().clone();
+        for lost in view.members.iter().filter(|member| !member.status.is_live()) {
+            self.decide_force(force::Event::Lost(lost.name.clone()));
+        }
+        let domain = &self.settings.failure_domain;
+        let near = view.live().filter(|member| member.failure_domain == *domain);
+        let near = near.map(|member| member.name.clone()).collect();
+        self.decide_sync(sync::Event::Domain(near));
+    }
+
+    fn note_facts(&mut self) {
+        let facts = self.facts.borrow_and_update().clone();
+        let announced = facts.facts.iter().find(|fact| fact.key == FactKey::Revision);
+        if let Some(Fact { version, owner, .. }) = announced {
+            let owner = owner.clone();
+            self.decide_sync(sync::Event::Announced { revision: *version, owner });
+        }
+    }
+
+    fn decide_force(&mut self, event: force::Event) {
+        for action in self.force.decide(event, self.cx.now()) {
+            match action {
+                force::Action::PutInForce { catalog, source } => self.put(catalog, &source),
+                force::Action::Pull { peer, from } => self.pull(peer, from),
+                force::Action::Read => self.read(),
+                force::Action::TakeRequests(takes_requests) => {
+                    log::info!("new requests are taken: {takes_requests}");
+                    self.views.admission.send_replace(Arc::new(Admission { takes_requests }));
+                }
+            }
+        }
+    }
+
+    fn decide_sync(&mut self, event: sync::Event) {
+        for action in self.sync.decide(event, self.cx.now()) {
+            match action {
+                sync::Action::Watch(watches) => self.set_watch(watches),
+                sync::Action::Announce(revision) => self.announce(revision),
+                sync::Action::Ask { owner, revision } => {
+                    self.decide_force(force::Event::Heard { peer: owner, revision });
+                }
+            }
+        }
+    }
+
+    fn put(&mut self, catalog: Arc<Catalog>, source: &Source) {
+        let revision = catalog.revision;
+        debug_assert!(revision >= self.views.catalog.borrow().revision, "revisions never fall");
+        self.views.catalog.send_replace(catalog);
+        self.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+        let source: Box<str> = match source {
+            Source::Kv => "kv".into(),
+            Source::Peer(peer) => peer.clone(),
+        };
+        log::info!("revision {revision} is in force, from {source}");
+        self.cx.record(Event::InForce { revision, source });
+        self.tell(MemberMessage::InForce(revision));
+        self.decide_sync(sync::Event::InForce(revision));
+    }
+
+    fn announce(&self, revision: Revision) {
+        self.tell(MemberMessage::Tell(Fact {
+            key: FactKey::Revision,
+            owner: self.cx.node().clone(),
+            version: revision,
+            lifetime: REVISION_LIFETIME,
+            body: Box::default(),
+        }));
+    }
+
+    fn tell(&self, message: MemberMessage) {
+        if self.member.try_send(message).is_err() {
+            log::warn!("the membership's mailbox is full; its next packets tell an old revision");
+        }
+    }
+
+    fn pull(&self, peer: NodeId, from: Revision) {
+        self.spawn(move |_, client| async move {
+            let pulled = client.pull(&peer, from).await;
+            if let Err(error) = &pulled {
+                log::info!("revisions after {from} were not pulled: {error}");
+            }
+            Some(Outcome::Force(force::Event::Pulled { peer, update: pulled.ok() }))
+        });
+    }
+
+    fn read(&self) {
+        self.spawn(|store, _| async move { Some(Outcome::Read(read(&*store).await)) });
+    }
+
+    /// Runs a call beside the decisions.
+    fn spawn<F>(&self, call: impl FnOnce(Arc<dyn Store>, PeerClient) -> F)
+    where
+        F: Future<Output = Option<Outcome>> + Send + 'static,
+    {
+        let call = call(self.store.clone(), self.client.clone());
+        let (outcomes, stop) = (self.outcomes.clone(), self.cx.stop_token());
+        tokio::spawn(stop.run_until_cancelled_owned(async move {
+            if let Some(outcome) = call.await {
+                // The service has ended if nobody receives.
+                let _ = outcomes.send(outcome).await;
+            }
+        }));
+    }
+
+    fn set_watch(&mut self, watches: bool) {
+        if let Some(watch) = self.watch.take() {
+            watch.abort();
+        }
+        if watches {
+            let (store, outcomes) = (self.store.clone(), self.outcomes.clone());
+            let task = follow(store, outcomes);
+            let task = tokio::spawn(self.cx.stop_token().run_until_cancelled_owned(task));
+            self.watch = Some(task.abort_handle());
+        }
+        self.metrics.config_watches.set(i64::from(watches));
+    }
+}
+
+async fn read(store: &dyn Store) -> Result<Arc<Catalog>, KvError> {
+    match store.get(CATALOG_KEY).await? {
+        Some(found) => decode(&found.value),
+        None => Ok(Arc::default()),
+    }
+}
+
+fn decode(bytes: &[u8]) -> Result<Arc<Catalog>, KvError> {
+    serde_json::from_slice(bytes).map(Arc::new).map_err(|error| KvError::Malformed {
+        key: CATALOG_KEY.into(),
+        problem: error.to_string().into(),
+    })
+}
+
+/// Reads the key-value service and watches it; begins again whenever that ends.
+async fn follow(store: Arc<dyn Store>, outcomes: mpsc::Sender<Outcome>) {
+    loop {
+        if let Err(error) = read_and_watch(&*store, &outcomes).await {
+            log::warn!("watch of key `{CATALOG_KEY}`: {error}");
+        }
+        let pause = rand::rng().random_range(RETRY_PAUSE_MS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+async fn read_and_watch(
+    store: &dyn Store,
+    outcomes: &mpsc::Sender<Outcome>,
+) -> Result<(), KvError> {
+    let mut seen = 0;
+    if let Some(found) = store.get(CATALOG_KEY).await? {
+        seen = found.mod_revision;
+        report(&found.value, outcomes).await;
+    }
+    let mut changes = store.watch(CATALOG_KEY, seen).await?;
+    while let Some(change) = changes.recv().await {
+        if let Some(value) = change.value.filter(|_| &*change.key == CATALOG_KEY) {
+            report(&value.value, outcomes).await;
+        }
+    }
+    Ok(())
+}
+
+async fn report(bytes: &[u8], outcomes: &mpsc::Sender<Outcome>) {
+    match decode(bytes) {
+        Ok(catalog) => drop(outcomes.send(Outcome::Read(Ok(catalog))).await),
+        Err(error) => log::error!("{error}; the revision in force stays"),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,8 @@
 //! - [`route`]: picks a replica group for an attempt.
 //! - [`groups`]: what is known of the replica groups.
 //! - [`catalog`]: the accepted configuration in force in this process.
+//! - [`member`]: the membership of the processes.
+//! - [`peer`]: calls between the processes.
 //! - [`store`]: the connection to the key-value service.
 //! - [`accept`]: accepts operators' changes.
 //! - [`operator`]: the operator API, health, metrics and the time line.
@@ -16,13 +18,16 @@
 pub mod accept;
 pub mod announce;
 pub mod catalog;
+mod config_sync;
 pub mod entry;
 pub mod exec;
 pub mod groups;
 pub mod logging;
+pub mod member;
 pub mod metrics;
 pub mod names;
 pub mod operator;
+pub mod peer;
 pub mod route;
 pub mod run;
 pub mod store;
--- /dev/null
+++ b/crates/daemon/src/member/shell.rs
@@ -0,0 +1,231 @@
+//! The socket, clock and secrets around the decisions of the crate `member`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::UNIX_EPOCH;
+
+use base::prelude::*;
+use config::prelude::*;
+use kernel::prelude::*;
+use member::prelude::Action;
+use member::prelude::Event as Input;
+use member::prelude::Identity;
+use member::prelude::Place;
+use member::prelude::Refusal;
+use member::prelude::Seal;
+use member::prelude::Settings as Periods;
+use member::prelude::State;
+use member::prelude::decide;
+use member::settings::MAX_DATAGRAM_BYTES;
+use member::settings::TICK;
+use tokio::net::UdpSocket;
+use tokio::sync::broadcast;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use super::Facts;
+use super::Heard;
+use super::MemberMessage;
+use super::MemberView;
+use super::View;
+use crate::announce::Addresses;
+use crate::metrics::Metrics;
+use crate::names;
+
+/// Room for a datagram above the allowed size, so that it is seen to be oversized.
+const BUF_BYTES: usize = MAX_DATAGRAM_BYTES * 2;
+
+/// What other services see of the membership.
+pub(super) struct Views {
+    pub(super) members: watch::Sender<Arc<View>>,
+    pub(super) facts: watch::Sender<Arc<Facts>>,
+}
+
+/// The running service.
+pub(super) struct Shell {
+    cx: Context,
+    metrics: Metrics,
+    socket: UdpSocket,
+    seal: Seal,
+    state: State,
+    views: Views,
+    heard: broadcast::Sender<Heard>,
+    /// Whether the views are behind the state.
+    has_members_changed: bool,
+    have_facts_changed: bool,
+}
+
+impl Shell {
+    pub(super) async fn open(
+        cx: &Context,
+        settings: &Settings,
+        metrics: Metrics,
+        views: Views,
+        heard: broadcast::Sender<Heard>,
+    ) -> Result<Self, Fault> {
+        let at = settings.listen.gossip;
+        let fault = |error: std::io::Error| Fault::new(at.to_string(), error);
+        let socket = UdpSocket::bind(at).await.map_err(fault)?;
+        let local = socket.local_addr().map_err(fault)?;
+        let addresses: Addresses = cx.registry().find(names::PROCESS)?;
+        addresses.add("gossip", local);
+        let listening = addresses.list();
+        let peer = listening.iter().find(|listening| listening.name == names::PEER);
+        let peer = peer.map_or(settings.listen.peer, |listening| listening.address);
+        let place = Place {
+            region: settings.region.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            gossip: local,
+            peer,
+        };
+        let (name, boot) = (cx.node().clone(), cx.boot());
+        let me = Identity { name, boot, incarnation: wall_millis(), place };
+        let seeds = settings.peers.seeds.clone();
+        Ok(Shell {
+            cx: cx.clone(),
+            metrics,
+            socket,
+            seal: seal(settings)?,
+            state: State::new(Periods::default(), me, seeds, cx.boot()),
+            views,
+            heard,
+            has_members_changed: false,
+            have_facts_changed: false,
+        })
+    }
+
+    pub(super) async fn run(mut self, mut inbox: mpsc::Receiver<MemberMessage>) {
+        let cx = self.cx.clone();
+        let mut ticks = cx.every(TICK);
+        let mut buf = vec![0; BUF_BYTES];
+        let mut is_leaving = false;
+        loop {
+            tokio::select! {
+                () = ticks.tick() => {
+                    self.feed(Input::Tick).await;
+                    self.publish();
+                }
+                received = self.socket.recv_from(&mut buf) => match received {
+                    Ok((len, from)) => self.receive(from, &buf[..len]).await,
+                    // An earlier datagram met a closed port; UDP has no connection to lose.
+                    Err(error) => log::debug!("gossip: {error}"),
+                },
+                message = inbox.recv() => match message {
+                    Some(MemberMessage::Tell(fact)) => self.tell(fact).await,
+                    Some(MemberMessage::InForce(revision)) => {
+                        self.feed(Input::InForce(revision)).await;
+                    }
+                    None => return,
+                },
+                () = cx.process_stopping(), if !is_leaving => {
+                    is_leaving = true;
+                    self.feed(Input::Leave).await;
+                }
+                () = cx.stopping() => return,
+            }
+        }
+    }
+
+    async fn tell(&mut self, fact: member::prelude::Fact) {
+        let findings = fact.check();
+        if findings.is_empty() {
+            self.feed(Input::Tell(fact)).await;
+        } else {
+            log::error!("a fact is out of bounds and was not told: {findings}");
+        }
+    }
+
+    async fn receive(&mut self, from: SocketAddr, datagram: &[u8]) {
+        match self.seal.open(datagram) {
+            Ok(packet) => {
+                let heard = Heard { peer: packet.sender.name.clone(), revision: packet.revision };
+                let before = self.revision_of(&heard.peer);
+                self.feed(Input::Received { from, packet: Box::new(packet) }).await;
+                self.has_members_changed |= self.revision_of(&heard.peer) != before;
+                if heard.peer != self.state.me().name {
+                    // Without subscribers there is nobody to tell.
+                    let _ = self.heard.send(heard);
+                }
+            }
+            Err(refusal) => self.refuse(from, refusal),
+        }
+    }
+
+    fn refuse(&self, from: SocketAddr, refusal: Refusal) {
+        self.metrics.refusals.with_label_values(&["gossip", refusal.name()]).inc();
+        log::debug!("gossip: a datagram from {from} was dropped: {refusal}");
+    }
+
+    async fn feed(&mut self, input: Input) {
+        let now = self.cx.now();
+        for action in decide(&mut self.state, input, now) {
+            self.carry_out(action).await;
+        }
+    }
+
+    async fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { to, packet } => {
+                let datagram = self.seal.seal(&packet);
+                if let Err(error) = self.socket.send_to(&datagram, to).await {
+                    log::debug!("gossip to {to}: {error}");
+                }
+            }
+            Action::Member { claim } => {
+                let state = claim.status.name();
+                log::info!("process `{}` (boot {:x}) is {state}", claim.name, claim.life.boot);
+                self.cx.record(Event::Member { node: claim.name, state: state.into() });
+                self.has_members_changed = true;
+            }
+            Action::Learned(fact) => {
+                log::debug!("fact {:?} has version {}", fact.key, fact.version);
+                self.have_facts_changed = true;
+                self.publish();
+            }
+            Action::Paused { gap } => log::warn!("this process was paused for {gap:?}"),
+            Action::Clash { boot } => {
+                log::warn!("another life (boot {boot:x}) has the name of this process");
+            }
+        }
+    }
+
+    /// Publishes what has changed.
+    fn publish(&mut self) {
+        if std::mem::take(&mut self.has_members_changed) {
+            let members = self.state.peers().map(member_view).collect();
+            self.views.members.send_replace(Arc::new(View { members }));
+        }
+        let has_expired = self.views.facts.borrow().facts.len() != self.state.facts().count();
+        if std::mem::take(&mut self.have_facts_changed) || has_expired {
+            let facts = self.state.facts().cloned().collect();
+            self.views.facts.send_replace(Arc::new(Facts { facts }));
+        }
+    }
+
+    fn revision_of(&self, peer: &str) -> Revision {
+        self.state.peer(peer).map_or(0, |peer| peer.revision)
+    }
+}
+
+fn member_view((name, peer): (&NodeId, &member::prelude::Peer)) -> MemberView {
+    MemberView {
+        name: name.clone(),
+        boot: peer.life.boot,
+        status: peer.status,
+        region: peer.place.region.clone(),
+        failure_domain: peer.place.failure_domain.clone(),
+        peer: peer.place.peer,
+        revision: peer.revision,
+    }
+}
+
+fn seal(settings: &Settings) -> Result<Seal, Fault> {
+    let secrets = &settings.peers.secrets;
+    let secrets: Vec<&[u8]> = secrets.iter().map(|secret| secret.expose().as_bytes()).collect();
+    Seal::try_from(&*secrets).map_err(|findings| Fault::new("$.peers.secrets", findings))
+}
+
+fn wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or_default()
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -30,6 +30,8 @@
     pub open_streams: IntGauge,
     /// The revision in force.
     pub revision: IntGauge,
+    /// Watches of the configuration in the key-value service: one or none.
+    pub config_watches: IntGauge,
 }
 
 impl Metrics {
@@ -63,6 +65,11 @@
                 &["listener", "reason"],
             ),
             open_streams: gauge(&registry, "samphire_open_streams", "Answers in progress."),
+            config_watches: gauge(
+                &registry,
+                "samphire_config_watches",
+                "Watches of the configuration in the key-value service.",
+            ),
             revision: gauge(&registry, "samphire_revision", "The revision in force."),
             registry,
         }
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -4,6 +4,10 @@
 
 /// The connection to the key-value service.
 pub const STORE: ServiceName = "store";
+/// Calls between the processes.
+pub const PEER: ServiceName = "peer";
+/// The membership of the processes.
+pub const MEMBER: ServiceName = "member";
 /// The accepted configuration in force.
 pub const CATALOG: ServiceName = "catalog";
 /// What is known of the replica groups.
--- /dev/null
+++ b/crates/daemon/src/peer/client.rs
@@ -0,0 +1,184 @@
+//! Calls to other processes, by name.
+//!
+//! Connections are kept for the peers that were called last, at most [`MAX_CONNECTIONS`]. They
+//! carry keepalives while a call is open. A connection whose call ended without an answer is never
+//! used again: the next call opens a new one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use config::prelude::*;
+use kernel::prelude::*;
+use parking_lot::Mutex;
+use proto::peer::ForwardRequest;
+use proto::peer::PullRequest;
+use proto::peer::Topic;
+use proto::peer::peer_client;
+use spec::delta::Update;
+use tonic::Code;
+use tonic::Request;
+use tonic::Status;
+use tonic::metadata::MetadataValue;
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+
+use super::MAX_MESSAGE_BYTES;
+use super::NODE_KEY;
+use super::PeerError;
+use super::SECRET_KEY;
+use crate::member::View;
+use crate::names;
+
+/// Connections that are kept.
+const MAX_CONNECTIONS: usize = 32;
+/// How long a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a call may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time between two keepalives while a call is open.
+const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
+/// How long a keepalive may go unanswered.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_millis(500);
+
+type Rpc = peer_client::PeerClient<Channel>;
+
+struct Connection {
+    peer: NodeId,
+    address: SocketAddr,
+    rpc: Rpc,
+}
+
+/// Calls other processes. Clones share the connections.
+#[derive(Clone)]
+pub struct PeerClient {
+    cx: Context,
+    secret: Option<Secret>,
+    /// The connections, the one used last at the end.
+    open: Arc<Mutex<Vec<Connection>>>,
+}
+
+impl PeerClient {
+    /// Makes a client without connections; it finds addresses in the view of the members.
+    pub fn new(cx: &Context, settings: &Settings) -> Self {
+        let secret = settings.peers.secrets.first().cloned();
+        PeerClient { cx: cx.clone(), secret, open: Arc::default() }
+    }
+
+    /// Asks `peer` for what changed in the catalog after `from`.
+    pub async fn pull(&self, peer: &NodeId, from: Revision) -> Result<Update, PeerError> {
+        let mut rpc = self.connect(peer)?;
+        let answer = rpc.pull(self.request(peer, PullRequest { from })?).await;
+        let reply = self.check(peer, answer)?;
+        Update::decode(&reply.update)
+            .map_err(|error| PeerError::Refused { peer: peer.clone(), problem: text(error) })
+    }
+
+    /// Passes a call of `topic` on to `peer` and returns the answer.
+    pub async fn forward(
+        &self,
+        peer: &NodeId,
+        topic: Topic,
+        body: Bytes,
+    ) -> Result<Bytes, PeerError> {
+        let mut rpc = self.connect(peer)?;
+        let request = self.request(peer, ForwardRequest { topic: topic as i32, body })?;
+        let answer = rpc.forward(request).await;
+        self.check(peer, answer).map(|reply| reply.body)
+    }
+
+    fn request<T>(&self, peer: &NodeId, body: T) -> Result<Request<T>, PeerError> {
+        let mut request = Request::new(body);
+        request.set_timeout(CALL_TIMEOUT);
+        let not_sent =
+            |problem: &str| PeerError::NotSent { peer: peer.clone(), problem: text(problem) };
+        let secret = self.secret.as_ref().ok_or_else(|| not_sent("$.peers.secrets is empty"))?;
+        let mut secret = MetadataValue::try_from(secret.expose())
+            .map_err(|_| not_sent("the secret has characters that metadata excludes"))?;
+        secret.set_sensitive(true);
+        let node = MetadataValue::try_from(&**self.cx.node())
+            .map_err(|_| not_sent("the process's name has characters that metadata excludes"))?;
+        request.metadata_mut().insert(SECRET_KEY, secret);
+        request.metadata_mut().insert(NODE_KEY, node);
+        Ok(request)
+    }
+
+    /// Returns a connection to `peer`: the kept one if the peer still stands there, or a new one.
+    fn connect(&self, peer: &NodeId) -> Result<Rpc, PeerError> {
+        let view = self.cx.view::<View>(names::MEMBER).ok();
+        let address = view.and_then(|view| view.borrow().address_of(peer));
+        let address = address.ok_or_else(|| PeerError::Unknown(peer.clone()))?;
+        let mut open = self.open.lock();
+        let kept = open.iter().position(|connection| connection.peer == *peer);
+        let kept = kept.map(|index| open.remove(index));
+        let connection = match kept.filter(|connection| connection.address == address) {
+            Some(connection) => connection,
+            None => Connection { peer: peer.clone(), address, rpc: rpc(address, peer)? },
+        };
+        let rpc = connection.rpc.clone();
+        open.push(connection);
+        if open.len() > MAX_CONNECTIONS {
+            open.remove(0);
+        }
+        Ok(rpc)
+    }
+
+    /// Tells what an answer means, and drops the connection if it gave none.
+    fn check<T>(
+        &self,
+        peer: &NodeId,
+        answer: Result<tonic::Response<T>, Status>,
+    ) -> Result<T, PeerError> {
+        let status = match answer {
+            Ok(answer) => return Ok(answer.into_inner()),
+            Err(status) => status,
+        };
+        let (peer, problem) = (peer.clone(), text(status.message()));
+        match status.code() {
+            Code::Unauthenticated
+            | Code::InvalidArgument
+            | Code::Unimplemented
+            | Code::ResourceExhausted => Err(PeerError::Refused { peer, problem }),
+            _ => {
+                self.open.lock().retain(|connection| connection.peer != peer);
+                if is_connect_error(&status) {
+                    Err(PeerError::NotSent { peer, problem })
+                } else {
+                    Err(PeerError::Unclear { peer, problem })
+                }
+            }
+        }
+    }
+}
+
+fn rpc(address: SocketAddr, peer: &NodeId) -> Result<Rpc, PeerError> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|error| PeerError::NotSent { peer: peer.clone(), problem: text(error) })?;
+    let channel = endpoint
+        .connect_timeout(CONNECT_TIMEOUT)
+        .timeout(CALL_TIMEOUT)
+        .http2_keep_alive_interval(KEEPALIVE_PERIOD)
+        .keep_alive_timeout(KEEPALIVE_TIMEOUT)
+        .tcp_nodelay(true)
+        .connect_lazy();
+    Ok(Rpc::new(channel)
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES))
+}
+
+/// Returns whether no connection came about, so that the call cannot have been sent.
+fn is_connect_error(status: &Status) -> bool {
+    let mut cause = std::error::Error::source(status);
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<std::io::Error>() {
+            return error.kind() == std::io::ErrorKind::ConnectionRefused;
+        }
+        cause = error.source();
+    }
+    false
+}
+
+fn text(problem: impl ToString) -> Box<str> {
+    problem.to_string().into()
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -11,9 +11,11 @@
 use crate::catalog;
 use crate::entry;
 use crate::groups;
+use crate::member;
 use crate::metrics::Metrics;
 use crate::names;
 use crate::operator;
+use crate::peer;
 use crate::route;
 use crate::store;
 
@@ -30,6 +32,8 @@
     registry.offer(names::PROCESS, Addresses::default());
     registry.offer(names::PROCESS, settings.clone());
     kernel.add(store::service(settings.kv.clone()));
+    kernel.add(peer::server::service());
+    kernel.add(member::service());
     kernel.add(catalog::service());
     kernel.add(groups::service());
     kernel.add(route::service());
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`etcdserverpb`] and [`mvccpb`]: the key-value service of the platform, met through the
 //!   published etcd v3 protocol, with those calls only that the system makes.
+//! - [`peer`]: the calls between the system's own processes.
 //!
 //! ```
 //! use proto::prelude::*;
@@ -24,8 +25,15 @@
     include!("gen/etcdserverpb.rs");
 }
 
+/// Calls between the system's own processes.
+#[allow(missing_docs, unreachable_pub, unused_qualifications, clippy::all)]
+pub mod peer {
+    include!("gen/samphire.peer.rs");
+}
+
 /// The protocols' modules.
 pub mod prelude {
     pub use crate::etcdserverpb;
     pub use crate::mvccpb;
+    pub use crate::peer;
 }
--- a/crates/protogen/src/main.rs
+++ b/crates/protogen/src/main.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 
 /// The protocol files, below [`PROTO_DIR`].
-const PROTOS: &[&str] = &["mvcc.proto", "etcd.proto"];
+const PROTOS: &[&str] = &["mvcc.proto", "etcd.proto", "peer.proto"];
 /// Where the protocol files are, from the repository's root.
 const PROTO_DIR: &str = "crates/proto/protos";
 /// Where the generated code goes, from the repository's root.
