Drive checked load, and measure what the relay adds

Cause: the promise to callers is whole answers at speed, so load must compare every byte and the relay's share must be seen beside a direct call. Change: an open-loop generator with skewed prefixes, a direct caller as baseline, measure relay with the daemon's own processor time by its threads.

--- /dev/null
+++ b/crates/lab/src/histogram.rs
@@ -0,0 +1,68 @@
+//! Histograms of times, and their summary.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Longest time that is told apart, in microseconds.
+const MAX_MICROS: u64 = 600_000_000;
+/// Significant digits that are kept.
+const DIGITS: u8 = 3;
+
+/// A histogram of times.
+#[derive(Clone, Debug)]
+pub struct Times {
+    inner: Histogram<u64>,
+}
+
+/// The summary of a histogram, in milliseconds.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Summary {
+    /// How many times were recorded.
+    pub count: u64,
+    /// The median.
+    pub p50_ms: f64,
+    /// The 95th percentile.
+    pub p95_ms: f64,
+    /// The 99th percentile.
+    pub p99_ms: f64,
+    /// The longest.
+    pub max_ms: f64,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        let inner = Histogram::new_with_bounds(1, MAX_MICROS, DIGITS);
+        Times { inner: inner.expect("the bounds are valid") }
+    }
+}
+
+impl Times {
+    /// Records one time.
+    pub fn record(&mut self, time: Duration) {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(MAX_MICROS);
+        self.inner.saturating_record(micros.max(1));
+    }
+
+    /// Adds all times of `other`.
+    pub fn merge(&mut self, other: &Times) {
+        self.inner.add(&other.inner).expect("the bounds are the same");
+    }
+
+    /// Returns the time at `quantile`, 0 to 1, in milliseconds.
+    pub fn at_ms(&self, quantile: f64) -> f64 {
+        self.inner.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+
+    /// Returns the summary.
+    pub fn summary(&self) -> Summary {
+        Summary {
+            count: self.inner.len(),
+            p50_ms: self.at_ms(0.5),
+            p95_ms: self.at_ms(0.95),
+            p99_ms: self.at_ms(0.99),
+            max_ms: self.inner.max() as f64 / 1_000.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,248 @@
+//! An open-loop load generator that checks every answer.
+//!
+//! Requests arrive as a Poisson process, whatever the answers do. Prompts share prefixes with a
+//! skewed popularity. Each answer is compared byte for byte with what its request must produce.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::Distribution;
+use rand_distr::Exp;
+use rand_distr::Zipf;
+use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use web::prelude::Client;
+
+use crate::caller;
+use crate::caller::Answer;
+use crate::caller::Judgement;
+use crate::caller::TextCall;
+use crate::direct;
+use crate::direct::Place;
+use crate::histogram::Summary;
+use crate::histogram::Times;
+
+/// Distinct prefixes of the prompts.
+const PREFIXES: f64 = 200.0;
+/// Skew of the prefixes' popularity.
+const PREFIX_SKEW: f64 = 1.1;
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Where requests go.
+#[derive(Clone, Debug)]
+pub enum Ends {
+    /// To the callers' addresses of daemons, in turn.
+    Daemons(Vec<SocketAddr>),
+    /// Straight to engines, in turn.
+    Engines(Vec<Place>),
+}
+
+/// The load to drive.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Where the requests go.
+    pub to: Ends,
+    /// Requests a second, on average.
+    pub rate: f64,
+    /// For how long requests arrive.
+    pub duration: Duration,
+    /// Most tokens of an answer.
+    pub max_tokens: u32,
+    /// Fraction of streamed answers.
+    pub streamed: f64,
+    /// Fraction of requests with high priority.
+    pub high_priority: f64,
+    /// Seed of all draws.
+    pub seed: u64,
+    /// Longest wait for an answer.
+    pub timeout: Duration,
+    /// Whether a request that was not run, or whose daemon was unreachable, is sent again to the
+    /// next daemon, as the platform's balancer and client libraries do.
+    pub resend: bool,
+}
+
+/// What the load brought to light.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    right: u64,
+    told: u64,
+    truncated: u64,
+    foreign: u64,
+    lost: u64,
+    resent: u64,
+    tokens: u64,
+    first: Times,
+    gaps: Times,
+    examples: Vec<String>,
+}
+
+/// The report of a load.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Requests sent, resends not counted.
+    pub requests: u64,
+    /// Answers that were whole and right.
+    pub right: u64,
+    /// Requests that got a clear error in place of the whole answer.
+    pub told: u64,
+    /// Answers that ended regularly with less than the whole text.
+    pub truncated: u64,
+    /// Answers with text that the request does not produce, doubled pieces among them.
+    pub foreign: u64,
+    /// Answers that broke off without an error.
+    pub lost: u64,
+    /// Resends and resumes.
+    pub resent: u64,
+    /// Tokens that arrived.
+    pub tokens: u64,
+    /// Time to the first token.
+    pub first_token: Summary,
+    /// Time between tokens.
+    pub between_tokens: Summary,
+    /// The first few answers that were not right.
+    pub examples: Vec<String>,
+}
+
+impl Outcome {
+    fn note(&mut self, call: &TextCall, answer: &Answer, resent: u64) {
+        match answer.judge(call) {
+            Judgement::Right => self.right += 1,
+            Judgement::Told => self.told += 1,
+            Judgement::Truncated => self.truncated += 1,
+            Judgement::Foreign => self.foreign += 1,
+            Judgement::Lost => self.lost += 1,
+        }
+        if answer.judge(call) != Judgement::Right && self.examples.len() < 5 {
+            self.examples.push(format!("{:?}: {answer:?}", answer.judge(call)));
+        }
+        self.resent += resent;
+        self.tokens += answer.last_piece.map_or(0, |last| u64::from(last) + 1);
+        if let Some(first) = answer.first_piece {
+            self.first.record(first);
+        }
+        for gap in &answer.gaps {
+            self.gaps.record(*gap);
+        }
+    }
+
+    /// Returns the report.
+    pub fn report(&self) -> Report {
+        Report {
+            requests: self.right + self.told + self.truncated + self.foreign + self.lost,
+            right: self.right,
+            told: self.told,
+            truncated: self.truncated,
+            foreign: self.foreign,
+            lost: self.lost,
+            resent: self.resent,
+            tokens: self.tokens,
+            first_token: self.first.summary(),
+            between_tokens: self.gaps.summary(),
+            examples: self.examples.clone(),
+        }
+    }
+}
+
+/// Drives the load and returns what came of it.
+pub async fn drive(load: &Load) -> Outcome {
+    let client = Client::pooled(CONNECT_TIMEOUT);
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let mut rng = ChaCha8Rng::seed_from_u64(load.seed);
+    let arrivals = Exp::new(load.rate).expect("the rate is positive");
+    let prefixes = Zipf::new(PREFIXES, PREFIX_SKEW).expect("the skew is positive");
+    let begun = Instant::now();
+    let mut next = Duration::ZERO;
+    let mut number = 0usize;
+    loop {
+        next += Duration::from_secs_f64(arrivals.sample(&mut rng));
+        if next >= load.duration {
+            break;
+        }
+        let prefix = prefixes.sample(&mut rng);
+        let call = draw(load, number, prefix, &mut rng);
+        tokio::time::sleep_until(begun + next).await;
+        let (client, to, tx) = (client.clone(), load.to.clone(), tx.clone());
+        let resend = load.resend;
+        tokio::spawn(async move {
+            let (answer, resent) = match &to {
+                Ends::Daemons(daemons) => ask(&client, daemons, number, &call, resend).await,
+                Ends::Engines(places) => {
+                    let place = &places[number % places.len()];
+                    (direct::call(&client, place, &call).await, 0)
+                }
+            };
+            // The receiver waits for all senders.
+            let _ = tx.send((call, answer, resent));
+        });
+        number += 1;
+    }
+    drop(tx);
+    let mut outcome = Outcome::default();
+    while let Some((call, answer, resent)) = rx.recv().await {
+        outcome.note(&call, &answer, resent);
+    }
+    outcome
+}
+
+fn draw(load: &Load, number: usize, prefix: f64, rng: &mut ChaCha8Rng) -> TextCall {
+    let shared = format!("prefix {prefix} {}", "of a shared prompt ".repeat(4));
+    let mut call = TextCall::small(&format!("{shared} request {number}"), rng.random());
+    call.max_tokens = load.max_tokens;
+    call.stream = rng.random_bool(load.streamed);
+    call.priority = if rng.random_bool(load.high_priority) { 200 } else { 100 };
+    call.timeout = load.timeout;
+    call
+}
+
+/// Sends one call; resends or resumes it at the next daemon where that is allowed.
+async fn ask(
+    client: &Client,
+    daemons: &[SocketAddr],
+    number: usize,
+    call: &TextCall,
+    resend: bool,
+) -> (Answer, u64) {
+    let deadline = Instant::now() + call.timeout;
+    let mut got = Answer::default();
+    let mut resent = 0;
+    loop {
+        let daemon = daemons[(number + usize::try_from(resent).unwrap_or(0)) % daemons.len()];
+        let resume = got.token.clone().zip(got.last_piece);
+        let resume = resume.as_ref().map(|(token, last)| (&**token, *last));
+        let more = caller::call_with(client, daemon, call, resume, |_| false).await;
+        got = join(got, more);
+        // Without an answer at all, or with a stream cut off by the daemon's death, an ordinary
+        // client comes back; so it does when told that the request was not run.
+        let comes_back = got.not_run || (!got.ended && got.error.is_none());
+        if !resend || !comes_back || Instant::now() >= deadline {
+            return (got, resent);
+        }
+        resent += 1;
+        tokio::time::sleep(got.retry_after.unwrap_or(Duration::from_millis(50))).await;
+        got.error = None;
+        got.not_run = false;
+    }
+}
+
+/// Appends what a resumed call brought to what had arrived before.
+fn join(mut got: Answer, more: Answer) -> Answer {
+    got.status = more.status;
+    got.text.push_str(&more.text);
+    got.ended = more.ended;
+    got.error = more.error;
+    got.not_run = more.not_run;
+    got.retry_after = more.retry_after;
+    got.token = more.token.or(got.token);
+    got.last_piece = match (got.last_piece, more.last_piece) {
+        (Some(before), Some(after)) => Some(before + after + 1),
+        (before, after) => before.or(after),
+    };
+    got.first_piece = got.first_piece.or(more.first_piece);
+    got.gaps.extend(more.gaps);
+    got
+}
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -3,6 +3,7 @@
 pub mod claims;
 pub mod kv;
 pub mod load;
+pub mod relay;
 
 use clap::ValueEnum;
 use serde_json::Value;
@@ -10,6 +11,8 @@
 /// The measurements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum Measure {
+    /// What the relay adds to a direct call, and the daemon's processor time.
+    Relay,
     /// Claims of request keys: key-value writes and added latency, against two other ways.
     Claims,
     /// Calls to the key-value service by kind, through an outage and after it.
@@ -19,6 +22,7 @@
 /// Runs a measurement.
 pub async fn run(measure: Measure) -> Value {
     match measure {
+        Measure::Relay => relay::run().await,
         Measure::Claims => claims::run().await,
         Measure::Kv => kv::run().await,
     }
--- /dev/null
+++ b/crates/lab/src/measure/relay.rs
@@ -0,0 +1,171 @@
+//! What the relay adds to a direct call, and the daemon's processor time.
+//!
+//! Engines, daemon and load run in this process, each on a runtime of its own whose threads are
+//! named, so the daemon's processor time is that of its threads. The same load is driven first
+//! straight to the engines and then through the daemon.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use config::prelude::*;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::oneshot;
+
+use crate::direct::Place;
+use crate::engine::Engine;
+use crate::engine::EngineOptions;
+use crate::kv::KvServer;
+use crate::load;
+use crate::load::Ends;
+use crate::load::Load;
+use crate::load::Report;
+use crate::sample;
+use crate::sample::Vm;
+use crate::usage;
+use crate::weights::WeightStore;
+
+/// Requests a second of one node at the target.
+const REQUESTS_PER_SECOND: f64 = 110.0;
+/// Most tokens of a request; on average three quarters of it arrive, 355.
+const MAX_TOKENS: u32 = 474;
+/// Time between tokens of the engines.
+const TOKEN_INTERVAL: Duration = Duration::from_millis(20);
+/// Groups that share the load.
+const GROUPS: usize = 8;
+/// How long requests arrive in each of the two runs.
+const DURATION: Duration = Duration::from_secs(20);
+/// Threads of each runtime.
+const THREADS: usize = 4;
+/// Name of the daemon's threads.
+const DAEMON_THREADS: &str = "daemon";
+/// Rate of the weight store.
+const WEIGHTS_BYTES_PER_SECOND: f64 = 1e10;
+
+/// Runs the measurement.
+pub async fn run() -> Value {
+    let engines = runtime("engines");
+    let daemon = runtime(DAEMON_THREADS);
+    let started = engines.spawn(start_engines()).await;
+    let (vms, _engines) = started.expect("the engines start");
+    let kv = engines.spawn(start_kv(vms.clone())).await.expect("the stand-in starts");
+    let address = start_daemon(&daemon, kv).await;
+    let places = places(&vms);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let direct = drive(Ends::Engines(places)).await;
+    let before = usage::of_threads(DAEMON_THREADS);
+    let relayed = drive(Ends::Daemons(vec![address])).await;
+    let cpu = usage::of_threads(DAEMON_THREADS) - before;
+    let figures = figures(&direct, &relayed, cpu);
+    daemon.shutdown_background();
+    engines.shutdown_background();
+    figures
+}
+
+fn runtime(name: &str) -> Runtime {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let built = builder.worker_threads(THREADS).thread_name(name).enable_all().build();
+    built.expect("the runtime starts")
+}
+
+async fn start_engines() -> (Vec<Vm>, Vec<Engine>) {
+    let weights = WeightStore::new(WEIGHTS_BYTES_PER_SECOND);
+    let mut vms = Vec::new();
+    let mut engines = Vec::new();
+    for index in 0..GROUPS * sample::VMS_PER_GROUP {
+        let options = EngineOptions {
+            slots: 1_024,
+            token_interval: TOKEN_INTERVAL,
+            ..EngineOptions::quick(&format!("vm-{index}"))
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let engine = Engine::start(listener, options, weights.clone());
+        vms.push(Vm { name: format!("vm-{index}").into(), address: engine.address });
+        engines.push(engine);
+    }
+    (vms, engines)
+}
+
+async fn start_kv(vms: Vec<Vm>) -> SocketAddr {
+    let records = sample::fabric_records(&vms);
+    sample::order_engines(&vms, &records).await.expect("the engines take orders");
+    let server = KvServer::default();
+    let catalog = sample::catalog(&vms, Vec::new());
+    sample::seed(&server.store, &catalog, &records).await.expect("the store is in memory");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(server.serve(listener));
+    address
+}
+
+async fn start_daemon(runtime: &Runtime, kv: SocketAddr) -> SocketAddr {
+    let text = sample::settings("measured", kv, &[], None);
+    let settings = Settings::try_from(text.as_str()).expect("the sample settings are valid");
+    let kernel = daemon::run::kernel(settings, |_| {});
+    let addresses: daemon::announce::Addresses =
+        kernel.registry().find(daemon::names::PROCESS).expect("the kernel offers it");
+    let (tx, rx) = oneshot::channel();
+    runtime.spawn(kernel.run());
+    tokio::spawn(async move {
+        loop {
+            let found = addresses.list().into_iter().find(|entry| entry.name == "caller");
+            if let Some(found) = found {
+                // The receiver waits for it.
+                let _ = tx.send(found.address);
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    rx.await.expect("the daemon announces itself")
+}
+
+fn places(vms: &[Vm]) -> Vec<Place> {
+    let groups = vms.chunks_exact(sample::VMS_PER_GROUP).enumerate();
+    groups
+        .map(|(index, members)| Place {
+            leader: members[0].address,
+            group: format!("main-{index}").into(),
+            generation: 1,
+        })
+        .collect()
+}
+
+async fn drive(to: Ends) -> Report {
+    let load = Load {
+        to,
+        rate: REQUESTS_PER_SECOND,
+        duration: DURATION,
+        max_tokens: MAX_TOKENS,
+        streamed: 1.0,
+        high_priority: 0.0,
+        seed: 1,
+        timeout: Duration::from_secs(60),
+        resend: false,
+    };
+    load::drive(&load).await.report()
+}
+
+fn figures(direct: &Report, relayed: &Report, cpu: Duration) -> Value {
+    let seconds = DURATION.as_secs_f64();
+    json!({
+        "offered": {
+            "requests_per_second": REQUESTS_PER_SECOND,
+            "tokens_per_second": relayed.tokens as f64 / seconds,
+            "seconds": seconds,
+        },
+        "direct": direct,
+        "relayed": relayed,
+        "added_p95_ms": {
+            "first_token": relayed.first_token.p95_ms - direct.first_token.p95_ms,
+            "between_tokens": relayed.between_tokens.p95_ms - direct.between_tokens.p95_ms,
+        },
+        "daemon_cpu": {
+            "seconds": cpu.as_secs_f64(),
+            "cores": cpu.as_secs_f64() / seconds,
+            "micros_per_token": cpu.as_secs_f64() * 1e6 / relayed.tokens.max(1) as f64,
+        },
+    })
+}
