Claim keys in the daemon, for plain services and text

Cause: calls that may not be repeated were passed on without a claim. Ruled out: telling a dropped permit as not run, since the caller may have gone after dispatch. Change: a kernel service once with a typed mailbox and permits; Idempotency-Key and Idempotency-Issued; a call that its operators declared as non-idempotent needs a key; recorded answers are replayed where held; patterns of calls match segment by segment after decoding; all key-value calls of a daemon go through its share; settings of claims. Conclusion: builds; the tests with separate processes are in lab/tests/once.rs.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert!(findings.to_string().contains("$.keeper.probe_period_ms: found 0"));
 //! ```
 
+mod claims;
 pub mod fields;
 pub mod secret;
 pub mod settings;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -7,10 +7,12 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use once::settings::OnceSettings;
 use serde::Serialize;
 use serde::Serializer;
 use serde_json::Value;
 
+use crate::claims;
 use crate::fields::Fields;
 use crate::secret::Secret;
 
@@ -45,6 +47,8 @@
     pub caller: Caller,
     /// How requests are carried out.
     pub requests: Requests,
+    /// How request keys are claimed.
+    pub claims: OnceSettings,
     /// How replica groups are probed.
     pub keeper: Keeper,
     /// How the process stops.
@@ -271,6 +275,7 @@
             operators: f.nested("operators", Operators::read),
             caller: f.nested("caller", Caller::read),
             requests: f.nested("requests", Requests::read),
+            claims: f.nested("claims", claims::read),
             keeper: f.nested("keeper", Keeper::read),
             shutdown: f.nested("shutdown", Shutdown::read),
             log: f.nested("log", Log::read),
@@ -279,6 +284,7 @@
 
     /// Checks what spans several fields.
     fn check(&self, findings: &mut Findings) {
+        self.claims.check("$.claims", findings);
         let keeper = &self.keeper;
         findings.check(keeper.probe_timeout <= keeper.voucher_ttl, "$.keeper", || {
             format!(
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -11,6 +11,7 @@
 //! - [`ask`]: reads and checks a request for text.
 //! - [`answer`]: writes streamed and whole answers.
 //! - [`apps`]: passes calls to plain services.
+//! - [`claim`]: request keys of callers.
 //! - [`problem`]: errors in the API's shape.
 //! - [`token`]: tokens by which a caller resumes through another process.
 
@@ -18,6 +19,7 @@
 pub mod apps;
 pub mod ask;
 pub mod auth;
+pub mod claim;
 pub mod problem;
 pub mod token;
 
@@ -42,6 +44,7 @@
 use crate::entry::token::Signer;
 use crate::metrics::Metrics;
 use crate::names;
+use crate::once::OnceMessage;
 use crate::route::RouteMessage;
 
 /// What the handlers share.
@@ -58,6 +61,8 @@
     pub keys: Keys,
     /// Routing.
     pub route: mpsc::Sender<RouteMessage>,
+    /// Claims of request keys.
+    pub once: mpsc::Sender<OnceMessage>,
     /// Calls to backend servers that may be repeated.
     pub pooled: Client,
     /// Calls to backend servers over a new connection each.
@@ -68,7 +73,7 @@
 
 /// Describes the service.
 pub fn service() -> Service {
-    Service::new(names::ENTRY, &[names::CATALOG, names::ROUTE], |cx| async move {
+    Service::new(names::ENTRY, &[names::CATALOG, names::ROUTE, names::ONCE], |cx| async move {
         let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
         let addresses: Addresses = cx.registry().find(names::PROCESS)?;
         let listener = TcpListener::bind(settings.listen.caller)
@@ -100,6 +105,7 @@
         catalog: cx.view(names::CATALOG)?,
         keys: Keys::default(),
         route: cx.sender(names::ROUTE)?,
+        once: cx.sender(names::ONCE)?,
         pooled: Client::pooled(connect_timeout),
         fresh: Client::fresh(connect_timeout),
         signer: Signer::new(&settings.peers.secrets),
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -21,10 +21,13 @@
 use crate::entry::ask;
 use crate::entry::ask::Ask;
 use crate::entry::ask::Shape;
+use crate::entry::claim;
+use crate::entry::claim::Claimed;
 use crate::entry::problem::Problem;
 use crate::entry::token::ResumePoint;
 use crate::exec::Exec;
 use crate::exec::Output;
+use crate::exec::Recorded;
 use crate::exec::Start;
 
 /// Outputs that may wait for the writer.
@@ -47,6 +50,8 @@
     req: Request,
 ) -> Result<Response, Problem> {
     let patience = patience(state, &req)?;
+    let key = claim::key_of(&workspace, &req)?;
+    let (method, path) = (req.method.clone(), req.path.clone());
     let token = req.header(RESUME_HEADER).map(str::to_owned);
     let last_event = last_event(&req)?;
     let bytes =
@@ -65,14 +70,50 @@
     let writer = Writer::new(request, &ask);
     let stream = ask.stream;
     let (tx, rx) = mpsc::channel(OUTPUT_DEPTH);
-    let start = Start { request, workspace, ask, idempotent: true, patience, resume };
-    tokio::spawn(Exec::new(state.clone(), start, tx).run());
+    let idempotent = key.is_none();
+    // A caller that resumes goes on with the dispatch that its key was claimed for.
+    let claimed = match key.filter(|_| resume.is_none()) {
+        None => None,
+        Some(key) => {
+            let fingerprint = once::key::fingerprint(method.as_str(), &path, &bytes);
+            Some(claim::claim(state, key, fingerprint).await?)
+        }
+    };
+    let replayed = match claimed {
+        Some(Claimed::Replay(answer)) => {
+            tokio::spawn(replay(answer, tx));
+            true
+        }
+        None | Some(Claimed::Granted(_)) => {
+            let permit = match claimed {
+                Some(Claimed::Granted(permit)) => Some(permit),
+                _ => None,
+            };
+            let start = Start { request, workspace, ask, idempotent, permit, patience, resume };
+            tokio::spawn(Exec::new(state.clone(), start, tx).run());
+            false
+        }
+    };
     let mut response = if stream { writer.stream(rx).await? } else { writer.whole(rx).await? };
     let value = HeaderValue::from_str(&format!("{request:016x}"));
     response.headers_mut().insert(REQUEST_HEADER, value.expect("digits are valid"));
+    if replayed {
+        let value = HeaderValue::from_static("true");
+        response.headers_mut().insert(claim::REPLAYED_HEADER, value);
+    }
     Ok(response)
 }
 
+/// Gives the writer a recorded answer.
+async fn replay(answer: Arc<[u8]>, tx: mpsc::Sender<Output>) {
+    let Ok(recorded) = serde_json::from_slice::<Recorded>(&answer) else { return };
+    for output in recorded.outputs() {
+        if tx.send(output).await.is_err() {
+            return;
+        }
+    }
+}
+
 fn patience(state: &State, req: &Request) -> Result<Duration, Problem> {
     let longest = state.settings.requests.default_deadline;
     match req.header(DEADLINE_HEADER) {
--- a/crates/daemon/src/entry/apps.rs
+++ b/crates/daemon/src/entry/apps.rs
@@ -5,6 +5,9 @@
 use base::prelude::*;
 use http::HeaderMap;
 use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+use once::segment::End;
 use relay::prelude::*;
 use spec::prelude::*;
 use web::body;
@@ -12,7 +15,10 @@
 use web::prelude::*;
 
 use crate::entry::State;
+use crate::entry::claim;
+use crate::entry::claim::Claimed;
 use crate::entry::problem::Problem;
+use crate::once::Permit;
 
 /// Headers that belong to one connection and are not passed on.
 const HOP_BY_HOP: [&str; 9] = [
@@ -27,6 +33,9 @@
     "host",
 ];
 
+/// Largest answer of a call that may not be repeated, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
 /// Passes the call `/apps/{service}/{rest}` on to an instance of the service as `/{rest}`.
 pub async fn pass_on(
     state: &Arc<State>,
@@ -38,6 +47,11 @@
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let service = service(catalog, &workspace, name)?.clone();
     let name: ServiceId = name.into();
+    let key = claim::key_of(&workspace, &req)?;
+    let may_repeat = service.may_repeat(req.method.as_str(), path);
+    if !may_repeat && key.is_none() {
+        return Err(claim::key_missing());
+    }
     let path =
         if req.query.is_empty() { format!("/{path}") } else { format!("/{path}?{}", req.query) };
     let limit = state.settings.caller.max_body_bytes;
@@ -46,7 +60,15 @@
     let bytes =
         body::read(req.body, limit).await.map_err(|error| Problem::too_large(error.to_string()))?;
     let call = Call { method, path: &path, headers, body: bytes };
-    call_any(state, &name, &service, call).await
+    let Some(key) = key.filter(|_| !may_repeat) else {
+        return call_any(state, &name, &service, call).await.map(passed_response);
+    };
+    let target = format!("{name}{path}");
+    let fingerprint = once::key::fingerprint(call.method.as_str(), &target, &call.body);
+    match claim::claim(state, key, fingerprint).await? {
+        Claimed::Replay(answer) => Ok(replayed(&answer)),
+        Claimed::Granted(permit) => call_once(state, &name, &service, call, permit).await,
+    }
 }
 
 fn service<'a>(catalog: &'a Catalog, workspace: &str, name: &str) -> Result<&'a Service, Problem> {
@@ -85,7 +107,7 @@
     for index in 0..count {
         let address = service.addresses[(start + index) % count];
         match state.fresh.send(address, call.clone(), timeout).await {
-            Ok(response) => return Ok(passed_response(response)),
+            Ok(response) => return Ok(response),
             Err(ClientError::NotSent { problem, .. }) => {
                 log::warn!("service `{name}` at {address}: {problem}");
             }
@@ -100,6 +122,67 @@
     Err(outcome(Outcome::NotRun { failure: Failure::NoGroup, retry_after }))
 }
 
+/// An answer of a call that may not be repeated, as it is held for resends.
+#[wire]
+struct Recorded {
+    status: u16,
+    media: Option<Box<str>>,
+    body: Vec<u8>,
+}
+
+/// Makes a call whose key was claimed, and reports its end.
+async fn call_once(
+    state: &State,
+    name: &str,
+    service: &Service,
+    call: Call<'_>,
+    permit: Permit,
+) -> Result<Response, Problem> {
+    let response = match call_any(state, name, service, call).await {
+        Ok(response) => response,
+        Err(problem) if problem.not_run => {
+            permit.refused();
+            return Err(problem);
+        }
+        Err(problem) => {
+            permit.ended(End::Unknown);
+            return Err(problem);
+        }
+    };
+    let (parts, body) = response.into_parts();
+    match body::read(body, MAX_ANSWER_BYTES).await {
+        Ok(bytes) => {
+            let media = parts.headers.get(http::header::CONTENT_TYPE);
+            let media = media.and_then(|media| media.to_str().ok()).map(Into::into);
+            let status = parts.status.as_u16();
+            let recorded = Recorded { status, media, body: bytes.to_vec() };
+            let answer = serde_json::to_vec(&recorded).expect("the answer has a JSON form");
+            permit.done(answer.into());
+            Ok(passed_response(Response::from_parts(parts, bytes.into())))
+        }
+        Err(error) => {
+            log::warn!("service `{name}`: {error}");
+            permit.ended(End::Unknown);
+            Err(outcome(Outcome::Unknown { failure: Failure::Broken }))
+        }
+    }
+}
+
+/// Returns the response of a recorded answer.
+fn replayed(answer: &[u8]) -> Response {
+    let Ok(recorded) = serde_json::from_slice::<Recorded>(answer) else {
+        return outcome(Outcome::Unknown { failure: Failure::Broken }).response();
+    };
+    let status = StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK);
+    let mut response = reply::with_type(status, "application/octet-stream", recorded.body);
+    let headers = response.headers_mut();
+    if let Some(Ok(media)) = recorded.media.map(|media| HeaderValue::from_str(&media)) {
+        headers.insert(http::header::CONTENT_TYPE, media);
+    }
+    headers.insert(claim::REPLAYED_HEADER, HeaderValue::from_static("true"));
+    response
+}
+
 fn outcome(outcome: Outcome) -> Problem {
     Problem::of_outcome(&outcome).expect("an outcome without an answer is a problem")
 }
--- a/crates/daemon/src/exec.rs
+++ b/crates/daemon/src/exec.rs
@@ -11,6 +11,7 @@
 use engine::prelude::*;
 use http::Method;
 use http::StatusCode;
+use once::segment::End;
 use relay::prelude::*;
 use serde::Serialize;
 use tokio::sync::mpsc;
@@ -26,6 +27,7 @@
 use crate::entry::State;
 use crate::entry::ask::Ask;
 use crate::entry::token::ResumePoint;
+use crate::once::Permit;
 use crate::route::AttemptEnd;
 use crate::route::Need;
 use crate::route::Picked;
@@ -54,6 +56,28 @@
     End(Outcome),
 }
 
+/// A whole answer, as it is held for resends.
+#[wire]
+pub struct Recorded {
+    /// Why the text ends.
+    pub finish: FinishReason,
+    /// The pieces.
+    pub pieces: Vec<Box<str>>,
+}
+
+impl Recorded {
+    /// Returns what the answer's writer gets.
+    pub fn outputs(self) -> Vec<Output> {
+        let Recorded { finish, pieces } = self;
+        let numbered = (0..).zip(pieces);
+        let mut outputs: Vec<Output> =
+            numbered.map(|(seq, text)| Output::Piece { seq, text }).collect();
+        let pieces = u32::try_from(outputs.len()).unwrap_or(u32::MAX);
+        outputs.push(Output::End(Outcome::Done { finish, pieces }));
+        outputs
+    }
+}
+
 /// One request while it is carried out.
 pub struct Exec {
     state: Arc<State>,
@@ -62,6 +86,9 @@
     workspace: WorkspaceId,
     ask: Ask,
     idempotent: bool,
+    permit: Option<Permit>,
+    /// The pieces delivered so far, if the answer is to be recorded.
+    recorded: Vec<Box<str>>,
     deadline: Instant,
     accepted: Instant,
     life: Life,
@@ -91,6 +118,8 @@
     pub ask: Ask,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// The right to dispatch, if it was claimed.
+    pub permit: Option<Permit>,
     /// How long the caller waits.
     pub patience: Duration,
     /// Where another process left off, and how many pieces the caller has.
@@ -120,6 +149,8 @@
             workspace: start.workspace,
             ask: start.ask,
             idempotent: start.idempotent,
+            permit: start.permit,
+            recorded: Vec::new(),
             deadline,
             accepted,
             life,
@@ -320,6 +351,9 @@
             metric.with_label_values(&[&*self.workspace]).observe(seconds);
             self.record("streaming", String::new());
         }
+        if self.permit.is_some() {
+            self.recorded.push(text.clone());
+        }
         match self.unless_given_up(self.tx.send(Output::Piece { seq, text })).await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(LifeEvent::CallerGone),
@@ -342,10 +376,27 @@
             None => outcome.name().to_owned(),
         };
         self.record("final", detail);
+        self.report_claim(&outcome);
         // A caller that has gone needs no end.
         let _ = self.tx.send(Output::End(outcome)).await;
     }
 
+    /// Reports the end of a claimed request.
+    fn report_claim(&mut self, outcome: &Outcome) {
+        let Some(permit) = self.permit.take() else { return };
+        match outcome {
+            Outcome::Done { finish, .. } => {
+                let pieces = std::mem::take(&mut self.recorded);
+                let recorded = Recorded { finish: *finish, pieces };
+                let answer = serde_json::to_vec(&recorded).expect("the answer has a JSON form");
+                permit.done(answer.into());
+            }
+            Outcome::NotRun { .. } => permit.refused(),
+            Outcome::Failed { .. } => permit.ended(End::Failed),
+            Outcome::Unknown { .. } | Outcome::Abandoned => permit.ended(End::Unknown),
+        }
+    }
+
     fn cancel(&mut self, attempt: AttemptId) {
         self.stream = None;
         let Some(target) = self.target.clone() else { return };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`groups`]: what is known of the replica groups.
 //! - [`catalog`]: the accepted configuration in force in this process.
 //! - [`store`]: the connection to the key-value service.
+//! - [`once`]: claims of request keys, so that non-idempotent requests run at most once.
 //! - [`operator`]: the operator API, health, metrics and the time line.
 //! - [`announce`]: tells on standard output where the process listens.
 //! - [`logging`]: logs as JSON lines.
@@ -20,6 +21,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod names;
+pub mod once;
 pub mod operator;
 pub mod route;
 pub mod run;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -12,6 +12,7 @@
 use crate::groups;
 use crate::metrics::Metrics;
 use crate::names;
+use crate::once;
 use crate::operator;
 use crate::route;
 use crate::store;
@@ -32,6 +33,7 @@
     kernel.add(catalog::service());
     kernel.add(groups::service());
     kernel.add(route::service());
+    kernel.add(once::service());
     kernel.add(entry::service());
     kernel.add(operator::service());
     kernel.add(announce::service(ANNOUNCED, print));
--- /dev/null
+++ b/crates/lab/tests/once.rs
@@ -0,0 +1,256 @@
+//! Non-idempotent requests through separate daemons that are killed, frozen and cut off from the
+//! key-value service; the stand-in service counts what ran.
+
+mod procs;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use lab::kv::KvCounts;
+use lab::plain::PlainRun;
+use lab::sample;
+use procs::Deployment;
+use procs::wait_until;
+use serde_json::Value;
+use serde_json::json;
+use tokio::task::JoinHandle;
+use web::body;
+use web::client::Call;
+use web::prelude::Client;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What a caller was told.
+#[derive(Debug)]
+struct Told {
+    status: StatusCode,
+    headers: HeaderMap,
+    code: String,
+    body: Vec<u8>,
+}
+
+impl Told {
+    fn is_not_run(&self) -> bool {
+        self.headers.contains_key("samphire-not-run")
+    }
+
+    fn is_replayed(&self) -> bool {
+        self.headers.contains_key("idempotency-replayed")
+    }
+}
+
+/// Returns the issue time of all keys of this test run, so that a resend has the same.
+fn issued() -> String {
+    static ISSUED: std::sync::OnceLock<u64> = std::sync::OnceLock::new();
+    ISSUED.get_or_init(once::committer::wall_ms).to_string()
+}
+
+async fn call(at: SocketAddr, key: Option<&str>, path: &str, body: &str) -> Told {
+    let mut headers = HeaderMap::new();
+    let mut header = |name: &'static str, value: &str| {
+        headers.insert(name, HeaderValue::from_str(value).unwrap());
+    };
+    header("authorization", &format!("Bearer {}", sample::CLUB_KEY));
+    if let Some(key) = key {
+        header("idempotency-key", key);
+        header("idempotency-issued", &issued());
+    }
+    let call = Call { headers, body: body.to_owned().into(), ..Call::new(Method::POST, path) };
+    let (status, headers, body) = match Client::fresh(TIMEOUT).send(at, call, TIMEOUT).await {
+        Ok(response) => {
+            let (parts, answer) = response.into_parts();
+            let body = body::read(answer, 1 << 20).await.unwrap_or_default();
+            (parts.status, parts.headers, body.to_vec())
+        }
+        Err(_) => (StatusCode::BAD_GATEWAY, HeaderMap::new(), Vec::new()),
+    };
+    let read: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let code = read["error"]["code"].as_str().unwrap_or_default().to_owned();
+    Told { status, headers, code, body }
+}
+
+/// Sends a call of the plain service, with its path as the key.
+async fn send(at: SocketAddr, path: &str, body: &str) -> Told {
+    call(at, Some(path), &format!("/apps/{}{path}", sample::SERVICE), body).await
+}
+
+struct Bench {
+    deployment: Deployment,
+    at: Vec<SocketAddr>,
+}
+
+impl Bench {
+    /// Starts two daemons and waits until both take claims.
+    async fn start() -> Self {
+        let deployment = Deployment::start(2, 2, &[]).await;
+        let at = deployment.callers();
+        for (index, at) in at.iter().enumerate() {
+            let path = format!("/ready-{index}");
+            wait_until("a daemon takes claims", || async {
+                send(*at, &path, "x").await.status == StatusCode::OK
+            })
+            .await;
+        }
+        Bench { deployment, at }
+    }
+
+    async fn faults(&self, order: Value) {
+        let at = self.deployment.kv.at("kv-control");
+        let call =
+            Call { body: order.to_string().into(), ..Call::new(Method::POST, "/control/faults") };
+        let response = Client::fresh(TIMEOUT).send(at, call, TIMEOUT).await.unwrap();
+        assert_eq!(response.status(), StatusCode::NO_CONTENT);
+    }
+
+    async fn counts(&self) -> KvCounts {
+        let at = self.deployment.kv.at("kv-control");
+        let counts = Client::fresh(TIMEOUT).json::<(), KvCounts>(
+            at,
+            Method::GET,
+            "/control/counts",
+            None,
+            TIMEOUT,
+        );
+        counts.await.unwrap()
+    }
+
+    /// Returns how often a path was run.
+    async fn runs(&self, path: &str) -> usize {
+        let at = self.deployment.plain.at("plain");
+        let runs = Client::fresh(TIMEOUT).json::<(), Vec<PlainRun>>(
+            at,
+            Method::GET,
+            "/control/runs",
+            None,
+            TIMEOUT,
+        );
+        runs.await.unwrap().iter().filter(|run| &*run.path == path).count()
+    }
+
+    /// Sends a request through the first daemon whose claim takes effect while its answer is lost,
+    /// and returns once that has happened: the daemon now waits and has not dispatched.
+    async fn claim_without_an_answer(&self, path: &'static str) -> JoinHandle<Told> {
+        let lost = self.counts().await.lost;
+        self.faults(json!({"lose_answers": 1})).await;
+        let at = self.at[0];
+        let sent = tokio::spawn(async move { send(at, path, "entry").await });
+        wait_until("a claim's answer is lost", || async { self.counts().await.lost > lost }).await;
+        sent
+    }
+}
+
+#[tokio::test]
+async fn a_resend_runs_once_and_gets_the_recorded_outcome() {
+    let bench = Bench::start().await;
+    let first = send(bench.at[0], "/entries", "crew 7").await;
+    assert_eq!(first.status, StatusCode::OK, "{first:?}");
+    let same = send(bench.at[0], "/entries", "crew 7").await;
+    assert_eq!((same.status, &same.body), (StatusCode::OK, &first.body), "{same:?}");
+    assert!(same.is_replayed());
+    // The end is reported with a short delay; until then the outcome is told as unknown.
+    wait_until("the end is recorded", || async {
+        let told = send(bench.at[1], "/entries", "crew 7").await;
+        assert!(!told.is_not_run(), "{told:?}");
+        assert!(["already_done", "outcome_unknown"].contains(&&*told.code), "{told:?}");
+        told.code == "already_done"
+    })
+    .await;
+    let other = send(bench.at[1], "/entries", "crew 8").await;
+    assert_eq!((&*other.code, other.is_not_run()), ("key_reused", true));
+    let target = format!("/apps/{}/entries", sample::SERVICE);
+    let missing = call(bench.at[1], None, &target, "crew 9").await;
+    assert_eq!((missing.status, missing.is_not_run()), (StatusCode::BAD_REQUEST, true));
+    assert_eq!(bench.runs("/entries").await, 1);
+}
+
+#[tokio::test]
+async fn a_daemon_killed_between_claim_and_dispatch_leaves_the_outcome_unknown() {
+    let mut bench = Bench::start().await;
+    let sent = bench.claim_without_an_answer("/killed").await;
+    bench.deployment.daemons[0].kill();
+    assert_eq!(sent.await.unwrap().status, StatusCode::BAD_GATEWAY);
+    let resent = send(bench.at[1], "/killed", "entry").await;
+    assert_eq!((&*resent.code, resent.is_not_run()), ("outcome_unknown", false), "{resent:?}");
+    assert_eq!(bench.runs("/killed").await, 0);
+}
+
+#[tokio::test]
+async fn a_daemon_frozen_between_claim_and_dispatch_runs_the_request_at_most_once() {
+    let bench = Bench::start().await;
+    let sent = bench.claim_without_an_answer("/frozen").await;
+    bench.deployment.daemons[0].signal("STOP");
+    let resent = send(bench.at[1], "/frozen", "entry").await;
+    assert_eq!((&*resent.code, resent.is_not_run()), ("outcome_unknown", false), "{resent:?}");
+    assert_eq!(bench.runs("/frozen").await, 0);
+    bench.deployment.daemons[0].signal("CONT");
+    let thawed = sent.await.unwrap();
+    let ran = bench.runs("/frozen").await;
+    assert_eq!(ran, usize::from(thawed.status == StatusCode::OK), "{thawed:?}");
+    assert_eq!(thawed.is_not_run(), ran == 0, "{thawed:?}");
+    // Whatever the thawed daemon did, the key runs at most once.
+    let again = send(bench.at[1], "/frozen", "entry").await;
+    let runs = bench.runs("/frozen").await;
+    assert!(runs <= 1, "ran {runs} times; {again:?}");
+}
+
+#[tokio::test]
+async fn an_answer_lost_by_the_service_is_told_as_unknown() {
+    let bench = Bench::start().await;
+    let at = bench.deployment.plain.at("plain");
+    let order = json!({"lose_answers": 1}).to_string().into();
+    let call = Call { body: order, ..Call::new(Method::POST, "/control/faults") };
+    Client::fresh(TIMEOUT).send(at, call, TIMEOUT).await.unwrap();
+    let first = send(bench.at[0], "/lost", "entry").await;
+    assert!(!first.is_not_run() && !first.status.is_success(), "{first:?}");
+    for at in [bench.at[0], bench.at[1]] {
+        let resent = send(at, "/lost", "entry").await;
+        assert_eq!((&*resent.code, resent.is_not_run()), ("outcome_unknown", false));
+    }
+    assert_eq!(bench.runs("/lost").await, 1);
+}
+
+#[tokio::test]
+async fn an_outage_of_the_key_value_service_is_told_at_once_and_ends() {
+    let bench = Bench::start().await;
+    bench.faults(json!({"outage": "no_leader"})).await;
+    let refused = send(bench.at[0], "/down", "entry").await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE, "{refused:?}");
+    assert!(refused.is_not_run() && refused.headers.contains_key("retry-after"), "{refused:?}");
+    assert_eq!(bench.runs("/down").await, 0);
+    bench.faults(json!({"outage": "none"})).await;
+    wait_until("claims are taken again", || async {
+        let told = send(bench.at[1], "/down", "entry").await;
+        assert!(told.status == StatusCode::OK || told.is_not_run(), "{told:?}");
+        told.status == StatusCode::OK
+    })
+    .await;
+    assert_eq!(bench.runs("/down").await, 1);
+}
+
+#[tokio::test]
+async fn text_under_a_key_is_generated_once() {
+    let bench = Bench::start().await;
+    let body = json!({
+        "model": sample::ALIAS,
+        "messages": [{"role": "user", "content": "enter crew 7"}],
+        "max_tokens": 8,
+    })
+    .to_string();
+    let ask = async |at| call(at, Some("text"), "/v1/chat/completions", &body).await;
+    let first = ask(bench.at[0]).await;
+    assert_eq!(first.status, StatusCode::OK, "{first:?}");
+    // Without a seed another run would give another text.
+    let same = ask(bench.at[0]).await;
+    let content = |told: &Told| {
+        let read: Value = serde_json::from_slice(&told.body).unwrap();
+        read["choices"][0]["message"]["content"].clone()
+    };
+    assert_eq!(content(&same), content(&first));
+    assert!(same.is_replayed());
+    let elsewhere = ask(bench.at[1]).await;
+    assert!(["already_done", "outcome_unknown"].contains(&&*elsewhere.code), "{elsewhere:?}");
+}
--- a/crates/once/src/committer.rs
+++ b/crates/once/src/committer.rs
@@ -18,6 +18,7 @@
 use kv::update::Outcome;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::apply::Entry;
 use crate::apply::Verdict;
@@ -52,6 +53,8 @@
 #[derive(Clone)]
 pub struct Committer {
     tx: mpsc::Sender<Ask>,
+    /// Number of asks that have not ended.
+    open: Arc<watch::Sender<usize>>,
     cfg: OnceSettings,
 }
 
@@ -78,9 +81,10 @@
     /// Starts the task. `cfg.layout` must be the agreed layout; see [`agree_layout`].
     pub fn start(store: Arc<dyn Store>, cfg: OnceSettings) -> Self {
         let (tx, rx) = mpsc::channel(INBOX_DEPTH);
-        let task = Task::new(store, cfg);
+        let open = Arc::new(watch::Sender::new(0));
+        let task = Task::new(store, cfg, open.clone());
         tokio::spawn(task.run(rx));
-        Committer { tx, cfg }
+        Committer { tx, open, cfg }
     }
 
     /// Returns the settings, with the agreed layout.
@@ -93,8 +97,7 @@
     pub async fn ask(&self, entry: Entry, issued_ms: u64) -> Answer {
         let (reply, answer) = oneshot::channel();
         let place = self.cfg.layout.place(entry.key(), issued_ms);
-        let ask = Ask { place, entry, reply: Some(reply) };
-        if self.tx.try_send(ask).is_err() {
+        if !self.send(Ask { place, entry, reply: Some(reply) }) {
             return Answer::NotWritten { retry_after: None };
         }
         answer.await.unwrap_or(Answer::InDoubt)
@@ -103,10 +106,28 @@
     /// Gives a report and does not wait. It is tried again while the key-value service is down.
     pub fn report(&self, entry: Entry, issued_ms: u64) {
         let place = self.cfg.layout.place(entry.key(), issued_ms);
-        if self.tx.try_send(Ask { place, entry, reply: None }).is_err() {
+        if !self.send(Ask { place, entry, reply: None }) {
             log::warn!("the report of a claim's end was dropped: too many wait");
         }
     }
+
+    /// Waits until all claims and reports have ended, at most for `limit`.
+    pub async fn settle(&self, limit: Duration) {
+        let mut open = self.open.subscribe();
+        let settled = open.wait_for(|open| *open == 0);
+        if tokio::time::timeout(limit, settled).await.is_err() {
+            log::warn!("some claims' ends were not recorded within {limit:?}");
+        }
+    }
+
+    fn send(&self, ask: Ask) -> bool {
+        self.open.send_modify(|open| *open += 1);
+        let sent = self.tx.try_send(ask).is_ok();
+        if !sent {
+            self.open.send_modify(|open| *open -= 1);
+        }
+        sent
+    }
 }
 
 struct Waiter {
@@ -126,6 +147,7 @@
 struct Task {
     store: Arc<dyn Store>,
     cfg: OnceSettings,
+    open: Arc<watch::Sender<usize>>,
     started: Instant,
     gather: Gather,
     next: Ticket,
@@ -137,11 +159,12 @@
 }
 
 impl Task {
-    fn new(store: Arc<dyn Store>, cfg: OnceSettings) -> Self {
+    fn new(store: Arc<dyn Store>, cfg: OnceSettings, open: Arc<watch::Sender<usize>>) -> Self {
         let (landed_tx, landed_rx) = mpsc::unbounded_channel();
         Task {
             store,
             cfg,
+            open,
             started: Instant::now(),
             gather: Gather::new(&cfg),
             next: 0,
@@ -197,6 +220,7 @@
                     if let Some(reply) = waiter.and_then(|waiter| waiter.reply) {
                         let _ = reply.send(Answer::NotWritten { retry_after: None });
                     }
+                    self.close_one();
                 }
                 Action::WakeAt(at) => {
                     self.wake_at = Some(self.wake_at.map_or(at, |wake_at| wake_at.min(at)));
@@ -228,6 +252,7 @@
             match waiter.reply {
                 Some(reply) => {
                     let _ = reply.send(answer);
+                    self.close_one();
                 }
                 None => self.reported(waiter, answer),
             }
@@ -248,8 +273,14 @@
         let written = matches!(answer, Answer::Decided(_));
         if !written && waiter.since.elapsed() < REPORT_LIFETIME {
             self.wait(waiter, REPORT_PAUSE);
+        } else {
+            self.close_one();
         }
     }
+
+    fn close_one(&self) {
+        self.open.send_modify(|open| *open = open.saturating_sub(1));
+    }
 }
 
 async fn wait_until(at: Option<Instant>) {
--- a/crates/once/src/held.rs
+++ b/crates/once/src/held.rs
@@ -46,6 +46,11 @@
         (answer_digest(answer) == digest).then(|| answer.clone())
     }
 
+    /// Returns the digest of the answer that is held for a key.
+    pub fn digest(&self, key: KeyHash) -> Option<u64> {
+        self.answers.get(&key).map(|answer| answer_digest(answer))
+    }
+
     /// Returns the bytes of all answers held.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod force;
 pub mod kind;
 pub mod manifest;
+mod pattern;
 pub mod read;
 pub mod resource;
 pub mod rules;
