--- a/crates/daemon/src/entry/apps.rs
+++ b/crates/daemon/src/entry/apps.rs
@@ -150,7 +150,8 @@
         }
     };
     let (parts, body) = response.into_parts();
-    match body::read(body, MAX_ANSWER_BYTES).await {
+    let progress = state.settings.requests.progress_timeout;
+    match body::read_in_progress(body, MAX_ANSWER_BYTES, progress).await {
         Ok(bytes) => {
             let media = parts.headers.get(http::header::CONTENT_TYPE);
             let media = media.and_then(|media| media.to_str().ok()).map(Into::into);
--- a/crates/lab/src/measure/kv.rs
+++ b/crates/lab/src/measure/kv.rs
@@ -52,10 +52,29 @@
     Process { store, committer }
 }
 
+/// Who writes a claim.
+#[derive(Clone, Copy)]
+enum Writer {
+    /// The owner of its shard.
+    Owner,
+    /// The process that accepted it.
+    Own,
+}
+
 /// Returns when the claim was answered, and whether it was granted.
-async fn claim(process: &Process, begun: Instant) -> (Duration, bool) {
+async fn claim(
+    processes: &[Arc<Process>],
+    accepted: usize,
+    writer: Writer,
+    begun: Instant,
+) -> (Duration, bool) {
     let issued_ms = wall_ms();
     let key = u128::from(draw_id());
+    let shard = OnceSettings::default().layout.place(key, issued_ms).shard as usize;
+    let process = match writer {
+        Writer::Owner => &processes[shard % PROCESSES],
+        Writer::Own => &processes[accepted],
+    };
     let holder = ClaimId { boot: 1, attempt: draw_id() };
     let entry = Entry::Claim { key, fingerprint: 1, holder };
     let answer = process.committer.ask(entry, issued_ms).await;
@@ -98,7 +117,7 @@
     })
 }
 
-async fn measure(outage: Outage) -> Value {
+async fn measure(outage: Outage, writer: Writer) -> Value {
     let standin = Standin::start(2).await;
     let share = Share::default();
     let processes: Vec<_> = (0..PROCESSES).map(|_| Arc::new(start(&standin, share))).collect();
@@ -109,10 +128,10 @@
     }
     let mut claims = JoinSet::new();
     for (number, at) in Arrivals::new(SEED, CLAIM_RATE, BEFORE + OUTAGE + AFTER).enumerate() {
-        let process = processes[number % PROCESSES].clone();
+        let processes = processes.clone();
         claims.spawn(async move {
             sleep_until(begun, at).await;
-            claim(&process, begun).await
+            claim(&processes, number % PROCESSES, writer, begun).await
         });
     }
     let faults = standin.server.faults.clone();
@@ -140,6 +159,7 @@
         processes.iter().map(|process| process.store.counts()).collect();
     json!({
         "outage": outage,
+        "written_by": match writer { Writer::Owner => "shard_owner", Writer::Own => "accepting_process" },
         "before": phase(Duration::ZERO, BEFORE),
         "during": phase(BEFORE, up),
         "after": phase(up, up + AFTER),
@@ -152,7 +172,10 @@
 
 /// Runs the measurement.
 pub async fn run() -> Value {
-    let no_leader = measure(Outage::NoLeader).await;
-    let silent = measure(Outage::Silent).await;
-    json!({ "processes": PROCESSES, "claim_rate": CLAIM_RATE, "runs": [no_leader, silent] })
+    let runs = [
+        measure(Outage::NoLeader, Writer::Owner).await,
+        measure(Outage::Silent, Writer::Owner).await,
+        measure(Outage::NoLeader, Writer::Own).await,
+    ];
+    json!({ "processes": PROCESSES, "claim_rate": CLAIM_RATE, "runs": runs })
 }
--- a/crates/lab/tests/once.rs
+++ b/crates/lab/tests/once.rs
@@ -78,6 +78,11 @@
     call(at, Some(path), &format!("/apps/{}{path}", sample::SERVICE), body).await
 }
 
+async fn read<T: serde::de::DeserializeOwned>(at: SocketAddr, path: &str) -> T {
+    let client = Client::fresh(TIMEOUT);
+    client.json::<(), T>(at, Method::GET, path, None, TIMEOUT).await.unwrap()
+}
+
 struct Bench {
     deployment: Deployment,
     at: Vec<SocketAddr>,
@@ -107,28 +112,13 @@
     }
 
     async fn counts(&self) -> KvCounts {
-        let at = self.deployment.kv.at("kv-control");
-        let counts = Client::fresh(TIMEOUT).json::<(), KvCounts>(
-            at,
-            Method::GET,
-            "/control/counts",
-            None,
-            TIMEOUT,
-        );
-        counts.await.unwrap()
+        read(self.deployment.kv.at("kv-control"), "/control/counts").await
     }
 
     /// Returns how often a path was run.
     async fn runs(&self, path: &str) -> usize {
-        let at = self.deployment.plain.at("plain");
-        let runs = Client::fresh(TIMEOUT).json::<(), Vec<PlainRun>>(
-            at,
-            Method::GET,
-            "/control/runs",
-            None,
-            TIMEOUT,
-        );
-        runs.await.unwrap().iter().filter(|run| &*run.path == path).count()
+        let runs: Vec<PlainRun> = read(self.deployment.plain.at("plain"), "/control/runs").await;
+        runs.iter().filter(|run| &*run.path == path).count()
     }
 
     /// Sends a request through the first daemon whose claim takes effect while its answer is lost,
--- a/crates/once/src/gather.rs
+++ b/crates/once/src/gather.rs
@@ -1,8 +1,8 @@
 //! Group commit: when a shard's waiting entries are written.
 //!
-//! Each shard has at most one write under way, and begins one at most every flush period, so the
-//! number of writes follows from the shards and the period and not from the requests. A claim on
-//! an idle shard is written at once. Reports are not urgent: they go with the next claims, or
+//! Each shard has at most one write under way, and begins one at most every flush period in the
+//! mean, so the number of writes follows from the shards and the period and not from the requests.
+//! A shard that wrote less may begin up to [`BURST_WRITES`] at once, so few claims don't wait. Reports are not urgent: they go with the next claims, or
 //! alone after a delay. Entries for one segment are written together, the longest due first.
 
 use std::collections::BTreeMap;
@@ -13,6 +13,8 @@
 use crate::settings::OnceSettings;
 use crate::settings::Place;
 
+/// Writes that a shard may begin at once after an idle time.
+pub const BURST_WRITES: u32 = 4;
 /// Most entries of one write.
 pub const MAX_BATCH_ENTRIES: usize = 4_096;
 /// Most entries that wait in one process.
@@ -75,6 +77,9 @@
 struct Shard {
     slots: BTreeMap<u64, Lane>,
     flying: bool,
+    /// When the next write would begin if all writes were a period apart.
+    owed: Mono,
+    /// When the next write may begin.
     ready: Mono,
 }
 
@@ -159,7 +164,9 @@
         }
         let batch = shard.take(slot);
         shard.flying = true;
-        shard.ready = now + self.period;
+        let saved = self.period * (BURST_WRITES - 1);
+        shard.owed = shard.owed.max(now) + self.period;
+        shard.ready = shard.owed.saturating_sub(saved);
         self.waiting -= batch.len();
         Some(Action::Flush { place: Place { shard: number, slot }, batch })
     }
--- a/crates/once/tests/segments.rs
+++ b/crates/once/tests/segments.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::Findings;
 use once::gather::Action;
+use once::gather::BURST_WRITES;
 use once::gather::Event;
 use once::gather::Gather;
 use once::key::answer_digest;
@@ -113,11 +114,41 @@
     batch.flatten().collect()
 }
 
+#[test]
+fn writes_of_a_shard_stay_within_the_period() {
+    let period = Duration::from_millis(100);
+    let cfg = OnceSettings { flush_period_ms: 100, ..OnceSettings::default() };
+    let mut gather = Gather::new(&cfg);
+    let mut begun = Vec::new();
+    // An idle time first, and then claims without a pause.
+    for ms in 1_000..4_000 {
+        let now = Duration::from_millis(ms);
+        let mut actions = gather.decide(arrived(ms, 5, Duration::ZERO), now);
+        actions.extend(gather.decide(Event::Woken, now));
+        if !flushed(&actions).is_empty() {
+            begun.push(now);
+            gather.decide(Event::Landed { shard: 0 }, now);
+        }
+    }
+    assert_eq!(begun.iter().filter(|at| **at < Duration::from_millis(1_010)).count(), 4);
+    for (i, first) in begun.iter().enumerate() {
+        for (more, last) in begun[i..].iter().enumerate() {
+            let most = (*last - *first).as_millis() / period.as_millis() + u128::from(BURST_WRITES);
+            assert!(more as u128 <= most, "{more} more writes from {first:?} to {last:?}");
+        }
+    }
+    assert!(begun.len() > 30, "{} writes", begun.len());
+}
+
 #[test]
 fn idle_shard_writes_at_once_and_a_busy_one_gathers() {
     let cfg = OnceSettings { flush_period_ms: 100, ..OnceSettings::default() };
     let mut gather = Gather::new(&cfg);
     let ms = Duration::from_millis;
+    for ticket in 100..100 + u64::from(BURST_WRITES) - 1 {
+        assert_eq!(flushed(&gather.decide(arrived(ticket, 5, ms(0)), ms(0))), [ticket]);
+        gather.decide(Event::Landed { shard: 0 }, ms(0));
+    }
     assert_eq!(flushed(&gather.decide(arrived(1, 5, ms(0)), ms(0))), [1]);
     assert_eq!(gather.decide(arrived(2, 5, ms(0)), ms(1)), []);
     let landed = gather.decide(Event::Landed { shard: 0 }, ms(3));
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -44,6 +45,30 @@
     Ok(buf.freeze())
 }
 
+/// Reads a whole body of at most `limit` bytes, of which no chunk takes longer than `progress`.
+///
+/// # Errors
+///
+/// A body that is silent for longer is [`BodyError::Broken`].
+pub async fn read_in_progress(
+    mut body: Body,
+    limit: usize,
+    progress: Duration,
+) -> Result<Bytes, BodyError> {
+    let mut buf = BytesMut::new();
+    loop {
+        let chunk = match tokio::time::timeout(progress, next(&mut body)).await {
+            Ok(None) => return Ok(buf.freeze()),
+            Ok(Some(chunk)) => chunk?,
+            Err(_) => return Err(BodyError::Broken(format!("silent for {progress:?}").into())),
+        };
+        if buf.len() + chunk.len() > limit {
+            return Err(BodyError::TooLarge { limit });
+        }
+        buf.extend_from_slice(&chunk);
+    }
+}
+
 /// Reads the next chunk of a body; `None` at its end.
 pub async fn next(body: &mut Body) -> Option<Result<Bytes, BodyError>> {
     loop {
