Measure how accepted changes come into force, and where one value breaks

Cause: the limits of keeping the catalog as one value, and the cost of a change, have to be known before the layout is changed. Ruled out: estimating sizes by hand; the catalogs have the users' proportions (ten workspaces, eight VMs for each replica). Change: `samphire-lab measure propagate`.

--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -3,6 +3,7 @@
 pub mod claims;
 pub mod kv;
 pub mod load;
+pub mod propagate;
 
 use clap::ValueEnum;
 use serde_json::Value;
@@ -14,6 +15,8 @@
     Claims,
     /// Calls to the key-value service by kind, through an outage and after it.
     Kv,
+    /// Accepted changes: time until in force at all daemons, bytes, calls, sizes.
+    Propagate,
 }
 
 /// Runs a measurement.
@@ -21,5 +24,6 @@
     match measure {
         Measure::Claims => claims::run().await,
         Measure::Kv => kv::run().await,
+        Measure::Propagate => propagate::run().await,
     }
 }
--- /dev/null
+++ b/crates/lab/src/measure/propagate.rs
@@ -0,0 +1,303 @@
+//! Accepted changes: the time until they are in force at all daemons, and what they cost.
+//!
+//! Whole daemons run in this process against one key-value stand-in. Changes come in through one
+//! daemon's operator API; the time runs from the accepted answer to the moment at which the last
+//! daemon has the revision in force. Sizes are taken from catalogs of the users' proportions.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::prelude::draw_id;
+use cli::servers::Servers;
+use cli::servers::Write;
+use config::prelude::Settings;
+use daemon::announce::Addresses;
+use daemon::names;
+use http::Method;
+use serde_json::Value;
+use serde_json::json;
+use spec::accept::Change;
+use spec::accept::Edit;
+use spec::accept::Working;
+use spec::catalog::KEPT_DELETIONS;
+use spec::catalog::KEPT_WRITES;
+use spec::delta::update_since;
+use spec::prelude::*;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::kv::KvCounts;
+use crate::measure::load::Latencies;
+use crate::measure::load::Standin;
+use crate::sample;
+
+/// Answer time of the key-value service.
+const KV_DELAY_MS: u64 = 2;
+/// Daemons in one process.
+const DAEMONS: [usize; 5] = [1, 2, 4, 8, 16];
+/// Changes of one run.
+const CHANGES: u32 = 60;
+/// Pause between two changes, so that each is seen alone.
+const CHANGE_PAUSE: Duration = Duration::from_millis(20);
+/// Changes a second in a burst at the target size.
+const BURST_PER_SECOND: u32 = 50;
+/// Length of a burst.
+const BURST: Duration = Duration::from_secs(4);
+/// Daemons that take the changes of a burst.
+const BURST_DAEMONS: [usize; 3] = [1, 4, 8];
+/// Replicas of the catalogs whose size is taken; today's, and on the way to the target.
+const REPLICAS: [u32; 5] = [55, 110, 220, 440, 880];
+/// VMs of each replica in these catalogs.
+const VMS_PER_REPLICA: u32 = 8;
+/// Largest value of the key-value service.
+const MAX_VALUE_BYTES: usize = 1_000_000;
+/// Longest wait for one change.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Runs the measurement.
+pub async fn run() -> Value {
+    let mut spread = Vec::new();
+    for count in DAEMONS {
+        spread.push(measure_spread(count).await);
+    }
+    let mut bursts = Vec::new();
+    for count in BURST_DAEMONS {
+        bursts.push(measure_burst(count).await);
+    }
+    let sizes: Vec<Value> = REPLICAS.into_iter().map(measure_size).collect();
+    json!({
+        "in_force_at_all": spread,
+        "bursts": bursts,
+        "sizes": sizes,
+        "limit": limit(),
+    })
+}
+
+struct Fleet {
+    kv: Standin,
+    operators: Vec<SocketAddr>,
+    catalogs: Vec<watch::Receiver<Arc<Catalog>>>,
+    stops: Vec<CancellationToken>,
+}
+
+impl Fleet {
+    async fn start(count: usize) -> Fleet {
+        let kv = Standin::start(KV_DELAY_MS).await;
+        let mut fleet = Fleet { kv, operators: vec![], catalogs: vec![], stops: vec![] };
+        for number in 0..count {
+            let text = sample::settings(&format!("node-{number}"), fleet.kv.address, &[], None);
+            let settings = Settings::try_from(&*text).expect("the sample's settings are valid");
+            let kernel = daemon::run::kernel(settings, |_| {});
+            let registry = kernel.registry().clone();
+            fleet.stops.push(kernel.stop_handle());
+            tokio::spawn(kernel.run());
+            let addresses: Addresses =
+                registry.find(names::PROCESS).expect("the kernel offers the addresses");
+            fleet.operators.push(operator_of(&addresses).await);
+            fleet.catalogs.push(registry.view(names::CATALOG).expect("the service is ready"));
+        }
+        fleet
+    }
+
+    fn servers(&self, number: usize) -> Servers {
+        let token = Some(sample::OPERATOR_TOKEN.into());
+        Servers::new(vec![self.operators[number]], token, TIMEOUT)
+    }
+
+    async fn reach(&mut self, revision: u64) {
+        for catalog in &mut self.catalogs {
+            let reached = catalog.wait_for(|catalog| catalog.revision >= revision);
+            let _ = tokio::time::timeout(TIMEOUT, reached).await;
+        }
+    }
+
+    fn stop(self) {
+        for stop in self.stops {
+            stop.cancel();
+        }
+    }
+}
+
+async fn operator_of(addresses: &Addresses) -> SocketAddr {
+    loop {
+        if let Some(entry) = addresses.list().iter().find(|entry| entry.name == "operator") {
+            return entry.address;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn write(name: &str, value: u32) -> Write {
+    let spec = json!({"max_output_tokens": value});
+    Write {
+        method: Method::POST,
+        path: "/api/v1/apply".to_owned(),
+        body: json!({"kind": "model", "name": name, "spec": spec}).to_string(),
+        revision: None,
+        write_id: draw_id(),
+    }
+}
+
+async fn measure_spread(count: usize) -> Value {
+    let mut fleet = Fleet::start(count).await;
+    let servers = fleet.servers(0);
+    let (mut accepted, mut everywhere) = (Latencies::default(), Latencies::default());
+    let before = fleet.kv.server.faults.counts();
+    for value in 1..=CHANGES {
+        let begun = Instant::now();
+        let answer = servers.write(&write("m", value)).await.expect("the stand-in is up");
+        let answered = Instant::now();
+        accepted.record(answered - begun);
+        fleet.reach(answer.revision).await;
+        everywhere.record(answered.elapsed());
+        tokio::time::sleep(CHANGE_PAUSE).await;
+    }
+    let calls = calls(before, fleet.kv.server.faults.counts(), CHANGES);
+    fleet.stop();
+    json!({
+        "daemons": count,
+        "accepted": accepted.summary(),
+        "in_force_after_accepted": everywhere.summary(),
+        "kv": calls,
+    })
+}
+
+fn calls(before: KvCounts, after: KvCounts, changes: u32) -> Value {
+    let changes = f64::from(changes);
+    json!({
+        "reads_per_change": (after.reads - before.reads) as f64 / changes,
+        "writes_per_change": (after.writes - before.writes) as f64 / changes,
+        "watching": after.watching,
+        "limited": after.limited - before.limited,
+    })
+}
+
+async fn measure_burst(count: usize) -> Value {
+    let mut fleet = Fleet::start(count).await;
+    let before = fleet.kv.server.faults.counts();
+    let total = BURST_PER_SECOND * u32::try_from(BURST.as_secs()).unwrap_or(1);
+    let begun = Instant::now();
+    let mut changes = tokio::task::JoinSet::new();
+    for number in 0..total {
+        let servers = fleet.servers(number as usize % count);
+        changes.spawn(async move {
+            let due = Duration::from_secs_f64(f64::from(number) / f64::from(BURST_PER_SECOND));
+            tokio::time::sleep_until((begun + due).into()).await;
+            let sent = Instant::now();
+            let answer = servers.write(&write(&format!("m{}", number % 20), number + 1)).await;
+            (sent.elapsed(), answer.map(|answer| answer.revision).ok())
+        });
+    }
+    let (mut accepted, mut failed, mut highest) = (Latencies::default(), 0, 0);
+    while let Some(Ok((latency, revision))) = changes.join_next().await {
+        match revision {
+            Some(revision) => {
+                accepted.record(latency);
+                highest = highest.max(revision);
+            }
+            None => failed += 1,
+        }
+    }
+    fleet.reach(highest).await;
+    let calls = calls(before, fleet.kv.server.faults.counts(), total);
+    fleet.stop();
+    json!({
+        "daemons": count,
+        "changes_per_second": BURST_PER_SECOND,
+        "accepted": accepted.summary(),
+        "not_accepted": failed,
+        "kv": calls,
+    })
+}
+
+/// Returns a catalog of a user's proportions: ten workspaces, and a backend server for each VM.
+fn catalog_of(replicas: u32) -> Catalog {
+    let mut working = Working::new(&Catalog::default());
+    let mut edits = Vec::new();
+    let mut put = |name: String, resource: Resource| {
+        edits.push(Edit::Apply(Manifest { name: name.into(), resource, revision: None }));
+    };
+    for kind in [Kind::Model, Kind::Version, Kind::Adapter, Kind::Brand, Kind::Limits] {
+        put(kind.to_string(), Resource::example(kind));
+    }
+    put("service".to_owned(), Resource::example(Kind::Service));
+    for number in 0..10 {
+        if let Resource::Workspace(mut workspace) = Resource::example(Kind::Workspace) {
+            workspace.key_hashes = vec![format!("{number:064x}").into()];
+            put(format!("workspace-{number}"), Resource::Workspace(workspace));
+        }
+    }
+    for number in 0..replicas {
+        put(format!("replica-{number}"), Resource::example(Kind::Replica));
+    }
+    for number in 0..replicas * VMS_PER_REPLICA {
+        if let Resource::BackendServer(mut server) = Resource::example(Kind::BackendServer) {
+            server.address = ([10, 0, (number >> 8) as u8, number as u8], 7000).into();
+            put(format!("vm-{number}"), Resource::BackendServer(server));
+        }
+    }
+    working.evaluate(&change(1, edits));
+    working.into_catalog()
+}
+
+fn change(write_id: u64, edits: Vec<Edit>) -> Change {
+    Change { write_id, operator: "measure".into(), edits, dry_run: false }
+}
+
+fn bytes(catalog: &Catalog) -> usize {
+    serde_json::to_vec(catalog).map_or(0, |bytes| bytes.len())
+}
+
+fn measure_size(replicas: u32) -> Value {
+    let before = catalog_of(replicas);
+    let begun = Instant::now();
+    let mut working = Working::new(&before);
+    let prepared = begun.elapsed();
+    let drained = match before.find(Kind::BackendServer, "vm-1").map(|held| held.resource) {
+        Some(Resource::BackendServer(server)) => BackendServer { drain: true, ..server },
+        _ => return Value::Null,
+    };
+    let resource = Resource::BackendServer(drained);
+    let manifest = Manifest { name: "vm-1".into(), resource, revision: None };
+    let begun = Instant::now();
+    working.evaluate(&change(2, vec![Edit::Apply(manifest)]));
+    let evaluated = begun.elapsed();
+    let after = Arc::new(working.into_catalog());
+    let update = update_since(&after, before.revision).encode();
+    let begun = Instant::now();
+    let _ = spec::delta::Update::decode(&update).map(|update| update.apply(&before));
+    json!({
+        "replicas": replicas,
+        "resources": after.len(),
+        "value_bytes": bytes(&after),
+        "bytes_per_resource": bytes(&after) as f64 / after.len() as f64,
+        "delta_bytes_of_one_change": update.len(),
+        "prepare_ms": prepared.as_secs_f64() * 1e3,
+        "evaluate_ms": evaluated.as_secs_f64() * 1e3,
+        "apply_delta_ms": begun.elapsed().as_secs_f64() * 1e3,
+    })
+}
+
+/// Returns where one value breaks: the resources that fit beside full lists of marks.
+fn limit() -> Value {
+    let catalog = catalog_of(REPLICAS[0]);
+    let per_resource = bytes(&catalog) as f64 / catalog.len() as f64;
+    let mut marks = Catalog::default();
+    for _ in 0..KEPT_WRITES {
+        marks.mark(draw_id());
+    }
+    for number in 0..KEPT_DELETIONS {
+        let name = format!("vm-{number}");
+        marks.set(&name, Resource::example(Kind::BackendServer), 1);
+        marks.delete(Kind::BackendServer, &name, 1_000_000);
+    }
+    let marks = bytes(&marks);
+    let room = MAX_VALUE_BYTES.saturating_sub(marks) as f64;
+    json!({
+        "max_value_bytes": MAX_VALUE_BYTES,
+        "marks_and_deletions_bytes": marks,
+        "resources_that_fit": (room / per_resource).floor(),
+    })
+}
