--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,10 +9,12 @@
 //! - [`catalog`]: the accepted configuration in force in this process.
 //! - [`store`]: the connection to the key-value service.
 //! - [`once`]: claims of request keys, so that non-idempotent requests run at most once.
+//! - [`accept`]: accepts operators' changes.
 //! - [`operator`]: the operator API, health, metrics and the time line.
 //! - [`announce`]: tells on standard output where the process listens.
 //! - [`logging`]: logs as JSON lines.
 
+pub mod accept;
 pub mod announce;
 pub mod catalog;
 pub mod entry;
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -14,6 +14,8 @@
 pub const ONCE: ServiceName = "once";
 /// The caller API.
 pub const ENTRY: ServiceName = "entry";
+/// Accepts operators' changes.
+pub const ACCEPT: ServiceName = "accept";
 /// The operator API.
 pub const OPERATOR: ServiceName = "operator";
 /// Tells where the process listens.
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -3,6 +3,7 @@
 pub mod claims;
 pub mod kv;
 pub mod load;
+pub mod propagate;
 pub mod relay;
 
 use clap::ValueEnum;
@@ -17,6 +18,8 @@
     Claims,
     /// Calls to the key-value service by kind, through an outage and after it.
     Kv,
+    /// Accepted changes: time until in force at all daemons, bytes, calls, sizes.
+    Propagate,
 }
 
 /// Runs a measurement.
@@ -25,5 +28,6 @@
         Measure::Relay => relay::run().await,
         Measure::Claims => claims::run().await,
         Measure::Kv => kv::run().await,
+        Measure::Propagate => propagate::run().await,
     }
 }
