--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`member`]: the membership of the processes.
 //! - [`peer`]: calls between the processes.
 //! - [`store`]: the connection to the key-value service.
+//! - [`once`]: claims of request keys, so that non-idempotent requests run at most once.
 //! - [`accept`]: accepts operators' changes.
 //! - [`operator`]: the operator API, health, metrics and the time line.
 //! - [`announce`]: tells on standard output where the process listens.
@@ -26,6 +27,7 @@
 pub mod member;
 pub mod metrics;
 pub mod names;
+pub mod once;
 pub mod operator;
 pub mod peer;
 pub mod route;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -14,6 +14,7 @@
 use crate::member;
 use crate::metrics::Metrics;
 use crate::names;
+use crate::once;
 use crate::operator;
 use crate::peer;
 use crate::route;
@@ -37,6 +38,7 @@
     kernel.add(catalog::service());
     kernel.add(groups::service());
     kernel.add(route::service());
+    kernel.add(once::service());
     kernel.add(entry::service());
     kernel.add(accept::service());
     kernel.add(operator::service());
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -4,6 +4,8 @@
 pub mod gossip;
 pub mod kv;
 pub mod load;
+pub mod propagate;
+pub mod relay;
 
 use clap::ValueEnum;
 use serde_json::Value;
@@ -11,19 +13,25 @@
 /// The measurements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum Measure {
+    /// What the relay adds to a direct call, and the daemon's processor time.
+    Relay,
     /// Claims of request keys: key-value writes and added latency, against two other ways.
     Claims,
     /// The membership: bytes, processor time, memory, and how fast facts spread.
     Gossip,
     /// Calls to the key-value service by kind, through an outage and after it.
     Kv,
+    /// Accepted changes: time until in force at all daemons, bytes, calls, sizes.
+    Propagate,
 }
 
 /// Runs a measurement.
 pub async fn run(measure: Measure) -> Value {
     match measure {
+        Measure::Relay => relay::run().await,
         Measure::Claims => claims::run().await,
         Measure::Gossip => gossip::run(),
         Measure::Kv => kv::run().await,
+        Measure::Propagate => propagate::run().await,
     }
 }
