--- a/crates/daemon/src/accept.rs
+++ b/crates/daemon/src/accept.rs
@@ -25,6 +25,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::catalog::Stands;
 use crate::names;
 
 /// Changes that may wait for the service to take them in.
@@ -123,12 +124,19 @@
                 self.call = Some(write(self.store.clone(), expected, catalog).boxed());
             }
             Action::Answer { ticket, outcome } => self.answer(ticket, outcome),
-            // The watch of the key-value service puts it in force.
-            Action::Stands(_) => {}
+            Action::Stands(catalog) => self.put_in_force(catalog),
             Action::Wake(at) => self.wake = Some(at),
         }
     }
 
+    /// Passes a catalog that stands on, so that its own process has it in force at once.
+    fn put_in_force(&self, catalog: Arc<Catalog>) {
+        let sent = self.cx.sender::<Stands>(names::CATALOG).map(|tx| tx.try_send(Stands(catalog)));
+        if !matches!(sent, Ok(Ok(()))) {
+            log::info!("the catalog comes into force by the watch or from a peer");
+        }
+    }
+
     fn answer(&mut self, ticket: Ticket, outcome: Outcome) {
         let Some(waiting) = self.asks.remove(&ticket) else { return };
         let operator = waiting.operator;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -39,6 +39,7 @@
 use web::prelude::*;
 
 use crate::announce::Addresses;
+use crate::catalog::Admission;
 use crate::entry::auth::Keys;
 use crate::entry::problem::Problem;
 use crate::entry::token::Signer;
@@ -57,6 +58,8 @@
     pub metrics: Metrics,
     /// The configuration in force.
     pub catalog: watch::Receiver<Arc<Catalog>>,
+    /// Whether new requests are taken.
+    pub admission: watch::Receiver<Arc<Admission>>,
     /// The workspaces' keys.
     pub keys: Keys,
     /// Routing.
@@ -103,6 +106,7 @@
     Ok(State {
         metrics: cx.registry().find(names::PROCESS)?,
         catalog: cx.view(names::CATALOG)?,
+        admission: cx.view(names::CATALOG)?,
         keys: Keys::default(),
         route: cx.sender(names::ROUTE)?,
         once: cx.sender(names::ONCE)?,
@@ -136,6 +140,12 @@
     if &*req.path == "/healthz" {
         return reply::text(StatusCode::OK, "ok");
     }
+    // Before the first configuration no key is known, so this comes before the check of keys.
+    let is_new = req.method != Method::GET && req.header(answer::RESUME_HEADER).is_none();
+    if is_new && !state.admission.borrow().takes_requests {
+        state.metrics.refusals.with_label_values(&["caller", "outdated"]).inc();
+        return Problem::outdated().response();
+    }
     let catalog = state.catalog.borrow().clone();
     let Some(workspace) = state.keys.workspace_of(&catalog, req.bearer()) else {
         state.metrics.refusals.with_label_values(&["caller", "unauthorized"]).inc();
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -35,7 +35,7 @@
 /// Header by which a caller says how long it waits, in milliseconds.
 const DEADLINE_HEADER: &str = "samphire-deadline-ms";
 /// Header with a resume token.
-const RESUME_HEADER: &str = "samphire-resume";
+pub(super) const RESUME_HEADER: &str = "samphire-resume";
 /// Header with the number of the last piece that the caller got.
 const LAST_EVENT_HEADER: &str = "last-event-id";
 /// Header with the request's id, for the time line.
--- a/crates/daemon/src/entry/problem.rs
+++ b/crates/daemon/src/entry/problem.rs
@@ -13,6 +13,9 @@
 /// Header that says that a request was not run.
 pub const NOT_RUN_HEADER: &str = "samphire-not-run";
 
+/// Time to come back to a process whose configuration may be outdated.
+const OUTDATED_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// Why a request gets no answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Problem {
@@ -95,6 +98,20 @@
         }
     }
 
+    /// Returns the problem of a new request while the configuration in force may be outdated.
+    pub fn outdated() -> Self {
+        let message = "the request was not run: this process has heard neither the key-value \
+                       service nor another process for too long";
+        let problem = Problem::bad_request(None, message);
+        Problem {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            kind: "server_error",
+            code: "outdated",
+            retry_after: Some(OUTDATED_RETRY_AFTER),
+            ..problem
+        }
+    }
+
     /// Returns the problem of an outcome without a whole answer, or `None` for one with it.
     pub fn of_outcome(outcome: &Outcome) -> Option<Self> {
         let failure = outcome.failure()?;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -33,7 +33,10 @@
 
 use crate::accept::Ask;
 use crate::announce::Addresses;
+use crate::catalog::Admission;
+use crate::catalog::Highest;
 use crate::groups::FabricRecords;
+use crate::member::View;
 use crate::metrics::Metrics;
 use crate::names;
 
@@ -47,6 +50,12 @@
     pub metrics: Metrics,
     /// The configuration in force.
     pub catalog: Receiver<Arc<Catalog>>,
+    /// Whether new requests are taken.
+    pub admission: Receiver<Arc<Admission>>,
+    /// The highest revision that is known to stand.
+    pub highest: Receiver<Arc<Highest>>,
+    /// The other processes.
+    pub members: Receiver<Arc<View>>,
     /// The replica groups that routing knows.
     pub groups: Receiver<Arc<GroupTable>>,
     /// The records of the replica groups.
@@ -92,6 +101,9 @@
         let state = Arc::new(State {
             metrics: cx.registry().find(names::PROCESS)?,
             catalog: cx.view(names::CATALOG)?,
+            admission: cx.view(names::CATALOG)?,
+            highest: cx.view(names::CATALOG)?,
+            members: cx.view(names::MEMBER)?,
             groups: cx.view(names::GROUPS)?,
             records: cx.view(names::GROUPS)?,
             store: cx.registry().find(names::STORE)?,
@@ -122,11 +134,8 @@
 }
 
 fn ready(state: &State) -> Response {
-    if state.cx.is_process_stopping() {
-        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "the process is stopping");
-    }
-    if state.catalog.borrow().revision == 0 {
-        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration is in force yet");
+    if let Some(reason) = process::not_ready(state) {
+        return reply::text(StatusCode::SERVICE_UNAVAILABLE, reason);
     }
     reply::text(StatusCode::OK, "ready")
 }
--- a/crates/daemon/src/operator/process.rs
+++ b/crates/daemon/src/operator/process.rs
@@ -1,27 +1,43 @@
 //! How this process stands: the revision in force, and why it takes no requests if it does not.
 
+use spec::api::PeerView;
 use spec::api::ProcessView;
 
 use super::State;
 
+/// Returns why the process takes no new requests; `None` if it takes them.
+pub(super) fn not_ready(state: &State) -> Option<&'static str> {
+    if state.cx.is_process_stopping() {
+        Some("the process is stopping")
+    } else if state.catalog.borrow().revision == 0 {
+        Some("no configuration is in force yet")
+    } else if !state.admission.borrow().takes_requests {
+        Some("neither the key-value service nor another process was heard for too long")
+    } else {
+        None
+    }
+}
+
 /// Answers `GET /api/v1/status`.
 pub(super) fn view(state: &State) -> ProcessView {
     let revision = state.catalog.borrow().revision;
-    let reason = if state.cx.is_process_stopping() {
-        "the process is stopping"
-    } else if revision == 0 {
-        "no configuration is in force yet"
-    } else {
-        ""
-    };
+    let highest = state.highest.borrow().revision.max(revision);
+    let not_ready = not_ready(state);
+    let lag = (highest > revision).then_some("a higher revision stands and is not pulled yet");
+    let members = state.members.borrow().clone();
+    let peers = members.members.iter().map(|member| PeerView {
+        node: member.name.clone(),
+        state: member.status.name().into(),
+        revision: member.revision,
+    });
     ProcessView {
         node: state.cx.node().clone(),
         boot: state.cx.boot(),
         failure_domain: state.settings.failure_domain.clone(),
         revision,
-        highest: revision,
-        ready: reason.is_empty(),
-        reason: reason.into(),
-        peers: Vec::new(),
+        highest,
+        ready: not_ready.is_none(),
+        reason: not_ready.or(lag).unwrap_or_default().into(),
+        peers: peers.collect(),
     }
 }
--- a/crates/lab/src/measure/gossip.rs
+++ b/crates/lab/src/measure/gossip.rs
@@ -299,14 +299,35 @@
     })
 }
 
-/// Returns what a doubling of the members adds to a figure, by least squares over the sizes, and
-/// the figure that follows for the target.
-fn slope(rows: &[Value], field: &str, part: &str) -> Value {
+/// What a figure is set against.
+enum Against {
+    Members,
+    Doublings,
+}
+
+impl Against {
+    fn of(&self, members: f64) -> f64 {
+        match self {
+            Against::Members => members,
+            Against::Doublings => members.log2(),
+        }
+    }
+
+    fn name(&self) -> &'static str {
+        match self {
+            Against::Members => "per_member",
+            Against::Doublings => "per_doubling",
+        }
+    }
+}
+
+/// Returns the slope of a figure, by least squares over the sizes, and what follows for the target.
+fn slope(rows: &[Value], part: &str, field: &str, against: Against) -> Value {
     let points: Vec<(f64, f64)> = rows
         .iter()
         .filter_map(|row| {
             let members = row["members"].as_f64()?;
-            Some((members.log2(), row[part][field].as_f64()?))
+            Some((against.of(members), row[part][field].as_f64()?))
         })
         .collect();
     let count = points.len() as f64;
@@ -314,9 +335,10 @@
     let (x, y) = (mean(|point| point.0), mean(|point| point.1));
     let over: f64 = points.iter().map(|point| (point.0 - x) * (point.1 - y)).sum();
     let under: f64 = points.iter().map(|point| (point.0 - x).powi(2)).sum();
-    let per_doubling = over / under;
-    let at_target = y + per_doubling * ((TARGET_MEMBERS as f64).log2() - x);
-    json!({ "per_doubling": round(per_doubling), "at_target": round(at_target) })
+    let slope = over / under;
+    let at_target = y + slope * (against.of(TARGET_MEMBERS as f64) - x);
+    let slope = (slope * 1000.0).round() / 1000.0;
+    json!({ against.name(): slope, "at_target": round(at_target) })
 }
 
 /// Measures the membership at all sizes.
@@ -328,10 +350,10 @@
         "latency_us": LATENCY.as_micros() as u64,
         "loss": LOSS,
         "revisions_per_second": round(REVISIONS_PER_SECOND),
-        "bytes_sent_quiet": slope(&rows, "bytes_sent", "quiet"),
-        "bytes_sent_with_revisions": slope(&rows, "bytes_sent", "with_revisions"),
-        "processor_us_quiet": slope(&rows, "processor_us", "quiet"),
-        "processor_us_with_revisions": slope(&rows, "processor_us", "with_revisions"),
+        "bytes_sent_quiet": slope(&rows, "quiet", "bytes_sent", Against::Doublings),
+        "bytes_sent_with_revisions": slope(&rows, "with_revisions", "bytes_sent", Against::Doublings),
+        "processor_us_quiet": slope(&rows, "quiet", "processor_us", Against::Members),
+        "processor_us_with_revisions": slope(&rows, "with_revisions", "processor_us", Against::Members),
         "sizes": rows,
     })
 }
--- a/crates/member/src/facts.rs
+++ b/crates/member/src/facts.rs
@@ -51,7 +51,8 @@
         return;
     }
     if let Some(held) = state.facts.get(&fact.key).filter(|held| !fact.supersedes(&held.fact)) {
-        if fact.version == held.fact.version {
+        // Urgent facts are few, and their last hearers count, so they are passed on in full.
+        if fact.version == held.fact.version && !fact.key.is_urgent() {
             let limit = state.settings.transmissions(state.members());
             state.queue.heard_again(&Subject::Fact(fact.key), limit);
         }
