--- a/crates/daemon/src/catalog.rs
+++ b/crates/daemon/src/catalog.rs
@@ -8,7 +8,7 @@
 //! - a mailbox for [`Stands`]: a catalog that is known to stand in the key-value service.
 //!
 //! The decisions are those of [`spec::force`] and [`member::sync`]; the calls around them are in
-//! [`crate::config_sync`].
+//! the module `config_sync`.
 
 use std::sync::Arc;
 
--- a/crates/daemon/src/peer/client.rs
+++ b/crates/daemon/src/peer/client.rs
@@ -1,6 +1,6 @@
 //! Calls to other processes, by name.
 //!
-//! Connections are kept for the peers that were called last, at most [`MAX_CONNECTIONS`]. They
+//! Connections are kept for the peers that were called last, up to a fixed number. They
 //! carry keepalives while a call is open. A connection whose call ended without an answer is never
 //! used again: the next call opens a new one.
 
