Take a replaced member back while its successor loads

Cause: a swap for a member that was only paused cost a whole load, and the planner had to weigh whether to wait for it. Ruled out: loading the successor beside the group without an assignment, since its orders would carry no generation of its own. Change: the move Return, legal only from loading; the keeper holds back the release of a replaced member until its group has loaded. So a swap costs nothing to begin, and the planner begins it at once. Groups are formed only as fast as the weight store can load them, since a group whose loads wait only strands its accelerators. An adapter between the planner's tables and records, resources and VM reports. Seen failing: the new trace ended with the successor loading while releases went out in state forming, and to VMs that were silent; both were mended. Conclusion: downtime after a swap is the shorter of the absence and one load.

--- a/crates/group/src/keeper.rs
+++ b/crates/group/src/keeper.rs
@@ -233,8 +233,8 @@
     }
 
     /// Returns what is known of each VM of the domain, for the planner.
-    pub fn vm_statuses(&self) -> Vec<VmStatus> {
-        self.vms.iter().map(|(vm, watch)| watch.status(vm)).collect()
+    pub fn vm_statuses(&self, now: Mono) -> Vec<VmStatus> {
+        self.vms.iter().map(|(vm, watch)| watch.status(vm, now)).collect()
     }
 
     /// Returns each group's state and why it is not serving, for operators.
--- a/crates/group/src/keeper/group.rs
+++ b/crates/group/src/keeper/group.rs
@@ -5,6 +5,8 @@
 use crate::fence;
 use crate::keeper::Keeper;
 use crate::keeper::KeeperAction;
+use crate::keeper::member::VmWatch;
+use crate::keeper::write::Held;
 
 use crate::moves::MemberBoot;
 use crate::moves::Move;
@@ -112,11 +114,12 @@
     ) -> Vec<Move> {
         let Some(held) = self.held.take() else { return Vec::new() };
         let mut moves = Vec::new();
+        let strays = self.strays(&held, now);
         for group in &held.record.groups {
             let check = self.check_group(group, now);
             self.note_doubt(group, &check, now);
             self.review_voucher(group, &check, now, actions);
-            moves.extend(self.due_move(group, &check, now));
+            moves.extend(self.due_move(group, &check, &strays, now));
         }
         self.held = Some(held);
         moves
@@ -223,6 +226,7 @@
         &self,
         group: &GroupRecord,
         check: &Result<Mono, MemberDoubt>,
+        strays: &[VmId],
         now: Mono,
     ) -> Option<Move> {
         let target = target(group);
@@ -240,7 +244,10 @@
             }
             GroupState::Loading => match check {
                 Ok(_) if self.may_vouch(group, now) => Some(Move::Serve { target }),
-                _ => self.break_if_due(group, check, now),
+                Ok(_) => None,
+                Err(_) => self
+                    .returned_member(group, strays, now)
+                    .or_else(|| self.break_if_due(group, check, now)),
             },
             GroupState::Serving => match check {
                 Err(doubt) if doubt.doubt == Doubt::Leaving => Some(Move::Drain { target }),
@@ -251,6 +258,33 @@
         }
     }
 
+    /// Returns the free VMs that still hold an assignment and are ready.
+    fn strays(&self, held: &Held, now: Mono) -> Vec<VmId> {
+        let stray = |(vm, watch): (&VmId, &VmWatch)| {
+            let seen = watch.fresh(self.settings.vouch_ttl, now)?;
+            let holds = seen.answer.assignment.is_some() && seen.answer.ready;
+            let free = !watch.is_leaving() && held.group_of(vm).is_none();
+            (holds && free).then(|| vm.clone())
+        };
+        self.vms.iter().filter_map(stray).collect()
+    }
+
+    /// Returns the move that takes back a replaced member which still holds its weights, if its
+    /// successor has not loaded.
+    fn returned_member(&self, group: &GroupRecord, strays: &[VmId], now: Mono) -> Option<Move> {
+        strays.iter().find_map(|vm| {
+            let watch = self.vms.get(vm)?;
+            let rank = watch.seen.as_ref()?.answer.assignment.as_ref()?.rank;
+            let member = group.members.get(rank as usize)?;
+            let waits = self.check_member(group, member, now).is_err();
+            (waits && watch.has_loaded(group, member)).then(|| Move::Return {
+                target: target(group),
+                out: member.vm.clone(),
+                into: vm.clone(),
+            })
+        })
+    }
+
     /// Returns the boot id of each member, if all answered lately and none is leaving.
     fn answered_boots(&self, group: &GroupRecord, now: Mono) -> Option<Vec<MemberBoot>> {
         let ttl = self.settings.vouch_ttl;
--- a/crates/group/src/keeper/member.rs
+++ b/crates/group/src/keeper/member.rs
@@ -25,8 +25,8 @@
     pub leaving: bool,
     /// The life of its engine that answered last; 0 if none did.
     pub boot: BootId,
-    /// When the first of its present run of unanswered probes was sent.
-    pub silent_since: Option<Mono>,
+    /// How long ago the first of its present run of unanswered probes was sent.
+    pub silent_for: Duration,
 }
 
 /// An answered probe.
@@ -133,13 +133,13 @@
         }
     }
 
-    pub(super) fn status(&self, vm: &VmId) -> VmStatus {
+    pub(super) fn status(&self, vm: &VmId, now: Mono) -> VmStatus {
         VmStatus {
             vm: vm.clone(),
             is_up: self.seen.is_some() && self.silent_since.is_none(),
             leaving: self.is_leaving(),
             boot: self.seen.as_ref().map_or(0, |seen| seen.answer.boot),
-            silent_since: self.silent_since,
+            silent_for: self.silent_since.map_or(Duration::ZERO, |at| now.saturating_sub(at)),
         }
     }
 }
--- a/crates/group/src/keeper/orders.rs
+++ b/crates/group/src/keeper/orders.rs
@@ -111,9 +111,13 @@
     ) {
         let mut due = Vec::new();
         for (vm, watch) in &self.vms {
-            let Some(seen) = &watch.seen else { continue };
+            let Some(seen) = watch.fresh(self.settings.vouch_ttl, now) else { continue };
             let Some(assignment) = &seen.answer.assignment else { continue };
-            let free = held.group_of(vm).is_none();
+            // A replaced member may yet be taken back while its successor loads.
+            let group = held.record.group(&assignment.group);
+            let loads = [GroupState::Forming, GroupState::Loading];
+            let awaited = group.is_some_and(|group| loads.contains(&group.state));
+            let free = held.group_of(vm).is_none() && !awaited;
             if free && watch.order.is_none() && now >= watch.next_order {
                 due.push((
                     vm.clone(),
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`keeper`]: [`Keeper`](keeper::Keeper), the pure state machine that probes the members,
 //!   vouches for whole groups and moves groups through their states.
 //! - [`probe`], [`order`]: what engines answer and are told; [`fence`]: when orders may leave.
+//! - [`planning`]: between the planner's tables and records, resources and VM reports.
 //! - [`loads`]: [`LoadSchedule`](loads::LoadSchedule), the loads of one weight store.
 //! - [`vouch`]: vouchers from a keeper's process to all daemons.
 //! - [`trace`]: replays of recorded traces, in a small world of engines, keepers and daemons.
@@ -35,6 +36,7 @@
 pub mod loads;
 pub mod moves;
 pub mod order;
+pub mod planning;
 pub mod probe;
 pub mod record;
 pub mod settings;
@@ -51,6 +53,7 @@
     pub use crate::keeper::KeeperEvent;
     pub use crate::keeper::StoredRecord;
     pub use crate::keeper::VmFacts;
+    pub use crate::keeper::VmStatus;
     pub use crate::keeper::WriteOutcome;
     pub use crate::loads::LoadSchedule;
     pub use crate::loads::LoadWish;
@@ -63,6 +66,10 @@
     pub use crate::order::Order;
     pub use crate::order::OrderMessage;
     pub use crate::order::OrderOutcome;
+    pub use crate::planning::FabricMoves;
+    pub use crate::planning::LoadModel;
+    pub use crate::planning::PlanFacts;
+    pub use crate::planning::Planning;
     pub use crate::probe::Assignment;
     pub use crate::probe::Doubt;
     pub use crate::probe::Load;
--- a/crates/group/src/moves.rs
+++ b/crates/group/src/moves.rs
@@ -74,13 +74,22 @@
         /// The group.
         target: Target,
     },
-    /// A free VM or spare takes the place of a member of a broken group.
+    /// Free VMs or spares take the places of members of a broken group.
     Swap {
         /// The group.
         target: Target,
-        /// The VM that leaves.
+        /// The VMs that leave.
+        out: Vec<VmId>,
+        /// The VMs that take their ranks, in the same order.
+        into: Vec<VmId>,
+    },
+    /// A member that was replaced is back with its weights before its successor has loaded.
+    Return {
+        /// The group.
+        target: Target,
+        /// The VM that has not loaded.
         out: VmId,
-        /// The VM that takes its rank.
+        /// The VM that takes its rank back.
         into: VmId,
     },
     /// A broken group takes members of another, which is dissolved.
@@ -134,19 +143,23 @@
         Move::Serve { target } => enter(&mut next, target, GroupState::Serving, &mut findings),
         Move::Break { target } => enter(&mut next, target, GroupState::Broken, &mut findings),
         Move::Swap { target, out, into } => {
-            next.spares.retain(|spare| spare != into);
-            reform(
-                &mut next,
-                target,
-                std::slice::from_ref(out),
-                std::slice::from_ref(into),
-                &mut findings,
-            );
+            require(&next, target, GroupState::Broken, &mut findings);
+            reform(&mut next, target, out, into, &mut findings);
+        }
+        Move::Return { target, out, into } => {
+            require(&next, target, GroupState::Loading, &mut findings);
+            let (out, into) = (std::slice::from_ref(out), std::slice::from_ref(into));
+            reform(&mut next, target, out, into, &mut findings);
         }
         Move::Merge { target, from, out, into } => {
+            require(&next, target, GroupState::Broken, &mut findings);
+            require(&next, from, GroupState::Broken, &mut findings);
             merge(&mut next, target, from, out, into, &mut findings);
         }
-        Move::Rejoin { target } => reform(&mut next, target, &[], &[], &mut findings),
+        Move::Rejoin { target } => {
+            require(&next, target, GroupState::Broken, &mut findings);
+            reform(&mut next, target, &[], &[], &mut findings);
+        }
         Move::Drain { target } => enter(&mut next, target, GroupState::Draining, &mut findings),
         Move::Dissolve { target } => dissolve(&mut next, target, &mut findings),
         Move::SetSpares { spares } => next.spares = spares.clone(),
@@ -207,6 +220,16 @@
     Some(group)
 }
 
+/// Checks that the group is in `state`, for moves that need more than [`LEGAL_MOVES`] says.
+///
+/// [`LEGAL_MOVES`]: crate::record::LEGAL_MOVES
+fn require(record: &FabricRecord, target: &Target, state: GroupState, findings: &mut Findings) {
+    let found = record.group(&target.group).map(|group| group.state);
+    findings.check(found == Some(state), &format!("$.groups[{}]", target.group), || {
+        format!("the move is for state `{}`", state.name())
+    });
+}
+
 fn enter(record: &mut FabricRecord, target: &Target, next: GroupState, findings: &mut Findings) {
     if let Some(group) = take(record, target, next, findings) {
         group.state = next;
@@ -237,6 +260,7 @@
     into: &[VmId],
     findings: &mut Findings,
 ) {
+    record.spares.retain(|spare| !into.contains(spare));
     let generation = next_generation(record);
     let Some(group) = take(record, target, GroupState::Forming, findings) else { return };
     group.state = GroupState::Forming;
@@ -264,9 +288,6 @@
     findings: &mut Findings,
 ) {
     let giver = record.group(&from.group);
-    findings.check(giver.is_some_and(|group| group.state == GroupState::Broken), "$.from", || {
-        format!("group `{}` is not broken", from.group)
-    });
     findings.check(
         into.iter().all(|vm| giver.is_some_and(|group| group.member(vm).is_some())),
         "$.into",
--- a/crates/group/src/record.rs
+++ b/crates/group/src/record.rs
@@ -42,7 +42,7 @@
     use GroupState::*;
     [
         (Forming, &[Loading, Broken, Dissolved]),
-        (Loading, &[Serving, Broken, Dissolved]),
+        (Loading, &[Serving, Forming, Broken, Dissolved]),
         (Serving, &[Draining, Broken]),
         (Draining, &[Broken, Dissolved]),
         (Broken, &[Forming, Dissolved]),
--- a/crates/group/src/trace.rs
+++ b/crates/group/src/trace.rs
@@ -172,7 +172,7 @@
         TraceEvent::Swap { replica, out, into } => {
             let group = world.group(replica)?;
             let target = Target { group: group.id.clone(), generation: group.generation };
-            Some(Move::Swap { target, out: out.clone(), into: into.clone() })
+            Some(Move::Swap { target, out: vec![out.clone()], into: vec![into.clone()] })
         }
         _ => None,
     }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -27,6 +27,7 @@
 mod place;
 pub mod planner;
 pub mod repair;
+mod scratch;
 pub mod settings;
 pub mod trace;
 pub mod world;
@@ -36,8 +37,8 @@
     pub use crate::command::Command;
     pub use crate::command::Reason;
     pub use crate::command::check;
-    pub use crate::planner::Scratch;
     pub use crate::planner::plan;
+    pub use crate::scratch::Scratch;
     pub use crate::settings::Outlook;
     pub use crate::settings::PlanSettings;
     pub use crate::world::Group;
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -3,7 +3,7 @@
 //! Groups of a replica are spread over failure domains first, then over fabric domains; among
 //! equals the tightest fit wins, so that large gaps stay for groups that need them.
 
-use crate::planner::Scratch;
+use crate::scratch::Scratch;
 use crate::world::FabricIndex;
 use crate::world::ReplicaIndex;
 use crate::world::World;
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -5,7 +5,7 @@
 //!
 //! 1. groups whose replica is not declared go, and groups beyond the declared count;
 //! 2. broken groups are repaired, those that weigh most and lack least first;
-//! 3. missing groups are formed where there is room;
+//! 3. missing groups are formed where there is room, as fast as the weight store can load them;
 //! 4. a roll-out forms one group of the new version beyond the count, and the excess pass of a
 //!    later plan drains one of the old version once the new one serves;
 //! 5. a rebalancing does the same from the fullest failure domain to the emptiest;
@@ -23,8 +23,9 @@
 use crate::repair;
 use crate::repair::Case;
 use crate::repair::Way;
+use crate::scratch::Scratch;
+use crate::scratch::reset;
 use crate::settings::PlanSettings;
-use crate::world::DomainIndex;
 use crate::world::FabricIndex;
 use crate::world::Group;
 use crate::world::GroupIndex;
@@ -34,87 +35,6 @@
 use crate::world::VmState;
 use crate::world::World;
 
-/// Tables that a plan needs, kept between plans to spare their allocation.
-#[derive(Clone, Debug, Default)]
-pub struct Scratch {
-    /// Free VMs of each fabric domain that answer and are no spares, last one first.
-    free: Vec<Vec<VmIndex>>,
-    /// Spares of each fabric domain that answer, last one first.
-    spares: Vec<Vec<VmIndex>>,
-    /// Spares that each fabric domain should have.
-    reserve: Vec<u32>,
-    /// Groups of each replica.
-    by_replica: Vec<Vec<GroupIndex>>,
-    /// Broken groups of each fabric domain.
-    broken: Vec<Vec<GroupIndex>>,
-    /// Groups that a command of this plan changes.
-    touched: Vec<bool>,
-    /// Groups in each failure domain, of the replica in focus.
-    domain_count: Vec<u32>,
-    /// Groups in each fabric domain, of the replica in focus.
-    fabric_count: Vec<u32>,
-    commands: Vec<Command>,
-}
-
-fn reset<T: Clone + Default>(table: &mut Vec<T>, len: usize) {
-    table.clear();
-    table.resize(len, T::default());
-}
-
-fn reset_lists(table: &mut Vec<Vec<u32>>, len: usize) {
-    table.iter_mut().for_each(Vec::clear);
-    table.resize(len, Vec::new());
-}
-
-impl Scratch {
-    /// Returns how many VMs of `fabric` a new group may take.
-    pub(crate) fn room(&self, fabric: FabricIndex) -> usize {
-        let fabric = fabric as usize;
-        let free = self.free[fabric].len();
-        let beyond =
-            (free + self.spares[fabric].len()).saturating_sub(self.reserve[fabric] as usize);
-        free.min(beyond)
-    }
-
-    /// Returns how many groups of the replica in focus stand in `domain`.
-    pub(crate) fn in_domain(&self, domain: DomainIndex) -> u32 {
-        self.domain_count[domain as usize]
-    }
-
-    /// Returns how many groups of the replica in focus stand in `fabric`.
-    pub(crate) fn in_fabric(&self, fabric: FabricIndex) -> u32 {
-        self.fabric_count[fabric as usize]
-    }
-
-    fn fill(&mut self, world: &World) {
-        let fabrics = world.fabrics.len();
-        reset_lists(&mut self.free, fabrics);
-        reset_lists(&mut self.spares, fabrics);
-        reset_lists(&mut self.broken, fabrics);
-        reset_lists(&mut self.by_replica, world.replicas.len());
-        reset(&mut self.reserve, fabrics);
-        reset(&mut self.touched, world.groups.len());
-        self.commands.clear();
-        for (i, vm) in world.vms.iter().enumerate().rev() {
-            if vm.group.is_none() && vm.state == VmState::Up {
-                let list = if vm.spare { &mut self.spares } else { &mut self.free };
-                list[vm.fabric as usize].push(i as VmIndex);
-            }
-        }
-        for (group, i) in world.groups.iter().zip(0..) {
-            if group.phase == Phase::Broken {
-                self.broken[group.fabric as usize].push(i);
-            }
-            if let Some(replica) = group.replica {
-                self.by_replica[replica as usize].push(i);
-                let spares = world.replicas[replica as usize].spares;
-                let reserve = &mut self.reserve[group.fabric as usize];
-                *reserve = spares.max(*reserve);
-            }
-        }
-    }
-}
-
 /// Returns what should be done in `world` at `now`.
 ///
 /// The plan depends on the arguments alone; `scratch` only spares allocations.
@@ -378,8 +298,13 @@
 
     /// Forms a group of `replica`, which is in focus, and returns whether there was room.
     fn form(&mut self, replica: ReplicaIndex) -> bool {
+        if self.scratch.backlog >= self.settings.form_backlog {
+            return false;
+        }
         let Some(fabric) = place(self.world, self.scratch, replica, None) else { return false };
-        let count = self.world.replicas[replica as usize].vms as usize;
+        let need = &self.world.replicas[replica as usize];
+        self.scratch.backlog += need.store_time;
+        let count = need.vms as usize;
         let free = &mut self.scratch.free[fabric as usize];
         let vms = (0..count).filter_map(|_| free.pop()).collect();
         self.count_in(fabric);
--- a/crates/plan/src/repair.rs
+++ b/crates/plan/src/repair.rs
@@ -3,7 +3,9 @@
 //! Costs are in weighted seconds: a second of downtime of the group costs `w`, its downtime
 //! weight, and a second in which all its accelerators are stranded costs `1 - w`. The ways are
 //!
-//! - *swap*: free VMs of the fabric domain take the missing members' ranks; only they load;
+//! - *swap*: free VMs of the fabric domain take the missing members' ranks; only they load, and a
+//!   member that comes back with its weights before that takes its rank back, so a swap costs
+//!   nothing to begin;
 //! - *merge*: the same with members of another broken group there, which is dissolved and pays
 //!   the load of a whole group later, less what it would strand while it waits;
 //! - *rebuild*: dissolve, and form anew in another fabric domain; all members load;
@@ -92,7 +94,7 @@
     let rate = settings.outlook.return_rate(case.silent);
     let stranding = (1.0 - case.weight) * case.surviving();
     if let Some((way, price)) = case.best_way() {
-        let due = rate * price <= case.weight + stranding;
+        let due = way == Way::Swap || rate * price <= case.weight + stranding;
         return if due { way } else { Way::Wait };
     }
     let price = case.load_all.as_secs_f64();
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -59,6 +59,9 @@
     pub outlook: Outlook,
     /// Downtime weight from which on a roll-out without room never takes down a serving group.
     pub in_place_below: f64,
+    /// Time of the weight store that groups which are coming may ask for before more are formed:
+    /// a group whose loads wait only strands its accelerators.
+    pub form_backlog: Duration,
     /// How a broken group is repaired.
     pub policy: RepairPolicy,
 }
@@ -68,6 +71,7 @@
         PlanSettings {
             outlook: Outlook::default(),
             in_place_below: 0.5,
+            form_backlog: Duration::from_secs(120),
             policy: RepairPolicy::Weighed,
         }
     }
--- a/crates/plan/src/world.rs
+++ b/crates/plan/src/world.rs
@@ -74,6 +74,8 @@
     pub load_one: Duration,
     /// How long a whole group takes to load.
     pub load_all: Duration,
+    /// How long the weight store is busy with a whole group.
+    pub store_time: Duration,
 }
 
 impl ReplicaNeed {
@@ -89,6 +91,7 @@
             fabrics: Vec::new(),
             load_one: Duration::from_secs(30),
             load_all: Duration::from_secs(120),
+            store_time: Duration::ZERO,
         }
     }
 }
