Give the sample deployment's records roles, boot ids and generations

Cause: the record of a fabric domain now holds roles and spares, and its verifier wants distinct generations and known boot ids of serving groups. Ruled out: weaker checks for samples. Change: the sample's records take boot ids from the engines once ordered. Conclusion: the lab builds again.

--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -39,8 +39,8 @@
     let service = bind().await?;
     let service_at = local(&service)?;
     tokio::spawn(plain::run(service, CancellationToken::new()));
-    let records = sample::fabric_records(&vms);
-    sample::order_engines(&vms, &records).await?;
+    let mut records = sample::fabric_records(&vms);
+    sample::order_engines(&vms, &mut records).await?;
     let catalog = sample::catalog(&vms, vec![service_at]);
     let seeded = sample::seed(&store, &catalog, &records).await;
     seeded.map_err(|error| error.to_string())?;
--- a/crates/lab/src/sample.rs
+++ b/crates/lab/src/sample.rs
@@ -133,39 +133,38 @@
             records.push(FabricRecord {
                 fabric,
                 write_id: 1,
-                last_generation: 1,
+                last_generation: 0,
                 groups: Vec::new(),
+                spares: Vec::new(),
             });
         }
         let record = records.last_mut().expect("one was pushed");
-        record.groups.push(group_record(index, members));
+        record.last_generation += 1;
+        record.groups.push(group_record(index, record.last_generation, members));
     }
     records
 }
 
-fn group_record(index: usize, members: &[Vm]) -> GroupRecord {
-    let member = |(rank, vm): (usize, &Vm)| Member {
-        vm: vm.name.clone(),
-        boot: 0,
-        rank: u32::try_from(rank).unwrap_or(0),
-    };
+fn group_record(index: usize, generation: Generation, members: &[Vm]) -> GroupRecord {
+    let ranked = members.iter().zip(0..);
+    let members = ranked.map(|(vm, rank)| Member::new(vm.name.clone(), rank)).collect();
     GroupRecord {
         id: format!("main-{index}").into(),
         replica: "main".into(),
         model: MODEL.into(),
         version: VERSION.into(),
         adapters: vec![ADAPTER.into()],
-        generation: 1,
+        generation,
         state: GroupState::Serving,
-        members: members.iter().enumerate().map(member).collect(),
+        members,
     }
 }
 
-/// Orders the engines into their groups and waits until all are ready.
-pub async fn order_engines(vms: &[Vm], records: &[FabricRecord]) -> Result<(), Box<str>> {
+/// Orders the engines into their groups, waits until all are ready, and records their boot ids.
+pub async fn order_engines(vms: &[Vm], records: &mut [FabricRecord]) -> Result<(), Box<str>> {
     let client = Client::pooled(ORDER_TIMEOUT);
     let address = |name: &str| vms.iter().find(|vm| &*vm.name == name).map(|vm| vm.address);
-    for group in records.iter().flat_map(|record| &record.groups) {
+    for group in records.iter_mut().flat_map(|record| &mut record.groups) {
         let members: Vec<_> =
             group.members.iter().filter_map(|member| address(&member.vm)).collect();
         for (rank, at) in members.iter().enumerate() {
@@ -188,7 +187,7 @@
                 let order = Order { group: group.id.clone(), generation: group.generation, kind };
                 order_one(&client, *at, &order).await?;
             }
-            wait_ready(&client, *at).await?;
+            group.members[rank as usize].boot = wait_ready(&client, *at).await?;
         }
     }
     Ok(())
@@ -205,14 +204,14 @@
     }
 }
 
-async fn wait_ready(client: &Client, at: SocketAddr) -> Result<(), Box<str>> {
+async fn wait_ready(client: &Client, at: SocketAddr) -> Result<BootId, Box<str>> {
     loop {
         let status: Status = client
             .json::<(), _>(at, Method::GET, "/v1/status", None, ORDER_TIMEOUT)
             .await
             .map_err(|error| error.to_string())?;
         if status.ready {
-            return Ok(());
+            return Ok(status.boot);
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
--- a/crates/lab/tests/procs/mod.rs
+++ b/crates/lab/tests/procs/mod.rs
@@ -154,8 +154,8 @@
     }
 
     async fn seed(&self) {
-        let records = sample::fabric_records(&self.vms);
-        sample::order_engines(&self.vms, &records).await.unwrap();
+        let mut records = sample::fabric_records(&self.vms);
+        sample::order_engines(&self.vms, &mut records).await.unwrap();
         let catalog = sample::catalog(&self.vms, vec![self.plain.at("plain")]);
         sample::seed(&self.store(), &catalog, &records).await.unwrap();
     }
