Keep and plan replica groups in the daemon

Cause: routing read the records and vouched for every group for good; a group that lost a member went on getting work. Ruled out: a watch of the records in each process, in favour of bounded polls; planning on the keepers' copies of the records, since a plan could then rest on an older record than it replaces. Change: the service groups runs a keeper for each fabric domain and publishes vouched groups, VM reports and group reports; the planner reads all records in one call and writes each change by compare-and-swap; the list of VMs is read for leaving marks. Until processes exchange vouchers each probes for itself; until the membership is a service each takes the lead, which costs effort only. Seen failing: with withdrawals taken out of the keeper the end-to-end test ends with 'never happened: the group serves with the spare'. Conclusion: groups are kept whole end to end; the wait before breaking is now 1 s, since a member that comes back rejoins without a load.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -171,6 +171,8 @@
     /// How long a voucher lasts from the moment its probe was sent.
     #[serde(rename = "voucher_ttl_ms", serialize_with = "millis")]
     pub voucher_ttl: Duration,
+    /// Bytes a second that the weight store delivers to all engines.
+    pub weights_bytes_per_second: u64,
 }
 
 /// How the process stops.
@@ -377,8 +379,13 @@
     fn read(f: &mut Fields<'_>) -> Self {
         Keeper {
             probe_period: f.millis("probe_period_ms", 500, 10..=MAX_MILLIS),
-            probe_timeout: f.millis("probe_timeout_ms", 500, 10..=MAX_MILLIS),
-            voucher_ttl: f.millis("voucher_ttl_ms", 2_000, 20..=MAX_MILLIS),
+            probe_timeout: f.millis("probe_timeout_ms", 400, 10..=MAX_MILLIS),
+            voucher_ttl: f.millis("voucher_ttl_ms", 1_900, 20..=MAX_MILLIS),
+            weights_bytes_per_second: f.integer(
+                "weights_bytes_per_second",
+                1_000_000_000,
+                1..=1 << 50,
+            ),
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/keeper.rs
@@ -0,0 +1,223 @@
+//! Keeps the replica groups and tells routing which of them are whole.
+//!
+//! One [`Keeper`] for each fabric domain decides; this service carries its actions out and reports
+//! their outcomes. It publishes
+//! - a [`GroupTable`], the groups that are vouched for, for routing;
+//! - a [`VmReport`], what is known of each VM, for the planner;
+//! - a [`GroupReport`], each group's state and why it is not serving, for operators.
+//!
+//! The process that rendezvous hashing over the live processes picks for a domain leads its
+//! keeping: it alone writes the record and orders engines. As long as processes do not exchange
+//! vouchers, all others observe: they probe too, and vouch for themselves only. While no
+//! membership is known, each process takes the lead, which costs effort and no safety.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use base::prelude::*;
+use config::settings::Settings;
+use group::keeper::GroupStatus;
+use group::prelude::*;
+use group::vouch::ledger::Ledger;
+use kernel::prelude::*;
+use kv::prelude::*;
+use spec::prelude::Catalog;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::names;
+use crate::vm_list::LeavingVms;
+
+mod act;
+mod io;
+
+/// Time between two ticks of the keepers.
+const TICK_PERIOD: Duration = Duration::from_millis(50);
+/// Outcomes that may wait for the service.
+const OUTCOMES_DEPTH: usize = 4_096;
+
+/// The live processes, as the membership sees them.
+#[data]
+#[derive(Default)]
+pub struct LiveNodes {
+    /// Their names, this process's among them.
+    pub nodes: Vec<NodeId>,
+}
+
+/// What is known of each VM.
+#[data]
+#[derive(Default)]
+pub struct VmReport {
+    /// The last word on each VM that was probed.
+    pub vms: BTreeMap<VmId, VmStatus>,
+    /// When it was said, on this process's monotonic clock.
+    pub at: Mono,
+}
+
+/// Each group's state and why it is not serving.
+#[data]
+#[derive(Default)]
+pub struct GroupReport {
+    /// The groups, by fabric domain and name.
+    pub groups: Vec<GroupStatus>,
+}
+
+/// Describes the service.
+pub fn service() -> Service {
+    let needs = &[names::STORE, names::CATALOG, names::VM_LIST];
+    Service::new(names::GROUPS, needs, |cx| async move {
+        let mut service = KeeperService::new(&cx)?;
+        let mut ticks = cx.every(TICK_PERIOD);
+        cx.ready();
+        service.take_over_catalog();
+        loop {
+            tokio::select! {
+                () = cx.stopping() => return Ok(()),
+                () = ticks.tick() => service.tick(),
+                outcome = service.outcomes.recv() => {
+                    if let Some(outcome) = outcome {
+                        service.decide(&outcome.fabric, outcome.event);
+                    }
+                }
+                _ = service.catalog.changed() => service.take_over_catalog(),
+                _ = service.leaving.changed() => service.take_over_catalog(),
+            }
+        }
+    })
+}
+
+/// An outcome for the keeper of a fabric domain.
+struct Outcome {
+    fabric: FabricId,
+    event: KeeperEvent,
+}
+
+/// What the service's parts share.
+struct KeeperService {
+    cx: Context,
+    keeper_settings: KeeperSettings,
+    io: io::Io,
+    outcomes: mpsc::Receiver<Outcome>,
+    catalog: watch::Receiver<Arc<Catalog>>,
+    leaving: watch::Receiver<Arc<LeavingVms>>,
+    live: Option<watch::Receiver<Arc<LiveNodes>>>,
+    keepers: BTreeMap<FabricId, Keeper>,
+    ledger: Ledger,
+    vouchers: VoucherTable,
+    loads: LoadSchedule,
+    groups_tx: watch::Sender<Arc<GroupTable>>,
+    vms_tx: watch::Sender<Arc<VmReport>>,
+    report_tx: watch::Sender<Arc<GroupReport>>,
+}
+
+impl KeeperService {
+    fn new(cx: &Context) -> Result<Self, Fault> {
+        let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
+        let store: Arc<dyn Store> = cx.registry().find(names::STORE)?;
+        let keeper_settings = KeeperSettings {
+            probe_period: settings.keeper.probe_period,
+            probe_timeout: settings.keeper.probe_timeout,
+            vouch_ttl: settings.keeper.voucher_ttl,
+            ..KeeperSettings::default()
+        };
+        keeper_settings.verify().into_result(()).map_err(|f| Fault::new("$.keeper", f))?;
+        let (outcomes_tx, outcomes) = mpsc::channel(OUTCOMES_DEPTH);
+        let ttl = keeper_settings.vouch_ttl;
+        Ok(KeeperService {
+            io: io::Io::new(cx.clone(), store, outcomes_tx, keeper_settings.clone()),
+            keeper_settings,
+            outcomes,
+            catalog: cx.view(names::CATALOG)?,
+            leaving: cx.view(names::VM_LIST)?,
+            live: cx.view(names::MEMBER).ok(),
+            keepers: BTreeMap::new(),
+            ledger: Ledger::new(cx.node().clone(), cx.boot(), ttl),
+            vouchers: VoucherTable::new(cx.node().clone(), cx.boot()),
+            loads: LoadSchedule::new(settings.keeper.weights_bytes_per_second),
+            groups_tx: cx.publish(names::GROUPS, GroupTable::default()),
+            vms_tx: cx.publish(names::GROUPS, VmReport::default()),
+            report_tx: cx.publish(names::GROUPS, GroupReport::default()),
+            cx: cx.clone(),
+        })
+    }
+
+    /// Tells the keepers which VMs their domains have, and which of them are leaving.
+    fn take_over_catalog(&mut self) {
+        let catalog = self.catalog.borrow_and_update().clone();
+        let leaving = self.leaving.borrow_and_update().clone();
+        let mut by_fabric: BTreeMap<FabricId, Vec<VmFacts>> = BTreeMap::new();
+        for (name, server) in catalog.backend_servers.iter() {
+            by_fabric.entry(server.fabric.clone()).or_default().push(VmFacts {
+                vm: name.into(),
+                checks_fencing: server.checks_fencing,
+                leaving: server.drain || leaving.vms.contains(name),
+            });
+        }
+        self.io.set_catalog(catalog);
+        let gone: Vec<FabricId> =
+            self.keepers.keys().filter(|name| !by_fabric.contains_key(*name)).cloned().collect();
+        for fabric in gone {
+            self.decide(&fabric, KeeperEvent::Lost);
+            self.keepers.remove(&fabric);
+        }
+        for (fabric, vms) in by_fabric {
+            let settings = self.keeper_settings.clone();
+            self.keepers
+                .entry(fabric.clone())
+                .or_insert_with(|| Keeper::new(fabric.clone(), settings, draw_id()));
+            self.decide(&fabric, KeeperEvent::Vms(vms));
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.cx.now();
+        let begun = self.loads.start(now);
+        let fabrics: Vec<FabricId> = self.keepers.keys().cloned().collect();
+        for fabric in fabrics {
+            let vms = begun.iter().filter(|vm| self.io.is_in(vm, &fabric));
+            let vms: Vec<VmId> = vms.cloned().collect();
+            if !vms.is_empty() {
+                self.decide(&fabric, KeeperEvent::MayLoad(vms));
+            }
+            let ownership = self.ownership(&fabric);
+            self.decide(&fabric, ownership);
+        }
+        self.publish();
+    }
+
+    /// Returns the event that tells the keeper of `fabric` whether it leads.
+    fn ownership(&self, fabric: &str) -> KeeperEvent {
+        let live = self.live.as_ref().map(|live| live.borrow().clone()).unwrap_or_default();
+        let owner = base::hash::owner(fabric, live.nodes.iter().map(|node| &**node));
+        match owner {
+            Some(owner) if owner != &**self.cx.node() => KeeperEvent::Observing,
+            _ => KeeperEvent::Owned,
+        }
+    }
+
+    fn publish(&mut self) {
+        self.exchange_vouchers();
+        let now = self.cx.now();
+        let statuses = self.keepers.values().flat_map(|keeper| keeper.vm_statuses(now));
+        let vms = statuses.map(|status| (status.vm.clone(), status)).collect();
+        self.vms_tx.send_replace(Arc::new(VmReport { vms, at: now }));
+        let groups = self.keepers.values().flat_map(Keeper::group_statuses).collect();
+        let report = GroupReport { groups };
+        self.report_tx.send_if_modified(|last| {
+            let changed = **last != report;
+            *last = Arc::new(report);
+            changed
+        });
+    }
+
+    /// Takes this process's own vouchers in, the way that any daemon takes in a keeper's.
+    fn exchange_vouchers(&mut self) {
+        let now = self.cx.now();
+        let node = self.cx.node().clone();
+        self.ledger.poll(&self.vouchers.poll(&node, now));
+        let oldest = self.keepers.values().filter_map(Keeper::oldest_probe).min();
+        let message = self.ledger.message(&node, oldest, now);
+        self.vouchers.receive(&message, now);
+        self.groups_tx.send_replace(Arc::new(self.vouchers.views()));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/keeper/io.rs
@@ -0,0 +1,247 @@
+//! Probes, orders and calls to the key-value service, each a task that reports its outcome.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use engine::prelude as wire;
+use engine::prelude::OrderAnswer;
+use engine::prelude::OrderKind;
+use group::prelude::*;
+use group::size;
+use http::Method;
+use kernel::prelude::*;
+use kv::prelude::*;
+use spec::prelude::Catalog;
+use tokio::sync::mpsc;
+use web::client::ClientError;
+use web::prelude::Client;
+
+use crate::keeper::Outcome;
+
+/// How long a backend server may take to accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The edges of the keepers.
+pub(super) struct Io {
+    cx: Context,
+    store: Arc<dyn Store>,
+    client: Client,
+    outcomes: mpsc::Sender<Outcome>,
+    settings: KeeperSettings,
+    catalog: Arc<Catalog>,
+}
+
+impl Io {
+    pub(super) fn new(
+        cx: Context,
+        store: Arc<dyn Store>,
+        outcomes: mpsc::Sender<Outcome>,
+        settings: KeeperSettings,
+    ) -> Self {
+        let client = Client::pooled(CONNECT_TIMEOUT.min(settings.probe_timeout));
+        Io { cx, store, client, outcomes, settings, catalog: Arc::default() }
+    }
+
+    pub(super) fn set_catalog(&mut self, catalog: Arc<Catalog>) {
+        self.catalog = catalog;
+    }
+
+    /// Returns whether `vm` is one of `fabric`.
+    pub(super) fn is_in(&self, vm: &str, fabric: &str) -> bool {
+        self.catalog.backend_servers.get(vm).is_some_and(|server| &*server.fabric == fabric)
+    }
+
+    /// Returns the bytes that one of `members` loads of `version`.
+    pub(super) fn member_bytes(&self, version: &str, members: u32) -> u64 {
+        let bytes = self.catalog.versions.get(version).map_or(0, |version| version.weight_bytes);
+        bytes / u64::from(members.max(1))
+    }
+
+    /// Returns what routing must know of a group; `None` if its rank 0 has no address any more.
+    pub(super) fn facts(&self, group: &GroupRecord) -> Option<GroupFacts> {
+        Some(GroupFacts {
+            id: group.id.clone(),
+            model: group.model.clone(),
+            version: group.version.clone(),
+            adapters: group.adapters.clone(),
+            generation: group.generation,
+            leader: self.address(&group.members.first()?.vm)?,
+        })
+    }
+
+    pub(super) fn probe(&self, fabric: &FabricId, vm: VmId, number: u64) {
+        let address = self.address(&vm);
+        let (client, timeout) = (self.client.clone(), self.settings.probe_timeout);
+        self.spawn(fabric, async move {
+            let Some(address) = address else { return KeeperEvent::Unanswered(vm, number) };
+            let status =
+                client.json::<(), wire::Status>(address, Method::GET, "/v1/status", None, timeout);
+            match status.await {
+                Ok(status) if status.vm == vm => {
+                    KeeperEvent::Answered(vm, number, probe_answer(status))
+                }
+                Ok(status) => {
+                    log::error!("VM `{vm}`: VM `{}` answers at {address}", status.vm);
+                    KeeperEvent::Unanswered(vm, number)
+                }
+                Err(_) => KeeperEvent::Unanswered(vm, number),
+            }
+        });
+    }
+
+    pub(super) fn order(
+        &self,
+        fabric: &FabricId,
+        vm: VmId,
+        number: u64,
+        message: OrderMessage,
+        deadline: Mono,
+    ) {
+        let address = self.address(&vm);
+        let orders = self.engine_orders(&message);
+        let (client, cx) = (self.client.clone(), self.cx.clone());
+        let timeout = self.settings.order_flight;
+        self.spawn(fabric, async move {
+            let Some(address) = address else {
+                return KeeperEvent::Ordered(vm, number, OrderOutcome::Failed);
+            };
+            for order in orders {
+                // The process may have been paused since the order was decided.
+                if cx.now() >= deadline {
+                    return KeeperEvent::Ordered(vm, number, OrderOutcome::Failed);
+                }
+                let outcome = send_order(&client, address, &order, timeout).await;
+                if outcome != OrderOutcome::Done {
+                    return KeeperEvent::Ordered(vm, number, outcome);
+                }
+            }
+            KeeperEvent::Ordered(vm, number, OrderOutcome::Done)
+        });
+    }
+
+    pub(super) fn read(&self, fabric: &FabricId) {
+        let (store, key) = (self.store.clone(), size::record_key(fabric, 0));
+        self.spawn(fabric, async move {
+            match store.get(&key).await {
+                Ok(None) => KeeperEvent::Read(None),
+                Ok(Some(found)) => match FabricRecord::try_from(&*found.value) {
+                    Ok(record) => {
+                        let revision = found.mod_revision;
+                        KeeperEvent::Read(Some(StoredRecord { revision, record }))
+                    }
+                    Err(findings) => {
+                        log::error!("key `{key}`: {findings}; the last good record stays");
+                        KeeperEvent::ReadFailed
+                    }
+                },
+                Err(error) => {
+                    log::debug!("key `{key}`: {error}");
+                    KeeperEvent::ReadFailed
+                }
+            }
+        });
+    }
+
+    pub(super) fn write(&self, fabric: &FabricId, expected: u64, record: &FabricRecord) {
+        let (store, key) = (self.store.clone(), size::record_key(fabric, 0));
+        let (id, text) = (record.write_id, record.to_text());
+        self.spawn(fabric, async move {
+            let outcome = match store.swap(&key, expected, text.into()).await {
+                Ok(Swap::Done { mod_revision }) => WriteOutcome::Done(mod_revision),
+                Ok(Swap::Conflict { .. }) => WriteOutcome::Conflict,
+                Err(KvError::Down | KvError::Limited { .. }) => WriteOutcome::Refused,
+                Err(error) => {
+                    log::warn!("key `{key}`: {error}");
+                    WriteOutcome::Unclear
+                }
+            };
+            KeeperEvent::Written(id, outcome)
+        });
+    }
+
+    fn address(&self, vm: &str) -> Option<SocketAddr> {
+        self.catalog.backend_servers.get(vm).map(|server| server.address)
+    }
+
+    /// Returns the orders by which an engine carries `message` out, in the order of sending.
+    fn engine_orders(&self, message: &OrderMessage) -> Vec<wire::Order> {
+        let kinds = match &message.order {
+            Order::Release => vec![OrderKind::Release],
+            Order::Load { model, version, adapters, rank, members } => {
+                let count = members.len() as u32;
+                let at = members.iter().filter_map(|vm| self.address(vm)).collect();
+                let weights = self.catalog.versions.get(version);
+                let mut kinds = vec![
+                    OrderKind::Assign { rank: *rank, members: at },
+                    OrderKind::Load {
+                        model: model.clone(),
+                        version: version.clone(),
+                        weights: weights.map_or_else(Box::default, |row| row.weights.clone()),
+                        weight_bytes: self.member_bytes(version, count),
+                    },
+                ];
+                let adapters = adapters.iter().filter_map(|adapter| {
+                    let row = self.catalog.adapters.get(adapter)?;
+                    Some(OrderKind::LoadAdapter {
+                        adapter: adapter.clone(),
+                        weights: row.weights.clone(),
+                        weight_bytes: row.weight_bytes / u64::from(count.max(1)),
+                    })
+                });
+                kinds.extend(adapters);
+                kinds
+            }
+        };
+        let order = |kind| wire::Order {
+            group: message.group.clone(),
+            generation: message.generation,
+            kind,
+        };
+        kinds.into_iter().map(order).collect()
+    }
+
+    fn spawn(&self, fabric: &FabricId, work: impl Future<Output = KeeperEvent> + Send + 'static) {
+        let (outcomes, fabric) = (self.outcomes.clone(), fabric.clone());
+        tokio::spawn(async move {
+            let event = work.await;
+            // The service has ended if nobody takes the outcome.
+            let _ = outcomes.send(Outcome { fabric, event }).await;
+        });
+    }
+}
+
+async fn send_order(
+    client: &Client,
+    address: SocketAddr,
+    order: &wire::Order,
+    timeout: Duration,
+) -> OrderOutcome {
+    match client.json(address, Method::POST, "/v1/order", Some(order), timeout).await {
+        Ok(OrderAnswer::Done | OrderAnswer::Accepted) => OrderOutcome::Done,
+        Ok(OrderAnswer::Fenced { .. }) => OrderOutcome::Fenced,
+        Ok(OrderAnswer::Failed { problem }) => {
+            log::error!("order to {address}: {problem}");
+            OrderOutcome::Failed
+        }
+        Err(ClientError::NotSent { .. } | ClientError::Status { .. }) => OrderOutcome::Failed,
+        Err(ClientError::Broken { .. }) => OrderOutcome::Unclear,
+    }
+}
+
+fn probe_answer(status: wire::Status) -> ProbeAnswer {
+    let assignment = status.group.map(|group| Assignment {
+        group,
+        generation: status.generation,
+        rank: status.rank,
+        version: status.version,
+        adapters: status.adapters,
+    });
+    ProbeAnswer {
+        boot: status.boot,
+        assignment,
+        ready: status.ready,
+        leaving: status.leaving,
+        load: Load { queued: status.load.queued, running: status.load.running },
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,7 +5,9 @@
 //! - [`entry`]: the caller API.
 //! - [`exec`]: carries out the actions of a request's life.
 //! - [`route`]: picks a replica group for an attempt.
-//! - [`groups`]: what is known of the replica groups.
+//! - [`keeper`]: keeps the replica groups and tells routing which of them are whole.
+//! - [`planner`]: plans where replica groups go and how they are repaired.
+//! - [`vm_list`]: the platform's list of VMs, as far as it says who is leaving.
 //! - [`catalog`]: the accepted configuration in force in this process.
 //! - [`store`]: the connection to the key-value service.
 //! - [`operator`]: the operator API, health, metrics and the time line.
@@ -16,13 +18,15 @@
 pub mod catalog;
 pub mod entry;
 pub mod exec;
-pub mod groups;
+pub mod keeper;
 pub mod logging;
 pub mod metrics;
 pub mod names;
 pub mod operator;
+pub mod planner;
 pub mod route;
 pub mod run;
 pub mod store;
+pub mod vm_list;
 
 pub use run::run;
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -6,7 +6,13 @@
 pub const STORE: ServiceName = "store";
 /// The accepted configuration in force.
 pub const CATALOG: ServiceName = "catalog";
-/// What is known of the replica groups.
+/// The platform's list of VMs, as far as it says who is leaving.
+pub const VM_LIST: ServiceName = "vm_list";
+/// The membership of our own processes.
+pub const MEMBER: ServiceName = "member";
+/// Plans where replica groups go and how they are repaired.
+pub const PLANNER: ServiceName = "planner";
+/// Keeps the replica groups and tells what is known of them.
 pub const GROUPS: ServiceName = "groups";
 /// Picks a replica group for an attempt.
 pub const ROUTE: ServiceName = "route";
--- /dev/null
+++ b/crates/daemon/src/planner.rs
@@ -0,0 +1,163 @@
+//! Plans where replica groups go and how they are repaired.
+//!
+//! Each [`PLAN_PERIOD`] the owner reads all records in one call, plans on them and on what its
+//! keepers know of the VMs, and writes each changed record by compare-and-swap on the revision
+//! that it read. So a plan never rests on an older record than the one that it replaces. An
+//! unclear write needs no care: the next plan starts from what stands.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use base::prelude::*;
+use config::settings::Settings;
+use group::prelude::*;
+use group::size;
+use kernel::prelude::*;
+use kv::prelude::*;
+use plan::prelude::PlanSettings;
+use plan::prelude::Scratch;
+use plan::prelude::plan;
+use spec::prelude::Catalog;
+use tokio::sync::watch;
+
+use crate::keeper::LiveNodes;
+use crate::keeper::VmReport;
+use crate::names;
+
+/// Time between two plans.
+const PLAN_PERIOD: Duration = Duration::from_secs(1);
+/// Time after the start in which the keepers come to know the VMs.
+const FIRST_PLAN_DELAY: Duration = Duration::from_secs(3);
+/// Time that an engine needs to load beside the transfer of its weights.
+const ENGINE_START: Duration = Duration::from_secs(5);
+/// The key whose owner plans.
+const OWNER_KEY: &str = "planner";
+
+/// Describes the service.
+pub fn service() -> Service {
+    Service::new(names::PLANNER, &[names::STORE, names::CATALOG, names::GROUPS], |cx| async move {
+        let mut planner = Planner::new(&cx)?;
+        let mut ticks = cx.every(PLAN_PERIOD);
+        cx.ready();
+        loop {
+            tokio::select! {
+                () = ticks.tick() => {}
+                () = cx.stopping() => return Ok(()),
+            }
+            if cx.now() < FIRST_PLAN_DELAY || !planner.is_owner() || cx.is_process_stopping() {
+                continue;
+            }
+            if let Err(error) = planner.plan_once().await {
+                log::debug!("no plan: {error}");
+            }
+        }
+    })
+}
+
+struct Planner {
+    cx: Context,
+    store: Arc<dyn Store>,
+    catalog: watch::Receiver<Arc<Catalog>>,
+    vms: watch::Receiver<Arc<VmReport>>,
+    live: Option<watch::Receiver<Arc<LiveNodes>>>,
+    loads: LoadModel,
+    settings: PlanSettings,
+    scratch: Scratch,
+}
+
+/// The records with the revisions of their last writes.
+#[derive(Default)]
+struct Records {
+    records: BTreeMap<FabricId, FabricRecord>,
+    revisions: BTreeMap<FabricId, u64>,
+}
+
+impl Planner {
+    fn new(cx: &Context) -> Result<Self, Fault> {
+        let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
+        let rate = settings.keeper.weights_bytes_per_second;
+        Ok(Planner {
+            store: cx.registry().find(names::STORE)?,
+            catalog: cx.view(names::CATALOG)?,
+            vms: cx.view(names::GROUPS)?,
+            live: cx.view(names::MEMBER).ok(),
+            loads: LoadModel {
+                store_bytes_per_second: rate,
+                engine_bytes_per_second: rate,
+                engine_start: ENGINE_START,
+            },
+            settings: PlanSettings::default(),
+            scratch: Scratch::default(),
+            cx: cx.clone(),
+        })
+    }
+
+    fn is_owner(&self) -> bool {
+        let live = self.live.as_ref().map(|live| live.borrow().clone()).unwrap_or_default();
+        let owner = base::hash::owner(OWNER_KEY, live.nodes.iter().map(|node| &**node));
+        owner.is_none_or(|owner| owner == &**self.cx.node())
+    }
+
+    async fn plan_once(&mut self) -> Result<(), KvError> {
+        let catalog = self.catalog.borrow().clone();
+        if catalog.revision == 0 {
+            return Ok(());
+        }
+        let found = self.read().await?;
+        let vms = self.vms.borrow().clone();
+        let facts = PlanFacts {
+            catalog: &catalog,
+            records: &found.records,
+            vms: &vms.vms,
+            loads: &self.loads,
+        };
+        let now = self.cx.now();
+        let planning = Planning::new(&facts, now);
+        let commands = plan(planning.world(), &self.settings, now, &mut self.scratch);
+        for changes in planning.moves(&commands) {
+            self.write(&found, &changes).await?;
+        }
+        Ok(())
+    }
+
+    async fn read(&self) -> Result<Records, KvError> {
+        let mut found = Records::default();
+        for (key, value) in self.store.list(size::RECORD_PREFIX).await? {
+            match FabricRecord::try_from(&*value.value) {
+                Ok(record) => {
+                    found.revisions.insert(record.fabric.clone(), value.mod_revision);
+                    found.records.insert(record.fabric.clone(), record);
+                }
+                Err(findings) => {
+                    let problem = findings.to_string().into();
+                    return Err(KvError::Malformed { key, problem });
+                }
+            }
+        }
+        Ok(found)
+    }
+
+    async fn write(&self, found: &Records, changes: &FabricMoves) -> Result<(), KvError> {
+        let fabric = &changes.fabric;
+        let stands = found.records.get(fabric).cloned();
+        let mut record = stands.unwrap_or_else(|| FabricRecord::empty(fabric.clone()));
+        let write_id = draw_id();
+        for change in &changes.moves {
+            match apply(&record, change, write_id) {
+                Ok(next) => record = next,
+                Err(findings) => {
+                    log::error!("fabric domain `{fabric}`: {change:?}: {findings}");
+                    return Ok(());
+                }
+            }
+        }
+        let expected = found.revisions.get(fabric).copied().unwrap_or(0);
+        let key = size::record_key(fabric, 0);
+        let outcome = self.store.swap(&key, expected, record.to_text().into()).await?;
+        match outcome {
+            Swap::Done { .. } => log::info!("fabric domain `{fabric}`: {:?}", changes.moves),
+            Swap::Conflict { .. } => log::debug!("fabric domain `{fabric}` changed meanwhile"),
+        }
+        Ok(())
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -9,12 +9,14 @@
 use crate::announce::Addresses;
 use crate::catalog;
 use crate::entry;
-use crate::groups;
+use crate::keeper;
 use crate::metrics::Metrics;
 use crate::names;
 use crate::operator;
+use crate::planner;
 use crate::route;
 use crate::store;
+use crate::vm_list;
 
 /// Services that must be ready before the process announces itself.
 const ANNOUNCED: &[ServiceName] = &[names::ENTRY, names::OPERATOR];
@@ -30,7 +32,9 @@
     registry.offer(names::PROCESS, settings.clone());
     kernel.add(store::service(settings.kv.clone()));
     kernel.add(catalog::service());
-    kernel.add(groups::service());
+    kernel.add(vm_list::service());
+    kernel.add(keeper::service());
+    kernel.add(planner::service());
     kernel.add(route::service());
     kernel.add(entry::service());
     kernel.add(operator::service());
--- a/crates/group/src/keeper.rs
+++ b/crates/group/src/keeper.rs
@@ -83,6 +83,8 @@
 pub enum KeeperEvent {
     /// This process owns the domain's keeping from now on.
     Owned,
+    /// Another process owns it; this one only probes and vouches for itself from now on.
+    Observing,
     /// Another process owns it from now on.
     Lost,
     /// The VMs of the domain and what is known of them.
@@ -171,6 +173,8 @@
     fabric: FabricId,
     rng: ChaCha8Rng,
     owned: bool,
+    /// Whether it writes and orders, besides probing and vouching.
+    leads: bool,
     held: Option<Held>,
     /// When the read under way was sent.
     reading: Option<Mono>,
@@ -191,6 +195,7 @@
             fabric,
             rng: ChaCha8Rng::seed_from_u64(seed),
             owned: false,
+            leads: false,
             held: None,
             reading: None,
             writing: None,
@@ -216,7 +221,7 @@
         actions
     }
 
-    /// Returns whether this process owns the domain.
+    /// Returns whether this process probes the domain, as its owner or for itself.
     pub fn is_owned(&self) -> bool {
         self.owned
     }
@@ -245,7 +250,8 @@
 
     fn take_in(&mut self, event: KeeperEvent, now: Mono, actions: &mut Vec<KeeperAction>) {
         match event {
-            KeeperEvent::Owned => self.gain(now),
+            KeeperEvent::Owned => self.gain(true, now),
+            KeeperEvent::Observing => self.gain(false, now),
             KeeperEvent::Lost => self.lose(actions),
             KeeperEvent::Vms(facts) => self.set_vms(facts, now),
             KeeperEvent::Read(found) => self.on_read(found, now, actions),
@@ -274,7 +280,8 @@
     }
 
     /// Starts anew: nothing that an earlier ownership knew is trusted.
-    fn gain(&mut self, now: Mono) {
+    fn gain(&mut self, leads: bool, now: Mono) {
+        self.leads = leads;
         if self.owned {
             return;
         }
@@ -315,8 +322,10 @@
         self.review_probes(now, actions);
         self.review_record(now, actions);
         let moves = self.review_groups(now, actions);
-        self.write_moves(moves, now, actions);
-        self.review_orders(now, actions);
+        if self.leads {
+            self.write_moves(moves, now, actions);
+            self.review_orders(now, actions);
+        }
     }
 
     fn next_number(&mut self) -> u64 {
--- a/crates/group/src/keeper/group.rs
+++ b/crates/group/src/keeper/group.rs
@@ -101,6 +101,15 @@
     }
 }
 
+fn voucher_event(group: &GroupRecord, state: &str, reason: &str) -> KeeperAction {
+    KeeperAction::Record(Event::Group {
+        group: group.id.clone(),
+        generation: group.generation,
+        state: state.into(),
+        reason: reason.into(),
+    })
+}
+
 fn target(group: &GroupRecord) -> Target {
     Target { group: group.id.clone(), generation: group.generation }
 }
@@ -118,7 +127,7 @@
         for group in &held.record.groups {
             let check = self.check_group(group, now);
             self.note_doubt(group, &check, now);
-            self.review_voucher(group, &check, now, actions);
+            self.review_voucher(group, &check, actions);
             moves.extend(self.due_move(group, &check, &strays, now));
         }
         self.held = Some(held);
@@ -131,7 +140,7 @@
         if let Some(group) = held.group_of(vm) {
             let check = self.check_group(group, now);
             self.note_doubt(group, &check, now);
-            self.review_voucher(group, &check, now, actions);
+            self.review_voucher(group, &check, actions);
         }
         self.held = Some(held);
     }
@@ -189,20 +198,22 @@
         &mut self,
         group: &GroupRecord,
         check: &Result<Mono, MemberDoubt>,
-        now: Mono,
         actions: &mut Vec<KeeperAction>,
     ) {
-        let may_serve = group.state == GroupState::Serving && self.may_vouch(group, now);
+        // Orders of earlier assignments ran out before the group came to serve.
+        let may_serve = group.state == GroupState::Serving;
         let Some(watch) = self.groups.get_mut(&group.id) else { return };
         match check {
             Ok(oldest) if may_serve => {
                 if watch.vouched.replace(*oldest).is_none() {
+                    actions.push(voucher_event(group, "vouched", "whole"));
                     actions.push(KeeperAction::Vouch(Box::new(group.clone()), *oldest));
                 }
             }
             _ => {
                 if watch.withdraw() {
                     actions.push(KeeperAction::Withdraw(group.id.clone(), group.generation));
+                    actions.push(voucher_event(group, "withdrawn", watch.reason()));
                 }
             }
         }
--- a/crates/group/src/keeper/member.rs
+++ b/crates/group/src/keeper/member.rs
@@ -36,13 +36,21 @@
     pub(super) answer: ProbeAnswer,
 }
 
-/// A message whose outcome is awaited.
+/// A probe whose answer is awaited.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct UnderWay {
     pub(super) number: u64,
     pub(super) sent_at: Mono,
 }
 
+/// An order whose outcome is awaited.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OrderUnderWay {
+    pub(super) number: u64,
+    pub(super) sent_at: Mono,
+    pub(super) generation: Generation,
+}
+
 /// What a keeper knows of a VM.
 #[derive(Clone, Debug)]
 pub(super) struct VmWatch {
@@ -53,7 +61,9 @@
     pub(super) silent_since: Option<Mono>,
     pub(super) probe: Option<UnderWay>,
     pub(super) next_probe: Mono,
-    pub(super) order: Option<UnderWay>,
+    pub(super) order: Option<OrderUnderWay>,
+    /// The generation of the last order that the engine took.
+    pub(super) ordered: Generation,
     pub(super) next_order: Mono,
     pub(super) next_ask: Mono,
 }
@@ -69,6 +79,7 @@
             probe: None,
             next_probe: first_probe,
             order: None,
+            ordered: 0,
             next_order: Mono::ZERO,
             next_ask: Mono::ZERO,
         }
@@ -98,12 +109,8 @@
     pub(super) fn has_loaded(&self, group: &GroupRecord, member: &Member) -> bool {
         self.seen.as_ref().is_some_and(|seen| {
             let held = seen.answer.assignment.as_ref();
-            seen.answer.ready
-                && held.is_some_and(|held| {
-                    held.group == group.id
-                        && held.rank == member.rank
-                        && held.version == group.version
-                })
+            let same = held.is_some_and(|held| held.group == group.id && held.rank == member.rank);
+            same && seen.answer.has_loaded(group)
         })
     }
 
--- a/crates/group/src/keeper/orders.rs
+++ b/crates/group/src/keeper/orders.rs
@@ -8,7 +8,7 @@
 use crate::fence;
 use crate::keeper::Keeper;
 use crate::keeper::KeeperAction;
-use crate::keeper::member::UnderWay;
+use crate::keeper::member::OrderUnderWay;
 use crate::keeper::write::Held;
 use crate::order::Order;
 use crate::order::OrderMessage;
@@ -73,13 +73,15 @@
         }
     }
 
-    /// Returns whether `member` does not hold its assignment and may be told so now.
+    /// Returns whether `member` does not hold its assignment, or may not have been told all of it,
+    /// and may be told so now.
     fn needs_order(&self, group: &GroupRecord, member: &Member, now: Mono) -> bool {
         let Some(watch) = self.vms.get(&member.vm) else { return false };
         let Some(seen) = &watch.seen else { return false };
         let quiet = self.is_quiet(group, &member.vm, now);
         let free = watch.order.is_none() && now >= watch.next_order;
-        quiet && free && !seen.answer.holds(group, member)
+        let told = watch.ordered == group.generation && seen.answer.holds(group, member);
+        quiet && free && !told
     }
 
     /// Ends the place in the load schedule of each VM that is ready or loads no more.
@@ -145,7 +147,8 @@
         let number = self.next_number();
         let retry = self.settings.order_retry;
         let watch = self.watch_mut(&vm);
-        watch.order = Some(UnderWay { number, sent_at: now });
+        let generation = message.generation;
+        watch.order = Some(OrderUnderWay { number, sent_at: now, generation });
         watch.next_order = now + retry;
         actions.push(order_event(&vm, &message, "sent"));
         actions.push(KeeperAction::Order(vm, number, message, deadline));
@@ -159,8 +162,9 @@
         actions: &mut Vec<KeeperAction>,
     ) {
         let Some(watch) = self.vms.get_mut(vm) else { return };
-        if watch.order.take_if(|order| order.number == number).is_none() {
-            return;
+        let Some(order) = watch.order.take_if(|order| order.number == number) else { return };
+        if outcome == OrderOutcome::Done {
+            watch.ordered = order.generation;
         }
         if outcome == OrderOutcome::Fenced {
             // Another keeper went further: its record is there to be read.
--- a/crates/group/src/order.rs
+++ b/crates/group/src/order.rs
@@ -2,16 +2,16 @@
 //!
 //! Every order carries the group and the generation that it is for: the fencing number. An
 //! engine that checks it refuses an order whose generation is below the highest that it took.
+//! The shell turns a [`Order::Load`] into the engine's own orders: weights, adapters, then place.
 
 use base::prelude::*;
 
-use crate::record::Role;
-
 /// What an engine is told to do.
 #[wire]
 #[serde(tag = "order", rename_all = "snake_case")]
 pub enum Order {
-    /// Take a rank of the group and load the model's version; done at once if it is loaded.
+    /// Take a rank of the group and load the model's version and adapters; done at once if they
+    /// are loaded.
     Load {
         /// The model.
         model: ModelId,
@@ -24,26 +24,6 @@
         /// The VMs of all ranks, in their order.
         members: Vec<VmId>,
     },
-    /// Load one more adapter.
-    LoadAdapter {
-        /// The adapter.
-        adapter: AdapterId,
-    },
-    /// Change the role within the group.
-    SetRole {
-        /// The new role.
-        role: Role,
-    },
-    /// Write a request's KV cache to where the group that resumes it can read it.
-    ExportCache {
-        /// The request.
-        request: RequestId,
-    },
-    /// Read a request's KV cache that another group exported.
-    ImportCache {
-        /// The request.
-        request: RequestId,
-    },
     /// Forget the assignment.
     Release,
 }
@@ -53,10 +33,6 @@
     pub fn name(&self) -> &'static str {
         match self {
             Order::Load { .. } => "load",
-            Order::LoadAdapter { .. } => "load_adapter",
-            Order::SetRole { .. } => "set_role",
-            Order::ExportCache { .. } => "export_cache",
-            Order::ImportCache { .. } => "import_cache",
             Order::Release => "release",
         }
     }
--- a/crates/group/src/probe.rs
+++ b/crates/group/src/probe.rs
@@ -14,8 +14,10 @@
     pub generation: Generation,
     /// Its rank.
     pub rank: u32,
-    /// The version that it holds or loads.
-    pub version: VersionId,
+    /// The version that it holds; none while it loads one.
+    pub version: Option<VersionId>,
+    /// The adapters that it holds.
+    pub adapters: Vec<AdapterId>,
 }
 
 /// Requests at an engine, as it last reported.
@@ -81,10 +83,18 @@
             held.group == group.id
                 && held.generation == group.generation
                 && held.rank == member.rank
-                && held.version == group.version
+                && held.version.as_ref().is_none_or(|version| *version == group.version)
         })
     }
 
+    /// Returns whether the engine has loaded all that `group` needs.
+    pub fn has_loaded(&self, group: &GroupRecord) -> bool {
+        let held = self.assignment.as_ref();
+        let version = held.and_then(|held| held.version.as_ref());
+        let has = |adapter| held.is_some_and(|held| held.adapters.contains(adapter));
+        self.ready && version == Some(&group.version) && group.adapters.iter().all(has)
+    }
+
     /// Returns why the answer does not show `member` of `group` as there and ready.
     pub fn doubt(&self, group: &GroupRecord, member: &Member) -> Option<Doubt> {
         if self.boot != member.boot {
@@ -93,7 +103,7 @@
             Some(Doubt::Misassigned)
         } else if self.leaving {
             Some(Doubt::Leaving)
-        } else if !self.ready {
+        } else if !self.has_loaded(group) {
             Some(Doubt::NotReady)
         } else {
             None
--- a/crates/group/src/settings.rs
+++ b/crates/group/src/settings.rs
@@ -51,7 +51,7 @@
             vouch_ttl: Duration::from_millis(1900),
             heartbeat_period: Duration::from_millis(250),
             clock_error: 0.01,
-            break_after: Duration::from_secs(2),
+            break_after: Duration::from_secs(1),
             order_right: Duration::from_secs(2),
             order_flight: Duration::from_secs(1),
             order_retry: Duration::from_secs(1),
--- a/crates/group/src/size.rs
+++ b/crates/group/src/size.rs
@@ -14,6 +14,8 @@
 use crate::record::GroupState;
 use crate::record::Member;
 
+/// Prefix of the records' keys in the key-value service.
+pub const RECORD_PREFIX: &str = "samphire/fabric/";
 /// The most bytes that a value of the key-value service may have.
 pub const MAX_RECORD_BYTES: usize = 1_000_000;
 /// Bytes of a record above which its domain is split into cells.
@@ -29,7 +31,10 @@
 
 /// Returns the key of the record of `cell` in `fabric`.
 pub fn record_key(fabric: &str, cell: u32) -> Box<str> {
-    format!("fabric/{fabric}/{cell}").into()
+    match cell {
+        0 => format!("{RECORD_PREFIX}{fabric}").into(),
+        _ => format!("{RECORD_PREFIX}{fabric}/{cell}").into(),
+    }
 }
 
 /// Returns a record of `groups` groups of `vms` VMs and `spares` spares whose names are all
--- a/crates/group/src/trace/engine.rs
+++ b/crates/group/src/trace/engine.rs
@@ -76,9 +76,11 @@
             return OrderOutcome::Fenced;
         }
         match &message.order {
-            Order::Load { version, rank, .. } => {
+            Order::Load { version, rank, adapters, .. } => {
                 let same = self.held.as_ref().is_some_and(|held| {
-                    held.group == message.group && held.rank == *rank && held.version == *version
+                    held.group == message.group
+                        && held.rank == *rank
+                        && held.version.as_ref() == Some(version)
                 });
                 if !same {
                     self.loaded_at = now + load_time;
@@ -87,11 +89,11 @@
                     group: message.group.clone(),
                     generation: message.generation,
                     rank: *rank,
-                    version: version.clone(),
+                    version: Some(version.clone()),
+                    adapters: adapters.clone(),
                 });
             }
             Order::Release => self.held = None,
-            _ => {}
         }
         OrderOutcome::Done
     }
--- a/crates/lab/src/sample.rs
+++ b/crates/lab/src/sample.rs
@@ -226,7 +226,7 @@
     let bytes = serde_json::to_vec(catalog).expect("the catalog has a JSON form");
     store.swap(daemon::catalog::CATALOG_KEY, 0, bytes.into()).await?;
     for record in records {
-        let key = format!("{}{}", daemon::groups::FABRIC_PREFIX, record.fabric);
+        let key = group::size::record_key(&record.fabric, 0);
         let bytes = serde_json::to_vec(record).expect("the record has a JSON form");
         store.swap(&key, 0, bytes.into()).await?;
     }
--- /dev/null
+++ b/crates/lab/tests/keeper.rs
@@ -0,0 +1,147 @@
+//! End to end with separate processes: a group loses a member under load, stops serving, takes a
+//! spare and serves again.
+
+mod procs;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use http::HeaderValue;
+use http::Method;
+use lab::caller;
+use lab::caller::Judgement;
+use lab::caller::TextCall;
+use lab::sample;
+use procs::Deployment;
+use serde_json::Value;
+use tokio::task::JoinHandle;
+use web::body;
+use web::client::Call;
+use web::prelude::Client;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+/// Callers, enough for all groups to get work.
+const LOADS: usize = 16;
+/// The group of the second fabric domain, which has a free VM.
+const GROUP: &str = "main-2";
+
+/// Reads the time line of a daemon.
+async fn timeline(operator: SocketAddr) -> Vec<Value> {
+    let mut call = Call::new(Method::GET, "/api/v1/timeline?from=0");
+    let bearer = HeaderValue::from_str(&format!("Bearer {}", sample::VIEWER_TOKEN)).unwrap();
+    call.headers.insert("authorization", bearer);
+    let response = Client::pooled(TIMEOUT).send(operator, call, TIMEOUT).await.unwrap();
+    let bytes = body::read(response.into_body(), 64 << 20).await.unwrap();
+    let mut value: Value = serde_json::from_slice(&bytes).unwrap();
+    serde_json::from_value(value["events"].take()).unwrap()
+}
+
+/// Returns the place of the first event of `GROUP` with this state, after place `from`.
+fn position(events: &[Value], from: usize, state: &str) -> Option<usize> {
+    let found = events[from..].iter().position(|event| {
+        event["event"] == "group" && event["group"] == GROUP && event["state"] == state
+    });
+    found.map(|place| place + from)
+}
+
+fn millis(event: &Value) -> u64 {
+    event["at"]["millis"].as_u64().unwrap()
+}
+
+fn wall_millis() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// Calls one daemon again and again until told to stop; returns how the answers compare.
+fn load(at: SocketAddr, name: &str, stop: Arc<AtomicBool>) -> JoinHandle<Vec<Judgement>> {
+    let name = name.to_owned();
+    tokio::spawn(async move {
+        let client = Client::pooled(TIMEOUT);
+        let mut judgements = Vec::new();
+        for seed in 0.. {
+            if stop.load(Ordering::Relaxed) {
+                break;
+            }
+            let call = TextCall::small(&format!("{name} {seed}"), seed);
+            judgements.push(caller::call(&client, at, &call).await.judge(&call));
+        }
+        judgements
+    })
+}
+
+#[tokio::test]
+async fn a_group_that_loses_a_member_under_load_takes_a_spare_and_gives_no_wrong_answer() {
+    let mut deployment = Deployment::start(7, 2, &[]).await;
+    let operators = [deployment.daemons[0].at("operator"), deployment.daemons[1].at("operator")];
+    for operator in operators {
+        procs::wait_until("the group is vouched for", || async {
+            position(&timeline(operator).await, 0, "vouched").is_some()
+        })
+        .await;
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = deployment.callers();
+    let loads: Vec<_> = (0..LOADS)
+        .map(|i| load(callers[i % callers.len()], &format!("crew list {i}"), stop.clone()))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = [timeline(operators[0]).await.len(), timeline(operators[1]).await.len()];
+    let killed_at = wall_millis();
+    deployment.engines[5].kill();
+
+    for (operator, before) in operators.into_iter().zip(before) {
+        procs::wait_until("the group serves with the spare", || async {
+            let events = timeline(operator).await;
+            let withdrawn = position(&events, before, "withdrawn");
+            withdrawn.is_some_and(|from| position(&events, from, "vouched").is_some())
+        })
+        .await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    stop.store(true, Ordering::Relaxed);
+    let mut judgements = Vec::new();
+    for load in loads {
+        judgements.extend(load.await.unwrap());
+    }
+    let wrong = judgements.iter().filter(|j| !matches!(j, Judgement::Right | Judgement::Told));
+    assert_eq!(wrong.count(), 0, "{judgements:?}");
+    let right = judgements.iter().filter(|j| **j == Judgement::Right).count();
+    println!("{right} of {} answers whole and right, the others told as failed", judgements.len());
+    assert!(right * 10 >= judgements.len() * 9, "{right} of {}", judgements.len());
+
+    for (operator, before) in operators.into_iter().zip(before) {
+        check_life(&timeline(operator).await, before, killed_at);
+    }
+}
+
+/// Checks the order of the group's states, and that nothing was sent to it while it was broken.
+fn check_life(events: &[Value], before: usize, killed_at: u64) {
+    let mut place = before;
+    let mut recorded = None;
+    let mut told = Vec::new();
+    let states = ["withdrawn", "broken", "forming", "loading", "serving", "vouched"];
+    for state in states {
+        let next = position(events, place, state);
+        // A daemon whose write came second reads the record past a short state.
+        let Some(next) = next else {
+            assert!(["broken", "forming", "loading"].contains(&state), "never {state}");
+            continue;
+        };
+        if state != "withdrawn" {
+            recorded.get_or_insert(next);
+        }
+        told.push(format!("{state} after {} ms", millis(&events[next]) - killed_at));
+        place = next;
+    }
+    println!("killed; {}", told.join(", "));
+    let sent = events[recorded.unwrap()..place].iter().filter(|event| {
+        event["event"] == "attempt" && event["group"] == GROUP && event["outcome"] == "sent"
+    });
+    assert_eq!(sent.count(), 0, "work was sent to a broken group");
+    let attempts = events.iter().filter(|e| e["event"] == "attempt" && e["group"] == GROUP);
+    assert!(attempts.count() > 0, "the group never got work");
+}
