--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -33,7 +33,8 @@
 
 use crate::accept::Ask;
 use crate::announce::Addresses;
-use crate::groups::FabricRecords;
+use crate::keeper::FabricRecords;
+use crate::keeper::GroupReport;
 use crate::metrics::Metrics;
 use crate::names;
 
@@ -51,6 +52,8 @@
     pub groups: Receiver<Arc<GroupTable>>,
     /// The records of the replica groups.
     pub records: Receiver<Arc<FabricRecords>>,
+    /// Each group's state and why it is not serving.
+    pub report: Receiver<Arc<GroupReport>>,
     /// The key-value service.
     pub store: Arc<dyn Store>,
     /// Accepts changes.
@@ -94,6 +97,7 @@
             catalog: cx.view(names::CATALOG)?,
             groups: cx.view(names::GROUPS)?,
             records: cx.view(names::GROUPS)?,
+            report: cx.view(names::GROUPS)?,
             store: cx.registry().find(names::STORE)?,
             accept: cx.sender(names::ACCEPT)?,
             settings,
