Spread hot prefixes, correct reports for all processes, and serialize trials with what came of them

Cause: on a skewed trace affinity lost to two choices at the higher load, and a trial that ended was forgotten by its coordinator before the crash that it brought was known there. Change: S3-TM 5.1 splitting of hot prefixes by fingerprint; own sends stand for half as much of each other process; a group that refused pauses; the end of a trial carries its fact.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -1,6 +1,7 @@
 //! The choice of a group for one request.
 //!
-//! *Prefix affinity* ranks the candidates by rendezvous hashing of the request's affinity key, so
+//! *Prefix affinity* ranks the candidates by rendezvous hashing of the request's key (the prefix,
+//! or a version of a hot one), so
 //! all processes agree on the order without talking, and the loss of a group moves only its own
 //! keys. It takes the first candidate in that order whose estimated load is within a bound of the
 //! mean (bounded-load rendezvous), else the least loaded one. A straggler's load counts as many
@@ -90,13 +91,8 @@
 
 /// Returns the position of the chosen candidate, or `None` if there are no candidates.
 ///
-/// `draw` is a random number; equal numbers give equal choices.
-pub fn choose(
-    policy: Policy,
-    candidates: &[Candidate<'_>],
-    need: &Need,
-    draw: u64,
-) -> Option<usize> {
+/// `key` decides about affinity, and `draw` is a random number; equal ones give equal choices.
+pub fn choose(policy: Policy, candidates: &[Candidate<'_>], key: u64, draw: u64) -> Option<usize> {
     if candidates.is_empty() {
         return None;
     }
@@ -108,16 +104,16 @@
             let second = ((draw >> 32) % count) as usize;
             Some(less_loaded(candidates, first, second))
         }
-        Policy::Affinity { load_bound } => Some(by_affinity(candidates, need, load_bound)),
+        Policy::Affinity { load_bound } => Some(by_affinity(candidates, key, load_bound)),
     }
 }
 
-/// Returns the group that is the request's first choice whatever the load.
+/// Returns the group that is the first choice for the key whatever the load.
 pub fn home<'a>(
     groups: impl IntoIterator<Item = &'a GroupView>,
-    need: &Need,
+    key: u64,
 ) -> Option<&'a GroupView> {
-    let key = format!("{:x}", need.affinity_key());
+    let key = format!("{key:x}");
     groups.into_iter().max_by_key(|view| (weight(&key, &view.id), &view.id))
 }
 
@@ -125,11 +121,11 @@
     if candidates[second].cost() < candidates[first].cost() { second } else { first }
 }
 
-fn by_affinity(candidates: &[Candidate<'_>], need: &Need, load_bound: f64) -> usize {
+fn by_affinity(candidates: &[Candidate<'_>], key: u64, load_bound: f64) -> usize {
     let total: f64 = candidates.iter().map(|candidate| f64::from(candidate.estimate)).sum();
     let mean = (total + 1.0) / candidates.len() as f64;
     let bound = load_bound * mean + LOAD_SLACK;
-    let key = format!("{:x}", need.affinity_key());
+    let key = format!("{key:x}");
     let rank = |i: &usize| (weight(&key, &candidates[*i].view.id), &candidates[*i].view.id);
     (0..candidates.len())
         .filter(|i| candidates[*i].cost() <= bound)
--- /dev/null
+++ b/crates/route/src/hot.rs
@@ -0,0 +1,80 @@
+//! Hot prefixes, split into versions so that no one group has to take all of one.
+//!
+//! A prefix that has more than half of a group's fair share of the requests is split into as many
+//! versions as keep each below that (S3-TM, section 5.1). A request's version follows from its
+//! fingerprint, so a resend goes to the same group. The number of versions is a power of two, so
+//! that processes with slightly different counts mostly agree.
+//!
+//! Counts are kept for the most frequent keys only: a new key takes the place and the count of the
+//! least frequent one, and all counts are halved now and then. Invariant: at most [`MAX_KEYS`]
+//! keys.
+
+use std::collections::BTreeMap;
+
+use base::hash::stable;
+use base::prelude::*;
+
+use crate::need::Fingerprint;
+
+/// Keys that are counted.
+pub const MAX_KEYS: usize = 256;
+/// Time after which counts are halved.
+const HALVING_PERIOD: Duration = Duration::from_secs(10);
+/// Requests of one key below which it is not split.
+const MIN_COUNT: f64 = 16.0;
+/// Part of a group's fair share that one version may have.
+const VERSION_SHARE: f64 = 0.5;
+
+/// Counts of the most frequent keys.
+#[data]
+#[derive(Default)]
+pub struct HotKeys {
+    counts: BTreeMap<u64, f64>,
+    total: f64,
+    halved_at: Mono,
+}
+
+impl HotKeys {
+    /// Counts one request for the key.
+    pub fn count(&mut self, key: u64, now: Mono) {
+        if now.saturating_sub(self.halved_at) >= HALVING_PERIOD {
+            self.halved_at = now;
+            self.total /= 2.0;
+            self.counts.values_mut().for_each(|count| *count /= 2.0);
+        }
+        self.total += 1.0;
+        if let Some(count) = self.counts.get_mut(&key) {
+            *count += 1.0;
+            return;
+        }
+        let inherited = if self.counts.len() < MAX_KEYS { 0.0 } else { self.drop_least() };
+        self.counts.insert(key, inherited + 1.0);
+        debug_assert!(self.counts.len() <= MAX_KEYS, "too many keys are counted");
+    }
+
+    /// Returns into how many versions the key is split over `groups` groups.
+    pub fn versions(&self, key: u64, groups: usize) -> u64 {
+        let count = self.counts.get(&key).copied().unwrap_or(0.0);
+        if count < MIN_COUNT || groups == 0 {
+            return 1;
+        }
+        let shares = count / self.total * groups as f64 / VERSION_SHARE;
+        (shares.ceil() as u64).next_power_of_two().min(groups.next_power_of_two() as u64)
+    }
+
+    fn drop_least(&mut self) -> f64 {
+        let least = self.counts.iter().min_by(|a, b| a.1.total_cmp(b.1));
+        let Some((&key, &count)) = least else { return 0.0 };
+        self.counts.remove(&key);
+        count
+    }
+}
+
+/// Returns the key of the request's version, of `versions` versions of `key`.
+pub fn version_key(key: u64, fingerprint: Fingerprint, versions: u64) -> u64 {
+    debug_assert!(versions.is_power_of_two(), "the number of versions is no power of two");
+    match fingerprint & (versions - 1) {
+        0 => key,
+        version => stable(&[key.to_le_bytes(), version.to_le_bytes()].concat()),
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`need`]: [`Need`](need::Need), what one request asks of routing, and its fingerprints.
 //! - [`load`]: estimates of each group's queue and speed from lagging reports and own sends.
 //! - [`choose`]: the choice of a group by prefix affinity, with two baselines.
+//! - [`hot`]: hot prefixes, split into versions.
 //! - [`limits`] and [`share`]: limits of workspaces, kept over all processes by exchanged usage.
 //! - [`queue`] and [`shed`]: the bounded queue and overload control.
 //! - [`retry`]: the retry budget.
@@ -26,6 +27,7 @@
 
 pub mod bucket;
 pub mod choose;
+pub mod hot;
 pub mod limits;
 pub mod load;
 pub mod need;
--- a/crates/route/src/load.rs
+++ b/crates/route/src/load.rs
@@ -1,8 +1,10 @@
 //! Estimates of each group's queue and speed.
 //!
 //! A group's report says how many requests waited and ran when it was made, which lags. What this
-//! process itself sent and finished since then corrects it; what other processes did since is not
-//! known. The estimate is never below the requests that this process has in progress there.
+//! process itself sent and finished since then corrects it. What the others did since is not
+//! known; as callers are spread evenly it is taken to be half as much for each of them, up to
+//! [`MAX_EXTRAPOLATION`] times as much in all. The estimate is never below the requests that this
+//! process has in progress there.
 //!
 //! Speed is the moving average of the time between tokens. A group is as slow as its average
 //! against the median over the groups of the same table; a group without recent samples counts
@@ -24,6 +26,8 @@
 const MAX_CORRECTIONS: usize = 4096;
 /// Own sends and ends older than this are taken to be in every report.
 const CORRECTION_LIFETIME: Duration = Duration::from_secs(10);
+/// How many times its own sends a process counts at most for those of all processes.
+const MAX_EXTRAPOLATION: f64 = 8.0;
 /// A group is a straggler from this ratio to its peers' median.
 pub const STRAGGLER_RATIO: f64 = 1.5;
 /// Time to the first token that is assumed before any was seen.
@@ -48,9 +52,15 @@
 #[derive(Default)]
 pub struct Loads {
     rows: BTreeMap<GroupId, Load>,
+    peers: usize,
 }
 
 impl Loads {
+    /// Notes how many other processes send to the same groups.
+    pub fn set_peers(&mut self, peers: usize) {
+        self.peers = peers;
+    }
+
     /// Notes that a request was sent to `group`.
     pub fn sent(&mut self, group: &str, now: Mono) {
         let load = self.row(group);
@@ -100,6 +110,8 @@
             .filter(|(at, _)| *at >= view.reported_at)
             .map(|(_, change)| i64::from(*change))
             .sum();
+        let all = 1.0 + (self.peers as f64 / 2.0).min(MAX_EXTRAPOLATION - 1.0);
+        let since = (since as f64 * all) as i64;
         (reported + since).max(i64::from(load.in_progress)) as u32
     }
 
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -22,6 +22,7 @@
 use base::prelude::*;
 use group::view::GroupTable;
 
+use crate::hot::HotKeys;
 use crate::limits::LimitTable;
 use crate::load::Loads;
 use crate::need::Need;
@@ -39,6 +40,8 @@
 
 /// Time for which a group that failed here gets nothing, unless its generation rises.
 pub const LOCAL_DOWN: Duration = Duration::from_secs(2);
+/// Time for which a group that refused a request gets only what no other group can take.
+pub const REFUSAL_PAUSE: Duration = Duration::from_millis(500);
 /// Time after a group went down during which requests that would have gone to it need permission.
 pub const VETTING_WINDOW: Duration = Duration::from_secs(10);
 
@@ -94,7 +97,9 @@
     clock: HlcClock,
     table: GroupTable,
     loads: Loads,
+    hot: HotKeys,
     downs: BTreeMap<GroupId, Down>,
+    paused_until: BTreeMap<GroupId, Mono>,
     limits: LimitTable,
     shares: Shares,
     queue: Queue,
@@ -114,7 +119,9 @@
             clock: HlcClock::default(),
             table: GroupTable::default(),
             loads: Loads::default(),
+            hot: HotKeys::default(),
             downs: BTreeMap::new(),
+            paused_until: BTreeMap::new(),
             limits: LimitTable::default(),
             queue: Queue::new(settings.queue_capacity),
             shed: Shed::new(settings.shed),
--- a/crates/route/src/router/act.rs
+++ b/crates/route/src/router/act.rs
@@ -6,6 +6,7 @@
 use group::view::GroupView;
 
 use crate::need::Fingerprint;
+use crate::need::Need;
 use crate::poison::Crash;
 use crate::poison::PoisonFact;
 use crate::poison::Verdict;
@@ -14,6 +15,7 @@
 use super::Down;
 use super::Failure;
 use super::LOCAL_DOWN;
+use super::REFUSAL_PAUSE;
 use super::RouteAction;
 use super::RouteEvent;
 use super::Router;
@@ -41,13 +43,20 @@
                 let grant = self.coordinate(&ask, now, &mut out);
                 out.push(RouteAction::Grant { ask_id, grant });
             }
-            RouteEvent::Released(fingerprint) => self.trials.release(fingerprint),
+            RouteEvent::Released(fact) => {
+                self.merge_poison(&fact, now, &mut out);
+                self.trials.release(fact.fingerprint);
+            }
             RouteEvent::View(table) => self.view(table, now, &mut out),
             RouteEvent::Limits(limits) => {
                 self.limits.set(&limits, now);
                 self.limits.refresh(&self.shares, self.settings.token_capacity, now);
             }
-            RouteEvent::Live(live) => self.shares.set_live(live),
+            RouteEvent::Live(live) => {
+                let peers = live.iter().filter(|node| **node != self.node).count();
+                self.loads.set_peers(peers);
+                self.shares.set_live(live);
+            }
             RouteEvent::Usage(fact) => {
                 self.shares.merge(&fact, now);
                 self.limits.refresh(&self.shares, self.settings.token_capacity, now);
@@ -84,12 +93,12 @@
 
     fn finished(&mut self, request: RequestId, now: Mono, out: &mut Vec<RouteAction>) {
         let Some(row) = self.rows.remove(&request) else { return };
-        let generated = self.end_flight(&row, now, out);
-        self.limits.ended(&row.need.workspace, row.need.tokens, generated, now);
         let at = self.stamp(now);
         if let Some(fact) = self.quarantine.answered(row.need.fingerprint, at) {
             self.spread(vec![fact], now, out);
         }
+        let generated = self.end_flight(&row, now, out);
+        self.limits.ended(&row.need.workspace, row.need.tokens, generated, now);
     }
 
     fn failed(
@@ -105,6 +114,9 @@
             if matches!(failure, Failure::Crashed | Failure::NotSent) {
                 self.note_down(&group, generation, now);
             }
+            if failure == Failure::Refused {
+                self.paused_until.insert(group.clone(), now + REFUSAL_PAUSE);
+            }
             if failure == Failure::Crashed {
                 self.note_crash(group, generation, &[row.need.fingerprint], now, out);
             }
@@ -125,13 +137,13 @@
     fn end_flight(&mut self, row: &Row, now: Mono, out: &mut Vec<RouteAction>) -> u32 {
         let Stage::Sent(flight) = &row.stage else {
             if row.vetted {
-                out.push(release(row));
+                out.push(self.release(&row.need));
             }
             return 0;
         };
         self.loads.ended(&flight.group, now);
         if flight.vetted {
-            out.push(release(row));
+            out.push(self.release(&row.need));
         }
         flight.tokens
     }
@@ -242,6 +254,7 @@
         self.quarantine.expire(self.wall_millis(now));
         self.trials.expire(now);
         self.downs.retain(|_, down| now.saturating_sub(down.at) < VETTING_WINDOW);
+        self.paused_until.retain(|_, until| now < *until);
         self.shed.adapt(self.queue.fullness(), now);
         if self.shares.is_due(now, PUBLISH_PERIOD) {
             out.push(RouteAction::SpreadUsage(self.shares.publish(now)));
@@ -257,12 +270,13 @@
             down.generation >= view.generation && now.saturating_sub(down.at) < LOCAL_DOWN
         })
     }
-}
 
-fn release(row: &Row) -> RouteAction {
-    RouteAction::Release {
-        model: row.need.model.clone(),
-        version: row.need.version.clone(),
-        fingerprint: row.need.fingerprint,
+    /// Tells the coordinator that a trial ended, with what came of it.
+    pub(super) fn release(&self, need: &Need) -> RouteAction {
+        RouteAction::Release {
+            model: need.model.clone(),
+            version: need.version.clone(),
+            fact: self.quarantine.fact(need.fingerprint),
+        }
     }
 }
--- a/crates/route/src/router/event.rs
+++ b/crates/route/src/router/event.rs
@@ -52,8 +52,8 @@
         /// The ask.
         ask: TrialAsk,
     },
-    /// A trial that this process granted has ended.
-    Released(Fingerprint),
+    /// A trial that this process granted has ended; this is what came of it.
+    Released(PoisonFact),
     /// The groups as they are known now.
     View(GroupTable),
     /// The limits in force.
@@ -113,8 +113,9 @@
         model: ModelId,
         /// The version.
         version: VersionId,
-        /// The request's fingerprint.
-        fingerprint: Fingerprint,
+        /// What is known of the request now: the coordinator has to know it before it grants
+        /// another trial.
+        fact: PoisonFact,
     },
     /// Answer a trial ask.
     Grant {
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -5,6 +5,7 @@
 
 use crate::choose;
 use crate::choose::Candidate;
+use crate::hot::version_key;
 use crate::limits::Denial;
 use crate::need::Need;
 use crate::need::Refusal;
@@ -31,6 +32,7 @@
         let is_first = need.attempts == 0;
         if is_first {
             self.shares.arrived(&need.workspace);
+            self.hot.count(need.affinity_key(), now);
         }
         let checked = self.check_verdict(&need, now).and_then(|()| {
             if is_first { self.admit(&need, now, draw) } else { self.grant_retry(&need, now, draw) }
@@ -110,7 +112,7 @@
         let slots = self.settings.group_slots;
         open.retain(|candidate| lane.is_some() || candidate.estimate < slots);
         let is_first = lane.is_some() || self.queue.ahead_of(&need) == 0;
-        match choose::choose(self.settings.policy, &open, &need, draw) {
+        match choose::choose(self.settings.policy, &open, self.key(&need), draw) {
             Some(chosen) if is_first => {
                 let view = open[chosen].view.clone();
                 self.send(request, &view, wait, now, out);
@@ -207,7 +209,7 @@
         let slots = self.settings.group_slots;
         let mut open = self.candidates(&next.need, now);
         open.retain(|candidate| candidate.estimate < slots);
-        let chosen = choose::choose(self.settings.policy, &open, &next.need, draw);
+        let chosen = choose::choose(self.settings.policy, &open, self.key(&next.need), draw);
         if let Some(view) = chosen.map(|chosen| open[chosen].view.clone()) {
             self.send(request, &view, Duration::ZERO, now, out);
         }
@@ -237,11 +239,7 @@
         if let Some(row) = self.rows.remove(&request) {
             self.limits.ended(&row.need.workspace, row.need.tokens, 0, now);
             if row.vetted {
-                out.push(RouteAction::Release {
-                    model: row.need.model,
-                    version: row.need.version,
-                    fingerprint: row.need.fingerprint,
-                });
+                out.push(self.release(&row.need));
             }
         }
         out.push(RouteAction::Refuse { request, refusal });
@@ -250,9 +248,28 @@
     pub(super) fn candidates(&self, need: &Need, now: Mono) -> Vec<Candidate<'_>> {
         let mut all = choose::candidates(&self.table, &self.loads, need, now);
         all.retain(|candidate| !self.is_down_here(candidate.view, now));
+        let is_paused = |candidate: &Candidate<'_>| {
+            let until = self.paused_until.get(&candidate.view.id);
+            until.is_some_and(|until| now < *until)
+        };
+        if !all.iter().all(is_paused) {
+            all.retain(|candidate| !is_paused(candidate));
+        }
         all
     }
 
+    /// Returns the key that decides about affinity: the prefix, or a version of a hot one.
+    fn key(&self, need: &Need) -> u64 {
+        let key = need.affinity_key();
+        version_key(key, need.fingerprint, self.versions(need))
+    }
+
+    /// Returns into how many versions the request's prefix is split.
+    pub(super) fn versions(&self, need: &Need) -> u64 {
+        let held = self.table.groups.iter().filter(|view| choose::holds(view, need));
+        self.hot.versions(need.affinity_key(), held.count())
+    }
+
     /// Returns how long the answer takes at the fastest group.
     pub(super) fn least_service(&self, need: &Need, now: Mono) -> Duration {
         let times = self.candidates(need, now);
--- a/crates/route/src/router/vet.rs
+++ b/crates/route/src/router/vet.rs
@@ -5,6 +5,7 @@
 
 use crate::choose;
 use crate::choose::Candidate;
+use crate::hot::version_key;
 use crate::need::Need;
 use crate::need::RefusalReason;
 use crate::poison::Verdict;
@@ -27,18 +28,30 @@
         if self.verdict(need, now) == Verdict::Suspect {
             return true;
         }
-        let gone = self.downs.values().filter_map(|down| down.view.as_ref());
-        let gone = gone.filter(|view| choose::holds(view, need));
-        let mut here = self.table.groups.iter().filter(|view| choose::holds(view, need));
-        let is_gone = |view: &GroupView| {
-            let down = self.downs.get(&view.id);
-            down.is_some_and(|down| down.generation >= view.generation)
-        };
+        let gone: Vec<&GroupView> = self
+            .downs
+            .values()
+            .filter_map(|down| down.view.as_ref())
+            .filter(|view| choose::holds(view, need))
+            .collect();
+        if gone.is_empty() {
+            return false;
+        }
         // Groups that are gone rank among those that are left, as they did when they served.
-        let left: Vec<&GroupView> =
-            here.by_ref().filter(|view| view.is_routable(now) && !is_gone(view)).collect();
-        let all = left.iter().copied().chain(gone);
-        choose::home(all, need).is_some_and(|home| left.iter().all(|view| view.id != home.id))
+        let left = self.table.groups.iter().filter(|view| {
+            let down = self.downs.get(&view.id);
+            let is_gone = down.is_some_and(|down| down.generation >= view.generation);
+            choose::holds(view, need) && view.is_routable(now) && !is_gone
+        });
+        let all: Vec<&GroupView> = left.chain(gone.iter().copied()).collect();
+        let is_gone = |home: &GroupView| gone.iter().any(|view| view.id == home.id);
+        // Another process may split the prefix into more or fewer versions than this one.
+        let most = self.versions(need) * 2;
+        let counts = std::iter::successors(Some(1), |count| Some(count * 2));
+        let keys = counts
+            .take_while(|count| *count <= most)
+            .map(|count| version_key(need.affinity_key(), need.fingerprint, count));
+        keys.filter_map(|key| choose::home(all.iter().copied(), key)).any(is_gone)
     }
 
     pub(super) fn ask_trial(
--- a/crates/route/src/trace.rs
+++ b/crates/route/src/trace.rs
@@ -281,8 +281,8 @@
             RouteAction::Grant { ask_id, grant } => {
                 self.decide(RouteEvent::Granted(ask_id, grant), now);
             }
-            RouteAction::Release { fingerprint, .. } => {
-                self.decide(RouteEvent::Released(fingerprint), now);
+            RouteAction::Release { fact, .. } => {
+                self.decide(RouteEvent::Released(fact), now);
             }
             RouteAction::SpreadPoison(_) | RouteAction::SpreadUsage(_) | RouteAction::Record(_) => {
             }
--- a/crates/route/src/trial.rs
+++ b/crates/route/src/trial.rs
@@ -5,6 +5,8 @@
 //! coordinator, with what it knows of it, and runs it only as granted:
 //!
 //! - each fingerprint is run at most once at a time over all processes;
+//! - the end of a trial is told together with what came of it, so no other trial of the request
+//!   is granted without that; if that message is lost, the next trial waits for the deadline;
 //! - each suspect runs at a group of its own, so a crash names its culprit, and many suspects are
 //!   cleared at the same time while only the culprit's group is at risk.
 //!
--- a/crates/route/tests/choose.rs
+++ b/crates/route/tests/choose.rs
@@ -11,6 +11,8 @@
 use route::choose::Policy;
 use route::choose::candidates;
 use route::choose::choose;
+use route::hot::HotKeys;
+use route::hot::version_key;
 use route::load::Loads;
 use route::prelude::*;
 
@@ -18,7 +20,8 @@
 
 fn pick(groups: &GroupTable, loads: &Loads, need: &Need, now: Duration) -> Option<Box<str>> {
     let open = candidates(groups, loads, need, now);
-    choose(Policy::default(), &open, need, 0).map(|chosen| open[chosen].view.id.clone())
+    choose(Policy::default(), &open, need.affinity_key(), 0)
+        .map(|chosen| open[chosen].view.id.clone())
 }
 
 #[test]
@@ -35,6 +38,31 @@
     assert_eq!(loads.estimate(&group), 2, "never below what this process has there");
 }
 
+#[test]
+fn own_sends_stand_for_those_of_the_other_processes() {
+    let mut loads = Loads::default();
+    loads.set_peers(4);
+    loads.sent("g1", SECOND);
+    loads.sent("g1", SECOND);
+    assert_eq!(loads.estimate(&view("g1", 5)), 11, "5 reported, and 2 of its own sends thrice");
+    loads.set_peers(1000);
+    assert_eq!(loads.estimate(&view("g1", 5)), 21, "at most eight times its own sends");
+}
+
+#[test]
+fn a_hot_prefix_is_split_so_that_no_version_has_more_than_half_a_fair_share() {
+    let mut hot = HotKeys::default();
+    for i in 0..4000u64 {
+        hot.count(if i % 4 == 0 { 1 } else { 1000 + i }, Duration::ZERO);
+    }
+    assert_eq!(hot.versions(1, 8), 4, "a quarter of all requests is two fair shares of eight");
+    assert_eq!(hot.versions(3999, 8), 1, "a key that came once");
+    let parts = (0..4000).map(|fingerprint| version_key(1, fingerprint, 4));
+    let parts: BTreeSet<u64> = parts.collect();
+    assert_eq!(parts.len(), 4);
+    assert!(parts.contains(&1), "one version keeps the prefix's own key");
+}
+
 #[test]
 fn losing_a_group_moves_only_the_prefixes_that_it_had() {
     let groups = table(8, 0);
@@ -108,7 +136,7 @@
         let allowed: BTreeSet<usize> = (0..6)
             .filter(|i| !lapsed.contains(i) && !wrong.contains(i) && !excluded.contains(i))
             .collect();
-        let chosen = choose(policy, &open, &need, draw).map(|i| &open[i].view.id);
+        let chosen = choose(policy, &open, need.affinity_key(), draw).map(|i| &open[i].view.id);
         match chosen {
             None => prop_assert!(allowed.is_empty()),
             Some(id) => {
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -114,8 +114,8 @@
                 RouteAction::Grant { ask_id, grant } => {
                     self.decide(RouteEvent::Granted(ask_id, grant), now);
                 }
-                RouteAction::Release { fingerprint, .. } => {
-                    self.decide(RouteEvent::Released(fingerprint), now);
+                RouteAction::Release { fact, .. } => {
+                    self.decide(RouteEvent::Released(fact), now);
                 }
                 RouteAction::SpreadPoison(fact) => self.note_verdict(&fact, now),
                 RouteAction::Queued { .. }
