--- /dev/null
+++ b/crates/lab/src/measure/agenda.rs
@@ -0,0 +1,33 @@
+//! A queue of future events in the order of their times, for small models.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+/// Future events; those of the same time come in the order in which they were added.
+pub struct Agenda<T> {
+    heap: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: std::collections::HashMap<u64, T>,
+    count: u64,
+}
+
+impl<T> Default for Agenda<T> {
+    fn default() -> Self {
+        Agenda { heap: BinaryHeap::new(), events: Default::default(), count: 0 }
+    }
+}
+
+impl<T> Agenda<T> {
+    /// Adds an event.
+    pub fn add(&mut self, at: Duration, event: T) {
+        self.count += 1;
+        self.heap.push(Reverse((at, self.count)));
+        self.events.insert(self.count, event);
+    }
+
+    /// Removes and returns the next event and its time.
+    pub fn pop(&mut self) -> Option<(Duration, T)> {
+        let Reverse((at, number)) = self.heap.pop()?;
+        self.events.remove(&number).map(|event| (at, event))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/measure/route.rs
@@ -0,0 +1,321 @@
+//! Measures ways to choose a group on a skewed trace of prompts.
+//!
+//! A model of several processes before groups that continuously batch: a group runs a fixed number
+//! of requests at once, computes prompts one after the other, and keeps the most recent prefixes.
+//! Its reports lag. Two groups are stragglers. The choice and its load estimates are the real ones.
+//! All ways see the same arrivals; each figure stands beside its ratio to two choices.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use base::hash::stable;
+use base::prelude::*;
+use group::record::GroupState;
+use group::view::GroupTable;
+use group::view::GroupView;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::Distribution;
+use rand_distr::Zipf;
+use route::choose;
+use route::hot::HotKeys;
+use route::hot::version_key;
+use route::load::Loads;
+use route::prelude::*;
+use serde_json::Value;
+use serde_json::json;
+
+use super::agenda::Agenda;
+
+const NODES: usize = 6;
+const GROUPS: usize = 16;
+const STRAGGLERS: usize = 2;
+const STRAGGLER_FACTOR: u32 = 3;
+const SLOTS: usize = 16;
+const PREFIXES: u64 = 400;
+const CACHED_PREFIXES: usize = 40;
+const ZIPF_EXPONENT: f64 = 1.1;
+const PREFILL_MISS: Duration = Duration::from_millis(150);
+const PREFILL_HIT: Duration = Duration::from_millis(15);
+const TOKEN_GAP: Duration = Duration::from_millis(30);
+const TOKENS: u32 = 60;
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+const REPORT_LAG: Duration = Duration::from_millis(500);
+const LENGTH: Duration = Duration::from_secs(120);
+const WARM_UP: Duration = Duration::from_secs(20);
+
+/// A way to choose.
+#[derive(Clone, Copy, Debug)]
+pub struct Way {
+    /// The choice.
+    pub policy: Policy,
+    /// Whether hot prefixes are split into versions (S3-TM, section 5.1).
+    pub split: bool,
+    /// Whether a process corrects reports by its own sends only.
+    pub alone: bool,
+}
+
+struct Job {
+    node: usize,
+    group: usize,
+    prefix: u64,
+    sent_at: Duration,
+    first_at: Duration,
+}
+
+#[derive(Default)]
+struct Engine {
+    running: usize,
+    waiting: VecDeque<usize>,
+    prefill_free_at: Duration,
+    cached: VecDeque<u64>,
+    busy: Duration,
+}
+
+enum Happening {
+    Arrive,
+    FirstToken(usize),
+    End(usize),
+    Report,
+    Reported(Vec<GroupView>),
+}
+
+struct Model {
+    way: Way,
+    rate: f64,
+    rng: ChaCha8Rng,
+    agenda: Agenda<Happening>,
+    engines: Vec<Engine>,
+    loads: Vec<Loads>,
+    table: GroupTable,
+    jobs: Vec<Job>,
+    hot: Vec<HotKeys>,
+    first_tokens: Vec<Duration>,
+    hits: u32,
+    prefills: u32,
+}
+
+/// What came of one run.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// First-token time at the 95th percentile.
+    pub first_token_p95: Duration,
+    /// Part of the prompts whose prefix was cached.
+    pub hit_rate: f64,
+    /// Time that the busiest group's slots were in use, against the mean over groups.
+    pub imbalance: f64,
+    /// Part of the requests that went to stragglers.
+    pub to_stragglers: f64,
+}
+
+/// Runs the model at `rate` requests a second for each group.
+pub fn simulate(way: Way, rate: f64, seed: u64) -> Outcome {
+    let mut model = Model::new(way, rate, seed);
+    while let Some((now, happening)) = model.agenda.pop() {
+        model.happen(happening, now);
+    }
+    model.outcome()
+}
+
+impl Model {
+    fn new(way: Way, rate: f64, seed: u64) -> Self {
+        let mut agenda = Agenda::default();
+        agenda.add(Duration::ZERO, Happening::Arrive);
+        (1..LENGTH.as_secs() as u32).for_each(|i| agenda.add(i * REPORT_PERIOD, Happening::Report));
+        let groups = (0..GROUPS).map(|i| view(i, 0, 0, Duration::ZERO)).collect();
+        let mut loads = Loads::default();
+        loads.set_peers(if way.alone { 0 } else { NODES - 1 });
+        Model {
+            way,
+            rate: rate * GROUPS as f64,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            agenda,
+            engines: (0..GROUPS).map(|_| Engine::default()).collect(),
+            loads: vec![loads; NODES],
+            table: GroupTable { groups },
+            jobs: Vec::new(),
+            hot: vec![HotKeys::default(); NODES],
+            first_tokens: Vec::new(),
+            hits: 0,
+            prefills: 0,
+        }
+    }
+
+    fn happen(&mut self, happening: Happening, now: Duration) {
+        match happening {
+            Happening::Arrive => self.arrive(now),
+            Happening::FirstToken(job) => self.first_token(job, now),
+            Happening::End(job) => self.end(job, now),
+            Happening::Report => {
+                let engines = self.engines.iter().enumerate();
+                let report = engines.map(|(i, e)| view(i, e.waiting.len(), e.running, now));
+                let report = report.collect();
+                self.agenda.add(now + REPORT_LAG, Happening::Reported(report));
+            }
+            Happening::Reported(groups) => self.table = GroupTable { groups },
+        }
+    }
+
+    fn arrive(&mut self, now: Duration) {
+        if now >= LENGTH {
+            return;
+        }
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / self.rate;
+        self.agenda.add(now + Duration::from_secs_f64(gap), Happening::Arrive);
+        let zipf = Zipf::new(PREFIXES as f64, ZIPF_EXPONENT).expect("the exponent is positive");
+        let prefix = zipf.sample(&mut self.rng) as u64;
+        let node = self.rng.random_range(0..NODES);
+        let (body, draw): (u64, u64) = (self.rng.random(), self.rng.random());
+        let mut need = Need::new(self.jobs.len() as u64, "w", "m", "v", &body.to_le_bytes());
+        need.prefix = vec![stable(&prefix.to_le_bytes())];
+        let key = need.affinity_key();
+        self.hot[node].count(key, now);
+        let versions = if self.way.split { self.hot[node].versions(key, GROUPS) } else { 1 };
+        let key = version_key(key, need.fingerprint, versions);
+        let open = choose::candidates(&self.table, &self.loads[node], &need, now);
+        let Some(chosen) = choose::choose(self.way.policy, &open, key, draw) else { return };
+        let id = open[chosen].view.id.clone();
+        let group = self.table.groups.iter().position(|view| view.id == id).unwrap_or(0);
+        self.loads[node].sent(&id, now);
+        self.jobs.push(Job { node, group, prefix, sent_at: now, first_at: Duration::ZERO });
+        self.engines[group].waiting.push_back(self.jobs.len() - 1);
+        self.start(group, now);
+    }
+
+    /// Starts waiting requests while the group has free slots.
+    fn start(&mut self, group: usize, now: Duration) {
+        while self.engines[group].running < SLOTS
+            && let Some(job) = self.engines[group].waiting.pop_front()
+        {
+            let is_hit = self.engines[group].touch(self.jobs[job].prefix);
+            let engine = &mut self.engines[group];
+            engine.running += 1;
+            let prefill = if is_hit { PREFILL_HIT } else { PREFILL_MISS } * slowness(group);
+            engine.prefill_free_at = engine.prefill_free_at.max(now) + prefill;
+            if now > WARM_UP {
+                self.prefills += 1;
+                self.hits += u32::from(is_hit);
+            }
+            self.agenda.add(engine.prefill_free_at, Happening::FirstToken(job));
+        }
+    }
+
+    fn first_token(&mut self, job: usize, now: Duration) {
+        let Job { node, group, sent_at, .. } = self.jobs[job];
+        self.jobs[job].first_at = now;
+        self.loads[node].first_token(&name(group), now - sent_at);
+        if sent_at > WARM_UP {
+            self.first_tokens.push(now - sent_at);
+        }
+        self.agenda.add(now + TOKEN_GAP * TOKENS * slowness(group), Happening::End(job));
+    }
+
+    fn end(&mut self, job: usize, now: Duration) {
+        let Job { node, group, first_at, .. } = self.jobs[job];
+        self.loads[node].token_gap(&name(group), (now - first_at) / TOKENS, now);
+        self.loads[node].ended(&name(group), now);
+        self.engines[group].running -= 1;
+        self.engines[group].busy += now - first_at;
+        self.start(group, now);
+    }
+
+    fn outcome(mut self) -> Outcome {
+        self.first_tokens.sort();
+        let busy: Vec<f64> = self.engines.iter().map(|engine| engine.busy.as_secs_f64()).collect();
+        let mean = busy.iter().sum::<f64>() / GROUPS as f64;
+        let slow = self.jobs.iter().filter(|job| job.group < STRAGGLERS).count();
+        Outcome {
+            first_token_p95: self.first_tokens[self.first_tokens.len() * 95 / 100],
+            hit_rate: f64::from(self.hits) / f64::from(self.prefills),
+            imbalance: busy.iter().copied().fold(0.0, f64::max) / mean,
+            to_stragglers: slow as f64 / self.jobs.len() as f64,
+        }
+    }
+}
+
+impl Engine {
+    /// Returns whether the prefix is cached, and makes it the most recent one.
+    fn touch(&mut self, prefix: u64) -> bool {
+        let place = self.cached.iter().position(|cached| *cached == prefix);
+        if let Some(place) = place {
+            self.cached.remove(place);
+        }
+        self.cached.push_back(prefix);
+        if self.cached.len() > CACHED_PREFIXES {
+            self.cached.pop_front();
+        }
+        place.is_some()
+    }
+}
+
+fn slowness(group: usize) -> u32 {
+    if group < STRAGGLERS { STRAGGLER_FACTOR } else { 1 }
+}
+
+fn name(group: usize) -> GroupId {
+    format!("g{group}").into()
+}
+
+fn view(group: usize, queued: usize, running: usize, at: Duration) -> GroupView {
+    GroupView {
+        id: name(group),
+        model: "m".into(),
+        version: "v".into(),
+        adapters: Vec::new(),
+        generation: 1,
+        state: GroupState::Serving,
+        leader: SocketAddr::from(([127, 0, 0, 1], 1)),
+        vouched_until: Duration::MAX,
+        queued: queued as u32,
+        running: running as u32,
+        reported_at: at,
+    }
+}
+
+fn report(outcome: &Outcome, baseline: &Outcome) -> Value {
+    let p95 = outcome.first_token_p95.as_secs_f64();
+    let round = |value: f64| (value * 1000.0).round() / 1000.0;
+    json!({
+        "first_token_p95_ms": (p95 * 1000.0).round(),
+        "first_token_p95_ratio": round(p95 / baseline.first_token_p95.as_secs_f64()),
+        "prefix_hit_rate": round(outcome.hit_rate),
+        "prefix_hit_ratio": round(outcome.hit_rate / baseline.hit_rate),
+        "busiest_to_mean_group": round(outcome.imbalance),
+        "part_to_stragglers": round(outcome.to_stragglers),
+    })
+}
+
+/// Runs the measurement at two loads.
+pub fn run() -> Value {
+    let way = |policy, split, alone| Way { policy, split, alone };
+    let affinity = |load_bound| Policy::Affinity { load_bound };
+    let ways = [
+        ("two_choices_baseline", way(Policy::TwoChoices, false, true)),
+        ("random_baseline", way(Policy::Random, false, true)),
+        ("affinity", way(Policy::default(), true, false)),
+        ("affinity_no_split", way(Policy::default(), false, false)),
+        ("affinity_own_sends_only", way(Policy::default(), true, true)),
+        ("affinity_neither", way(Policy::default(), false, true)),
+        ("affinity_bound_1", way(affinity(1.0), true, false)),
+        ("affinity_bound_2", way(affinity(2.0), true, false)),
+        ("two_choices_all_sends", way(Policy::TwoChoices, false, false)),
+    ];
+    let at = |rate: f64| -> Value {
+        let baseline = simulate(ways[0].1, rate, 1);
+        let rows = ways
+            .iter()
+            .map(|(name, way)| (name.to_string(), report(&simulate(*way, rate, 1), &baseline)));
+        rows.collect()
+    };
+    json!({
+        "groups": GROUPS,
+        "stragglers": STRAGGLERS,
+        "processes": NODES,
+        "prefixes": PREFIXES,
+        "prefixes_cached_by_group": CACHED_PREFIXES,
+        "zipf_exponent": ZIPF_EXPONENT,
+        "requests_a_second_and_group_3": at(3.0),
+        "requests_a_second_and_group_5": at(5.0),
+    })
+}
