--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -1,8 +1,13 @@
 //! Named measurements; `samphire-lab measure NAME` runs one and prints JSON.
 
+pub mod agenda;
 pub mod claims;
 pub mod kv;
 pub mod load;
+pub mod overload;
+pub mod poison;
+pub mod retries;
+pub mod route;
 
 use clap::ValueEnum;
 use serde_json::Value;
@@ -14,6 +19,14 @@
     Claims,
     /// Calls to the key-value service by kind, through an outage and after it.
     Kv,
+    /// Goodput before, during and after a spike of load, for each way to shed.
+    Overload,
+    /// What a request that crashes its groups costs when its caller sends it 20 times.
+    Poison,
+    /// Retry traffic while half of the groups refuse every request.
+    Retries,
+    /// Ways to choose a group on a skewed trace of prompts.
+    Route,
 }
 
 /// Runs a measurement.
@@ -21,5 +34,9 @@
     match measure {
         Measure::Claims => claims::run().await,
         Measure::Kv => kv::run().await,
+        Measure::Overload => overload::run(),
+        Measure::Poison => poison::run(),
+        Measure::Retries => retries::run(),
+        Measure::Route => route::run(),
     }
 }
