--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -12,7 +12,7 @@
 
 use crate::need::Need;
 
-/// Retries that each first attempt pays for.
+/// Retries that each first attempt pays for, unless set otherwise.
 pub const RETRY_FRACTION: f64 = 0.1;
 /// Retries that a budget holds at most, and at the start.
 pub const RETRY_RESERVE: f64 = 20.0;
@@ -41,22 +41,23 @@
 /// The retry budgets of this process and of its workspaces.
 #[data]
 pub struct RetryBudget {
+    fraction: f64,
     process: f64,
     workspaces: BTreeMap<WorkspaceId, f64>,
 }
 
-impl Default for RetryBudget {
-    fn default() -> Self {
-        RetryBudget { process: RETRY_RESERVE, workspaces: BTreeMap::new() }
+impl RetryBudget {
+    /// Makes a full budget to which each first attempt adds `fraction` of a retry.
+    pub fn new(fraction: f64) -> Self {
+        RetryBudget { fraction, process: RETRY_RESERVE, workspaces: BTreeMap::new() }
     }
-}
 
-impl RetryBudget {
     /// Notes a first attempt.
     pub fn first_attempt(&mut self, workspace: &str) {
-        self.process = (self.process + RETRY_FRACTION).min(RETRY_RESERVE);
+        let fraction = self.fraction;
+        self.process = (self.process + fraction).min(RETRY_RESERVE);
         let budget = self.workspace(workspace);
-        *budget = (*budget + RETRY_FRACTION).min(RETRY_RESERVE);
+        *budget = (*budget + fraction).min(RETRY_RESERVE);
     }
 
     /// Grants another attempt and returns how long to wait before it, or says why not.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -30,7 +30,6 @@
 use crate::queue::Queue;
 use crate::retry::RetryBudget;
 use crate::share::Shares;
-use crate::shed::Shed;
 use crate::trial::Trials;
 
 pub use event::Failure;
@@ -103,7 +102,6 @@
     limits: LimitTable,
     shares: Shares,
     queue: Queue,
-    shed: Shed,
     retries: RetryBudget,
     quarantine: Quarantine,
     trials: Trials,
@@ -124,8 +122,7 @@
             paused_until: BTreeMap::new(),
             limits: LimitTable::default(),
             queue: Queue::new(settings.queue_capacity),
-            shed: Shed::new(settings.shed),
-            retries: RetryBudget::default(),
+            retries: RetryBudget::new(settings.retry_fraction),
             quarantine: Quarantine::default(),
             trials: Trials::default(),
             rows: BTreeMap::new(),
--- a/crates/route/src/router/act.rs
+++ b/crates/route/src/router/act.rs
@@ -255,7 +255,6 @@
         self.trials.expire(now);
         self.downs.retain(|_, down| now.saturating_sub(down.at) < VETTING_WINDOW);
         self.paused_until.retain(|_, until| now < *until);
-        self.shed.adapt(self.queue.fullness(), now);
         if self.shares.is_due(now, PUBLISH_PERIOD) {
             out.push(RouteAction::SpreadUsage(self.shares.publish(now)));
             self.limits.refresh(&self.shares, self.settings.token_capacity, now);
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -35,7 +35,7 @@
             self.hot.count(need.affinity_key(), now);
         }
         let checked = self.check_verdict(&need, now).and_then(|()| {
-            if is_first { self.admit(&need, now, draw) } else { self.grant_retry(&need, now, draw) }
+            if is_first { self.admit(&need, now) } else { self.grant_retry(&need, now, draw) }
         });
         match checked {
             Err(refusal) => self.refuse(request, refusal, now, out),
@@ -55,11 +55,11 @@
         }
     }
 
-    fn admit(&mut self, need: &Need, now: Mono, draw: u64) -> Result<Duration, Refusal> {
+    fn admit(&mut self, need: &Need, now: Mono) -> Result<Duration, Refusal> {
         if now + self.least_service(need, now) > need.deadline {
             return Err(refusal(RefusalReason::Deadline, None));
         }
-        if self.shed.refuses(need.priority, draw) {
+        if self.settings.shed.refuses(need.priority, self.queue.fullness()) {
             return Err(refusal(RefusalReason::Overload, Some(OVERLOAD_RETRY_AFTER)));
         }
         self.limits.admit(&need.workspace, need.tokens, now).map_err(denied)?;
