Route in the daemon by the router: affinity, limits, queue, retry budget and quarantine

Cause: the daemon took the group with the fewest own requests and knew no limits, queue or quarantine. Ruled out: the caller's token limit as the expected length of the answer (most limits are far above the answers, and deadlines would refuse them); a moving average of whole answers is used. Change: the route service drives Router::decide; AttemptEnd tells not sent, refused, broken and crashed apart; the relay says when a request is over; failure "suspect" in relay and caller API; operators list and lift at /api/v1/quarantine; words to and from other processes are typed for a later service under names::PEERS, without which the process coordinates its own trials.

--- a/crates/daemon/src/entry/ask.rs
+++ b/crates/daemon/src/entry/ask.rs
@@ -14,7 +14,7 @@
 /// Tokens of an answer if the caller names no number.
 const DEFAULT_MAX_TOKENS: u32 = 256;
 /// Priority of a request that names none.
-const DEFAULT_PRIORITY: u8 = 100;
+pub const DEFAULT_PRIORITY: u8 = 100;
 /// Fields that only matter to the caller's own records.
 const IGNORED_FIELDS: [&str; 5] = ["user", "metadata", "store", "stream_options", "service_tier"];
 
--- a/crates/daemon/src/entry/problem.rs
+++ b/crates/daemon/src/entry/problem.rs
@@ -159,6 +159,7 @@
         Failure::NoGroup
         | Failure::Overloaded
         | Failure::Refused
+        | Failure::Suspect
         | Failure::NotClaimed
         | Failure::RetryBudget => StatusCode::SERVICE_UNAVAILABLE,
     }
@@ -174,6 +175,7 @@
         Failure::Broken => "stream_broken",
         Failure::Crashed => "group_crashed",
         Failure::Quarantined => "quarantined",
+        Failure::Suspect => "suspect",
         Failure::NotClaimed => "not_claimed",
         Failure::RetryBudget => "retry_budget",
     }
--- a/crates/daemon/src/exec.rs
+++ b/crates/daemon/src/exec.rs
@@ -158,7 +158,7 @@
     async fn carry_out(&mut self, action: Action) -> Option<LifeEvent> {
         match action {
             Action::Pick { exclude } => {
-                self.attempt_ended(AttemptEnd::NotRun);
+                self.attempt_ended(AttemptEnd::Broken);
                 let state = self.state.clone();
                 let need = self.need(exclude);
                 let picked = self.unless_given_up(pick(&state, need)).await;
@@ -238,7 +238,13 @@
         // A pooled connection may be stale, which would leave the outcome of a call unknown.
         let state = self.state.clone();
         let client = if self.idempotent { &state.pooled } else { &state.fresh };
-        self.open(client, target, "/v1/generate", &generate).await
+        let event = self.open(client, target, "/v1/generate", &generate).await;
+        match event {
+            Some(LifeEvent::NotSent) => self.attempt_ended(AttemptEnd::NotSent),
+            Some(LifeEvent::Refused(_)) => self.attempt_ended(AttemptEnd::Refused),
+            _ => {}
+        }
+        event
     }
 
     async fn resume(&mut self, attempt: AttemptId, from: u32) -> Option<LifeEvent> {
@@ -333,6 +339,7 @@
             _ => AttemptEnd::Broken,
         };
         self.attempt_ended(end);
+        self.tell_route(RouteMessage::Over(self.request));
         self.stream = None;
         self.state.metrics.requests.with_label_values(&[outcome.name()]).inc();
         let pieces = self.state.metrics.pieces.with_label_values(&[&*self.workspace]);
@@ -364,15 +371,20 @@
         let Some(attempt) = self.attempt.take() else { return };
         let name = match end {
             AttemptEnd::Done => "done",
-            AttemptEnd::NotRun => "not_run",
+            AttemptEnd::NotSent => "not_sent",
+            AttemptEnd::Refused => "refused",
             AttemptEnd::Broken => "broken",
             AttemptEnd::Crashed => "crashed",
         };
         self.state.metrics.attempts.with_label_values(&[name]).inc();
         self.record_attempt(attempt.id, &attempt.group, name);
         let report = attempt.report(self.request, self.ask.fingerprint, end);
-        if self.state.route.try_send(RouteMessage::Ended(report)).is_err() {
-            log::warn!("routing is behind; the end of an attempt was not counted");
+        self.tell_route(RouteMessage::Ended(report));
+    }
+
+    fn tell_route(&self, message: RouteMessage) {
+        if self.state.route.try_send(message).is_err() {
+            log::warn!("routing is behind; the end of an attempt or request was not counted");
         }
     }
 
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -10,6 +10,8 @@
 pub const GROUPS: ServiceName = "groups";
 /// Picks a replica group for an attempt.
 pub const ROUTE: ServiceName = "route";
+/// Exchanges facts with the other processes.
+pub const PEERS: ServiceName = "peers";
 /// The caller API.
 pub const ENTRY: ServiceName = "entry";
 /// The operator API.
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -5,6 +5,7 @@
 //! | `GET /healthz` | 200 while the process runs |
 //! | `GET /readyz` | 200 while new requests are welcome, else 503 with the reason |
 //! | `GET /metrics` | metrics as Prometheus reads them |
+//! | `GET /api/v1/quarantine` | suspect and quarantined requests; see [`held`] |
 //! | `GET /api/v1/timeline?from=N` | this process's events with a number of at least N |
 
 use std::sync::Arc;
@@ -25,6 +26,7 @@
 use crate::announce::Addresses;
 use crate::metrics::Metrics;
 use crate::names;
+use crate::route::held;
 
 /// What the handlers share.
 pub struct State {
@@ -91,6 +93,16 @@
             Ok(_) => timeline(&state, &req),
             Err(refused) => refused.response(),
         },
+        (&Method::GET, held::PATH) => match authorize(&state, &req, Role::Viewer) {
+            Ok(_) => held::list(&state.cx).await,
+            Err(refused) => refused.response(),
+        },
+        (&Method::DELETE, path) if path.starts_with(held::PATH) => {
+            match authorize(&state, &req, Role::Operator) {
+                Ok(_) => held::lift(&state.cx, path).await,
+                Err(refused) => refused.response(),
+            }
+        }
         _ => reply::text(StatusCode::NOT_FOUND, format!("no such path: {}", req.path)),
     }
 }
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -1,22 +1,32 @@
 //! Picks a replica group for an attempt.
 //!
-//! Takes [`RouteMessage`]s under [`names::ROUTE`].
+//! Takes [`RouteMessage`]s under [`names::ROUTE`]. The decisions are [`route::router`]'s; the
+//! [`shell`] carries them out. What other processes have to know goes as [`ToPeers`] to the
+//! mailbox under [`names::PEERS`]; a process without that service decides alone.
+
+pub mod held;
+pub mod peers;
+pub mod shell;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use base::prelude::*;
+use config::prelude::Settings;
 use group::view::GroupTable;
 use kernel::prelude::*;
 use relay::prelude::Failure;
+use spec::prelude::Catalog;
 use tokio::sync::oneshot;
 
+use crate::metrics::Metrics;
 use crate::names;
+use crate::route::held::Held;
+use crate::route::peers::FromPeer;
+use crate::route::shell::Shell;
 
 /// Messages that may wait in the mailbox.
 const MAILBOX_DEPTH: usize = 4_096;
-/// When to come back if no group serves the model.
-const NO_GROUP_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What an attempt needs of a group.
 #[data]
@@ -32,7 +42,7 @@
     /// The adapter, if any.
     pub adapter: Option<AdapterId>,
     /// The prompt.
-    pub prompt: std::sync::Arc<str>,
+    pub prompt: Arc<str>,
     /// Fingerprint of workspace and body, by which requests that crash groups are known.
     pub fingerprint: u64,
     /// Priority; a higher one goes first.
@@ -75,8 +85,10 @@
 pub enum AttemptEnd {
     /// Its answer was whole.
     Done,
-    /// It was not sent, or refused.
-    NotRun,
+    /// No connection could be made.
+    NotSent,
+    /// The group refused it before admission.
+    Refused,
     /// The connection broke or the request was given up.
     Broken,
     /// The group crashed while it ran.
@@ -114,59 +126,32 @@
     },
     /// An attempt ended.
     Ended(Report),
+    /// The request ended, whichever way.
+    Over(RequestId),
+    /// A peer's word.
+    Peer(FromPeer),
+    /// List the suspects and the quarantined requests.
+    Quarantine(oneshot::Sender<Vec<Held>>),
+    /// End a quarantine or suspicion by an operator's order.
+    Lift {
+        /// The request's fingerprint.
+        fingerprint: u64,
+        /// Gets whether anything was held against it.
+        reply: oneshot::Sender<bool>,
+    },
 }
 
 /// Describes the service.
 pub fn service() -> Service {
-    Service::new(names::ROUTE, &[names::GROUPS], |cx| async move {
-        let mut inbox = cx.mailbox::<RouteMessage>(names::ROUTE, MAILBOX_DEPTH);
+    Service::new(names::ROUTE, &[names::GROUPS, names::CATALOG], |cx| async move {
+        let inbox = cx.mailbox::<RouteMessage>(names::ROUTE, MAILBOX_DEPTH);
         let groups = cx.view::<GroupTable>(names::GROUPS)?;
+        let catalog = cx.view::<Catalog>(names::CATALOG)?;
+        let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
+        let metrics: Metrics = cx.registry().find(names::PROCESS)?;
         cx.ready();
-        let mut outstanding: HashMap<GroupId, u32> = HashMap::new();
-        loop {
-            let message = tokio::select! {
-                message = inbox.recv() => message,
-                () = cx.stopping() => return Ok(()),
-            };
-            match message {
-                Some(RouteMessage::Pick { need, reply }) => {
-                    let picked = pick(&need, &groups.borrow(), &mut outstanding, cx.now());
-                    // The request may have been given up meanwhile.
-                    let _ = reply.send(picked);
-                }
-                Some(RouteMessage::Ended(report)) => {
-                    if let Some(count) = outstanding.get_mut(&report.group) {
-                        *count = count.saturating_sub(1);
-                    }
-                }
-                None => return Ok(()),
-            }
-        }
-    })
-}
-
-fn pick(
-    need: &Need,
-    groups: &GroupTable,
-    outstanding: &mut HashMap<GroupId, u32>,
-    now: Mono,
-) -> Picked {
-    let fits = groups.groups.iter().filter(|group| {
-        group.is_routable(now)
-            && group.model == need.model
-            && group.version == need.version
-            && need.adapter.iter().all(|adapter| group.adapters.contains(adapter))
-            && !need.exclude.contains(&group.id)
-    });
-    let least = fits.min_by_key(|group| outstanding.get(&group.id).copied().unwrap_or(0));
-    let Some(group) = least else {
-        let retry_after = Some(NO_GROUP_RETRY_AFTER);
-        return Picked::Refused { failure: Failure::NoGroup, retry_after };
-    };
-    *outstanding.entry(group.id.clone()).or_default() += 1;
-    Picked::Group(Target {
-        group: group.id.clone(),
-        generation: group.generation,
-        leader: group.leader,
+        let shell = Shell::new(cx.clone(), &settings, &metrics);
+        shell.run(inbox, groups, catalog).await;
+        Ok(())
     })
 }
--- /dev/null
+++ b/crates/daemon/src/route/peers.rs
@@ -0,0 +1,58 @@
+//! What routing tells the other processes and hears from them.
+
+use base::prelude::*;
+use route::prelude::*;
+use route::trial::TrialAsk;
+use tokio::sync::oneshot;
+
+/// What has to reach other processes.
+#[derive(Debug)]
+pub enum ToPeers {
+    /// All of them, with the priority of downs.
+    Poison(PoisonFact),
+    /// All of them.
+    Usage(UsageFact),
+    /// The soft owner of the trials of the ask's model version.
+    AskTrial {
+        /// The ask.
+        ask: TrialAsk,
+        /// Where the answer goes; dropped if there is none in time.
+        reply: oneshot::Sender<Grant>,
+    },
+    /// The soft owner of the trials of the model version.
+    Release {
+        /// The model.
+        model: ModelId,
+        /// The version.
+        version: VersionId,
+        /// What came of the trial.
+        fact: PoisonFact,
+    },
+}
+
+/// What other processes say.
+#[derive(Debug)]
+pub enum FromPeer {
+    /// What one knows of a request that may crash groups.
+    Poison(PoisonFact),
+    /// One's demand.
+    Usage(UsageFact),
+    /// The processes that membership holds live.
+    Live(Vec<NodeId>),
+    /// One asks this process as coordinator.
+    AskTrial {
+        /// The ask.
+        ask: TrialAsk,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Grant>,
+    },
+    /// A trial that this process granted has ended.
+    Release(PoisonFact),
+    /// The coordinator answered an ask of this process.
+    Granted {
+        /// The request.
+        request: RequestId,
+        /// The answer.
+        grant: Grant,
+    },
+}
--- /dev/null
+++ b/crates/daemon/src/route/shell.rs
@@ -0,0 +1,331 @@
+//! Carries out the decisions of routing.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::UNIX_EPOCH;
+
+use base::prelude::*;
+use config::prelude::Settings;
+use group::view::GroupTable;
+use kernel::prelude::*;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use rand::Rng;
+use relay::prelude::Failure;
+use route::need;
+use route::prelude::Failure as AttemptFailure;
+use route::prelude::*;
+use spec::prelude::Catalog;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::entry::ask::DEFAULT_PRIORITY;
+use crate::metrics::Metrics;
+use crate::metrics::counters;
+use crate::metrics::gauge;
+use crate::names;
+use crate::route::AttemptEnd;
+use crate::route::Picked;
+use crate::route::Report;
+use crate::route::RouteMessage;
+use crate::route::Target;
+use crate::route::held::Held;
+use crate::route::peers::FromPeer;
+use crate::route::peers::ToPeers;
+
+/// Time between ticks.
+const TICK_PERIOD: Duration = Duration::from_millis(50);
+/// How long a coordinator of trials may take to answer.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Tokens that an answer is expected to have before any was seen.
+const FIRST_EXPECTED_TOKENS: f64 = 16.0;
+/// Weight of a new answer in the moving average of their lengths.
+const LENGTH_WEIGHT: f64 = 0.05;
+
+type Reply = oneshot::Sender<Picked>;
+
+/// Routing with its surroundings.
+pub struct Shell {
+    cx: Context,
+    router: Router,
+    waiting: HashMap<RequestId, Reply>,
+    /// Asks that this process answers as coordinator.
+    asks: HashMap<u64, oneshot::Sender<Grant>>,
+    ask_id: u64,
+    /// Moving average of the tokens of whole answers.
+    expected_tokens: f64,
+    refusals: IntCounterVec,
+    queued: IntGauge,
+    held: IntGauge,
+}
+
+impl Shell {
+    /// Makes the shell of a router without groups.
+    pub fn new(cx: Context, settings: &Settings, metrics: &Metrics) -> Self {
+        let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let route_settings = RouteSettings {
+            queue_capacity: settings.requests.max_queued,
+            retry_fraction: settings.requests.retry_fraction,
+            wall_millis_at_start: since_1970.saturating_sub(cx.now()).as_millis() as u64,
+            boot: cx.boot(),
+            ..RouteSettings::default()
+        };
+        let registry = metrics.registry();
+        Shell {
+            router: Router::new(cx.node().clone(), route_settings),
+            waiting: HashMap::new(),
+            asks: HashMap::new(),
+            ask_id: 0,
+            expected_tokens: FIRST_EXPECTED_TOKENS,
+            refusals: counters(
+                registry,
+                "samphire_route_refusals_total",
+                "Attempts that routing refused, by reason.",
+                &["reason"],
+            ),
+            queued: gauge(registry, "samphire_queued", "Requests that wait for a group."),
+            held: gauge(registry, "samphire_held", "Suspect and quarantined requests."),
+            cx,
+        }
+    }
+
+    /// Runs until the service shall end.
+    pub async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<RouteMessage>,
+        mut groups: watch::Receiver<Arc<GroupTable>>,
+        mut catalog: watch::Receiver<Arc<Catalog>>,
+    ) {
+        let mut ticks = tokio::time::interval(TICK_PERIOD);
+        let stop = self.cx.stop_token();
+        groups.mark_changed();
+        catalog.mark_changed();
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                Ok(()) = groups.changed() => {
+                    let table = GroupTable::clone(&groups.borrow_and_update());
+                    self.decide(RouteEvent::View(table));
+                }
+                Ok(()) = catalog.changed() => {
+                    let limits = limits(&catalog.borrow_and_update());
+                    self.decide(RouteEvent::Limits(limits));
+                }
+                _ = ticks.tick() => self.tick(),
+                message = inbox.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.decide(RouteEvent::Tick);
+        self.queued.set(self.router.queued() as i64);
+        self.held.set(self.held().len() as i64);
+    }
+
+    fn take(&mut self, message: RouteMessage) {
+        match message {
+            RouteMessage::Pick { need, reply } => {
+                self.waiting.insert(need.request, reply);
+                let mut need = route_need(&need);
+                need.tokens = need.tokens.min(self.expected_tokens.ceil() as u32);
+                self.decide(RouteEvent::Ask(need));
+            }
+            RouteMessage::Ended(report) => self.ended(&report),
+            RouteMessage::Over(request) => {
+                self.waiting.remove(&request);
+                self.decide(RouteEvent::GaveUp(request));
+            }
+            RouteMessage::Peer(word) => self.heard(word),
+            RouteMessage::Quarantine(reply) => {
+                // Whoever asked may have gone.
+                let _ = reply.send(self.held());
+            }
+            RouteMessage::Lift { fingerprint, reply } => {
+                let millis = self.router.wall_millis(self.cx.now());
+                let verdict = self.router.quarantine().verdict(fingerprint, millis);
+                self.decide(RouteEvent::Lift(fingerprint));
+                let _ = reply.send(verdict != Verdict::Clear);
+            }
+        }
+    }
+
+    fn held(&self) -> Vec<Held> {
+        let millis = self.router.wall_millis(self.cx.now());
+        let held = self.router.quarantine().list(millis);
+        held.iter().map(|(fact, verdict)| Held::new(fact, *verdict)).collect()
+    }
+
+    fn ended(&mut self, report: &Report) {
+        let request = report.request;
+        if report.end == AttemptEnd::Done {
+            let change = f64::from(report.pieces) - self.expected_tokens;
+            self.expected_tokens += LENGTH_WEIGHT * change;
+        }
+        if let Some(first_token) = report.first_token {
+            let (tokens, streaming) = (report.pieces, report.streaming);
+            self.decide(RouteEvent::Measured { request, first_token, tokens, streaming });
+        }
+        self.decide(match report.end {
+            AttemptEnd::Done => RouteEvent::Finished(request),
+            AttemptEnd::NotSent => RouteEvent::Failed(request, AttemptFailure::NotSent),
+            AttemptEnd::Refused => RouteEvent::Failed(request, AttemptFailure::Refused),
+            AttemptEnd::Broken => RouteEvent::Failed(request, AttemptFailure::Silent),
+            AttemptEnd::Crashed => RouteEvent::Failed(request, AttemptFailure::Crashed),
+        });
+    }
+
+    fn heard(&mut self, word: FromPeer) {
+        let event = match word {
+            FromPeer::Poison(fact) => RouteEvent::Poison(fact),
+            FromPeer::Usage(fact) => RouteEvent::Usage(fact),
+            FromPeer::Live(live) => RouteEvent::Live(live),
+            FromPeer::Release(fact) => RouteEvent::Released(fact),
+            FromPeer::Granted { request, grant } => RouteEvent::Granted(request, grant),
+            FromPeer::AskTrial { ask, reply } => {
+                self.ask_id += 1;
+                self.asks.insert(self.ask_id, reply);
+                RouteEvent::TrialAsked { ask_id: self.ask_id, ask }
+            }
+        };
+        self.decide(event);
+    }
+
+    fn decide(&mut self, event: RouteEvent) {
+        let draw = rand::rng().random();
+        for action in self.router.decide(event, self.cx.now(), draw) {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: RouteAction) {
+        match action {
+            RouteAction::Send { request, group, generation, leader, wait } => {
+                let target = Target { group, generation, leader };
+                self.answer(request, Picked::Group(target), wait);
+            }
+            RouteAction::Refuse { request, refusal } => {
+                let (name, failure) = told(refusal.reason);
+                self.refusals.with_label_values(&[name]).inc();
+                let retry_after = refusal.retry_after;
+                self.answer(request, Picked::Refused { failure, retry_after }, Duration::ZERO);
+            }
+            RouteAction::Queued { request, wait } => {
+                log::debug!("request {request} is queued for about {wait:?}");
+            }
+            RouteAction::AskTrial { request, ask } => self.ask_trial(request, ask),
+            RouteAction::Grant { ask_id, grant } => {
+                if let Some(reply) = self.asks.remove(&ask_id) {
+                    // Whoever asked may have given up.
+                    let _ = reply.send(grant);
+                }
+            }
+            RouteAction::Release { model, version, fact } => {
+                if let Some(ToPeers::Release { fact, .. }) =
+                    self.tell(ToPeers::Release { model, version, fact })
+                {
+                    self.decide(RouteEvent::Released(fact));
+                }
+            }
+            RouteAction::SpreadPoison(fact) => drop(self.tell(ToPeers::Poison(fact))),
+            RouteAction::SpreadUsage(fact) => drop(self.tell(ToPeers::Usage(fact))),
+            RouteAction::Record(event) => self.cx.record(event),
+        }
+    }
+
+    fn answer(&mut self, request: RequestId, picked: Picked, wait: Duration) {
+        let Some(reply) = self.waiting.remove(&request) else { return };
+        if wait.is_zero() {
+            // The request may have been given up meanwhile.
+            let _ = reply.send(picked);
+            return;
+        }
+        tokio::spawn(async move {
+            tokio::time::sleep(wait).await;
+            let _ = reply.send(picked);
+        });
+    }
+
+    /// Asks the coordinator of trials; its answer comes back as a message.
+    fn ask_trial(&mut self, request: RequestId, ask: route::trial::TrialAsk) {
+        let (tx, rx) = oneshot::channel();
+        if let Some(ToPeers::AskTrial { ask, reply }) =
+            self.tell(ToPeers::AskTrial { ask, reply: tx })
+        {
+            self.heard(FromPeer::AskTrial { ask, reply });
+        }
+        let Ok(route) = self.cx.sender::<RouteMessage>(names::ROUTE) else { return };
+        tokio::spawn(async move {
+            let answer = tokio::time::timeout(TRIAL_TIMEOUT, rx).await;
+            let grant = answer.ok().and_then(Result::ok).unwrap_or(Grant::NoAnswer);
+            let word = FromPeer::Granted { request, grant };
+            // The service may have ended.
+            let _ = route.send(RouteMessage::Peer(word)).await;
+        });
+    }
+
+    /// Hands a word to the service that reaches the other processes, or returns it.
+    fn tell(&self, word: ToPeers) -> Option<ToPeers> {
+        match self.cx.sender::<ToPeers>(names::PEERS) {
+            Ok(peers) => peers.try_send(word).err().map(TrySendError::into_inner),
+            Err(_) => Some(word),
+        }
+    }
+}
+
+fn route_need(need: &crate::route::Need) -> Need {
+    Need {
+        request: need.request,
+        workspace: need.workspace.clone(),
+        model: need.model.clone(),
+        version: need.version.clone(),
+        adapter: need.adapter.clone(),
+        prefix: need::prefix_chain(need.prompt.as_bytes()),
+        fingerprint: need.fingerprint,
+        priority: priority(need.priority),
+        deadline: need.deadline,
+        tokens: need.max_tokens,
+        excluded: need.exclude.clone(),
+        attempts: need.exclude.len() as u32,
+        // The relay asks again only for requests that may run again.
+        repeatable: true,
+    }
+}
+
+fn priority(number: u8) -> Priority {
+    match number.cmp(&DEFAULT_PRIORITY) {
+        std::cmp::Ordering::Less => Priority::Low,
+        std::cmp::Ordering::Equal => Priority::Normal,
+        std::cmp::Ordering::Greater => Priority::High,
+    }
+}
+
+fn limits(catalog: &Catalog) -> WorkspaceLimits {
+    let rows = catalog.workspaces.iter().filter_map(|(name, workspace)| {
+        let limits = catalog.limits.get(workspace.limits.as_deref()?)?;
+        Some((WorkspaceId::from(name), limits.clone()))
+    });
+    rows.collect()
+}
+
+/// Returns the reason's name in metrics, and the failure that the caller is told.
+fn told(reason: RefusalReason) -> (&'static str, Failure) {
+    match reason {
+        RefusalReason::NoGroup => ("no_group", Failure::NoGroup),
+        RefusalReason::Rate => ("rate", Failure::Limited),
+        RefusalReason::Concurrency => ("concurrency", Failure::Limited),
+        RefusalReason::Tokens => ("tokens", Failure::Limited),
+        RefusalReason::Overload => ("overload", Failure::Overloaded),
+        RefusalReason::QueueFull => ("queue_full", Failure::Overloaded),
+        RefusalReason::Deadline => ("deadline", Failure::Deadline),
+        RefusalReason::NoRetry => ("no_retry", Failure::RetryBudget),
+        RefusalReason::Quarantined => ("quarantined", Failure::Quarantined),
+        RefusalReason::Suspect => ("suspect", Failure::Suspect),
+    }
+}
--- a/crates/relay/src/outcome.rs
+++ b/crates/relay/src/outcome.rs
@@ -78,6 +78,8 @@
     Crashed,
     /// the request has crashed replica groups before and is quarantined
     Quarantined,
+    /// the request was running when a replica group crashed, and waits to be tried again
+    Suspect,
     /// the request key could not be claimed
     NotClaimed,
     /// the retry budget is used up
--- a/crates/route/src/router/act.rs
+++ b/crates/route/src/router/act.rs
@@ -33,6 +33,9 @@
             RouteEvent::Ask(need) => self.ask(need, now, draw, &mut out),
             RouteEvent::FirstToken(request) => self.first_token(request, now),
             RouteEvent::Tokens(request, count) => self.tokens(request, count, now),
+            RouteEvent::Measured { request, first_token, tokens, streaming } => {
+                self.measured(request, first_token, tokens, streaming, now);
+            }
             RouteEvent::Finished(request) => self.finished(request, now, &mut out),
             RouteEvent::Failed(request, failure) => self.failed(request, failure, now, &mut out),
             RouteEvent::GaveUp(request) => self.gave_up(request, now, &mut out),
@@ -91,6 +94,24 @@
         }
     }
 
+    fn measured(
+        &mut self,
+        request: RequestId,
+        first_token: Duration,
+        tokens: u32,
+        streaming: Duration,
+        now: Mono,
+    ) {
+        let Some(Row { stage: Stage::Sent(flight), .. }) = self.rows.get_mut(&request) else {
+            return;
+        };
+        flight.tokens += tokens;
+        self.loads.first_token(&flight.group, first_token);
+        if tokens > 1 {
+            self.loads.token_gap(&flight.group, streaming / (tokens - 1), now);
+        }
+    }
+
     fn finished(&mut self, request: RequestId, now: Mono, out: &mut Vec<RouteAction>) {
         let Some(row) = self.rows.remove(&request) else { return };
         let at = self.stamp(now);
--- a/crates/route/src/router/event.rs
+++ b/crates/route/src/router/event.rs
@@ -37,6 +37,17 @@
     FirstToken(RequestId),
     /// This many further tokens came.
     Tokens(RequestId, u32),
+    /// What was measured of an attempt, in place of `FirstToken` and `Tokens`.
+    Measured {
+        /// The request.
+        request: RequestId,
+        /// Time from sending to the first token.
+        first_token: Duration,
+        /// Tokens that came.
+        tokens: u32,
+        /// Time from the first token to the last.
+        streaming: Duration,
+    },
     /// The whole answer came.
     Finished(RequestId),
     /// The attempt failed; the relay asks again or gives up.
