Test requests that kill and limits end to end with separate processes

Cause: the decisions were tested in models only. Ruled out: nothing. Change: 20 sends of a request that kills its engine, each followed by an innocent one; list and lift by operators; a workspace above its rate. Seen failing: with crashes reported as lost connections the innocent got 503 (all five groups were killed); without the limits of the catalog the 429 never came.

--- /dev/null
+++ b/crates/lab/tests/route.rs
@@ -0,0 +1,124 @@
+//! End to end with separate processes: a request that crashes its groups, and limits.
+
+mod procs;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Method;
+use kv::prelude::Store;
+use lab::caller;
+use lab::caller::Answer;
+use lab::caller::Judgement;
+use lab::caller::TextCall;
+use lab::sample;
+use procs::Deployment;
+use serde_json::Value;
+use spec::prelude::Limits;
+use web::body;
+use web::client::Call;
+use web::prelude::Client;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+const KILLER: &str = "a prompt that kills its engine";
+
+fn client() -> Client {
+    Client::pooled(TIMEOUT)
+}
+
+async fn operate(at: SocketAddr, method: Method, path: &str, token: &str) -> (u16, Value) {
+    let mut call = Call::new(method, path);
+    let value = HeaderValue::from_str(&format!("Bearer {token}")).unwrap();
+    call.headers.insert("authorization", value);
+    let response = client().send(at, call, TIMEOUT).await.unwrap();
+    let status = response.status().as_u16();
+    let bytes = body::read(response.into_body(), 1 << 20).await.unwrap();
+    (status, serde_json::from_slice(&bytes).unwrap_or(Value::Null))
+}
+
+async fn crash_on_the_killer(deployment: &Deployment) {
+    for vm in &deployment.vms {
+        let body = format!("{{\"crash_on\": \"{KILLER}\"}}").into();
+        let call = Call { body, ..Call::new(Method::POST, "/control/faults") };
+        let response = client().send(vm.address, call, TIMEOUT).await.unwrap();
+        assert!(response.status().is_success());
+    }
+}
+
+async fn send(at: SocketAddr, prompt: &str) -> (TextCall, Answer) {
+    let call = TextCall::small(prompt, 1);
+    let answer = caller::call(&client(), at, &call).await;
+    (call, answer)
+}
+
+fn crashed(deployment: &mut Deployment) -> usize {
+    let gone = deployment.engines.iter_mut().map(|engine| !engine.is_running());
+    gone.filter(|gone| *gone).count()
+}
+
+#[tokio::test]
+async fn twenty_sends_of_a_request_that_kills_crash_two_groups_and_spare_the_others() {
+    let mut deployment = Deployment::start(10, 1, &["--token-ms", "5"]).await;
+    crash_on_the_killer(&deployment).await;
+    let at = deployment.callers()[0];
+    for _ in 0..20 {
+        let (_, answer) = send(at, KILLER).await;
+        assert!(!answer.ended, "{answer:?}");
+        let (call, innocent) = send(at, "when is slack water?").await;
+        assert_eq!(innocent.judge(&call), Judgement::Right, "{innocent:?}");
+    }
+    assert_eq!(crashed(&mut deployment), 2, "one engine of each of two groups");
+    let (_, last) = send(at, KILLER).await;
+    assert_eq!((last.status, last.retry_after), (422, None), "{last:?}");
+
+    let operator = deployment.daemons[0].at("operator");
+    let path = "/api/v1/quarantine";
+    let (status, held) = operate(operator, Method::GET, path, sample::VIEWER_TOKEN).await;
+    assert_eq!((status, held[0]["verdict"].as_str()), (200, Some("convicted")), "{held}");
+    let entry = format!("{path}/{}", held[0]["fingerprint"].as_str().unwrap());
+    let (status, _) = operate(operator, Method::DELETE, &entry, sample::VIEWER_TOKEN).await;
+    assert_eq!(status, 403, "a viewer may not lift");
+    let (status, _) = operate(operator, Method::DELETE, &entry, sample::OPERATOR_TOKEN).await;
+    assert_eq!(status, 200);
+    let (_, held) = operate(operator, Method::GET, path, sample::VIEWER_TOKEN).await;
+    assert_eq!(held, Value::Array(vec![]));
+}
+
+#[tokio::test]
+async fn a_workspace_above_its_rate_is_told_at_once_when_to_come_back() {
+    let deployment = Deployment::start(2, 1, &["--token-ms", "5"]).await;
+    let at = deployment.callers()[0];
+    let mut catalog = sample::catalog(&deployment.vms, vec![deployment.plain.at("plain")]);
+    let few = Limits {
+        requests_per_second: 0.1,
+        burst: 2,
+        concurrent: 10,
+        tokens_per_second: 1e6,
+        share: 1.0,
+    };
+    catalog.limits.put("few", few);
+    let mut club = catalog.workspaces.get("club").unwrap().clone();
+    club.limits = Some("few".into());
+    catalog.workspaces.put("club", club);
+    catalog.revision += 1;
+    let store = deployment.store();
+    let key = daemon::catalog::CATALOG_KEY;
+    let seen = store.get(key).await.unwrap().expect("the catalog was seeded").mod_revision;
+    let bytes = serde_json::to_vec(&catalog).unwrap();
+    store.swap(key, seen, bytes.into()).await.unwrap();
+    procs::wait_until("the limits are in force", || async {
+        let (_, answer) = send(at, "one of many").await;
+        answer.status == 429
+    })
+    .await;
+    let (_, answer) = send(at, "one more").await;
+    assert_eq!(answer.status, 429, "{answer:?}");
+    assert!(answer.not_run, "{answer:?}");
+    let wait = answer.retry_after.expect("it is told when to come back");
+    assert!(wait <= Duration::from_secs(10), "{wait:?}");
+    let mut other = TextCall::small("another workspace", 1);
+    other.key = sample::HARBOUR_KEY.into();
+    let answer = caller::call(&client(), at, &other).await;
+    assert_eq!(answer.judge(&other), Judgement::Right, "{answer:?}");
+}
