--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -18,6 +18,8 @@
 pub const ROUTE: ServiceName = "route";
 /// Claims of request keys.
 pub const ONCE: ServiceName = "once";
+/// Exchanges facts with the other processes.
+pub const PEERS: ServiceName = "peers";
 /// The caller API.
 pub const ENTRY: ServiceName = "entry";
 /// Accepts operators' changes.
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -6,6 +6,7 @@
 //! | `GET /readyz` | 200 while new requests are welcome, else 503 with the reason |
 //! | `GET /metrics` | metrics as Prometheus reads them |
 //! | `/api/v1/...` | the resources; see the module `resources` |
+//! | `GET /api/v1/quarantine` | suspect and quarantined requests; see [`held`] |
 //! | `GET /api/v1/timeline?from=N` | this process's events with a number of at least N |
 
 mod observe;
@@ -37,6 +38,7 @@
 use crate::keeper::GroupReport;
 use crate::metrics::Metrics;
 use crate::names;
+use crate::route::held;
 
 /// What the handlers share.
 pub struct State {
@@ -120,6 +122,16 @@
             Ok(_) => timeline(&state, &req),
             Err(refused) => refused.response(),
         },
+        (&Method::GET, held::PATH) => match authorize(&state, &req, Role::Viewer) {
+            Ok(_) => held::list(&state.cx).await,
+            Err(refused) => refused.response(),
+        },
+        (&Method::DELETE, path) if path.starts_with(held::PATH) => {
+            match authorize(&state, &req, Role::Operator) {
+                Ok(_) => held::lift(&state.cx, path).await,
+                Err(refused) => refused.response(),
+            }
+        }
         (_, path) if path.starts_with("/api/v1/") => resources::handle(state, req).await,
         _ => reply::text(StatusCode::NOT_FOUND, format!("no such path: {}", req.path)),
     }
