--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,10 +5,13 @@
 //! - [`entry`]: the caller API.
 //! - [`exec`]: carries out the actions of a request's life.
 //! - [`route`]: picks a replica group for an attempt.
-//! - [`groups`]: what is known of the replica groups.
+//! - [`keeper`]: keeps the replica groups and tells routing which of them are whole.
+//! - [`planner`]: plans where replica groups go and how they are repaired.
+//! - [`vm_list`]: the platform's list of VMs, as far as it says who is leaving.
 //! - [`catalog`]: the accepted configuration in force in this process.
 //! - [`member`]: the membership of the processes.
 //! - [`peer`]: calls between the processes.
+//! - [`peer_facts`]: what routing tells the other processes and hears from them.
 //! - [`store`]: the connection to the key-value service.
 //! - [`once`]: claims of request keys, so that non-idempotent requests run at most once.
 //! - [`accept`]: accepts operators' changes.
@@ -22,7 +25,7 @@
 mod config_sync;
 pub mod entry;
 pub mod exec;
-pub mod groups;
+pub mod keeper;
 pub mod logging;
 pub mod member;
 pub mod metrics;
@@ -30,8 +33,11 @@
 pub mod once;
 pub mod operator;
 pub mod peer;
+pub mod peer_facts;
+pub mod planner;
 pub mod route;
 pub mod run;
 pub mod store;
+pub mod vm_list;
 
 pub use run::run;
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -3,6 +3,7 @@
 //! Offers under [`names::MEMBER`]:
 //!
 //! - a view of [`View`]: all processes that are remembered, and what they are held to be;
+//! - a view of [`LiveNodes`]: the names of the live processes, this one's among them;
 //! - a view of [`Facts`]: the facts that stand;
 //! - a mailbox for [`MemberMessage`]: facts that this process says, and the revision in force here;
 //! - a [`broadcast::Sender`] of [`Heard`]: every word of another process, to subscribe to.
@@ -21,6 +22,7 @@
 use member::prelude::Status;
 use tokio::sync::broadcast;
 
+use crate::keeper::LiveNodes;
 use crate::metrics::Metrics;
 use crate::names;
 
@@ -111,6 +113,7 @@
         let views = shell::Views {
             members: cx.publish(names::MEMBER, View::default()),
             facts: cx.publish(names::MEMBER, Facts::default()),
+            live: cx.publish(names::MEMBER, LiveNodes { nodes: vec![cx.node().clone()] }),
         };
         if settings.peers.secrets.is_empty() {
             cx.ready();
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -73,5 +73,6 @@
         Topic::Unspecified => "unspecified",
         Topic::Claims => "claims",
         Topic::Vouchers => "vouchers",
+        Topic::Trials => "trials",
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -10,15 +10,18 @@
 use crate::announce::Addresses;
 use crate::catalog;
 use crate::entry;
-use crate::groups;
+use crate::keeper;
 use crate::member;
 use crate::metrics::Metrics;
 use crate::names;
 use crate::once;
 use crate::operator;
 use crate::peer;
+use crate::peer_facts;
+use crate::planner;
 use crate::route;
 use crate::store;
+use crate::vm_list;
 
 /// Services that must be ready before the process announces itself.
 const ANNOUNCED: &[ServiceName] = &[names::ENTRY, names::OPERATOR];
@@ -36,8 +39,11 @@
     kernel.add(peer::server::service());
     kernel.add(member::service());
     kernel.add(catalog::service());
-    kernel.add(groups::service());
+    kernel.add(vm_list::service());
+    kernel.add(keeper::service());
+    kernel.add(planner::service());
     kernel.add(route::service());
+    kernel.add(peer_facts::service());
     kernel.add(once::service());
     kernel.add(entry::service());
     kernel.add(accept::service());
--- a/crates/member/src/facts.rs
+++ b/crates/member/src/facts.rs
@@ -13,6 +13,9 @@
 use crate::state::MAX_FACTS;
 use crate::state::State;
 
+/// Up to so many members, usage too is passed on at once instead of with the next probes.
+const RUMOURED_USAGE_MEMBERS: usize = 16;
+
 /// Says a fact in the name of this process.
 pub(crate) fn tell(state: &mut State, mut fact: Fact, now: Mono, out: &mut Vec<Action>) {
     debug_assert!(fact.check().is_empty(), "the teller keeps to the bounds");
@@ -59,7 +62,8 @@
         return;
     }
     state.queue.push(Subject::Fact(fact.key.clone()));
-    state.has_rumour |= fact.key.is_urgent();
+    let is_small = state.members() <= RUMOURED_USAGE_MEMBERS;
+    state.has_rumour |= fact.key.is_urgent() || is_small;
     let until = now + fact.lifetime;
     state.facts.insert(fact.key.clone(), Held { fact: fact.clone(), until });
     out.push(Action::Learned(fact));
--- a/crates/member/src/raw.rs
+++ b/crates/member/src/raw.rs
@@ -26,14 +26,6 @@
     pub(crate) place: Option<RawPlace>,
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
-pub(crate) struct RawUsage {
-    #[prost(string, tag = "1")]
-    pub(crate) owner: String,
-    #[prost(string, tag = "2")]
-    pub(crate) workspace: String,
-}
-
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub(crate) enum RawKey {
     #[prost(string, tag = "1")]
@@ -44,8 +36,8 @@
     Leaving(String),
     #[prost(bool, tag = "4")]
     Revision(bool),
-    #[prost(message, tag = "5")]
-    Usage(RawUsage),
+    #[prost(string, tag = "5")]
+    Usage(String),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/proto/src/gen/samphire.peer.rs
+++ b/crates/proto/src/gen/samphire.peer.rs
@@ -25,6 +25,50 @@
     #[prost(bytes = "bytes", tag = "1")]
     pub body: ::prost::bytes::Bytes,
 }
+/// A stamp of the hybrid logical clock.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Stamp {
+    #[prost(uint64, tag = "1")]
+    pub millis: u64,
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+}
+/// A crash of a replica group that a request was in.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Crash {
+    #[prost(message, optional, tag = "1")]
+    pub at: ::core::option::Option<Stamp>,
+    #[prost(string, tag = "2")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub generation: u64,
+}
+/// The body of a fact on a request that may crash groups.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Poison {
+    #[prost(message, repeated, tag = "1")]
+    pub crashes: ::prost::alloc::vec::Vec<Crash>,
+    #[prost(message, optional, tag = "2")]
+    pub cleared: ::core::option::Option<Stamp>,
+}
+/// Demand of one workspace.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct UsageRow {
+    #[prost(string, tag = "1")]
+    pub workspace: ::prost::alloc::string::String,
+    #[prost(float, tag = "2")]
+    pub demand: f32,
+}
+/// The body of a fact on what one process uses of the workspaces' limits.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Usage {
+    #[prost(fixed64, tag = "1")]
+    pub boot: u64,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub rows: ::prost::alloc::vec::Vec<UsageRow>,
+}
 /// Who answers a forwarded call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
@@ -34,6 +78,8 @@
     Claims = 1,
     /// Vouchers of a keeper for its replica groups.
     Vouchers = 2,
+    /// Trials of requests that may crash groups.
+    Trials = 3,
 }
 impl Topic {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -45,6 +91,7 @@
             Self::Unspecified => "TOPIC_UNSPECIFIED",
             Self::Claims => "TOPIC_CLAIMS",
             Self::Vouchers => "TOPIC_VOUCHERS",
+            Self::Trials => "TOPIC_TRIALS",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -53,6 +100,7 @@
             "TOPIC_UNSPECIFIED" => Some(Self::Unspecified),
             "TOPIC_CLAIMS" => Some(Self::Claims),
             "TOPIC_VOUCHERS" => Some(Self::Vouchers),
+            "TOPIC_TRIALS" => Some(Self::Trials),
             _ => None,
         }
     }
