--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -20,8 +20,8 @@
 use spec::prelude::Catalog;
 use tokio::sync::watch;
 
-use crate::keeper::LiveNodes;
 use crate::keeper::VmReport;
+use crate::member::View;
 use crate::names;
 
 /// Time between two plans.
@@ -33,9 +33,11 @@
 /// The key whose owner plans.
 const OWNER_KEY: &str = "planner";
 
+const NEEDS: &[ServiceName] = &[names::STORE, names::MEMBER, names::CATALOG, names::GROUPS];
+
 /// Describes the service.
 pub fn service() -> Service {
-    Service::new(names::PLANNER, &[names::STORE, names::CATALOG, names::GROUPS], |cx| async move {
+    Service::new(names::PLANNER, NEEDS, |cx| async move {
         let mut planner = Planner::new(&cx)?;
         let mut ticks = cx.every(PLAN_PERIOD);
         cx.ready();
@@ -59,7 +61,7 @@
     store: Arc<dyn Store>,
     catalog: watch::Receiver<Arc<Catalog>>,
     vms: watch::Receiver<Arc<VmReport>>,
-    live: Option<watch::Receiver<Arc<LiveNodes>>>,
+    members: watch::Receiver<Arc<View>>,
     loads: LoadModel,
     settings: PlanSettings,
     scratch: Scratch,
@@ -80,7 +82,7 @@
             store: cx.registry().find(names::STORE)?,
             catalog: cx.view(names::CATALOG)?,
             vms: cx.view(names::GROUPS)?,
-            live: cx.view(names::MEMBER).ok(),
+            members: cx.view(names::MEMBER)?,
             loads: LoadModel {
                 store_bytes_per_second: rate,
                 engine_bytes_per_second: rate,
@@ -93,9 +95,8 @@
     }
 
     fn is_owner(&self) -> bool {
-        let live = self.live.as_ref().map(|live| live.borrow().clone()).unwrap_or_default();
-        let owner = base::hash::owner(OWNER_KEY, live.nodes.iter().map(|node| &**node));
-        owner.is_none_or(|owner| owner == &**self.cx.node())
+        let me = &**self.cx.node();
+        self.members.borrow().owner(OWNER_KEY, me) == me
     }
 
     async fn plan_once(&mut self) -> Result<(), KvError> {
