--- a/crates/group/src/keeper/group.rs
+++ b/crates/group/src/keeper/group.rs
@@ -51,6 +51,7 @@
     /// When the oldest probe behind the present voucher was sent.
     vouched: Option<Mono>,
     doubt: Option<MemberDoubt>,
+    /// Since when the doubt has been of its present kind.
     doubt_since: Option<Mono>,
 }
 
@@ -85,6 +86,7 @@
         if changed {
             self.entered = now;
             self.doubt_since = None;
+            self.doubt = None;
         }
         self.generation = group.generation;
         self.state = Some(group.state);
@@ -185,13 +187,12 @@
 
     fn note_doubt(&mut self, group: &GroupRecord, check: &Result<Mono, MemberDoubt>, now: Mono) {
         let Some(watch) = self.groups.get_mut(&group.id) else { return };
-        watch.doubt = check.as_ref().err().cloned();
-        match check {
-            Ok(_) => watch.doubt_since = None,
-            Err(_) => {
-                watch.doubt_since.get_or_insert(now);
-            }
+        let doubt = check.as_ref().err();
+        let kind = |doubt: &MemberDoubt| doubt.doubt;
+        if watch.doubt.as_ref().map(kind) != doubt.map(kind) {
+            watch.doubt_since = doubt.map(|_| now);
         }
+        watch.doubt = doubt.cloned();
     }
 
     fn review_voucher(
