--- a/crates/group/src/keeper/write.rs
+++ b/crates/group/src/keeper/write.rs
@@ -152,6 +152,10 @@
         for group in &record.groups {
             let watch = self.groups.entry(group.id.clone()).or_insert_with(|| GroupWatch::new(now));
             if watch.follow(group, now) {
+                let wants_boots = group.state == GroupState::Forming;
+                for member in group.members.iter().filter(|_| wants_boots) {
+                    self.vms.entry(member.vm.clone()).and_modify(|vm| vm.hurry(now));
+                }
                 actions.push(event(&group.id, group.generation, group.state, watch.reason()));
             }
         }
