--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -4,6 +4,10 @@
 
 /// The connection to the key-value service.
 pub const STORE: ServiceName = "store";
+/// Calls between the processes.
+pub const PEER: ServiceName = "peer";
+/// The membership of the processes.
+pub const MEMBER: ServiceName = "member";
 /// The accepted configuration in force.
 pub const CATALOG: ServiceName = "catalog";
 /// What is known of the replica groups.
@@ -14,6 +18,8 @@
 pub const ONCE: ServiceName = "once";
 /// The caller API.
 pub const ENTRY: ServiceName = "entry";
+/// Accepts operators' changes.
+pub const ACCEPT: ServiceName = "accept";
 /// The operator API.
 pub const OPERATOR: ServiceName = "operator";
 /// Tells where the process listens.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -5,15 +5,18 @@
 use config::prelude::*;
 use kernel::prelude::*;
 
+use crate::accept;
 use crate::announce;
 use crate::announce::Addresses;
 use crate::catalog;
 use crate::entry;
 use crate::groups;
+use crate::member;
 use crate::metrics::Metrics;
 use crate::names;
 use crate::once;
 use crate::operator;
+use crate::peer;
 use crate::route;
 use crate::store;
 
@@ -30,11 +33,14 @@
     registry.offer(names::PROCESS, Addresses::default());
     registry.offer(names::PROCESS, settings.clone());
     kernel.add(store::service(settings.kv.clone()));
+    kernel.add(peer::server::service());
+    kernel.add(member::service());
     kernel.add(catalog::service());
     kernel.add(groups::service());
     kernel.add(route::service());
     kernel.add(once::service());
     kernel.add(entry::service());
+    kernel.add(accept::service());
     kernel.add(operator::service());
     kernel.add(announce::service(ANNOUNCED, print));
     kernel
