--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -13,6 +13,7 @@
 use crate::groups;
 use crate::metrics::Metrics;
 use crate::names;
+use crate::once;
 use crate::operator;
 use crate::route;
 use crate::store;
@@ -33,6 +34,7 @@
     kernel.add(catalog::service());
     kernel.add(groups::service());
     kernel.add(route::service());
+    kernel.add(once::service());
     kernel.add(entry::service());
     kernel.add(accept::service());
     kernel.add(operator::service());
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -4,6 +4,7 @@
 pub mod kv;
 pub mod load;
 pub mod propagate;
+pub mod relay;
 
 use clap::ValueEnum;
 use serde_json::Value;
@@ -11,6 +12,8 @@
 /// The measurements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum Measure {
+    /// What the relay adds to a direct call, and the daemon's processor time.
+    Relay,
     /// Claims of request keys: key-value writes and added latency, against two other ways.
     Claims,
     /// Calls to the key-value service by kind, through an outage and after it.
@@ -22,6 +25,7 @@
 /// Runs a measurement.
 pub async fn run(measure: Measure) -> Value {
     match measure {
+        Measure::Relay => relay::run().await,
         Measure::Claims => claims::run().await,
         Measure::Kv => kv::run().await,
         Measure::Propagate => propagate::run().await,
--- a/crates/lab/tests/operators.rs
+++ b/crates/lab/tests/operators.rs
@@ -1,14 +1,10 @@
 //! Two racing operators through different daemons, as separate processes, while the key-value
 //! service loses answers and goes away for a while, and one daemon is killed.
 
+mod procs;
+
 use std::collections::BTreeMap;
-use std::io::BufRead;
-use std::io::BufReader;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -20,6 +16,7 @@
 use cli::servers::Write;
 use http::Method;
 use lab::sample;
+use procs::Proc;
 use serde_json::Value;
 use serde_json::json;
 use spec::api::ChangeView;
@@ -41,50 +38,12 @@
 const TIMEOUT: Duration = Duration::from_secs(8);
 const SHARED: &str = "/api/v1/model/shared";
 
-/// A process that is killed when it is dropped.
-struct Process {
-    child: Child,
-    addresses: BTreeMap<String, SocketAddr>,
-}
-
-impl Process {
-    fn start(program: &str, args: &[&str], lines: usize) -> Process {
-        let lab = PathBuf::from(env!("CARGO_BIN_EXE_samphire-lab"));
-        let mut command = Command::new(lab.with_file_name(program));
-        let mut child = command.args(args).stdout(Stdio::piped()).spawn().unwrap();
-        let out = BufReader::new(child.stdout.take().unwrap());
-        let mut addresses = BTreeMap::new();
-        for line in out.lines().take(lines) {
-            let line: Value = serde_json::from_str(&line.unwrap()).unwrap();
-            for entry in line["listening"].as_array().unwrap() {
-                let address = entry["address"].as_str().unwrap().parse().unwrap();
-                addresses.insert(entry["name"].as_str().unwrap().to_owned(), address);
-            }
-        }
-        Process { child, addresses }
-    }
-
-    fn kill(&mut self) {
-        // It may have ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-fn start_daemon(dir: &std::path::Path, number: usize, kv: SocketAddr) -> Process {
-    let file = dir.join(format!("daemon-{number}.json"));
+fn start_daemon(number: usize, kv: SocketAddr) -> Proc {
     let settings = sample::settings(&format!("node-{number}"), kv, &[], None);
     let mut settings: Value = serde_json::from_str(&settings).unwrap();
     settings["kv"]["timeout_ms"] = json!(KV_TIMEOUT_MS);
     settings["log"]["level"] = json!("error");
-    std::fs::write(&file, settings.to_string()).unwrap();
-    Process::start("samphired", &["--settings", file.to_str().unwrap()], 1)
+    Proc::daemon(&settings.to_string())
 }
 
 fn servers(addresses: &[SocketAddr]) -> Servers {
@@ -202,13 +161,10 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn racing_operators_end_in_one_order_that_is_in_force_everywhere() {
-    let dir = std::env::temp_dir().join(format!("samphire-operators-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).unwrap();
-    let kv = Process::start("samphire-lab", &["stand-in", "kv"], 2);
-    let (kv_at, control) = (kv.addresses["kv"], kv.addresses["kv-control"]);
-    let mut daemons: Vec<Process> =
-        (0..DAEMONS).map(|number| start_daemon(&dir, number, kv_at)).collect();
-    let at: Vec<SocketAddr> = daemons.iter().map(|daemon| daemon.addresses["operator"]).collect();
+    let kv = Proc::stand_in(&["kv"], 2);
+    let (kv_at, control) = (kv.at("kv"), kv.at("kv-control"));
+    let mut daemons: Vec<Proc> = (0..DAEMONS).map(|number| start_daemon(number, kv_at)).collect();
+    let at: Vec<SocketAddr> = daemons.iter().map(|daemon| daemon.at("operator")).collect();
     let first = json!({"kind": "model", "name": "shared", "spec": {"max_output_tokens": 1}});
     let write = Write {
         method: Method::POST,
@@ -273,5 +229,4 @@
         a.conflicts + b.conflicts,
         a.not_applied.len() + b.not_applied.len(),
     );
-    std::fs::remove_dir_all(&dir).unwrap();
 }
