--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -6,6 +6,7 @@
 //! | `GET /readyz` | 200 while new requests are welcome, else 503 with the reason |
 //! | `GET /metrics` | metrics as Prometheus reads them |
 //! | `/api/v1/...` | the resources; see the module `resources` |
+//! | `GET /api/v1/quarantine` | suspect and quarantined requests; see [`held`] |
 //! | `GET /api/v1/timeline?from=N` | this process's events with a number of at least N |
 
 mod observe;
@@ -33,9 +34,11 @@
 
 use crate::accept::Ask;
 use crate::announce::Addresses;
-use crate::groups::FabricRecords;
+use crate::keeper::FabricRecords;
+use crate::keeper::GroupReport;
 use crate::metrics::Metrics;
 use crate::names;
+use crate::route::held;
 
 /// What the handlers share.
 pub struct State {
@@ -51,6 +54,8 @@
     pub groups: Receiver<Arc<GroupTable>>,
     /// The records of the replica groups.
     pub records: Receiver<Arc<FabricRecords>>,
+    /// Each group's state and why it is not serving.
+    pub report: Receiver<Arc<GroupReport>>,
     /// The key-value service.
     pub store: Arc<dyn Store>,
     /// Accepts changes.
@@ -94,6 +99,7 @@
             catalog: cx.view(names::CATALOG)?,
             groups: cx.view(names::GROUPS)?,
             records: cx.view(names::GROUPS)?,
+            report: cx.view(names::GROUPS)?,
             store: cx.registry().find(names::STORE)?,
             accept: cx.sender(names::ACCEPT)?,
             settings,
@@ -116,6 +122,16 @@
             Ok(_) => timeline(&state, &req),
             Err(refused) => refused.response(),
         },
+        (&Method::GET, held::PATH) => match authorize(&state, &req, Role::Viewer) {
+            Ok(_) => held::list(&state.cx).await,
+            Err(refused) => refused.response(),
+        },
+        (&Method::DELETE, path) if path.starts_with(held::PATH) => {
+            match authorize(&state, &req, Role::Operator) {
+                Ok(_) => held::lift(&state.cx, path).await,
+                Err(refused) => refused.response(),
+            }
+        }
         (_, path) if path.starts_with("/api/v1/") => resources::handle(state, req).await,
         _ => reply::text(StatusCode::NOT_FOUND, format!("no such path: {}", req.path)),
     }
--- a/crates/route/src/router/event.rs
+++ b/crates/route/src/router/event.rs
@@ -37,6 +37,17 @@
     FirstToken(RequestId),
     /// This many further tokens came.
     Tokens(RequestId, u32),
+    /// What was measured of an attempt, in place of `FirstToken` and `Tokens`.
+    Measured {
+        /// The request.
+        request: RequestId,
+        /// Time from sending to the first token.
+        first_token: Duration,
+        /// Tokens that came.
+        tokens: u32,
+        /// Time from the first token to the last.
+        streaming: Duration,
+    },
     /// The whole answer came.
     Finished(RequestId),
     /// The attempt failed; the relay asks again or gives up.
@@ -52,8 +63,8 @@
         /// The ask.
         ask: TrialAsk,
     },
-    /// A trial that this process granted has ended.
-    Released(Fingerprint),
+    /// A trial that this process granted has ended; this is what came of it.
+    Released(PoisonFact),
     /// The groups as they are known now.
     View(GroupTable),
     /// The limits in force.
@@ -113,8 +124,9 @@
         model: ModelId,
         /// The version.
         version: VersionId,
-        /// The request's fingerprint.
-        fingerprint: Fingerprint,
+        /// What is known of the request now: the coordinator has to know it before it grants
+        /// another trial.
+        fact: PoisonFact,
     },
     /// Answer a trial ask.
     Grant {
