Accept nothing on top of a store that went back

Cause: a store that lost its data shows a lower revision; a change accepted on top of it would get a revision that processes already have, and would never be in force. Ruled out: writing the catalog in force back by itself: another daemon may have a higher one, which would be lost for good; this is left to operators. Change: the acceptor keeps the highest revision that it knows to be accepted, also from the configuration in force, and refuses below it as not applied. The race of operators now freezes a daemon (SIGSTOP) for 0.7 s too. Seen failing: without the check, the trace store-lost-its-data finds write 3 accepted.

--- a/crates/daemon/src/accept.rs
+++ b/crates/daemon/src/accept.rs
@@ -97,6 +97,9 @@
                 () = tick(&mut wake) => Input::Tick,
             };
             self.wake = None;
+            if let Ok(catalog) = self.cx.view::<Catalog>(names::CATALOG) {
+                self.acceptor.note_in_force(catalog.borrow().revision);
+            }
             let now = self.cx.now();
             for action in self.acceptor.decide(input, now) {
                 self.carry_out(action);
--- a/crates/lab/tests/operators.rs
+++ b/crates/lab/tests/operators.rs
@@ -1,5 +1,5 @@
 //! Two racing operators through different daemons, as separate processes, while the key-value
-//! service loses answers and goes away for a while, and one daemon is killed.
+//! service loses answers and goes away for a while, one daemon is killed and another is frozen.
 
 mod procs;
 
@@ -188,6 +188,10 @@
     switch(control, json!({"outage": "none"})).await;
     reach(&done, 100).await;
     daemons[0].kill();
+    reach(&done, 130).await;
+    daemons[3].signal("STOP");
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    daemons[3].signal("CONT");
     let (a, b) = (a.await.unwrap(), b.await.unwrap());
     switch(control, json!({"lose_share": 0.0})).await;
 
--- a/crates/spec/src/accept.rs
+++ b/crates/spec/src/accept.rs
@@ -15,6 +15,10 @@
 //!   will be applied. While a delayed write of a change may still land, its only answers are
 //!   `Accepted` and `Unknown`.
 //!
+//! A store that shows an older revision than one that was accepted has lost its data or answers from
+//! a stale copy. Nothing is accepted on top of it: processes never go back to a lower revision, so
+//! what was accepted would never be in force.
+//!
 //! After an unclear write the batch is settled by reading: a mark in the catalog says that the
 //! change was applied, even if others have written since; a higher revision without a mark says
 //! that it never will be. If the base still stands, the same batch is written again from it: at
@@ -84,6 +88,8 @@
     /// Lost races and unclear answers of the batch so far.
     failures: u32,
     closed_until: Mono,
+    /// The highest revision known to have been accepted.
+    floor: Revision,
 }
 
 impl Default for Acceptor {
@@ -94,6 +100,7 @@
             phase: Phase::Idle,
             failures: 0,
             closed_until: Mono::ZERO,
+            floor: 0,
         }
     }
 }
@@ -106,7 +113,7 @@
             Event::Submitted { ticket, change } => self.submit(ticket, change, now, &mut actions),
             Event::Read(stored) => {
                 debug_assert_eq!(self.phase, Phase::Reading);
-                self.settle(&stored, &mut actions);
+                self.settle(&stored, now, &mut actions);
             }
             Event::ReadFailed { retry_after } => {
                 self.closed_until = now + CLOSED_PERIOD;
@@ -122,6 +129,11 @@
         actions
     }
 
+    /// Notes that a revision is in force, so it was accepted.
+    pub fn note_in_force(&mut self, revision: Revision) {
+        self.floor = self.floor.max(revision);
+    }
+
     /// Returns the number of changes that have no answer yet.
     pub fn open_changes(&self) -> usize {
         self.waiting.len() + self.batch.len()
@@ -144,7 +156,15 @@
     }
 
     /// Answers what the stored catalog tells about the batch, and writes the rest on top of it.
-    fn settle(&mut self, stored: &Stored, actions: &mut Vec<Action>) {
+    fn settle(&mut self, stored: &Stored, now: Mono, actions: &mut Vec<Action>) {
+        if stored.catalog.revision < self.floor {
+            let reason = "the key-value service holds an older revision than the one in force";
+            self.failures += 1;
+            self.give_up_unwritten(CLOSED_PERIOD, reason, actions);
+            self.pause(now);
+            return;
+        }
+        self.floor = stored.catalog.revision;
         actions.push(Action::Stands(Arc::clone(&stored.catalog)));
         let mut working = Working::new(&stored.catalog);
         let mut left = Vec::new();
@@ -176,13 +196,14 @@
         };
         match written {
             Written::Done => {
+                self.note_in_force(catalog.revision);
                 actions.push(Action::Stands(catalog));
                 self.answer_batch(actions, |pending| pending.planned.clone());
             }
             Written::Conflict { current } => {
                 self.failures += 1;
                 if self.failures == 1 {
-                    self.settle(&current, actions);
+                    self.settle(&current, now, actions);
                 } else {
                     self.pause(now);
                 }
--- a/crates/spec/src/trace.rs
+++ b/crates/spec/src/trace.rs
@@ -164,6 +164,14 @@
         }
     }
 
+    /// Puts back the value that the store held `back` writes ago, as after a loss of its data.
+    pub fn restore(&mut self, back: usize) {
+        let last = self.history.len().saturating_sub(1);
+        let old = self.history.get(last.saturating_sub(back)).cloned().unwrap_or_default();
+        let mod_revision = self.stored.mod_revision + 1;
+        self.stored = Stored { catalog: old.catalog, mod_revision };
+    }
+
     /// Lets time pass.
     pub fn pass(&mut self, time: Duration) {
         self.now += time;
@@ -227,6 +235,8 @@
     Land,
     /// Kills a daemon.
     Kill(usize),
+    /// Puts back the value of so many writes ago.
+    Restore(usize),
 }
 
 #[derive(Debug, serde::Deserialize)]
@@ -303,6 +313,7 @@
         TraceEvent::Deliver { daemon, how } => scene.deliver(daemon, how),
         TraceEvent::Land => scene.land(),
         TraceEvent::Kill(daemon) => scene.kill(daemon),
+        TraceEvent::Restore(back) => scene.restore(back),
     }
 }
 
--- a/crates/spec/tests/accept.rs
+++ b/crates/spec/tests/accept.rs
@@ -33,7 +33,7 @@
         }
         count += 1;
     }
-    assert!(count >= 5);
+    assert!(count >= 6);
 }
 
 #[derive(Clone, Debug)]
