--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,8 +12,8 @@
 //! - [`member`]: the membership of the processes.
 //! - [`peer`]: calls between the processes.
 //! - [`store`]: the connection to the key-value service.
-//! - [`once`]: claims of request keys, so that non-idempotent requests run at most once.
 //! - [`accept`]: accepts operators' changes.
+//! - [`once`]: claims of request keys, so that non-idempotent requests run at most once.
 //! - [`operator`]: the operator API, health, metrics and the time line.
 //! - [`announce`]: tells on standard output where the process listens.
 //! - [`logging`]: logs as JSON lines.
