--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -12,6 +12,8 @@
 pub const ROUTE: ServiceName = "route";
 /// Exchanges facts with the other processes.
 pub const PEERS: ServiceName = "peers";
+/// Claims of request keys.
+pub const ONCE: ServiceName = "once";
 /// The caller API.
 pub const ENTRY: ServiceName = "entry";
 /// The operator API.
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod overload;
 pub mod poison;
+pub mod relay;
 pub mod retries;
 pub mod route;
 
@@ -15,6 +16,8 @@
 /// The measurements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum Measure {
+    /// What the relay adds to a direct call, and the daemon's processor time.
+    Relay,
     /// Claims of request keys: key-value writes and added latency, against two other ways.
     Claims,
     /// Calls to the key-value service by kind, through an outage and after it.
@@ -32,6 +35,7 @@
 /// Runs a measurement.
 pub async fn run(measure: Measure) -> Value {
     match measure {
+        Measure::Relay => relay::run().await,
         Measure::Claims => claims::run().await,
         Measure::Kv => kv::run().await,
         Measure::Overload => overload::run(),
