--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod overload;
 pub mod poison;
+pub mod propagate;
 pub mod relay;
 pub mod retries;
 pub mod route;
@@ -22,6 +23,8 @@
     Claims,
     /// Calls to the key-value service by kind, through an outage and after it.
     Kv,
+    /// Accepted changes: time until in force at all daemons, bytes, calls, sizes.
+    Propagate,
     /// Goodput before, during and after a spike of load, for each way to shed.
     Overload,
     /// What a request that crashes its groups costs when its caller sends it 20 times.
@@ -38,6 +41,7 @@
         Measure::Relay => relay::run().await,
         Measure::Claims => claims::run().await,
         Measure::Kv => kv::run().await,
+        Measure::Propagate => propagate::run().await,
         Measure::Overload => overload::run(),
         Measure::Poison => poison::run(),
         Measure::Retries => retries::run(),
--- a/crates/lab/src/measure/relay.rs
+++ b/crates/lab/src/measure/relay.rs
@@ -89,8 +89,8 @@
 }
 
 async fn start_kv(vms: Vec<Vm>) -> SocketAddr {
-    let records = sample::fabric_records(&vms);
-    sample::order_engines(&vms, &records).await.expect("the engines take orders");
+    let mut records = sample::fabric_records(&vms);
+    sample::order_engines(&vms, &mut records).await.expect("the engines take orders");
     let server = KvServer::default();
     let catalog = sample::catalog(&vms, Vec::new());
     sample::seed(&server.store, &catalog, &records).await.expect("the store is in memory");
