--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -3,7 +3,6 @@
 //! Offers under [`names::MEMBER`]:
 //!
 //! - a view of [`View`]: all processes that are remembered, and what they are held to be;
-//! - a view of [`LiveNodes`]: the names of the live processes, this one's among them;
 //! - a view of [`Facts`]: the facts that stand;
 //! - a mailbox for [`MemberMessage`]: facts that this process says, and the revision in force here;
 //! - a [`broadcast::Sender`] of [`Heard`]: every word of another process, to subscribe to.
@@ -15,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use base::hash;
 use base::prelude::*;
 use config::prelude::*;
 use kernel::prelude::*;
@@ -22,7 +22,6 @@
 use member::prelude::Status;
 use tokio::sync::broadcast;
 
-use crate::keeper::LiveNodes;
 use crate::metrics::Metrics;
 use crate::names;
 
@@ -70,6 +69,12 @@
         self.members.iter().filter(|member| member.status.is_live())
     }
 
+    /// Returns the process that owns `key` softly, among the live ones and `me`.
+    pub fn owner<'a>(&'a self, key: &str, me: &'a str) -> &'a str {
+        let live = self.live().map(|member| &*member.name);
+        hash::owner(key, live.chain([me])).unwrap_or(me)
+    }
+
     /// Returns where the process `name` serves its peers, whatever it is held to be.
     pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
         self.find(name).map(|member| member.peer)
@@ -113,7 +118,6 @@
         let views = shell::Views {
             members: cx.publish(names::MEMBER, View::default()),
             facts: cx.publish(names::MEMBER, Facts::default()),
-            live: cx.publish(names::MEMBER, LiveNodes { nodes: vec![cx.node().clone()] }),
         };
         if settings.peers.secrets.is_empty() {
             cx.ready();
--- a/crates/daemon/src/member/shell.rs
+++ b/crates/daemon/src/member/shell.rs
@@ -29,7 +29,6 @@
 use super::MemberView;
 use super::View;
 use crate::announce::Addresses;
-use crate::keeper::LiveNodes;
 use crate::metrics::Metrics;
 use crate::names;
 
@@ -40,7 +39,6 @@
 pub(super) struct Views {
     pub(super) members: watch::Sender<Arc<View>>,
     pub(super) facts: watch::Sender<Arc<Facts>>,
-    pub(super) live: watch::Sender<Arc<LiveNodes>>,
 }
 
 /// The running service.
@@ -195,7 +193,6 @@
     fn publish(&mut self) {
         if std::mem::take(&mut self.has_members_changed) {
             let members = self.state.peers().map(member_view).collect();
-            self.publish_live();
             self.views.members.send_replace(Arc::new(View { members }));
         }
         let has_expired = self.views.facts.borrow().facts.len() != self.state.facts().count();
@@ -205,19 +202,6 @@
         }
     }
 
-    fn publish_live(&self) {
-        let live = self.state.peers().filter(|(_, peer)| peer.status.is_live());
-        let me = self.state.me().name.clone();
-        let nodes: Vec<NodeId> = live.map(|(name, _)| name.clone()).chain([me]).collect();
-        self.views.live.send_if_modified(|live| {
-            let has_changed = live.nodes != nodes;
-            if has_changed {
-                *live = Arc::new(LiveNodes { nodes });
-            }
-            has_changed
-        });
-    }
-
     fn revision_of(&self, peer: &str) -> Revision {
         self.state.peer(peer).map_or(0, |peer| peer.revision)
     }
--- a/crates/daemon/src/peer_facts.rs
+++ b/crates/daemon/src/peer_facts.rs
@@ -10,7 +10,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use base::hash;
 use base::prelude::*;
 use bytes::Bytes;
 use kernel::prelude::*;
@@ -239,10 +238,10 @@
 
     /// Returns the other process that softly owns the trials; `None` if this one does.
     fn coordinator(&self, model: &str, version: &str) -> Option<NodeId> {
+        let me = &**self.cx.node();
         let view = self.members.borrow();
-        let live = view.live().map(|member| &*member.name).chain([&**self.cx.node()]);
-        let owner = hash::owner(&coordinator_key(model, version), live)?;
-        (owner != &**self.cx.node()).then(|| owner.into())
+        let owner = view.owner(&coordinator_key(model, version), me);
+        (owner != me).then(|| owner.into())
     }
 
     fn forward_ask(&self, peer: NodeId, ask: TrialAsk, reply: oneshot::Sender<Grant>) {
--- a/crates/group/src/keeper/member.rs
+++ b/crates/group/src/keeper/member.rs
@@ -1,7 +1,8 @@
 //! Probing of the VMs of a domain.
 //!
-//! A VM has at most one probe under way, and probes of a VM are at least half a period apart,
-//! so the rate of probes is bounded by VMs over half the period whatever happens.
+//! A VM has at most one probe under way, and probes of a VM are at least half a period apart, but
+//! for one more after each change of its group. So the rate of probes is bounded by VMs over half
+//! the period, and the changes of records.
 
 use base::prelude::*;
 use rand::Rng;
@@ -14,6 +15,9 @@
 use crate::record::GroupRecord;
 use crate::record::Member;
 
+/// Shortest time between an answered probe of a VM and the next.
+const MIN_PROBE_GAP: Duration = Duration::from_millis(100);
+
 /// What the planner is told of a VM.
 #[wire]
 pub struct VmStatus {
@@ -91,6 +95,12 @@
         *self = VmWatch { checks_fencing: self.checks_fencing, leaving: self.leaving, ..fresh };
     }
 
+    /// Brings the next probe forward, since the VM's group has changed.
+    pub(super) fn hurry(&mut self, now: Mono) {
+        let last = self.seen.as_ref().map_or(Mono::ZERO, |seen| seen.sent_at);
+        self.next_probe = self.next_probe.min(now.max(last + MIN_PROBE_GAP));
+    }
+
     /// Notes that the probe `number` got no answer.
     pub(super) fn fail(&mut self, number: u64) {
         let Some(probe) = self.probe.take_if(|probe| probe.number == number) else { return };
