Keep seeds of the membership in the key-value service

Cause: processes whose settings name only replaced ones never met. Ruled out: a key for each process with a lease.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`vm_list`]: the platform's list of VMs, as far as it says who is leaving.
 //! - [`catalog`]: the accepted configuration in force in this process.
 //! - [`member`]: the membership of the processes.
+//! - [`member_seeds`]: seeds of the membership in the key-value service.
 //! - [`peer`]: calls between the processes.
 //! - [`peer_facts`]: what routing tells the other processes and hears from them.
 //! - [`store`]: the connection to the key-value service.
@@ -28,6 +29,7 @@
 pub mod keeper;
 pub mod logging;
 pub mod member;
+pub mod member_seeds;
 pub mod metrics;
 pub mod names;
 pub mod once;
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -43,6 +43,8 @@
     pub region: Box<str>,
     /// Its failure domain.
     pub failure_domain: FailureDomainId,
+    /// Where it receives gossip.
+    pub gossip: SocketAddr,
     /// Where it serves its peers.
     pub peer: SocketAddr,
     /// The highest revision in force that it reported itself.
@@ -96,6 +98,8 @@
     Tell(Fact),
     /// A revision came into force in this process.
     InForce(Revision),
+    /// More seeds became known, beside those of the settings.
+    Seeds(Vec<SocketAddr>),
 }
 
 /// A word of another process.
--- a/crates/daemon/src/member/shell.rs
+++ b/crates/daemon/src/member/shell.rs
@@ -48,6 +48,8 @@
     socket: UdpSocket,
     seal: Seal,
     state: State,
+    /// The seeds of the settings.
+    seeds: Vec<SocketAddr>,
     views: Views,
     heard: broadcast::Sender<Heard>,
     /// Whether the views are behind the state.
@@ -86,7 +88,8 @@
             metrics,
             socket,
             seal: seal(settings)?,
-            state: State::new(Periods::default(), me, seeds, cx.boot()),
+            state: State::new(Periods::default(), me, seeds.clone(), cx.boot()),
+            seeds,
             views,
             heard,
             has_members_changed: false,
@@ -115,6 +118,10 @@
                     Some(MemberMessage::InForce(revision)) => {
                         self.feed(Input::InForce(revision)).await;
                     }
+                    Some(MemberMessage::Seeds(more)) => {
+                        let seeds = self.seeds.iter().chain(&more).copied().collect();
+                        self.feed(Input::Seeds(seeds)).await;
+                    }
                     None => return,
                 },
                 () = cx.process_stopping(), if !is_leaving => {
@@ -214,6 +221,7 @@
         status: peer.status,
         region: peer.place.region.clone(),
         failure_domain: peer.place.failure_domain.clone(),
+        gossip: peer.place.gossip,
         peer: peer.place.peer,
         revision: peer.revision,
     }
--- /dev/null
+++ b/crates/daemon/src/member_seeds.rs
@@ -0,0 +1,152 @@
+//! Seeds in the key-value service, for processes whose settings name none that still stand.
+//!
+//! One record holds the gossip addresses of a few members. The process that softly owns the record
+//! reads it now and then and writes it only when one of its addresses is no longer that of a live
+//! member. A process that knows nobody reads it, and adds itself if nobody in it answers. So the
+//! record costs neither a lease nor a write for each process while they know each other. It is a
+//! hint: a lost or doubled write does no harm.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::hash;
+use base::prelude::*;
+use kernel::prelude::*;
+use kv::prelude::*;
+use rand::Rng;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::announce::Addresses;
+use crate::member::MemberMessage;
+use crate::member::View;
+use crate::names;
+
+/// Key of the record.
+pub const SEEDS_KEY: &str = "samphire/seeds";
+/// Addresses that the record holds, at most.
+const MAX_SEEDS: usize = 8;
+/// Time between two looks at the record by its owner.
+const CHECK_PERIOD: Duration = Duration::from_secs(30);
+/// Time between two looks at the record by a process that knows nobody.
+const LONELY_PERIOD: Duration = Duration::from_secs(3);
+
+/// The record.
+#[wire]
+#[derive(Default)]
+pub struct SeedRecord {
+    /// Gossip addresses of members.
+    pub addresses: Vec<SocketAddr>,
+}
+
+/// Describes the service.
+pub fn service() -> Service {
+    Service::new(names::SEEDS, &[names::STORE, names::MEMBER], |cx| async move {
+        let addresses: Addresses = cx.registry().find(names::PROCESS)?;
+        let listening = addresses.list();
+        let gossip = listening.iter().find(|entry| entry.name == "gossip");
+        cx.ready();
+        let Some(gossip) = gossip.map(|entry| entry.address) else {
+            cx.stopping().await;
+            return Ok(());
+        };
+        let keeper = SeedKeeper {
+            store: cx.registry().find(names::STORE)?,
+            members: cx.view(names::MEMBER)?,
+            member: cx.sender(names::MEMBER)?,
+            gossip,
+            cx: cx.clone(),
+        };
+        tokio::select! {
+            () = keeper.run() => {}
+            () = cx.stopping() => {}
+        }
+        Ok(())
+    })
+}
+
+struct SeedKeeper {
+    cx: Context,
+    store: Arc<dyn Store>,
+    members: watch::Receiver<Arc<View>>,
+    member: mpsc::Sender<MemberMessage>,
+    gossip: SocketAddr,
+}
+
+impl SeedKeeper {
+    async fn run(&self) {
+        let mut lonely_looks = 0;
+        loop {
+            let view = self.members.borrow().clone();
+            let me = &**self.cx.node();
+            let is_lonely = view.live().next().is_none();
+            lonely_looks = if is_lonely { lonely_looks + 1 } else { 0 };
+            let looked = if is_lonely {
+                self.look_for_others(lonely_looks > 1).await
+            } else if view.owner(SEEDS_KEY, me) == me {
+                self.look_after(&view).await
+            } else {
+                Ok(())
+            };
+            if let Err(error) = looked {
+                log::info!("key `{SEEDS_KEY}`: {error}");
+            }
+            let period = if is_lonely { LONELY_PERIOD } else { CHECK_PERIOD };
+            let pause = period.mul_f64(rand::rng().random_range(1.0..2.0));
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Tries the addresses of the record; once that was in vain, adds this process to it.
+    async fn look_for_others(&self, was_in_vain: bool) -> Result<(), KvError> {
+        let (mut record, expected) = self.read().await?;
+        // The mailbox is full only while much else is told; the next look tries again.
+        let _ = self.member.try_send(MemberMessage::Seeds(record.addresses.clone()));
+        let is_missing = !record.addresses.contains(&self.gossip);
+        if is_missing && (was_in_vain || record.addresses.is_empty()) {
+            record.addresses.insert(0, self.gossip);
+            record.addresses.truncate(MAX_SEEDS);
+            self.write(&record, expected).await?;
+        }
+        Ok(())
+    }
+
+    /// Writes the record anew if one of its addresses is not that of a live member.
+    async fn look_after(&self, view: &View) -> Result<(), KvError> {
+        let (record, expected) = self.read().await?;
+        match self.mended(view, &record) {
+            Some(mended) => self.write(&mended, expected).await,
+            None => Ok(()),
+        }
+    }
+
+    async fn read(&self) -> Result<(SeedRecord, u64), KvError> {
+        let Some(found) = self.store.get(SEEDS_KEY).await? else {
+            return Ok((SeedRecord::default(), 0));
+        };
+        let record = serde_json::from_slice(&found.value).unwrap_or_default();
+        Ok((record, found.mod_revision))
+    }
+
+    /// Writes the record; whoever wrote meanwhile wins, and the next look sees that.
+    async fn write(&self, record: &SeedRecord, expected: u64) -> Result<(), KvError> {
+        let bytes = serde_json::to_vec(record).expect("the record has a JSON form");
+        self.store.swap(SEEDS_KEY, expected, bytes.into()).await.map(drop)
+    }
+
+    /// Returns the record that should stand, if another one stands.
+    fn mended(&self, view: &View, record: &SeedRecord) -> Option<SeedRecord> {
+        let me = (&**self.cx.node(), self.gossip);
+        let live = view.live().map(|member| (&*member.name, member.gossip)).chain([me]);
+        let live: Vec<(&str, SocketAddr)> = live.collect();
+        let all_live =
+            record.addresses.iter().all(|address| live.iter().any(|(_, at)| at == address));
+        if all_live && record.addresses.len() >= MAX_SEEDS.min(live.len()) {
+            return None;
+        }
+        let names = live.iter().map(|(name, _)| *name);
+        let chosen = hash::owners(SEEDS_KEY, names, MAX_SEEDS);
+        let address = |name: &&str| live.iter().find(|(other, _)| other == name).map(|(_, at)| *at);
+        Some(SeedRecord { addresses: chosen.iter().filter_map(address).collect() })
+    }
+}
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -8,6 +8,8 @@
 pub const PEER: ServiceName = "peer";
 /// The membership of the processes.
 pub const MEMBER: ServiceName = "member";
+/// Seeds of the membership in the key-value service.
+pub const SEEDS: ServiceName = "seeds";
 /// The accepted configuration in force.
 pub const CATALOG: ServiceName = "catalog";
 /// The platform's list of VMs, as far as it says who is leaving.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -12,6 +12,7 @@
 use crate::entry;
 use crate::keeper;
 use crate::member;
+use crate::member_seeds;
 use crate::metrics::Metrics;
 use crate::names;
 use crate::once;
@@ -38,6 +39,7 @@
     kernel.add(store::service(settings.kv.clone()));
     kernel.add(peer::server::service());
     kernel.add(member::service());
+    kernel.add(member_seeds::service());
     kernel.add(catalog::service());
     kernel.add(vm_list::service());
     kernel.add(keeper::service());
--- a/crates/lab/tests/peers.rs
+++ b/crates/lab/tests/peers.rs
@@ -11,6 +11,8 @@
 use cli::servers::Write;
 use daemon::announce::Addresses;
 use daemon::member::View;
+use daemon::member_seeds::SEEDS_KEY;
+use daemon::member_seeds::SeedRecord;
 use daemon::names;
 use daemon::route::RouteMessage;
 use daemon::route::held::Held;
@@ -372,6 +374,23 @@
     assert_eq!(fleet.metric(0, name).await, 2.0);
 }
 
+#[tokio::test]
+async fn daemons_without_seeds_meet_through_the_record_even_if_it_is_outdated() {
+    let mut fleet = Fleet::start(0).await;
+    let nowhere = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let record = SeedRecord { addresses: vec![nowhere.local_addr().unwrap()] };
+    drop(nowhere);
+    let bytes = serde_json::to_vec(&record).unwrap();
+    fleet.kv.store.swap(SEEDS_KEY, 0, bytes.into()).await.unwrap();
+    for index in 0..3 {
+        let text = sample::settings(&format!("node-{index}"), fleet.kv_at, &[], None);
+        fleet.daemons.push(Proc::daemon(&text));
+    }
+    for index in 0..3 {
+        fleet.wait_knows(index, 2).await;
+    }
+}
+
 /// Starts a daemon in this process and returns its registry and where it gossips.
 async fn start_here(node: &str, kv: SocketAddr, seeds: &[SocketAddr]) -> (Registry, SocketAddr) {
     let text = sample::settings(node, kv, seeds, None);
