--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,7 +12,6 @@
 //! - [`member`]: the membership of the processes.
 //! - [`member_seeds`]: seeds of the membership in the key-value service.
 //! - [`peer`]: calls between the processes.
-//! - [`peer_facts`]: what routing tells the other processes and hears from them.
 //! - [`store`]: the connection to the key-value service.
 //! - [`accept`]: accepts operators' changes.
 //! - [`once`]: claims of request keys, so that non-idempotent requests run at most once.
@@ -35,7 +34,6 @@
 pub mod once;
 pub mod operator;
 pub mod peer;
-pub mod peer_facts;
 pub mod planner;
 pub mod route;
 pub mod run;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -18,7 +18,6 @@
 use crate::once;
 use crate::operator;
 use crate::peer;
-use crate::peer_facts;
 use crate::planner;
 use crate::route;
 use crate::store;
@@ -45,7 +44,6 @@
     kernel.add(keeper::service());
     kernel.add(planner::service());
     kernel.add(route::service());
-    kernel.add(peer_facts::service());
     kernel.add(once::service());
     kernel.add(entry::service());
     kernel.add(accept::service());
--- a/crates/lab/src/measure/gossip.rs
+++ b/crates/lab/src/measure/gossip.rs
@@ -282,7 +282,8 @@
     let busy = fleet.cost(Fleet::run_with_revisions);
     fleet.settle();
     let urgent = fleet.spread(|number, _| FactKey::Quarantine(number));
-    let usage = fleet.spread(|_, owner| FactKey::Usage(owner));
+    let usage = |number, owner| FactKey::Usage { owner, workspace: format!("w{number}").into() };
+    let usage = fleet.spread(usage);
     fleet.loss = LOSS;
     let lossy = fleet.spread(|number, _| FactKey::Quarantine(1000 + number));
     json!({
--- a/crates/member/src/fact.rs
+++ b/crates/member/src/fact.rs
@@ -8,7 +8,7 @@
 use base::prelude::*;
 
 /// Longest body, in bytes.
-pub const MAX_BODY_BYTES: usize = 320;
+pub const MAX_BODY_BYTES: usize = 256;
 /// Longest text in a key, in bytes.
 pub const MAX_KEY_BYTES: usize = 128;
 /// Longest lifetime.
@@ -28,8 +28,13 @@
     Leaving(VmId),
     /// The highest known revision of the configuration is the version of this fact.
     Revision,
-    /// What one process, the named one, uses of the workspaces' limits.
-    Usage(NodeId),
+    /// What one process has used of a workspace's limits.
+    Usage {
+        /// The process.
+        owner: NodeId,
+        /// The workspace.
+        workspace: WorkspaceId,
+    },
 }
 
 /// How soon an update is passed on. Lesser values go first.
@@ -51,7 +56,7 @@
         match self {
             FactKey::GroupDown(_) | FactKey::Quarantine(_) | FactKey::Leaving(_) => Priority::Down,
             FactKey::Revision => Priority::Revision,
-            FactKey::Usage(_) => Priority::Usage,
+            FactKey::Usage { .. } => Priority::Usage,
         }
     }
 
@@ -68,7 +73,7 @@
     /// Returns the process that alone sets facts of this key, if there is one.
     pub fn sole_owner(&self) -> Option<&NodeId> {
         match self {
-            FactKey::Usage(owner) => Some(owner),
+            FactKey::Usage { owner, .. } => Some(owner),
             _ => None,
         }
     }
@@ -81,7 +86,11 @@
             });
         };
         match self {
-            FactKey::GroupDown(name) | FactKey::Leaving(name) | FactKey::Usage(name) => text(name),
+            FactKey::GroupDown(name) | FactKey::Leaving(name) => text(name),
+            FactKey::Usage { owner, workspace } => {
+                text(owner);
+                text(workspace);
+            }
             FactKey::Quarantine(_) | FactKey::Revision => {}
         }
     }
--- a/crates/member/src/raw.rs
+++ b/crates/member/src/raw.rs
@@ -26,6 +26,14 @@
     pub(crate) place: Option<RawPlace>,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct RawUsage {
+    #[prost(string, tag = "1")]
+    pub(crate) owner: String,
+    #[prost(string, tag = "2")]
+    pub(crate) workspace: String,
+}
+
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub(crate) enum RawKey {
     #[prost(string, tag = "1")]
@@ -36,8 +44,8 @@
     Leaving(String),
     #[prost(bool, tag = "4")]
     Revision(bool),
-    #[prost(string, tag = "5")]
-    Usage(String),
+    #[prost(message, tag = "5")]
+    Usage(RawUsage),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/member/src/wire.rs
+++ b/crates/member/src/wire.rs
@@ -28,6 +28,7 @@
 use crate::raw::RawPlace;
 use crate::raw::RawProbe;
 use crate::raw::RawUpdate;
+use crate::raw::RawUsage;
 use crate::record::Claim;
 use crate::record::Life;
 use crate::record::MAX_INCARNATION;
@@ -90,7 +91,9 @@
         FactKey::Quarantine(fingerprint) => RawKey::Quarantine(*fingerprint),
         FactKey::Leaving(vm) => RawKey::Leaving(vm.to_string()),
         FactKey::Revision => RawKey::Revision(true),
-        FactKey::Usage(owner) => RawKey::Usage(owner.to_string()),
+        FactKey::Usage { owner, workspace } => {
+            RawKey::Usage(RawUsage { owner: owner.to_string(), workspace: workspace.to_string() })
+        }
     }
 }
 
@@ -235,7 +238,9 @@
         Some(RawKey::Quarantine(fingerprint)) => FactKey::Quarantine(fingerprint),
         Some(RawKey::Leaving(vm)) => FactKey::Leaving(vm.into()),
         Some(RawKey::Revision(_)) => FactKey::Revision,
-        Some(RawKey::Usage(owner)) => FactKey::Usage(owner.into()),
+        Some(RawKey::Usage(raw)) => {
+            FactKey::Usage { owner: raw.owner.into(), workspace: raw.workspace.into() }
+        }
         None => {
             findings.add(at, "has no key");
             return None;
