--- a/crates/spec/src/accept/message.rs
+++ b/crates/spec/src/accept/message.rs
@@ -1,4 +1,4 @@
-//! What goes into an [`Acceptor`](super::Acceptor) and what comes out.
+//! What goes into an [`Acceptor`](crate::accept::Acceptor)(super::Acceptor) and what comes out.
 
 use std::sync::Arc;
 
@@ -45,7 +45,7 @@
     Unclear,
 }
 
-/// What happens to an [`Acceptor`].
+/// What happens to an [`Acceptor`](crate::accept::Acceptor).
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// An operator asks for a change.
@@ -68,7 +68,7 @@
     Tick,
 }
 
-/// What an [`Acceptor`] wants done.
+/// What an [`Acceptor`](crate::accept::Acceptor) wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Read the catalog; answered by [`Event::Read`] or [`Event::ReadFailed`].
