Give each event of the time line fields of its own

Cause: the event of a membership change had a field `node` beside the stamp's own, so the time line did not read back; the tool's test failed once the membership was merged. Ruled out: nesting the event under a key of its own, which would break readers for one name. Links in three pages lead somewhere. Seen failing: 'duplicate field `node`' before the change.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -89,7 +89,7 @@
     /// This process's view of another process changed.
     Member {
         /// The other process.
-        node: NodeId,
+        member: NodeId,
         /// `alive`, `suspect`, `dead` or `left`.
         state: Box<str>,
     },
--- a/crates/daemon/src/member/shell.rs
+++ b/crates/daemon/src/member/shell.rs
@@ -174,7 +174,7 @@
             Action::Member { claim } => {
                 let state = claim.status.name();
                 log::info!("process `{}` (boot {:x}) is {state}", claim.name, claim.life.boot);
-                self.cx.record(Event::Member { node: claim.name, state: state.into() });
+                self.cx.record(Event::Member { member: claim.name, state: state.into() });
                 self.has_members_changed = true;
             }
             Action::Learned(fact) => {
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -1,6 +1,6 @@
 //! Plans where replica groups go and how they are repaired.
 //!
-//! Each [`PLAN_PERIOD`] the owner reads all records in one call, plans on them and on what its
+//! Each `PLAN_PERIOD` the owner reads all records in one call, plans on them and on what its
 //! keepers know of the VMs, and writes each changed record by compare-and-swap on the revision
 //! that it read. So a plan never rests on an older record than the one that it replaces. An
 //! unclear write needs no care: the next plan starts from what stands.
--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -1,7 +1,7 @@
 //! Picks a replica group for an attempt.
 //!
 //! Takes [`RouteMessage`]s under [`names::ROUTE`]. The decisions are [`route::router`]'s; the
-//! [`shell`] carries them out. What other processes have to know goes as [`ToPeers`] to the
+//! [`shell`] carries them out. What other processes have to know goes as [`ToPeers`](peers::ToPeers) to the
 //! mailbox under [`names::PEERS`]; a process without that service decides alone.
 
 pub mod held;
--- a/crates/route/src/load.rs
+++ b/crates/route/src/load.rs
@@ -3,7 +3,7 @@
 //! A group's report says how many requests waited and ran when it was made, which lags. What this
 //! process itself sent and finished since then corrects it. What the others did since is not
 //! known; as callers are spread evenly it is taken to be half as much for each of them, up to
-//! [`MAX_EXTRAPOLATION`] times as much in all. The estimate is never below the requests that this
+//! `MAX_EXTRAPOLATION` times as much in all. The estimate is never below the requests that this
 //! process has in progress there.
 //!
 //! Speed is the moving average of the time between tokens. A group is as slow as its average
