Prove the claims with separate daemons, and count them

Cause: a frozen owner of shards must cost effort only, and operators need to see who writes. Ruled out: waiting on the time line for the peer, which is recorded up to a tick before the view of members changes; the test waits for a claim that an owner wrote. Change: metrics samphire_claims_total by writer and outcome and samphire_kv_calls_total by kind, outages of the key-value service in the time line, a test with a frozen owner, a test of owners.

--- a/crates/daemon/src/once.rs
+++ b/crates/daemon/src/once.rs
@@ -22,10 +22,13 @@
 use once::committer::wall_ms;
 use once::key::answer_digest;
 use once::prelude::*;
+use prometheus::IntCounterVec;
 use proto::peer::Topic;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::metrics::Metrics;
+use crate::metrics::counters;
 use crate::names;
 use crate::once::peers::Forwarded;
 use crate::once::peers::Peers;
@@ -129,8 +132,13 @@
         let topics: Topics = cx.registry().find(names::PEER)?;
         topics.register(Topic::Claims, names::ONCE);
         let tx = cx.sender::<OnceMessage>(names::ONCE)?;
+        let metrics: Metrics = cx.registry().find(names::PROCESS)?;
+        let help = "Asks for claims by who was to write them and by outcome.";
+        let labels = &["writer", "outcome"];
+        let asks = counters(metrics.registry(), "samphire_claims_total", help, labels);
         cx.ready();
         let state = State {
+            asks,
             cfg: settings.claims,
             tx,
             peers: Peers::new(&cx)?,
@@ -152,6 +160,7 @@
     committer: Option<Committer>,
     held: HeldAnswers,
     attempts: u64,
+    asks: IntCounterVec,
 }
 
 impl State {
@@ -212,7 +221,8 @@
         // What is held now is enough: a resend that overtakes the answer may ask again.
         let answer = self.held.digest(recorded).and_then(held);
         let (cx, tx, peers) = (self.cx.clone(), self.tx.clone(), self.peers.clone());
-        let send = Send { cx, tx, peers, committer, answer };
+        let asks = self.asks.clone();
+        let send = Send { cx, tx, peers, committer, answer, asks };
         tokio::spawn(send.run(claimant, reply));
     }
 
@@ -286,6 +296,7 @@
     peers: Peers,
     committer: Committer,
     answer: Option<Arc<[u8]>>,
+    asks: IntCounterVec,
 }
 
 impl Send {
@@ -305,7 +316,8 @@
                 Ok(answer) => ClaimEvent::Answered(answer),
                 Err(_) => ClaimEvent::Deadline,
             };
-            self.record(&claimant, &event);
+            let writer = if owner.is_some() { "owner" } else { "own" };
+            self.record(&claimant, writer, &event);
             actions = claimant.decide(event, wall_ms(), &cfg);
         }
         let mut begun = None;
@@ -348,7 +360,7 @@
         }
     }
 
-    fn record(&self, claimant: &Claimant, event: &ClaimEvent) {
+    fn record(&self, claimant: &Claimant, writer: &str, event: &ClaimEvent) {
         let outcome = match event {
             ClaimEvent::Answered(Answer::Decided(Verdict::Granted)) => "claimed",
             ClaimEvent::Answered(Answer::Decided(Verdict::Taken { .. })) => "duplicate",
@@ -357,6 +369,7 @@
             }
             _ => "refused",
         };
+        self.asks.with_label_values(&[writer, outcome]).inc();
         let key = claimant.key.key.clone();
         self.cx.record(Event::Claim { key, outcome: outcome.into() });
     }
--- a/crates/daemon/src/store.rs
+++ b/crates/daemon/src/store.rs
@@ -1,35 +1,84 @@
 //! The connection to the key-value service.
 //!
 //! Offers a [`BudgetedStore`] under [`names::STORE`], and the same as `Arc<dyn Store>` with the
-//! priority of configuration. All calls of the process go through its share of the rates.
+//! priority of configuration. All calls of the process go through its share of the rates. Calls are
+//! counted by kind, and the time line tells when the key-value service went down and came up.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::prelude::Event;
 use config::prelude::*;
 use kernel::prelude::*;
 use kv::etcd::EtcdSettings;
 use kv::etcd::EtcdStore;
 use kv::prelude::*;
+use prometheus::IntCounterVec;
 
+use crate::metrics::Metrics;
+use crate::metrics::counters;
 use crate::names;
 
 /// How long a connection to the key-value service may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time between two looks at the counters and the circuit.
+const OBSERVE_PERIOD: Duration = Duration::from_millis(500);
+
 /// Describes the service.
 pub fn service(settings: Kv) -> Service {
     Service::new(names::STORE, &[], move |cx| async move {
         let store = open(&settings)?;
         let config = store.with_priority(Priority::Config);
         cx.registry().offer::<Arc<dyn Store>>(names::STORE, Arc::new(config));
-        cx.registry().offer(names::STORE, store);
+        cx.registry().offer(names::STORE, store.clone());
+        let metrics: Metrics = cx.registry().find(names::PROCESS)?;
+        let help = "Calls to the key-value service by kind and by how they ended.";
+        let calls = counters(metrics.registry(), "samphire_kv_calls_total", help, &["kind"]);
         cx.ready();
-        cx.stopping().await;
+        tokio::select! {
+            () = observe(&cx, &store, &calls) => {}
+            () = cx.stopping() => {}
+        }
         Ok(())
     })
 }
 
+/// Counts calls and records outages while the service runs.
+async fn observe(cx: &Context, store: &BudgetedStore, calls: &IntCounterVec) {
+    let mut ticks = cx.every(OBSERVE_PERIOD);
+    let mut was_up = true;
+    loop {
+        ticks.tick().await;
+        for (kind, count) in by_kind(&store.counts()) {
+            let counter = calls.with_label_values(&[kind]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+        let is_up = store.is_up();
+        if is_up != was_up {
+            let state = if is_up { "up" } else { "down" };
+            log::warn!("the key-value service is {state}");
+            cx.record(Event::Kv { state: state.into() });
+        }
+        was_up = is_up;
+    }
+}
+
+fn by_kind(counts: &CallCounts) -> [(&'static str, u64); 10] {
+    [
+        ("get", counts.gets),
+        ("list", counts.lists),
+        ("swap", counts.swaps),
+        ("delete", counts.deletes),
+        ("watch", counts.watches),
+        ("conflict", counts.conflicts),
+        ("unclear", counts.unclear),
+        ("down", counts.down),
+        ("limited", counts.limited),
+        ("held_back", counts.held_back),
+    ]
+}
+
 fn open(settings: &Kv) -> Result<BudgetedStore, Fault> {
     let endpoints = settings.endpoints.iter().map(|at| format!("http://{at}").into()).collect();
     let etcd = EtcdSettings {
--- a/crates/lab/tests/once.rs
+++ b/crates/lab/tests/once.rs
@@ -103,6 +103,22 @@
         Bench { deployment, at }
     }
 
+    /// Waits until the first daemon gives claims to the owners of their shards.
+    async fn wait_forwarding(&self) {
+        let number = std::sync::atomic::AtomicUsize::new(0);
+        let at = self.deployment.daemons[0].at("operator");
+        wait_until("claims are written by owners", || async {
+            let number = number.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            send(self.at[0], &format!("/warm/{number}"), "x").await;
+            let call = Call::new(Method::GET, "/metrics");
+            let response = Client::fresh(TIMEOUT).send(at, call, TIMEOUT).await.unwrap();
+            let bytes = body::read(response.into_body(), 1 << 20).await.unwrap();
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            text.contains("samphire_claims_total{outcome=\"claimed\",writer=\"owner\"}")
+        })
+        .await;
+    }
+
     async fn faults(&self, order: Value) {
         let at = self.deployment.kv.at("kv-control");
         let call =
@@ -244,3 +260,31 @@
     let elsewhere = ask(bench.at[1]).await;
     assert!(["already_done", "outcome_unknown"].contains(&&*elsewhere.code), "{elsewhere:?}");
 }
+
+/// Half of the shards belong to the frozen daemon; their claims are written by the other one.
+#[tokio::test]
+async fn a_silent_owner_of_shards_is_passed_over() {
+    const REQUESTS: usize = 12;
+    let bench = Bench::start().await;
+    bench.wait_forwarding().await;
+    bench.deployment.daemons[1].signal("STOP");
+    let paths: Vec<String> = (0..REQUESTS).map(|index| format!("/silent/{index}")).collect();
+    let at = bench.at[0];
+    let sent: Vec<_> = paths
+        .iter()
+        .map(|path| {
+            let path = path.clone();
+            tokio::spawn(async move { send(at, &path, "entry").await })
+        })
+        .collect();
+    for told in sent {
+        let told = told.await.unwrap();
+        assert_eq!(told.status, StatusCode::OK, "{told:?}");
+    }
+    bench.deployment.daemons[1].signal("CONT");
+    for path in &paths {
+        let told = send(bench.at[1], path, "entry").await;
+        assert!(!told.is_not_run(), "{told:?}");
+        assert_eq!(bench.runs(path).await, 1, "{path}");
+    }
+}
--- /dev/null
+++ b/crates/once/tests/owner.rs
@@ -0,0 +1,20 @@
+//! Owners of shards.
+
+use once::owner::owner;
+
+const SHARDS: u32 = 64;
+
+#[test]
+fn all_processes_agree_and_a_loss_moves_only_the_lost_ones_shards() {
+    let names = ["a", "b", "c", "d"];
+    for shard in 0..SHARDS {
+        // Each process sees all others.
+        let seen =
+            |me: &'static str| owner(shard, me, names.into_iter().filter(move |name| *name != me));
+        let owners: Vec<&str> = names.into_iter().map(seen).collect();
+        assert!(owners.iter().all(|owner| *owner == owners[0]), "{shard}: {owners:?}");
+        let without_d = owner(shard, "a", ["b", "c"]);
+        assert!(owners[0] == "d" || owners[0] == without_d);
+    }
+    assert_eq!(owner(0, "a", []), "a");
+}
