Name live processes that a merged time line lacks

Cause: a time line from the servers given looks whole though other processes have events of their own. Ruled out: asking those processes too: the membership knows their peer addresses, not where their operator API listens. Change: `samphire timeline` reads each answering server's status and names the live processes that no server given is. Seen failing: without looking at who answered, the test finds `b` named too.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -15,6 +15,7 @@
 pub use self::check::check;
 pub use self::timeline::Merged;
 pub use self::timeline::merge;
+pub use self::timeline::missing;
 use crate::args::Args;
 use crate::args::Command;
 use crate::failure::Failure;
--- a/crates/cli/src/command/timeline.rs
+++ b/crates/cli/src/command/timeline.rs
@@ -6,6 +6,7 @@
 use base::prelude::*;
 use serde::Deserialize;
 use serde::Serialize;
+use spec::api::ProcessView;
 
 use super::print_json;
 use crate::args::Output;
@@ -13,6 +14,9 @@
 use crate::failure::Failure;
 use crate::servers::Servers;
 
+/// States of processes that may have events.
+const LIVE_STATES: [&str; 2] = ["alive", "suspect"];
+
 /// The events of one process, as its endpoint answers.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Events {
@@ -44,6 +48,8 @@
     pub gaps: Vec<Gap>,
     /// The servers that did not answer.
     pub silent: Vec<Box<str>>,
+    /// Processes that others hold to be live, but whose events are not here.
+    pub missing: Vec<NodeId>,
 }
 
 /// Merges the events of several processes and keeps what the filter asks for.
@@ -106,17 +112,34 @@
     }
 }
 
+/// Returns the live processes that the `views` name and that none of `answered` is.
+pub fn missing(views: &[ProcessView], answered: &[NodeId]) -> Vec<NodeId> {
+    let mut list: Vec<NodeId> = views
+        .iter()
+        .flat_map(|view| &view.peers)
+        .filter(|peer| LIVE_STATES.contains(&&*peer.state) && !answered.contains(&peer.node))
+        .map(|peer| peer.node.clone())
+        .collect();
+    list.sort_unstable();
+    list.dedup();
+    list
+}
+
 /// Shows the merged events of all servers.
 pub(super) async fn timeline(
     servers: &Servers,
     filter: &TimelineArgs,
     output: Output,
 ) -> Result<(), Failure> {
-    let mut processes = Vec::new();
-    let mut silent = Vec::new();
+    let mut processes: Vec<Events> = Vec::new();
+    let (mut silent, mut views) = (Vec::new(), Vec::new());
     for address in servers.addresses() {
         match servers.read_from::<Events>(*address, "/api/v1/timeline?from=0").await {
-            Ok(events) => processes.push(events),
+            Ok(events) => {
+                processes.push(events);
+                let view = servers.read_from::<ProcessView>(*address, "/api/v1/status").await;
+                views.extend(view.ok());
+            }
             Err(Failure::Unreachable(problem)) => silent.push(problem),
             Err(failure) => return Err(failure),
         }
@@ -124,8 +147,10 @@
     if processes.is_empty() {
         return Err(Failure::Unreachable(silent.join("; ").into()));
     }
+    let answered: Vec<NodeId> = processes.iter().map(|process| process.node.clone()).collect();
     let mut merged = merge(processes, filter);
     merged.silent = silent;
+    merged.missing = missing(&views, &answered);
     match output {
         Output::Json => print_json(&merged),
         Output::Table => print(&merged),
@@ -137,6 +162,9 @@
     for problem in &merged.silent {
         println!("missing: {problem}");
     }
+    for node in &merged.missing {
+        println!("missing: process {node} is live, but no server given is it");
+    }
     let mut gaps = merged.gaps.iter().peekable();
     for event in &merged.events {
         while let Some(gap) = gaps.next_if(|gap| gap.before <= event.at) {
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -8,6 +8,7 @@
 use base::prelude::*;
 use cli::args::TimelineArgs;
 use cli::command::merge;
+use cli::command::missing;
 use cli::prelude::*;
 use cli::servers::Write;
 use futures::FutureExt;
@@ -17,6 +18,8 @@
 use spec::api::ErrorKind;
 use spec::api::ErrorView;
 use spec::api::FateView;
+use spec::api::PeerView;
+use spec::api::ProcessView;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use web::prelude::*;
@@ -134,6 +137,24 @@
     assert_eq!((&*gap.node, gap.before.millis, gap.missing), ("a", 30, 3));
 }
 
+#[test]
+fn live_processes_whose_events_were_not_asked_for_are_named() {
+    let peer =
+        |node: &str, state: &str| PeerView { node: node.into(), state: state.into(), revision: 1 };
+    let view = ProcessView {
+        node: "a".into(),
+        boot: 1,
+        failure_domain: "d".into(),
+        revision: 1,
+        highest: 1,
+        ready: true,
+        reason: "".into(),
+        peers: vec![peer("b", "alive"), peer("c", "suspect"), peer("d", "dead"), peer("e", "left")],
+    };
+    let views = [view.clone(), view];
+    assert_eq!(missing(&views, &["a".into(), "b".into()]), ["c".into()]);
+}
+
 #[test]
 fn a_file_of_manifests_or_settings_is_checked_without_a_server() {
     let dir = std::env::temp_dir().join(format!("samphire-check-{}", std::process::id()));
