--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -9,8 +9,8 @@
 //!
 //! The process that rendezvous hashing over the live processes picks for a domain leads its
 //! keeping: it alone writes the record and orders engines. As long as processes do not exchange
-//! vouchers, all others observe: they probe too, and vouch for themselves only. While no
-//! membership is known, each process takes the lead, which costs effort and no safety.
+//! vouchers, all others observe: they probe too, and vouch for themselves only. A
+//! process that knows of no other takes the lead, which costs effort and no safety.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -26,6 +26,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::member::View;
 use crate::names;
 use crate::vm_list::LeavingVms;
 
@@ -37,14 +38,6 @@
 /// Outcomes that may wait for the service.
 const OUTCOMES_DEPTH: usize = 4_096;
 
-/// The live processes, as the membership sees them.
-#[data]
-#[derive(Default)]
-pub struct LiveNodes {
-    /// Their names, this process's among them.
-    pub nodes: Vec<NodeId>,
-}
-
 /// What is known of each VM.
 #[data]
 #[derive(Default)]
@@ -73,7 +66,7 @@
 
 /// Describes the service.
 pub fn service() -> Service {
-    let needs = &[names::STORE, names::CATALOG, names::VM_LIST];
+    let needs = &[names::STORE, names::MEMBER, names::CATALOG, names::VM_LIST];
     Service::new(names::GROUPS, needs, |cx| async move {
         let mut service = KeeperService::new(&cx)?;
         let mut ticks = cx.every(TICK_PERIOD);
@@ -109,7 +102,7 @@
     outcomes: mpsc::Receiver<Outcome>,
     catalog: watch::Receiver<Arc<Catalog>>,
     leaving: watch::Receiver<Arc<LeavingVms>>,
-    live: Option<watch::Receiver<Arc<LiveNodes>>>,
+    members: watch::Receiver<Arc<View>>,
     keepers: BTreeMap<FabricId, Keeper>,
     ledger: Ledger,
     vouchers: VoucherTable,
@@ -139,7 +132,7 @@
             outcomes,
             catalog: cx.view(names::CATALOG)?,
             leaving: cx.view(names::VM_LIST)?,
-            live: cx.view(names::MEMBER).ok(),
+            members: cx.view(names::MEMBER)?,
             keepers: BTreeMap::new(),
             ledger: Ledger::new(cx.node().clone(), cx.boot(), ttl),
             vouchers: VoucherTable::new(cx.node().clone(), cx.boot()),
@@ -198,11 +191,11 @@
 
     /// Returns the event that tells the keeper of `fabric` whether it leads.
     fn ownership(&self, fabric: &str) -> KeeperEvent {
-        let live = self.live.as_ref().map(|live| live.borrow().clone()).unwrap_or_default();
-        let owner = base::hash::owner(fabric, live.nodes.iter().map(|node| &**node));
-        match owner {
-            Some(owner) if owner != &**self.cx.node() => KeeperEvent::Observing,
-            _ => KeeperEvent::Owned,
+        let me = &**self.cx.node();
+        if self.members.borrow().owner(fabric, me) == me {
+            KeeperEvent::Owned
+        } else {
+            KeeperEvent::Observing
         }
     }
 
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -4,12 +4,14 @@
 
 /// The connection to the key-value service.
 pub const STORE: ServiceName = "store";
+/// Calls between the processes.
+pub const PEER: ServiceName = "peer";
+/// The membership of the processes.
+pub const MEMBER: ServiceName = "member";
 /// The accepted configuration in force.
 pub const CATALOG: ServiceName = "catalog";
 /// The platform's list of VMs, as far as it says who is leaving.
 pub const VM_LIST: ServiceName = "vm_list";
-/// The membership of our own processes.
-pub const MEMBER: ServiceName = "member";
 /// Plans where replica groups go and how they are repaired.
 pub const PLANNER: ServiceName = "planner";
 /// Keeps the replica groups and tells what is known of them.
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -2,6 +2,7 @@
 
 pub mod agenda;
 pub mod claims;
+pub mod gossip;
 pub mod kv;
 pub mod load;
 pub mod overload;
@@ -21,6 +22,8 @@
     Relay,
     /// Claims of request keys: key-value writes and added latency, against two other ways.
     Claims,
+    /// The membership: bytes, processor time, memory, and how fast facts spread.
+    Gossip,
     /// Calls to the key-value service by kind, through an outage and after it.
     Kv,
     /// Accepted changes: time until in force at all daemons, bytes, calls, sizes.
@@ -40,6 +43,7 @@
     match measure {
         Measure::Relay => relay::run().await,
         Measure::Claims => claims::run().await,
+        Measure::Gossip => gossip::run(),
         Measure::Kv => kv::run().await,
         Measure::Propagate => propagate::run().await,
         Measure::Overload => overload::run(),
