--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -88,7 +88,8 @@
     },
     /// This process's view of another process changed.
     Member {
-        /// The other process.
+        /// The other process; a stamped event has a `node` of its own.
+        #[serde(rename = "member")]
         node: NodeId,
         /// `alive`, `suspect`, `dead` or `left`.
         state: Box<str>,
