Measure the spread of changes with two watchers and pulls

Change: the daemons of the measurement join each other and wait until each knows all others; 1 to 32 daemons.

--- a/crates/lab/src/measure/propagate.rs
+++ b/crates/lab/src/measure/propagate.rs
@@ -1,6 +1,7 @@
 //! Accepted changes: the time until they are in force at all daemons, and what they cost.
 //!
-//! Whole daemons run in this process against one key-value stand-in. Changes come in through one
+//! Whole daemons of one failure domain run in this process against one key-value stand-in; two of
+//! them watch it, the others pull. Changes come in through one
 //! daemon's operator API; the time runs from the accepted answer to the moment at which the last
 //! daemon has the revision in force. Sizes are taken from catalogs of the users' proportions.
 
@@ -14,6 +15,7 @@
 use cli::servers::Write;
 use config::prelude::Settings;
 use daemon::announce::Addresses;
+use daemon::member::View;
 use daemon::names;
 use http::Method;
 use serde_json::Value;
@@ -36,7 +38,9 @@
 /// Answer time of the key-value service.
 const KV_DELAY_MS: u64 = 2;
 /// Daemons in one process.
-const DAEMONS: [usize; 5] = [1, 2, 4, 8, 16];
+const DAEMONS: [usize; 6] = [1, 2, 4, 8, 16, 32];
+/// Daemons through which others join.
+const SEEDS: usize = 3;
 /// Changes of one run.
 const CHANGES: u32 = 60;
 /// Pause between two changes, so that each is seen alone.
@@ -78,6 +82,7 @@
 struct Fleet {
     kv: Standin,
     operators: Vec<SocketAddr>,
+    seeds: Vec<SocketAddr>,
     catalogs: Vec<watch::Receiver<Arc<Catalog>>>,
     stops: Vec<CancellationToken>,
 }
@@ -85,9 +90,12 @@
 impl Fleet {
     async fn start(count: usize) -> Fleet {
         let kv = Standin::start(KV_DELAY_MS).await;
-        let mut fleet = Fleet { kv, operators: vec![], catalogs: vec![], stops: vec![] };
+        let mut fleet =
+            Fleet { kv, operators: vec![], seeds: vec![], catalogs: vec![], stops: vec![] };
+        let mut members = Vec::new();
         for number in 0..count {
-            let text = sample::settings(&format!("node-{number}"), fleet.kv.address, &[], None);
+            let node = format!("node-{number}");
+            let text = sample::settings(&node, fleet.kv.address, &fleet.seeds, None);
             let settings = Settings::try_from(&*text).expect("the sample's settings are valid");
             let kernel = daemon::run::kernel(settings, |_| {});
             let registry = kernel.registry().clone();
@@ -95,8 +103,16 @@
             tokio::spawn(kernel.run());
             let addresses: Addresses =
                 registry.find(names::PROCESS).expect("the kernel offers the addresses");
-            fleet.operators.push(operator_of(&addresses).await);
+            fleet.operators.push(address_of(&addresses, "operator").await);
+            if fleet.seeds.len() < SEEDS {
+                fleet.seeds.push(address_of(&addresses, "gossip").await);
+            }
             fleet.catalogs.push(registry.view(names::CATALOG).expect("the service is ready"));
+            members.push(registry.view::<View>(names::MEMBER).expect("the service is ready"));
+        }
+        for member in &mut members {
+            let knows_all = member.wait_for(|view| view.live().count() + 1 == count);
+            tokio::time::timeout(TIMEOUT, knows_all).await.expect("all join").expect("they run");
         }
         fleet
     }
@@ -120,9 +136,9 @@
     }
 }
 
-async fn operator_of(addresses: &Addresses) -> SocketAddr {
+async fn address_of(addresses: &Addresses, name: &str) -> SocketAddr {
     loop {
-        if let Some(entry) = addresses.list().iter().find(|entry| entry.name == "operator") {
+        if let Some(entry) = addresses.list().iter().find(|entry| entry.name == name) {
             return entry.address;
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
