--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use base::hash;
 use base::prelude::*;
 use config::prelude::*;
 use kernel::prelude::*;
@@ -68,6 +69,12 @@
         self.members.iter().filter(|member| member.status.is_live())
     }
 
+    /// Returns the process that owns `key` softly, among the live ones and `me`.
+    pub fn owner<'a>(&'a self, key: &str, me: &'a str) -> &'a str {
+        let live = self.live().map(|member| &*member.name);
+        hash::owner(key, live.chain([me])).unwrap_or(me)
+    }
+
     /// Returns where the process `name` serves its peers, whatever it is held to be.
     pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
         self.find(name).map(|member| member.peer)
