Test a request that kills over three daemons

Cause: the exchange of facts and permissions had no end-to-end test. Change: 20 sends over three daemons crash two of five groups, innocents are answered through other daemons after each, and every daemon lists the conviction. Seen failing: with each daemon as its own coordinator and facts dropped, all groups were killed and the innocent got 503.

--- a/crates/lab/tests/route.rs
+++ b/crates/lab/tests/route.rs
@@ -85,6 +85,44 @@
     assert_eq!(held, Value::Array(vec![]));
 }
 
+#[tokio::test]
+async fn twenty_sends_over_three_daemons_crash_two_groups_and_are_refused_everywhere() {
+    let mut deployment = Deployment::start(10, 3, &["--token-ms", "5"]).await;
+    wait_for_members(&deployment, 2).await;
+    crash_on_the_killer(&deployment).await;
+    let callers = deployment.callers();
+    for i in 0..20 {
+        let (_, answer) = send(callers[i % 3], KILLER).await;
+        assert!(!answer.ended, "{answer:?}");
+        let (call, innocent) = send(callers[(i + 1) % 3], "when is slack water?").await;
+        assert_eq!(innocent.judge(&call), Judgement::Right, "{innocent:?}");
+    }
+    assert_eq!(crashed(&mut deployment), 2, "one engine of each of two groups");
+    for daemon in &deployment.daemons {
+        procs::wait_until("every daemon knows the conviction", || async {
+            let path = "/api/v1/quarantine";
+            let at = daemon.at("operator");
+            let (_, held) = operate(at, Method::GET, path, sample::VIEWER_TOKEN).await;
+            held[0]["verdict"] == "convicted"
+        })
+        .await;
+    }
+}
+
+/// Waits until each daemon counts this many other live ones.
+async fn wait_for_members(deployment: &Deployment, others: usize) {
+    for daemon in &deployment.daemons {
+        procs::wait_until("the daemons know each other", || async {
+            let at = daemon.at("operator");
+            let path = "/api/v1/status";
+            let (_, status) = operate(at, Method::GET, path, sample::VIEWER_TOKEN).await;
+            let peers = status["peers"].as_array().cloned().unwrap_or_default();
+            peers.iter().filter(|peer| peer["state"] == "alive").count() >= others
+        })
+        .await;
+    }
+}
+
 #[tokio::test]
 async fn a_workspace_above_its_rate_is_told_at_once_when_to_come_back() {
     let deployment = Deployment::start(2, 1, &["--token-ms", "5"]).await;
