Ask for permission also when the first choice has just lapsed, and test the facts' form

Cause: the keeper tells a down by taking the voucher back, so an uninformed process may see its first choice only lapse. Ruled out: asking while any group has lapsed (a keeper that ends would make every request ask).

--- /dev/null
+++ b/crates/daemon/tests/route_fact.rs
@@ -0,0 +1,73 @@
+//! Tests of routing's facts in the form in which membership spreads them.
+
+use base::prelude::Hlc;
+use daemon::route::fact;
+use member::prelude::Fact;
+use proptest::prelude::*;
+use route::poison::Crash;
+use route::prelude::*;
+
+fn poison() -> impl Strategy<Value = PoisonFact> {
+    let crash =
+        (1_700_000_000_000u64..1_800_000_000_000, 0u32..9, "[a-z]{1,12}-[0-9]{1,3}", 1u64..99);
+    let crash = crash.prop_map(|(millis, count, group, generation)| Crash {
+        at: Hlc { millis, count },
+        group: group.into(),
+        generation,
+    });
+    (any::<u64>(), proptest::collection::vec(crash, 0..5), 1_700_000_000_000u64..1_800_000_000_000)
+        .prop_map(|(fingerprint, crashes, cleared)| {
+            let mut fact = PoisonFact::new(fingerprint);
+            let cleared = Hlc { millis: cleared, count: 0 };
+            fact.merge(&PoisonFact { fingerprint, crashes, cleared });
+            fact
+        })
+}
+
+fn told(poison: &PoisonFact) -> Fact {
+    fact::of_poison(&"n1".into(), poison)
+}
+
+proptest! {
+    #[test]
+    fn what_is_known_of_a_request_comes_back_whole_and_fits(known in poison()) {
+        let fact = told(&known);
+        prop_assert!(fact.check().is_empty(), "{}", fact.check());
+        prop_assert_eq!(fact::to_poison(&fact), Some(known));
+    }
+
+    #[test]
+    fn joined_knowledge_replaces_its_parts(a in poison(), b in poison()) {
+        let b = PoisonFact { fingerprint: a.fingerprint, ..b };
+        let mut joined = a.clone();
+        joined.merge(&b);
+        for part in [&a, &b] {
+            let (joined_fact, part_fact) = (told(&joined), told(part));
+            let is_same = joined_fact.body == part_fact.body;
+            // At the bound of crashes the earliest are dropped, and only the greatest stamp tells.
+            let is_full = part.crashes.len() == 4;
+            prop_assert!(is_same || is_full || joined_fact.supersedes(&part_fact));
+        }
+    }
+
+    #[test]
+    fn demand_comes_back_by_process_and_workspace(demand in 0.0f64..1e6) {
+        let row = route::share::UsageRow { workspace: "club".into(), demand };
+        let usage = UsageFact { node: "n1".into(), boot: 1, number: 1, rows: vec![row.clone()] };
+        let facts: Vec<Fact> = fact::of_usage(&usage, 7).collect();
+        prop_assert!(facts[0].check().is_empty());
+        prop_assert_eq!(fact::to_usage(&facts[0]), Some(("n1".into(), row)));
+    }
+}
+
+#[test]
+fn a_fact_with_long_names_keeps_its_latest_crashes() {
+    let crash = |millis: u64| Crash {
+        at: Hlc { millis, count: 0 },
+        group: format!("{}-{millis}", "long".repeat(20)).into(),
+        generation: 1,
+    };
+    let known = PoisonFact { crashes: (1..5).map(crash).collect(), ..PoisonFact::new(3) };
+    let back = fact::to_poison(&told(&known)).unwrap();
+    assert_eq!(back.crashes, [crash(3), crash(4)]);
+}
--- a/crates/route/src/router/vet.rs
+++ b/crates/route/src/router/vet.rs
@@ -17,6 +17,7 @@
 use super::RouteAction;
 use super::Router;
 use super::Stage;
+use super::VETTING_WINDOW;
 use super::place::refusal;
 
 /// When to come back if the coordinator of trials does not answer.
@@ -28,12 +29,12 @@
         if self.verdict(need, now) == Verdict::Suspect {
             return true;
         }
-        let gone: Vec<&GroupView> = self
-            .downs
-            .values()
-            .filter_map(|down| down.view.as_ref())
-            .filter(|view| choose::holds(view, need))
-            .collect();
+        let lapsed = self.table.groups.iter().filter(|view| {
+            !view.is_routable(now) && now < view.vouched_until.saturating_add(VETTING_WINDOW)
+        });
+        let down = self.downs.values().filter_map(|down| down.view.as_ref());
+        let gone: Vec<&GroupView> =
+            down.chain(lapsed).filter(|view| choose::holds(view, need)).collect();
         if gone.is_empty() {
             return false;
         }
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -201,6 +201,24 @@
         if refusal.reason == RefusalReason::Suspect && refusal.retry_after.is_some())));
 }
 
+#[test]
+fn a_request_whose_first_choice_has_just_lapsed_needs_permission() {
+    let mut router = router();
+    let mut groups = table(4, 0);
+    router.decide(RouteEvent::View(groups.clone()), Duration::ZERO, 0);
+    let sent = router.decide(RouteEvent::Ask(need(1, 1, Duration::ZERO)), Duration::ZERO, 0);
+    let [RouteAction::Send { group, .. }] = &sent[..] else { panic!("{sent:?}") };
+    let home = groups.groups.iter_mut().find(|view| view.id == *group).unwrap();
+    home.vouched_until = 100 * MS;
+    router.decide(RouteEvent::View(groups), MS, 0);
+    let now = 200 * MS;
+    let asked = router.decide(RouteEvent::Ask(need(2, 1, now)), now, 0);
+    assert!(matches!(&asked[..], [RouteAction::AskTrial { .. }]), "{asked:?}");
+    let now = Duration::from_secs(20);
+    let later = router.decide(RouteEvent::Ask(need(3, 1, now)), now, 0);
+    assert!(matches!(&later[..], [RouteAction::Send { .. }]), "{later:?}");
+}
+
 #[test]
 fn a_resend_to_a_process_without_the_facts_asks_because_its_first_choice_is_gone() {
     let mut informed = router();
