--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -2,8 +2,10 @@
 //!
 //! Takes [`RouteMessage`]s under [`names::ROUTE`]. The decisions are [`route::router`]'s; the
 //! [`shell`] carries them out. What other processes have to know goes as [`ToPeers`](peers::ToPeers) to the
-//! mailbox under [`names::PEERS`]; a process without that service decides alone.
+//! mailbox under [`names::ROUTE_EXCHANGE`]; a process without that service decides alone.
 
+pub mod exchange;
+pub mod fact;
 pub mod held;
 pub mod peers;
 pub mod shell;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -42,6 +42,7 @@
     kernel.add(keeper::service());
     kernel.add(planner::service());
     kernel.add(route::service());
+    kernel.add(route::exchange::service());
     kernel.add(once::service());
     kernel.add(entry::service());
     kernel.add(accept::service());
--- a/crates/route/src/share.rs
+++ b/crates/route/src/share.rs
@@ -14,16 +14,16 @@
 //!
 //! Error bound. While every publication reaches every process within [`SPREAD_BOUND`], the
 //! fractions add up to at most 1: each denominator is at least the sum of all numerators. A
-//! process that heard fewer than half of the others during [`HEARD_LIFETIME`] knows that it is
-//! cut off, and takes one `N`th; membership must not report it dead sooner than that. With `N`
-//! known processes of which `c` are cut off, what all admit in a window `W` under a limit of `L`
-//! a second with burst `B` is at most
+//! process to which fewer than half of the other known processes are live knows that it is cut
+//! off, and takes one `N`th. With `N` known processes of which `c` are cut off, what all admit in
+//! a window `W` under a limit of `L` a second with burst `B` is at most
 //!
 //! ```text
-//! L * W * (1 + c / N) + B + N
+//! L * (W + D) + L * W * c / N + B + N
 //! ```
 //!
-//! (`N` because a bucket holds at least one whole request.) Below the limit the loss is the
+//! where `D` is how much later the cut-off processes find out than the others, and `N` stands
+//! there because a bucket holds at least one whole request. Below the limit the loss is the
 //! fraction of a lost process until membership reports it dead, and a rise of demand waits for
 //! one period and one spread bound.
 
@@ -36,8 +36,6 @@
 pub const PUBLISH_PERIOD: Duration = Duration::from_secs(1);
 /// Time within which a publication reaches every live process.
 pub const SPREAD_BOUND: Duration = Duration::from_secs(2);
-/// Time after which a silent process counts as not heard.
-pub const HEARD_LIFETIME: Duration = Duration::from_secs(4);
 /// Demand, in requests a second, that an idle process counts for.
 const IDLE_DEMAND: f64 = 0.05;
 /// Weight of the newest period in the moving average of demand.
@@ -74,7 +72,6 @@
     boot: BootId,
     number: u64,
     demands: Demands,
-    heard_at: Mono,
 }
 
 /// This process's fractions of the limits of all workspaces.
@@ -88,6 +85,7 @@
     published_at: Mono,
     published: VecDeque<(Mono, Demands)>,
     live: Vec<NodeId>,
+    known: usize,
     peers: BTreeMap<NodeId, Peer>,
 }
 
@@ -103,6 +101,7 @@
             published_at: Duration::ZERO,
             published: VecDeque::new(),
             live: Vec::new(),
+            known: 0,
             peers: BTreeMap::new(),
         }
     }
@@ -117,13 +116,19 @@
         }
     }
 
-    /// Takes over the names of the processes that membership holds live, without this one.
+    /// Takes over what membership holds of the other processes: which are live, and how many are
+    /// known, live or dead.
     ///
     /// What a process published is forgotten only here, once it is dead or has left.
-    pub fn set_live(&mut self, live: Vec<NodeId>) {
+    pub fn set_live(&mut self, live: Vec<NodeId>, known: usize) {
+        debug_assert!(!live.contains(&self.node), "a process is not its own peer");
         self.peers.retain(|node, _| live.contains(node));
+        self.known = known.max(live.len());
         self.live = live;
-        self.live.retain(|node| *node != self.node);
+        if self.is_cut_off() {
+            // What was published while nobody listened must not count once they listen again.
+            self.published.clear();
+        }
     }
 
     /// Returns whether `period` has passed since the last publication.
@@ -145,10 +150,7 @@
         self.demands.retain(|_, demand| *demand > IDLE_DEMAND);
         self.number += 1;
         self.published_at = now;
-        if self.is_cut_off(now) {
-            // What was published while nobody listened must not count once they listen again.
-            self.published.clear();
-        } else {
+        if !self.is_cut_off() {
             self.published.push_back((now, self.demands.clone()));
             self.drop_old(now);
         }
@@ -167,7 +169,7 @@
     }
 
     /// Takes over another process's publication, unless a later one is known.
-    pub fn merge(&mut self, fact: &UsageFact, now: Mono) {
+    pub fn merge(&mut self, fact: &UsageFact) {
         if fact.node == self.node {
             return;
         }
@@ -177,14 +179,14 @@
         }
         let rows = fact.rows.iter().filter(|row| row.demand.is_finite());
         let demands = rows.map(|row| (row.workspace.clone(), row.demand.max(0.0))).collect();
-        let peer = Peer { boot: fact.boot, number: fact.number, demands, heard_at: now };
+        let peer = Peer { boot: fact.boot, number: fact.number, demands };
         self.peers.insert(fact.node.clone(), peer);
     }
 
     /// Returns this process's fraction of the workspace's limits, above 0 and at most 1.
     pub fn fraction(&self, workspace: &str, now: Mono) -> f64 {
-        if self.is_cut_off(now) {
-            return 1.0 / (self.live.len() + 1) as f64;
+        if self.is_cut_off() {
+            return 1.0 / (self.known + 1) as f64;
         }
         let own = self.settled_demand(workspace, now);
         let others: f64 = self.live.iter().map(|node| self.peer_demand(node, workspace)).sum();
@@ -197,14 +199,9 @@
         own + self.live.iter().map(|node| self.peer_demand(node, workspace)).sum::<f64>()
     }
 
-    /// Returns whether fewer than half of the other live processes were heard lately.
-    fn is_cut_off(&self, now: Mono) -> bool {
-        let is_heard = |node: &&NodeId| {
-            let peer = self.peers.get(*node);
-            peer.is_some_and(|peer| now.saturating_sub(peer.heard_at) <= HEARD_LIFETIME)
-        };
-        let heard = self.live.iter().filter(is_heard).count();
-        2 * heard < self.live.len()
+    /// Returns whether fewer than half of the other known processes are live.
+    fn is_cut_off(&self) -> bool {
+        2 * self.live.len() < self.known
     }
 
     fn settled_demand(&self, workspace: &str, now: Mono) -> f64 {
