--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -283,26 +283,6 @@
             log: f.nested("log", Log::read),
         }
     }
-
-    /// Checks what spans several fields.
-    fn check(&self, findings: &mut Findings) {
-        self.claims.check("$.claims", findings);
-        let keeper = &self.keeper;
-        findings.check(keeper.probe_timeout <= keeper.voucher_ttl, "$.keeper", || {
-            format!(
-                "probe_timeout_ms {} is above voucher_ttl_ms {}",
-                keeper.probe_timeout.as_millis(),
-                keeper.voucher_ttl.as_millis(),
-            )
-        });
-        findings.check(keeper.probe_period < keeper.voucher_ttl, "$.keeper", || {
-            format!(
-                "probe_period_ms {} is not below voucher_ttl_ms {}",
-                keeper.probe_period.as_millis(),
-                keeper.voucher_ttl.as_millis(),
-            )
-        });
-    }
 }
 
 impl Listen {
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -22,8 +22,8 @@
 pub const ROUTE: ServiceName = "route";
 /// Claims of request keys.
 pub const ONCE: ServiceName = "once";
-/// Exchanges facts with the other processes.
-pub const PEERS: ServiceName = "peers";
+/// Exchanges routing's facts and trial permissions with the other processes.
+pub const ROUTE_EXCHANGE: ServiceName = "route_exchange";
 /// The caller API.
 pub const ENTRY: ServiceName = "entry";
 /// Accepts operators' changes.
--- /dev/null
+++ b/crates/lab/tests/chaos.rs
@@ -0,0 +1,71 @@
+//! Load with random kills of engines and daemons: no answer is lost, foreign, truncated or
+//! doubled. `SAMPHIRE_CHAOS_SECONDS` makes it longer than in CI.
+
+mod procs;
+
+use std::time::Duration;
+
+use lab::load;
+use lab::load::Ends;
+use lab::load::Load;
+use procs::Deployment;
+use procs::Proc;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// How long the load lasts in CI.
+const DEFAULT_SECONDS: u64 = 12;
+/// Time between two kills.
+const KILL_PERIOD: Duration = Duration::from_secs(4);
+/// VMs; two groups and two spares.
+const VMS: usize = 6;
+
+fn seconds() -> u64 {
+    std::env::var("SAMPHIRE_CHAOS_SECONDS")
+        .ok()
+        .and_then(|seconds| seconds.parse().ok())
+        .unwrap_or(DEFAULT_SECONDS)
+}
+
+/// Kills an engine now and then and starts it again under the same address, and kills one daemon.
+async fn kill_at_random(deployment: &mut Deployment, duration: Duration) {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let rounds = duration.as_millis() / KILL_PERIOD.as_millis();
+    for round in 0..rounds {
+        tokio::time::sleep(KILL_PERIOD / 2).await;
+        let victim = rng.random_range(0..VMS);
+        let address = deployment.vms[victim].address.to_string();
+        let name = format!("vm-{victim}");
+        deployment.engines[victim].kill();
+        if round == 1 {
+            deployment.daemons[1].kill();
+        }
+        tokio::time::sleep(KILL_PERIOD / 2).await;
+        let args = ["engine", "--vm", &name, "--listen", &address, "--token-ms", "5"];
+        deployment.engines[victim] = Proc::stand_in(&args, 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_answer_is_lost_foreign_truncated_or_doubled_while_engines_and_a_daemon_are_killed() {
+    let duration = Duration::from_secs(seconds());
+    let mut deployment = Deployment::start(VMS, 3, &["--token-ms", "5"]).await;
+    let load = Load {
+        to: Ends::Daemons(deployment.callers()),
+        rate: 30.0,
+        duration,
+        max_tokens: 60,
+        streamed: 0.8,
+        high_priority: 0.1,
+        seed: 5,
+        timeout: Duration::from_secs(60),
+        resend: true,
+    };
+    let driven = tokio::spawn(async move { load::drive(&load).await });
+    kill_at_random(&mut deployment, duration).await;
+    let report = driven.await.unwrap().report();
+    println!("{}", serde_json::to_string_pretty(&report).unwrap());
+    assert_eq!((report.lost, report.foreign, report.truncated), (0, 0, 0), "{:?}", report.examples);
+    assert!(report.right * 10 >= report.requests * 9, "{report:?}");
+}
--- a/crates/route/src/router/act.rs
+++ b/crates/route/src/router/act.rs
@@ -55,13 +55,13 @@
                 self.limits.set(&limits, now);
                 self.limits.refresh(&self.shares, self.settings.token_capacity, now);
             }
-            RouteEvent::Live(live) => {
-                let peers = live.iter().filter(|node| **node != self.node).count();
-                self.loads.set_peers(peers);
-                self.shares.set_live(live);
+            RouteEvent::Live { live, known } => {
+                self.loads.set_peers(live.len());
+                self.shares.set_live(live, known);
+                self.limits.refresh(&self.shares, self.settings.token_capacity, now);
             }
             RouteEvent::Usage(fact) => {
-                self.shares.merge(&fact, now);
+                self.shares.merge(&fact);
                 self.limits.refresh(&self.shares, self.settings.token_capacity, now);
             }
             RouteEvent::Poison(fact) => self.merge_poison(&fact, now, &mut out),
