--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`settings`]: periods and multipliers, and the bounds that follow from them.
 //! - [`record`]: what is said of one process, and which of two claims wins.
 //! - [`fact`]: small facts with a priority, such as the down of a replica group.
-//! - [`packet`]: the messages between processes.
+//! - [`packet`]: the messages between processes; [`queue`]: the updates that they pass on.
+//! - [`digest`]: digests that show two processes where their states differ.
 //! - [`wire`] and [`seal`]: their bytes, and the proof that a member sent them.
 //! - [`sync`]: how a process keeps up with the revisions of the configuration.
 //! - [`trace`]: replay of recorded traces.
