--- a/crates/member/src/wire.rs
+++ b/crates/member/src/wire.rs
@@ -28,7 +28,6 @@
 use crate::raw::RawPlace;
 use crate::raw::RawProbe;
 use crate::raw::RawUpdate;
-use crate::raw::RawUsage;
 use crate::record::Claim;
 use crate::record::Life;
 use crate::record::MAX_INCARNATION;
@@ -91,9 +90,7 @@
         FactKey::Quarantine(fingerprint) => RawKey::Quarantine(*fingerprint),
         FactKey::Leaving(vm) => RawKey::Leaving(vm.to_string()),
         FactKey::Revision => RawKey::Revision(true),
-        FactKey::Usage { owner, workspace } => {
-            RawKey::Usage(RawUsage { owner: owner.to_string(), workspace: workspace.to_string() })
-        }
+        FactKey::Usage(owner) => RawKey::Usage(owner.to_string()),
     }
 }
 
@@ -238,9 +235,7 @@
         Some(RawKey::Quarantine(fingerprint)) => FactKey::Quarantine(fingerprint),
         Some(RawKey::Leaving(vm)) => FactKey::Leaving(vm.into()),
         Some(RawKey::Revision(_)) => FactKey::Revision,
-        Some(RawKey::Usage(raw)) => {
-            FactKey::Usage { owner: raw.owner.into(), workspace: raw.workspace.into() }
-        }
+        Some(RawKey::Usage(owner)) => FactKey::Usage(owner.into()),
         None => {
             findings.add(at, "has no key");
             return None;
