Measure the planner and repair policies

Change: samphire-lab measure plan and measure repair. The load schedule now knows the rate of one engine: with loads larger than its window it ran one at a time and left half of the store's rate unused.

--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -123,6 +123,7 @@
         keeper_settings.verify().into_result(()).map_err(|f| Fault::new("$.keeper", f))?;
         let (outcomes_tx, outcomes) = mpsc::channel(OUTCOMES_DEPTH);
         let ttl = keeper_settings.vouch_ttl;
+        let rate = settings.keeper.weights_bytes_per_second;
         Ok(KeeperService {
             io: io::Io::new(cx.clone(), store, outcomes_tx, keeper_settings.clone()),
             keeper_settings,
@@ -133,7 +134,7 @@
             keepers: BTreeMap::new(),
             ledger: Ledger::new(cx.node().clone(), cx.boot(), ttl),
             vouchers: VoucherTable::new(cx.node().clone(), cx.boot()),
-            loads: LoadSchedule::new(settings.keeper.weights_bytes_per_second),
+            loads: LoadSchedule::new(rate, rate),
             groups_tx: cx.publish(names::GROUPS, GroupTable::default()),
             vms_tx: cx.publish(names::GROUPS, VmReport::default()),
             report_tx: cx.publish(names::GROUPS, GroupReport::default()),
--- a/crates/group/src/loads.rs
+++ b/crates/group/src/loads.rs
@@ -1,10 +1,10 @@
 //! One schedule of loads for each weight store, which respects the store's rate.
 //!
 //! A member that needs weights asks; the schedule starts loads in the order of how near their
-//! group is to serving (members still missing weights, then who asked first), and keeps as many
-//! bytes under way as the rate moves within [`LOAD_WINDOW`], and always at least one load. A
-//! store at its rate gains nothing from more loads at once: each would only end later, and the
-//! groups near to serving with them.
+//! group is to serving (members still missing weights, then who asked first). It keeps as many
+//! loads under way as it takes to use the store's rate, given the rate of one engine, and as many
+//! bytes as the store delivers within [`LOAD_WINDOW`]. A store at its rate gains nothing from more
+//! loads at once: each would only end later, and the groups near to serving with them.
 
 use std::collections::BTreeMap;
 
@@ -39,14 +39,16 @@
 #[derive(Clone, Debug)]
 pub struct LoadSchedule {
     bytes_per_second: u64,
+    engine_bytes_per_second: u64,
     entries: BTreeMap<VmId, Entry>,
 }
 
 impl LoadSchedule {
-    /// Returns the empty schedule of a store that delivers `bytes_per_second`.
-    pub fn new(bytes_per_second: u64) -> Self {
+    /// Returns the empty schedule of a store that delivers `bytes_per_second` to engines that take
+    /// `engine_bytes_per_second` each.
+    pub fn new(bytes_per_second: u64, engine_bytes_per_second: u64) -> Self {
         debug_assert!(bytes_per_second > 0, "a store delivers something");
-        LoadSchedule { bytes_per_second, entries: BTreeMap::new() }
+        LoadSchedule { bytes_per_second, engine_bytes_per_second, entries: BTreeMap::new() }
     }
 
     /// Adds a wish, or brings one up to date; its place by time of asking stays.
@@ -75,6 +77,7 @@
         self.drop_stuck(now);
         let window = self.bytes_per_second.saturating_mul(LOAD_WINDOW.as_secs());
         let mut under_way: u64 = self.started().map(|entry| entry.wish.bytes).sum();
+        let mut taken = self.started().count() as u64 * self.engine_bytes_per_second;
         let mut waiting: Vec<&mut Entry> =
             self.entries.values_mut().filter(|entry| entry.started_at.is_none()).collect();
         waiting.sort_by(|a, b| {
@@ -83,10 +86,11 @@
         });
         let mut begun = Vec::new();
         for entry in waiting {
-            if under_way > 0 && under_way + entry.wish.bytes > window {
+            if taken >= self.bytes_per_second && under_way + entry.wish.bytes > window {
                 break;
             }
             under_way += entry.wish.bytes;
+            taken += self.engine_bytes_per_second;
             entry.started_at = Some(now);
             begun.push(entry.wish.vm.clone());
         }
--- a/crates/group/tests/loads.rs
+++ b/crates/group/tests/loads.rs
@@ -14,9 +14,21 @@
     LoadWish { group: group.into(), vm: vm.into(), bytes, missing }
 }
 
+#[test]
+fn as_many_loads_run_as_use_the_rate_of_the_store() {
+    let mut schedule = LoadSchedule::new(RATE, RATE / 3);
+    let whole_window = RATE * LOAD_WINDOW.as_secs();
+    for vm in ["a", "b", "c", "d"] {
+        schedule.ask(wish("g", vm, whole_window, 4), Duration::ZERO);
+    }
+    assert_eq!(schedule.start(Duration::ZERO).len(), 4);
+    schedule.ask(wish("g", "e", whole_window, 4), Duration::ZERO);
+    assert_eq!(schedule.start(Duration::ZERO).len(), 0);
+}
+
 #[test]
 fn the_group_nearest_to_serving_loads_first() {
-    let mut schedule = LoadSchedule::new(RATE);
+    let mut schedule = LoadSchedule::new(RATE, RATE);
     let whole_window = RATE * LOAD_WINDOW.as_secs();
     schedule.ask(wish("far", "a", whole_window, 4), Duration::ZERO);
     schedule.ask(wish("near", "b", whole_window, 1), Duration::from_secs(1));
@@ -35,7 +47,7 @@
     fn loads_under_way_stay_within_the_window_and_all_end(
         bytes in prop::collection::vec(1u64..30, 1..40),
     ) {
-        let mut schedule = LoadSchedule::new(RATE);
+        let mut schedule = LoadSchedule::new(RATE, RATE);
         for (i, bytes) in bytes.iter().enumerate() {
             let wish = wish("g", &format!("vm{i}"), bytes * RATE, 1);
             schedule.ask(wish, Duration::from_millis(i as u64));
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -3,6 +3,8 @@
 pub mod claims;
 pub mod kv;
 pub mod load;
+pub mod plan;
+pub mod repair;
 
 use clap::ValueEnum;
 use serde_json::Value;
@@ -14,6 +16,10 @@
     Claims,
     /// Calls to the key-value service by kind, through an outage and after it.
     Kv,
+    /// The planner's time after the loss of a failure domain, by number of groups.
+    Plan,
+    /// Group downtime and stranded accelerators over event traces, by policy.
+    Repair,
 }
 
 /// Runs a measurement.
@@ -21,5 +27,7 @@
     match measure {
         Measure::Claims => claims::run().await,
         Measure::Kv => kv::run().await,
+        Measure::Plan => plan::run(),
+        Measure::Repair => repair::run(),
     }
 }
--- /dev/null
+++ b/crates/lab/src/measure/plan.rs
@@ -0,0 +1,113 @@
+//! The planner's time after the loss of a failure domain, by number of groups.
+//!
+//! Each size has eight VMs a group, three failure domains of six fabric domains each, and room for
+//! a twelfth more groups. The planner runs with all VMs of one failure domain silent; its time on
+//! one core is taken as the least of several runs of the same call.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use plan::fleet::Fleet;
+use plan::prelude::*;
+use plan::world::VmIndex;
+use serde_json::Value;
+use serde_json::json;
+
+/// Numbers of groups, each a run of its own.
+const SIZES: [u32; 5] = [500, 1000, 1500, 2000, 4000];
+/// VMs that each group spans.
+const VMS_PER_GROUP: u32 = 8;
+/// Failure domains.
+const DOMAINS: u32 = 3;
+/// Fabric domains in each failure domain.
+const FABRICS_PER_DOMAIN: u32 = 6;
+/// Declared replicas.
+const REPLICAS: u32 = 55;
+/// Runs of each call.
+const RUNS: u32 = 7;
+/// How long the VMs have been silent.
+const SILENT: Duration = Duration::from_secs(300);
+
+/// Runs the measurement.
+pub fn run() -> Value {
+    let rows: Vec<Value> = SIZES.iter().map(|groups| measure(*groups)).collect();
+    json!({
+        "what": "one plan after the loss of one of three failure domains, one core",
+        "vms_per_group": VMS_PER_GROUP,
+        "fabric_domains": DOMAINS * FABRICS_PER_DOMAIN,
+        "replicas": REPLICAS,
+        "rows": rows,
+    })
+}
+
+fn measure(groups: u32) -> Value {
+    let mut fleet = Fleet::new(world(groups));
+    let mut scratch = Scratch::default();
+    let settings = PlanSettings::default();
+    let mut now = Duration::ZERO;
+    let mut formed = 0;
+    while formed < groups as usize {
+        now += Duration::from_secs(200);
+        fleet.settle(now);
+        let commands = plan(&fleet.world, &settings, now, &mut scratch);
+        fleet.carry_out(&commands, now);
+        let before = std::mem::replace(&mut formed, fleet.world.groups.len());
+        assert!(formed > before, "the fleet has no room for {groups} groups");
+    }
+    now += Duration::from_secs(200);
+    fleet.settle(now);
+    let quiet = time(&fleet.world, &settings, now, &mut scratch);
+    lose_first_domain(&mut fleet.world, now);
+    now += SILENT;
+    fleet.settle(now);
+    let lost = time(&fleet.world, &settings, now, &mut scratch);
+    let commands = plan(&fleet.world, &settings, now, &mut scratch);
+    json!({
+        "groups": groups,
+        "vms": fleet.world.vms.len(),
+        "accelerators": groups * VMS_PER_GROUP,
+        "broken": fleet.world.groups.iter().filter(|g| g.phase == Phase::Broken).count(),
+        "commands": commands.len(),
+        "plan_ms": lost.as_secs_f64() * 1e3,
+        "plan_ms_without_loss": quiet.as_secs_f64() * 1e3,
+    })
+}
+
+fn time(world: &World, settings: &PlanSettings, now: Duration, scratch: &mut Scratch) -> Duration {
+    let run = |_| {
+        let begun = Instant::now();
+        std::hint::black_box(plan(world, settings, now, scratch));
+        begun.elapsed()
+    };
+    (0..RUNS).map(run).min().unwrap_or_default()
+}
+
+fn world(groups: u32) -> World {
+    let mut world = World::default();
+    let fabrics = DOMAINS * FABRICS_PER_DOMAIN;
+    // Room for a twelfth more groups, in whole groups for each fabric domain.
+    let groups_per_fabric = groups.div_ceil(fabrics) + groups.div_ceil(fabrics).div_ceil(12);
+    for fabric in 0..fabrics {
+        let domain = fabric / FABRICS_PER_DOMAIN;
+        let index = world.add_fabric(&format!("f{fabric:02}"), &format!("d{domain}"));
+        for vm in 0..groups_per_fabric * VMS_PER_GROUP {
+            world.add_vm(&format!("f{fabric:02}-{vm:05}"), index, 1);
+        }
+    }
+    for replica in 0..REPLICAS {
+        let count = groups / REPLICAS + u32::from(replica < groups % REPLICAS);
+        let need = ReplicaNeed::new(&format!("r{replica:02}"), count, VMS_PER_GROUP);
+        let downtime_weight = f64::from(replica % 10) / 10.0;
+        world.add_replica(ReplicaNeed { downtime_weight, ..need });
+    }
+    world
+}
+
+fn lose_first_domain(world: &mut World, now: Duration) {
+    for vm in 0..world.vms.len() as VmIndex {
+        let row = &mut world.vms[vm as usize];
+        if world.fabrics[row.fabric as usize].domain == 0 {
+            row.state = VmState::Silent(now);
+        }
+    }
+}
