--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -11,6 +11,7 @@
 //! - [`ask`]: reads and checks a request for text.
 //! - [`answer`]: writes streamed and whole answers.
 //! - [`apps`]: passes calls to plain services.
+//! - [`claim`]: request keys of callers.
 //! - [`problem`]: errors in the API's shape.
 //! - [`token`]: tokens by which a caller resumes through another process.
 
@@ -18,6 +19,7 @@
 pub mod apps;
 pub mod ask;
 pub mod auth;
+pub mod claim;
 pub mod problem;
 pub mod token;
 
@@ -37,11 +39,13 @@
 use web::prelude::*;
 
 use crate::announce::Addresses;
+use crate::catalog::Admission;
 use crate::entry::auth::Keys;
 use crate::entry::problem::Problem;
 use crate::entry::token::Signer;
 use crate::metrics::Metrics;
 use crate::names;
+use crate::once::OnceMessage;
 use crate::route::RouteMessage;
 
 /// What the handlers share.
@@ -54,10 +58,14 @@
     pub metrics: Metrics,
     /// The configuration in force.
     pub catalog: watch::Receiver<Arc<Catalog>>,
+    /// Whether new requests are taken.
+    pub admission: watch::Receiver<Arc<Admission>>,
     /// The workspaces' keys.
     pub keys: Keys,
     /// Routing.
     pub route: mpsc::Sender<RouteMessage>,
+    /// Claims of request keys.
+    pub once: mpsc::Sender<OnceMessage>,
     /// Calls to backend servers that may be repeated.
     pub pooled: Client,
     /// Calls to backend servers over a new connection each.
@@ -68,7 +76,7 @@
 
 /// Describes the service.
 pub fn service() -> Service {
-    Service::new(names::ENTRY, &[names::CATALOG, names::ROUTE], |cx| async move {
+    Service::new(names::ENTRY, &[names::CATALOG, names::ROUTE, names::ONCE], |cx| async move {
         let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
         let addresses: Addresses = cx.registry().find(names::PROCESS)?;
         let listener = TcpListener::bind(settings.listen.caller)
@@ -98,8 +106,10 @@
     Ok(State {
         metrics: cx.registry().find(names::PROCESS)?,
         catalog: cx.view(names::CATALOG)?,
+        admission: cx.view(names::CATALOG)?,
         keys: Keys::default(),
         route: cx.sender(names::ROUTE)?,
+        once: cx.sender(names::ONCE)?,
         pooled: Client::pooled(connect_timeout),
         fresh: Client::fresh(connect_timeout),
         signer: Signer::new(&settings.peers.secrets),
@@ -130,6 +140,12 @@
     if &*req.path == "/healthz" {
         return reply::text(StatusCode::OK, "ok");
     }
+    // Before the first configuration no key is known, so this comes before the check of keys.
+    let is_new = req.method != Method::GET && req.header(answer::RESUME_HEADER).is_none();
+    if is_new && !state.admission.borrow().takes_requests {
+        state.metrics.refusals.with_label_values(&["caller", "outdated"]).inc();
+        return Problem::outdated().response();
+    }
     let catalog = state.catalog.borrow().clone();
     let Some(workspace) = state.keys.workspace_of(&catalog, req.bearer()) else {
         state.metrics.refusals.with_label_values(&["caller", "unauthorized"]).inc();
--- a/crates/daemon/src/exec.rs
+++ b/crates/daemon/src/exec.rs
@@ -11,6 +11,7 @@
 use engine::prelude::*;
 use http::Method;
 use http::StatusCode;
+use once::segment::End;
 use relay::prelude::*;
 use serde::Serialize;
 use tokio::sync::mpsc;
@@ -26,6 +27,7 @@
 use crate::entry::State;
 use crate::entry::ask::Ask;
 use crate::entry::token::ResumePoint;
+use crate::once::Permit;
 use crate::route::AttemptEnd;
 use crate::route::Need;
 use crate::route::Picked;
@@ -54,6 +56,28 @@
     End(Outcome),
 }
 
+/// A whole answer, as it is held for resends.
+#[wire]
+pub struct Recorded {
+    /// Why the text ends.
+    pub finish: FinishReason,
+    /// The pieces.
+    pub pieces: Vec<Box<str>>,
+}
+
+impl Recorded {
+    /// Returns what the answer's writer gets.
+    pub fn outputs(self) -> Vec<Output> {
+        let Recorded { finish, pieces } = self;
+        let numbered = (0..).zip(pieces);
+        let mut outputs: Vec<Output> =
+            numbered.map(|(seq, text)| Output::Piece { seq, text }).collect();
+        let pieces = u32::try_from(outputs.len()).unwrap_or(u32::MAX);
+        outputs.push(Output::End(Outcome::Done { finish, pieces }));
+        outputs
+    }
+}
+
 /// One request while it is carried out.
 pub struct Exec {
     state: Arc<State>,
@@ -62,6 +86,9 @@
     workspace: WorkspaceId,
     ask: Ask,
     idempotent: bool,
+    permit: Option<Permit>,
+    /// The pieces delivered so far, if the answer is to be recorded.
+    recorded: Vec<Box<str>>,
     deadline: Instant,
     accepted: Instant,
     life: Life,
@@ -91,6 +118,8 @@
     pub ask: Ask,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// The right to dispatch, if it was claimed.
+    pub permit: Option<Permit>,
     /// How long the caller waits.
     pub patience: Duration,
     /// Where another process left off, and how many pieces the caller has.
@@ -120,6 +149,8 @@
             workspace: start.workspace,
             ask: start.ask,
             idempotent: start.idempotent,
+            permit: start.permit,
+            recorded: Vec::new(),
             deadline,
             accepted,
             life,
@@ -158,7 +189,7 @@
     async fn carry_out(&mut self, action: Action) -> Option<LifeEvent> {
         match action {
             Action::Pick { exclude } => {
-                self.attempt_ended(AttemptEnd::NotRun);
+                self.attempt_ended(AttemptEnd::Broken);
                 let state = self.state.clone();
                 let need = self.need(exclude);
                 let picked = self.unless_given_up(pick(&state, need)).await;
@@ -238,7 +269,13 @@
         // A pooled connection may be stale, which would leave the outcome of a call unknown.
         let state = self.state.clone();
         let client = if self.idempotent { &state.pooled } else { &state.fresh };
-        self.open(client, target, "/v1/generate", &generate).await
+        let event = self.open(client, target, "/v1/generate", &generate).await;
+        match event {
+            Some(LifeEvent::NotSent) => self.attempt_ended(AttemptEnd::NotSent),
+            Some(LifeEvent::Refused(_)) => self.attempt_ended(AttemptEnd::Refused),
+            _ => {}
+        }
+        event
     }
 
     async fn resume(&mut self, attempt: AttemptId, from: u32) -> Option<LifeEvent> {
@@ -320,6 +357,9 @@
             metric.with_label_values(&[&*self.workspace]).observe(seconds);
             self.record("streaming", String::new());
         }
+        if self.permit.is_some() {
+            self.recorded.push(text.clone());
+        }
         match self.unless_given_up(self.tx.send(Output::Piece { seq, text })).await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(LifeEvent::CallerGone),
@@ -333,6 +373,7 @@
             _ => AttemptEnd::Broken,
         };
         self.attempt_ended(end);
+        self.tell_route(RouteMessage::Over(self.request));
         self.stream = None;
         self.state.metrics.requests.with_label_values(&[outcome.name()]).inc();
         let pieces = self.state.metrics.pieces.with_label_values(&[&*self.workspace]);
@@ -342,10 +383,27 @@
             None => outcome.name().to_owned(),
         };
         self.record("final", detail);
+        self.report_claim(&outcome);
         // A caller that has gone needs no end.
         let _ = self.tx.send(Output::End(outcome)).await;
     }
 
+    /// Reports the end of a claimed request.
+    fn report_claim(&mut self, outcome: &Outcome) {
+        let Some(permit) = self.permit.take() else { return };
+        match outcome {
+            Outcome::Done { finish, .. } => {
+                let pieces = std::mem::take(&mut self.recorded);
+                let recorded = Recorded { finish: *finish, pieces };
+                let answer = serde_json::to_vec(&recorded).expect("the answer has a JSON form");
+                permit.done(answer.into());
+            }
+            Outcome::NotRun { .. } => permit.refused(),
+            Outcome::Failed { .. } => permit.ended(End::Failed),
+            Outcome::Unknown { .. } | Outcome::Abandoned => permit.ended(End::Unknown),
+        }
+    }
+
     fn cancel(&mut self, attempt: AttemptId) {
         self.stream = None;
         let Some(target) = self.target.clone() else { return };
@@ -364,15 +422,20 @@
         let Some(attempt) = self.attempt.take() else { return };
         let name = match end {
             AttemptEnd::Done => "done",
-            AttemptEnd::NotRun => "not_run",
+            AttemptEnd::NotSent => "not_sent",
+            AttemptEnd::Refused => "refused",
             AttemptEnd::Broken => "broken",
             AttemptEnd::Crashed => "crashed",
         };
         self.state.metrics.attempts.with_label_values(&[name]).inc();
         self.record_attempt(attempt.id, &attempt.group, name);
         let report = attempt.report(self.request, self.ask.fingerprint, end);
-        if self.state.route.try_send(RouteMessage::Ended(report)).is_err() {
-            log::warn!("routing is behind; the end of an attempt was not counted");
+        self.tell_route(RouteMessage::Ended(report));
+    }
+
+    fn tell_route(&self, message: RouteMessage) {
+        if self.state.route.try_send(message).is_err() {
+            log::warn!("routing is behind; the end of an attempt or request was not counted");
         }
     }
 
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -4,12 +4,13 @@
 //! their outcomes. It publishes
 //! - a [`GroupTable`], the groups that are vouched for, for routing;
 //! - a [`VmReport`], what is known of each VM, for the planner;
-//! - a [`GroupReport`], each group's state and why it is not serving, for operators.
+//! - a [`GroupReport`], each group's state and why it is not serving, for operators;
+//! - [`FabricRecords`], the records themselves, for operators too.
 //!
 //! The process that rendezvous hashing over the live processes picks for a domain leads its
 //! keeping: it alone writes the record and orders engines. As long as processes do not exchange
-//! vouchers, all others observe: they probe too, and vouch for themselves only. While no
-//! membership is known, each process takes the lead, which costs effort and no safety.
+//! vouchers, all others observe: they probe too, and vouch for themselves only. A
+//! process that knows of no other takes the lead, which costs effort and no safety.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -25,6 +26,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::member::View;
 use crate::names;
 use crate::vm_list::LeavingVms;
 
@@ -36,14 +38,6 @@
 /// Outcomes that may wait for the service.
 const OUTCOMES_DEPTH: usize = 4_096;
 
-/// The live processes, as the membership sees them.
-#[data]
-#[derive(Default)]
-pub struct LiveNodes {
-    /// Their names, this process's among them.
-    pub nodes: Vec<NodeId>,
-}
-
 /// What is known of each VM.
 #[data]
 #[derive(Default)]
@@ -62,9 +56,17 @@
     pub groups: Vec<GroupStatus>,
 }
 
+/// The records of all fabric domains, as this process knows them.
+#[data]
+#[derive(Default)]
+pub struct FabricRecords {
+    /// The records, in the order of the domains' names.
+    pub list: Vec<FabricRecord>,
+}
+
 /// Describes the service.
 pub fn service() -> Service {
-    let needs = &[names::STORE, names::CATALOG, names::VM_LIST];
+    let needs = &[names::STORE, names::MEMBER, names::CATALOG, names::VM_LIST];
     Service::new(names::GROUPS, needs, |cx| async move {
         let mut service = KeeperService::new(&cx)?;
         let mut ticks = cx.every(TICK_PERIOD);
@@ -100,7 +102,7 @@
     outcomes: mpsc::Receiver<Outcome>,
     catalog: watch::Receiver<Arc<Catalog>>,
     leaving: watch::Receiver<Arc<LeavingVms>>,
-    live: Option<watch::Receiver<Arc<LiveNodes>>>,
+    members: watch::Receiver<Arc<View>>,
     keepers: BTreeMap<FabricId, Keeper>,
     ledger: Ledger,
     vouchers: VoucherTable,
@@ -108,6 +110,7 @@
     groups_tx: watch::Sender<Arc<GroupTable>>,
     vms_tx: watch::Sender<Arc<VmReport>>,
     report_tx: watch::Sender<Arc<GroupReport>>,
+    records_tx: watch::Sender<Arc<FabricRecords>>,
 }
 
 impl KeeperService {
@@ -130,7 +133,7 @@
             outcomes,
             catalog: cx.view(names::CATALOG)?,
             leaving: cx.view(names::VM_LIST)?,
-            live: cx.view(names::MEMBER).ok(),
+            members: cx.view(names::MEMBER)?,
             keepers: BTreeMap::new(),
             ledger: Ledger::new(cx.node().clone(), cx.boot(), ttl),
             vouchers: VoucherTable::new(cx.node().clone(), cx.boot()),
@@ -138,6 +141,7 @@
             groups_tx: cx.publish(names::GROUPS, GroupTable::default()),
             vms_tx: cx.publish(names::GROUPS, VmReport::default()),
             report_tx: cx.publish(names::GROUPS, GroupReport::default()),
+            records_tx: cx.publish(names::GROUPS, FabricRecords::default()),
             cx: cx.clone(),
         })
     }
@@ -188,11 +192,11 @@
 
     /// Returns the event that tells the keeper of `fabric` whether it leads.
     fn ownership(&self, fabric: &str) -> KeeperEvent {
-        let live = self.live.as_ref().map(|live| live.borrow().clone()).unwrap_or_default();
-        let owner = base::hash::owner(fabric, live.nodes.iter().map(|node| &**node));
-        match owner {
-            Some(owner) if owner != &**self.cx.node() => KeeperEvent::Observing,
-            _ => KeeperEvent::Owned,
+        let me = &**self.cx.node();
+        if self.members.borrow().owner(fabric, me) == me {
+            KeeperEvent::Owned
+        } else {
+            KeeperEvent::Observing
         }
     }
 
@@ -203,12 +207,9 @@
         let vms = statuses.map(|status| (status.vm.clone(), status)).collect();
         self.vms_tx.send_replace(Arc::new(VmReport { vms, at: now }));
         let groups = self.keepers.values().flat_map(Keeper::group_statuses).collect();
-        let report = GroupReport { groups };
-        self.report_tx.send_if_modified(|last| {
-            let changed = **last != report;
-            *last = Arc::new(report);
-            changed
-        });
+        publish_change(&self.report_tx, GroupReport { groups });
+        let list = self.keepers.values().filter_map(Keeper::record).cloned().collect();
+        publish_change(&self.records_tx, FabricRecords { list });
     }
 
     /// Takes this process's own vouchers in, the way that any daemon takes in a keeper's.
@@ -222,3 +223,14 @@
         self.groups_tx.send_replace(Arc::new(self.vouchers.views()));
     }
 }
+
+/// Publishes `state`, and wakes those who watch it only if it has changed.
+fn publish_change<T: PartialEq>(tx: &watch::Sender<Arc<T>>, state: T) {
+    tx.send_if_modified(|last| {
+        let changed = **last != state;
+        if changed {
+            *last = Arc::new(state);
+        }
+        changed
+    });
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,20 +9,29 @@
 //! - [`planner`]: plans where replica groups go and how they are repaired.
 //! - [`vm_list`]: the platform's list of VMs, as far as it says who is leaving.
 //! - [`catalog`]: the accepted configuration in force in this process.
+//! - [`member`]: the membership of the processes.
+//! - [`peer`]: calls between the processes.
 //! - [`store`]: the connection to the key-value service.
+//! - [`accept`]: accepts operators' changes.
+//! - [`once`]: claims of request keys, so that non-idempotent requests run at most once.
 //! - [`operator`]: the operator API, health, metrics and the time line.
 //! - [`announce`]: tells on standard output where the process listens.
 //! - [`logging`]: logs as JSON lines.
 
+pub mod accept;
 pub mod announce;
 pub mod catalog;
+mod config_sync;
 pub mod entry;
 pub mod exec;
 pub mod keeper;
 pub mod logging;
+pub mod member;
 pub mod metrics;
 pub mod names;
+pub mod once;
 pub mod operator;
+pub mod peer;
 pub mod planner;
 pub mod route;
 pub mod run;
