--- a/crates/lab/tests/keeper.rs
+++ b/crates/lab/tests/keeper.rs
@@ -145,3 +145,55 @@
     let attempts = events.iter().filter(|e| e["event"] == "attempt" && e["group"] == GROUP);
     assert!(attempts.count() > 0, "the group never got work");
 }
+
+/// Marks a VM in the platform's list.
+async fn mark(list: SocketAddr, vm: &str, state: &str) {
+    let body = serde_json::json!({"vm": vm, "state": state}).to_string();
+    let call = Call { body: body.into(), ..Call::new(Method::POST, "/control/vm") };
+    let response = Client::pooled(TIMEOUT).send(list, call, TIMEOUT).await.unwrap();
+    assert!(response.status().is_success(), "{}", response.status());
+}
+
+#[tokio::test]
+async fn a_group_whose_vm_is_leaving_finishes_its_streams_and_gets_no_new_work() {
+    let deployment = Deployment::start(7, 2, &["--token-ms", "20"]).await;
+    let operators = [deployment.daemons[0].at("operator"), deployment.daemons[1].at("operator")];
+    for operator in operators {
+        procs::wait_until("the group is vouched for", || async {
+            position(&timeline(operator).await, 0, "vouched").is_some()
+        })
+        .await;
+    }
+    let mut streams = Vec::new();
+    for (i, at) in deployment.callers().into_iter().cycle().take(LOADS).enumerate() {
+        let mut long = TextCall::small(&format!("a long notice {i}"), 7);
+        long.max_tokens = 200;
+        streams.push(tokio::spawn(async move {
+            let answer = caller::call(&Client::pooled(TIMEOUT), at, &long).await;
+            answer.judge(&long)
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    mark(deployment.vm_list.at("vms"), "vm-4", "leaving").await;
+    for operator in operators {
+        procs::wait_until("the group is withdrawn and dissolved", || async {
+            let events = timeline(operator).await;
+            let withdrawn = position(&events, 0, "withdrawn");
+            withdrawn.is_some_and(|from| position(&events, from, "dissolved").is_some())
+        })
+        .await;
+        let events = timeline(operator).await;
+        let withdrawn = &events[position(&events, 0, "withdrawn").unwrap()];
+        assert_eq!(withdrawn["reason"], "leaving");
+        // The place of a draining or dissolved group is the first recorded state after the word.
+        let recorded = ["draining", "dissolved"].map(|state| position(&events, 0, state));
+        let recorded = recorded.into_iter().flatten().min().unwrap();
+        let sent = events[recorded..].iter().filter(|event| {
+            event["event"] == "attempt" && event["group"] == GROUP && event["outcome"] == "sent"
+        });
+        assert_eq!(sent.count(), 0, "work was sent to a group that is leaving");
+    }
+    for stream in streams {
+        assert_eq!(stream.await.unwrap(), Judgement::Right);
+    }
+}
