Give a resend the answer that another process holds

Cause: a resend at another daemon was told already_done though the first one held the answer; and once reports go to the owner, a resend at the first daemon was told outcome_unknown for up to the report's delay (500 for 200 in the test), since the claim had no end yet. Ruled out: writing ends at once, which doubles the writes; answers in the key-value service. Change: a process answers resends of what it ran itself from memory, by fingerprint; others fetch the answer from the process whose boot id stands in the claim, and check its digest. Seen failing: without the fetch the test never sees the recorded answer at the other daemon.

--- a/crates/daemon/src/once.rs
+++ b/crates/daemon/src/once.rs
@@ -32,6 +32,7 @@
 use crate::names;
 use crate::once::peers::Forwarded;
 use crate::once::peers::Peers;
+use crate::once::peers::Question;
 use crate::peer::PeerCall;
 use crate::peer::server::Topics;
 
@@ -76,7 +77,7 @@
     Told {
         /// What the caller is told.
         reply: Reply,
-        /// The recorded answer, if this process holds it.
+        /// The recorded answer, if a live process holds it.
         answer: Option<Arc<[u8]>>,
     },
 }
@@ -180,7 +181,7 @@
                     self.committer = Some(Committer::start(Arc::new(store.clone()), self.cfg));
                 }
                 Some(message) = inbox.recv() => self.take(message),
-                Some(call) = calls.recv() => self.forwarded(call),
+                Some(call) = calls.recv() => self.asked(call),
                 () = stop.cancelled() => break,
             }
         }
@@ -198,7 +199,8 @@
             OnceMessage::Begin { key, fingerprint, reply } => self.begin(key, fingerprint, reply),
             OnceMessage::Ended { claimant, event, answer } => {
                 if let Some(answer) = answer {
-                    self.held.hold(claimant.key.hash(), answer);
+                    let fingerprint = claimant.fingerprint;
+                    self.held.hold(claimant.key.hash(), Held { fingerprint, answer });
                 }
                 self.ended(*claimant, event);
             }
@@ -208,6 +210,17 @@
     fn begin(&mut self, key: RequestKey, body: Fingerprint, reply: oneshot::Sender<Begun>) {
         self.attempts += 1;
         let holder = ClaimId { boot: self.cx.boot(), attempt: self.attempts };
+        let claimant = Box::new(Claimant::new(holder, key, body));
+        // What this process ran itself it knows, also while the end is not recorded yet.
+        if let Some(held) = self.held.find(claimant.key.hash()) {
+            let told = match held.fingerprint == body {
+                true => Reply::Done { digest: answer_digest(&held.answer), holder },
+                false => Reply::Mismatch,
+            };
+            let answer = (held.fingerprint == body).then(|| held.answer.clone());
+            let _ = reply.send(Begun::Told { reply: told, answer });
+            return;
+        }
         let Some(committer) = self.committer.clone() else {
             let reason = NotRunReason::KvDown;
             let retry_after = Some(LAYOUT_TIMEOUT);
@@ -215,28 +228,27 @@
             let _ = reply.send(Begun::Told { reply: told, answer: None });
             return;
         };
-        let claimant = Box::new(Claimant::new(holder, key, body));
-        let recorded = claimant.key.hash();
-        let held = |digest| self.held.get(recorded, digest);
-        // What is held now is enough: a resend that overtakes the answer may ask again.
-        let answer = self.held.digest(recorded).and_then(held);
         let (cx, tx, peers) = (self.cx.clone(), self.tx.clone(), self.peers.clone());
         let asks = self.asks.clone();
-        let send = Send { cx, tx, peers, committer, answer, asks };
+        let send = Send { cx, tx, peers, committer, asks };
         tokio::spawn(send.run(claimant, reply));
     }
 
-    /// Decides on a peer's entry as the owner of its shard.
-    fn forwarded(&self, call: PeerCall) {
-        let message = match Forwarded::read(&call) {
-            Ok(message) => message,
-            Err(error) => {
-                log::warn!("peer `{}` sent what is no claim: {error}", call.from);
-                return;
+    /// Answers a peer; without an answer, the peer helps itself.
+    fn asked(&self, call: PeerCall) {
+        match Question::read(&call) {
+            Ok(Question::Commit(message)) => self.commit(message, call),
+            Ok(Question::Held { key, digest }) => {
+                let answer = self.held.get(key, digest).unwrap_or_default();
+                let _ = call.reply.send(answer.to_vec().into());
             }
-        };
+            Err(error) => log::warn!("peer `{}` sent what is no question: {error}", call.from),
+        }
+    }
+
+    /// Decides on a peer's entry as the owner of its shard.
+    fn commit(&self, message: Forwarded, call: PeerCall) {
         let committer = self.committer.clone();
-        // Without an answer, the peer writes the entry itself.
         let Some(committer) = committer.filter(|_| message.layout == self.cfg.layout) else {
             return;
         };
@@ -267,7 +279,7 @@
     };
     let (peers, committer) = (peers.clone(), committer.clone());
     tokio::spawn(async move {
-        let answer = peers.ask(&owner, &Forwarded { issued_ms, layout, entry }).await;
+        let answer = peers.ask(&owner, Forwarded { issued_ms, layout, entry }).await;
         if !matches!(answer, Answer::Decided(_)) {
             committer.report(entry, issued_ms);
         }
@@ -295,7 +307,6 @@
     tx: mpsc::Sender<OnceMessage>,
     peers: Peers,
     committer: Committer,
-    answer: Option<Arc<[u8]>>,
     asks: IntCounterVec,
 }
 
@@ -328,12 +339,7 @@
                     begun = Some(Begun::Granted(Permit { claimant: copy, tx: self.tx.clone() }));
                 }
                 Action::Reply(reply) => {
-                    let answer = match reply {
-                        Reply::Done { digest, .. } => {
-                            self.answer.clone().filter(|answer| answer_digest(answer) == digest)
-                        }
-                        _ => None,
-                    };
+                    let answer = self.answer_of(&claimant, reply).await;
                     begun = Some(Begun::Told { reply, answer });
                 }
                 Action::Report(end) => {
@@ -350,11 +356,17 @@
         }
     }
 
+    /// Returns the recorded answer, if the process that ran the request holds it.
+    async fn answer_of(&self, claimant: &Claimant, reply: Reply) -> Option<Arc<[u8]>> {
+        let Reply::Done { digest, holder } = reply else { return None };
+        self.peers.fetch(holder.boot, claimant.key.hash(), digest).await
+    }
+
     async fn ask(&self, owner: Option<&NodeId>, entry: Entry, issued_ms: u64) -> Answer {
         match owner {
             Some(owner) => {
                 let layout = self.committer.settings().layout;
-                self.peers.ask(owner, &Forwarded { issued_ms, layout, entry }).await
+                self.peers.ask(owner, Forwarded { issued_ms, layout, entry }).await
             }
             None => self.committer.ask(entry, issued_ms).await,
         }
--- a/crates/daemon/src/once/peers.rs
+++ b/crates/daemon/src/once/peers.rs
@@ -2,11 +2,16 @@
 //!
 //! A claim goes to the owner so that one write serves many processes. An owner that gives no
 //! answer may have written the claim: the sender then writes it itself, under the same id, which
-//! costs a write and never a second grant.
+//! costs a write and never a second grant. A resend's answer is fetched from the process that holds
+//! it, if that still lives.
+
+use std::sync::Arc;
 
 use base::prelude::*;
+use bytes::Bytes;
 use kernel::prelude::*;
 use once::claimant::Answer;
+use once::key::answer_digest;
 use once::prelude::*;
 use proto::peer::Topic;
 
@@ -18,26 +23,45 @@
 /// Longest wait for the owner's answer, before the process writes the claim itself.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// A forwarded claim or report.
+/// What a process asks another one.
 #[wire]
-pub struct Forwarded {
-    /// Issue time of the key, in milliseconds since the Unix epoch.
-    pub issued_ms: u64,
-    /// The sender's layout; an owner with another one does not answer.
-    pub layout: Layout,
-    /// The claim or report.
-    pub entry: Entry,
+#[serde(rename_all = "snake_case")]
+pub enum Question {
+    /// Decide on a claim or report, as the owner of its shard; the answer is an [`Answer`].
+    Commit(Forwarded),
+    /// Give the recorded answer; the reply is its bytes, or nothing if it is not held.
+    Held {
+        /// The key's hash.
+        key: KeyHash,
+        /// The answer's digest.
+        digest: u64,
+    },
 }
 
-impl Forwarded {
+impl Question {
     /// Reads a call of a peer.
     ///
     /// # Errors
     ///
-    /// Says what is no forwarded claim or report.
+    /// Says what is no question.
     pub fn read(call: &PeerCall) -> Result<Self, serde_json::Error> {
         serde_json::from_slice(&call.body)
     }
+
+    fn bytes(&self) -> Bytes {
+        serde_json::to_vec(self).expect("the question has a JSON form").into()
+    }
+}
+
+/// A forwarded claim or report.
+#[wire]
+pub struct Forwarded {
+    /// Issue time of the key, in milliseconds since the Unix epoch.
+    pub issued_ms: u64,
+    /// The sender's layout; an owner with another one does not answer.
+    pub layout: Layout,
+    /// The claim or report.
+    pub entry: Entry,
 }
 
 /// The live peers, and calls to them. Clones share the same.
@@ -68,9 +92,9 @@
     }
 
     /// Asks the owner for the outcome of an entry.
-    pub async fn ask(&self, owner: &NodeId, message: &Forwarded) -> Answer {
-        let body = serde_json::to_vec(message).expect("the message has a JSON form");
-        let call = self.client.forward(owner, Topic::Claims, body.into());
+    pub async fn ask(&self, owner: &NodeId, message: Forwarded) -> Answer {
+        let body = Question::Commit(message).bytes();
+        let call = self.client.forward(owner, Topic::Claims, body);
         match tokio::time::timeout(OWNER_TIMEOUT, call).await {
             Ok(Ok(answer)) => serde_json::from_slice(&answer).unwrap_or(Answer::PeerLost),
             Ok(Err(error)) => {
@@ -80,4 +104,16 @@
             Err(_) => Answer::PeerLost,
         }
     }
+    /// Fetches the recorded answer of a key from the process whose life claimed it.
+    pub async fn fetch(&self, boot: BootId, key: KeyHash, digest: u64) -> Option<Arc<[u8]>> {
+        let holder = {
+            let view = self.cx.view::<View>(names::MEMBER).ok()?;
+            let view = view.borrow();
+            view.live().find(|member| member.boot == boot)?.name.clone()
+        };
+        let body = Question::Held { key, digest }.bytes();
+        let call = self.client.forward(&holder, Topic::Claims, body);
+        let answer = tokio::time::timeout(OWNER_TIMEOUT, call).await.ok()?.ok()?;
+        (answer_digest(&answer) == digest).then(|| Arc::from(&answer[..]))
+    }
 }
--- a/crates/lab/tests/once.rs
+++ b/crates/lab/tests/once.rs
@@ -151,20 +151,29 @@
 
 #[tokio::test]
 async fn a_resend_runs_once_and_gets_the_recorded_outcome() {
-    let bench = Bench::start().await;
+    let mut bench = Bench::start().await;
+    bench.wait_forwarding().await;
     let first = send(bench.at[0], "/entries", "crew 7").await;
     assert_eq!(first.status, StatusCode::OK, "{first:?}");
     let same = send(bench.at[0], "/entries", "crew 7").await;
     assert_eq!((same.status, &same.body), (StatusCode::OK, &first.body), "{same:?}");
     assert!(same.is_replayed());
     // The end is reported with a short delay; until then the outcome is told as unknown.
-    wait_until("the end is recorded", || async {
+    wait_until("the other daemon gives the recorded answer", || async {
         let told = send(bench.at[1], "/entries", "crew 7").await;
         assert!(!told.is_not_run(), "{told:?}");
-        assert!(["already_done", "outcome_unknown"].contains(&&*told.code), "{told:?}");
-        told.code == "already_done"
+        if told.code == "outcome_unknown" {
+            return false;
+        }
+        assert_eq!((told.status, &told.body), (StatusCode::OK, &first.body), "{told:?}");
+        assert!(told.is_replayed());
+        true
     })
     .await;
+    // The answer goes with the process that held it; the outcome stays.
+    bench.deployment.daemons[0].kill();
+    let told = send(bench.at[1], "/entries", "crew 7").await;
+    assert_eq!((&*told.code, told.is_not_run()), ("already_done", false), "{told:?}");
     let other = send(bench.at[1], "/entries", "crew 8").await;
     assert_eq!((&*other.code, other.is_not_run()), ("key_reused", true));
     let target = format!("/apps/{}/entries", sample::SERVICE);
@@ -257,8 +266,15 @@
     };
     assert_eq!(content(&same), content(&first));
     assert!(same.is_replayed());
-    let elsewhere = ask(bench.at[1]).await;
-    assert!(["already_done", "outcome_unknown"].contains(&&*elsewhere.code), "{elsewhere:?}");
+    wait_until("the other daemon gives the recorded text", || async {
+        let elsewhere = ask(bench.at[1]).await;
+        if ["already_done", "outcome_unknown"].contains(&&*elsewhere.code) {
+            return false;
+        }
+        assert_eq!(content(&elsewhere), content(&first));
+        elsewhere.is_replayed()
+    })
+    .await;
 }
 
 /// Half of the shards belong to the frozen daemon; their claims are written by the other one.
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -45,6 +45,7 @@
     pub use crate::claimant::Claimant;
     pub use crate::claimant::Reply;
     pub use crate::committer::Committer;
+    pub use crate::held::Held;
     pub use crate::held::HeldAnswers;
     pub use crate::key::ClaimId;
     pub use crate::key::Fingerprint;
--- a/crates/once/tests/segments.rs
+++ b/crates/once/tests/segments.rs
@@ -185,10 +185,13 @@
 fn held_answers_are_bounded_and_checked() {
     let mut held = HeldAnswers::new(10);
     let first: Arc<[u8]> = Arc::from(&b"123456"[..]);
-    held.hold(1, first.clone());
+    let hold = |answer: &[u8]| Held { fingerprint: 9, answer: answer.into() };
+    held.hold(1, hold(&first));
     assert_eq!(held.get(1, answer_digest(&first)), Some(first.clone()));
     assert_eq!(held.get(1, answer_digest(b"other")), None);
-    held.hold(2, Arc::from(&b"654321"[..]));
+    assert_eq!(held.find(1).map(|held| held.fingerprint), Some(9));
+    held.hold(2, hold(b"654321"));
+    assert_eq!(held.find(1), None);
     assert_eq!(held.get(1, answer_digest(&first)), None);
     assert_eq!(held.bytes(), 6);
 }
