Record the ends of claimed requests at a planned stop

Cause: reports given to owners were not awaited when the process stopped, and a watch of the store in memory missed deletions made between the read and the watch. Ruled out: writing each end at once.

--- a/crates/daemon/src/once.rs
+++ b/crates/daemon/src/once.rs
@@ -6,6 +6,7 @@
 //! claims are refused as not run.
 
 pub mod peers;
+mod send;
 
 use std::sync::Arc;
 
@@ -14,7 +15,6 @@
 use kernel::prelude::*;
 use kv::prelude::*;
 use once::claimant::Action;
-use once::claimant::Answer;
 use once::claimant::Event as ClaimEvent;
 use once::claimant::NotRunReason;
 use once::claimant::Scope;
@@ -26,6 +26,7 @@
 use proto::peer::Topic;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio_util::task::TaskTracker;
 
 use crate::metrics::Metrics;
 use crate::metrics::counters;
@@ -33,6 +34,8 @@
 use crate::once::peers::Forwarded;
 use crate::once::peers::Peers;
 use crate::once::peers::Question;
+use crate::once::send::Reporter;
+use crate::once::send::Send;
 use crate::peer::PeerCall;
 use crate::peer::server::Topics;
 
@@ -144,6 +147,7 @@
             tx,
             peers: Peers::new(&cx)?,
             committer: None,
+            reports: TaskTracker::new(),
             held: HeldAnswers::new(HELD_BYTES),
             attempts: 0,
             cx,
@@ -159,6 +163,7 @@
     tx: mpsc::Sender<OnceMessage>,
     peers: Peers,
     committer: Option<Committer>,
+    reports: TaskTracker,
     held: HeldAnswers,
     attempts: u64,
     asks: IntCounterVec,
@@ -189,6 +194,10 @@
         while let Ok(message) = inbox.try_recv() {
             self.take(message);
         }
+        self.reports.close();
+        if tokio::time::timeout(STOP_TIMEOUT, self.reports.wait()).await.is_err() {
+            log::warn!("some claims' ends were not given to their owners");
+        }
         if let Some(committer) = &self.committer {
             committer.settle(STOP_TIMEOUT).await;
         }
@@ -228,9 +237,12 @@
             let _ = reply.send(Begun::Told { reply: told, answer: None });
             return;
         };
-        let (cx, tx, peers) = (self.cx.clone(), self.tx.clone(), self.peers.clone());
-        let asks = self.asks.clone();
-        let send = Send { cx, tx, peers, committer, asks };
+        let send = Send {
+            cx: self.cx.clone(),
+            tx: self.tx.clone(),
+            reporter: self.reporter(committer),
+            asks: self.asks.clone(),
+        };
         tokio::spawn(send.run(claimant, reply));
     }
 
@@ -259,33 +271,21 @@
         });
     }
 
+    fn reporter(&self, committer: Committer) -> Reporter {
+        Reporter { peers: self.peers.clone(), committer, reports: self.reports.clone() }
+    }
+
     fn ended(&self, mut claimant: Claimant, event: ClaimEvent) {
-        let Some(committer) = &self.committer else { return };
+        let Some(committer) = self.committer.clone() else { return };
+        let reporter = self.reporter(committer);
         for action in claimant.decide(event, wall_ms(), &self.cfg) {
             if let Action::Report(end) = action {
-                let issued_ms = claimant.key.issued_ms;
-                report(&self.peers, committer, claimant.report(end), issued_ms);
+                reporter.report(claimant.report(end), claimant.key.issued_ms);
             }
         }
     }
 }
 
-/// Gives a report to the owner of its shard, or writes it here if the owner does not.
-fn report(peers: &Peers, committer: &Committer, entry: Entry, issued_ms: u64) {
-    let layout = committer.settings().layout;
-    let Some(owner) = peers.owner(layout.place(entry.key(), issued_ms).shard) else {
-        committer.report(entry, issued_ms);
-        return;
-    };
-    let (peers, committer) = (peers.clone(), committer.clone());
-    tokio::spawn(async move {
-        let answer = peers.ask(&owner, Forwarded { issued_ms, layout, entry }).await;
-        if !matches!(answer, Answer::Decided(_)) {
-            committer.report(entry, issued_ms);
-        }
-    });
-}
-
 async fn learn_layout(store: &BudgetedStore, proposed: Layout) -> Layout {
     loop {
         match agree_layout(store, proposed, LAYOUT_TIMEOUT).await {
@@ -300,89 +300,3 @@
         tokio::time::sleep(LAYOUT_PAUSE).await;
     }
 }
-
-/// One send while it claims its key.
-struct Send {
-    cx: Context,
-    tx: mpsc::Sender<OnceMessage>,
-    peers: Peers,
-    committer: Committer,
-    asks: IntCounterVec,
-}
-
-impl Send {
-    async fn run(self, mut claimant: Box<Claimant>, reply: oneshot::Sender<Begun>) {
-        let cfg = *self.committer.settings();
-        let limit = Duration::from_millis(cfg.claim_timeout_ms);
-        let deadline = tokio::time::Instant::now() + limit;
-        let issued_ms = claimant.key.issued_ms;
-        let entry = claimant.claim();
-        let owner = self.peers.owner(cfg.layout.place(entry.key(), issued_ms).shard);
-        let begun = ClaimEvent::Begun { owner: owner.clone() };
-        let mut actions = claimant.decide(begun, wall_ms(), &cfg);
-        while let Some(Action::Ask { peer }) = actions.first() {
-            let owner = owner.as_ref().filter(|_| peer.is_some());
-            let ask = self.ask(owner, entry, issued_ms);
-            let event = match tokio::time::timeout_at(deadline, ask).await {
-                Ok(answer) => ClaimEvent::Answered(answer),
-                Err(_) => ClaimEvent::Deadline,
-            };
-            let writer = if owner.is_some() { "owner" } else { "own" };
-            self.record(&claimant, writer, &event);
-            actions = claimant.decide(event, wall_ms(), &cfg);
-        }
-        let mut begun = None;
-        for action in actions {
-            match action {
-                Action::Dispatch => {
-                    let copy = Some(claimant.clone());
-                    begun = Some(Begun::Granted(Permit { claimant: copy, tx: self.tx.clone() }));
-                }
-                Action::Reply(reply) => {
-                    let answer = self.answer_of(&claimant, reply).await;
-                    begun = Some(Begun::Told { reply, answer });
-                }
-                Action::Report(end) => {
-                    report(&self.peers, &self.committer, claimant.report(end), issued_ms);
-                }
-                Action::Ask { .. } => {}
-            }
-        }
-        if let Some(begun) = begun
-            && let Err(Begun::Granted(permit)) = reply.send(begun)
-        {
-            // The caller went away before dispatch.
-            permit.refused();
-        }
-    }
-
-    /// Returns the recorded answer, if the process that ran the request holds it.
-    async fn answer_of(&self, claimant: &Claimant, reply: Reply) -> Option<Arc<[u8]>> {
-        let Reply::Done { digest, holder } = reply else { return None };
-        self.peers.fetch(holder.boot, claimant.key.hash(), digest).await
-    }
-
-    async fn ask(&self, owner: Option<&NodeId>, entry: Entry, issued_ms: u64) -> Answer {
-        match owner {
-            Some(owner) => {
-                let layout = self.committer.settings().layout;
-                self.peers.ask(owner, Forwarded { issued_ms, layout, entry }).await
-            }
-            None => self.committer.ask(entry, issued_ms).await,
-        }
-    }
-
-    fn record(&self, claimant: &Claimant, writer: &str, event: &ClaimEvent) {
-        let outcome = match event {
-            ClaimEvent::Answered(Answer::Decided(Verdict::Granted)) => "claimed",
-            ClaimEvent::Answered(Answer::Decided(Verdict::Taken { .. })) => "duplicate",
-            ClaimEvent::Answered(Answer::InDoubt | Answer::PeerLost) | ClaimEvent::Deadline => {
-                "unclear"
-            }
-            _ => "refused",
-        };
-        self.asks.with_label_values(&[writer, outcome]).inc();
-        let key = claimant.key.key.clone();
-        self.cx.record(Event::Claim { key, outcome: outcome.into() });
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/once/send.rs
@@ -0,0 +1,134 @@
+//! One send of a non-idempotent request while it claims its key, and reports of ends.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use kernel::prelude::*;
+use once::claimant::Action;
+use once::claimant::Answer;
+use once::claimant::Event as ClaimEvent;
+use once::committer::wall_ms;
+use once::prelude::*;
+use prometheus::IntCounterVec;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio_util::task::TaskTracker;
+
+use crate::once::Begun;
+use crate::once::OnceMessage;
+use crate::once::Permit;
+use crate::once::peers::Forwarded;
+use crate::once::peers::Peers;
+
+/// Gives reports to the owners of their shards.
+#[derive(Clone)]
+pub(super) struct Reporter {
+    pub(super) peers: Peers,
+    pub(super) committer: Committer,
+    /// Reports under way.
+    pub(super) reports: TaskTracker,
+}
+
+impl Reporter {
+    /// Gives a report to the owner of its shard, or writes it here if the owner does not.
+    pub(super) fn report(&self, entry: Entry, issued_ms: u64) {
+        let layout = self.committer.settings().layout;
+        let Some(owner) = self.peers.owner(layout.place(entry.key(), issued_ms).shard) else {
+            self.committer.report(entry, issued_ms);
+            return;
+        };
+        let (peers, committer) = (self.peers.clone(), self.committer.clone());
+        self.reports.spawn(async move {
+            let answer = peers.ask(&owner, Forwarded { issued_ms, layout, entry }).await;
+            if !matches!(answer, Answer::Decided(_)) {
+                committer.report(entry, issued_ms);
+            }
+        });
+    }
+}
+
+/// One send while it claims its key.
+pub(super) struct Send {
+    pub(super) cx: Context,
+    pub(super) tx: mpsc::Sender<OnceMessage>,
+    pub(super) reporter: Reporter,
+    pub(super) asks: IntCounterVec,
+}
+
+impl Send {
+    /// Claims the key, and tells `reply` what came of it.
+    pub(super) async fn run(self, mut claimant: Box<Claimant>, reply: oneshot::Sender<Begun>) {
+        let cfg = *self.reporter.committer.settings();
+        let limit = Duration::from_millis(cfg.claim_timeout_ms);
+        let deadline = tokio::time::Instant::now() + limit;
+        let issued_ms = claimant.key.issued_ms;
+        let entry = claimant.claim();
+        let owner = self.reporter.peers.owner(cfg.layout.place(entry.key(), issued_ms).shard);
+        let begun = ClaimEvent::Begun { owner: owner.clone() };
+        let mut actions = claimant.decide(begun, wall_ms(), &cfg);
+        while let Some(Action::Ask { peer }) = actions.first() {
+            let owner = owner.as_ref().filter(|_| peer.is_some());
+            let ask = self.ask(owner, entry, issued_ms);
+            let event = match tokio::time::timeout_at(deadline, ask).await {
+                Ok(answer) => ClaimEvent::Answered(answer),
+                Err(_) => ClaimEvent::Deadline,
+            };
+            let writer = if owner.is_some() { "owner" } else { "own" };
+            self.record(&claimant, writer, &event);
+            actions = claimant.decide(event, wall_ms(), &cfg);
+        }
+        let mut begun = None;
+        for action in actions {
+            match action {
+                Action::Dispatch => {
+                    let copy = Some(claimant.clone());
+                    begun = Some(Begun::Granted(Permit { claimant: copy, tx: self.tx.clone() }));
+                }
+                Action::Reply(reply) => {
+                    let answer = self.answer_of(&claimant, reply).await;
+                    begun = Some(Begun::Told { reply, answer });
+                }
+                Action::Report(end) => {
+                    self.reporter.report(claimant.report(end), issued_ms);
+                }
+                Action::Ask { .. } => {}
+            }
+        }
+        if let Some(begun) = begun
+            && let Err(Begun::Granted(permit)) = reply.send(begun)
+        {
+            // The caller went away before dispatch.
+            permit.refused();
+        }
+    }
+
+    /// Returns the recorded answer, if the process that ran the request holds it.
+    async fn answer_of(&self, claimant: &Claimant, reply: Reply) -> Option<Arc<[u8]>> {
+        let Reply::Done { digest, holder } = reply else { return None };
+        self.reporter.peers.fetch(holder.boot, claimant.key.hash(), digest).await
+    }
+
+    async fn ask(&self, owner: Option<&NodeId>, entry: Entry, issued_ms: u64) -> Answer {
+        match owner {
+            Some(owner) => {
+                let layout = self.reporter.committer.settings().layout;
+                self.reporter.peers.ask(owner, Forwarded { issued_ms, layout, entry }).await
+            }
+            None => self.reporter.committer.ask(entry, issued_ms).await,
+        }
+    }
+
+    fn record(&self, claimant: &Claimant, writer: &str, event: &ClaimEvent) {
+        let outcome = match event {
+            ClaimEvent::Answered(Answer::Decided(Verdict::Granted)) => "claimed",
+            ClaimEvent::Answered(Answer::Decided(Verdict::Taken { .. })) => "duplicate",
+            ClaimEvent::Answered(Answer::InDoubt | Answer::PeerLost) | ClaimEvent::Deadline => {
+                "unclear"
+            }
+            _ => "refused",
+        };
+        self.asks.with_label_values(&[writer, outcome]).inc();
+        let key = claimant.key.key.clone();
+        self.cx.record(Event::Claim { key, outcome: outcome.into() });
+    }
+}
--- a/crates/kv/src/memory.rs
+++ b/crates/kv/src/memory.rs
@@ -1,9 +1,11 @@
 //! A store in memory, for tests and the stand-in service.
 //!
 //! Revisions count writes over all keys. Watches get every change after they were opened; a
-//! watch that falls behind its channel is closed.
+//! watch that falls behind its channel is closed. A watch from an earlier revision first gets the
+//! values that were written since, and the deletions that are still remembered, in their order.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -18,6 +20,9 @@
 /// Changes that a watch may be behind before it is closed.
 const WATCH_DEPTH_CHANGES: usize = 1024;
 
+/// Deletions that are remembered for watches.
+const DELETIONS_KEPT: usize = 4096;
+
 struct Watch {
     prefix: Box<str>,
     tx: mpsc::Sender<WatchEvent>,
@@ -27,9 +32,31 @@
 struct State {
     revision: u64,
     values: BTreeMap<Box<str>, Versioned>,
+    deletions: VecDeque<(u64, Box<str>)>,
     watches: Vec<Watch>,
 }
 
+impl State {
+    /// Returns what a watch of `prefix` has missed after a revision, in order.
+    fn missed(&self, prefix: &str, after: u64) -> Vec<WatchEvent> {
+        let is_missed = |key: &str, revision| revision > after && key.starts_with(prefix);
+        let written = self.values.iter().filter(|(key, value)| is_missed(key, value.mod_revision));
+        let mut missed: Vec<(u64, WatchEvent)> = written
+            .map(|(key, value)| {
+                let event = WatchEvent { key: key.clone(), value: Some(value.clone()) };
+                (value.mod_revision, event)
+            })
+            .collect();
+        let deleted = self.deletions.iter().filter(|(revision, key)| is_missed(key, *revision));
+        missed.extend(
+            deleted
+                .map(|(revision, key)| (*revision, WatchEvent { key: key.clone(), value: None })),
+        );
+        missed.sort_by_key(|(revision, _)| *revision);
+        missed.into_iter().map(|(_, event)| event).collect()
+    }
+}
+
 /// A store in memory. Clones share the same values.
 #[derive(Clone, Default)]
 pub struct MemoryStore {
@@ -60,6 +87,12 @@
             Some(versioned) => state.values.insert(key.into(), versioned.clone()),
             None => state.values.remove(key),
         };
+        if versioned.is_none() {
+            state.deletions.push_back((mod_revision, key.into()));
+            if state.deletions.len() > DELETIONS_KEPT {
+                state.deletions.pop_front();
+            }
+        }
         let event = WatchEvent { key: key.into(), value: versioned };
         state.watches.retain(|watch| {
             !key.starts_with(&*watch.prefix) || watch.tx.try_send(event.clone()).is_ok()
@@ -70,13 +103,10 @@
     fn open_watch(&self, prefix: &str, after: u64) -> mpsc::Receiver<WatchEvent> {
         let (tx, rx) = mpsc::channel(WATCH_DEPTH_CHANGES);
         let mut state = self.state.lock();
-        for (key, versioned) in &state.values {
-            if key.starts_with(prefix) && versioned.mod_revision > after {
-                let event = WatchEvent { key: key.clone(), value: Some(versioned.clone()) };
-                // The channel is new, so it takes the first changes; past its depth it closes.
-                if tx.try_send(event).is_err() {
-                    return rx;
-                }
+        for event in state.missed(prefix, after) {
+            // The channel is new, so it takes the first changes; past its depth it closes.
+            if tx.try_send(event).is_err() {
+                return rx;
             }
         }
         state.watches.push(Watch { prefix: prefix.into(), tx });
--- a/crates/lab/tests/once.rs
+++ b/crates/lab/tests/once.rs
@@ -304,3 +304,20 @@
         assert_eq!(bench.runs(path).await, 1, "{path}");
     }
 }
+
+/// The stopping daemon writes the ends of its requests before it exits.
+#[tokio::test]
+async fn a_planned_stop_records_the_ends() {
+    let mut bench = Bench::start().await;
+    bench.wait_forwarding().await;
+    for index in 0..4 {
+        let told = send(bench.at[0], &format!("/stopped/{index}"), "entry").await;
+        assert_eq!(told.status, StatusCode::OK, "{told:?}");
+    }
+    bench.deployment.daemons[0].signal("TERM");
+    assert_eq!(bench.deployment.daemons[0].wait().await, Some(0));
+    for index in 0..4 {
+        let told = send(bench.at[1], &format!("/stopped/{index}"), "entry").await;
+        assert_eq!(told.code, "already_done", "{told:?}");
+    }
+}
