Test the ends at a planned stop by owner

Cause: the first test of a planned stop passed without the wait for the process's own writes, since half of its keys belonged to the peer and kept the process busy. Ruled out: one test over many keys. Change: three tests, for an own shard, a peer's, and one of a silent peer; they replace the single one. Seen failing: no wait for own writes: outcome_unknown for already_done; no way past a silent owner and no report to an owner: the same in their tests. The wait for reports under way is not shown by a test: the peers' server keeps the process for up to 2 s, in which they end.

--- a/crates/lab/tests/once.rs
+++ b/crates/lab/tests/once.rs
@@ -13,6 +13,7 @@
 use lab::kv::KvCounts;
 use lab::plain::PlainRun;
 use lab::sample;
+use once::prelude::*;
 use procs::Deployment;
 use procs::wait_until;
 use serde_json::Value;
@@ -305,19 +306,47 @@
     }
 }
 
-/// The stopping daemon writes the ends of its requests before it exits.
-#[tokio::test]
-async fn a_planned_stop_records_the_ends() {
+/// Returns a path whose claim is written by `owner`.
+fn path_owned_by(owner: &str) -> String {
+    let issued_ms = issued().parse().unwrap();
+    let is_owned = |path: &String| {
+        let key = RequestKey { workspace: "club".into(), key: path.as_str().into(), issued_ms };
+        let shard = Layout::default().place(key.hash(), issued_ms).shard;
+        once::owner::owner(shard, "node-0", ["node-1"]) == owner
+    };
+    let mut paths = (0..).map(|index| format!("/stopped/{index}"));
+    paths.find(is_owned).expect("there is no end of paths")
+}
+
+/// Stops the first daemon right after a request whose claim is written by `owner`; the second
+/// daemon may be frozen meanwhile.
+async fn stop_after_a_request_of(owner: &str, is_frozen: bool) {
     let mut bench = Bench::start().await;
     bench.wait_forwarding().await;
-    for index in 0..4 {
-        let told = send(bench.at[0], &format!("/stopped/{index}"), "entry").await;
-        assert_eq!(told.status, StatusCode::OK, "{told:?}");
+    let path = path_owned_by(owner);
+    if is_frozen {
+        bench.deployment.daemons[1].signal("STOP");
     }
+    let told = send(bench.at[0], &path, "entry").await;
+    assert_eq!(told.status, StatusCode::OK, "{told:?}");
     bench.deployment.daemons[0].signal("TERM");
     assert_eq!(bench.deployment.daemons[0].wait().await, Some(0));
-    for index in 0..4 {
-        let told = send(bench.at[1], &format!("/stopped/{index}"), "entry").await;
-        assert_eq!(told.code, "already_done", "{told:?}");
-    }
+    bench.deployment.daemons[1].signal("CONT");
+    let told = send(bench.at[1], &path, "entry").await;
+    assert_eq!(told.code, "already_done", "{told:?}");
+}
+
+#[tokio::test]
+async fn a_planned_stop_records_the_ends_in_its_own_shards() {
+    stop_after_a_request_of("node-0", false).await;
+}
+
+#[tokio::test]
+async fn a_planned_stop_gives_the_ends_to_the_owners_of_other_shards() {
+    stop_after_a_request_of("node-1", false).await;
+}
+
+#[tokio::test]
+async fn a_planned_stop_records_the_ends_that_a_silent_owner_did_not_take() {
+    stop_after_a_request_of("node-1", true).await;
 }
