--- /dev/null
+++ b/crates/daemon/src/route/exchange.rs
@@ -0,0 +1,236 @@
+//! Exchanges routing's facts and trial permissions with the other processes.
+//!
+//! Facts go by gossip. A trial ask goes to the soft owner of the model version's trials, by
+//! rendezvous hashing over the live members; two processes that disagree on it may both grant,
+//! which risks one more group.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::UNIX_EPOCH;
+
+use base::hash;
+use base::prelude::*;
+use kernel::prelude::*;
+use member::prelude::FactKey;
+use member::prelude::Status;
+use proto::peer::Topic;
+use route::prelude::*;
+use route::share::UsageRow;
+use route::trial::TrialAsk;
+use route::trial::coordinator_key;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::member::Facts;
+use crate::member::MemberMessage;
+use crate::member::View;
+use crate::names;
+use crate::peer::PeerCall;
+use crate::peer::client::PeerClient;
+use crate::peer::server::Topics;
+use crate::route::RouteMessage;
+use crate::route::fact;
+use crate::route::peers::FromPeer;
+use crate::route::peers::ToPeers;
+
+/// Messages that may wait in each mailbox.
+const MAILBOX_DEPTH: usize = 1024;
+/// How often the end of a trial is told before its coordinator is left to find out.
+const RELEASE_ATTEMPTS: u32 = 3;
+
+/// A call to the coordinator of trials.
+#[derive(Debug, Serialize, Deserialize)]
+enum TrialCall {
+    /// Asks for permission; the answer is a [`Grant`].
+    Ask(TrialAsk),
+    /// Tells that a trial has ended; the answer is empty.
+    Release(PoisonFact),
+}
+
+struct Exchange {
+    cx: Context,
+    members: watch::Receiver<Arc<View>>,
+    facts: watch::Receiver<Arc<Facts>>,
+    member: mpsc::Sender<MemberMessage>,
+    route: mpsc::Sender<RouteMessage>,
+    client: PeerClient,
+    /// Bodies of the facts that were passed on to routing.
+    seen: HashMap<FactKey, Box<[u8]>>,
+    /// Counts the changes of other processes' demands.
+    usage_number: u64,
+}
+
+/// Describes the service.
+pub fn service() -> Service {
+    let needs = &[names::ROUTE, names::MEMBER, names::PEER];
+    Service::new(names::ROUTE_EXCHANGE, needs, |cx| async move {
+        let words = cx.mailbox::<ToPeers>(names::ROUTE_EXCHANGE, MAILBOX_DEPTH);
+        let calls = cx.mailbox::<PeerCall>(names::ROUTE_EXCHANGE, MAILBOX_DEPTH);
+        let topics: Topics = cx.registry().find(names::PEER)?;
+        topics.register(Topic::Trials, names::ROUTE_EXCHANGE);
+        let exchange = Exchange {
+            members: cx.view(names::MEMBER)?,
+            facts: cx.view(names::MEMBER)?,
+            member: cx.sender(names::MEMBER)?,
+            route: cx.sender(names::ROUTE)?,
+            client: cx.registry().find(names::PEER)?,
+            seen: HashMap::new(),
+            usage_number: 0,
+            cx: cx.clone(),
+        };
+        cx.ready();
+        exchange.run(words, calls).await;
+        Ok(())
+    })
+}
+
+impl Exchange {
+    async fn run(
+        mut self,
+        mut words: mpsc::Receiver<ToPeers>,
+        mut calls: mpsc::Receiver<PeerCall>,
+    ) {
+        let stop = self.cx.stop_token();
+        self.members.mark_changed();
+        self.facts.mark_changed();
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                Ok(()) = self.members.changed() => self.members_changed().await,
+                Ok(()) = self.facts.changed() => self.facts_changed().await,
+                Some(word) = words.recv() => self.tell(word).await,
+                Some(call) = calls.recv() => self.answer(call).await,
+            }
+        }
+    }
+
+    async fn members_changed(&mut self) {
+        let view = self.members.borrow_and_update().clone();
+        let live = view.live().map(|member| member.name.clone()).collect();
+        let known = view.members.iter().filter(|member| member.status != Status::Left).count();
+        self.pass_on(FromPeer::Live { live, known }).await;
+    }
+
+    async fn facts_changed(&mut self) {
+        let facts = self.facts.borrow_and_update().clone();
+        let mut usage: BTreeMap<NodeId, Vec<UsageRow>> = BTreeMap::new();
+        for fact in &facts.facts {
+            if let Some((owner, row)) = fact::to_usage(fact) {
+                usage.entry(owner).or_default().push(row);
+                continue;
+            }
+            let Some(poison) = fact::to_poison(fact) else { continue };
+            if self.seen.get(&fact.key) != Some(&fact.body) {
+                self.seen.insert(fact.key.clone(), fact.body.clone());
+                self.pass_on(FromPeer::Poison(poison)).await;
+            }
+        }
+        self.seen.retain(|key, _| facts.facts.iter().any(|fact| fact.key == *key));
+        self.usage_number += 1;
+        let number = self.usage_number;
+        let view = self.members.borrow().clone();
+        for member in view.live() {
+            let rows = usage.remove(&member.name).unwrap_or_default();
+            let fact = UsageFact { node: member.name.clone(), boot: member.boot, number, rows };
+            self.pass_on(FromPeer::Usage(fact)).await;
+        }
+    }
+
+    async fn tell(&mut self, word: ToPeers) {
+        match word {
+            ToPeers::Poison(poison) => {
+                self.say(fact::of_poison(self.cx.node(), &poison)).await;
+            }
+            ToPeers::Usage(usage) => {
+                let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                for fact in fact::of_usage(&usage, wall.as_millis() as u64) {
+                    self.say(fact).await;
+                }
+            }
+            ToPeers::AskTrial { ask, reply } => match self.coordinator(&ask.model, &ask.version) {
+                None => self.pass_on(FromPeer::AskTrial { ask, reply }).await,
+                Some(peer) => {
+                    let client = self.client.clone();
+                    tokio::spawn(async move {
+                        let body = encode(&TrialCall::Ask(ask));
+                        match client.forward(&peer, Topic::Trials, body).await {
+                            Ok(answer) => {
+                                if let Ok(grant) = serde_json::from_slice(&answer) {
+                                    // The request may have been given up meanwhile.
+                                    let _ = reply.send(grant);
+                                }
+                            }
+                            Err(error) => log::warn!("no permission for a trial: {error}"),
+                        }
+                    });
+                }
+            },
+            ToPeers::Release { model, version, fact } => match self.coordinator(&model, &version) {
+                None => self.pass_on(FromPeer::Release(fact)).await,
+                Some(peer) => {
+                    tokio::spawn(release(self.client.clone(), peer, fact));
+                }
+            },
+        }
+    }
+
+    async fn answer(&self, call: PeerCall) {
+        match serde_json::from_slice::<TrialCall>(&call.body) {
+            Ok(TrialCall::Ask(ask)) => {
+                let (tx, rx) = oneshot::channel::<Grant>();
+                self.pass_on(FromPeer::AskTrial { ask, reply: tx }).await;
+                tokio::spawn(async move {
+                    if let Ok(grant) = rx.await {
+                        // The caller may have given up.
+                        let _ = call.reply.send(encode(&grant));
+                    }
+                });
+            }
+            Ok(TrialCall::Release(fact)) => {
+                self.pass_on(FromPeer::Release(fact)).await;
+                let _ = call.reply.send(bytes::Bytes::new());
+            }
+            Err(error) => log::warn!("a call of peer `{}` is malformed: {error}", call.from),
+        }
+    }
+
+    /// Returns the peer that coordinates the trials of a model version; `None` is this process.
+    fn coordinator(&self, model: &str, version: &str) -> Option<NodeId> {
+        let view = self.members.borrow();
+        let own: &str = self.cx.node();
+        let names = view.live().map(|member| &*member.name).chain([own]);
+        let owner = hash::owner(&coordinator_key(model, version), names)?;
+        (owner != own).then(|| owner.into())
+    }
+
+    async fn say(&self, fact: member::prelude::Fact) {
+        if self.member.send(MemberMessage::Tell(fact)).await.is_err() {
+            log::debug!("the membership has ended; a fact was not said");
+        }
+    }
+
+    async fn pass_on(&self, word: FromPeer) {
+        if self.route.send(RouteMessage::Peer(word)).await.is_err() {
+            log::debug!("routing has ended; a peer's word was dropped");
+        }
+    }
+}
+
+/// Tells the coordinator that a trial has ended, again if that is not known to have arrived.
+async fn release(client: PeerClient, peer: NodeId, fact: PoisonFact) {
+    let body = encode(&TrialCall::Release(fact));
+    for _ in 0..RELEASE_ATTEMPTS {
+        match client.forward(&peer, Topic::Trials, body.clone()).await {
+            Ok(_) => return,
+            Err(error) => log::warn!("the end of a trial was not told: {error}"),
+        }
+    }
+}
+
+fn encode<T: Serialize>(message: &T) -> bytes::Bytes {
+    serde_json::to_vec(message).expect("the message has a JSON form").into()
+}
--- a/crates/daemon/src/route/peers.rs
+++ b/crates/daemon/src/route/peers.rs
@@ -37,8 +37,13 @@
     Poison(PoisonFact),
     /// One's demand.
     Usage(UsageFact),
-    /// The processes that membership holds live.
-    Live(Vec<NodeId>),
+    /// What membership holds of the other processes.
+    Live {
+        /// Those that are live.
+        live: Vec<NodeId>,
+        /// How many are known, live or dead.
+        known: usize,
+    },
     /// One asks this process as coordinator.
     AskTrial {
         /// The ask.
--- a/crates/daemon/src/route/shell.rs
+++ b/crates/daemon/src/route/shell.rs
@@ -185,7 +185,7 @@
         let event = match word {
             FromPeer::Poison(fact) => RouteEvent::Poison(fact),
             FromPeer::Usage(fact) => RouteEvent::Usage(fact),
-            FromPeer::Live(live) => RouteEvent::Live(live),
+            FromPeer::Live { live, known } => RouteEvent::Live { live, known },
             FromPeer::Release(fact) => RouteEvent::Released(fact),
             FromPeer::Granted { request, grant } => RouteEvent::Granted(request, grant),
             FromPeer::AskTrial { ask, reply } => {
@@ -272,7 +272,7 @@
 
     /// Hands a word to the service that reaches the other processes, or returns it.
     fn tell(&self, word: ToPeers) -> Option<ToPeers> {
-        match self.cx.sender::<ToPeers>(names::PEERS) {
+        match self.cx.sender::<ToPeers>(names::ROUTE_EXCHANGE) {
             Ok(peers) => peers.try_send(word).err().map(TrySendError::into_inner),
             Err(_) => Some(word),
         }
--- a/crates/lab/tests/procs/mod.rs
+++ b/crates/lab/tests/procs/mod.rs
@@ -3,6 +3,8 @@
 //! All processes are killed when their handles are dropped.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod link;
+
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
@@ -12,9 +14,12 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use http::HeaderValue;
+use http::Method;
 use lab::sample;
 use lab::sample::Vm;
 use serde_json::Value;
+use web::client::Call;
 use web::prelude::Client;
 
 /// Longest wait for something that must happen soon; far above what it takes.
@@ -162,7 +167,12 @@
 
     /// Returns a connection to the key-value stand-in.
     pub fn store(&self) -> kv::etcd::EtcdStore {
-        let endpoint = format!("http://{}", self.kv.at("kv")).into();
+        Deployment::store_at(self.kv.at("kv"))
+    }
+
+    /// Returns a connection to the key-value stand-in at `address`.
+    pub fn store_at(address: SocketAddr) -> kv::etcd::EtcdStore {
+        let endpoint = format!("http://{address}").into();
         kv::etcd::EtcdStore::new(kv::etcd::EtcdSettings::new(vec![endpoint])).unwrap()
     }
 
@@ -183,17 +193,59 @@
     }
 
     async fn wait_serving(&self) {
-        let client = Client::pooled(Duration::from_secs(5));
         for at in self.callers() {
-            wait_until("a daemon serves", || async {
-                let first = lab::caller::TextCall::small("first", 0);
-                lab::caller::call(&client, at, &first).await.ended
-            })
-            .await;
+            wait_serving(at).await;
         }
     }
 }
 
+/// Waits until the daemon with this caller address answers.
+pub async fn wait_serving(caller: SocketAddr) {
+    let client = Client::pooled(Duration::from_secs(5));
+    wait_until("a daemon serves", || async {
+        let first = lab::caller::TextCall::small("first", 0);
+        lab::caller::call(&client, caller, &first).await.ended
+    })
+    .await;
+}
+
+/// Sends one request to the operator API as an operator; returns status and JSON body.
+pub async fn operate(
+    operator: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Option<&Value>,
+) -> (u16, Value) {
+    let mut call = Call::new(method, path);
+    let bearer = format!("Bearer {}", sample::OPERATOR_TOKEN);
+    call.headers.insert("authorization", HeaderValue::from_str(&bearer).unwrap());
+    call.body = body.map(Value::to_string).unwrap_or_default().into();
+    let client = Client::fresh(PATIENCE);
+    let response = client.send(operator, call, PATIENCE).await.unwrap();
+    let status = response.status().as_u16();
+    let bytes = web::body::read(response.into_body(), 64 << 20).await.unwrap();
+    (status, serde_json::from_slice(&bytes).unwrap_or(Value::Null))
+}
+
+/// Applies a brand through a daemon, again while the daemon says that it was not applied.
+pub async fn apply_brand(operator: SocketAddr, name: &str) {
+    let manifest = serde_json::json!({
+        "kind": "brand",
+        "name": name,
+        "spec": {"display_name": name},
+    });
+    let path = format!("/api/v1/brand/{name}");
+    wait_until("the brand is accepted", || async {
+        operate(operator, Method::PUT, &path, Some(&manifest)).await.0 == 200
+    })
+    .await;
+}
+
+/// Returns whether a brand is in force at a daemon.
+pub async fn has_brand(operator: SocketAddr, name: &str) -> bool {
+    operate(operator, Method::GET, &format!("/api/v1/brand/{name}"), None).await.0 == 200
+}
+
 /// Waits until `holds` is true.
 pub async fn wait_until<F: Future<Output = bool>>(what: &str, holds: impl Fn() -> F) {
     let deadline = tokio::time::Instant::now() + PATIENCE;
--- a/crates/proto/src/gen/samphire.peer.rs
+++ b/crates/proto/src/gen/samphire.peer.rs
@@ -34,6 +34,8 @@
     Claims = 1,
     /// Vouchers of a keeper for its replica groups.
     Vouchers = 2,
+    /// Trials of requests that may crash replica groups.
+    Trials = 3,
 }
 impl Topic {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -45,6 +47,7 @@
             Self::Unspecified => "TOPIC_UNSPECIFIED",
             Self::Claims => "TOPIC_CLAIMS",
             Self::Vouchers => "TOPIC_VOUCHERS",
+            Self::Trials => "TOPIC_TRIALS",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -53,6 +56,7 @@
             "TOPIC_UNSPECIFIED" => Some(Self::Unspecified),
             "TOPIC_CLAIMS" => Some(Self::Claims),
             "TOPIC_VOUCHERS" => Some(Self::Vouchers),
+            "TOPIC_TRIALS" => Some(Self::Trials),
             _ => None,
         }
     }
--- a/crates/route/src/router/event.rs
+++ b/crates/route/src/router/event.rs
@@ -69,8 +69,13 @@
     View(GroupTable),
     /// The limits in force.
     Limits(WorkspaceLimits),
-    /// The processes that membership holds live.
-    Live(Vec<NodeId>),
+    /// What membership holds of the other processes.
+    Live {
+        /// Those that are live.
+        live: Vec<NodeId>,
+        /// How many are known, live or dead; not those that left.
+        known: usize,
+    },
     /// A peer's publication of its demand.
     Usage(UsageFact),
     /// What a peer knows of a request that may crash groups.
