Resend many keys while the key-value service loses answers

Cause: the single-fault tests do not show claims, resends at both daemons and lost answers together. Ruled out: a longer run; forty keys with four sends each meet dozens of lost answers. Conclusion: each fresh answer is one run, and no key has two.

--- a/crates/lab/tests/once.rs
+++ b/crates/lab/tests/once.rs
@@ -350,3 +350,40 @@
 async fn a_planned_stop_records_the_ends_that_a_silent_owner_did_not_take() {
     stop_after_a_request_of("node-1", true).await;
 }
+
+/// What the sends of one key were told.
+async fn send_and_resend(at: Vec<SocketAddr>, path: String) -> Vec<Told> {
+    const SENDS: usize = 4;
+    let mut told = Vec::new();
+    for index in 0..SENDS {
+        told.push(send(at[index % at.len()], &path, "entry").await);
+    }
+    told
+}
+
+#[tokio::test]
+async fn no_key_runs_twice_while_the_key_value_service_loses_answers() {
+    const KEYS: usize = 40;
+    let bench = Bench::start().await;
+    bench.wait_forwarding().await;
+    bench.faults(json!({"lose_share": 0.3})).await;
+    let keys = (0..KEYS).map(|index| {
+        let path = format!("/many/{index}");
+        let mut at = bench.at.clone();
+        at.rotate_left(index % 2);
+        (path.clone(), tokio::spawn(send_and_resend(at, path)))
+    });
+    let keys: Vec<(String, JoinHandle<Vec<Told>>)> = keys.collect();
+    let mut answered = 0;
+    for (path, sends) in keys {
+        let told = sends.await.unwrap();
+        let runs = bench.runs(&path).await;
+        let fresh = told.iter().filter(|told| told.status.is_success() && !told.is_replayed());
+        assert_eq!(fresh.count(), runs, "{path}: {told:?}");
+        assert!(runs <= 1, "{path} ran {runs} times: {told:?}");
+        assert!(runs == 0 || told.iter().any(|told| told.status.is_success()), "{told:?}");
+        answered += runs;
+    }
+    assert!(bench.counts().await.lost > 0);
+    assert!(answered > 0, "no key ran at all");
+}
