--- a/crates/lab/src/measure/route.rs
+++ b/crates/lab/src/measure/route.rs
@@ -7,6 +7,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use base::hash::stable;
 use base::prelude::*;
@@ -286,6 +287,26 @@
     })
 }
 
+/// Returns the processor time of one request's decisions among `groups` groups, in microseconds.
+fn decision_micros(groups: usize) -> f64 {
+    const REQUESTS: u64 = 20_000;
+    let mut router = Router::new("n1".into(), RouteSettings::default());
+    let table = GroupTable { groups: (0..groups).map(|i| view(i, 0, 0, Duration::ZERO)).collect() };
+    router.decide(RouteEvent::View(table), Duration::ZERO, 0);
+    let begun = Instant::now();
+    for id in 0..REQUESTS {
+        let now = Duration::from_millis(id);
+        let mut need = Need::new(id, "w", "m", "v", &(id % 100).to_le_bytes());
+        need.deadline = now + WARM_UP;
+        router.decide(RouteEvent::Ask(need), now, id);
+        let (first_token, streaming) = (PREFILL_HIT, TOKEN_GAP * TOKENS);
+        let measured = RouteEvent::Measured { request: id, first_token, tokens: TOKENS, streaming };
+        router.decide(measured, now, id);
+        router.decide(RouteEvent::Finished(id), now, id);
+    }
+    (begun.elapsed().as_secs_f64() * 1e6 / REQUESTS as f64 * 10.0).round() / 10.0
+}
+
 /// Runs the measurement at two loads.
 pub fn run() -> Value {
     let way = |policy, split, alone| Way { policy, split, alone };
@@ -315,6 +336,11 @@
         "prefixes": PREFIXES,
         "prefixes_cached_by_group": CACHED_PREFIXES,
         "zipf_exponent": ZIPF_EXPONENT,
+        "decision_micros_by_groups": {
+            "55": decision_micros(55),
+            "220": decision_micros(220),
+            "880": decision_micros(880),
+        },
         "requests_a_second_and_group_3": at(3.0),
         "requests_a_second_and_group_5": at(5.0),
     })
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -79,12 +79,13 @@
 ) -> Vec<Candidate<'a>> {
     let held: Vec<&GroupView> =
         table.groups.iter().filter(|view| view.is_routable(now) && holds(view, need)).collect();
+    let median_gap = loads.median_gap(&held, now);
     let usable = held.iter().filter(|view| !need.excluded.contains(&view.id));
     usable
         .map(|view| Candidate {
             view,
             estimate: loads.estimate(view),
-            slowness: loads.slowness(&view.id, &held, now),
+            slowness: loads.slowness(&view.id, median_gap, now),
         })
         .collect()
 }
--- a/crates/route/src/load.rs
+++ b/crates/route/src/load.rs
@@ -28,6 +28,8 @@
 const CORRECTION_LIFETIME: Duration = Duration::from_secs(10);
 /// How many times its own sends a process counts at most for those of all processes.
 const MAX_EXTRAPOLATION: f64 = 8.0;
+/// Groups with recent samples below which none is judged.
+const MIN_JUDGED_GROUPS: usize = 3;
 /// A group is a straggler from this ratio to its peers' median.
 pub const STRAGGLER_RATIO: f64 = 1.5;
 /// Time to the first token that is assumed before any was seen.
@@ -115,17 +117,25 @@
         (reported + since).max(i64::from(load.in_progress)) as u32
     }
 
-    /// Returns how many times slower than the median of `peers` the group is, at least 1.
+    /// Returns the median time between tokens of the groups, in seconds, if enough of them have
+    /// recent samples.
+    pub fn median_gap(&self, groups: &[&GroupView], now: Mono) -> Option<f64> {
+        let mut gaps: Vec<f64> =
+            groups.iter().filter_map(|group| self.gap(&group.id, now)).collect();
+        if gaps.len() < MIN_JUDGED_GROUPS {
+            return None;
+        }
+        let middle = (gaps.len() - 1) / 2;
+        let (_, median, _) = gaps.select_nth_unstable_by(middle, f64::total_cmp);
+        Some(*median)
+    }
+
+    /// Returns how many times slower than its peers' median the group is, at least 1.
     ///
     /// A ratio below [`STRAGGLER_RATIO`] is ordinary variation and counts as 1.
-    pub fn slowness(&self, group: &str, peers: &[&GroupView], now: Mono) -> f64 {
-        let Some(own) = self.gap(group, now) else { return 1.0 };
-        let mut gaps: Vec<f64> = peers.iter().filter_map(|peer| self.gap(&peer.id, now)).collect();
-        if gaps.len() < 3 {
-            return 1.0;
-        }
-        gaps.sort_by(f64::total_cmp);
-        let ratio = own / gaps[(gaps.len() - 1) / 2].max(f64::EPSILON);
+    pub fn slowness(&self, group: &str, median_gap: Option<f64>, now: Mono) -> f64 {
+        let (Some(median), Some(own)) = (median_gap, self.gap(group, now)) else { return 1.0 };
+        let ratio = own / median.max(f64::EPSILON);
         if ratio >= STRAGGLER_RATIO { ratio } else { 1.0 }
     }
 
