--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert!(findings.to_string().contains("$.keeper.probe_period_ms: found 0"));
 //! ```
 
+mod check;
 mod claims;
 pub mod fields;
 pub mod secret;
