--- a/crates/daemon/src/route/exchange.rs
+++ b/crates/daemon/src/route/exchange.rs
@@ -119,8 +119,8 @@
         let facts = self.facts.borrow_and_update().clone();
         let mut usage: BTreeMap<NodeId, Vec<UsageRow>> = BTreeMap::new();
         for fact in &facts.facts {
-            if let Some((owner, rows)) = fact::to_usage(fact) {
-                usage.insert(owner, rows);
+            if let Some((owner, row)) = fact::to_usage(fact) {
+                usage.entry(owner).or_default().push(row);
                 continue;
             }
             let Some(poison) = fact::to_poison(fact) else { continue };
@@ -147,7 +147,9 @@
             }
             ToPeers::Usage(usage) => {
                 let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-                self.say(fact::of_usage(&usage, wall.as_millis() as u64)).await;
+                for fact in fact::of_usage(&usage, wall.as_millis() as u64) {
+                    self.say(fact).await;
+                }
             }
             ToPeers::AskTrial { ask, reply } => match self.coordinator(&ask.model, &ask.version) {
                 None => self.pass_on(FromPeer::AskTrial { ask, reply }).await,
