--- a/crates/daemon/src/once.rs
+++ b/crates/daemon/src/once.rs
@@ -6,6 +6,7 @@
 //! claims are refused as not run.
 
 pub mod peers;
+mod send;
 
 use std::sync::Arc;
 
@@ -14,7 +15,6 @@
 use kernel::prelude::*;
 use kv::prelude::*;
 use once::claimant::Action;
-use once::claimant::Answer;
 use once::claimant::Event as ClaimEvent;
 use once::claimant::NotRunReason;
 use once::claimant::Scope;
@@ -26,12 +26,16 @@
 use proto::peer::Topic;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio_util::task::TaskTracker;
 
 use crate::metrics::Metrics;
 use crate::metrics::counters;
 use crate::names;
 use crate::once::peers::Forwarded;
 use crate::once::peers::Peers;
+use crate::once::peers::Question;
+use crate::once::send::Reporter;
+use crate::once::send::Send;
 use crate::peer::PeerCall;
 use crate::peer::server::Topics;
 
@@ -76,7 +80,7 @@
     Told {
         /// What the caller is told.
         reply: Reply,
-        /// The recorded answer, if this process holds it.
+        /// The recorded answer, if a live process holds it.
         answer: Option<Arc<[u8]>>,
     },
 }
@@ -143,6 +147,7 @@
             tx,
             peers: Peers::new(&cx)?,
             committer: None,
+            reports: TaskTracker::new(),
             held: HeldAnswers::new(HELD_BYTES),
             attempts: 0,
             cx,
@@ -158,6 +163,7 @@
     tx: mpsc::Sender<OnceMessage>,
     peers: Peers,
     committer: Option<Committer>,
+    reports: TaskTracker,
     held: HeldAnswers,
     attempts: u64,
     asks: IntCounterVec,
@@ -180,7 +186,7 @@
                     self.committer = Some(Committer::start(Arc::new(store.clone()), self.cfg));
                 }
                 Some(message) = inbox.recv() => self.take(message),
-                Some(call) = calls.recv() => self.forwarded(call),
+                Some(call) = calls.recv() => self.asked(call),
                 () = stop.cancelled() => break,
             }
         }
@@ -188,6 +194,10 @@
         while let Ok(message) = inbox.try_recv() {
             self.take(message);
         }
+        self.reports.close();
+        if tokio::time::timeout(STOP_TIMEOUT, self.reports.wait()).await.is_err() {
+            log::warn!("some claims' ends were not given to their owners");
+        }
         if let Some(committer) = &self.committer {
             committer.settle(STOP_TIMEOUT).await;
         }
@@ -198,7 +208,8 @@
             OnceMessage::Begin { key, fingerprint, reply } => self.begin(key, fingerprint, reply),
             OnceMessage::Ended { claimant, event, answer } => {
                 if let Some(answer) = answer {
-                    self.held.hold(claimant.key.hash(), answer);
+                    let fingerprint = claimant.fingerprint;
+                    self.held.hold(claimant.key.hash(), Held { fingerprint, answer });
                 }
                 self.ended(*claimant, event);
             }
@@ -208,6 +219,17 @@
     fn begin(&mut self, key: RequestKey, body: Fingerprint, reply: oneshot::Sender<Begun>) {
         self.attempts += 1;
         let holder = ClaimId { boot: self.cx.boot(), attempt: self.attempts };
+        let claimant = Box::new(Claimant::new(holder, key, body));
+        // What this process ran itself it knows, also while the end is not recorded yet.
+        if let Some(held) = self.held.find(claimant.key.hash()) {
+            let told = match held.fingerprint == body {
+                true => Reply::Done { digest: answer_digest(&held.answer), holder },
+                false => Reply::Mismatch,
+            };
+            let answer = (held.fingerprint == body).then(|| held.answer.clone());
+            let _ = reply.send(Begun::Told { reply: told, answer });
+            return;
+        }
         let Some(committer) = self.committer.clone() else {
             let reason = NotRunReason::KvDown;
             let retry_after = Some(LAYOUT_TIMEOUT);
@@ -215,28 +237,30 @@
             let _ = reply.send(Begun::Told { reply: told, answer: None });
             return;
         };
-        let claimant = Box::new(Claimant::new(holder, key, body));
-        let recorded = claimant.key.hash();
-        let held = |digest| self.held.get(recorded, digest);
-        // What is held now is enough: a resend that overtakes the answer may ask again.
-        let answer = self.held.digest(recorded).and_then(held);
-        let (cx, tx, peers) = (self.cx.clone(), self.tx.clone(), self.peers.clone());
-        let asks = self.asks.clone();
-        let send = Send { cx, tx, peers, committer, answer, asks };
+        let send = Send {
+            cx: self.cx.clone(),
+            tx: self.tx.clone(),
+            reporter: self.reporter(committer),
+            asks: self.asks.clone(),
+        };
         tokio::spawn(send.run(claimant, reply));
     }
 
-    /// Decides on a peer's entry as the owner of its shard.
-    fn forwarded(&self, call: PeerCall) {
-        let message = match Forwarded::read(&call) {
-            Ok(message) => message,
-            Err(error) => {
-                log::warn!("peer `{}` sent what is no claim: {error}", call.from);
-                return;
+    /// Answers a peer; without an answer, the peer helps itself.
+    fn asked(&self, call: PeerCall) {
+        match Question::read(&call) {
+            Ok(Question::Commit(message)) => self.commit(message, call),
+            Ok(Question::Held { key, digest }) => {
+                let answer = self.held.get(key, digest).unwrap_or_default();
+                let _ = call.reply.send(answer.to_vec().into());
             }
-        };
+            Err(error) => log::warn!("peer `{}` sent what is no question: {error}", call.from),
+        }
+    }
+
+    /// Decides on a peer's entry as the owner of its shard.
+    fn commit(&self, message: Forwarded, call: PeerCall) {
         let committer = self.committer.clone();
-        // Without an answer, the peer writes the entry itself.
         let Some(committer) = committer.filter(|_| message.layout == self.cfg.layout) else {
             return;
         };
@@ -247,33 +271,21 @@
         });
     }
 
+    fn reporter(&self, committer: Committer) -> Reporter {
+        Reporter { peers: self.peers.clone(), committer, reports: self.reports.clone() }
+    }
+
     fn ended(&self, mut claimant: Claimant, event: ClaimEvent) {
-        let Some(committer) = &self.committer else { return };
+        let Some(committer) = self.committer.clone() else { return };
+        let reporter = self.reporter(committer);
         for action in claimant.decide(event, wall_ms(), &self.cfg) {
             if let Action::Report(end) = action {
-                let issued_ms = claimant.key.issued_ms;
-                report(&self.peers, committer, claimant.report(end), issued_ms);
+                reporter.report(claimant.report(end), claimant.key.issued_ms);
             }
         }
     }
 }
 
-/// Gives a report to the owner of its shard, or writes it here if the owner does not.
-fn report(peers: &Peers, committer: &Committer, entry: Entry, issued_ms: u64) {
-    let layout = committer.settings().layout;
-    let Some(owner) = peers.owner(layout.place(entry.key(), issued_ms).shard) else {
-        committer.report(entry, issued_ms);
-        return;
-    };
-    let (peers, committer) = (peers.clone(), committer.clone());
-    tokio::spawn(async move {
-        let answer = peers.ask(&owner, &Forwarded { issued_ms, layout, entry }).await;
-        if !matches!(answer, Answer::Decided(_)) {
-            committer.report(entry, issued_ms);
-        }
-    });
-}
-
 async fn learn_layout(store: &BudgetedStore, proposed: Layout) -> Layout {
     loop {
         match agree_layout(store, proposed, LAYOUT_TIMEOUT).await {
@@ -288,89 +300,3 @@
         tokio::time::sleep(LAYOUT_PAUSE).await;
     }
 }
-
-/// One send while it claims its key.
-struct Send {
-    cx: Context,
-    tx: mpsc::Sender<OnceMessage>,
-    peers: Peers,
-    committer: Committer,
-    answer: Option<Arc<[u8]>>,
-    asks: IntCounterVec,
-}
-
-impl Send {
-    async fn run(self, mut claimant: Box<Claimant>, reply: oneshot::Sender<Begun>) {
-        let cfg = *self.committer.settings();
-        let limit = Duration::from_millis(cfg.claim_timeout_ms);
-        let deadline = tokio::time::Instant::now() + limit;
-        let issued_ms = claimant.key.issued_ms;
-        let entry = claimant.claim();
-        let owner = self.peers.owner(cfg.layout.place(entry.key(), issued_ms).shard);
-        let begun = ClaimEvent::Begun { owner: owner.clone() };
-        let mut actions = claimant.decide(begun, wall_ms(), &cfg);
-        while let Some(Action::Ask { peer }) = actions.first() {
-            let owner = owner.as_ref().filter(|_| peer.is_some());
-            let ask = self.ask(owner, entry, issued_ms);
-            let event = match tokio::time::timeout_at(deadline, ask).await {
-                Ok(answer) => ClaimEvent::Answered(answer),
-                Err(_) => ClaimEvent::Deadline,
-            };
-            let writer = if owner.is_some() { "owner" } else { "own" };
-            self.record(&claimant, writer, &event);
-            actions = claimant.decide(event, wall_ms(), &cfg);
-        }
-        let mut begun = None;
-        for action in actions {
-            match action {
-                Action::Dispatch => {
-                    let copy = Some(claimant.clone());
-                    begun = Some(Begun::Granted(Permit { claimant: copy, tx: self.tx.clone() }));
-                }
-                Action::Reply(reply) => {
-                    let answer = match reply {
-                        Reply::Done { digest, .. } => {
-                            self.answer.clone().filter(|answer| answer_digest(answer) == digest)
-                        }
-                        _ => None,
-                    };
-                    begun = Some(Begun::Told { reply, answer });
-                }
-                Action::Report(end) => {
-                    report(&self.peers, &self.committer, claimant.report(end), issued_ms);
-                }
-                Action::Ask { .. } => {}
-            }
-        }
-        if let Some(begun) = begun
-            && let Err(Begun::Granted(permit)) = reply.send(begun)
-        {
-            // The caller went away before dispatch.
-            permit.refused();
-        }
-    }
-
-    async fn ask(&self, owner: Option<&NodeId>, entry: Entry, issued_ms: u64) -> Answer {
-        match owner {
-            Some(owner) => {
-                let layout = self.committer.settings().layout;
-                self.peers.ask(owner, &Forwarded { issued_ms, layout, entry }).await
-            }
-            None => self.committer.ask(entry, issued_ms).await,
-        }
-    }
-
-    fn record(&self, claimant: &Claimant, writer: &str, event: &ClaimEvent) {
-        let outcome = match event {
-            ClaimEvent::Answered(Answer::Decided(Verdict::Granted)) => "claimed",
-            ClaimEvent::Answered(Answer::Decided(Verdict::Taken { .. })) => "duplicate",
-            ClaimEvent::Answered(Answer::InDoubt | Answer::PeerLost) | ClaimEvent::Deadline => {
-                "unclear"
-            }
-            _ => "refused",
-        };
-        self.asks.with_label_values(&[writer, outcome]).inc();
-        let key = claimant.key.key.clone();
-        self.cx.record(Event::Claim { key, outcome: outcome.into() });
-    }
-}
--- a/crates/daemon/src/route/shell.rs
+++ b/crates/daemon/src/route/shell.rs
@@ -292,7 +292,7 @@
         deadline: need.deadline,
         tokens: need.max_tokens,
         excluded: need.exclude.clone(),
-        attempts: need.exclude.len() as u32,
+        attempts: need.attempts,
         // The relay asks again only for requests that may run again.
         repeatable: true,
     }
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -125,6 +125,7 @@
 fn name(action: &Action) -> Box<str> {
     match action {
         Action::Pick { exclude } => format!("pick without {exclude:?}"),
+        Action::PickLater => "pick later".to_owned(),
         Action::Send { attempt, group, skip } => format!("send {attempt} to {group} from {skip}"),
         Action::Resume { attempt, from } => format!("resume {attempt} from {from}"),
         Action::Cancel { attempt } => format!("cancel {attempt}"),
