Split the replay world and the repair measurement into smaller files

Ruled out: nothing; no behaviour changes. Change: deliveries of the replay world, and deployment and outcome of the repair measurement, are files of their own. Conclusion: tests of group and plan pass as before.

--- a/crates/group/src/trace/world.rs
+++ b/crates/group/src/trace/world.rs
@@ -12,28 +12,24 @@
 use base::prelude::*;
 
 use crate::keeper::Keeper;
-use crate::keeper::KeeperAction;
 use crate::keeper::KeeperEvent;
 use crate::keeper::StoredRecord;
 use crate::keeper::VmFacts;
-use crate::keeper::WriteOutcome;
 use crate::moves;
 use crate::moves::Move;
 use crate::order::OrderMessage;
-use crate::order::OrderOutcome;
-use crate::probe::ProbeAnswer;
 use crate::record::FabricRecord;
 use crate::record::GroupRecord;
-use crate::record::GroupState;
 use crate::record::Member;
 use crate::settings::KeeperSettings;
 use crate::trace::engine::Engine;
-use crate::vouch::GroupFacts;
 use crate::vouch::Poll;
 use crate::vouch::VouchMessage;
 use crate::vouch::ledger::Ledger;
 use crate::vouch::table::VoucherTable;
 
+mod deliver;
+
 /// Time between two steps of the world.
 pub const STEP: Duration = Duration::from_millis(50);
 /// Shortest time that a message takes.
@@ -261,179 +257,6 @@
         self.queue.insert((self.now + MESSAGE_DELAY + jitter, self.sequence), delivery);
     }
 
-    fn put_off(&mut self, delivery: Delivery) {
-        self.sequence += 1;
-        self.queue.insert((self.now + STEP, self.sequence), delivery);
-    }
-
-    fn deliver(&mut self, delivery: Delivery) {
-        if self.sender(&delivery).is_some_and(|seat| self.seats[seat].frozen) {
-            self.put_off(delivery);
-            return;
-        }
-        match delivery {
-            Delivery::Event { seat, event } => self.decide(seat, event),
-            Delivery::Probe { seat, vm, number } => self.deliver_probe(seat, vm, number),
-            Delivery::Order { seat, vm, number, message, deadline } => {
-                self.deliver_order(seat, vm, number, message, deadline);
-            }
-            Delivery::Kv { seat, write } => self.deliver_kv(seat, write),
-            Delivery::Poll { seat, poll } => {
-                if !self.seats[seat].cut_daemons {
-                    self.seats[seat].ledger.poll(&poll);
-                }
-            }
-            Delivery::Vouch { seat, daemon, message } => {
-                if !self.seats[seat].cut_daemons {
-                    let clock = self.daemon_clock(daemon);
-                    self.daemons[daemon].receive(&message, clock);
-                }
-            }
-        }
-    }
-
-    /// Returns the process that a delivery waits for when it is frozen.
-    fn sender(&self, delivery: &Delivery) -> Option<usize> {
-        match delivery {
-            Delivery::Probe { seat, .. }
-            | Delivery::Order { seat, .. }
-            | Delivery::Event { seat, .. }
-            | Delivery::Kv { seat, .. }
-            | Delivery::Poll { seat, .. }
-            | Delivery::Vouch { seat, .. } => Some(*seat),
-        }
-    }
-
-    fn decide(&mut self, seat: usize, event: KeeperEvent) {
-        let clock = self.seat_clock(seat);
-        let actions = self.seats[seat].keeper.decide(event, clock);
-        for action in actions {
-            self.carry_out(seat, action, clock);
-        }
-    }
-
-    fn carry_out(&mut self, seat: usize, action: KeeperAction, clock: Mono) {
-        let ledger = &mut self.seats[seat].ledger;
-        match action {
-            KeeperAction::Withdraw(group, generation) => {
-                ledger.down(&group, generation);
-                (0..self.daemons.len()).for_each(|daemon| self.send_vouchers(seat, daemon));
-            }
-            KeeperAction::Vouch(group, fresh_since) => ledger.up(facts(&group), fresh_since),
-            KeeperAction::Release(group) => ledger.release(&group),
-            KeeperAction::ReportLoad(group, load) => ledger.report_load(&group, load),
-            KeeperAction::Probe(vm, number) => {
-                self.sent += 1;
-                self.send(Delivery::Probe { seat, vm, number });
-            }
-            KeeperAction::Order(vm, number, message, deadline) => {
-                self.sent += 1;
-                self.send(Delivery::Order { seat, vm, number, message, deadline });
-            }
-            KeeperAction::AskLoad { vm, .. } => {
-                self.send(Delivery::Event { seat, event: KeeperEvent::MayLoad(vec![vm]) });
-            }
-            KeeperAction::Read => self.send(Delivery::Kv { seat, write: None }),
-            KeeperAction::Write(expected, record) => {
-                self.send(Delivery::Kv { seat, write: Some((expected, record)) });
-            }
-            KeeperAction::EndLoad(_) | KeeperAction::Record(_) => {}
-        }
-        debug_assert!(clock >= self.now, "offsets only add");
-    }
-
-    fn deliver_probe(&mut self, seat: usize, vm: VmId, number: u64) {
-        let engine = &self.engines[&vm];
-        if engine.paused {
-            self.put_off(Delivery::Probe { seat, vm, number });
-            return;
-        }
-        let event = match self.reaches(seat, &vm) {
-            true => KeeperEvent::Answered(vm, number, self.answer(&engine.clone())),
-            false => KeeperEvent::Unanswered(vm, number),
-        };
-        self.send(Delivery::Event { seat, event });
-    }
-
-    fn answer(&self, engine: &Engine) -> ProbeAnswer {
-        engine.answer(self.now)
-    }
-
-    fn deliver_order(
-        &mut self,
-        seat: usize,
-        vm: VmId,
-        number: u64,
-        message: OrderMessage,
-        deadline: Mono,
-    ) {
-        let late = self.seat_clock(seat) > deadline;
-        if !late && self.engines[&vm].paused {
-            // It has left in time and waits at the engine, however long.
-            let deadline = Mono::MAX;
-            self.put_off(Delivery::Order { seat, vm, number, message, deadline });
-            return;
-        }
-        let outcome = if late || !self.reaches(seat, &vm) {
-            OrderOutcome::Failed
-        } else {
-            let (load_time, now) = (self.load_time, self.now);
-            let engine = self.engines.get_mut(&vm).expect("the VM is one of the world");
-            engine.take(&message, load_time, now)
-        };
-        self.send(Delivery::Event { seat, event: KeeperEvent::Ordered(vm, number, outcome) });
-    }
-
-    fn deliver_kv(&mut self, seat: usize, write: Option<(u64, Box<FabricRecord>)>) {
-        self.kv_calls += 1;
-        let reachable = self.kv_mode != KvMode::Down && !self.seats[seat].cut_kv;
-        let event = match write {
-            None if !reachable => KeeperEvent::ReadFailed,
-            None => KeeperEvent::Read(Some(self.stored.clone())),
-            Some((expected, record)) => {
-                let id = record.write_id;
-                let outcome = match reachable {
-                    true => self.swap(expected, *record),
-                    false => WriteOutcome::Refused,
-                };
-                KeeperEvent::Written(id, outcome)
-            }
-        };
-        self.send(Delivery::Event { seat, event });
-    }
-
-    fn swap(&mut self, expected: u64, record: FabricRecord) -> WriteOutcome {
-        let lossy = self.kv_mode == KvMode::Lossy;
-        let done = expected == self.stored.revision;
-        if done {
-            self.store(record);
-        }
-        match (lossy, done) {
-            (true, _) => WriteOutcome::Unclear,
-            (false, true) => WriteOutcome::Done(self.stored.revision),
-            (false, false) => WriteOutcome::Conflict,
-        }
-    }
-
-    fn store(&mut self, record: FabricRecord) {
-        self.breaches.merge(record.verify());
-        for before in &self.stored.record.groups {
-            let gone = GroupState::Dissolved;
-            let after = record.group(&before.id).map_or(gone, |group| group.state);
-            let legal = before.state == after || before.state.may_become(after);
-            self.breaches
-                .check(legal, &before.id, || format!("{:?} became {after:?}", before.state));
-        }
-        for group in &record.groups {
-            self.groups.insert((group.id.clone(), group.generation), group.clone());
-        }
-        self.stored = StoredRecord { revision: self.stored.revision + 1, record };
-    }
-
-    fn reaches(&self, seat: usize, vm: &VmId) -> bool {
-        self.engines[vm].alive && !self.seats[seat].cut_vms.contains(vm)
-    }
-
     /// Checks that no daemon routes to a group with a missing member beyond the bound.
     fn check(&mut self) {
         let bound = self.settings.detection_bound();
@@ -476,14 +299,3 @@
 fn daemon_name(daemon: usize) -> NodeId {
     format!("daemon{daemon}").into()
 }
-
-fn facts(group: &GroupRecord) -> GroupFacts {
-    GroupFacts {
-        id: group.id.clone(),
-        model: group.model.clone(),
-        version: group.version.clone(),
-        adapters: group.adapters.clone(),
-        generation: group.generation,
-        leader: ([127, 0, 0, 1], 1).into(),
-    }
-}
--- a/crates/lab/src/measure/repair.rs
+++ b/crates/lab/src/measure/repair.rs
@@ -20,10 +20,12 @@
 use serde_json::json;
 
 use self::events::Trace;
-use self::fleet::Outcome;
+use self::outcome::Outcome;
 
+mod deployment;
 mod events;
 mod fleet;
+mod outcome;
 
 /// Time from a member's loss to the record that says so.
 pub const DETECTION: Duration = Duration::from_secs(3);
--- a/crates/lab/src/measure/repair/fleet.rs
+++ b/crates/lab/src/measure/repair/fleet.rs
@@ -12,65 +12,24 @@
 use plan::prelude::PlanSettings;
 use plan::prelude::Scratch;
 use plan::prelude::plan;
-use serde_json::Value;
-use serde_json::json;
 use spec::prelude::*;
 
 use crate::measure::repair::ACCELERATORS_PER_VM;
 use crate::measure::repair::DETECTION;
-use crate::measure::repair::DOMAINS;
 use crate::measure::repair::ENGINE_RATE;
 use crate::measure::repair::ENGINE_START;
-use crate::measure::repair::FABRICS_PER_DOMAIN;
 use crate::measure::repair::GROUP_BYTES;
 use crate::measure::repair::GROUPS;
 use crate::measure::repair::STORE_RATE;
-use crate::measure::repair::VMS_PER_FABRIC;
 use crate::measure::repair::VMS_PER_GROUP;
+use crate::measure::repair::deployment;
 use crate::measure::repair::events::Trace;
+use crate::measure::repair::outcome::Outcome;
 
 /// Time of a step while something happens.
 const STEP: Duration = Duration::from_secs(1);
 /// Longest step, and longest time between two plans.
 const LONG_STEP: Duration = Duration::from_secs(10);
-const MODEL: &str = "m";
-const VERSION: &str = "v";
-const REPLICA: &str = "r";
-
-/// What a run gave.
-#[data]
-pub(super) struct Outcome {
-    /// The length of each downtime of a group, in seconds.
-    pub(super) downtimes: Vec<f64>,
-    /// Stranded accelerators, in accelerator-seconds.
-    pub(super) stranded: f64,
-    /// Declared groups that did not serve, in group-seconds.
-    pub(super) total: f64,
-}
-
-impl Outcome {
-    /// Returns the group-seconds of downtime.
-    pub(super) fn total_downtime(&self) -> f64 {
-        self.total
-    }
-
-    /// Returns the figures as JSON.
-    pub(super) fn to_json(&self) -> Value {
-        let mut sorted = self.downtimes.clone();
-        sorted.sort_by(f64::total_cmp);
-        let at = |share: f64| {
-            let last = sorted.len().saturating_sub(1) as f64;
-            sorted.get((last * share).round() as usize).copied().unwrap_or(0.0)
-        };
-        json!({
-            "downtimes": sorted.len(),
-            "downtime_median_s": at(0.5),
-            "downtime_p95_s": at(0.95),
-            "downtime_total_group_s": self.total,
-            "stranded_accelerator_s": self.stranded,
-        })
-    }
-}
 
 /// A stand-in engine.
 #[derive(Clone, Debug, Default)]
@@ -144,32 +103,9 @@
 
 impl Run {
     fn new(weight: f64, settings: PlanSettings) -> Self {
-        let mut catalog = Catalog { revision: 1, ..Catalog::default() };
-        catalog.models.put(MODEL, Model { max_output_tokens: 1 });
-        let version =
-            Version { model: MODEL.into(), weights: VERSION.into(), weight_bytes: GROUP_BYTES };
-        catalog.versions.put(VERSION, version);
-        let mut engines = BTreeMap::new();
-        for fabric in 0..DOMAINS * FABRICS_PER_DOMAIN {
-            for vm in 0..VMS_PER_FABRIC {
-                let name = format!("f{fabric}-{vm:03}");
-                catalog.backend_servers.put(&name, server(fabric));
-                engines.insert(name.into(), Engine { up: true, ..Engine::default() });
-            }
-        }
-        catalog.replicas.put(
-            REPLICA,
-            Replica {
-                model: MODEL.into(),
-                version: VERSION.into(),
-                adapters: vec![],
-                count: GROUPS,
-                vms: VMS_PER_GROUP,
-                fabrics: vec![],
-                spares: 0,
-                downtime_weight: weight,
-            },
-        );
+        let catalog = deployment::catalog(weight);
+        let vms = catalog.backend_servers.iter().map(|(name, _)| name.into());
+        let engines = vms.map(|vm| (vm, Engine { up: true, ..Engine::default() })).collect();
         Run {
             now: Duration::ZERO,
             catalog,
@@ -447,14 +383,3 @@
         self.outcome
     }
 }
-
-fn server(fabric: u32) -> BackendServer {
-    BackendServer {
-        address: ([127, 0, 0, 1], 1).into(),
-        fabric: format!("f{fabric}").into(),
-        failure_domain: format!("d{}", fabric / FABRICS_PER_DOMAIN).into(),
-        accelerators: ACCELERATORS_PER_VM,
-        checks_fencing: true,
-        drain: false,
-    }
-}
