--- a/crates/daemon/src/route.rs
+++ b/crates/daemon/src/route.rs
@@ -53,7 +53,9 @@
     pub max_tokens: u32,
     /// When the caller no longer waits.
     pub deadline: Mono,
-    /// Groups that failed the request; not empty means that this is a retry.
+    /// Attempts of the request before this one.
+    pub attempts: u32,
+    /// Groups that failed the request.
     pub exclude: Vec<GroupId>,
 }
 
--- a/crates/lab/tests/once.rs
+++ b/crates/lab/tests/once.rs
@@ -13,6 +13,7 @@
 use lab::kv::KvCounts;
 use lab::plain::PlainRun;
 use lab::sample;
+use once::prelude::*;
 use procs::Deployment;
 use procs::wait_until;
 use serde_json::Value;
@@ -151,20 +152,29 @@
 
 #[tokio::test]
 async fn a_resend_runs_once_and_gets_the_recorded_outcome() {
-    let bench = Bench::start().await;
+    let mut bench = Bench::start().await;
+    bench.wait_forwarding().await;
     let first = send(bench.at[0], "/entries", "crew 7").await;
     assert_eq!(first.status, StatusCode::OK, "{first:?}");
     let same = send(bench.at[0], "/entries", "crew 7").await;
     assert_eq!((same.status, &same.body), (StatusCode::OK, &first.body), "{same:?}");
     assert!(same.is_replayed());
     // The end is reported with a short delay; until then the outcome is told as unknown.
-    wait_until("the end is recorded", || async {
+    wait_until("the other daemon gives the recorded answer", || async {
         let told = send(bench.at[1], "/entries", "crew 7").await;
         assert!(!told.is_not_run(), "{told:?}");
-        assert!(["already_done", "outcome_unknown"].contains(&&*told.code), "{told:?}");
-        told.code == "already_done"
+        if told.code == "outcome_unknown" {
+            return false;
+        }
+        assert_eq!((told.status, &told.body), (StatusCode::OK, &first.body), "{told:?}");
+        assert!(told.is_replayed());
+        true
     })
     .await;
+    // The answer goes with the process that held it; the outcome stays.
+    bench.deployment.daemons[0].kill();
+    let told = send(bench.at[1], "/entries", "crew 7").await;
+    assert_eq!((&*told.code, told.is_not_run()), ("already_done", false), "{told:?}");
     let other = send(bench.at[1], "/entries", "crew 8").await;
     assert_eq!((&*other.code, other.is_not_run()), ("key_reused", true));
     let target = format!("/apps/{}/entries", sample::SERVICE);
@@ -257,8 +267,15 @@
     };
     assert_eq!(content(&same), content(&first));
     assert!(same.is_replayed());
-    let elsewhere = ask(bench.at[1]).await;
-    assert!(["already_done", "outcome_unknown"].contains(&&*elsewhere.code), "{elsewhere:?}");
+    wait_until("the other daemon gives the recorded text", || async {
+        let elsewhere = ask(bench.at[1]).await;
+        if ["already_done", "outcome_unknown"].contains(&&*elsewhere.code) {
+            return false;
+        }
+        assert_eq!(content(&elsewhere), content(&first));
+        elsewhere.is_replayed()
+    })
+    .await;
 }
 
 /// Half of the shards belong to the frozen daemon; their claims are written by the other one.
@@ -288,3 +305,85 @@
         assert_eq!(bench.runs(path).await, 1, "{path}");
     }
 }
+
+/// Returns a path whose claim is written by `owner`.
+fn path_owned_by(owner: &str) -> String {
+    let issued_ms = issued().parse().unwrap();
+    let is_owned = |path: &String| {
+        let key = RequestKey { workspace: "club".into(), key: path.as_str().into(), issued_ms };
+        let shard = Layout::default().place(key.hash(), issued_ms).shard;
+        once::owner::owner(shard, "node-0", ["node-1"]) == owner
+    };
+    let mut paths = (0..).map(|index| format!("/stopped/{index}"));
+    paths.find(is_owned).expect("there is no end of paths")
+}
+
+/// Stops the first daemon right after a request whose claim is written by `owner`; the second
+/// daemon may be frozen meanwhile.
+async fn stop_after_a_request_of(owner: &str, is_frozen: bool) {
+    let mut bench = Bench::start().await;
+    bench.wait_forwarding().await;
+    let path = path_owned_by(owner);
+    if is_frozen {
+        bench.deployment.daemons[1].signal("STOP");
+    }
+    let told = send(bench.at[0], &path, "entry").await;
+    assert_eq!(told.status, StatusCode::OK, "{told:?}");
+    bench.deployment.daemons[0].signal("TERM");
+    assert_eq!(bench.deployment.daemons[0].wait().await, Some(0));
+    bench.deployment.daemons[1].signal("CONT");
+    let told = send(bench.at[1], &path, "entry").await;
+    assert_eq!(told.code, "already_done", "{told:?}");
+}
+
+#[tokio::test]
+async fn a_planned_stop_records_the_ends_in_its_own_shards() {
+    stop_after_a_request_of("node-0", false).await;
+}
+
+#[tokio::test]
+async fn a_planned_stop_gives_the_ends_to_the_owners_of_other_shards() {
+    stop_after_a_request_of("node-1", false).await;
+}
+
+#[tokio::test]
+async fn a_planned_stop_records_the_ends_that_a_silent_owner_did_not_take() {
+    stop_after_a_request_of("node-1", true).await;
+}
+
+/// What the sends of one key were told.
+async fn send_and_resend(at: Vec<SocketAddr>, path: String) -> Vec<Told> {
+    const SENDS: usize = 4;
+    let mut told = Vec::new();
+    for index in 0..SENDS {
+        told.push(send(at[index % at.len()], &path, "entry").await);
+    }
+    told
+}
+
+#[tokio::test]
+async fn no_key_runs_twice_while_the_key_value_service_loses_answers() {
+    const KEYS: usize = 40;
+    let bench = Bench::start().await;
+    bench.wait_forwarding().await;
+    bench.faults(json!({"lose_share": 0.3})).await;
+    let keys = (0..KEYS).map(|index| {
+        let path = format!("/many/{index}");
+        let mut at = bench.at.clone();
+        at.rotate_left(index % 2);
+        (path.clone(), tokio::spawn(send_and_resend(at, path)))
+    });
+    let keys: Vec<(String, JoinHandle<Vec<Told>>)> = keys.collect();
+    let mut answered = 0;
+    for (path, sends) in keys {
+        let told = sends.await.unwrap();
+        let runs = bench.runs(&path).await;
+        let fresh = told.iter().filter(|told| told.status.is_success() && !told.is_replayed());
+        assert_eq!(fresh.count(), runs, "{path}: {told:?}");
+        assert!(runs <= 1, "{path} ran {runs} times: {told:?}");
+        assert!(runs == 0 || told.iter().any(|told| told.status.is_success()), "{told:?}");
+        answered += runs;
+    }
+    assert!(bench.counts().await.lost > 0);
+    assert!(answered > 0, "no key ran at all");
+}
--- a/crates/member/tests/gossip.rs
+++ b/crates/member/tests/gossip.rs
@@ -301,6 +301,41 @@
     }
 }
 
+#[test]
+fn a_suspicion_from_before_a_pause_gets_its_time_after_it() {
+    let mut net = Net::new(4, calm(), 4);
+    net.run(SETTLE);
+    net.pause(1);
+    while net.held(0, 1) != Some(Status::Suspect) {
+        net.run(TICK);
+    }
+    net.pause(0);
+    net.resume(1);
+    net.run(secs(60));
+    // The tick comes before the datagrams that wait, among them the refutation.
+    net.nodes[0].is_paused = false;
+    net.event(0, Event::Tick);
+    assert_eq!(net.held(0, 1), Some(Status::Suspect));
+    net.resume(0);
+    net.run(HEAL);
+    assert_eq!(net.disagreements(), Vec::<String>::new());
+    let blamed = net.nodes[0].log.iter().any(
+        |(_, action)| matches!(action, Action::Member { claim } if claim.status == Status::Dead),
+    );
+    assert!(!blamed, "a process was held dead for the time of another one's pause");
+}
+
+#[test]
+fn a_revision_in_force_is_told_within_a_few_ticks() {
+    let mut net = Net::new(8, calm(), 5);
+    net.run(SETTLE);
+    net.event(0, Event::InForce(5));
+    net.run(TICK * 4);
+    let peers = net.nodes.iter().filter_map(|node| node.state.peer("node-0"));
+    let told = peers.filter(|peer| peer.revision == 5).count();
+    assert!(told >= Settings::default().fanout, "only {told} were told");
+}
+
 /// Returns a packet of process `index`, at the life that it has.
 fn packet(net: &Net, index: usize, message: Message, updates: Vec<Update>) -> Event {
     let me = net.nodes[index].state.me();
