--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -147,6 +147,9 @@
     /// How long a backend server may take to connect.
     #[serde(rename = "connect_timeout_ms", serialize_with = "millis")]
     pub connect_timeout: Duration,
+    /// How long a backend server may take to admit or refuse an attempt.
+    #[serde(rename = "admit_timeout_ms", serialize_with = "millis")]
+    pub admit_timeout: Duration,
     /// How long an attempt may show no progress before its first token.
     #[serde(rename = "first_token_timeout_ms", serialize_with = "millis")]
     pub first_token_timeout: Duration,
@@ -283,26 +286,6 @@
             log: f.nested("log", Log::read),
         }
     }
-
-    /// Checks what spans several fields.
-    fn check(&self, findings: &mut Findings) {
-        self.claims.check("$.claims", findings);
-        let keeper = &self.keeper;
-        findings.check(keeper.probe_timeout <= keeper.voucher_ttl, "$.keeper", || {
-            format!(
-                "probe_timeout_ms {} is above voucher_ttl_ms {}",
-                keeper.probe_timeout.as_millis(),
-                keeper.voucher_ttl.as_millis(),
-            )
-        });
-        findings.check(keeper.probe_period < keeper.voucher_ttl, "$.keeper", || {
-            format!(
-                "probe_period_ms {} is not below voucher_ttl_ms {}",
-                keeper.probe_period.as_millis(),
-                keeper.voucher_ttl.as_millis(),
-            )
-        });
-    }
 }
 
 impl Listen {
@@ -372,6 +355,7 @@
     fn read(f: &mut Fields<'_>) -> Self {
         Requests {
             connect_timeout: f.millis("connect_timeout_ms", 500, 1..=MAX_MILLIS),
+            admit_timeout: f.millis("admit_timeout_ms", 1_000, 1..=MAX_MILLIS),
             first_token_timeout: f.millis("first_token_timeout_ms", 5_000, 1..=MAX_MILLIS),
             progress_timeout: f.millis("progress_timeout_ms", 2_000, 1..=MAX_MILLIS),
             default_deadline: f.millis("default_deadline_ms", 600_000, 1..=MAX_MILLIS),
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -74,3 +74,19 @@
         let _ = Settings::try_from(text.as_str());
     }
 }
+
+#[test]
+fn what_other_processes_could_not_understand_is_found() {
+    let long = "n".repeat(65);
+    let text = format!(
+        r#"{{"node": "{long}", "failure_domain": "a",
+            "listen": {{"gossip": "0.0.0.0:7946", "peer": "[::]:7947"}},
+            "peers": {{"secrets": ["secret-number-one", "secret-number-two", "secret-number-three"]}}}}"#
+    );
+    let findings = Settings::try_from(text.as_str()).unwrap_err();
+    let places: Vec<_> = findings.iter().map(|finding| &*finding.place).collect();
+    assert_eq!(places, ["$.node", "$.peers.secrets", "$.listen.gossip", "$.listen.peer"]);
+    assert!(!findings.to_string().contains("secret-number"));
+    let alone = r#"{"node": "n", "failure_domain": "a", "listen": {"gossip": "0.0.0.0:7946"}}"#;
+    assert!(Settings::try_from(alone).is_ok(), "without peers any address will do");
+}
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -6,9 +6,11 @@
 pub mod kv;
 pub mod load;
 pub mod overload;
+pub mod plan;
 pub mod poison;
 pub mod propagate;
 pub mod relay;
+pub mod repair;
 pub mod retries;
 pub mod route;
 
@@ -26,6 +28,10 @@
     Gossip,
     /// Calls to the key-value service by kind, through an outage and after it.
     Kv,
+    /// The planner's time after the loss of a failure domain, by number of groups.
+    Plan,
+    /// Group downtime and stranded accelerators over event traces, by policy.
+    Repair,
     /// Accepted changes: time until in force at all daemons, bytes, calls, sizes.
     Propagate,
     /// Goodput before, during and after a spike of load, for each way to shed.
@@ -45,6 +51,8 @@
         Measure::Claims => claims::run().await,
         Measure::Gossip => gossip::run(),
         Measure::Kv => kv::run().await,
+        Measure::Plan => plan::run(),
+        Measure::Repair => repair::run(),
         Measure::Propagate => propagate::run().await,
         Measure::Overload => overload::run(),
         Measure::Poison => poison::run(),
--- a/crates/lab/tests/peers.rs
+++ b/crates/lab/tests/peers.rs
@@ -4,13 +4,22 @@
 mod procs;
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::UNIX_EPOCH;
 
 use base::prelude::*;
 use cli::prelude::*;
 use cli::servers::Write;
+use daemon::announce::Addresses;
+use daemon::member::View;
+use daemon::member_seeds::SEEDS_KEY;
+use daemon::member_seeds::SeedRecord;
+use daemon::names;
+use daemon::route::RouteMessage;
+use daemon::route::held::Held;
+use daemon::route::peers::FromPeer;
 use http::HeaderMap;
 use http::Method;
+use kernel::prelude::Registry;
 use kv::prelude::Store;
 use lab::kv::KvOrder;
 use lab::kv::KvServer;
@@ -20,6 +29,9 @@
 use procs::wait_until;
 use proto::peer::PullRequest;
 use proto::peer::peer_client::PeerClient;
+use route::poison::Crash;
+use route::poison::PoisonFact;
+use route::poison::Verdict;
 use serde_json::Value;
 use serde_json::json;
 use spec::api::ChangeView;
@@ -28,6 +40,7 @@
 use spec::prelude::Catalog;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
 use web::body;
 use web::client::Call;
 use web::prelude::Client;
@@ -360,3 +373,80 @@
     let name = "samphire_refusals_total{listener=\"peer\",reason=\"unauthorized\"}";
     assert_eq!(fleet.metric(0, name).await, 2.0);
 }
+
+#[tokio::test]
+async fn daemons_without_seeds_meet_through_the_record_even_if_it_is_outdated() {
+    let mut fleet = Fleet::start(0).await;
+    let nowhere = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let record = SeedRecord { addresses: vec![nowhere.local_addr().unwrap()] };
+    drop(nowhere);
+    let bytes = serde_json::to_vec(&record).unwrap();
+    fleet.kv.store.swap(SEEDS_KEY, 0, bytes.into()).await.unwrap();
+    for index in 0..3 {
+        let text = sample::settings(&format!("node-{index}"), fleet.kv_at, &[], None);
+        fleet.daemons.push(Proc::daemon(&text));
+    }
+    for index in 0..3 {
+        fleet.wait_knows(index, 2).await;
+    }
+}
+
+/// Starts a daemon in this process and returns its registry and where it gossips.
+async fn start_here(node: &str, kv: SocketAddr, seeds: &[SocketAddr]) -> (Registry, SocketAddr) {
+    let text = sample::settings(node, kv, seeds, None);
+    let settings = config::prelude::Settings::try_from(&*text).unwrap();
+    let kernel = daemon::run::kernel(settings, |_| {});
+    let registry = kernel.registry().clone();
+    let addresses: Addresses = registry.find(names::PROCESS).unwrap();
+    tokio::spawn(kernel.run());
+    loop {
+        let listening = addresses.list();
+        if listening.iter().any(|entry| entry.name == "operator") {
+            let gossip = listening.iter().find(|entry| entry.name == "gossip").unwrap();
+            return (registry, gossip.address);
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+async fn held(registry: &Registry) -> Vec<Held> {
+    let (tx, rx) = oneshot::channel();
+    let route = registry.sender::<RouteMessage>(names::ROUTE).unwrap();
+    route.send(RouteMessage::Quarantine(tx)).await.unwrap();
+    rx.await.unwrap()
+}
+
+#[tokio::test]
+async fn crashes_that_two_daemons_saw_at_once_convict_at_all() {
+    let fleet = Fleet::start(0).await;
+    let mut seeds = Vec::new();
+    let mut daemons = Vec::new();
+    for index in 0..3 {
+        let (registry, gossip) = start_here(&format!("here-{index}"), fleet.kv_at, &seeds).await;
+        seeds.push(gossip);
+        daemons.push(registry);
+    }
+    for registry in &daemons {
+        let members = registry.view::<View>(names::MEMBER).unwrap();
+        wait_until("the daemons know each other", || async {
+            members.borrow().live().count() == 2
+        })
+        .await;
+    }
+    let millis = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    for (index, registry) in daemons.iter().take(2).enumerate() {
+        let mut fact = PoisonFact::new(42);
+        let at = Hlc { millis: millis as u64, count: index as u32 };
+        fact.crashes.push(Crash { at, group: format!("g-{index}").into(), generation: 3 });
+        // Routing takes it in as if it had seen the crash, and tells the others.
+        let route = registry.sender::<RouteMessage>(names::ROUTE).unwrap();
+        route.send(RouteMessage::Peer(FromPeer::Poison(fact))).await.unwrap();
+    }
+    for registry in &daemons {
+        wait_until("both crashes are known", || async {
+            let held = held(registry).await;
+            held.iter().any(|held| held.groups.len() == 2 && held.verdict == Verdict::Convicted)
+        })
+        .await;
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
     pub use crate::life::Action;
     pub use crate::life::Life;
     pub use crate::life::LifeEvent;
+    pub use crate::life::REGROUP_PAUSE;
     pub use crate::life::RequestTerms;
     pub use crate::outcome::Failure;
     pub use crate::outcome::Outcome;
