Read a request key only where one is needed

Ruled out: ignoring a malformed key on calls that need one; they are refused, as the test now shows. Change: the key is read only for calls that may not be repeated.

--- a/crates/daemon/src/entry/apps.rs
+++ b/crates/daemon/src/entry/apps.rs
@@ -47,11 +47,10 @@
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let service = service(catalog, &workspace, name)?.clone();
     let name: ServiceId = name.into();
-    let key = claim::key_of(&workspace, &req)?;
-    let may_repeat = service.may_repeat(req.method.as_str(), path);
-    if !may_repeat && key.is_none() {
-        return Err(claim::key_missing());
-    }
+    let key = match service.may_repeat(req.method.as_str(), path) {
+        true => None,
+        false => Some(claim::key_of(&workspace, &req)?.ok_or_else(claim::key_missing)?),
+    };
     let path =
         if req.query.is_empty() { format!("/{path}") } else { format!("/{path}?{}", req.query) };
     let limit = state.settings.caller.max_body_bytes;
@@ -60,7 +59,7 @@
     let bytes =
         body::read(req.body, limit).await.map_err(|error| Problem::too_large(error.to_string()))?;
     let call = Call { method, path: &path, headers, body: bytes };
-    let Some(key) = key.filter(|_| !may_repeat) else {
+    let Some(key) = key else {
         return call_any(state, &name, &service, call).await.map(passed_response);
     };
     let target = format!("{name}{path}");
--- a/crates/lab/tests/once.rs
+++ b/crates/lab/tests/once.rs
@@ -180,6 +180,8 @@
     let target = format!("/apps/{}/entries", sample::SERVICE);
     let missing = call(bench.at[1], None, &target, "crew 9").await;
     assert_eq!((missing.status, missing.is_not_run()), (StatusCode::BAD_REQUEST, true));
+    let malformed = call(bench.at[1], Some("a b"), &target, "crew 9").await;
+    assert_eq!((malformed.status, malformed.is_not_run()), (StatusCode::BAD_REQUEST, true));
     assert_eq!(bench.runs("/entries").await, 1);
 }
 
