--- a/crates/lab/tests/operators.rs
+++ b/crates/lab/tests/operators.rs
@@ -38,8 +38,8 @@
 const TIMEOUT: Duration = Duration::from_secs(8);
 const SHARED: &str = "/api/v1/model/shared";
 
-fn start_daemon(number: usize, kv: SocketAddr) -> Proc {
-    let settings = sample::settings(&format!("node-{number}"), kv, &[], None);
+fn start_daemon(number: usize, kv: SocketAddr, seeds: &[SocketAddr]) -> Proc {
+    let settings = sample::settings(&format!("node-{number}"), kv, seeds, None);
     let mut settings: Value = serde_json::from_str(&settings).unwrap();
     settings["kv"]["timeout_ms"] = json!(KV_TIMEOUT_MS);
     settings["log"]["level"] = json!("error");
@@ -163,7 +163,12 @@
 async fn racing_operators_end_in_one_order_that_is_in_force_everywhere() {
     let kv = Proc::stand_in(&["kv"], 2);
     let (kv_at, control) = (kv.at("kv"), kv.at("kv-control"));
-    let mut daemons: Vec<Proc> = (0..DAEMONS).map(|number| start_daemon(number, kv_at)).collect();
+    let mut daemons: Vec<Proc> = Vec::new();
+    for number in 0..DAEMONS {
+        // Each joins all before it, so that the killed one is not the only way in.
+        let seeds: Vec<SocketAddr> = daemons.iter().map(|daemon| daemon.at("gossip")).collect();
+        daemons.push(start_daemon(number, kv_at, &seeds));
+    }
     let at: Vec<SocketAddr> = daemons.iter().map(|daemon| daemon.at("operator")).collect();
     let first = json!({"kind": "model", "name": "shared", "spec": {"max_output_tokens": 1}});
     let write = Write {
--- a/crates/lab/tests/procs/link.rs
+++ b/crates/lab/tests/procs/link.rs
@@ -70,10 +70,7 @@
     let born = cuts.load(Ordering::SeqCst);
     let mut buf = vec![0; 16 << 10];
     loop {
-        let count = match rx.read(&mut buf).await {
-            Ok(count) => count,
-            Err(_) => 0,
-        };
+        let count = rx.read(&mut buf).await.unwrap_or_default();
         if cuts.load(Ordering::SeqCst) != born {
             if count == 0 {
                 // The end of a silent connection does not reach the other side either.
