--- a/crates/daemon/src/exec.rs
+++ b/crates/daemon/src/exec.rs
@@ -96,6 +96,10 @@
     target: Option<Target>,
     stream: Option<ItemStream>,
     attempt: Option<Attempt>,
+    /// Whether a connection of this request has broken.
+    was_broken: bool,
+    /// Attempts that were sent.
+    attempts: u32,
 }
 
 /// What is measured of the attempt in progress.
@@ -158,6 +162,8 @@
             target,
             stream: None,
             attempt,
+            was_broken: false,
+            attempts: 0,
             state,
         }
     }
@@ -168,6 +174,7 @@
         let mut event = LifeEvent::Accepted;
         loop {
             let now = self.state.cx.now();
+            self.was_broken |= event == LifeEvent::Broken;
             let mut actions = VecDeque::from(self.life.decide(event, now));
             let mut next = None;
             while let Some(action) = actions.pop_front() {
@@ -190,10 +197,14 @@
         match action {
             Action::Pick { exclude } => {
                 self.attempt_ended(AttemptEnd::Broken);
-                let state = self.state.clone();
-                let need = self.need(exclude);
-                let picked = self.unless_given_up(pick(&state, need)).await;
-                Some(self.picked(picked))
+                Some(self.pick(exclude).await)
+            }
+            Action::PickLater => {
+                self.attempt_ended(AttemptEnd::Broken);
+                match self.unless_given_up(tokio::time::sleep(REGROUP_PAUSE)).await {
+                    Ok(()) => Some(self.pick(Vec::new()).await),
+                    Err(event) => Some(event),
+                }
             }
             Action::Send { attempt, group, skip } => Some(self.send(attempt, group, skip).await?),
             Action::Resume { attempt, from } => Some(self.resume(attempt, from).await?),
@@ -225,10 +236,18 @@
             priority: self.ask.priority,
             max_tokens: self.ask.max_tokens,
             deadline: self.state.cx.now() + (self.deadline - Instant::now()),
+            attempts: self.attempts,
             exclude,
         }
     }
 
+    async fn pick(&mut self, exclude: Vec<GroupId>) -> LifeEvent {
+        let state = self.state.clone();
+        let need = self.need(exclude);
+        let picked = self.unless_given_up(pick(&state, need)).await;
+        self.picked(picked)
+    }
+
     fn picked(&mut self, picked: Result<Picked, LifeEvent>) -> LifeEvent {
         match picked {
             Err(event) => event,
@@ -247,6 +266,7 @@
     async fn send(&mut self, attempt: AttemptId, group: GroupId, skip: u32) -> Option<LifeEvent> {
         let target = self.target.clone()?;
         self.attempt = Some(Attempt::begin(attempt, group.clone()));
+        self.attempts += 1;
         self.record_attempt(attempt, &group, "sent");
         let token = self.state.signer.sign(&self.resume_point(attempt, &target));
         if self.tx.send(Output::Token(token)).await.is_err() {
@@ -266,9 +286,11 @@
             options: self.ask.options.clone(),
             skip,
         };
-        // A pooled connection may be stale, which would leave the outcome of a call unknown.
+        // A pooled connection may be stale, which would leave the outcome of a call unknown; once
+        // one was, others may be too.
         let state = self.state.clone();
-        let client = if self.idempotent { &state.pooled } else { &state.fresh };
+        let may_pool = self.idempotent && !self.was_broken;
+        let client = if may_pool { &state.pooled } else { &state.fresh };
         let event = self.open(client, target, "/v1/generate", &generate).await;
         match event {
             Some(LifeEvent::NotSent) => self.attempt_ended(AttemptEnd::NotSent),
@@ -309,7 +331,7 @@
         self.stream = None;
         let body = serde_json::to_vec(message).expect("messages have a JSON form").into();
         let call = Call { body, ..Call::new(Method::POST, path) };
-        let timeout = self.state.settings.requests.first_token_timeout;
+        let timeout = self.state.settings.requests.admit_timeout;
         let sent = client.send(target.leader, call, timeout);
         let response = match self.unless_given_up(sent).await {
             Err(event) => return Some(event),
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -116,7 +116,8 @@
 impl KeeperService {
     fn new(cx: &Context) -> Result<Self, Fault> {
         let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
-        let store: Arc<dyn Store> = cx.registry().find(names::STORE)?;
+        let store: BudgetedStore = cx.registry().find(names::STORE)?;
+        let store: Arc<dyn Store> = Arc::new(store.with_priority(Priority::Group));
         let keeper_settings = KeeperSettings {
             probe_period: settings.keeper.probe_period,
             probe_timeout: settings.keeper.probe_timeout,
@@ -126,6 +127,7 @@
         keeper_settings.verify().into_result(()).map_err(|f| Fault::new("$.keeper", f))?;
         let (outcomes_tx, outcomes) = mpsc::channel(OUTCOMES_DEPTH);
         let ttl = keeper_settings.vouch_ttl;
+        let rate = settings.keeper.weights_bytes_per_second;
         Ok(KeeperService {
             io: io::Io::new(cx.clone(), store, outcomes_tx, keeper_settings.clone()),
             keeper_settings,
@@ -136,7 +138,7 @@
             keepers: BTreeMap::new(),
             ledger: Ledger::new(cx.node().clone(), cx.boot(), ttl),
             vouchers: VoucherTable::new(cx.node().clone(), cx.boot()),
-            loads: LoadSchedule::new(settings.keeper.weights_bytes_per_second),
+            loads: LoadSchedule::new(rate, rate),
             groups_tx: cx.publish(names::GROUPS, GroupTable::default()),
             vms_tx: cx.publish(names::GROUPS, VmReport::default()),
             report_tx: cx.publish(names::GROUPS, GroupReport::default()),
--- a/crates/relay/src/life.rs
+++ b/crates/relay/src/life.rs
@@ -7,8 +7,11 @@
 //! - A request that is not idempotent is sent again only while that holds.
 //! - An attempt that shows no progress or whose connection breaks is first resumed at the same
 //!   group over a new connection; only an idempotent request then goes to another group, never to
-//!   one that failed it, and goes on from the last delivered piece.
+//!   one that failed it, and goes on from the last delivered piece. An attempt that its engine says
+//!   never arrived does not count against the group, a few times.
 //! - Pieces reach the caller through the [`Assembler`] only.
+//! - An idempotent request that has begun and finds no group waits a bounded time for one; one that
+//!   has not begun is told at once that it was not run.
 //! - After [`Action::Finish`] nothing more is done.
 
 use base::prelude::*;
@@ -21,6 +24,12 @@
 
 /// Resumes of one attempt without a new piece in between.
 const MAX_FRUITLESS_RESUMES: u32 = 2;
+/// Attempts that their engine says never arrived, after which a group counts as failed.
+const MAX_UNHEARD_ATTEMPTS: u32 = 2;
+/// Pause before routing is asked again for a request that has begun and has no group.
+pub const REGROUP_PAUSE: Duration = Duration::from_millis(200);
+/// Such pauses without a new piece in between: 3 s, longer than a voucher needs to come back.
+const MAX_REGROUP_PAUSES: u32 = 15;
 /// When to come back after a refusal that names no time.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -74,6 +83,8 @@
         /// Groups that failed this request.
         exclude: Vec<GroupId>,
     },
+    /// Wait for [`REGROUP_PAUSE`], then ask routing for any group.
+    PickLater,
     /// Send a new attempt.
     Send {
         /// The attempt.
@@ -129,6 +140,10 @@
     delivered: u32,
     current: Option<Current>,
     failed_groups: Vec<GroupId>,
+    /// Attempts that their engine says never arrived.
+    unheard: u32,
+    /// Pauses for lack of a group since the last piece.
+    regroup_pauses: u32,
     /// Whether some attempt may have been run.
     may_have_run: bool,
     finished: bool,
@@ -142,6 +157,8 @@
             delivered: 0,
             current: None,
             failed_groups: Vec::new(),
+            unheard: 0,
+            regroup_pauses: 0,
             may_have_run: false,
             finished: false,
         }
@@ -228,11 +245,16 @@
     }
 
     fn not_picked(&mut self, failure: Failure, retry_after: Option<Duration>) -> Vec<Action> {
-        let outcome = if self.may_have_run {
-            self.run_outcome(failure)
-        } else {
-            Outcome::NotRun { failure, retry_after }
-        };
+        if !self.may_have_run {
+            return self.finish(Outcome::NotRun { failure, retry_after });
+        }
+        if failure == Failure::NoGroup && self.regroup_pauses < MAX_REGROUP_PAUSES {
+            self.regroup_pauses += 1;
+            // A group that failed it may be whole again by then.
+            self.failed_groups.clear();
+            return vec![Action::PickLater];
+        }
+        let outcome = self.run_outcome(failure);
         self.finish(outcome)
     }
 
@@ -257,6 +279,10 @@
         }
         // A refused resume says that the engine lost the attempt, not that it never ran.
         self.may_have_run = true;
+        let lost = reason == RefusalReason::UnknownAttempt;
+        if lost && !current.admitted && self.request.idempotent {
+            return self.unheard(current.group);
+        }
         let mut actions = Vec::new();
         if current.admitted && reason == RefusalReason::UnknownAttempt {
             actions.push(Action::ReportCrash { group: current.group.clone() });
@@ -265,6 +291,15 @@
         actions
     }
 
+    /// The engine says that the attempt never arrived, so the connection failed and not the group.
+    fn unheard(&mut self, group: GroupId) -> Vec<Action> {
+        self.unheard += 1;
+        if self.unheard > MAX_UNHEARD_ATTEMPTS {
+            return self.next_group(group);
+        }
+        vec![self.pick()]
+    }
+
     fn item(&mut self, item: Item) -> Vec<Action> {
         let Some(current) = &mut self.current else { return Vec::new() };
         match current.stream.accept(item) {
@@ -273,6 +308,7 @@
                 current.admitted = true;
                 current.resuming = false;
                 current.fruitless_resumes = 0;
+                self.regroup_pauses = 0;
                 self.may_have_run = true;
                 self.delivered = seq + 1;
                 vec![Action::Deliver { seq, text }]
--- a/crates/relay/tests/life.rs
+++ b/crates/relay/tests/life.rs
@@ -78,6 +78,7 @@
     fn carry_out(&mut self, action: Action) -> Vec<LifeEvent> {
         match action {
             Action::Pick { exclude } => self.pick(exclude.len()),
+            Action::PickLater => self.pick(0),
             Action::Send { attempt, skip, .. } => self.call(attempt, skip, false),
             Action::Resume { attempt, from } => self.call(attempt, from, true),
             Action::Deliver { text, .. } => {
@@ -164,7 +165,13 @@
         let Some(event) = events.pop_front() else { break };
         let actions = life.decide(event, Duration::from_millis(step));
         let asks = |action: &Action| {
-            matches!(action, Action::Send { .. } | Action::Resume { .. } | Action::Pick { .. })
+            matches!(
+                action,
+                Action::Send { .. }
+                    | Action::Resume { .. }
+                    | Action::Pick { .. }
+                    | Action::PickLater
+            )
         };
         if actions.iter().any(asks) {
             // A new call replaces the stream before it.
