End the trials of processes that died, and refuse requests that no group can take

Cause: load with kills lost one answer in a few runs: the time line showed a resend that waited a minute for a permission, since the trial of its first copy was held by the daemon that had been killed, for up to two minutes. Beside it, a queued request whose groups had all gone was held until its deadline. Ruled out: the HTTP client and the engines; the request's attempt had ended after 1 ms. Change: a coordinator ends the trials of processes that are no longer live; each tick refuses waiting requests without any group, as not run, with a time to come back. Conclusion: both have a test; the load's own test now prints what is unfinished.

--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -118,7 +118,8 @@
             Judgement::Lost => self.lost += 1,
         }
         if answer.judge(call) != Judgement::Right && self.examples.len() < 5 {
-            self.examples.push(format!("{:?}: {answer:?}", answer.judge(call)));
+            let judgement = answer.judge(call);
+            self.examples.push(format!("{judgement:?} after {resent} resends: {answer:?}"));
         }
         self.resent += resent;
         self.tokens += answer.last_piece.map_or(0, |last| u64::from(last) + 1);
@@ -215,6 +216,9 @@
         let resume = got.token.clone().zip(got.last_piece);
         let resume = resume.as_ref().map(|(token, last)| (&**token, *last));
         let more = caller::call_with(client, daemon, call, resume, |_| false).await;
+        if more.status == 0 {
+            log::warn!("request {number} got no answer from {daemon}");
+        }
         got = join(got, more);
         // Without an answer at all, or with a stream cut off by the daemon's death, an ordinary
         // client comes back; so it does when told that the request was not run.
--- a/crates/lab/tests/chaos.rs
+++ b/crates/lab/tests/chaos.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use http::Method;
 use lab::load;
 use lab::load::Ends;
 use lab::load::Load;
@@ -13,6 +14,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
 
 /// How long the load lasts in CI.
 const DEFAULT_SECONDS: u64 = 12;
@@ -47,8 +49,43 @@
     }
 }
 
+/// Sets up plain logs, which the test runner shows when the test fails.
+fn log_to_stdout() {
+    let format = fern::Dispatch::new().format(|out, message, record| {
+        out.finish(format_args!("{} {}: {message}", record.level(), record.target()));
+    });
+    let level =
+        format.level(log::LevelFilter::Warn).level_for("lab::caller", log::LevelFilter::Debug);
+    // Another test may have set it up before.
+    let _ = level.chain(std::io::stdout()).apply();
+}
+
+/// Prints the events of requests that some daemon accepted and whose callers got no end.
+async fn print_unfinished(deployment: &mut Deployment) {
+    for daemon in &mut deployment.daemons {
+        if !daemon.is_running() {
+            continue;
+        }
+        let operator = daemon.at("operator");
+        let (_, timeline) = procs::operate(operator, Method::GET, "/api/v1/timeline", None).await;
+        let events = timeline["events"].as_array().cloned().unwrap_or_default();
+        let ended = |request: &Value| {
+            events.iter().any(|event| {
+                let is_final = event["request"] == *request && event["stage"] == "final";
+                is_final && event["detail"] != "abandoned"
+            })
+        };
+        for event in events.iter().filter(|event| event["request"].is_u64()) {
+            if !ended(&event["request"]) {
+                println!("{event}");
+            }
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn no_answer_is_lost_foreign_truncated_or_doubled_while_engines_and_a_daemon_are_killed() {
+    log_to_stdout();
     let duration = Duration::from_secs(seconds());
     let mut deployment = Deployment::start(VMS, 3, &["--token-ms", "5"]).await;
     let load = Load {
@@ -66,6 +103,10 @@
     kill_at_random(&mut deployment, duration).await;
     let report = driven.await.unwrap().report();
     println!("{}", serde_json::to_string_pretty(&report).unwrap());
+    println!("the daemon that was killed: {}", deployment.daemons[1].at("caller"));
+    if report.lost > 0 {
+        print_unfinished(&mut deployment).await;
+    }
     assert_eq!((report.lost, report.foreign, report.truncated), (0, 0, 0), "{:?}", report.examples);
     assert!(report.right * 10 >= report.requests * 9, "{report:?}");
 }
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -76,15 +76,20 @@
 
     /// Removes and returns all requests that can't end in time even if they start at once.
     pub fn expire(&mut self, now: Mono) -> Vec<Waiting> {
-        let mut late = Vec::new();
+        self.take_where(|waiting| !waiting.can_end(Duration::ZERO, now))
+    }
+
+    /// Removes and returns all requests for which `is_due` holds.
+    pub fn take_where(&mut self, is_due: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
+        let mut taken = Vec::new();
         self.entries.retain(|_, waiting| {
-            let keep = waiting.can_end(Duration::ZERO, now);
-            if !keep {
-                late.push(waiting.clone());
+            let is_due = is_due(waiting);
+            if is_due {
+                taken.push(waiting.clone());
             }
-            keep
+            !is_due
         });
-        late
+        taken
     }
 
     /// Returns how many waiting requests would be served before `need`.
--- a/crates/route/src/router/act.rs
+++ b/crates/route/src/router/act.rs
@@ -56,6 +56,8 @@
                 self.limits.refresh(&self.shares, self.settings.token_capacity, now);
             }
             RouteEvent::Live { live, known } => {
+                let own = self.node.clone();
+                self.trials.end_of_dead(|holder| *holder == own || live.contains(holder));
                 self.loads.set_peers(live.len());
                 self.shares.set_live(live, known);
                 self.limits.refresh(&self.shares, self.settings.token_capacity, now);
@@ -281,6 +283,7 @@
             self.limits.refresh(&self.shares, self.settings.token_capacity, now);
         }
         self.expire_queue(now, out);
+        self.refuse_groupless(now, out);
         self.vet_again(now, out);
     }
 
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -229,6 +229,17 @@
         }
     }
 
+    /// Gives up the waiting requests that no group can take any more.
+    pub(super) fn refuse_groupless(&mut self, now: Mono, out: &mut Vec<RouteAction>) {
+        let mut queue = std::mem::replace(&mut self.queue, crate::queue::Queue::new(0));
+        let groupless = queue.take_where(|waiting| self.candidates(&waiting.need, now).is_empty());
+        self.queue = queue;
+        for waiting in groupless {
+            let refusal = refusal(RefusalReason::NoGroup, Some(NO_GROUP_RETRY_AFTER));
+            self.refuse(waiting.need.request, refusal, now, out);
+        }
+    }
+
     pub(super) fn refuse(
         &mut self,
         request: RequestId,
--- a/crates/route/src/router/vet.rs
+++ b/crates/route/src/router/vet.rs
@@ -143,10 +143,10 @@
         let fingerprint = ask.fact.fingerprint;
         match self.quarantine.verdict(fingerprint, self.wall_millis(now)) {
             Verdict::Convicted => Grant::Convicted,
-            Verdict::Clear => self.trials.start(fingerprint, ask.patience, now),
+            Verdict::Clear => self.trials.start(fingerprint, ask.node.clone(), ask.patience, now),
             Verdict::Suspect => {
                 let lanes = self.lanes(ask, now);
-                self.trials.start_suspect(fingerprint, lanes, ask.patience, now)
+                self.trials.start_suspect(fingerprint, ask.node.clone(), lanes, ask.patience, now)
             }
         }
     }
--- a/crates/route/src/trial.rs
+++ b/crates/route/src/trial.rs
@@ -15,8 +15,8 @@
 //! from the first ask. Without an answer of the coordinator nothing is run.
 //!
 //! Invariants: no two running trials have the same fingerprint, and no two suspects the same
-//! group. A trial ends when it is released, when its verdict changes, or when the deadline of the
-//! request is over.
+//! group. A trial ends when it is released, when its verdict changes, when the process that runs it
+//! is no longer live, or when the deadline of the request is over.
 
 use std::collections::BTreeMap;
 
@@ -79,6 +79,8 @@
 
 #[data]
 struct Trial {
+    /// The process that runs it.
+    holder: NodeId,
     lane: Option<Lane>,
     until: Mono,
 }
@@ -92,11 +94,17 @@
 
 impl Trials {
     /// Starts a trial of a request that is no suspect, at any group.
-    pub fn start(&mut self, fingerprint: Fingerprint, patience: Duration, now: Mono) -> Grant {
+    pub fn start(
+        &mut self,
+        fingerprint: Fingerprint,
+        holder: NodeId,
+        patience: Duration,
+        now: Mono,
+    ) -> Grant {
         if self.is_running(fingerprint, now) {
             return Grant::Wait { retry_after: TRIAL_RETRY };
         }
-        let trial = Trial { lane: None, until: now + patience.min(MAX_TRIAL) };
+        let trial = Trial { holder, lane: None, until: now + patience.min(MAX_TRIAL) };
         self.running.insert(fingerprint, trial);
         Grant::Run { group: None }
     }
@@ -105,6 +113,7 @@
     pub fn start_suspect(
         &mut self,
         fingerprint: Fingerprint,
+        holder: NodeId,
         lanes: impl IntoIterator<Item = Lane>,
         patience: Duration,
         now: Mono,
@@ -116,7 +125,7 @@
             return Grant::Wait { retry_after: TRIAL_RETRY };
         };
         let group = Some(lane.group.clone());
-        let trial = Trial { lane: Some(lane), until: now + patience.min(MAX_TRIAL) };
+        let trial = Trial { holder, lane: Some(lane), until: now + patience.min(MAX_TRIAL) };
         self.running.insert(fingerprint, trial);
         Grant::Run { group }
     }
@@ -137,6 +146,11 @@
         ended
     }
 
+    /// Ends the trials of processes for which `is_live` does not hold: nobody else will.
+    pub fn end_of_dead(&mut self, is_live: impl Fn(&NodeId) -> bool) {
+        self.running.retain(|_, trial| is_live(&trial.holder));
+    }
+
     /// Drops trials whose deadline is over.
     pub fn expire(&mut self, now: Mono) {
         self.running.retain(|_, trial| now < trial.until);
--- a/crates/route/tests/poison.rs
+++ b/crates/route/tests/poison.rs
@@ -81,8 +81,9 @@
     let lane = |group: &str| Lane { group: group.into(), generation: 1 };
     let lanes = || [lane("g1"), lane("g2")];
     let patience = Duration::from_secs(10);
-    let mut start =
-        |id: u64, secs: u64| trials.start_suspect(id, lanes(), patience, Duration::from_secs(secs));
+    let mut start = |id: u64, secs: u64| {
+        trials.start_suspect(id, "n1".into(), lanes(), patience, Duration::from_secs(secs))
+    };
     assert_eq!(start(1, 0), Grant::Run { group: Some("g1".into()) });
     assert!(matches!(start(1, 1), Grant::Wait { .. }), "the same request again");
     assert_eq!(start(2, 1), Grant::Run { group: Some("g2".into()) });
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -13,6 +13,7 @@
 use proptest::prelude::*;
 use route::poison::Crash;
 use route::prelude::*;
+use route::trial::TrialAsk;
 use spec::resource::Limits;
 
 const MS: Duration = Duration::from_millis(1);
@@ -267,3 +268,59 @@
     let next = router.decide(RouteEvent::Ask(need(2, 2, Duration::ZERO)), Duration::ZERO, 0);
     assert!(matches!(&next[..], [RouteAction::Send { .. }]), "{next:?}");
 }
+
+fn ask_of(node: &str) -> RouteEvent {
+    let ask = TrialAsk {
+        node: node.into(),
+        model: "m".into(),
+        version: "v".into(),
+        adapter: None,
+        excluded: Vec::new(),
+        fact: PoisonFact::new(7),
+        patience: Duration::from_secs(600),
+    };
+    RouteEvent::TrialAsked { ask_id: 1, ask }
+}
+
+fn grant(actions: &[RouteAction]) -> &Grant {
+    let grant = actions.iter().find_map(|action| match action {
+        RouteAction::Grant { grant, .. } => Some(grant),
+        _ => None,
+    });
+    grant.expect("an ask is answered")
+}
+
+#[test]
+fn the_trial_of_a_process_that_died_does_not_keep_a_resend_waiting() {
+    let mut router = router();
+    let live = |nodes: &[&str]| RouteEvent::Live {
+        live: nodes.iter().map(|node| (*node).into()).collect(),
+        known: 2,
+    };
+    router.decide(live(&["n2", "n3"]), MS, 0);
+    let first = router.decide(ask_of("n2"), MS, 0);
+    assert!(matches!(grant(&first), Grant::Run { .. }), "{first:?}");
+    let second = router.decide(ask_of("n3"), 2 * MS, 0);
+    assert!(matches!(grant(&second), Grant::Wait { .. }), "{second:?}");
+    router.decide(live(&["n3"]), 3 * MS, 0);
+    let third = router.decide(ask_of("n3"), 4 * MS, 0);
+    assert!(matches!(grant(&third), Grant::Run { .. }), "{third:?}");
+}
+
+#[test]
+fn a_waiting_request_whose_groups_are_gone_is_refused_at_once() {
+    let mut router = router();
+    router.decide(RouteEvent::View(table(1, 0)), MS, 0);
+    for request in 0..3 {
+        let mut need = need(request, request, MS);
+        need.deadline = Duration::from_secs(600);
+        router.decide(RouteEvent::Ask(need), MS, 0);
+    }
+    router.decide(RouteEvent::View(GroupTable::default()), 2 * MS, 0);
+    let actions = router.decide(RouteEvent::Tick, 3 * MS, 0);
+    let refused = actions.iter().any(|action| {
+        matches!(action, RouteAction::Refuse { request: 2, refusal }
+            if refusal.reason == RefusalReason::NoGroup)
+    });
+    assert!(refused, "{actions:?}");
+}
