--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -159,6 +159,8 @@
     /// Deadline of a request that names none.
     #[serde(rename = "default_deadline_ms", serialize_with = "millis")]
     pub default_deadline: Duration,
+    /// Requests that one replica group may have in progress before more wait.
+    pub group_slots: u32,
     /// Most requests that wait at once.
     pub max_queued: usize,
     /// Retries as a fraction of recent requests.
@@ -359,6 +361,7 @@
             first_token_timeout: f.millis("first_token_timeout_ms", 5_000, 1..=MAX_MILLIS),
             progress_timeout: f.millis("progress_timeout_ms", 2_000, 1..=MAX_MILLIS),
             default_deadline: f.millis("default_deadline_ms", 600_000, 1..=MAX_MILLIS),
+            group_slots: u32::try_from(f.integer("group_slots", 256, 1..=65_536)).unwrap_or(1),
             max_queued: f.size("max_queued", 1_024, 0..=1_000_000),
             retry_fraction: f.number("retry_fraction", 0.1, 0.0..=1.0),
         }
--- a/crates/daemon/src/route/shell.rs
+++ b/crates/daemon/src/route/shell.rs
@@ -67,6 +67,7 @@
     pub fn new(cx: Context, settings: &Settings, metrics: &Metrics) -> Self {
         let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let route_settings = RouteSettings {
+            group_slots: settings.requests.group_slots,
             queue_capacity: settings.requests.max_queued,
             retry_fraction: settings.requests.retry_fraction,
             wall_millis_at_start: since_1970.saturating_sub(cx.now()).as_millis() as u64,
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -13,6 +13,7 @@
 pub mod repair;
 pub mod retries;
 pub mod route;
+pub mod slopes;
 
 use clap::ValueEnum;
 use serde_json::Value;
@@ -42,6 +43,8 @@
     Retries,
     /// Ways to choose a group on a skewed trace of prompts.
     Route,
+    /// All slopes that the page of capacity uses.
+    Slopes,
 }
 
 /// Runs a measurement.
@@ -58,5 +61,6 @@
         Measure::Poison => poison::run(),
         Measure::Retries => retries::run(),
         Measure::Route => route::run(),
+        Measure::Slopes => slopes::run().await,
     }
 }
--- a/crates/lab/src/measure/relay.rs
+++ b/crates/lab/src/measure/relay.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use base::prelude::Generation;
 use config::prelude::*;
 use serde_json::Value;
 use serde_json::json;
@@ -50,9 +51,10 @@
     let daemon = runtime(DAEMON_THREADS);
     let started = engines.spawn(start_engines()).await;
     let (vms, _engines) = started.expect("the engines start");
-    let kv = engines.spawn(start_kv(vms.clone())).await.expect("the stand-in starts");
+    let started = engines.spawn(start_kv(vms.clone())).await;
+    let (kv, generations) = started.expect("the stand-in starts");
     let address = start_daemon(&daemon, kv).await;
-    let places = places(&vms);
+    let places = places(&vms, &generations);
     tokio::time::sleep(Duration::from_millis(500)).await;
     let direct = drive(Ends::Engines(places)).await;
     let before = usage::of_threads(DAEMON_THREADS);
@@ -88,7 +90,9 @@
     (vms, engines)
 }
 
-async fn start_kv(vms: Vec<Vm>) -> SocketAddr {
+/// Starts the key-value stand-in with the deployment; returns its address and the groups'
+/// generations.
+async fn start_kv(vms: Vec<Vm>) -> (SocketAddr, Vec<Generation>) {
     let mut records = sample::fabric_records(&vms);
     sample::order_engines(&vms, &mut records).await.expect("the engines take orders");
     let server = KvServer::default();
@@ -97,7 +101,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
     tokio::spawn(server.serve(listener));
-    address
+    let groups = records.iter().flat_map(|record| &record.groups);
+    (address, groups.map(|group| group.generation).collect())
 }
 
 async fn start_daemon(runtime: &Runtime, kv: SocketAddr) -> SocketAddr {
@@ -122,13 +127,13 @@
     rx.await.expect("the daemon announces itself")
 }
 
-fn places(vms: &[Vm]) -> Vec<Place> {
-    let groups = vms.chunks_exact(sample::VMS_PER_GROUP).enumerate();
+fn places(vms: &[Vm], generations: &[Generation]) -> Vec<Place> {
+    let groups = vms.chunks_exact(sample::VMS_PER_GROUP).zip(generations).enumerate();
     groups
-        .map(|(index, members)| Place {
+        .map(|(index, (members, generation))| Place {
             leader: members[0].address,
             group: format!("main-{index}").into(),
-            generation: 1,
+            generation: *generation,
         })
         .collect()
 }
