Split the shell of a request's life, and bound the race of operators

Change: what is measured of an attempt and what reads an engine's stream have files of their own; the race ends within 180 s or fails.

--- a/crates/daemon/src/exec.rs
+++ b/crates/daemon/src/exec.rs
@@ -4,6 +4,9 @@
 //! and progress, and hands pieces to the answer's writer. Every await gives way to the deadline
 //! and to the caller's going away.
 
+mod attempt;
+mod stream;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -17,28 +20,25 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use web::body;
 use web::client::Call;
 use web::prelude::Client;
 use web::prelude::ClientError;
-use web::prelude::Response;
-use web::sse;
 
 use crate::entry::State;
 use crate::entry::ask::Ask;
 use crate::entry::token::ResumePoint;
+use crate::exec::attempt::Attempt;
+use crate::exec::stream::ItemStream;
+use crate::exec::stream::refusal;
 use crate::once::Permit;
 use crate::route::AttemptEnd;
 use crate::route::Need;
 use crate::route::Picked;
-use crate::route::Report;
 use crate::route::RouteMessage;
 use crate::route::Target;
 
 /// Longest wait for the answer to a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Largest refusal that is read.
-const MAX_REFUSAL_BYTES: usize = 4_096;
 
 /// What the answer's writer gets.
 #[derive(Clone, Debug)]
@@ -102,16 +102,6 @@
     attempts: u32,
 }
 
-/// What is measured of the attempt in progress.
-struct Attempt {
-    id: AttemptId,
-    group: GroupId,
-    sent: Instant,
-    first: Option<Instant>,
-    last: Instant,
-    pieces: u32,
-}
-
 /// What a new request brings.
 pub struct Start {
     /// The request's id.
@@ -490,31 +480,6 @@
     }
 }
 
-impl Attempt {
-    fn begin(id: AttemptId, group: GroupId) -> Self {
-        let now = Instant::now();
-        Attempt { id, group, sent: now, first: None, last: now, pieces: 0 }
-    }
-
-    fn note_piece(&mut self) {
-        self.last = Instant::now();
-        self.first.get_or_insert(self.last);
-        self.pieces += 1;
-    }
-
-    fn report(&self, request: RequestId, fingerprint: u64, end: AttemptEnd) -> Report {
-        Report {
-            request,
-            fingerprint,
-            group: self.group.clone(),
-            end,
-            first_token: self.first.map(|first| first - self.sent),
-            pieces: self.pieces,
-            streaming: self.first.map_or(Duration::ZERO, |first| self.last - first),
-        }
-    }
-}
-
 async fn pick(state: &State, need: Need) -> Picked {
     let (tx, rx) = oneshot::channel();
     let message = RouteMessage::Pick { need: Box::new(need), reply: tx };
@@ -524,39 +489,3 @@
     }
     rx.await.unwrap_or(stopped)
 }
-
-async fn refusal(response: Response) -> LifeEvent {
-    let bytes = body::read(response.into_body(), MAX_REFUSAL_BYTES).await;
-    let refusal = bytes.ok().and_then(|bytes| serde_json::from_slice::<Refusal>(&bytes).ok());
-    match refusal {
-        Some(refusal) => LifeEvent::Refused(refusal.reason),
-        None => LifeEvent::Broken,
-    }
-}
-
-/// The items of an engine's stream.
-struct ItemStream {
-    response: Response,
-    reader: sse::Reader,
-}
-
-impl ItemStream {
-    fn new(response: Response) -> Self {
-        ItemStream { response, reader: sse::Reader::default() }
-    }
-
-    /// Returns the next item; `None` if the stream has ended, broken or is malformed.
-    async fn next(&mut self) -> Option<Item> {
-        loop {
-            while let Some(line) = self.reader.next_line() {
-                if let sse::Line::Data(data) = line {
-                    return serde_json::from_str(&data).ok();
-                }
-            }
-            let chunk = body::next(self.response.body_mut()).await?.ok()?;
-            if !self.reader.push(&chunk) {
-                return None;
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/exec/stream.rs
@@ -0,0 +1,48 @@
+//! Reads an engine's answer: its stream of items, or its refusal.
+
+use engine::prelude::*;
+use relay::prelude::*;
+use web::body;
+use web::prelude::Response;
+use web::sse;
+
+/// Largest refusal that is read.
+const MAX_REFUSAL_BYTES: usize = 4_096;
+
+/// Reads a refusal; an answer that is none counts as broken off.
+pub(super) async fn refusal(response: Response) -> LifeEvent {
+    let bytes = body::read(response.into_body(), MAX_REFUSAL_BYTES).await;
+    let refusal = bytes.ok().and_then(|bytes| serde_json::from_slice::<Refusal>(&bytes).ok());
+    match refusal {
+        Some(refusal) => LifeEvent::Refused(refusal.reason),
+        None => LifeEvent::Broken,
+    }
+}
+
+/// The items of an engine's stream.
+pub(super) struct ItemStream {
+    response: Response,
+    reader: sse::Reader,
+}
+
+impl ItemStream {
+    /// Reads the items of `response`.
+    pub(super) fn new(response: Response) -> Self {
+        ItemStream { response, reader: sse::Reader::default() }
+    }
+
+    /// Returns the next item; `None` if the stream has ended, broken or is malformed.
+    pub(super) async fn next(&mut self) -> Option<Item> {
+        loop {
+            while let Some(line) = self.reader.next_line() {
+                if let sse::Line::Data(data) = line {
+                    return serde_json::from_str(&data).ok();
+                }
+            }
+            let chunk = body::next(self.response.body_mut()).await?.ok()?;
+            if !self.reader.push(&chunk) {
+                return None;
+            }
+        }
+    }
+}
--- a/crates/lab/tests/operators.rs
+++ b/crates/lab/tests/operators.rs
@@ -26,6 +26,8 @@
 use spec::api::ResourceView;
 use web::prelude::Client;
 
+/// Far above what the race takes, so that a fault fails the test and does not hang it.
+const RACE_PATIENCE: Duration = Duration::from_secs(180);
 /// Changes that each operator makes until they are accepted.
 const CHANGES: u32 = 100;
 /// Each of so many changes is conditional on a resource that both operators change.
@@ -161,6 +163,11 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn racing_operators_end_in_one_order_that_is_in_force_everywhere() {
+    let raced = tokio::time::timeout(RACE_PATIENCE, race()).await;
+    assert!(raced.is_ok(), "the race did not end within {RACE_PATIENCE:?}");
+}
+
+async fn race() {
     let kv = Proc::stand_in(&["kv"], 2);
     let (kv_at, control) = (kv.at("kv"), kv.at("kv-control"));
     let mut daemons: Vec<Proc> = Vec::new();
