--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -14,6 +14,7 @@
 pub mod retries;
 pub mod route;
 pub mod slopes;
+pub mod view;
 
 use clap::ValueEnum;
 use serde_json::Value;
--- a/crates/lab/src/measure/overload.rs
+++ b/crates/lab/src/measure/overload.rs
@@ -6,12 +6,9 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 
 use base::prelude::*;
-use group::record::GroupState;
 use group::view::GroupTable;
-use group::view::GroupView;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -22,6 +19,8 @@
 
 use super::agenda::Agenda;
 
+use crate::measure::view::idle_group;
+
 const MS: Duration = Duration::from_millis(1);
 const GROUPS: usize = 8;
 const SLOTS: u32 = 8;
@@ -106,7 +105,7 @@
         let settings =
             RouteSettings { shed, group_slots: SLOTS, queue_capacity: 512, ..Default::default() };
         let mut router = Router::new("n1".into(), settings);
-        let groups = (0..GROUPS).map(view).collect();
+        let groups = (0..GROUPS).map(idle_group).collect();
         router.decide(RouteEvent::View(GroupTable { groups }), Duration::ZERO, 0);
         let mut agenda = Agenda::default();
         agenda.add(Duration::ZERO, Happening::Arrive);
@@ -224,22 +223,6 @@
     }
 }
 
-fn view(index: usize) -> GroupView {
-    GroupView {
-        id: format!("g{index}").into(),
-        model: "m".into(),
-        version: "v".into(),
-        adapters: Vec::new(),
-        generation: 1,
-        state: GroupState::Serving,
-        leader: SocketAddr::from(([127, 0, 0, 1], 1)),
-        vouched_until: Duration::MAX,
-        queued: 0,
-        running: 0,
-        reported_at: Duration::ZERO,
-    }
-}
-
 fn report(control: Control, spike: f64) -> Value {
     let curve = simulate(control, spike, 1);
     let spiked = &curve[SPIKE_SECONDS];
--- a/crates/lab/src/measure/poison/fleet.rs
+++ b/crates/lab/src/measure/poison/fleet.rs
@@ -1,7 +1,6 @@
 //! The model: routers that exchange views and facts with random delays, and groups that crash.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use base::hash::owner;
 use base::prelude::*;
@@ -19,6 +18,7 @@
 use super::Outcome;
 use super::SERVICE;
 use crate::measure::agenda::Agenda;
+use crate::measure::view::idle_group;
 
 const MS: Duration = Duration::from_millis(1);
 /// One way between a caller and a process, or between two processes.
@@ -77,7 +77,7 @@
 
 impl Fleet {
     fn new(options: Options, seed: u64) -> Self {
-        let groups = (0..options.groups).map(view).collect();
+        let groups = (0..options.groups).map(idle_group).collect();
         let table = GroupTable { groups };
         let name = |i: usize| -> NodeId { format!("n{i}").into() };
         let mut routers: Vec<Router> =
@@ -322,19 +322,3 @@
         self.options.spread.mul_f64(self.rng.random_range(0.1..1.0))
     }
 }
-
-fn view(index: usize) -> GroupView {
-    GroupView {
-        id: format!("g{index}").into(),
-        model: "m".into(),
-        version: "v".into(),
-        adapters: Vec::new(),
-        generation: 1,
-        state: GroupState::Serving,
-        leader: SocketAddr::from(([127, 0, 0, 1], 1)),
-        vouched_until: Duration::MAX,
-        queued: 0,
-        running: 0,
-        reported_at: Duration::ZERO,
-    }
-}
--- a/crates/lab/src/measure/retries.rs
+++ b/crates/lab/src/measure/retries.rs
@@ -4,12 +4,9 @@
 //! router is the real one. The baseline makes up to three further attempts for each request.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use base::prelude::*;
-use group::record::GroupState;
 use group::view::GroupTable;
-use group::view::GroupView;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -21,6 +18,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::measure::view::idle_group;
+
 const GROUPS: usize = 8;
 const REQUESTS: u64 = 20_000;
 const GAP: Duration = Duration::from_millis(10);
@@ -38,20 +37,7 @@
 }
 
 fn table() -> GroupTable {
-    let view = |index: usize| GroupView {
-        id: format!("g{index}").into(),
-        model: "m".into(),
-        version: "v".into(),
-        adapters: Vec::new(),
-        generation: 1,
-        state: GroupState::Serving,
-        leader: SocketAddr::from(([127, 0, 0, 1], 1)),
-        vouched_until: Duration::MAX,
-        queued: 0,
-        running: 0,
-        reported_at: Duration::ZERO,
-    };
-    GroupTable { groups: (0..GROUPS).map(view).collect() }
+    GroupTable { groups: (0..GROUPS).map(idle_group).collect() }
 }
 
 fn refuses(group: &str) -> bool {
--- a/crates/lab/tests/path.rs
+++ b/crates/lab/tests/path.rs
@@ -15,7 +15,6 @@
 use lab::sample;
 use procs::Deployment;
 use serde_json::Value;
-use tokio::task::JoinHandle;
 use web::body;
 use web::client::Call;
 use web::prelude::Client;
@@ -26,21 +25,6 @@
     Client::pooled(TIMEOUT)
 }
 
-/// Begins a streamed call and returns once its first piece has arrived.
-async fn begin(at: SocketAddr, call: &TextCall) -> JoinHandle<Answer> {
-    let (tx, mut rx) = tokio::sync::watch::channel(0);
-    let call = call.clone();
-    let task = tokio::spawn(async move {
-        let note = |answer: &Answer| {
-            tx.send_replace(answer.text.len());
-            false
-        };
-        caller::call_with(&client(), at, &call, None, note).await
-    });
-    rx.wait_for(|arrived| *arrived > 0).await.expect("the first piece arrives");
-    task
-}
-
 /// `volo-http` drops streams about 30 s after a signal; the stream here goes on for longer.
 #[tokio::test]
 async fn a_planned_stop_waits_for_a_stream_that_outlasts_the_librarys_limit() {
@@ -55,7 +39,7 @@
     while pieces(&long) > 450 {
         long.seed += 1;
     }
-    let stream = begin(deployment.callers()[0], &long).await;
+    let stream = procs::begin(deployment.callers()[0], &long).await;
     let signalled = Instant::now();
     deployment.daemons[0].signal("TERM");
     let answer = stream.await.unwrap();
@@ -72,7 +56,7 @@
     long.max_tokens = 200;
     let mut streams = Vec::new();
     for at in callers {
-        streams.push(begin(at, &long).await);
+        streams.push(procs::begin(at, &long).await);
     }
     deployment.daemons[0].signal("TERM");
     let mut answers = Vec::new();
--- a/crates/lab/tests/procs/mod.rs
+++ b/crates/lab/tests/procs/mod.rs
@@ -16,9 +16,12 @@
 
 use http::HeaderValue;
 use http::Method;
+use lab::caller::Answer;
+use lab::caller::TextCall;
 use lab::sample;
 use lab::sample::Vm;
 use serde_json::Value;
+use tokio::task::JoinHandle;
 use web::client::Call;
 use web::prelude::Client;
 
@@ -203,7 +206,7 @@
 pub async fn wait_serving(caller: SocketAddr) {
     let client = Client::pooled(Duration::from_secs(5));
     wait_until("a daemon serves", || async {
-        let first = lab::caller::TextCall::small("first", 0);
+        let first = TextCall::small("first", 0);
         lab::caller::call(&client, caller, &first).await.ended
     })
     .await;
@@ -254,3 +257,18 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Begins a streamed call and returns once its first piece has arrived.
+pub async fn begin(at: SocketAddr, call: &TextCall) -> JoinHandle<Answer> {
+    let (tx, mut rx) = tokio::sync::watch::channel(0);
+    let call = call.clone();
+    let task = tokio::spawn(async move {
+        let note = |answer: &Answer| {
+            tx.send_replace(answer.text.len());
+            false
+        };
+        lab::caller::call_with(&Client::pooled(PATIENCE), at, &call, None, note).await
+    });
+    rx.wait_for(|arrived| *arrived > 0).await.expect("the first piece arrives");
+    task
+}
--- a/crates/lab/tests/silence.rs
+++ b/crates/lab/tests/silence.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use lab::caller;
-use lab::caller::Answer;
 use lab::caller::Judgement;
 use lab::caller::TextCall;
 use lab::sample;
@@ -14,7 +13,6 @@
 use procs::Deployment;
 use procs::Proc;
 use procs::link::Link;
-use tokio::task::JoinHandle;
 use web::prelude::Client;
 
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -66,26 +64,11 @@
     call
 }
 
-/// Begins a streamed call; returns once its first piece has arrived.
-async fn begin(at: SocketAddr, call: &TextCall) -> JoinHandle<Answer> {
-    let (tx, mut rx) = tokio::sync::watch::channel(0);
-    let call = call.clone();
-    let task = tokio::spawn(async move {
-        let note = |answer: &Answer| {
-            tx.send_replace(answer.text.len());
-            false
-        };
-        caller::call_with(&Client::pooled(TIMEOUT), at, &call, None, note).await
-    });
-    rx.wait_for(|arrived| *arrived > 0).await.expect("the first piece arrives");
-    task
-}
-
 #[tokio::test]
 async fn a_stream_goes_on_when_its_engine_connection_goes_silent_in_mid_stream() {
     let linked = Linked::start(10).await;
     let call = long("silent in mid-stream");
-    let stream = begin(linked.caller(), &call).await;
+    let stream = procs::begin(linked.caller(), &call).await;
     linked.engines[0].cut();
     let answer = stream.await.unwrap();
     assert_eq!(answer.judge(&call), Judgement::Right, "{answer:?}");
@@ -124,7 +107,7 @@
     let front = Link::to(linked.caller()).await;
     let mut call = long("silent towards the caller");
     call.timeout = Duration::from_secs(3);
-    let stream = begin(front.address, &call).await;
+    let stream = procs::begin(front.address, &call).await;
     front.cut();
     let begun = stream.await.unwrap();
     assert_eq!(begun.judge(&call), Judgement::Lost, "the connection was not silent");
