--- a/crates/config/src/fields.rs
+++ b/crates/config/src/fields.rs
@@ -101,6 +101,19 @@
         }
     }
 
+    /// Reads `true` or `false`.
+    pub fn flag(&mut self, name: &'static str, default: bool) -> bool {
+        let value = self.value(name);
+        match value.map(Value::as_bool) {
+            None => default,
+            Some(Some(flag)) => flag,
+            Some(None) => {
+                self.misfit(name, value, "true or false");
+                default
+            }
+        }
+    }
+
     /// Reads a time in milliseconds within `range`; the field's name ends in `_ms`.
     pub fn millis(
         &mut self,
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -123,7 +123,7 @@
 
     async fn read(&self) -> Result<Records, KvError> {
         let mut found = Records::default();
-        for (key, value) in self.store.list(size::RECORD_PREFIX).await? {
+        for (key, value) in self.store.list(size::RECORD_PREFIX).await?.rows {
             match FabricRecord::try_from(&*value.value) {
                 Ok(record) => {
                     found.revisions.insert(record.fabric.clone(), value.mod_revision);
--- /dev/null
+++ b/crates/form/src/census.rs
@@ -0,0 +1,101 @@
+//! The groups that the servers' reports add up to.
+//!
+//! Invariant: a group takes requests only while all its members are there, report this very group
+//! and epoch, and none of them is leaving.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+
+use crate::server::Phase;
+use crate::server::Server;
+use crate::server::ServerId;
+use crate::spec::EngineSpec;
+
+/// A group as the reports of its members show it.
+#[data]
+pub struct Group {
+    /// Its name.
+    pub name: GroupId,
+    /// Its epoch.
+    pub epoch: Generation,
+    /// The model that its members hold, if they agree.
+    pub model: Option<ModelId>,
+    /// Its fabric domain.
+    pub fabric: Option<FabricId>,
+    /// The members that report it, by rank.
+    pub members: BTreeMap<usize, ServerId>,
+    /// The phase of the head; none if the head doesn't report the group.
+    pub head_phase: Option<Phase>,
+    /// Whether every member has joined.
+    pub joined: bool,
+    /// Whether a member is leaving.
+    pub leaving: bool,
+}
+
+impl Group {
+    /// Returns the head, if it reports the group.
+    pub fn head(&self) -> Option<&ServerId> {
+        self.members.get(&0)
+    }
+
+    /// Returns whether all `size` members report the group.
+    pub fn is_whole(&self, size: usize) -> bool {
+        self.members.len() == size && self.members.keys().copied().eq(0..size)
+    }
+
+    /// Returns whether the group takes requests.
+    pub fn serves(&self, engine: &EngineSpec) -> bool {
+        let size = self.model.as_deref().and_then(|model| engine.model(model)).map(|m| m.size);
+        self.head_phase == Some(Phase::Open)
+            && self.joined
+            && !self.leaving
+            && size.is_some_and(|size| self.is_whole(size))
+    }
+}
+
+/// All groups of one model service.
+#[data]
+#[derive(Default)]
+pub struct Census {
+    /// The groups by name and epoch.
+    pub groups: BTreeMap<(GroupId, Generation), Group>,
+}
+
+impl Census {
+    /// Counts the groups that `servers` of `service` report.
+    pub fn of<'a>(service: &str, servers: impl IntoIterator<Item = &'a Server>) -> Self {
+        let mut census = Census::default();
+        for server in servers.into_iter().filter(|server| &*server.service == service) {
+            census.add(server);
+        }
+        census
+    }
+
+    fn add(&mut self, server: &Server) {
+        let Some(membership) = &server.membership else { return };
+        let key = (membership.group.clone(), membership.epoch);
+        let group = self.groups.entry(key).or_insert_with(|| Group {
+            name: membership.group.clone(),
+            epoch: membership.epoch,
+            model: server.model.clone(),
+            fabric: server.fabric.clone(),
+            members: BTreeMap::new(),
+            head_phase: None,
+            joined: true,
+            leaving: false,
+        });
+        if group.members.insert(membership.rank, server.id.clone()).is_some() {
+            // Two servers claim one rank: the group can't be relied on.
+            group.joined = false;
+        }
+        group.joined &= membership.phase != Phase::Joining && membership.phase != Phase::Broken;
+        group.leaving |= server.state == crate::server::ServerState::Draining;
+        if group.model != server.model {
+            group.model = None;
+        }
+        if membership.rank == 0 {
+            group.head_phase = Some(membership.phase);
+        }
+    }
+}
--- /dev/null
+++ b/crates/form/src/owner.rs
@@ -0,0 +1,304 @@
+//! The owner of a service's groups: what it remembers, and the orders that it gives.
+//!
+//! [`Owner::decide`] looks at what the servers report and returns orders; [`Owner::reply`] takes
+//! their answers. What the owner remembers only saves time: an owner that starts from nothing
+//! finds all that it must know in the reports.
+//!
+//! Invariants:
+//! - `open` is ordered only after every member was seen joined under that name and epoch.
+//! - A server is given a join only if the head of its group can't serve that group any more: the
+//!   head has left it, has joined another, has given it up, or is gone. A head in a group that was
+//!   never opened may be moved at once.
+//! - Epochs rise with every group, over all owners: they begin with the owner's fencing number.
+//! - A server has at most one order in flight.
+
+mod forming;
+mod free;
+mod groups;
+mod stage;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+
+use crate::census::Census;
+use crate::census::Group;
+use crate::loads::Loads;
+use crate::server::Life;
+use crate::server::Server;
+use crate::server::ServerId;
+use crate::spec::EngineSpec;
+
+use forming::Forming;
+
+/// Bits of an epoch that count the groups of one owner.
+const EPOCH_COUNT_BITS: u32 = 16;
+/// How long a group that is not whole and was never opened is left alone.
+const INCOMPLETE_GRACE: Duration = Duration::from_millis(1_500);
+
+/// Number of an order, unique for its owner.
+pub type OrderId = u64;
+
+/// An order to a backend server.
+#[data]
+pub enum Order {
+    /// Join a group; the first of `members` is its head.
+    Join {
+        /// The group.
+        group: GroupId,
+        /// Its epoch.
+        epoch: Generation,
+        /// Its model.
+        model: ModelId,
+        /// Its members by rank.
+        members: Vec<ServerId>,
+    },
+    /// Begin to take requests.
+    Open {
+        /// The group.
+        group: GroupId,
+        /// Its epoch.
+        epoch: Generation,
+    },
+    /// Take no more requests and finish those that run.
+    Close {
+        /// The group.
+        group: GroupId,
+        /// Its epoch.
+        epoch: Generation,
+    },
+    /// Leave the group at once.
+    Leave {
+        /// The group.
+        group: GroupId,
+        /// Its epoch.
+        epoch: Generation,
+    },
+    /// Load a model's weights onto the host.
+    Stage {
+        /// The model.
+        model: ModelId,
+    },
+}
+
+/// An order with its receiver.
+#[data]
+pub struct Command {
+    /// Number of the order.
+    pub id: OrderId,
+    /// The receiver.
+    pub server: ServerId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The owner's fencing number.
+    pub fence: u64,
+    /// The order.
+    pub order: Order,
+}
+
+/// What became of an order.
+#[key]
+pub enum Reply {
+    /// Its effect stands.
+    Done,
+    /// It has begun.
+    Begun,
+    /// It doesn't fit the server's state.
+    Rejected,
+    /// A newer owner or a newer epoch is known there.
+    Fenced,
+    /// Another server listens there now.
+    Elsewhere,
+    /// Nothing listens there.
+    Refused,
+    /// The server doesn't know the order.
+    Invalid,
+    /// No answer: it may be carried out, also later.
+    Unanswered,
+}
+
+/// A server that no longer reports.
+#[data]
+pub struct Departed {
+    /// Its last report.
+    pub server: Server,
+    /// Since when its report is missing.
+    pub since: Mono,
+}
+
+/// What the owner sees.
+pub struct View<'a> {
+    /// The service whose groups it owns.
+    pub service: &'a str,
+    /// All servers that report.
+    pub servers: &'a BTreeMap<ServerId, Server>,
+    /// Servers that have ceased to report.
+    pub departed: &'a BTreeMap<ServerId, Departed>,
+    /// The engines' figures.
+    pub engine: &'a EngineSpec,
+    /// Work that callers bring, by model, as parts of the whole.
+    pub demand: &'a BTreeMap<ModelId, f64>,
+    /// Heads whose streams have all fallen silent.
+    pub silent: &'a BTreeSet<ServerId>,
+    /// Whether no request has come yet, so that loads are quick and not counted.
+    pub before_traffic: bool,
+    /// Now.
+    pub now: Mono,
+}
+
+#[derive(Clone, Debug)]
+struct InFlight {
+    server: ServerId,
+    order: Order,
+}
+
+/// The owner of one service's groups.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    fence: u64,
+    started: Mono,
+    next_group: u64,
+    next_order: OrderId,
+    loads: Loads,
+    forming: BTreeMap<GroupId, Forming>,
+    in_flight: BTreeMap<OrderId, InFlight>,
+    /// Groups whose head can't serve them any more.
+    released: BTreeSet<(GroupId, Generation)>,
+    /// The head of each group that was seen.
+    heads: BTreeMap<(GroupId, Generation), Server>,
+    /// When a group that is not whole was first seen so.
+    incomplete_since: BTreeMap<(GroupId, Generation), Mono>,
+    /// When a group was first ordered to close.
+    closed_at: BTreeMap<(GroupId, Generation), Mono>,
+    /// Models that are being staged, and until when.
+    staging: BTreeMap<Life, (ModelId, Mono)>,
+    /// When an order to a server may be repeated.
+    retry_at: BTreeMap<ServerId, Mono>,
+    fenced: bool,
+}
+
+impl Owner {
+    /// Makes an owner that holds the fencing number `fence` since `now`.
+    pub fn new(fence: u64, now: Mono) -> Self {
+        Owner {
+            fence,
+            started: now,
+            next_group: 0,
+            next_order: 0,
+            loads: Loads::new(now),
+            forming: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
+            released: BTreeSet::new(),
+            heads: BTreeMap::new(),
+            incomplete_since: BTreeMap::new(),
+            closed_at: BTreeMap::new(),
+            staging: BTreeMap::new(),
+            retry_at: BTreeMap::new(),
+            fenced: false,
+        }
+    }
+
+    /// Returns whether a server has obeyed a newer owner, so that this one must give up.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// Returns whether something is under way that is worth looking at again soon.
+    pub fn is_busy(&self) -> bool {
+        !self.forming.is_empty() || !self.in_flight.is_empty()
+    }
+
+    /// Returns the orders that the situation asks for.
+    pub fn decide(&mut self, view: &View<'_>) -> Vec<Command> {
+        let census = Census::of(view.service, view.servers.values());
+        self.remember(view, &census);
+        let mut commands = Vec::new();
+        self.drive_forming(view, &census, &mut commands);
+        self.tend_groups(view, &census, &mut commands);
+        self.form_groups(view, &census, &mut commands);
+        self.stage_models(view, &census, &mut commands);
+        commands
+    }
+
+    /// Takes the answer of order `id`; returns the order, for the log.
+    pub fn reply(&mut self, id: OrderId, reply: Reply, now: Mono) -> Option<Order> {
+        let InFlight { server, order } = self.in_flight.remove(&id)?;
+        if matches!(reply, Reply::Rejected | Reply::Unanswered | Reply::Invalid) {
+            self.retry_at.insert(server.clone(), now + retry_pause(&order));
+        }
+        match (&order, reply) {
+            (_, Reply::Fenced) => self.fenced = true,
+            (Order::Join { group, .. }, _) => self.joined(group, &server, reply, now),
+            (Order::Open { group, .. }, _) => self.opened(group, reply, now),
+            (Order::Leave { group, epoch }, Reply::Done | Reply::Begun) => {
+                self.released.insert((group.clone(), *epoch));
+            }
+            (Order::Leave { group, epoch }, Reply::Elsewhere | Reply::Refused) => {
+                self.released.insert((group.clone(), *epoch));
+            }
+            (Order::Stage { .. }, Reply::Done | Reply::Begun) => {}
+            (Order::Stage { .. }, _) => self.staging.retain(|(id, _), _| *id != server),
+            _ => {}
+        }
+        Some(order)
+    }
+
+    /// Notes heads, and forgets what no report mentions any more.
+    fn remember(&mut self, view: &View<'_>, census: &Census) {
+        for (key, group) in &census.groups {
+            if let Some(head) = group.head().and_then(|head| view.servers.get(head)) {
+                self.heads.insert(key.clone(), head.clone());
+            }
+        }
+        let census_has = |key: &(GroupId, Generation)| census.groups.contains_key(key);
+        self.heads.retain(|key, _| census_has(key));
+        self.released.retain(census_has);
+        self.closed_at.retain(|key, _| census_has(key));
+        self.incomplete_since.retain(|key, _| census_has(key));
+        let now = view.now;
+        self.staging.retain(|life, (model, until)| {
+            let server = view.servers.get(&life.0).filter(|server| server.life() == *life);
+            server.is_some_and(|server| !server.staged.contains(model)) && *until > now
+        });
+        self.retry_at.retain(|_, at| *at > now);
+    }
+
+    /// Gives `order` to `server`, unless one is in flight there or it must wait.
+    fn order(&mut self, server: &Server, order: Order, commands: &mut Vec<Command>) -> bool {
+        if self.has_order(&server.id) || self.retry_at.contains_key(&server.id) {
+            return false;
+        }
+        self.next_order += 1;
+        let id = self.next_order;
+        self.in_flight.insert(id, InFlight { server: server.id.clone(), order: order.clone() });
+        let (server, address) = (server.id.clone(), server.address);
+        commands.push(Command { id, server, address, fence: self.fence, order });
+        true
+    }
+
+    fn has_order(&self, server: &str) -> bool {
+        self.in_flight.values().any(|in_flight| &*in_flight.server == server)
+    }
+
+    fn next_epoch(&mut self, census: &Census) -> Generation {
+        self.next_group += 1;
+        let own = (self.fence << EPOCH_COUNT_BITS) + self.next_group;
+        let seen = census.groups.keys().map(|(_, epoch)| *epoch).max().unwrap_or(0);
+        own.max(seen + 1)
+    }
+
+    fn is_released(&self, group: &Group) -> bool {
+        self.released.contains(&(group.name.clone(), group.epoch))
+    }
+}
+
+/// How long to wait before an order is given again.
+fn retry_pause(order: &Order) -> Duration {
+    match order {
+        Order::Open { .. } | Order::Leave { .. } => Duration::from_millis(100),
+        Order::Join { .. } | Order::Close { .. } => Duration::from_millis(250),
+        Order::Stage { .. } => Duration::from_secs(1),
+    }
+}
--- /dev/null
+++ b/crates/form/src/owner/free.rs
@@ -0,0 +1,163 @@
+//! Which servers are free, and the groups that are formed from them.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+
+use super::Command;
+use super::Owner;
+use super::View;
+use super::forming::Forming;
+use crate::census::Census;
+use crate::compose;
+use crate::compose::Candidate;
+use crate::compose::Choice;
+use crate::compose::Need;
+use crate::server::Phase;
+use crate::server::Server;
+use crate::server::ServerId;
+use crate::server::ServerState;
+
+/// How long the head of a group must have been silent before it counts as gone for good, beyond
+/// the time after which its report goes missing.
+const GONE_AFTER: Duration = Duration::from_millis(2_500);
+/// Time of a load before the first request, as a part of the usual time.
+const EARLY_LOAD_FACTOR: f64 = 0.1;
+
+impl Owner {
+    /// Forms as many groups as the free servers allow.
+    pub(super) fn form_groups(
+        &mut self,
+        view: &View<'_>,
+        census: &Census,
+        commands: &mut Vec<Command>,
+    ) {
+        let mut free = self.free_by_fabric(view, census);
+        let mut needs = self.needs(view, census);
+        let load_factor = if view.before_traffic { EARLY_LOAD_FACTOR } else { 1.0 };
+        for candidates in free.values_mut() {
+            while let Some(choice) = compose::next(view.engine, &needs, candidates, load_factor) {
+                if !self.take_loads(&choice, view) {
+                    break;
+                }
+                candidates.retain(|c| !choice.members.contains(&c.id));
+                needs[choice.model].supply += 1.0;
+                self.form(&choice, view, census, load_factor);
+            }
+        }
+        self.drive_forming(view, census, commands);
+    }
+
+    fn take_loads(&mut self, choice: &Choice, view: &View<'_>) -> bool {
+        if view.before_traffic {
+            return true;
+        }
+        let before = self.loads.clone();
+        let taken =
+            (0..choice.loads).all(|_| self.loads.take(view.engine.loads_per_second, view.now));
+        if !taken {
+            self.loads = before;
+        }
+        taken
+    }
+
+    fn form(&mut self, choice: &Choice, view: &View<'_>, census: &Census, load_factor: f64) {
+        let epoch = self.next_epoch(census);
+        let name: GroupId = format!("g{epoch}").into();
+        let model = &view.engine.models[choice.model];
+        let servers = || choice.members.iter().map(|id| &view.servers[id]);
+        let lives = servers().map(Server::life).collect();
+        let times = servers()
+            .map(|server| self.candidate(server, view).time_to_join(model, load_factor))
+            .collect();
+        let forming = Forming::new(model.name.clone(), epoch, lives, times, view.now);
+        self.forming.insert(name, forming);
+    }
+
+    fn needs(&self, view: &View<'_>, census: &Census) -> Vec<Need> {
+        let supply = |model: &str| {
+            let serving = census.groups.values().filter(|group| {
+                group.model.as_deref() == Some(model)
+                    && group.serves(view.engine)
+                    && !self.forming.contains_key(&group.name)
+            });
+            let forming = self.forming.values().filter(|forming| &*forming.model == model);
+            (serving.count() + forming.count()) as f64
+        };
+        let models = view.engine.models.iter();
+        models
+            .map(|model| Need {
+                demand: view.demand.get(&model.name).copied().unwrap_or(0.0),
+                supply: supply(&model.name),
+            })
+            .collect()
+    }
+
+    fn free_by_fabric(
+        &self,
+        view: &View<'_>,
+        census: &Census,
+    ) -> BTreeMap<FabricId, Vec<Candidate>> {
+        let mut free: BTreeMap<FabricId, Vec<Candidate>> = BTreeMap::new();
+        for server in view.servers.values().filter(|server| &*server.service == view.service) {
+            let Some(fabric) = &server.fabric else { continue };
+            if self.is_free(server, view, census) {
+                free.entry(fabric.clone()).or_default().push(self.candidate(server, view));
+            }
+        }
+        free
+    }
+
+    pub(super) fn candidate(&self, server: &Server, view: &View<'_>) -> Candidate {
+        let staging = self.staging.get(&server.life());
+        Candidate {
+            id: server.id.clone(),
+            hot: server.model.clone(),
+            staged: server.staged.clone(),
+            staging: staging.map(|(model, until)| (model.clone(), until.saturating_sub(view.now))),
+            slow: false,
+        }
+    }
+
+    /// Returns whether `server` may be given a join.
+    pub(super) fn is_free(&self, server: &Server, view: &View<'_>, census: &Census) -> bool {
+        if server.state != ServerState::Ready || self.is_in_forming(&server.id) {
+            return false;
+        }
+        if self.has_order(&server.id) {
+            return false;
+        }
+        let Some(membership) = &server.membership else { return true };
+        let key = (membership.group.clone(), membership.epoch);
+        if self.released.contains(&key) {
+            return true;
+        }
+        let Some(group) = census.groups.get(&key) else { return true };
+        let is_head = membership.rank == 0;
+        match group.head_phase {
+            Some(Phase::Broken) => true,
+            Some(Phase::Open | Phase::Closing) => false,
+            // It can't serve its group after it has joined another.
+            Some(Phase::Joining | Phase::Ready) => is_head && group.members.len() < 2,
+            None => self.is_head_gone(&key, view),
+        }
+    }
+
+    fn is_in_forming(&self, server: &ServerId) -> bool {
+        self.forming.values().any(|forming| forming.members.iter().any(|(id, _)| id == server))
+    }
+
+    /// Returns whether the head of a group whose members still report it is gone for good.
+    fn is_head_gone(&self, key: &(GroupId, Generation), view: &View<'_>) -> bool {
+        let Some(head) = self.heads.get(key) else {
+            // No member of an earlier owner's knowledge is left; the head went before that.
+            return view.now >= self.started + GONE_AFTER * 2;
+        };
+        match (view.servers.get(&head.id), view.departed.get(&head.id)) {
+            // It reports, but not this group: it has left it, or has started again.
+            (Some(_), _) => true,
+            (None, Some(departed)) => view.now >= departed.since + GONE_AFTER,
+            (None, None) => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/form/src/owner/groups.rs
@@ -0,0 +1,120 @@
+//! Groups that stand: those that must be opened, emptied or given up.
+
+use base::prelude::*;
+
+use super::Command;
+use super::INCOMPLETE_GRACE;
+use super::Order;
+use super::Owner;
+use super::View;
+use super::forming::Forming;
+use crate::census::Census;
+use crate::census::Group;
+use crate::server::Phase;
+use crate::server::Server;
+
+/// How long a closing group may finish what it has.
+const CLOSE_WAIT: Duration = Duration::from_secs(3);
+
+impl Owner {
+    /// Opens what only waits for it, closes what a member leaves, and gives up what is not whole.
+    pub(super) fn tend_groups(
+        &mut self,
+        view: &View<'_>,
+        census: &Census,
+        commands: &mut Vec<Command>,
+    ) {
+        for (key, group) in &census.groups {
+            if self.forming.contains_key(&key.0) || self.is_released(group) {
+                continue;
+            }
+            let head = group.head().and_then(|head| view.servers.get(head));
+            match group.head_phase {
+                Some(Phase::Open) if group.serves(view.engine) => {}
+                Some(Phase::Open) if group.leaving && is_staffed(group, view) => {
+                    self.close(group, head, view, commands);
+                }
+                Some(Phase::Open) => self.give_up(group, head, commands),
+                Some(Phase::Closing) => self.finish_closing(group, head, view, commands),
+                Some(Phase::Ready) if is_adoptable(group, view) => self.adopt(group, view),
+                Some(Phase::Joining | Phase::Ready) | None => {
+                    self.give_up_incomplete(group, head, view, commands);
+                }
+                Some(Phase::Broken) => {}
+            }
+        }
+    }
+
+    fn close(
+        &mut self,
+        group: &Group,
+        head: Option<&Server>,
+        view: &View<'_>,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(head) = head else { return };
+        let key = (group.name.clone(), group.epoch);
+        let order = Order::Close { group: key.0.clone(), epoch: key.1 };
+        if self.order(head, order, commands) {
+            self.closed_at.entry(key).or_insert(view.now);
+        }
+    }
+
+    fn finish_closing(
+        &mut self,
+        group: &Group,
+        head: Option<&Server>,
+        view: &View<'_>,
+        commands: &mut Vec<Command>,
+    ) {
+        let key = (group.name.clone(), group.epoch);
+        let since = *self.closed_at.entry(key).or_insert(view.now);
+        if !is_staffed(group, view) || view.now > since + CLOSE_WAIT {
+            self.give_up(group, head, commands);
+        }
+    }
+
+    /// Orders the head to leave, which cuts off what still runs there.
+    fn give_up(&mut self, group: &Group, head: Option<&Server>, commands: &mut Vec<Command>) {
+        let Some(head) = head else { return };
+        let order = Order::Leave { group: group.name.clone(), epoch: group.epoch };
+        self.order(head, order, commands);
+    }
+
+    fn give_up_incomplete(
+        &mut self,
+        group: &Group,
+        head: Option<&Server>,
+        view: &View<'_>,
+        commands: &mut Vec<Command>,
+    ) {
+        let key = (group.name.clone(), group.epoch);
+        let since = *self.incomplete_since.entry(key.clone()).or_insert(view.now);
+        if view.now < since + INCOMPLETE_GRACE || group.members.len() < 2 {
+            return;
+        }
+        match (head, self.heads.get(&key).cloned()) {
+            (Some(head), _) => self.give_up(group, Some(head), commands),
+            // The head's report is missing: it may have lost only its way to the store.
+            (None, Some(last)) => self.give_up(group, Some(&last), commands),
+            (None, None) => {}
+        }
+    }
+
+    fn adopt(&mut self, group: &Group, view: &View<'_>) {
+        let lives = group.members.values().map(|id| view.servers[id].life()).collect();
+        let forming = Forming::adopted(group, lives, view.now);
+        self.forming.insert(group.name.clone(), forming);
+    }
+}
+
+/// Returns whether all members of a group are there and have joined.
+fn is_staffed(group: &Group, view: &View<'_>) -> bool {
+    let model = group.model.as_deref().and_then(|model| view.engine.model(model));
+    group.joined && model.is_some_and(|model| group.is_whole(model.size))
+}
+
+/// Returns whether a group only needs to be opened.
+fn is_adoptable(group: &Group, view: &View<'_>) -> bool {
+    is_staffed(group, view) && !group.leaving
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,30 @@
+//! The daemon's pass-through services: everything between callers and backend servers, on the
+//! micro-kernel, with its edges as traits.
+//!
+//! - [`run`](run()): starts all services for checked settings over given edges.
+//! - [`settings`]: the settings, declared once.
+//! - [`edges`]: what a deployment plugs in: store, decoders, orders, header names.
+//! - [`world`]: what this process believes, shared by its services.
+//! - [`follow`]: keeps the world up to date from the store.
+//! - [`owner`]: owns the replica groups, one process at a time.
+//! - [`serve`]: one request's way through the process.
+//! - [`ready`]: readiness and metrics.
+//! - [`peers`]: what the processes tell each other.
+//! - [`logging`]: log lines that never block.
+
+pub mod clock;
+pub mod edges;
+pub mod follow;
+pub mod logging;
+pub mod metrics;
+pub mod names;
+pub mod owner;
+pub mod peers;
+pub mod ready;
+mod report;
+pub mod run;
+pub mod serve;
+pub mod settings;
+pub mod world;
+
+pub use run::run;
--- /dev/null
+++ b/crates/front/src/logging.rs
@@ -0,0 +1,79 @@
+//! Log lines on standard output that never block the process.
+//!
+//! Lines go through a bounded queue to a thread that writes them. When the queue is full they are
+//! dropped and counted, and the next line that passes tells how many.
+
+use std::io::Write;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use base::prelude::*;
+
+/// Lines that may wait for the writer.
+const QUEUE_LINES: usize = 4_096;
+
+/// Lines that were dropped since the process started.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Returns how many lines were dropped.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Sets up logging for the whole process, writing to `out`.
+///
+/// # Errors
+///
+/// Fails if logging was set up before.
+pub fn set_up(node: NodeId, out: impl Write + Send + 'static) -> Result<(), log::SetLoggerError> {
+    let (tx, rx) = mpsc::sync_channel::<String>(QUEUE_LINES);
+    std::thread::spawn(move || write_lines(&rx, out));
+    fern::Dispatch::new()
+        .level(log::LevelFilter::Info)
+        .chain(fern::Output::call(move |record| {
+            let line = line(&node, record);
+            if tx.try_send(line).is_err() {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+            }
+        }))
+        .apply()
+}
+
+/// Returns a record as one JSON line. Decisions are JSON already.
+fn line(node: &str, record: &log::Record<'_>) -> String {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let at_ms = since.as_millis();
+    let level = record.level();
+    if record.target() == "decision" {
+        return format!(
+            "{{\"at_ms\":{at_ms},\"level\":\"{level}\",\"node\":\"{node}\",\"decision\":{}}}\n",
+            record.args()
+        );
+    }
+    let message = serde_json::Value::from(record.args().to_string());
+    let target = record.target();
+    format!(
+        "{{\"at_ms\":{at_ms},\"level\":\"{level}\",\"node\":\"{node}\",\"target\":\"{target}\",\
+         \"message\":{message}}}\n"
+    )
+}
+
+fn write_lines(rx: &mpsc::Receiver<String>, mut out: impl Write) {
+    let mut told = 0;
+    while let Ok(line) = rx.recv() {
+        let mut text = line;
+        while let Ok(more) = rx.try_recv() {
+            text.push_str(&more);
+        }
+        let dropped = dropped();
+        if dropped > told {
+            text.push_str(&format!("{{\"level\":\"WARN\",\"dropped_lines\":{dropped}}}\n"));
+            told = dropped;
+        }
+        // Without a reader there is nobody to tell.
+        let _ = out.write_all(text.as_bytes());
+    }
+}
--- /dev/null
+++ b/crates/front/src/serve.rs
@@ -0,0 +1,351 @@
+//! One request's way through the process.
+//!
+//! [`handle`] finds its route, waits for a place, and sends it; [`exchange`] carries one attempt;
+//! [`stream`] passes a stream on event by event and goes on elsewhere where that is allowed;
+//! [`answer`] makes the system's own answers. The decisions are in `pass`.
+//!
+//! A caller that goes away drops the future of its request, and with it the connection to the
+//! backend server and the place that the request held.
+
+mod answer;
+mod exchange;
+mod held;
+mod stream;
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use base::prelude::*;
+use bytes::Bytes;
+use futures::FutureExt;
+use kernel::prelude::*;
+use pass::dispatch::Decision;
+use pass::dispatch::Refusal;
+use pass::dispatch::Wanting;
+use pass::places::Demand;
+use pass::places::Offer;
+use pass::prelude::*;
+use pass::routes::NoRoute;
+use pass::routes::Routed;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use web::body;
+use web::body::BodyError;
+use web::prelude::*;
+
+use crate::edges::Edges;
+use crate::metrics::Metrics;
+use crate::names;
+use crate::report;
+use crate::report::Line;
+use crate::run::lame_duck;
+use crate::settings::Settings;
+use crate::world::Shared;
+
+use exchange::Attempt;
+use held::Held;
+use held::Waiting;
+
+/// Most open connections of callers.
+const MAX_CONNECTIONS: usize = 2_000;
+/// How long a new connection to a backend server may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a connection to a backend server is kept idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// How often waiting requests are looked at when nothing else happens.
+const PUMP_PERIOD: Duration = Duration::from_millis(20);
+/// Time to come back when this process doesn't know the configuration yet.
+const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(500);
+
+/// Part of the time to stop in which open requests may finish.
+const FINISH_PART: f64 = 0.6;
+
+/// Makes the service.
+pub fn service() -> Service {
+    Service::new(names::SERVE, &[names::FOLLOW], run)
+}
+
+/// What every request needs.
+pub(crate) struct State {
+    cx: Context,
+    edges: Edges,
+    shared: Arc<Shared>,
+    pool: Pool,
+    metrics: Metrics,
+}
+
+/// One request while it is being served.
+pub(crate) struct Job {
+    state: Arc<State>,
+    /// The caller's id of it.
+    id: Box<str>,
+    routed: Routed,
+    ask: Ask,
+    request: exchange::Outgoing,
+    arrived: Mono,
+    /// When its caller, or its route's time-out, gives it up.
+    deadline: Mono,
+}
+
+async fn run(cx: Context) -> Result<(), Fault> {
+    let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
+    let state = Arc::new(State {
+        cx: cx.clone(),
+        edges: cx.registry().find(names::PROCESS)?,
+        shared: cx.registry().find(names::PROCESS)?,
+        pool: Pool::new(PoolSettings {
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+        }),
+        metrics: cx.registry().find(names::PROCESS)?,
+    });
+    let listener = TcpListener::bind(settings.callers).await;
+    let listener = listener.map_err(|error| Fault::new(settings.callers.to_string(), error))?;
+    let stop = CancellationToken::new();
+    let drain = Drain::default();
+    let pump = tokio::spawn(pump_forever(state.clone()));
+    let handler = {
+        let state = state.clone();
+        Arc::new(move |request| handle(state.clone(), request).boxed())
+    };
+    let serving = serve(listener, limits(), handler, drain, stop.clone());
+    cx.ready();
+    let stopping = async {
+        cx.process_stopping().await;
+        // The balancer sends connections here until it notices that the process isn't ready.
+        tokio::time::sleep(lame_duck(settings.stop)).await;
+        stop.cancel();
+        tokio::time::sleep(settings.stop.mul_f64(FINISH_PART)).await;
+    };
+    let ended = tokio::select! {
+        ended = serving => ended,
+        () = stopping => Ok(()),
+    };
+    pump.abort();
+    ended.map_err(|problem| Fault::new(settings.callers.to_string(), problem))
+}
+
+fn limits() -> ServerLimits {
+    let limits = Limits::default();
+    ServerLimits {
+        max_header_bytes: limits.max_header_bytes * 2,
+        header_timeout: limits.header_timeout,
+        idle_timeout: limits.idle_timeout,
+        max_connections: MAX_CONNECTIONS,
+    }
+}
+
+async fn pump_forever(state: Arc<State>) {
+    let mut ticks = state.cx.every(PUMP_PERIOD);
+    loop {
+        ticks.tick().await;
+        if !state.shared.world.lock().dispatch.is_empty() {
+            state.shared.pump(state.cx.now());
+        }
+    }
+}
+
+async fn handle(state: Arc<State>, request: Request) -> Response {
+    let started = Instant::now();
+    let mut response = respond(&state, request).await;
+    if state.cx.is_process_stopping() {
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    state.metrics.answered(response.status(), started.elapsed());
+    response
+}
+
+async fn respond(state: &Arc<State>, request: Request) -> Response {
+    let arrived = state.cx.now();
+    let ask = Ask::read(&request.headers, &state.edges.dialect);
+    let id: Box<str> = ask.attempt.clone().unwrap_or_default();
+    let routed = match route(state, &request, &ask) {
+        Ok(routed) => routed,
+        Err(response) => return response,
+    };
+    let limit = state.shared.world.lock().routes.limits().max_body_bytes;
+    let request = match exchange::Outgoing::read(request, limit).await {
+        Ok(request) => request,
+        Err(error) => return answer::bad_body(&id, &error),
+    };
+    let deadline = arrived + ask.deadline.min(routed.route.timeout);
+    let job = Job { state: state.clone(), id, routed, ask, request, arrived, deadline };
+    let left = deadline.saturating_sub(state.cx.now());
+    match tokio::time::timeout(left, job.serve()).await {
+        Ok(response) => response,
+        Err(_) => answer::timed_out(),
+    }
+}
+
+fn route(state: &State, request: &Request, ask: &Ask) -> Result<Routed, Response> {
+    let table = state.shared.world.lock().routes.clone();
+    let id = ask.attempt.as_deref().unwrap_or_default();
+    if table.version() == 0 {
+        return Err(answer::refused(UNCONFIGURED_PAUSE));
+    }
+    let host = request.header("host").unwrap_or_default();
+    let found = table.find(host, &request.path, ask.key.as_deref(), id.as_bytes());
+    found.map_err(|problem| {
+        let response = match problem {
+            NoRoute::Unknown => answer::not_found(),
+            NoRoute::Unauthorized => answer::unauthorized(),
+        };
+        report::write(&Line::Unrouted {
+            request: id,
+            host,
+            path: &request.path,
+            version: table.version(),
+            status: response.status().as_u16(),
+        });
+        response
+    })
+}
+
+impl Job {
+    fn now(&self) -> Mono {
+        self.state.cx.now()
+    }
+
+    fn model(&self) -> Option<ModelId> {
+        let engine = self.routed.service.engine.as_ref()?;
+        let asked = self.ask.generation.as_ref().map(|generation| generation.model.clone());
+        asked.or_else(|| engine.models.first().map(|model| model.name.clone()))
+    }
+
+    fn prompt_tokens(&self) -> u64 {
+        self.ask.generation.as_ref().map_or(0, |generation| generation.prompt_tokens)
+    }
+
+    /// Serves the request to its final answer.
+    async fn serve(self) -> Response {
+        self.count_request();
+        let mut tried = Vec::new();
+        let mut attempts = 0;
+        let job = Arc::new(self);
+        loop {
+            let offer = match job.place(&tried).await {
+                Ok(offer) => offer,
+                Err(refused) if attempts == 0 => return refused,
+                // Another place is not to be had; what the last attempt was decides.
+                Err(refused) => return refused,
+            };
+            attempts += 1;
+            let held = Held::new(&job, offer.place.clone());
+            job.tell_sent(attempts, &offer);
+            let attempt = Attempt { job: &job, held, number: attempts };
+            let failed = match attempt.run().await {
+                Ok(response) => return response,
+                Err(failed) => failed,
+            };
+            tried.push(failed.server.clone());
+            if !job.may_retry(&failed, attempts) {
+                return answer::failed(&failed);
+            }
+        }
+    }
+
+    fn count_request(&self) {
+        let now = self.now();
+        let mut world = self.state.shared.world.lock();
+        world.requests += 1;
+        world.retries.request(&self.routed.service.name, now);
+    }
+
+    fn may_retry(&self, failed: &exchange::Failed, attempts: u32) -> bool {
+        let route = &self.routed.route;
+        if !failed.verdict.may_retry(route.repeat) {
+            return false;
+        }
+        if attempts >= route.max_attempts.max(1) && !failed.verdict.is_not_run() {
+            return false;
+        }
+        if attempts >= route.max_attempts + 2 || self.now() >= self.deadline {
+            return false;
+        }
+        let mut world = self.state.shared.world.lock();
+        let processes = world.processes();
+        // A connection that was never made has brought nothing to the backend server.
+        failed.verdict == Verdict::NotSent
+            || world.retries.take(&self.routed.service.name, processes, self.now())
+    }
+
+    /// Waits for a place.
+    async fn place(&self, tried: &[ServerIdBox]) -> Result<Offer, Response> {
+        let wanting = self.wanting(tried);
+        let asked = self.state.shared.world.lock().ask(wanting, self.now());
+        let decision = match asked {
+            Ok(decision) => decision,
+            Err((ticket, rx)) => {
+                let waiting = Waiting::new(self.state.clone(), ticket);
+                let decision = rx.await.ok();
+                waiting.done();
+                decision.unwrap_or(Decision::Wait)
+            }
+        };
+        match decision {
+            Decision::Go(offer) => Ok(offer),
+            Decision::Refuse { retry_after, reason } => Err(self.refuse(retry_after, reason)),
+            Decision::Wait => Err(answer::refused(UNCONFIGURED_PAUSE)),
+        }
+    }
+
+    fn wanting(&self, tried: &[ServerIdBox]) -> Wanting {
+        Wanting {
+            demand: Demand {
+                service: self.routed.service.name.clone(),
+                model: self.model(),
+                prompt_tokens: self.prompt_tokens(),
+                tried: tried.to_vec(),
+            },
+            arrived: self.arrived,
+            aim: self.routed.route.latency_aim,
+            deadline: self.deadline,
+            priority: self.routed.priority,
+        }
+    }
+
+    fn refuse(&self, retry_after: Duration, reason: Refusal) -> Response {
+        let waiting = self.state.shared.world.lock().dispatch.len();
+        report::write(&Line::Refused {
+            request: &self.id,
+            service: &self.routed.service.name,
+            model: self.model().as_deref().unwrap_or_default(),
+            reason: &format!("{reason:?}"),
+            waited_ms: report::millis(self.now().saturating_sub(self.arrived)),
+            waiting,
+            retry_after_ms: report::millis(retry_after),
+        });
+        answer::refused(retry_after)
+    }
+
+    fn tell_sent(&self, attempt: u32, offer: &Offer) {
+        report::write(&Line::Sent {
+            request: &self.id,
+            attempt,
+            server: &offer.place.server,
+            group: offer.place.group.as_ref().map_or("", |(name, _)| name),
+            expected_ms: report::millis(offer.time),
+            fill: offer.fill,
+            waited_ms: report::millis(self.now().saturating_sub(self.arrived)),
+        });
+    }
+}
+
+/// Id of a backend server.
+type ServerIdBox = form::server::ServerId;
+
+/// Reads a body whole, or tells that it is longer than `limit`.
+async fn read_up_to(
+    response_body: &mut volo_http::body::Body,
+    limit: usize,
+) -> Result<(Bytes, bool), BodyError> {
+    let mut buf = bytes::BytesMut::new();
+    while let Some(chunk) = body::next(response_body).await {
+        buf.extend_from_slice(&chunk?);
+        if buf.len() > limit {
+            return Ok((buf.freeze(), false));
+        }
+    }
+    Ok((buf.freeze(), true))
+}
--- /dev/null
+++ b/crates/front/src/serve/held.rs
@@ -0,0 +1,97 @@
+//! What a request holds while it waits or runs; dropping it gives it back.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use pass::dispatch::Ticket;
+use pass::prelude::*;
+
+use super::Job;
+use super::State;
+
+/// A place that a request holds.
+pub(crate) struct Held {
+    state: Arc<State>,
+    place: Place,
+    /// Tokens of the prompt that are not read yet.
+    unread: u64,
+    began: Mono,
+}
+
+impl Held {
+    /// Holds `place`, which has been counted already.
+    pub(crate) fn new(job: &Job, place: Place) -> Self {
+        let unread = job.prompt_tokens();
+        Held { state: job.state.clone(), place, unread, began: job.now() }
+    }
+
+    /// Returns the place.
+    pub(crate) fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Returns how long it has been held.
+    pub(crate) fn age(&self) -> Duration {
+        self.state.cx.now().saturating_sub(self.began)
+    }
+
+    /// Notes that the prompt has been read.
+    pub(crate) fn read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        if unread > 0 {
+            self.state.shared.world.lock().places.read(&self.place, unread);
+        }
+    }
+
+    /// Notes a whole answer.
+    pub(crate) fn succeeded(&self) {
+        self.state.shared.world.lock().places.succeeded(&self.place, self.age());
+    }
+
+    /// Notes what a failed attempt says about the place.
+    pub(crate) fn failed(&self, verdict: Verdict) {
+        let now = self.state.cx.now();
+        let mut world = self.state.shared.world.lock();
+        match verdict {
+            Verdict::Answered | Verdict::Failed => {}
+            Verdict::Full => world.places.full(&self.place, now),
+            Verdict::NotSent | Verdict::Misdirected | Verdict::Unknown => {
+                world.places.failed(&self.place, now);
+            }
+        }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.read();
+        self.state.shared.world.lock().places.ended(&self.place);
+        self.state.shared.pump(self.state.cx.now());
+    }
+}
+
+/// A ticket in the queue.
+pub(crate) struct Waiting {
+    state: Arc<State>,
+    ticket: Option<Ticket>,
+}
+
+impl Waiting {
+    /// Holds `ticket`.
+    pub(crate) fn new(state: Arc<State>, ticket: Ticket) -> Self {
+        Waiting { state, ticket: Some(ticket) }
+    }
+
+    /// Notes that the ticket was called.
+    pub(crate) fn done(mut self) {
+        self.ticket = None;
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.state.shared.world.lock().forget(ticket);
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/serve/stream.rs
@@ -0,0 +1,283 @@
+//! Passes a stream on, event by event.
+//!
+//! Only whole events are passed on. A stream that breaks off or falls silent goes on at another
+//! backend server after its last event, if its route allows that; the caller sees one answer with
+//! the headers of the first. A stream that can't go on breaks the caller's connection, so that it
+//! doesn't look complete.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use pass::events::Event;
+use pass::prelude::*;
+use volo_http::body::Body;
+use web::body;
+use web::body::BodySender;
+
+use super::Job;
+use super::exchange::Attempt;
+use super::held::Held;
+use crate::report;
+use crate::report::Line;
+
+/// How long the first event may take, as a multiple of the latency aim, before it is tried
+/// elsewhere.
+const FIRST_EVENT_AIMS: u32 = 4;
+/// Shortest time that a first event gets.
+const SHORTEST_FIRST_EVENT: Duration = Duration::from_millis(900);
+/// How long a stream may be silent, as a multiple of the pause that callers aim at.
+const SILENCE_PAUSES: u32 = 3;
+/// How long a stream may be silent where callers aim at no pause.
+const USUAL_SILENCE: Duration = Duration::from_secs(1);
+
+/// Where a stream's events come from.
+pub(super) struct Source {
+    from: Body,
+    events: Events,
+}
+
+/// How a stream's source ended.
+enum End {
+    Whole,
+    Broken(Box<str>),
+}
+
+impl Source {
+    /// Returns the next whole event.
+    async fn next(&mut self) -> Result<Event, End> {
+        loop {
+            if let Some(event) = self.events.next_event() {
+                return Ok(event);
+            }
+            match body::next(&mut self.from).await {
+                Some(Ok(chunk)) => {
+                    if !self.events.push(&chunk) {
+                        return Err(End::Broken("an event has no end".into()));
+                    }
+                }
+                Some(Err(error)) => return Err(End::Broken(error.to_string().into())),
+                None if self.events.has_rest() => {
+                    return Err(End::Broken("it ended within an event".into()));
+                }
+                None => return Err(End::Whole),
+            }
+        }
+    }
+}
+
+/// Returns how long the first event of a stream may take.
+pub(super) fn first_event_patience(job: &Job) -> Duration {
+    (job.routed.route.latency_aim * FIRST_EVENT_AIMS).max(SHORTEST_FIRST_EVENT)
+}
+
+/// Waits for the first event of a stream.
+pub(super) async fn first_event(job: &Job, from: Body) -> Result<(Event, Source), Box<str>> {
+    let mut source = Source { from, events: Events::default() };
+    match tokio::time::timeout(first_event_patience(job), source.next()).await {
+        Ok(Ok(event)) => Ok((event, source)),
+        Ok(Err(End::Broken(problem))) => Err(problem),
+        Ok(Err(End::Whole)) => Err("it ended without an event".into()),
+        Err(_) => Err("no first event in time".into()),
+    }
+}
+
+/// Passes on the rest of a long answer that is no stream of events.
+pub(super) fn pass_rest(first: Bytes, mut from: Body, held: Held) -> Body {
+    let (tx, body) = body::stream(());
+    tokio::spawn(async move {
+        let held = held;
+        if !tx.send(first).await {
+            return;
+        }
+        loop {
+            let chunk = tokio::select! {
+                () = tx.closed() => return,
+                chunk = body::next(&mut from) => chunk,
+            };
+            match chunk {
+                Some(Ok(chunk)) => {
+                    if !tx.send(chunk).await {
+                        return;
+                    }
+                }
+                Some(Err(error)) => return tx.abort(&error.to_string()).await,
+                None => return held.succeeded(),
+            }
+        }
+    });
+    body
+}
+
+/// Passes on a stream whose first event has come.
+pub(super) fn pass_events(
+    job: Arc<Job>,
+    held: Held,
+    attempts: u32,
+    first: Event,
+    source: Source,
+) -> Body {
+    let (tx, body) = body::stream(());
+    let relay = Relay {
+        tx,
+        held: Some(held),
+        attempts,
+        last_id: None,
+        events: 0,
+        first_at: job.now(),
+        last_at: job.now(),
+        longest_pause: Duration::ZERO,
+        job,
+    };
+    tokio::spawn(relay.run(first, source));
+    body
+}
+
+struct Relay {
+    job: Arc<Job>,
+    tx: BodySender,
+    held: Option<Held>,
+    attempts: u32,
+    last_id: Option<Box<str>>,
+    events: u64,
+    first_at: Mono,
+    last_at: Mono,
+    longest_pause: Duration,
+}
+
+impl Relay {
+    async fn run(mut self, first: Event, mut source: Source) {
+        if !self.pass(first).await {
+            return self.tell_gone();
+        }
+        loop {
+            let next = tokio::select! {
+                () = self.tx.closed() => return self.tell_gone(),
+                next = tokio::time::timeout(self.silence(), source.next()) => next,
+            };
+            if self.job.now() >= self.job.deadline {
+                return self.break_off("its time is up").await;
+            }
+            let problem = match next {
+                Ok(Ok(event)) => {
+                    if !self.pass(event).await {
+                        return self.tell_gone();
+                    }
+                    continue;
+                }
+                Ok(Err(End::Whole)) => return self.tell_whole(),
+                Ok(Err(End::Broken(problem))) => problem,
+                Err(_) => "the stream fell silent".into(),
+            };
+            match self.resume(&problem).await {
+                Some(resumed) => source = resumed,
+                None => return self.break_off(&problem).await,
+            }
+        }
+    }
+
+    /// Returns how long the next event may take.
+    fn silence(&self) -> Duration {
+        let left = self.job.deadline.saturating_sub(self.job.now());
+        self.longest_silence().min(left)
+    }
+
+    fn longest_silence(&self) -> Duration {
+        let route = &self.job.routed.route;
+        let may_resume = route.repeat == Repeat::Resumable && self.attempts < route.max_attempts;
+        if !may_resume {
+            // Nothing better is to be had: the caller decides how long it waits.
+            return self.job.ask.deadline;
+        }
+        route.pause_aim.map_or(USUAL_SILENCE, |pause| pause * SILENCE_PAUSES)
+    }
+
+    async fn pass(&mut self, event: Event) -> bool {
+        let now = self.job.now();
+        if self.events > 0 {
+            self.longest_pause = self.longest_pause.max(now.saturating_sub(self.last_at));
+        }
+        self.last_at = now;
+        self.events += 1;
+        if event.id.is_some() {
+            self.last_id = event.id;
+        }
+        self.tx.send(event.bytes).await
+    }
+
+    /// Goes on at another backend server, if that is allowed.
+    async fn resume(&mut self, problem: &str) -> Option<Source> {
+        let job = self.job.clone();
+        let held = self.held.take()?;
+        let server = held.place().server.clone();
+        let mut attempt = Attempt { job: &job, held, number: self.attempts };
+        let failed = attempt.fail(Verdict::Unknown, 0, problem);
+        drop(attempt);
+        let last_id = self.last_id.clone()?;
+        if !job.may_retry(&failed, self.attempts) {
+            return None;
+        }
+        let tried = [server];
+        let offer = tokio::select! {
+            () = self.tx.closed() => return None,
+            offer = job.place(&tried) => offer.ok()?,
+        };
+        self.attempts += 1;
+        let held = Held::new(&job, offer.place.clone());
+        report::write(&Line::Resumed {
+            request: &job.id,
+            server: &offer.place.server,
+            after_event: &last_id,
+        });
+        let mut attempt = Attempt { job: &job, held, number: self.attempts };
+        let response = tokio::select! {
+            () = self.tx.closed() => return None,
+            response = attempt.send(Some(&last_id)) => response.ok()?,
+        };
+        if !response.status().is_success() {
+            return None;
+        }
+        attempt.held.read();
+        self.held = Some(attempt.held);
+        Some(Source { from: response.into_body(), events: Events::default() })
+    }
+
+    async fn break_off(&self, problem: &str) {
+        report::write(&Line::BrokenOff {
+            request: &self.job.id,
+            server: self.server(),
+            problem,
+            events: self.events,
+            after_ms: report::millis(self.job.now().saturating_sub(self.job.arrived)),
+        });
+        self.tx.abort(problem).await;
+    }
+
+    fn tell_whole(&self) {
+        if let Some(held) = &self.held {
+            held.succeeded();
+        }
+        let since = |at: Mono| report::millis(at.saturating_sub(self.job.arrived));
+        report::write(&Line::Answered {
+            request: &self.job.id,
+            server: self.server(),
+            status: 200,
+            first_ms: since(self.first_at),
+            total_ms: since(self.last_at),
+            longest_pause_ms: report::millis(self.longest_pause),
+            events: self.events,
+        });
+    }
+
+    fn tell_gone(&self) {
+        report::write(&Line::CallerGone {
+            request: &self.job.id,
+            server: self.server(),
+            after_ms: report::millis(self.job.now().saturating_sub(self.job.arrived)),
+        });
+    }
+
+    fn server(&self) -> &str {
+        self.held.as_ref().map_or("", |held| &held.place().server)
+    }
+}
--- /dev/null
+++ b/crates/front/src/settings.rs
@@ -0,0 +1,78 @@
+//! The settings of a pass-through process, declared once with their defaults and bounds.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use config::fields::Fields;
+use pass::budget::BudgetSettings;
+use serde_json::Value;
+
+/// Longest time that a setting may give.
+const MAX_MILLIS: u64 = 10 * 60 * 1_000;
+
+/// The settings of a pass-through process.
+#[data]
+pub struct Settings {
+    /// Name of this process, unique in the deployment.
+    pub node: NodeId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where readiness is asked for.
+    pub readiness: SocketAddr,
+    /// Where peers connect; metrics are served here too.
+    pub peers: SocketAddr,
+    /// The platform's key-value service.
+    pub store: SocketAddr,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
+    /// Whether backend servers refuse orders with an old fencing number.
+    pub fencing: bool,
+    /// The fleet-wide retry budget.
+    pub retries: BudgetSettings,
+    /// How long a process may take to stop.
+    pub stop: Duration,
+    /// Shortest lease that the store grants.
+    pub shortest_lease: Duration,
+}
+
+impl TryFrom<&str> for Settings {
+    type Error = Findings;
+
+    fn try_from(text: &str) -> Result<Self, Findings> {
+        let mut findings = Findings::default();
+        let value: Value = match serde_json::from_str(text) {
+            Ok(value) => value,
+            Err(error) => {
+                findings.add("$", error.to_string());
+                return Err(findings);
+            }
+        };
+        let settings = read(&value, &mut findings);
+        findings.into_result(settings)
+    }
+}
+
+fn read(value: &Value, findings: &mut Findings) -> Settings {
+    let mut fields = Fields::new("$", Some(value), findings);
+    let settings = Settings {
+        node: fields.text("node", None),
+        failure_domain: fields.text("failure_domain", None),
+        callers: fields.address("callers", "127.0.0.1:0"),
+        readiness: fields.address("readiness", "127.0.0.1:0"),
+        peers: fields.address("peers", "127.0.0.1:0"),
+        store: fields.address("store", "127.0.0.1:2379"),
+        first_start: fields.flag("first_start", false),
+        fencing: fields.flag("fencing", true),
+        retries: fields.nested("retries", |fields| BudgetSettings {
+            ratio: fields.number("ratio", 0.2, 0.0..=10.0),
+            slack: fields.number("slack", 100.0, 0.0..=1e6),
+            window: fields.millis("window_ms", 10_000, 100..=MAX_MILLIS),
+        }),
+        stop: fields.millis("stop_ms", 8_000, 100..=MAX_MILLIS),
+        shortest_lease: fields.millis("shortest_lease_ms", 1_000, 1..=MAX_MILLIS),
+    };
+    fields.finish();
+    settings
+}
--- /dev/null
+++ b/crates/front/src/world.rs
@@ -0,0 +1,237 @@
+//! What this process believes: servers, routes, peers, loads. Its services share one world.
+//!
+//! The world only holds and derives; what to do about it is decided in `pass` and `form`.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use base::prelude::*;
+use form::owner::Departed;
+use form::prelude::*;
+use parking_lot::Mutex;
+use pass::budget::BudgetSettings;
+use pass::dispatch::Decision;
+use pass::dispatch::Ticket;
+use pass::prelude::*;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use crate::edges::PeerEntry;
+use crate::report;
+use crate::report::Line;
+
+/// How long a server that ceased to report is remembered.
+const DEPARTED_KEPT: Duration = Duration::from_secs(60);
+
+/// What the services of a process share.
+pub struct Shared {
+    /// What the process believes.
+    pub world: Mutex<World>,
+    /// Tells the owner that something changed that it may act on.
+    pub servers_changed: Notify,
+}
+
+/// What the process believes.
+pub struct World {
+    /// The routes in force.
+    pub routes: Arc<RouteTable>,
+    /// Servers that report.
+    pub servers: BTreeMap<ServerId, Server>,
+    /// Servers that have ceased to report.
+    pub departed: BTreeMap<ServerId, Departed>,
+    /// Other processes.
+    pub peers: BTreeMap<NodeId, PeerEntry>,
+    /// Who may get a request.
+    pub places: Places,
+    /// Requests that wait.
+    pub dispatch: Dispatch,
+    /// This process's share of the retry budget.
+    pub retries: RetryBudget,
+    /// Whether the store answers.
+    pub store_up: bool,
+    /// Requests that came for models, in seconds of group time, by model.
+    pub work: BTreeMap<ModelId, f64>,
+    /// Requests that came since the process started.
+    pub requests: u64,
+    waiters: BTreeMap<Ticket, oneshot::Sender<Decision>>,
+}
+
+impl Shared {
+    /// Makes the world of a process that knows nothing yet.
+    pub fn new(retries: BudgetSettings) -> Self {
+        let world = World {
+            routes: Arc::default(),
+            servers: BTreeMap::new(),
+            departed: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            places: Places::default(),
+            dispatch: Dispatch::default(),
+            retries: RetryBudget::new(retries),
+            store_up: false,
+            work: BTreeMap::new(),
+            requests: 0,
+            waiters: BTreeMap::new(),
+        };
+        Shared { world: Mutex::new(world), servers_changed: Notify::new() }
+    }
+
+    /// Gives places to those that wait, as far as there are any.
+    pub fn pump(&self, now: Mono) {
+        let mut world = self.world.lock();
+        while let Some((ticket, decision)) = world.poll(now) {
+            world.wake(ticket, decision);
+        }
+    }
+}
+
+impl World {
+    /// Returns how many processes are alive, this one included.
+    pub fn processes(&self) -> usize {
+        self.peers.len().max(1)
+    }
+
+    /// Puts `declared` in force, unless it is not newer.
+    pub fn set_declared(&mut self, declared: Declared, source: &str) {
+        if declared.version <= self.routes.version() {
+            return;
+        }
+        let (version, routes) = (declared.version, declared.routes.len());
+        self.routes = Arc::new(RouteTable::from(declared));
+        self.places.set_services(self.routes.services().cloned());
+        self.refresh_places();
+        report::write(&Line::InForce { version, routes, source });
+    }
+
+    /// Notes what a server says of itself.
+    pub fn set_server(&mut self, server: Server) {
+        self.departed.remove(&server.id);
+        let old = self.servers.insert(server.id.clone(), server.clone());
+        if old.as_ref() == Some(&server) {
+            return;
+        }
+        let membership = server.membership.as_ref();
+        report::write(&Line::Server {
+            server: &server.id,
+            state: if server.state == ServerState::Ready { "ready" } else { "draining" },
+            group: membership.map_or("", |m| &m.group),
+            phase: &membership.map_or(String::new(), |m| format!("{:?}", m.phase)),
+        });
+        self.refresh_places();
+    }
+
+    /// Notes that a server's report is missing.
+    pub fn remove_server(&mut self, id: &str, now: Mono) {
+        let Some(server) = self.servers.remove(id) else { return };
+        report::write(&Line::Server { server: id, state: "missing", group: "", phase: "" });
+        self.departed.insert(id.into(), Departed { server, since: now });
+        self.departed.retain(|_, departed| now < departed.since + DEPARTED_KEPT);
+        self.refresh_places();
+    }
+
+    /// Derives the places from the servers.
+    pub fn refresh_places(&mut self) {
+        let mut places = Vec::new();
+        for spec in self.routes.services() {
+            match &spec.engine {
+                Some(engine) => self.add_groups(&spec.name, engine, &mut places),
+                None => self.add_plain(&spec.name, &mut places),
+            }
+        }
+        self.places.set(places);
+    }
+
+    fn add_groups(&self, service: &str, engine: &EngineSpec, places: &mut Vec<Place>) {
+        let census = Census::of(service, self.servers.values());
+        for group in census.groups.values().filter(|group| group.serves(engine)) {
+            let head = group.head().and_then(|head| self.servers.get(head));
+            if let Some(head) = head {
+                let slots = engine.slots;
+                let name = Some((group.name.clone(), group.epoch));
+                let model = group.model.clone();
+                places.push(Place { group: name, model, slots, ..place(head) });
+            }
+        }
+    }
+
+    fn add_plain(&self, service: &str, places: &mut Vec<Place>) {
+        let servers = self.servers.values();
+        let ready = servers.filter(|s| &*s.service == service && s.state == ServerState::Ready);
+        places.extend(ready.map(place));
+    }
+
+    /// Decides on the first waiting request that needn't wait any more, and counts its place.
+    fn poll(&mut self, now: Mono) -> Option<(Ticket, Decision)> {
+        let (ticket, tokens, decision) = self.dispatch.poll(&self.places, now)?;
+        self.count(&decision, tokens);
+        Some((ticket, decision))
+    }
+
+    fn wake(&mut self, ticket: Ticket, decision: Decision) {
+        let waiter = self.waiters.remove(&ticket);
+        let unsent = match waiter {
+            Some(waiter) => waiter.send(decision).err(),
+            None => Some(decision),
+        };
+        // Its caller has gone in the meantime.
+        if let Some(Decision::Go(offer)) = unsent {
+            self.places.ended(&offer.place);
+        }
+    }
+
+    /// Decides on a new request; one that waits gets its decision through the receiver.
+    pub fn ask(
+        &mut self,
+        wanting: pass::dispatch::Wanting,
+        now: Mono,
+    ) -> Result<Decision, (Ticket, oneshot::Receiver<Decision>)> {
+        let tokens = wanting.demand.prompt_tokens;
+        let (decision, ticket) = self.dispatch.ask(wanting, &self.places, now);
+        if let Some(ticket) = ticket {
+            let (tx, rx) = oneshot::channel();
+            self.waiters.insert(ticket, tx);
+            return Err((ticket, rx));
+        }
+        self.count(&decision, tokens);
+        Ok(decision)
+    }
+
+    /// Forgets a waiting request whose caller has gone.
+    pub fn forget(&mut self, ticket: Ticket) {
+        self.dispatch.forget(ticket);
+        self.waiters.remove(&ticket);
+    }
+
+    fn count(&mut self, decision: &Decision, tokens: u64) {
+        if let Decision::Go(offer) = decision {
+            self.places.began(&offer.place, tokens);
+        }
+    }
+
+    /// Returns the demand by model, as parts of the whole: what came, or what was declared.
+    pub fn demand(&self, engine: &EngineSpec) -> BTreeMap<ModelId, f64> {
+        let models = engine.models.iter();
+        let declared: f64 = models.clone().map(|model| model.share * model.pace).sum();
+        models
+            .map(|model| (model.name.clone(), model.share * model.pace / declared.max(1e-9)))
+            .collect()
+    }
+
+    /// Returns heads whose streams have all fallen silent.
+    pub fn silent(&self) -> BTreeSet<ServerId> {
+        BTreeSet::new()
+    }
+}
+
+fn place(server: &Server) -> Place {
+    Place {
+        server: server.id.clone(),
+        address: server.address,
+        service: server.service.clone(),
+        group: None,
+        model: None,
+        slots: server.slots,
+        failure_domain: server.failure_domain.clone(),
+        born_ms: server.born_ms,
+    }
+}
--- a/crates/kv/src/budgeted.rs
+++ b/crates/kv/src/budgeted.rs
@@ -15,6 +15,7 @@
 use crate::gate::Share;
 use crate::store::Answer;
 use crate::store::KvError;
+use crate::store::Listed;
 use crate::store::Store;
 use crate::store::Swap;
 use crate::store::Versioned;
@@ -128,7 +129,7 @@
         Box::pin(self.pass(CallKind::Read, |counts| counts.gets += 1, call))
     }
 
-    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Vec<(Box<str>, Versioned)>> {
+    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Listed> {
         let call = self.shared.store.list(prefix);
         Box::pin(self.pass(CallKind::Read, |counts| counts.lists += 1, call))
     }
--- a/crates/kv/src/etcd.rs
+++ b/crates/kv/src/etcd.rs
@@ -29,6 +29,7 @@
 use crate::etcd_watch;
 use crate::store::Answer;
 use crate::store::KvError;
+use crate::store::Listed;
 use crate::store::Store;
 use crate::store::Swap;
 use crate::store::Versioned;
@@ -319,11 +320,13 @@
         })
     }
 
-    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Vec<(Box<str>, Versioned)>> {
+    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Listed> {
         Box::pin(async move {
             let answer = self.range(prefix, prefix_end(prefix)).await?;
+            let revision = answer.header.map_or(0, |header| header.revision.max(0) as u64);
             let rows = answer.kvs.into_iter();
-            rows.map(|record| Ok((key_text(&record.key)?, versioned(record)))).collect()
+            let rows = rows.map(|record| Ok((key_text(&record.key)?, versioned(record))));
+            Ok(Listed { rows: rows.collect::<Result<_, KvError>>()?, revision })
         })
     }
 
--- a/crates/kv/src/etcd_watch.rs
+++ b/crates/kv/src/etcd_watch.rs
@@ -47,8 +47,7 @@
             return Err(KvError::Down);
         }
         opened = create(store, prefix, compacted).await?;
-        let rows = store.list(prefix).await?;
-        missed = rows;
+        missed = store.list(prefix).await?.rows;
         missed.retain(|(_, row)| row.mod_revision > after && row.mod_revision < compacted as u64);
     }
     let (tx, rx) = mpsc::channel(WATCH_DEPTH_CHANGES);
--- a/crates/kv/src/lib.rs
+++ b/crates/kv/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! - [`store`]: [`Store`](store::Store), the trait at the process's edge, and its errors.
 //! - [`etcd`]: [`EtcdStore`](etcd::EtcdStore), the store reached over the network.
+//! - [`lease`]: leases, and the trait of stores that grant them.
+//! - [`mirror`]: a copy of some prefixes, kept up to date by one watch.
 //! - [`memory`]: [`MemoryStore`](memory::MemoryStore), a store in memory for tests.
 //! - [`gate`] and [`budgeted`]: one process's share of the service's rates, and a circuit.
 //! - [`record`] and [`update`]: records that tell whether a write took effect, and changes of them
@@ -24,7 +26,9 @@
 pub mod etcd;
 mod etcd_watch;
 pub mod gate;
+pub mod lease;
 pub mod memory;
+pub mod mirror;
 pub mod record;
 pub mod store;
 pub mod update;
@@ -37,10 +41,15 @@
     pub use crate::etcd::EtcdStore;
     pub use crate::gate::Priority;
     pub use crate::gate::Share;
+    pub use crate::lease::Lease;
+    pub use crate::lease::LeaseId;
+    pub use crate::lease::LeaseStore;
     pub use crate::memory::MemoryStore;
+    pub use crate::mirror::Change;
     pub use crate::record::Record;
     pub use crate::record::Stored;
     pub use crate::store::KvError;
+    pub use crate::store::Listed;
     pub use crate::store::Store;
     pub use crate::store::Swap;
     pub use crate::store::Versioned;
--- a/crates/kv/src/memory.rs
+++ b/crates/kv/src/memory.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 
 use crate::store::Answer;
+use crate::store::Listed;
 use crate::store::Store;
 use crate::store::Swap;
 use crate::store::Versioned;
@@ -119,12 +120,13 @@
         Box::pin(async move { Ok(self.state.lock().values.get(key).cloned()) })
     }
 
-    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Vec<(Box<str>, Versioned)>> {
+    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Listed> {
         Box::pin(async move {
             let state = self.state.lock();
             let rows = state.values.range(Box::from(prefix)..);
             let rows = rows.take_while(|(key, _)| key.starts_with(prefix));
-            Ok(rows.map(|(key, value)| (key.clone(), value.clone())).collect())
+            let rows = rows.map(|(key, value)| (key.clone(), value.clone())).collect();
+            Ok(Listed { rows, revision: state.revision })
         })
     }
 
--- a/crates/kv/src/store.rs
+++ b/crates/kv/src/store.rs
@@ -20,6 +20,15 @@
     pub mod_revision: u64,
 }
 
+/// All keys below a prefix, and from where a watch goes on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listed {
+    /// The keys in order, with their values.
+    pub rows: Vec<(Box<str>, Versioned)>,
+    /// A store revision not after the read: a watch from here misses no change of these keys.
+    pub revision: u64,
+}
+
 /// Outcome of a compare-and-swap.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Swap {
@@ -76,7 +85,7 @@
     fn get<'a>(&'a self, key: &'a str) -> Answer<'a, Option<Versioned>>;
 
     /// Reads all keys that begin with `prefix`, in order.
-    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Vec<(Box<str>, Versioned)>>;
+    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Listed>;
 
     /// Writes `value` if the value of `key` was last written by `expected` (0: no value stands).
     fn swap<'a>(&'a self, key: &'a str, expected: u64, value: Arc<[u8]>) -> Answer<'a, Swap>;
--- a/crates/kv/tests/update.rs
+++ b/crates/kv/tests/update.rs
@@ -200,7 +200,7 @@
         self.inner.get(key)
     }
 
-    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Vec<(Box<str>, Versioned)>> {
+    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Listed> {
         self.inner.list(prefix)
     }
 
--- a/crates/lab/src/kv/service.rs
+++ b/crates/lab/src/kv/service.rs
@@ -82,7 +82,7 @@
             let row = self.store.get(key).await.map_err(internal)?;
             row.map(|row| (Box::from(key), row)).into_iter().collect()
         } else if req.range_end == prefix_end(key) {
-            self.store.list(key).await.map_err(internal)?
+            self.store.list(key).await.map_err(internal)?.rows
         } else {
             return Err(Status::unimplemented("a range must be one key or one prefix"));
         };
--- a/crates/lab/tests/kv_server.rs
+++ b/crates/lab/tests/kv_server.rs
@@ -55,7 +55,7 @@
     assert!(second > first);
     write(&store, "a/2", 0, "three").await;
     write(&store, "b/1", 0, "four").await;
-    let rows = store.list("a/").await.expect("rows");
+    let rows = store.list("a/").await.expect("rows").rows;
     let keys: Vec<&str> = rows.iter().map(|(key, _)| &**key).collect();
     assert_eq!(keys, ["a/1", "a/2"]);
     assert!(matches!(store.delete("a/1", second).await, Ok(Swap::Done { .. })));
--- /dev/null
+++ b/crates/pass/src/dialect.rs
@@ -0,0 +1,52 @@
+//! The names of the headers that callers and backend servers use.
+
+use http::HeaderName;
+
+/// The names of the headers that callers and backend servers use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dialect {
+    /// Id of the caller's request; backend servers echo it.
+    pub attempt: HeaderName,
+    /// How many more milliseconds the caller, or the receiver, may take.
+    pub deadline_ms: HeaderName,
+    /// Id of the backend server that alone may run the request.
+    pub only_server: HeaderName,
+    /// Id of a backend server, in its answers.
+    pub server: HeaderName,
+    /// Name of the workspace.
+    pub workspace: HeaderName,
+    /// Rank of the request at the backend server.
+    pub rank: HeaderName,
+    /// Mark of an answer to a request that was not run.
+    pub not_run: HeaderName,
+    /// The backend server's signature of its answer.
+    pub signature: HeaderName,
+    /// The model.
+    pub model: HeaderName,
+    /// Tokens of the prompt, and most tokens of the answer.
+    pub tokens: HeaderName,
+    /// The caller's guess at the tokens of the answer.
+    pub length_hint: HeaderName,
+    /// The prompt's parts.
+    pub prompt_parts: HeaderName,
+}
+
+impl Default for Dialect {
+    fn default() -> Self {
+        let name = HeaderName::from_static;
+        Dialect {
+            attempt: name("samphire-attempt"),
+            deadline_ms: name("samphire-deadline-ms"),
+            only_server: name("samphire-only-server"),
+            server: name("samphire-server"),
+            workspace: name("samphire-workspace"),
+            rank: name("samphire-rank"),
+            not_run: name("samphire-not-run"),
+            signature: name("samphire-signature"),
+            model: name("samphire-model"),
+            tokens: name("samphire-tokens"),
+            length_hint: name("samphire-length-hint"),
+            prompt_parts: name("samphire-prompt-parts"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pass/src/places.rs
@@ -0,0 +1,286 @@
+//! Who may get a request, and how loaded they are.
+//!
+//! A place is one backend server of a plain service, or the head of a replica group. Its load is
+//! counted in requests and in prompt tokens that are still to be read: what this process sent is
+//! known at once, what other processes sent is known from what they last told.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use form::prelude::*;
+
+use crate::declared::ServiceSpec;
+
+/// How long a place that said that it is full gets nothing more.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+/// How long a place is left alone after a failure to reach it; doubles up to the longest.
+const FIRST_AVOIDANCE: Duration = Duration::from_millis(250);
+/// Longest time that a place is left alone.
+const LONGEST_AVOIDANCE: Duration = Duration::from_secs(4);
+/// Weight of the newest call in the mean time of calls.
+const NEWEST_WEIGHT: f64 = 0.15;
+/// Time of a call to a plain service before any was measured.
+const FIRST_CALL_TIME: Duration = Duration::from_millis(30);
+/// How long what another process told counts.
+const OTHERS_KEPT: Duration = Duration::from_millis(1_500);
+
+/// One backend server that takes requests.
+#[data]
+pub struct Place {
+    /// The backend server.
+    pub server: ServerId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The service.
+    pub service: ServiceId,
+    /// The group that it heads, and its epoch.
+    pub group: Option<(GroupId, u64)>,
+    /// The model of the group.
+    pub model: Option<ModelId>,
+    /// Requests that it works on at once.
+    pub slots: usize,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainId,
+    /// When the server's life started.
+    pub born_ms: u64,
+}
+
+/// Requests at a place.
+#[data]
+#[derive(Copy, Default, serde::Serialize, serde::Deserialize)]
+pub struct Load {
+    /// Requests that are there.
+    pub requests: u32,
+    /// Prompt tokens that are still to be read.
+    pub unread_tokens: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    place: Place,
+    own: Load,
+    others: HashMap<NodeId, (Load, Mono)>,
+    full_until: Mono,
+    avoid_until: Mono,
+    failures: u32,
+    /// Mean seconds of a call to a plain service.
+    call_seconds: f64,
+}
+
+/// What a request needs of a place.
+#[data]
+pub struct Demand {
+    /// The service.
+    pub service: ServiceId,
+    /// The model, for model services.
+    pub model: Option<ModelId>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Servers that have been tried and are not to be tried again.
+    pub tried: Vec<ServerId>,
+}
+
+/// A place with the time until the answer, or a stream's first event, is expected.
+#[data]
+pub struct Offer {
+    /// The place.
+    pub place: Place,
+    /// Expected time to the answer or first event.
+    pub time: Duration,
+    /// Requests there, of all processes, against its slots.
+    pub fill: f64,
+}
+
+/// All places, by service.
+#[derive(Debug, Default)]
+pub struct Places {
+    states: HashMap<ServerId, State>,
+    by_service: HashMap<ServiceId, Vec<ServerId>>,
+    services: HashMap<ServiceId, Arc<ServiceSpec>>,
+}
+
+impl Places {
+    /// Replaces the services.
+    pub fn set_services(&mut self, services: impl IntoIterator<Item = Arc<ServiceSpec>>) {
+        self.services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
+    }
+
+    /// Replaces all places; loads of those that stay the same are kept.
+    pub fn set(&mut self, places: Vec<Place>) {
+        let mut old = std::mem::take(&mut self.states);
+        self.by_service.clear();
+        for place in places {
+            let kept = old.remove(&place.server).filter(|state| is_same(&state.place, &place));
+            let state = match kept {
+                Some(state) => State { place, ..state },
+                None => State::new(place),
+            };
+            let id = state.place.server.clone();
+            self.by_service.entry(state.place.service.clone()).or_default().push(id.clone());
+            self.states.insert(id, state);
+        }
+    }
+
+    /// Returns whether any place serves `model` of `service`.
+    pub fn any(&self, service: &str, model: Option<&str>) -> bool {
+        self.of(service, model).next().is_some()
+    }
+
+    /// Returns whether `place` still takes requests as it did.
+    pub fn still_stands(&self, place: &Place) -> bool {
+        self.states.get(&place.server).is_some_and(|state| is_same(&state.place, place))
+    }
+
+    /// Returns the place with the earliest expected answer, if any has room.
+    pub fn best(&self, demand: &Demand, now: Mono) -> Option<Offer> {
+        let engine = self.services.get(&demand.service).and_then(|spec| spec.engine.as_ref());
+        let open = self.of(&demand.service, demand.model.as_deref());
+        let offers = open
+            .filter(|state| !demand.tried.contains(&state.place.server))
+            .filter_map(|state| offer(state, engine, demand, now));
+        offers.min_by(|a, b| a.time.cmp(&b.time).then(a.fill.total_cmp(&b.fill)))
+    }
+
+    fn of<'a>(
+        &'a self,
+        service: &str,
+        model: Option<&'a str>,
+    ) -> impl Iterator<Item = &'a State> + 'a {
+        let ids = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        let states = ids.iter().filter_map(|id| self.states.get(id));
+        states.filter(move |state| state.place.model.as_deref() == model)
+    }
+
+    /// Counts a request that is sent to `place`.
+    pub fn began(&mut self, place: &Place, prompt_tokens: u64) {
+        if let Some(state) = self.state(place) {
+            state.own.requests += 1;
+            state.own.unread_tokens += prompt_tokens;
+        }
+    }
+
+    /// Counts a prompt at `place` as read.
+    pub fn read(&mut self, place: &Place, prompt_tokens: u64) {
+        if let Some(state) = self.state(place) {
+            state.own.unread_tokens = state.own.unread_tokens.saturating_sub(prompt_tokens);
+        }
+    }
+
+    /// Counts a request at `place` as ended.
+    pub fn ended(&mut self, place: &Place) {
+        if let Some(state) = self.state(place) {
+            state.own.requests = state.own.requests.saturating_sub(1);
+        }
+    }
+
+    /// Notes a whole answer of `place` and how long it took.
+    pub fn succeeded(&mut self, place: &Place, took: Duration) {
+        if let Some(state) = self.state(place) {
+            state.failures = 0;
+            state.call_seconds += NEWEST_WEIGHT * (took.as_secs_f64() - state.call_seconds);
+        }
+    }
+
+    /// Notes that `place` had no room.
+    pub fn full(&mut self, place: &Place, now: Mono) {
+        if let Some(state) = self.state(place) {
+            state.full_until = now + FULL_PAUSE;
+        }
+    }
+
+    /// Notes that `place` failed a request; it is left alone for a while.
+    pub fn failed(&mut self, place: &Place, now: Mono) {
+        if let Some(state) = self.state(place) {
+            let pause = FIRST_AVOIDANCE * 2_u32.saturating_pow(state.failures.min(8));
+            state.failures += 1;
+            state.avoid_until = now + pause.min(LONGEST_AVOIDANCE);
+        }
+    }
+
+    /// Returns this process's load at each place that has any.
+    pub fn own_loads(&self) -> Vec<(ServerId, Load)> {
+        let states = self.states.iter().filter(|(_, state)| state.own != Load::default());
+        states.map(|(id, state)| (id.clone(), state.own)).collect()
+    }
+
+    /// Notes the loads that process `node` told; places that it doesn't name have none of its.
+    pub fn set_others(&mut self, node: &NodeId, loads: &[(ServerId, Load)], now: Mono) {
+        for state in self.states.values_mut() {
+            state.others.remove(node);
+        }
+        for (server, load) in loads {
+            if let Some(state) = self.states.get_mut(server) {
+                state.others.insert(node.clone(), (*load, now));
+            }
+        }
+    }
+
+    fn state(&mut self, place: &Place) -> Option<&mut State> {
+        self.states.get_mut(&place.server).filter(|state| is_same(&state.place, place))
+    }
+}
+
+impl State {
+    fn new(place: Place) -> Self {
+        State {
+            place,
+            own: Load::default(),
+            others: HashMap::new(),
+            full_until: Mono::ZERO,
+            avoid_until: Mono::ZERO,
+            failures: 0,
+            call_seconds: FIRST_CALL_TIME.as_secs_f64(),
+        }
+    }
+
+    fn total(&self, now: Mono) -> Load {
+        let mut total = self.own;
+        for (load, at) in self.others.values() {
+            if now <= *at + OTHERS_KEPT {
+                total.requests += load.requests;
+                total.unread_tokens += load.unread_tokens;
+            }
+        }
+        total
+    }
+}
+
+/// Returns whether both are the same life of a server in the same role.
+fn is_same(a: &Place, b: &Place) -> bool {
+    a.born_ms == b.born_ms && a.group == b.group && a.address == b.address && a.service == b.service
+}
+
+fn offer(state: &State, engine: Option<&EngineSpec>, demand: &Demand, now: Mono) -> Option<Offer> {
+    if now < state.full_until || now < state.avoid_until {
+        return None;
+    }
+    let load = state.total(now);
+    let slots = state.place.slots.max(1) as f64;
+    let fill = f64::from(load.requests) / slots;
+    let time = match engine {
+        Some(engine) => first_event_seconds(engine, state, load, demand.prompt_tokens),
+        None => call_seconds(state, load),
+    };
+    let has_room = engine.is_none() || fill < 1.0;
+    let time = Duration::from_secs_f64(time);
+    has_room.then(|| Offer { place: state.place.clone(), time, fill })
+}
+
+/// Returns the expected time to the first event: all unread prompts, then a pass of all writers.
+fn first_event_seconds(engine: &EngineSpec, state: &State, load: Load, prompt_tokens: u64) -> f64 {
+    let model = state.place.model.as_deref().and_then(|model| engine.model(model));
+    let pace = model.map_or(1.0, |model| model.pace);
+    let unread = (load.unread_tokens + prompt_tokens) as f64;
+    let step = engine.step.as_secs_f64()
+        + f64::from(load.requests) * engine.step_per_request.as_secs_f64();
+    let pass = step * f64::from(engine.steps_per_pass);
+    pace * (unread / engine.read_per_second.max(1.0) + pass)
+}
+
+/// Returns the expected time of a call to a plain service: its own and what queues before it.
+fn call_seconds(state: &State, load: Load) -> f64 {
+    let queued = f64::from(load.requests + 1) - state.place.slots.max(1) as f64;
+    state.call_seconds * (1.0 + queued.max(0.0) / state.place.slots.max(1) as f64)
+}
