Stage hosts first, and form groups only from servers that hold the model

Cause: the owner formed groups of quick survivors and cold new servers; the survivors then waited 16 s and more for loads, which slow each other beyond six. Ruled out: too few servers (27 of 45 sat in groups that were joining).

--- a/crates/form/src/compose.rs
+++ b/crates/form/src/compose.rs
@@ -4,6 +4,10 @@
 //! the time until that group could serve. What a group adds follows proportional fairness: the
 //! demand for its model times the logarithm of the growth of its supply, so that a model without
 //! any group goes first and no model starves. Members are those that are ready soonest.
+//!
+//! A server that would have to load from the weight store is no member, since the others would wait
+//! for it: its host is staged first. Only before the first request, when loads are quick, may
+//! members load as they join.
 
 use base::prelude::*;
 
@@ -20,6 +24,18 @@
 /// Growth that the first group of a model counts as.
 const FIRST_GROUP_GROWTH: f64 = 4.0;
 
+/// Time of a load before the first request, as a part of the usual time.
+const EARLY_LOAD_FACTOR: f64 = 0.1;
+
+/// Whether servers may load from the weight store as they join.
+#[key]
+pub enum JoinLoads {
+    /// They may: loads are quick and not counted yet.
+    Quick,
+    /// They may not.
+    No,
+}
+
 /// A server that may join a group.
 #[data]
 pub struct Candidate {
@@ -29,32 +45,28 @@
     pub hot: Option<ModelId>,
     /// The models that lie on its host.
     pub staged: Vec<ModelId>,
-    /// A model that is being staged, and how long that still takes.
-    pub staging: Option<(ModelId, Duration)>,
     /// Whether its speed was found to be below that of its peers.
     pub slow: bool,
 }
 
 impl Candidate {
-    /// Returns how long it takes to join a group of `model`; loads take `load_factor` as long.
-    pub fn time_to_join(&self, model: &ModelSpec, load_factor: f64) -> Duration {
+    /// Returns how long it takes to join a group of `model`.
+    pub fn time_to_join(&self, model: &ModelSpec, loads: JoinLoads) -> Duration {
         if self.hot.as_ref() == Some(&model.name) {
             return HOT_JOIN;
         }
-        if let Some((_, left)) = self.staging.as_ref().filter(|(name, _)| *name == model.name) {
-            return *left + model.warm;
-        }
         if self.staged.contains(&model.name) {
             return model.warm;
         }
-        model.load.mul_f64(load_factor)
+        match loads {
+            JoinLoads::Quick => model.load.mul_f64(EARLY_LOAD_FACTOR),
+            JoinLoads::No => model.load,
+        }
     }
 
     /// Returns whether joining a group of `model` reads from the weight store.
     pub fn needs_load(&self, model: &ModelSpec) -> bool {
-        self.hot.as_ref() != Some(&model.name)
-            && !self.staged.contains(&model.name)
-            && self.staging.as_ref().is_none_or(|(name, _)| *name != model.name)
+        self.hot.as_ref() != Some(&model.name) && !self.staged.contains(&model.name)
     }
 }
 
@@ -84,8 +96,6 @@
     pub model: usize,
     /// Its members; the first is the head.
     pub members: Vec<ServerId>,
-    /// Members that must load from the weight store.
-    pub loads: usize,
 }
 
 /// Returns the best group that `free` can form, if any; `needs` stand in the order of the models.
@@ -93,11 +103,11 @@
     engine: &EngineSpec,
     needs: &[Need],
     free: &[Candidate],
-    load_factor: f64,
+    loads: JoinLoads,
 ) -> Option<Choice> {
     let mut best: Option<(f64, Choice)> = None;
     for (index, (model, need)) in engine.models.iter().zip(needs).enumerate() {
-        let Some((choice, time)) = soonest(index, model, free, load_factor) else { continue };
+        let Some((choice, time)) = soonest(index, model, free, loads) else { continue };
         let left = 1.0 - time.as_secs_f64() / HORIZON.as_secs_f64();
         let score = need.gain() / model.size as f64 * left.max(LEAST_DISCOUNT);
         if best.as_ref().is_none_or(|(highest, _)| score > *highest) {
@@ -112,17 +122,17 @@
     index: usize,
     model: &ModelSpec,
     free: &[Candidate],
-    load_factor: f64,
+    loads: JoinLoads,
 ) -> Option<(Choice, Duration)> {
-    if free.len() < model.size || model.size == 0 {
+    let usable = free.iter().filter(|c| loads == JoinLoads::Quick || !c.needs_load(model));
+    let mut order: Vec<(bool, Duration, &Candidate)> =
+        usable.map(|c| (c.slow, c.time_to_join(model, loads), c)).collect();
+    if order.len() < model.size || model.size == 0 {
         return None;
     }
-    let mut order: Vec<(bool, Duration, &Candidate)> =
-        free.iter().map(|c| (c.slow, c.time_to_join(model, load_factor), c)).collect();
     order.sort_by(|a, b| (a.0, a.1, &a.2.id).cmp(&(b.0, b.1, &b.2.id)));
     order.truncate(model.size);
     let time = order.iter().map(|(_, time, _)| *time).max().unwrap_or_default();
     let members = order.iter().map(|(_, _, c)| c.id.clone()).collect();
-    let loads = order.iter().filter(|(_, _, c)| c.needs_load(model)).count();
-    Some((Choice { model: index, members, loads }, time))
+    Some((Choice { model: index, members }, time))
 }
--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -174,6 +174,10 @@
     closed_at: BTreeMap<(GroupId, Generation), Mono>,
     /// Models that are being staged, and until when.
     staging: BTreeMap<Life, (ModelId, Mono)>,
+    /// When the last new server of a fabric domain was seen.
+    newest: BTreeMap<FabricId, Mono>,
+    /// Servers that were seen.
+    known: BTreeSet<Life>,
     /// When an order to a server may be repeated.
     retry_at: BTreeMap<ServerId, Mono>,
     fenced: bool,
@@ -195,6 +199,8 @@
             incomplete_since: BTreeMap::new(),
             closed_at: BTreeMap::new(),
             staging: BTreeMap::new(),
+            newest: BTreeMap::new(),
+            known: BTreeSet::new(),
             retry_at: BTreeMap::new(),
             fenced: false,
         }
@@ -263,6 +269,11 @@
             server.is_some_and(|server| !server.staged.contains(model)) && *until > now
         });
         self.retry_at.retain(|_, at| *at > now);
+        for server in view.servers.values().filter(|server| &*server.service == view.service) {
+            if self.known.insert(server.life()) {
+                self.newest.extend(server.fabric.clone().map(|fabric| (fabric, now)));
+            }
+        }
     }
 
     /// Gives `order` to `server`, unless one is in flight there or it must wait.
--- a/crates/form/src/owner/forming.rs
+++ b/crates/form/src/owner/forming.rs
@@ -37,6 +37,8 @@
     Due,
     /// Ordered; the head takes requests soon after this time.
     Begun(Mono),
+    /// Not to be ordered at all.
+    Never,
 }
 
 /// A group that is being formed.
@@ -79,6 +81,18 @@
         }
     }
 
+    /// Makes a group of one server that is never opened.
+    pub(super) fn solo(
+        model: ModelId,
+        epoch: Generation,
+        member: Life,
+        times: Vec<Duration>,
+        now: Mono,
+    ) -> Self {
+        let forming = Forming::new(model, epoch, vec![member], times, now);
+        Forming { opening: Opening::Never, ..forming }
+    }
+
     /// Makes a group that another owner has formed and that only needs to be opened.
     pub(super) fn adopted(group: &Group, members: Vec<Life>, now: Mono) -> Self {
         let model = group.model.clone().unwrap_or_default();
@@ -88,11 +102,6 @@
         forming
     }
 
-    /// Returns whether a member still loads.
-    pub(super) fn is_loading(&self) -> bool {
-        !self.is_joined()
-    }
-
     fn is_joined(&self) -> bool {
         self.joins.iter().all(|join| *join == Join::Done)
     }
@@ -117,6 +126,9 @@
                 continue;
             }
             self.drive_joins(&name, &mut forming, view, commands);
+            if forming.is_joined() && forming.opening == Opening::Never {
+                continue;
+            }
             if forming.is_joined() {
                 self.drive_opening(&name, &mut forming, view, commands);
             }
@@ -167,6 +179,7 @@
         let due = match forming.opening {
             Opening::Due => true,
             Opening::Begun(done_at) => view.now >= done_at,
+            Opening::Never => false,
         };
         if due {
             let head = &view.servers[&forming.members[0].0];
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -8,21 +8,22 @@
 use super::Owner;
 use super::View;
 use super::forming::Forming;
+use super::stage;
 use crate::census::Census;
 use crate::compose;
 use crate::compose::Candidate;
 use crate::compose::Choice;
+use crate::compose::JoinLoads;
 use crate::compose::Need;
 use crate::server::Phase;
 use crate::server::Server;
-use crate::server::ServerId;
 use crate::server::ServerState;
 
 /// How long the head of a group must have been silent before it counts as gone for good, beyond
 /// the time after which its report goes missing.
 const GONE_AFTER: Duration = Duration::from_millis(2_500);
-/// Time of a load before the first request, as a part of the usual time.
-const EARLY_LOAD_FACTOR: f64 = 0.1;
+/// How long no new server must have come to a fabric domain at the first start.
+const SETTLE: Duration = Duration::from_millis(600);
 
 impl Owner {
     /// Forms as many groups as the free servers allow.
@@ -34,42 +35,51 @@
     ) {
         let mut free = self.free_by_fabric(view, census);
         let mut needs = self.needs(view, census);
-        let load_factor = if view.before_traffic { EARLY_LOAD_FACTOR } else { 1.0 };
-        for candidates in free.values_mut() {
-            while let Some(choice) = compose::next(view.engine, &needs, candidates, load_factor) {
-                if !self.take_loads(&choice, view) {
-                    break;
-                }
+        let loads = if view.before_traffic { JoinLoads::Quick } else { JoinLoads::No };
+        for (fabric, candidates) in &mut free {
+            if self.is_filling(fabric, view) {
+                continue;
+            }
+            while let Some(choice) = compose::next(view.engine, &needs, candidates, loads) {
                 candidates.retain(|c| !choice.members.contains(&c.id));
                 needs[choice.model].supply += 1.0;
-                self.form(&choice, view, census, load_factor);
+                self.form(&choice, view, census, loads);
+            }
+            if view.before_traffic {
+                self.warm_up(candidates, view, census);
             }
         }
         self.drive_forming(view, census, commands);
     }
 
-    fn take_loads(&mut self, choice: &Choice, view: &View<'_>) -> bool {
-        if view.before_traffic {
-            return true;
-        }
-        let before = self.loads.clone();
-        let taken =
-            (0..choice.loads).all(|_| self.loads.take(view.engine.loads_per_second, view.now));
-        if !taken {
-            self.loads = before;
+    /// Returns whether servers of a fabric domain are still arriving at the first start, when it
+    /// costs little to wait for a better choice.
+    fn is_filling(&self, fabric: &FabricId, view: &View<'_>) -> bool {
+        let newest = self.newest.get(fabric).copied().unwrap_or_default();
+        view.before_traffic && view.now < newest + SETTLE
+    }
+
+    /// Lets spare servers join a group of their own, which is never opened, so that they hold a
+    /// model in their accelerators when they are needed.
+    fn warm_up(&mut self, spare: &[Candidate], view: &View<'_>, census: &Census) {
+        for candidate in spare.iter().filter(|candidate| candidate.hot.is_none()) {
+            let server = &view.servers[&candidate.id];
+            let Some(model) = stage::most_around(server, view, census) else { continue };
+            let epoch = self.next_epoch(census);
+            let times = vec![candidate.time_to_join(model, JoinLoads::Quick)];
+            let name = model.name.clone();
+            let forming = Forming::solo(name, epoch, server.life(), times, view.now);
+            self.forming.insert(format!("s{epoch}").into(), forming);
         }
-        taken
     }
 
-    fn form(&mut self, choice: &Choice, view: &View<'_>, census: &Census, load_factor: f64) {
+    fn form(&mut self, choice: &Choice, view: &View<'_>, census: &Census, loads: JoinLoads) {
         let epoch = self.next_epoch(census);
         let name: GroupId = format!("g{epoch}").into();
         let model = &view.engine.models[choice.model];
         let servers = || choice.members.iter().map(|id| &view.servers[id]);
         let lives = servers().map(Server::life).collect();
-        let times = servers()
-            .map(|server| self.candidate(server, view).time_to_join(model, load_factor))
-            .collect();
+        let times = servers().map(|server| candidate(server).time_to_join(model, loads)).collect();
         let forming = Forming::new(model.name.clone(), epoch, lives, times, view.now);
         self.forming.insert(name, forming);
     }
@@ -102,23 +112,12 @@
         for server in view.servers.values().filter(|server| &*server.service == view.service) {
             let Some(fabric) = &server.fabric else { continue };
             if self.is_free(server, view, census) {
-                free.entry(fabric.clone()).or_default().push(self.candidate(server, view));
+                free.entry(fabric.clone()).or_default().push(candidate(server));
             }
         }
         free
     }
 
-    pub(super) fn candidate(&self, server: &Server, view: &View<'_>) -> Candidate {
-        let staging = self.staging.get(&server.life());
-        Candidate {
-            id: server.id.clone(),
-            hot: server.model.clone(),
-            staged: server.staged.clone(),
-            staging: staging.map(|(model, until)| (model.clone(), until.saturating_sub(view.now))),
-            slow: false,
-        }
-    }
-
     /// Returns whether `server` may be given a join.
     pub(super) fn is_free(&self, server: &Server, view: &View<'_>, census: &Census) -> bool {
         if server.state != ServerState::Ready || self.is_in_forming(&server.id) {
@@ -143,8 +142,8 @@
         }
     }
 
-    fn is_in_forming(&self, server: &ServerId) -> bool {
-        self.forming.values().any(|forming| forming.members.iter().any(|(id, _)| id == server))
+    pub(super) fn is_in_forming(&self, server: &str) -> bool {
+        self.forming.values().any(|forming| forming.members.iter().any(|(id, _)| &**id == server))
     }
 
     /// Returns whether the head of a group whose members still report it is gone for good.
@@ -161,3 +160,12 @@
         }
     }
 }
+
+fn candidate(server: &Server) -> Candidate {
+    Candidate {
+        id: server.id.clone(),
+        hot: server.model.clone(),
+        staged: server.staged.clone(),
+        slow: false,
+    }
+}
--- a/crates/form/src/owner/stage.rs
+++ b/crates/form/src/owner/stage.rs
@@ -1,8 +1,8 @@
 //! Staging: weights are put on hosts before they are needed, so that repairs are quick.
 //!
-//! A server that is in a group can go back into a group of the same model at once, and into one of
-//! the model on its host soon. So its host holds the model that it doesn't serve and that callers
-//! need most; a free server's host holds the model that most groups around it serve.
+//! The weight store is the narrow place: beyond a few loads at once, all of them slow down. So free
+//! servers without any model go first; only when none waits are other hosts given the model that
+//! they don't hold yet. Before the first request loads are quick, and every host is prepared.
 
 use super::Command;
 use super::Order;
@@ -13,10 +13,10 @@
 use crate::server::ServerState;
 use crate::spec::ModelSpec;
 
-/// Orders to stage that may be in flight at once.
-const STAGES_AT_ONCE: usize = 4;
 /// How much longer than expected a staging may take before it is ordered again.
 const STAGING_SLACK: f64 = 2.0;
+/// Part of the loads at once that may prepare servers which already hold a model.
+const PREPARING_PART: f64 = 0.34;
 
 impl Owner {
     /// Orders the staging that helps the next repairs most.
@@ -26,43 +26,42 @@
         census: &Census,
         commands: &mut Vec<Command>,
     ) {
-        if self.forming.values().any(|forming| forming.is_loading()) {
-            return;
-        }
         let service = view.service;
-        let mut servers: Vec<&Server> = view
-            .servers
-            .values()
-            .filter(|server| &*server.service == service && server.state == ServerState::Ready)
-            .collect();
-        // Free servers first: they have nothing to fall back on.
-        servers.sort_by_key(|server| server.membership.is_some());
-        for server in servers {
-            if self.staging.len() >= self.stages_at_once(view) {
-                return;
-            }
-            self.stage_on(server, view, census, commands);
+        let servers = || {
+            let ready = view.servers.values().filter(|s| s.state == ServerState::Ready);
+            ready.filter(|server| &*server.service == service)
+        };
+        let at_once = view.engine.loads_at_once;
+        let preparing = (at_once as f64 * PREPARING_PART) as usize;
+        for server in servers().filter(|server| is_cold(server)) {
+            self.stage_on(server, at_once, view, census, commands);
+        }
+        for server in servers().filter(|server| !is_cold(server)) {
+            self.stage_on(server, preparing, view, census, commands);
         }
-    }
-
-    fn stages_at_once(&self, view: &View<'_>) -> usize {
-        if view.before_traffic { usize::MAX } else { STAGES_AT_ONCE }
     }
 
     fn stage_on(
         &mut self,
         server: &Server,
+        at_once: usize,
         view: &View<'_>,
         census: &Census,
         commands: &mut Vec<Command>,
     ) {
-        if self.staging.contains_key(&server.life()) || self.has_order(&server.id) {
+        let busy = self.has_order(&server.id)
+            || self.staging.contains_key(&server.life())
+            || self.is_in_forming(&server.id);
+        if busy || (self.staging.len() >= at_once && !view.before_traffic) {
             return;
         }
-        let Some(model) = wanted(server, view, census) else { return };
-        if server.staged.contains(&model.name) {
+        let wanted = match is_cold(server) {
+            true => self.most_needed(server, view, census),
+            false => most_around(server, view, census),
+        };
+        let Some(model) = wanted.filter(|model| !server.staged.contains(&model.name)) else {
             return;
-        }
+        };
         if !view.before_traffic && !self.loads.take(view.engine.loads_per_second, view.now) {
             return;
         }
@@ -72,18 +71,51 @@
             self.staging.insert(server.life(), (model.name.clone(), until));
         }
     }
+
+    /// Returns the model that a cold server completes a group of soonest; among equals, the one
+    /// that most groups around it serve.
+    fn most_needed<'a>(
+        &self,
+        server: &Server,
+        view: &View<'a>,
+        census: &Census,
+    ) -> Option<&'a ModelSpec> {
+        let missing = |model: &ModelSpec| {
+            let near = view.servers.values().filter(|other| other.fabric == server.fabric);
+            let ready = near.filter(|other| {
+                let staging = self.staging.get(&other.life());
+                let holds = other.model.as_ref() == Some(&model.name)
+                    || other.staged.contains(&model.name)
+                    || staging.is_some_and(|(staging, _)| *staging == model.name);
+                holds && self.is_free(other, view, census)
+            });
+            model.size - (ready.count() % model.size.max(1))
+        };
+        let models = view.engine.models.iter();
+        models.min_by_key(|model| {
+            (missing(model), usize::MAX - members_around(model, server, census))
+        })
+    }
+}
+
+fn is_cold(server: &Server) -> bool {
+    server.model.is_none() && server.staged.is_empty()
+}
+
+/// Returns the model, other than the one that `server` holds, that most servers around it serve.
+pub(super) fn most_around<'a>(
+    server: &Server,
+    view: &View<'a>,
+    census: &Census,
+) -> Option<&'a ModelSpec> {
+    let models = view.engine.models.iter();
+    let others = models.filter(|model| server.model.as_ref() != Some(&model.name));
+    others.max_by_key(|model| members_around(model, server, census))
 }
 
-/// Returns the model that the host of `server` shall hold.
-fn wanted<'a>(server: &Server, view: &View<'a>, census: &Census) -> Option<&'a ModelSpec> {
-    let around = |model: &ModelSpec| {
-        let groups = census.groups.values();
-        let served = groups.filter(|group| {
-            group.fabric == server.fabric && group.model.as_ref() == Some(&model.name)
-        });
-        served.count() * model.size
-    };
-    let others =
-        view.engine.models.iter().filter(|model| server.model.as_ref() != Some(&model.name));
-    others.max_by_key(|model| around(model))
+fn members_around(model: &ModelSpec, server: &Server, census: &Census) -> usize {
+    let groups = census.groups.values();
+    let served = groups
+        .filter(|group| group.fabric == server.fabric && group.model.as_ref() == Some(&model.name));
+    served.count() * model.size
 }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -250,6 +250,9 @@
         let mut world = self.state.shared.world.lock();
         world.requests += 1;
         world.retries.request(&self.routed.service.name, now);
+        if let (Some(engine), Some(ask)) = (&self.routed.service.engine, &self.ask.generation) {
+            world.count_work(engine, ask, now);
+        }
     }
 
     fn may_retry(&self, failed: &exchange::Failed, attempts: u32) -> bool {
--- a/crates/front/src/world.rs
+++ b/crates/front/src/world.rs
@@ -24,6 +24,11 @@
 /// How long a server that ceased to report is remembered.
 const DEPARTED_KEPT: Duration = Duration::from_secs(60);
 
+/// How long work that came is remembered.
+const WORK_MEMORY: Duration = Duration::from_secs(8);
+/// Work that must have come lately before it says more than what was declared.
+const TRUSTED_WORK_SECONDS: f64 = 20.0;
+
 /// What the services of a process share.
 pub struct Shared {
     /// What the process believes.
@@ -50,8 +55,9 @@
     pub retries: RetryBudget,
     /// Whether the store answers.
     pub store_up: bool,
-    /// Requests that came for models, in seconds of group time, by model.
-    pub work: BTreeMap<ModelId, f64>,
+    /// Work that came lately, in seconds of servers, by model.
+    work: BTreeMap<ModelId, f64>,
+    work_at: Mono,
     /// Requests that came since the process started.
     pub requests: u64,
     waiters: BTreeMap<Ticket, oneshot::Sender<Decision>>,
@@ -70,6 +76,7 @@
             retries: RetryBudget::new(retries),
             store_up: false,
             work: BTreeMap::new(),
+            work_at: Mono::ZERO,
             requests: 0,
             waiters: BTreeMap::new(),
         };
@@ -208,13 +215,32 @@
         }
     }
 
-    /// Returns the demand by model, as parts of the whole: what came, or what was declared.
+    /// Counts the work that a request for a model brings, in seconds of its servers.
+    pub fn count_work(&mut self, engine: &EngineSpec, ask: &Prompt, now: Mono) {
+        let Some(model) = engine.model(&ask.model) else { return };
+        let (read, write) = engine.token_seconds();
+        let answer = ask.hint_tokens.unwrap_or(ask.most_tokens).min(ask.most_tokens);
+        let group = (ask.prompt_tokens as f64 * read + answer as f64 * write) * model.pace;
+        let aged = now.saturating_sub(self.work_at).as_secs_f64() / WORK_MEMORY.as_secs_f64();
+        self.work_at = now;
+        for work in self.work.values_mut() {
+            *work *= (-aged).exp();
+        }
+        *self.work.entry(ask.model.clone()).or_default() += group * model.size as f64;
+    }
+
+    /// Returns the demand by model, as parts of the whole: what came lately, or what was declared
+    /// as long as little has come.
     pub fn demand(&self, engine: &EngineSpec) -> BTreeMap<ModelId, f64> {
-        let models = engine.models.iter();
-        let declared: f64 = models.clone().map(|model| model.share * model.pace).sum();
-        models
-            .map(|model| (model.name.clone(), model.share * model.pace / declared.max(1e-9)))
-            .collect()
+        let came: f64 = self.work.values().sum();
+        let declared: f64 = engine.models.iter().map(|model| model.share).sum();
+        let trust = (came / TRUSTED_WORK_SECONDS).min(1.0);
+        let part = |model: &ModelSpec| {
+            let work = self.work.get(&model.name).copied().unwrap_or(0.0);
+            let lately = if came > 0.0 { work / came } else { 0.0 };
+            trust * lately + (1.0 - trust) * model.share / declared.max(f64::MIN_POSITIVE)
+        };
+        engine.models.iter().map(|model| (model.name.clone(), part(model))).collect()
     }
 
     /// Returns heads whose streams have all fallen silent.
--- a/crates/pass/src/ask.rs
+++ b/crates/pass/src/ask.rs
@@ -11,7 +11,7 @@
 
 /// What a request to a model asks for.
 #[data]
-pub struct Generation {
+pub struct Prompt {
     /// The model.
     pub model: ModelId,
     /// Tokens of the prompt.
@@ -32,7 +32,7 @@
     /// The caller's key.
     pub key: Option<Box<str>>,
     /// What it asks of a model.
-    pub generation: Option<Generation>,
+    pub generation: Option<Prompt>,
 }
 
 impl Ask {
@@ -62,10 +62,10 @@
     scheme.eq_ignore_ascii_case("bearer").then(|| key.trim().into())
 }
 
-fn generation(headers: &HeaderMap, dialect: &Dialect) -> Option<Generation> {
+fn generation(headers: &HeaderMap, dialect: &Dialect) -> Option<Prompt> {
     let model = text(headers, &dialect.model)?;
     let (prompt, most) = text(headers, &dialect.tokens)?.split_once(',')?;
-    Some(Generation {
+    Some(Prompt {
         model: model.into(),
         prompt_tokens: prompt.trim().parse().ok()?,
         most_tokens: most.trim().parse().ok()?,
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -23,7 +23,7 @@
 /// The common types of this crate.
 pub mod prelude {
     pub use crate::ask::Ask;
-    pub use crate::ask::Generation;
+    pub use crate::ask::Prompt;
     pub use crate::budget::RetryBudget;
     pub use crate::declared::Declared;
     pub use crate::declared::Limits;
