Find heads by the group's name; close idle connections when a listener stops

Ruled out: a late order (none was unanswered); grace_s too short (the request came 6 s after the signal). Change: a group's name ends with its head's id; a member is free only when the head answered an order to leave, reports a higher epoch, or is gone for good; groups that were never ordered to open are free at once. A stopped listener closes connections without a request.

--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -7,8 +7,10 @@
 //! Invariants:
 //! - `open` is ordered only after every member was seen joined under that name and epoch.
 //! - A server is given a join only if the head of its group can't serve that group any more: the
-//!   head has left it, has joined another, has given it up, or is gone. A head in a group that was
-//!   never opened may be moved at once.
+//!   head has answered an order to leave it, reports a higher epoch, has given it up, or is gone for
+//!   good; or this owner formed the group and never ordered it to open. A report of the head that
+//!   doesn't mention the group proves nothing: the head may have lost its way to the store.
+//! - A group's name ends with the id of its head, so that every owner finds it.
 //! - Epochs rise with every group, over all owners: they begin with the owner's fencing number.
 //! - A server has at most one order in flight.
 
@@ -35,8 +37,10 @@
 
 /// Bits of an epoch that count the groups of one owner.
 const EPOCH_COUNT_BITS: u32 = 16;
-/// How long a group that is not whole and was never opened is left alone.
-const INCOMPLETE_GRACE: Duration = Duration::from_millis(1_500);
+/// How long a group that another owner formed, and that is not whole, is left alone.
+const INCOMPLETE_GRACE: Duration = Duration::from_millis(1_000);
+/// How long a group that another owner formed may have members that join.
+const JOINING_GRACE: Duration = Duration::from_secs(4);
 
 /// Number of an order, unique for its owner.
 pub type OrderId = u64;
@@ -166,8 +170,8 @@
     in_flight: BTreeMap<OrderId, InFlight>,
     /// Groups whose head can't serve them any more.
     released: BTreeSet<(GroupId, Generation)>,
-    /// The head of each group that was seen.
-    heads: BTreeMap<(GroupId, Generation), Server>,
+    /// The last report of each server that was seen.
+    last_seen: BTreeMap<ServerId, Server>,
     /// When a group that is not whole was first seen so.
     incomplete_since: BTreeMap<(GroupId, Generation), Mono>,
     /// When a group was first ordered to close.
@@ -195,7 +199,7 @@
             forming: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             released: BTreeSet::new(),
-            heads: BTreeMap::new(),
+            last_seen: BTreeMap::new(),
             incomplete_since: BTreeMap::new(),
             closed_at: BTreeMap::new(),
             staging: BTreeMap::new(),
@@ -251,15 +255,9 @@
         Some(order)
     }
 
-    /// Notes heads, and forgets what no report mentions any more.
+    /// Notes reports, and forgets what no report mentions any more.
     fn remember(&mut self, view: &View<'_>, census: &Census) {
-        for (key, group) in &census.groups {
-            if let Some(head) = group.head().and_then(|head| view.servers.get(head)) {
-                self.heads.insert(key.clone(), head.clone());
-            }
-        }
         let census_has = |key: &(GroupId, Generation)| census.groups.contains_key(key);
-        self.heads.retain(|key, _| census_has(key));
         self.released.retain(census_has);
         self.closed_at.retain(|key, _| census_has(key));
         self.incomplete_since.retain(|key, _| census_has(key));
@@ -270,6 +268,7 @@
         });
         self.retry_at.retain(|_, at| *at > now);
         for server in view.servers.values().filter(|server| &*server.service == view.service) {
+            self.last_seen.insert(server.id.clone(), server.clone());
             if self.known.insert(server.life()) {
                 self.newest.extend(server.fabric.clone().map(|fabric| (fabric, now)));
             }
@@ -300,6 +299,11 @@
         own.max(seen + 1)
     }
 
+    /// Returns the head of a group by its name: as it reports, or as it last did.
+    fn head_of(&self, group: &str) -> Option<&Server> {
+        self.last_seen.get(head_in_name(group)?)
+    }
+
     fn is_released(&self, group: &Group) -> bool {
         self.released.contains(&(group.name.clone(), group.epoch))
     }
@@ -313,3 +317,13 @@
         Order::Stage { .. } => Duration::from_secs(1),
     }
 }
+
+/// Returns the name of a group of `head` at `epoch`.
+fn group_name(epoch: Generation, head: &str) -> GroupId {
+    format!("g{epoch}-{head}").into()
+}
+
+/// Returns the id of the head that a group's name tells.
+fn head_in_name(group: &str) -> Option<&str> {
+    group.split_once('-').map(|(_, head)| head)
+}
--- a/crates/form/src/owner/forming.rs
+++ b/crates/form/src/owner/forming.rs
@@ -56,6 +56,8 @@
     pub(super) times: Vec<Duration>,
     /// How far the opening is.
     pub(super) opening: Opening,
+    /// Whether the group may have been ordered to open.
+    pub(super) open_ordered: bool,
     /// When it is given up.
     pub(super) deadline: Mono,
 }
@@ -77,6 +79,7 @@
             members,
             times,
             opening: Opening::Due,
+            open_ordered: false,
             deadline: now + longest * 2 + OVERDUE,
         }
     }
@@ -99,6 +102,7 @@
         let times = vec![Duration::ZERO; members.len()];
         let mut forming = Forming::new(model, group.epoch, members, times, now);
         forming.joins.fill(Join::Done);
+        forming.open_ordered = true;
         forming
     }
 
@@ -123,6 +127,9 @@
                 continue;
             }
             if view.now > forming.deadline || !self.members_live(&forming, view) {
+                if !forming.open_ordered {
+                    self.released.insert((name, forming.epoch));
+                }
                 continue;
             }
             self.drive_joins(&name, &mut forming, view, commands);
@@ -184,7 +191,7 @@
         if due {
             let head = &view.servers[&forming.members[0].0];
             let order = Order::Open { group: name.clone(), epoch: forming.epoch };
-            self.order(head, order, commands);
+            forming.open_ordered |= self.order(head, order, commands);
         }
     }
 
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -8,6 +8,8 @@
 use super::Owner;
 use super::View;
 use super::forming::Forming;
+use super::group_name;
+use super::head_in_name;
 use super::stage;
 use crate::census::Census;
 use crate::compose;
@@ -69,13 +71,13 @@
             let times = vec![candidate.time_to_join(model, JoinLoads::Quick)];
             let name = model.name.clone();
             let forming = Forming::solo(name, epoch, server.life(), times, view.now);
-            self.forming.insert(format!("s{epoch}").into(), forming);
+            self.forming.insert(group_name(epoch, &server.id), forming);
         }
     }
 
     fn form(&mut self, choice: &Choice, view: &View<'_>, census: &Census, loads: JoinLoads) {
         let epoch = self.next_epoch(census);
-        let name: GroupId = format!("g{epoch}").into();
+        let name = group_name(epoch, &choice.members[0]);
         let model = &view.engine.models[choice.model];
         let servers = || choice.members.iter().map(|id| &view.servers[id]);
         let lives = servers().map(Server::life).collect();
@@ -146,18 +148,17 @@
         self.forming.values().any(|forming| forming.members.iter().any(|(id, _)| &**id == server))
     }
 
-    /// Returns whether the head of a group whose members still report it is gone for good.
-    fn is_head_gone(&self, key: &(GroupId, Generation), view: &View<'_>) -> bool {
-        let Some(head) = self.heads.get(key) else {
-            // No member of an earlier owner's knowledge is left; the head went before that.
+    /// Returns whether the head of a group that it doesn't report can't serve it any more.
+    fn is_head_gone(&self, (group, epoch): &(GroupId, Generation), view: &View<'_>) -> bool {
+        let Some(head) = head_in_name(group) else {
+            // A group that no owner of this system formed.
             return view.now >= self.started + GONE_AFTER * 2;
         };
-        match (view.servers.get(&head.id), view.departed.get(&head.id)) {
-            // It reports, but not this group: it has left it, or has started again.
-            (Some(_), _) => true,
-            (None, Some(departed)) => view.now >= departed.since + GONE_AFTER,
-            (None, None) => true,
+        if let Some(server) = view.servers.get(head) {
+            return server.membership.as_ref().is_some_and(|m| m.epoch > *epoch);
         }
+        let since = view.departed.get(head).map_or(self.started, |departed| departed.since);
+        view.now >= since.max(self.started) + GONE_AFTER
     }
 }
 
--- a/crates/form/src/owner/groups.rs
+++ b/crates/form/src/owner/groups.rs
@@ -4,6 +4,7 @@
 
 use super::Command;
 use super::INCOMPLETE_GRACE;
+use super::JOINING_GRACE;
 use super::Order;
 use super::Owner;
 use super::View;
@@ -89,16 +90,16 @@
         commands: &mut Vec<Command>,
     ) {
         let key = (group.name.clone(), group.epoch);
-        let since = *self.incomplete_since.entry(key.clone()).or_insert(view.now);
-        if view.now < since + INCOMPLETE_GRACE || group.members.len() < 2 {
+        let since = *self.incomplete_since.entry(key).or_insert(view.now);
+        let is_joining = group.head_phase.is_some() && !group.joined;
+        let grace = if is_joining { JOINING_GRACE } else { INCOMPLETE_GRACE };
+        // A server alone is a spare that was warmed up.
+        if view.now < since + grace || (head.is_some() && group.members.len() < 2) {
             return;
         }
-        match (head, self.heads.get(&key).cloned()) {
-            (Some(head), _) => self.give_up(group, Some(head), commands),
-            // The head's report is missing: it may have lost only its way to the store.
-            (None, Some(last)) => self.give_up(group, Some(&last), commands),
-            (None, None) => {}
-        }
+        // The head's report may be old or missing while the head serves: only its answer tells.
+        let head = head.cloned().or_else(|| self.head_of(&group.name).cloned());
+        self.give_up(group, head.as_ref(), commands);
     }
 
     fn adopt(&mut self, group: &Group, view: &View<'_>) {
--- a/crates/web/src/listen.rs
+++ b/crates/web/src/listen.rs
@@ -5,6 +5,9 @@
 //! shuts down sockets that have no request in progress for too long. The number of handles bounds
 //! the open connections: at the bound, new ones wait in the kernel's queue.
 //!
+//! Once the listener stops, connections without a request are shut down soon: a caller that keeps
+//! one open would otherwise send its next request just as the process ends.
+//!
 //! Invariant: a connection with a request in progress is never shut down by the sweep.
 
 use std::collections::HashMap;
@@ -25,6 +28,9 @@
 /// How often connections are swept.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 
+/// How often idle connections are looked for once the listener has stopped.
+const CLOSING_PERIOD: Duration = Duration::from_millis(50);
+
 struct Open {
     socket: std::net::TcpStream,
     requests: usize,
@@ -109,10 +115,26 @@
         let mut period = tokio::time::interval(SWEEP_PERIOD);
         loop {
             tokio::select! {
-                () = stop.cancelled() => return,
+                () = stop.cancelled() => break,
                 _ = period.tick() => self.sweep(Instant::now()),
             }
         }
+        while self.close_idle() > 0 {
+            tokio::time::sleep(CLOSING_PERIOD).await;
+        }
+    }
+
+    /// Shuts down all connections without a request; returns how many are left.
+    fn close_idle(&self) -> usize {
+        let mut open = self.open.lock();
+        open.retain(|_, connection| {
+            if connection.requests == 0 {
+                // The other end may have closed it already.
+                let _ = connection.socket.shutdown(Shutdown::Both);
+            }
+            connection.requests > 0
+        });
+        open.len()
     }
 }
 
