--- a/crates/form/src/compose.rs
+++ b/crates/form/src/compose.rs
@@ -87,6 +87,12 @@
         }
         self.demand * ((self.supply + 1.0) / self.supply).ln()
     }
+
+    /// Returns what one group less takes away.
+    pub fn loss(&self) -> f64 {
+        let left = Need { demand: self.demand, supply: self.supply - 1.0 };
+        left.gain()
+    }
 }
 
 /// A group to form.
--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -18,6 +18,7 @@
 mod forming;
 mod free;
 mod groups;
+mod rebalance;
 mod stage;
 
 use std::collections::BTreeMap;
@@ -175,6 +176,10 @@
     unanswered: BTreeSet<(GroupId, Generation)>,
     /// When a group that is not whole was first seen so.
     incomplete_since: BTreeMap<(GroupId, Generation), Mono>,
+    /// Groups that are given up for another model.
+    retiring: BTreeSet<(GroupId, Generation)>,
+    /// When the last group was retired.
+    retired_at: Mono,
     /// When a group was first ordered to close.
     closed_at: BTreeMap<(GroupId, Generation), Mono>,
     /// Models that are being staged, and until when.
@@ -202,6 +207,8 @@
             released: BTreeSet::new(),
             unanswered: BTreeSet::new(),
             incomplete_since: BTreeMap::new(),
+            retiring: BTreeSet::new(),
+            retired_at: now,
             closed_at: BTreeMap::new(),
             staging: BTreeMap::new(),
             newest: BTreeMap::new(),
@@ -229,6 +236,7 @@
         self.drive_forming(view, &census, &mut commands);
         self.tend_groups(view, &census, &mut commands);
         self.form_groups(view, &census, &mut commands);
+        self.rebalance(view, &census);
         self.stage_models(view, &census, &mut commands);
         commands
     }
@@ -264,6 +272,7 @@
         let census_has = |key: &(GroupId, Generation)| census.groups.contains_key(key);
         self.released.retain(census_has);
         self.unanswered.retain(census_has);
+        self.retiring.retain(census_has);
         self.closed_at.retain(|key, _| census_has(key));
         self.incomplete_since.retain(|key, _| census_has(key));
         let now = view.now;
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -86,7 +86,7 @@
         self.forming.insert(name, forming);
     }
 
-    fn needs(&self, view: &View<'_>, census: &Census) -> Vec<Need> {
+    pub(super) fn needs(&self, view: &View<'_>, census: &Census) -> Vec<Need> {
         let supply = |model: &str| {
             let serving = census.groups.values().filter(|group| {
                 group.model.as_deref() == Some(model)
@@ -105,7 +105,7 @@
             .collect()
     }
 
-    fn free_by_fabric(
+    pub(super) fn free_by_fabric(
         &self,
         view: &View<'_>,
         census: &Census,
@@ -165,7 +165,8 @@
     }
 }
 
-fn candidate(server: &Server) -> Candidate {
+/// Returns a server as a candidate for a group.
+pub(super) fn candidate(server: &Server) -> Candidate {
     Candidate {
         id: server.id.clone(),
         hot: server.model.clone(),
--- a/crates/form/src/owner/groups.rs
+++ b/crates/form/src/owner/groups.rs
@@ -31,6 +31,10 @@
                 continue;
             }
             let head = group.head().and_then(|head| view.servers.get(head));
+            if self.retiring.contains(key) {
+                self.retire(group, head, view, commands);
+                continue;
+            }
             match group.head_phase {
                 Some(Phase::Open) if group.serves(view.engine) => {}
                 Some(Phase::Open) if group.leaving && is_staffed(group, view) => {
@@ -47,6 +51,27 @@
         }
     }
 
+    /// Goes on with a group that is given up for another model.
+    fn retire(
+        &mut self,
+        group: &Group,
+        head: Option<&Server>,
+        view: &View<'_>,
+        commands: &mut Vec<Command>,
+    ) {
+        let key = (group.name.clone(), group.epoch);
+        match group.head_phase {
+            Some(Phase::Open) => self.close(group, head, view, commands),
+            Some(Phase::Closing) => self.finish_closing(group, view, commands),
+            Some(Phase::Ready) if self.closed_at.contains_key(&key) => {
+                self.released.insert(key);
+            }
+            _ => {
+                self.retiring.remove(&key);
+            }
+        }
+    }
+
     fn close(
         &mut self,
         group: &Group,
--- a/crates/front/src/report.rs
+++ b/crates/front/src/report.rs
@@ -66,7 +66,15 @@
     /// A value in the store was left out.
     LeftOut { key: &'a str, findings: &'a Findings },
     /// A backend server is believed to be in another state.
-    Server { server: &'a str, state: &'a str, group: &'a str, phase: &'a str },
+    Server {
+        server: &'a str,
+        state: &'a str,
+        fabric: &'a str,
+        group: &'a str,
+        phase: &'a str,
+        model: &'a str,
+        staged: &'a [ModelId],
+    },
     /// The places of a service changed.
     Places { service: &'a str, model: &'a str, places: usize },
     /// An order was given.
--- a/crates/front/src/world.rs
+++ b/crates/front/src/world.rs
@@ -121,8 +121,11 @@
         report::write(&Line::Server {
             server: &server.id,
             state: if server.state == ServerState::Ready { "ready" } else { "draining" },
+            fabric: server.fabric.as_deref().unwrap_or_default(),
             group: membership.map_or("", |m| &m.group),
             phase: &membership.map_or(String::new(), |m| format!("{:?}", m.phase)),
+            model: server.model.as_deref().unwrap_or_default(),
+            staged: &server.staged,
         });
         self.refresh_places();
     }
@@ -130,7 +133,15 @@
     /// Notes that a server's report is missing.
     pub fn remove_server(&mut self, id: &str, now: Mono) {
         let Some(server) = self.servers.remove(id) else { return };
-        report::write(&Line::Server { server: id, state: "missing", group: "", phase: "" });
+        report::write(&Line::Server {
+            server: id,
+            state: "missing",
+            fabric: server.fabric.as_deref().unwrap_or_default(),
+            group: "",
+            phase: "",
+            model: "",
+            staged: &[],
+        });
         self.departed.insert(id.into(), Departed { server, since: now });
         self.departed.retain(|_, departed| now < departed.since + DEPARTED_KEPT);
         self.refresh_places();
