Keep the members of a draining head that has stopped listening

Ruled out: old reports of other writers (none was seen; they are left out now by start and count of orders, so that none can matter), a late order. Change: a refused connection counts as no answer; a retired group is left, not only closed, since an order to open it may still come; a close is not repeated at once. Test a_draining_head_that_stops_listening_keeps_its_members, seen failing before.

--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -244,7 +244,13 @@
     /// Takes the answer of order `id`; returns the order, for the log.
     pub fn reply(&mut self, id: OrderId, reply: Reply, now: Mono) -> Option<Order> {
         let InFlight { server, order } = self.in_flight.remove(&id)?;
-        if matches!(reply, Reply::Rejected | Reply::Unanswered | Reply::Invalid) {
+        let repeats = matches!(order, Order::Close { .. });
+        if repeats
+            || matches!(
+                reply,
+                Reply::Rejected | Reply::Unanswered | Reply::Invalid | Reply::Refused
+            )
+        {
             self.retry_at.insert(server.clone(), now + retry_pause(&order));
         }
         match (&order, reply) {
@@ -254,7 +260,9 @@
             (Order::Leave { group, epoch }, Reply::Done | Reply::Begun) => {
                 self.released.insert((group.clone(), *epoch));
             }
-            (Order::Leave { group, epoch }, Reply::Elsewhere | Reply::Refused) => {
+            // A head that drains stops listening before it stops serving, so a refused connection
+            // says nothing.
+            (Order::Leave { group, epoch }, Reply::Elsewhere) => {
                 self.released.insert((group.clone(), *epoch));
             }
             (Order::Leave { group, epoch }, _) => {
--- a/crates/form/src/owner/groups.rs
+++ b/crates/form/src/owner/groups.rs
@@ -63,8 +63,9 @@
         match group.head_phase {
             Some(Phase::Open) => self.close(group, head, view, commands),
             Some(Phase::Closing) => self.finish_closing(group, view, commands),
+            // An order to open it may still be under way: only leaving undoes that.
             Some(Phase::Ready) if self.closed_at.contains_key(&key) => {
-                self.released.insert(key);
+                self.give_up(group, commands);
             }
             _ => {
                 self.retiring.remove(&key);
--- a/crates/form/src/server.rs
+++ b/crates/form/src/server.rs
@@ -57,6 +57,8 @@
     pub id: ServerId,
     /// When this life started, in Unix milliseconds; zero if it doesn't say.
     pub born_ms: u64,
+    /// Orders that it has accepted in this life.
+    pub orders: u64,
     /// The service that it belongs to.
     pub service: ServiceId,
     /// Where it listens.
@@ -85,6 +87,11 @@
         (self.id.clone(), self.born_ms)
     }
 
+    /// Returns whether this report was made before `other`, of the same server.
+    pub fn is_older_than(&self, other: &Server) -> bool {
+        (self.born_ms, self.orders) < (other.born_ms, other.orders)
+    }
+
     /// Returns its membership if it is in `group` at `epoch`.
     pub fn within(&self, group: &str, epoch: Generation) -> Option<&Membership> {
         self.membership.as_ref().filter(|m| &*m.group == group && m.epoch == epoch)
--- a/crates/form/tests/fleet/mod.rs
+++ b/crates/form/tests/fleet/mod.rs
@@ -28,6 +28,8 @@
     pub(crate) alive: bool,
     /// Whether its reports reach the store.
     pub(crate) reports: bool,
+    /// Whether it listens; one that drains stops before it stops serving.
+    pub(crate) listens: bool,
     /// Whether the owner reaches it.
     pub(crate) reachable: bool,
     highest_epoch: u64,
@@ -151,6 +153,10 @@
             owner.reply(id, Reply::Unanswered, self.now);
             return;
         }
+        if !self.engines[&command.server].listens {
+            owner.reply(id, Reply::Refused, self.now);
+            return;
+        }
         if self.draw(100) < self.late_percent {
             let delay = Duration::from_millis(2_000 + self.draw(10_000));
             self.late.push((self.now + delay, command));
@@ -287,6 +293,7 @@
         let now = Server {
             id: id.into(),
             born_ms,
+            orders: 0,
             service: SERVICE.into(),
             address: ([127, 0, 0, 1], 1).into(),
             failure_domain: "a".into(),
@@ -303,6 +310,7 @@
             alive: true,
             reports: true,
             reachable: true,
+            listens: true,
             highest_epoch: 0,
             joining_until: Duration::ZERO,
             opening_until: None,
--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -57,6 +57,21 @@
     assert!(fleet.broken.is_empty(), "{:?}", fleet.broken);
 }
 
+/// On the bench: vatuloa-tides, scale-1.
+#[test]
+fn a_draining_head_that_stops_listening_keeps_its_members() {
+    let (mut fleet, mut owner) = formed(9);
+    let head = fleet.first_group()[0].clone();
+    let engine = fleet.engines.get_mut(&head).expect("an engine");
+    engine.now.state = ServerState::Draining;
+    engine.listens = false;
+    fleet.run(&mut owner, 6 * SECOND);
+    assert!(fleet.broken.is_empty(), "{:?}", fleet.broken);
+    fleet.kill(&head);
+    fleet.run(&mut owner, 10 * SECOND);
+    assert_eq!(fleet.serving(), 2, "the members go on without it once it has gone");
+}
+
 #[test]
 fn a_new_owner_goes_on_from_the_reports() {
     let (mut fleet, _) = formed(9);
--- a/crates/front/src/report.rs
+++ b/crates/front/src/report.rs
@@ -75,8 +75,8 @@
         model: &'a str,
         staged: &'a [ModelId],
     },
-    /// The places of a service changed.
-    Places { service: &'a str, model: &'a str, places: usize },
+    /// A report was left out, since a later one was seen.
+    Outdated { server: &'a str, born_ms: u64, orders: u64 },
     /// An order was given.
     Ordered { server: &'a str, order: u64, what: &'a str, group: &'a str, epoch: u64 },
     /// The answer to an order.
--- a/crates/front/src/world.rs
+++ b/crates/front/src/world.rs
@@ -112,6 +112,15 @@
 
     /// Notes what a server says of itself.
     pub fn set_server(&mut self, server: Server) {
+        if self.is_outdated(&server) {
+            let id = &server.id;
+            report::write(&Line::Outdated {
+                server: id,
+                born_ms: server.born_ms,
+                orders: server.orders,
+            });
+            return;
+        }
         self.departed.remove(&server.id);
         let old = self.servers.insert(server.id.clone(), server.clone());
         if old.as_ref() == Some(&server) {
@@ -130,6 +139,13 @@
         self.refresh_places();
     }
 
+    /// Returns whether a later report of the same server was seen, also one that went missing.
+    fn is_outdated(&self, server: &Server) -> bool {
+        let departed = self.departed.get(&server.id).map(|departed| &departed.server);
+        let last = self.servers.get(&server.id).or(departed);
+        last.is_some_and(|last| server.is_older_than(last))
+    }
+
     /// Notes that a server's report is missing.
     pub fn remove_server(&mut self, id: &str, now: Mono) {
         let Some(server) = self.servers.remove(id) else { return };
