--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -64,6 +64,7 @@
     let head = fleet.first_group()[0].clone();
     let engine = fleet.engines.get_mut(&head).expect("an engine");
     engine.now.state = ServerState::Draining;
+    engine.now.membership.as_mut().expect("a member").phase = Phase::Closing;
     engine.listens = false;
     fleet.run(&mut owner, 6 * SECOND);
     assert!(fleet.broken.is_empty(), "{:?}", fleet.broken);
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -1,13 +1,17 @@
-//! Keeps the world up to date from the store.
+//! Keeps the world up to date: from the store, or from a hub that follows the store.
+//!
+//! A process follows the store itself while it is a hub, and while no hub has told it fresh rows.
 
 use std::sync::Arc;
 
+use base::prelude::*;
 use kernel::prelude::*;
 use kv::prelude::*;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 use crate::edges::Edges;
-use crate::edges::PeerEntry;
+use crate::feed::Changed;
 use crate::names;
 use crate::report;
 use crate::report::Line;
@@ -15,79 +19,155 @@
 
 /// Changes that may wait to be applied.
 const DEPTH_CHANGES: usize = 256;
-
-/// Prefix of the peers' entries below the system's own keys.
-pub const PEERS: &str = "peers/";
+/// How often it is decided whether to follow the store.
+const CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// Age of the rows at which a process that is no hub follows the store itself.
+const OWN_AFTER: Duration = Duration::from_millis(700);
 
 /// Makes the service.
 pub fn service() -> Service {
     Service::new(names::FOLLOW, &[], run)
 }
 
+struct Follow {
+    cx: Context,
+    edges: Edges,
+    shared: Arc<Shared>,
+    mirror: Option<JoinHandle<()>>,
+    rx: mpsc::Receiver<Change>,
+    /// Whether the own mirror misses no change.
+    is_synced: bool,
+}
+
 async fn run(cx: Context) -> Result<(), Fault> {
     let edges: Edges = cx.registry().find(names::PROCESS)?;
     let shared: Arc<Shared> = cx.registry().find(names::PROCESS)?;
-    let (tx, mut rx) = mpsc::channel(DEPTH_CHANGES);
-    let peers = format!("{}{PEERS}", edges.keys.own).into();
-    let prefixes = vec![edges.keys.declared.clone(), edges.keys.servers.clone(), peers];
-    let mirror = tokio::spawn(kv::mirror::run(edges.store.clone(), prefixes, tx));
+    let (_, rx) = mpsc::channel(1);
+    let mut follow = Follow { cx: cx.clone(), edges, shared, mirror: None, rx, is_synced: false };
+    let mut check = cx.every(CHECK_PERIOD);
     cx.ready();
     loop {
-        let change = tokio::select! {
+        tokio::select! {
             () = cx.stopping() => break,
-            change = rx.recv() => change,
-        };
-        let Some(change) = change else { break };
-        apply(&cx, &edges, &shared, change);
-        while let Ok(change) = rx.try_recv() {
-            apply(&cx, &edges, &shared, change);
+            () = check.tick() => follow.check(),
+            Some(change) = follow.rx.recv() => follow.take(change),
         }
-        shared.pump(cx.now());
-        shared.servers_changed.notify_one();
     }
-    mirror.abort();
+    follow.stop_mirror();
     Ok(())
 }
 
-fn apply(cx: &Context, edges: &Edges, shared: &Shared, change: Change) {
-    match change {
-        Change::Row { key, value } => row(cx, edges, shared, &key, value.as_ref()),
-        Change::Synced => set_store_up(shared, true, ""),
-        Change::Lost(error) => set_store_up(shared, false, &error.to_string()),
+impl Follow {
+    /// Starts or stops following the store.
+    fn check(&mut self) {
+        let now = self.cx.now();
+        let (is_hub, age) = {
+            let mut world = self.shared.world.lock();
+            if self.is_synced {
+                world.feed.confirm(now);
+            }
+            (world.is_hub, world.feed.age(now))
+        };
+        let is_stale = age.is_none_or(|age| age > OWN_AFTER) && now > OWN_AFTER;
+        match &self.mirror {
+            None if is_hub || is_stale => self.start_mirror(),
+            Some(_) if !is_hub && self.is_told() => self.stop_mirror(),
+            _ => {}
+        }
     }
-}
 
-fn set_store_up(shared: &Shared, up: bool, problem: &str) {
-    let mut world = shared.world.lock();
-    if world.store_up != up {
-        let state = if up { "up" } else { "down" };
-        report::write(&Line::Dependency { name: "store", state, problem });
+    /// Returns whether a hub tells this process fresh rows.
+    fn is_told(&self) -> bool {
+        let world = self.shared.world.lock();
+        world.told_at.is_some_and(|at| self.cx.now() <= at + OWN_AFTER / 2)
+    }
+
+    fn start_mirror(&mut self) {
+        let (tx, rx) = mpsc::channel(DEPTH_CHANGES);
+        let keys = &self.edges.keys;
+        let prefixes = vec![keys.declared.clone(), keys.servers.clone(), keys.own.clone()];
+        let known = self.shared.world.lock().feed.rows();
+        let mirror = kv::mirror::run(self.edges.store.clone(), prefixes, known, tx);
+        self.mirror = Some(tokio::spawn(mirror));
+        self.rx = rx;
+        report::write(&Line::Dependency { name: "store", state: "followed", problem: "" });
+    }
+
+    fn stop_mirror(&mut self) {
+        if let Some(mirror) = self.mirror.take() {
+            mirror.abort();
+            self.is_synced = false;
+            report::write(&Line::Dependency { name: "store", state: "left to a hub", problem: "" });
+        }
+    }
+
+    /// Applies a change of the own mirror and all that wait behind it.
+    fn take(&mut self, change: Change) {
+        let mut next = Some(change);
+        while let Some(change) = next {
+            self.apply(change);
+            next = self.rx.try_recv().ok();
+        }
+        self.shared.pump(self.cx.now());
+        self.shared.servers_changed.notify_one();
+    }
+
+    fn apply(&mut self, change: Change) {
+        let now = self.cx.now();
+        match change {
+            Change::Row { key, value } => {
+                // A deletion of the watch comes after all that was read before.
+                let revision = self.shared.world.lock().feed.revision();
+                apply(&self.edges, &self.shared, Changed { key, value, revision }, now);
+            }
+            Change::Ended => self.is_synced = false,
+            Change::Synced => {
+                self.is_synced = true;
+                self.shared.world.lock().feed.confirm(now);
+                self.tell_store(true, "");
+            }
+            Change::Lost(error) => {
+                self.is_synced = false;
+                self.tell_store(false, &error.to_string());
+            }
+        }
+    }
+
+    fn tell_store(&self, up: bool, problem: &str) {
+        let mut world = self.shared.world.lock();
+        if world.store_up != up {
+            let state = if up { "up" } else { "down" };
+            report::write(&Line::Dependency { name: "store", state, problem });
+        }
+        world.store_up = up;
     }
-    world.store_up = up;
 }
 
-fn row(cx: &Context, edges: &Edges, shared: &Shared, key: &str, value: Option<&Versioned>) {
+/// Applies one row, wherever it comes from.
+pub(crate) fn apply(edges: &Edges, shared: &Shared, changed: Changed, now: Mono) {
+    let Changed { key, value, revision } = changed;
+    if !shared.world.lock().feed.apply(&key, value.clone(), revision) {
+        return;
+    }
     if let Some(id) = key.strip_prefix(&*edges.keys.servers) {
-        server_row(cx, edges, shared, id, value);
-    } else if key == &*edges.keys.declared {
-        if let Some(value) = value {
+        server_row(edges, shared, id, value.as_ref(), now);
+    } else if key == edges.keys.declared {
+        if let Some(value) = &value {
             declared_row(edges, shared, value);
         }
-    } else if let Some((_, node)) = key.split_once(PEERS) {
-        peer_row(shared, node, value);
     }
 }
 
-fn server_row(cx: &Context, edges: &Edges, shared: &Shared, id: &str, value: Option<&Versioned>) {
+fn server_row(edges: &Edges, shared: &Shared, id: &str, value: Option<&Versioned>, now: Mono) {
     let decoded = value.map(|value| edges.decode.server(id, &value.value));
     let mut world = shared.world.lock();
     match decoded {
         Some(Ok(server)) => world.set_server(server),
         Some(Err(findings)) => {
             report::write(&Line::LeftOut { key: id, findings: &findings });
-            world.remove_server(id, cx.now());
+            world.remove_server(id, now);
         }
-        None => world.remove_server(id, cx.now()),
+        None => world.remove_server(id, now),
     }
 }
 
@@ -98,24 +178,10 @@
             if !findings.is_empty() {
                 report::write(&Line::LeftOut { key: &edges.keys.declared, findings: &findings });
             }
-            shared.world.lock().set_declared(declared, "store");
+            shared.world.lock().set_declared(declared);
         }
         Err(findings) => {
             report::write(&Line::LeftOut { key: &edges.keys.declared, findings: &findings });
         }
     }
 }
-
-fn peer_row(shared: &Shared, node: &str, value: Option<&Versioned>) {
-    let entry = value.map(|value| serde_json::from_slice::<PeerEntry>(&value.value));
-    let mut world = shared.world.lock();
-    match entry {
-        Some(Ok(entry)) => {
-            world.peers.insert(node.into(), entry);
-        }
-        Some(Err(error)) => log::warn!("peer `{node}`: its entry can't be read: {error}"),
-        None => {
-            world.peers.remove(node);
-        }
-    }
-}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,7 +5,9 @@
 //! - [`settings`]: the settings, declared once.
 //! - [`edges`]: what a deployment plugs in: store, decoders, orders, header names.
 //! - [`world`]: what this process believes, shared by its services.
-//! - [`follow`]: keeps the world up to date from the store.
+//! - [`feed`]: the rows of the store that a process knows, and what has changed among them.
+//! - [`follow`]: keeps the world up to date from the store, or from a hub.
+//! - [`hub`]: what a hub knows of the other processes.
 //! - [`owner`]: owns the replica groups, one process at a time.
 //! - [`serve`]: one request's way through the process.
 //! - [`ready`]: readiness and metrics.
@@ -14,7 +16,9 @@
 
 pub mod clock;
 pub mod edges;
+pub mod feed;
 pub mod follow;
+pub mod hub;
 pub mod logging;
 pub mod metrics;
 pub mod names;
@@ -25,6 +29,7 @@
 pub mod run;
 pub mod serve;
 pub mod settings;
+mod tenure;
 pub mod world;
 
 pub use run::run;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -1,51 +1,84 @@
-//! What the processes tell each other.
-//!
-//! Each process has a leased entry in the store with its address. Each tells all others, a few
-//! times a second, which requests it has where; what it is told goes into its world.
+//! What the processes tell each other; [`crate::hub`] tells who asks whom.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use base::prelude::*;
-use form::prelude::*;
 use futures::FutureExt;
 use http::Method;
 use http::StatusCode;
 use kernel::prelude::*;
 use kv::prelude::*;
-use pass::places::Load;
-use serde_json::json;
+use parking_lot::Mutex;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use web::body;
 use web::prelude::*;
 
 use crate::edges::Edges;
 use crate::edges::PeerEntry;
+use crate::feed::Changed;
 use crate::follow;
+use crate::hub::Loads;
 use crate::logging;
 use crate::metrics::Metrics;
 use crate::names;
 use crate::settings::Settings;
+use crate::tenure;
+use crate::tenure::Claim;
 use crate::world::Shared;
 
-/// How long an entry lasts without renewal.
-const LEASE: Duration = Duration::from_secs(5);
-/// How often the entry is renewed.
-const RENEW_PERIOD: Duration = Duration::from_millis(1_500);
-/// How often peers are told of loads.
-const TELL_PERIOD: Duration = Duration::from_millis(150);
-/// How long telling a peer may take.
-const TELL_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a hub stays one without renewal.
+const HUB_LEASE: Duration = Duration::from_secs(3);
+/// How often a process asks its hub, and hubs tell each other.
+const EXCHANGE_PERIOD: Duration = Duration::from_millis(100);
+/// How long an exchange may take.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Age of its rows above which a hub's answer is not taken for the store's word.
+const FRESH: Duration = Duration::from_millis(600);
 /// Largest message of a peer.
-const MAX_MESSAGE_BYTES: usize = 256 << 10;
+const MAX_MESSAGE_BYTES: usize = 8 << 20;
+/// Where hubs stand, below the system's own keys.
+const HUBS: &str = "hub/";
 
-/// What a process tells its peers.
+/// What a process tells a hub.
 #[wire]
 struct Told {
-    /// The process.
     node: NodeId,
-    /// What it has where.
-    loads: Vec<(ServerId, Load)>,
+    /// Its loads; those of its whole domain if it is a hub.
+    loads: Loads,
+    /// The processes of its domain if it is a hub; none otherwise.
+    domain_processes: Option<usize>,
+    /// The feed that it knows, and the last change of it that it has.
+    have: Option<(BootId, u64)>,
+}
+
+/// What a hub answers.
+#[wire]
+struct Answer {
+    boot: BootId,
+    number: u64,
+    /// Milliseconds since the rows were as the store holds them.
+    age_ms: Option<u64>,
+    rows: Vec<Row>,
+    /// The store's revision of the rows, if they are all that the hub knows.
+    whole_at: Option<u64>,
+    /// What all other processes have where.
+    loads: Loads,
+    processes: usize,
+}
+
+/// A row of the store.
+#[wire]
+struct Row {
+    key: Box<str>,
+    /// The revision that wrote the value, and its text; `None` if the key was deleted. A value
+    /// that is no text can't be read anyway.
+    value: Option<(u64, Box<str>)>,
+    revision: u64,
 }
 
 /// Makes the service.
@@ -55,17 +88,25 @@
 
 struct State {
     cx: Context,
+    edges: Edges,
+    settings: Arc<Settings>,
     shared: Arc<Shared>,
     metrics: Metrics,
+    client: Client,
+    /// The feed of each hub that was asked, and the last change that was had of it.
+    known: Mutex<HashMap<SocketAddr, (BootId, u64)>>,
 }
 
 async fn run(cx: Context) -> Result<(), Fault> {
     let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
-    let edges: Edges = cx.registry().find(names::PROCESS)?;
     let state = Arc::new(State {
         cx: cx.clone(),
+        edges: cx.registry().find(names::PROCESS)?,
+        settings: settings.clone(),
         shared: cx.registry().find(names::PROCESS)?,
         metrics: cx.registry().find(names::PROCESS)?,
+        client: Client::pooled(EXCHANGE_TIMEOUT),
+        known: Mutex::default(),
     });
     let listener = TcpListener::bind(settings.peers).await;
     let listener = listener.map_err(|error| Fault::new(settings.peers.to_string(), error))?;
@@ -77,8 +118,8 @@
     let stop = CancellationToken::new();
     let limits = ServerLimits::default();
     let serving = serve(listener, limits, handler, Drain::default(), stop.clone());
-    let entry = tokio::spawn(keep_entry(cx.clone(), edges, address));
-    let telling = tokio::spawn(tell_forever(state));
+    let hub = tokio::spawn(hold_hub(state.clone(), address));
+    let exchanging = tokio::spawn(exchange_forever(state));
     cx.ready();
     let ended = tokio::select! {
         ended = serving => {
@@ -86,20 +127,51 @@
         }
         () = cx.stopping() => Ok(()),
     };
-    entry.abort();
-    telling.abort();
+    exchanging.abort();
+    // It gives the key back; the kernel stops services only once the process stops.
+    let _ = tokio::time::timeout(EXCHANGE_TIMEOUT, hub).await;
     ended
 }
 
+/// Is the hub of its failure domain while no other process is.
+async fn hold_hub(state: Arc<State>, address: SocketAddr) {
+    let entry = PeerEntry { address };
+    let claim = Claim {
+        name: "hub",
+        key: format!("{}{HUBS}{}", state.edges.keys.own, state.settings.failure_domain).into(),
+        value: serde_json::to_vec(&entry).expect("an entry has a JSON form").into(),
+        lease: HUB_LEASE.max(state.settings.shortest_lease),
+    };
+    let (tx, mut rx) = watch::channel(None);
+    let free = {
+        let (state, key) = (state.clone(), claim.key.clone());
+        // Before anything is known, the write itself tells whether another is the hub.
+        move || !state.shared.world.lock().feed.has(&key)
+    };
+    let store = state.edges.store.clone();
+    let keep = tenure::keep(state.cx.clone(), store, claim, free, Arc::new(Notify::new()), tx);
+    let follow = async {
+        while rx.changed().await.is_ok() {
+            state.shared.world.lock().is_hub = rx.borrow().is_some();
+        }
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        () = keep => {}
+        () = follow => {}
+    }
+    state.shared.world.lock().is_hub = false;
+}
+
 async fn respond(state: Arc<State>, request: Request) -> Response {
     match (&request.method, &*request.path) {
-        (&Method::POST, "/loads") => told(&state, request).await,
+        (&Method::POST, "/exchange") => exchanged(&state, request).await,
         (&Method::GET, "/metrics") => metrics(&state),
         _ => reply::empty(StatusCode::NOT_FOUND),
     }
 }
 
-async fn told(state: &State, request: Request) -> Response {
+async fn exchanged(state: &State, request: Request) -> Response {
     let bytes = match body::read(request.body, MAX_MESSAGE_BYTES).await {
         Ok(bytes) => bytes,
         Err(error) => return reply::text(StatusCode::BAD_REQUEST, error.to_string()),
@@ -109,8 +181,36 @@
         Err(error) => return reply::text(StatusCode::BAD_REQUEST, error.to_string()),
     };
     let now = state.cx.now();
-    state.shared.world.lock().places.set_others(&told.node, &told.loads, now);
-    reply::json(StatusCode::OK, &json!({}))
+    let mut world = state.shared.world.lock();
+    match told.domain_processes {
+        Some(processes) => world.hub.hub(&told.node, told.loads, processes, now),
+        None => world.hub.client(&told.node, told.loads, now),
+    }
+    world.hub.expire(now);
+    let known = told.have.filter(|(boot, _)| *boot == world.feed.boot);
+    let own = world.places.own_loads();
+    let (loads, processes) = world.hub.fleet(&own, &told.node);
+    let age = world.feed.age(now);
+    let rows = match told.have {
+        None => Vec::new(),
+        Some(_) => world.feed.since(known.map_or(0, |(_, number)| number)),
+    };
+    let answer = Answer {
+        boot: world.feed.boot,
+        number: world.feed.number(),
+        age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        rows: rows.into_iter().map(row).collect(),
+        whole_at: (told.have.is_some() && known.is_none()).then(|| world.feed.revision()),
+        loads,
+        processes,
+    };
+    reply::json(StatusCode::OK, &answer)
+}
+
+fn row(changed: Changed) -> Row {
+    let text = |value: &Versioned| String::from_utf8_lossy(&value.value).into();
+    let value = changed.value.map(|value| (value.mod_revision, text(&value)));
+    Row { key: changed.key, value, revision: changed.revision }
 }
 
 fn metrics(state: &State) -> Response {
@@ -124,89 +224,172 @@
     reply::text(StatusCode::OK, state.metrics.text())
 }
 
-/// Keeps this process's entry in the store.
-async fn keep_entry(cx: Context, edges: Edges, address: std::net::SocketAddr) {
-    let key = format!("{}{}{}", edges.keys.own, follow::PEERS, cx.node());
-    let entry = PeerEntry { address };
-    let value: Arc<[u8]> = serde_json::to_vec(&entry).expect("an entry has a JSON form").into();
-    let mut period = cx.every(RENEW_PERIOD);
-    let mut lease = None;
+async fn exchange_forever(state: Arc<State>) {
+    let mut period = state.cx.every(EXCHANGE_PERIOD);
+    let mut listed = false;
     loop {
-        lease = match lease {
-            Some(id) => renew(&edges, id).await,
-            None => write_entry(&edges, &key, value.clone()).await,
-        };
-        tokio::select! {
-            () = cx.process_stopping() => break,
-            () = period.tick() => {}
+        if !listed && !state.shared.world.lock().is_hub {
+            // The first rows tell where the hubs are.
+            listed = list_hubs(&state).await;
         }
-    }
-    if let Some(id) = lease {
-        if let Err(error) = edges.store.end(id).await {
-            log::warn!("the entry of this process ends by itself: {error}");
+        if state.shared.world.lock().is_hub {
+            tell_hubs(&state).await;
+        } else {
+            ask_hub(&state).await;
         }
+        period.tick().await;
     }
 }
 
-async fn renew(edges: &Edges, lease: LeaseId) -> Option<LeaseId> {
-    match edges.store.renew(lease).await {
-        Ok(true) => Some(lease),
-        Ok(false) => None,
+async fn list_hubs(state: &State) -> bool {
+    let prefix = format!("{}{HUBS}", state.edges.keys.own);
+    match state.edges.store.list(&prefix).await {
+        Ok(listed) => {
+            let now = state.cx.now();
+            let found = !listed.rows.is_empty();
+            for (key, value) in listed.rows {
+                let revision = listed.revision;
+                let changed = Changed { key, value: Some(value), revision };
+                follow::apply(&state.edges, &state.shared, changed, now);
+            }
+            found
+        }
         Err(error) => {
-            log::warn!("the entry of this process was not renewed: {error}");
-            Some(lease)
+            log::warn!("the hubs are not known: {error}");
+            false
         }
     }
 }
 
-async fn write_entry(edges: &Edges, key: &str, value: Arc<[u8]>) -> Option<LeaseId> {
-    let written = async {
-        let lease = edges.store.grant(LEASE).await?;
-        let stands = edges.store.get(key).await?.map_or(0, |value| value.mod_revision);
-        edges.store.swap_leased(key, stands, value, lease.id).await?;
-        Ok::<LeaseId, KvError>(lease.id)
-    };
-    match written.await {
-        Ok(lease) => Some(lease),
-        Err(error) => {
-            log::warn!("the entry of this process was not written: {error}");
-            None
+/// Returns the hubs' addresses, that of the own domain first.
+fn hubs(state: &State) -> Vec<SocketAddr> {
+    let own = format!("{}{HUBS}{}", state.edges.keys.own, state.settings.failure_domain);
+    let prefix = format!("{}{HUBS}", state.edges.keys.own);
+    let world = state.shared.world.lock();
+    let mut hubs: Vec<(bool, SocketAddr)> = Vec::new();
+    for (key, value) in world.feed.below(&prefix) {
+        match serde_json::from_slice::<PeerEntry>(&value.value) {
+            Ok(entry) => hubs.push((key != own, entry.address)),
+            Err(error) => log::warn!("hub `{key}` can't be read: {error}"),
         }
     }
+    hubs.sort();
+    hubs.into_iter().map(|(_, address)| address).collect()
 }
 
-async fn tell_forever(state: Arc<State>) {
-    let client = Client::pooled(TELL_TIMEOUT);
-    let mut period = state.cx.every(TELL_PERIOD);
-    let mut idle = false;
-    loop {
-        period.tick().await;
-        let loads = state.shared.world.lock().places.own_loads();
-        // One empty message tells that nothing is left; more would say nothing new.
-        if loads.is_empty() && idle {
+/// Tells the other hubs the sums of the own domain; takes rows from them if the store is silent.
+async fn tell_hubs(state: &Arc<State>) {
+    let now = state.cx.now();
+    let (loads, processes, is_fresh) = {
+        let world = state.shared.world.lock();
+        let own = world.places.own_loads();
+        let (loads, processes) = world.hub.domain(&own);
+        (loads, processes, world.feed.age(now).is_some_and(|age| age < FRESH))
+    };
+    for address in hubs(state) {
+        if address.ip() == state.settings.peers.ip() && address == state.settings.peers {
             continue;
         }
-        idle = loads.is_empty();
-        let told = Arc::new(Told { node: state.cx.node().clone(), loads });
-        let peers: Vec<PeerEntry> = {
-            let world = state.shared.world.lock();
-            let others = world.peers.iter().filter(|(node, _)| *node != state.cx.node());
-            others.map(|(_, entry)| entry.clone()).collect()
+        let have = (!is_fresh).then(|| state.had_of(address));
+        let told = Told {
+            node: state.cx.node().clone(),
+            loads: loads.clone(),
+            domain_processes: Some(processes),
+            have,
         };
-        for peer in peers {
-            let (client, told) = (client.clone(), told.clone());
-            tokio::spawn(async move {
-                // Loads are told again soon; one that is not heard goes stale by itself.
-                let _ = client
-                    .json::<Told, serde_json::Value>(
-                        peer.address,
-                        Method::POST,
-                        "/loads",
-                        Some(&*told),
-                        TELL_TIMEOUT,
-                    )
-                    .await;
-            });
+        let state = state.clone();
+        tokio::spawn(async move {
+            let answered = ask(&state, address, &told).await;
+            // An answer without rows says nothing about the age of the own ones.
+            if let (Ok(answer), Some(_)) = (answered, told.have) {
+                take_rows(&state, &answer);
+            }
+        });
+    }
+    take_hub_loads(state);
+}
+
+/// A hub sums up what it was told itself.
+fn take_hub_loads(state: &State) {
+    let now = state.cx.now();
+    let mut world = state.shared.world.lock();
+    world.hub.expire(now);
+    let (loads, processes) = world.hub.fleet(&Vec::new(), "");
+    world.set_fleet(&loads, processes, now);
+}
+
+/// Asks the nearest hub that answers with fresh rows.
+async fn ask_hub(state: &State) {
+    for address in hubs(state) {
+        let loads = state.shared.world.lock().places.own_loads();
+        let told = Told {
+            node: state.cx.node().clone(),
+            loads,
+            domain_processes: None,
+            have: Some(state.had_of(address)),
+        };
+        let Ok(answer) = ask(state, address, &told).await else { continue };
+        take_rows(state, &answer);
+        let now = state.cx.now();
+        let is_fresh = answer.age_ms.is_some_and(|age| u128::from(age) < FRESH.as_millis());
+        let mut world = state.shared.world.lock();
+        world.set_fleet(&answer.loads, answer.processes, now);
+        if is_fresh {
+            world.told_at = Some(now);
+            return;
         }
     }
 }
+
+async fn ask(state: &State, address: SocketAddr, told: &Told) -> Result<Answer, ClientError> {
+    let asked = state.client.json(address, Method::POST, "/exchange", Some(told), EXCHANGE_TIMEOUT);
+    let answer: Answer = asked.await?;
+    if told.have.is_some() {
+        state.known.lock().insert(address, (answer.boot, answer.number));
+    }
+    Ok(answer)
+}
+
+impl State {
+    /// Returns the last change that was had of the hub at `address`; change 0 before any.
+    fn had_of(&self, address: SocketAddr) -> (BootId, u64) {
+        self.known.lock().get(&address).copied().unwrap_or((0, 0))
+    }
+}
+
+/// Drops the rows that a hub, which told all of its own, doesn't have.
+fn drop_missing(state: &State, answer: &Answer, revision: u64) {
+    let is_fresh = answer.age_ms.is_some_and(|age| u128::from(age) < FRESH.as_millis());
+    if !is_fresh {
+        return;
+    }
+    let whole = answer.rows.iter().map(|row| &*row.key).collect();
+    let missing = state.shared.world.lock().feed.missing_from(&whole, revision);
+    for key in missing {
+        let changed = Changed { key, value: None, revision };
+        follow::apply(&state.edges, &state.shared, changed, state.cx.now());
+    }
+}
+
+fn take_rows(state: &State, answer: &Answer) {
+    let now = state.cx.now();
+    if let Some(revision) = answer.whole_at {
+        drop_missing(state, answer, revision);
+    }
+    for row in &answer.rows {
+        let value = row.value.as_ref().map(|(mod_revision, text)| Versioned {
+            value: text.as_bytes().into(),
+            mod_revision: *mod_revision,
+        });
+        let changed = Changed { key: row.key.clone(), value, revision: row.revision };
+        follow::apply(&state.edges, &state.shared, changed, now);
+    }
+    if let Some(age) = answer.age_ms {
+        let at = now.saturating_sub(Duration::from_millis(age));
+        state.shared.world.lock().feed.confirm(at);
+    }
+    if !answer.rows.is_empty() {
+        state.shared.pump(now);
+        state.shared.servers_changed.notify_one();
+    }
+}
--- a/crates/front/src/report.rs
+++ b/crates/front/src/report.rs
@@ -9,11 +9,9 @@
 /// A decision.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
-pub enum Line<'a> {
+pub(crate) enum Line<'a> {
     /// A request has no route or no key.
     Unrouted { request: &'a str, host: &'a str, path: &'a str, version: Revision, status: u16 },
-    /// A request waits for a place.
-    Queued { request: &'a str, service: &'a str, model: &'a str, waiting: usize },
     /// A request is refused; it has not run.
     Refused {
         request: &'a str,
@@ -62,7 +60,7 @@
     /// The caller went away before the end.
     CallerGone { request: &'a str, server: &'a str, after_ms: u64 },
     /// A declaration came in force.
-    InForce { version: Revision, routes: usize, source: &'a str },
+    InForce { version: Revision, routes: usize },
     /// A value in the store was left out.
     LeftOut { key: &'a str, findings: &'a Findings },
     /// A backend server is believed to be in another state.
@@ -81,8 +79,8 @@
     Ordered { server: &'a str, order: u64, what: &'a str, group: &'a str, epoch: u64 },
     /// The answer to an order.
     OrderAnswered { server: &'a str, order: u64, what: &'a str, reply: &'a str, after_ms: u64 },
-    /// This process owns the groups, or ceases to.
-    Owner { service: &'a str, fence: u64, state: &'a str, reason: &'a str },
+    /// This process holds a key of the store, or ceases to.
+    Tenure { name: &'a str, revision: u64, state: &'a str },
     /// A dependency was lost or is back.
     Dependency { name: &'a str, state: &'a str, problem: &'a str },
     /// The process starts, stops or reloads.
@@ -90,7 +88,7 @@
 }
 
 /// Writes a line.
-pub fn write(line: &Line<'_>) {
+pub(crate) fn write(line: &Line<'_>) {
     match serde_json::to_string(line) {
         Ok(text) => log::info!(target: "decision", "{text}"),
         Err(error) => log::error!("a line could not be written: {error}"),
@@ -98,6 +96,6 @@
 }
 
 /// Returns whole milliseconds.
-pub fn millis(time: Duration) -> u64 {
+pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/front/src/world.rs
+++ b/crates/front/src/world.rs
@@ -17,7 +17,9 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
-use crate::edges::PeerEntry;
+use crate::feed::Feed;
+use crate::hub::Hub;
+use crate::hub::Loads;
 use crate::report;
 use crate::report::Line;
 
@@ -45,8 +47,16 @@
     pub servers: BTreeMap<ServerId, Server>,
     /// Servers that have ceased to report.
     pub departed: BTreeMap<ServerId, Departed>,
-    /// Other processes.
-    pub peers: BTreeMap<NodeId, PeerEntry>,
+    /// The rows of the store behind all this.
+    pub feed: Feed,
+    /// What other processes told.
+    pub hub: Hub,
+    /// Whether this process is the hub of its failure domain.
+    pub is_hub: bool,
+    /// When a hub last told fresh rows.
+    pub told_at: Option<Mono>,
+    /// Processes that are alive, this one included, as far as is known.
+    processes: usize,
     /// Who may get a request.
     pub places: Places,
     /// Requests that wait.
@@ -70,7 +80,11 @@
             routes: Arc::default(),
             servers: BTreeMap::new(),
             departed: BTreeMap::new(),
-            peers: BTreeMap::new(),
+            feed: Feed::default(),
+            hub: Hub::default(),
+            is_hub: false,
+            told_at: None,
+            processes: 1,
             places: Places::default(),
             dispatch: Dispatch::default(),
             retries: RetryBudget::new(retries),
@@ -95,11 +109,17 @@
 impl World {
     /// Returns how many processes are alive, this one included.
     pub fn processes(&self) -> usize {
-        self.peers.len().max(1)
+        self.processes
+    }
+
+    /// Notes what all other processes have where, and how many there are.
+    pub fn set_fleet(&mut self, loads: &Loads, processes: usize, now: Mono) {
+        self.places.set_others(loads, now);
+        self.processes = processes.max(1);
     }
 
     /// Puts `declared` in force, unless it is not newer.
-    pub fn set_declared(&mut self, declared: Declared, source: &str) {
+    pub fn set_declared(&mut self, declared: Declared) {
         if declared.version <= self.routes.version() {
             return;
         }
@@ -107,7 +127,7 @@
         self.routes = Arc::new(RouteTable::from(declared));
         self.places.set_services(self.routes.services().cloned());
         self.refresh_places();
-        report::write(&Line::InForce { version, routes, source });
+        report::write(&Line::InForce { version, routes });
     }
 
     /// Notes what a server says of itself.
--- a/crates/kv/src/mirror.rs
+++ b/crates/kv/src/mirror.rs
@@ -35,6 +35,8 @@
     },
     /// All prefixes were read again, and the copy holds what the store held then.
     Synced,
+    /// The watch ended: changes may be missing until the next [`Change::Synced`].
+    Ended,
     /// The store did not answer; the copy stays as it was.
     Lost(KvError),
 }
@@ -45,6 +47,12 @@
     rows: BTreeMap<Box<str>, Versioned>,
 }
 
+impl FromIterator<(Box<str>, Versioned)> for Rows {
+    fn from_iter<T: IntoIterator<Item = (Box<str>, Versioned)>>(rows: T) -> Self {
+        Rows { rows: rows.into_iter().collect() }
+    }
+}
+
 impl Rows {
     /// Returns the value of `key`.
     pub fn get(&self, key: &str) -> Option<&Versioned> {
@@ -116,8 +124,14 @@
 }
 
 /// Follows `prefixes` in `store` until the reader of `tx` has gone.
-pub async fn run(store: Arc<dyn Store>, prefixes: Vec<Box<str>>, tx: mpsc::Sender<Change>) {
-    let mut rows = Rows::default();
+///
+/// `rows` is what the reader knows already; it is told what has changed since.
+pub async fn run(
+    store: Arc<dyn Store>,
+    prefixes: Vec<Box<str>>,
+    mut rows: Rows,
+    tx: mpsc::Sender<Change>,
+) {
     let mut pause = FIRST_PAUSE;
     let mut lost = false;
     while !tx.is_closed() {
@@ -162,6 +176,8 @@
             send_all(tx, rows.apply(event)).await;
         }
     }
+    // A reader that has gone ends the loop of `run`.
+    let _ = tx.send(Change::Ended).await;
     Ok(())
 }
 
--- a/crates/pass/src/places.rs
+++ b/crates/pass/src/places.rs
@@ -61,7 +61,8 @@
 struct State {
     place: Place,
     own: Load,
-    others: HashMap<NodeId, (Load, Mono)>,
+    /// What all other processes have there, and when that was told.
+    others: (Load, Mono),
     full_until: Mono,
     avoid_until: Mono,
     failures: u32,
@@ -205,14 +206,14 @@
         states.map(|(id, state)| (id.clone(), state.own)).collect()
     }
 
-    /// Notes the loads that process `node` told; places that it doesn't name have none of its.
-    pub fn set_others(&mut self, node: &NodeId, loads: &[(ServerId, Load)], now: Mono) {
+    /// Notes the loads of all other processes; places that are not named have none.
+    pub fn set_others(&mut self, loads: &[(ServerId, Load)], now: Mono) {
         for state in self.states.values_mut() {
-            state.others.remove(node);
+            state.others = (Load::default(), now);
         }
         for (server, load) in loads {
             if let Some(state) = self.states.get_mut(server) {
-                state.others.insert(node.clone(), (*load, now));
+                state.others = (*load, now);
             }
         }
     }
@@ -227,7 +228,7 @@
         State {
             place,
             own: Load::default(),
-            others: HashMap::new(),
+            others: (Load::default(), Mono::ZERO),
             full_until: Mono::ZERO,
             avoid_until: Mono::ZERO,
             failures: 0,
@@ -237,11 +238,10 @@
 
     fn total(&self, now: Mono) -> Load {
         let mut total = self.own;
-        for (load, at) in self.others.values() {
-            if now <= *at + OTHERS_KEPT {
-                total.requests += load.requests;
-                total.unread_tokens += load.unread_tokens;
-            }
+        let (others, at) = self.others;
+        if now <= at + OTHERS_KEPT {
+            total.requests += others.requests;
+            total.unread_tokens += others.unread_tokens;
         }
         total
     }
