Leave places that fall silent for all their requests; hubs outlast the store

Cause: requests went on to a group that stood still until its member's report lapsed, 2.4 to 3.6 s later; in an outage of the store hubs gave their role up, so loads were no longer told. Ruled out: a probe of members (priced; joint silence tells the same).

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -38,7 +38,7 @@
 /// How long an exchange may take.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Age of its rows above which a hub's answer is not taken for the store's word.
-const FRESH: Duration = Duration::from_millis(600);
+const FRESH: Duration = Duration::from_millis(400);
 /// Largest message of a peer.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 /// Where hubs stand, below the system's own keys.
@@ -141,6 +141,7 @@
         key: format!("{}{HUBS}{}", state.edges.keys.own, state.settings.failure_domain).into(),
         value: serde_json::to_vec(&entry).expect("an entry has a JSON form").into(),
         lease: HUB_LEASE.max(state.settings.shortest_lease),
+        outlasts_store: true,
     };
     let (tx, mut rx) = watch::channel(None);
     let free = {
--- a/crates/front/src/serve/exchange.rs
+++ b/crates/front/src/serve/exchange.rs
@@ -214,7 +214,8 @@
         let (mut parts, from) = response.into_parts();
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
-        match stream::first_event(self.job, from).await {
+        let patience = self.patience();
+        match stream::first_event(self.job, &self.held, from, patience).await {
             Ok((event, source)) => {
                 self.held.read();
                 let body =
--- a/crates/front/src/serve/held.rs
+++ b/crates/front/src/serve/held.rs
@@ -43,6 +43,18 @@
         }
     }
 
+    /// Notes that something has come from the place.
+    pub(crate) fn heard(&self) {
+        let now = self.state.cx.now();
+        self.state.shared.world.lock().places.heard(&self.place, now);
+    }
+
+    /// Returns whether nothing comes from the place any more, for any request.
+    pub(crate) fn is_silent(&self) -> bool {
+        let now = self.state.cx.now();
+        self.state.shared.world.lock().places.is_silent(&self.place, now)
+    }
+
     /// Notes a whole answer.
     pub(crate) fn succeeded(&self) {
         self.state.shared.world.lock().places.succeeded(&self.place, self.age());
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -31,6 +31,9 @@
 /// How long a stream may be silent where callers aim at no pause.
 const USUAL_SILENCE: Duration = Duration::from_secs(1);
 
+/// How often a waiting stream looks whether its place has fallen silent.
+const SILENCE_CHECK: Duration = Duration::from_millis(100);
+
 /// Where a stream's events come from.
 pub(super) struct Source {
     from: Body,
@@ -72,13 +75,41 @@
 }
 
 /// Waits for the first event of a stream.
-pub(super) async fn first_event(job: &Job, from: Body) -> Result<(Event, Source), Box<str>> {
+pub(super) async fn first_event(
+    job: &Job,
+    held: &Held,
+    from: Body,
+    patience: Duration,
+) -> Result<(Event, Source), Box<str>> {
     let mut source = Source { from, events: Events::default() };
-    match tokio::time::timeout(first_event_patience(job), source.next()).await {
-        Ok(Ok(event)) => Ok((event, source)),
-        Ok(Err(End::Broken(problem))) => Err(problem),
-        Ok(Err(End::Whole)) => Err("it ended without an event".into()),
-        Err(_) => Err("no first event in time".into()),
+    match next_or_silent(job, held, &mut source, patience).await {
+        Some(Ok(event)) => Ok((event, source)),
+        Some(Err(End::Broken(problem))) => Err(problem),
+        Some(Err(End::Whole)) => Err("it ended without an event".into()),
+        None => Err("no first event in time".into()),
+    }
+}
+
+/// Waits for the next event; `None` after `patience`, or as soon as the place has fallen silent for
+/// all its requests, if the stream may go on elsewhere.
+async fn next_or_silent(
+    job: &Job,
+    held: &Held,
+    source: &mut Source,
+    patience: Duration,
+) -> Option<Result<Event, End>> {
+    let since = job.now();
+    loop {
+        let left = patience.saturating_sub(job.now().saturating_sub(since));
+        let slice = left.min(SILENCE_CHECK);
+        if let Ok(next) = tokio::time::timeout(slice, source.next()).await {
+            return Some(next);
+        }
+        let over = job.now().saturating_sub(since) >= patience;
+        let may_leave = patience < job.deadline.saturating_sub(since);
+        if over || (may_leave && held.is_silent()) {
+            return None;
+        }
     }
 }
 
@@ -153,21 +184,21 @@
         loop {
             let next = tokio::select! {
                 () = self.tx.closed() => return self.tell_gone(),
-                next = tokio::time::timeout(self.silence(), source.next()) => next,
+                next = self.next(&mut source) => next,
             };
             if self.job.now() >= self.job.deadline {
                 return self.break_off("its time is up").await;
             }
             let problem = match next {
-                Ok(Ok(event)) => {
+                Some(Ok(event)) => {
                     if !self.pass(event).await {
                         return self.tell_gone();
                     }
                     continue;
                 }
-                Ok(Err(End::Whole)) => return self.tell_whole(),
-                Ok(Err(End::Broken(problem))) => problem,
-                Err(_) => "the stream fell silent".into(),
+                Some(Err(End::Whole)) => return self.tell_whole(),
+                Some(Err(End::Broken(problem))) => problem,
+                None => "the stream fell silent".into(),
             };
             match self.resume(&problem).await {
                 Some(resumed) => source = resumed,
@@ -176,6 +207,11 @@
         }
     }
 
+    async fn next(&self, source: &mut Source) -> Option<Result<Event, End>> {
+        let Some(held) = &self.held else { return None };
+        next_or_silent(&self.job, held, source, self.silence()).await
+    }
+
     /// Returns how long the next event may take.
     fn silence(&self) -> Duration {
         let left = self.job.deadline.saturating_sub(self.job.now());
@@ -197,6 +233,9 @@
         if self.events > 0 {
             self.longest_pause = self.longest_pause.max(now.saturating_sub(self.last_at));
         }
+        if let Some(held) = &self.held {
+            held.heard();
+        }
         self.last_at = now;
         self.events += 1;
         if event.id.is_some() {
--- a/crates/front/src/tenure.rs
+++ b/crates/front/src/tenure.rs
@@ -32,6 +32,8 @@
     pub(crate) value: Arc<[u8]>,
     /// How long it is held without renewal.
     pub(crate) lease: Duration,
+    /// Whether it is kept while the store gives no answer: for roles that two may have at once.
+    pub(crate) outlasts_store: bool,
 }
 
 /// A key that this process holds.
@@ -116,7 +118,7 @@
         Ok(false) => None,
         Err(error) => {
             log::warn!("{} was not renewed: {error}", claim.name);
-            tenure.is_valid().then_some(tenure)
+            (claim.outlasts_store || tenure.is_valid()).then_some(tenure)
         }
     }
 }
--- a/crates/front/src/world.rs
+++ b/crates/front/src/world.rs
@@ -217,7 +217,7 @@
     /// Decides on the first waiting request that needn't wait any more, and counts its place.
     fn poll(&mut self, now: Mono) -> Option<(Ticket, Decision)> {
         let (ticket, tokens, decision) = self.dispatch.poll(&self.places, now)?;
-        self.count(&decision, tokens);
+        self.count(&decision, tokens, now);
         Some((ticket, decision))
     }
 
@@ -246,7 +246,7 @@
             self.waiters.insert(ticket, tx);
             return Err((ticket, rx));
         }
-        self.count(&decision, tokens);
+        self.count(&decision, tokens, now);
         Ok(decision)
     }
 
@@ -256,9 +256,9 @@
         self.waiters.remove(&ticket);
     }
 
-    fn count(&mut self, decision: &Decision, tokens: u64) {
+    fn count(&mut self, decision: &Decision, tokens: u64, now: Mono) {
         if let Decision::Go(offer) = decision {
-            self.places.began(&offer.place, tokens);
+            self.places.began(&offer.place, tokens, now);
         }
     }
 
--- a/crates/pass/src/places.rs
+++ b/crates/pass/src/places.rs
@@ -19,6 +19,10 @@
 const FIRST_AVOIDANCE: Duration = Duration::from_millis(250);
 /// Longest time that a place is left alone.
 const LONGEST_AVOIDANCE: Duration = Duration::from_secs(4);
+/// How long all requests at a place may get nothing before it counts as silent.
+const SILENCE: Duration = Duration::from_millis(450);
+/// Requests that must all be silent.
+const SILENT_REQUESTS: u32 = 2;
 /// Weight of the newest call in the mean time of calls.
 const NEWEST_WEIGHT: f64 = 0.15;
 /// Time of a call to a plain service before any was measured.
@@ -66,6 +70,8 @@
     full_until: Mono,
     avoid_until: Mono,
     failures: u32,
+    /// Since when no request there has got anything.
+    quiet_since: Mono,
     /// Mean seconds of a call to a plain service.
     call_seconds: f64,
 }
@@ -155,13 +161,32 @@
     }
 
     /// Counts a request that is sent to `place`.
-    pub fn began(&mut self, place: &Place, prompt_tokens: u64) {
+    pub fn began(&mut self, place: &Place, prompt_tokens: u64, now: Mono) {
         if let Some(state) = self.state(place) {
+            if state.own.requests == 0 {
+                state.quiet_since = now;
+            }
             state.own.requests += 1;
             state.own.unread_tokens += prompt_tokens;
         }
     }
 
+    /// Notes that something has come from `place`.
+    pub fn heard(&mut self, place: &Place, now: Mono) {
+        if let Some(state) = self.state(place) {
+            state.quiet_since = now;
+        }
+    }
+
+    /// Returns whether all requests at `place` have got nothing for too long.
+    ///
+    /// One stream alone may pause; that all do at once says that the group stands still, long
+    /// before any report does.
+    pub fn is_silent(&self, place: &Place, now: Mono) -> bool {
+        let state = self.states.get(&place.server).filter(|state| is_same(&state.place, place));
+        state.is_some_and(|state| state.is_silent(now))
+    }
+
     /// Counts a prompt at `place` as read.
     pub fn read(&mut self, place: &Place, prompt_tokens: u64) {
         if let Some(state) = self.state(place) {
@@ -232,10 +257,17 @@
             full_until: Mono::ZERO,
             avoid_until: Mono::ZERO,
             failures: 0,
+            quiet_since: Mono::ZERO,
             call_seconds: FIRST_CALL_TIME.as_secs_f64(),
         }
     }
 
+    fn is_silent(&self, now: Mono) -> bool {
+        self.place.group.is_some()
+            && self.own.requests >= SILENT_REQUESTS
+            && now > self.quiet_since + SILENCE
+    }
+
     fn total(&self, now: Mono) -> Load {
         let mut total = self.own;
         let (others, at) = self.others;
@@ -253,7 +285,7 @@
 }
 
 fn offer(state: &State, engine: Option<&EngineSpec>, demand: &Demand, now: Mono) -> Option<Offer> {
-    if now < state.full_until || now < state.avoid_until {
+    if now < state.full_until || now < state.avoid_until || state.is_silent(now) {
         return None;
     }
     let load = state.total(now);
