Stage hosts for the group that adds most for its loads

Cause: loads are the narrow place (6 at once, 16 s each); they went to cold servers in the order of their ids, so few completed a group, and a starved model got none. Ruled out: more loads at once (they slow each other proportionally).

--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -110,11 +110,22 @@
         view: &View<'_>,
         census: &Census,
     ) -> BTreeMap<FabricId, Vec<Candidate>> {
-        let mut free: BTreeMap<FabricId, Vec<Candidate>> = BTreeMap::new();
+        let free = self.free_servers(view, census).into_iter();
+        free.map(|(fabric, servers)| (fabric, servers.into_iter().map(candidate).collect()))
+            .collect()
+    }
+
+    /// Returns the servers of each fabric domain that are free.
+    pub(super) fn free_servers<'a>(
+        &self,
+        view: &View<'a>,
+        census: &Census,
+    ) -> BTreeMap<FabricId, Vec<&'a Server>> {
+        let mut free: BTreeMap<FabricId, Vec<&Server>> = BTreeMap::new();
         for server in view.servers.values().filter(|server| &*server.service == view.service) {
             let Some(fabric) = &server.fabric else { continue };
             if self.is_free(server, view, census) {
-                free.entry(fabric.clone()).or_default().push(candidate(server));
+                free.entry(fabric.clone()).or_default().push(server);
             }
         }
         free
--- a/crates/form/src/owner/stage.rs
+++ b/crates/form/src/owner/stage.rs
@@ -33,6 +33,9 @@
         };
         let at_once = view.engine.loads_at_once;
         let preparing = (at_once as f64 * PREPARING_PART) as usize;
+        if !view.before_traffic {
+            while self.stage_for_best_group(at_once, view, census, commands) {}
+        }
         for server in servers().filter(|server| is_cold(server)) {
             self.stage_on(server, at_once, view, census, commands);
         }
@@ -41,6 +44,52 @@
         }
     }
 
+    /// Stages one host for the group that adds most for the time of its loads.
+    fn stage_for_best_group(
+        &mut self,
+        at_once: usize,
+        view: &View<'_>,
+        census: &Census,
+        commands: &mut Vec<Command>,
+    ) -> bool {
+        if self.staging.len() >= at_once {
+            return false;
+        }
+        let needs = self.needs(view, census);
+        let mut best: Option<(f64, &ModelSpec, &Server)> = None;
+        for free in self.free_servers(view, census).values() {
+            for (model, need) in view.engine.models.iter().zip(&needs) {
+                let Some((missing, server)) = self.next_host(free, model) else { continue };
+                let time = missing as f64 * model.load.as_secs_f64();
+                let score = need.gain() / time.max(f64::MIN_POSITIVE);
+                if best.as_ref().is_none_or(|(highest, ..)| score > *highest) {
+                    best = Some((score, model, server));
+                }
+            }
+        }
+        best.is_some_and(|(_, model, server)| self.order_stage(server, model, view, commands))
+    }
+
+    /// Returns how many hosts must load before `free` can form a group of `model`, and the first of
+    /// them; none if they can't, or all loads are under way.
+    fn next_host<'a>(&self, free: &[&'a Server], model: &ModelSpec) -> Option<(usize, &'a Server)> {
+        let staging = |server: &Server| self.staging.get(&server.life()).map(|(name, _)| name);
+        let holds = |server: &Server| {
+            server.model.as_ref() == Some(&model.name) || server.staged.contains(&model.name)
+        };
+        let loads = free.iter().filter(|s| !holds(s) && staging(s) == Some(&model.name)).count();
+        let holders = free.iter().filter(|s| holds(s)).count();
+        let missing = model.size.checked_sub(holders + loads).filter(|missing| *missing > 0)?;
+        let mut idle: Vec<&Server> = free
+            .iter()
+            .copied()
+            .filter(|s| !holds(s) && staging(s).is_none() && !self.has_order(&s.id))
+            .collect();
+        idle.sort_by_key(|server| !is_cold(server));
+        let first = *idle.first()?;
+        (idle.len() >= missing).then_some((missing, first))
+    }
+
     fn stage_on(
         &mut self,
         server: &Server,
@@ -62,14 +111,26 @@
         let Some(model) = wanted.filter(|model| !server.staged.contains(&model.name)) else {
             return;
         };
+        self.order_stage(server, model, view, commands);
+    }
+
+    fn order_stage(
+        &mut self,
+        server: &Server,
+        model: &ModelSpec,
+        view: &View<'_>,
+        commands: &mut Vec<Command>,
+    ) -> bool {
         if !view.before_traffic && !self.loads.take(view.engine.loads_per_second, view.now) {
-            return;
+            return false;
         }
         let order = Order::Stage { model: model.name.clone() };
-        if self.order(server, order, commands) {
+        let ordered = self.order(server, order, commands);
+        if ordered {
             let until = view.now + model.load.mul_f64(STAGING_SLACK);
             self.staging.insert(server.life(), (model.name.clone(), until));
         }
+        ordered
     }
 
     /// Returns the model that a cold server completes a group of soonest; among equals, the one
--- a/crates/pass/src/places.rs
+++ b/crates/pass/src/places.rs
@@ -23,6 +23,8 @@
 const SILENCE: Duration = Duration::from_millis(450);
 /// Requests that must all be silent.
 const SILENT_REQUESTS: u32 = 2;
+/// How much longer than alone a prompt takes among others that are read and written meanwhile.
+const QUEUE_FACTOR: f64 = 1.8;
 /// Weight of the newest call in the mean time of calls.
 const NEWEST_WEIGHT: f64 = 0.15;
 /// Time of a call to a plain service before any was measured.
@@ -308,7 +310,7 @@
     let step = engine.step.as_secs_f64()
         + f64::from(load.requests) * engine.step_per_request.as_secs_f64();
     let pass = step * f64::from(engine.steps_per_pass);
-    pace * (unread / engine.read_per_second.max(1.0) + pass)
+    pace * (unread / engine.read_per_second.max(1.0) + pass) * QUEUE_FACTOR
 }
 
 /// Returns the expected time of a call to a plain service: its own and what queues before it.
