--- a/crates/form/src/owner/rebalance.rs
+++ b/crates/form/src/owner/rebalance.rs
@@ -59,6 +59,6 @@
         others[own].demand = 0.0;
         let choice = compose::next(view.engine, &others, &candidates, JoinLoads::No)?;
         let gain = others[choice.model].gain();
-        (choice.model != own && gain > loss * WORTH_A_MOVE).then(|| gain - loss)
+        (choice.model != own && gain > loss * WORTH_A_MOVE).then_some(gain - loss)
     }
 }
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -151,10 +151,8 @@
     }
     if let Some(id) = key.strip_prefix(&*edges.keys.servers) {
         server_row(edges, shared, id, value.as_ref(), now);
-    } else if key == edges.keys.declared {
-        if let Some(value) = &value {
-            declared_row(edges, shared, value);
-        }
+    } else if let Some(value) = value.filter(|_| key == edges.keys.declared) {
+        declared_row(edges, shared, &value);
     }
 }
 
--- a/crates/front/src/names.rs
+++ b/crates/front/src/names.rs
@@ -10,7 +10,9 @@
 pub const OWNER: ServiceName = "owner";
 /// The listener for callers.
 pub const SERVE: ServiceName = "serve";
-/// Readiness and metrics.
+/// Readiness.
 pub const READY: ServiceName = "ready";
+/// Metrics.
+pub const METRICS: ServiceName = "metrics";
 /// What the processes tell each other.
 pub const PEERS: ServiceName = "peers";
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -23,8 +23,6 @@
 use crate::feed::Changed;
 use crate::follow;
 use crate::hub::Loads;
-use crate::logging;
-use crate::metrics::Metrics;
 use crate::names;
 use crate::settings::Settings;
 use crate::tenure;
@@ -91,7 +89,6 @@
     edges: Edges,
     settings: Arc<Settings>,
     shared: Arc<Shared>,
-    metrics: Metrics,
     client: Client,
     /// The feed of each hub that was asked, and the last change that was had of it.
     known: Mutex<HashMap<SocketAddr, (BootId, u64)>>,
@@ -104,7 +101,6 @@
         edges: cx.registry().find(names::PROCESS)?,
         settings: settings.clone(),
         shared: cx.registry().find(names::PROCESS)?,
-        metrics: cx.registry().find(names::PROCESS)?,
         client: Client::pooled(EXCHANGE_TIMEOUT),
         known: Mutex::default(),
     });
@@ -167,7 +163,6 @@
 async fn respond(state: Arc<State>, request: Request) -> Response {
     match (&request.method, &*request.path) {
         (&Method::POST, "/exchange") => exchanged(&state, request).await,
-        (&Method::GET, "/metrics") => metrics(&state),
         _ => reply::empty(StatusCode::NOT_FOUND),
     }
 }
@@ -214,17 +209,6 @@
     Row { key: changed.key, value, revision: changed.revision }
 }
 
-fn metrics(state: &State) -> Response {
-    let world = state.shared.world.lock();
-    let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
-    state.metrics.waiting.set(gauge(world.dispatch.len()));
-    state.metrics.servers.set(gauge(world.servers.len()));
-    state.metrics.store_up.set(i64::from(world.store_up));
-    state.metrics.version.set(i64::try_from(world.routes.version()).unwrap_or(i64::MAX));
-    state.metrics.dropped_lines.set(i64::try_from(logging::dropped()).unwrap_or(i64::MAX));
-    reply::text(StatusCode::OK, state.metrics.text())
-}
-
 async fn exchange_forever(state: Arc<State>) {
     let mut period = state.cx.every(EXCHANGE_PERIOD);
     let mut listed = false;
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -1,5 +1,6 @@
-//! Readiness, as the balancer in front of the processes asks for it.
+//! Readiness, as the balancer in front of the processes asks for it, and metrics.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use futures::FutureExt;
@@ -8,37 +9,79 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use web::prelude::*;
+use web::server::Handler;
 
+use crate::logging;
+use crate::metrics::Metrics;
 use crate::names;
 use crate::settings::Settings;
 use crate::world::Shared;
 
-/// Makes the service.
+/// Most connections of a listener.
+const MAX_CONNECTIONS: usize = 64;
+
+/// Makes the service that tells whether the process is ready.
 pub fn service() -> Service {
     Service::new(names::READY, &[names::SERVE], run)
 }
 
+/// Makes the service that serves the metrics.
+pub fn metrics_service() -> Service {
+    Service::new(names::METRICS, &[], run_metrics)
+}
+
 async fn run(cx: Context) -> Result<(), Fault> {
     let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
     let shared: Arc<Shared> = cx.registry().find(names::PROCESS)?;
-    let listener = TcpListener::bind(settings.readiness).await;
-    let listener = listener.map_err(|error| Fault::new(settings.readiness.to_string(), error))?;
-    let handler = {
-        let cx = cx.clone();
-        Arc::new(move |request| respond(cx.clone(), shared.clone(), request).boxed())
+    let context = cx.clone();
+    let handler =
+        Arc::new(move |request| respond(context.clone(), shared.clone(), request).boxed());
+    listen(cx, settings.readiness, handler).await
+}
+
+async fn run_metrics(cx: Context) -> Result<(), Fault> {
+    let settings: Arc<Settings> = cx.registry().find(names::PROCESS)?;
+    let shared: Arc<Shared> = cx.registry().find(names::PROCESS)?;
+    let metrics: Metrics = cx.registry().find(names::PROCESS)?;
+    let Some(address) = settings.metrics else {
+        cx.ready();
+        cx.stopping().await;
+        return Ok(());
     };
-    let stop = CancellationToken::new();
-    let limits = ServerLimits { max_connections: 64, ..ServerLimits::default() };
-    let serving = serve(listener, limits, handler, Drain::default(), stop.clone());
+    let handler = Arc::new(move |request: Request| {
+        let response = match &*request.path {
+            "/metrics" => current(&shared, &metrics),
+            _ => reply::empty(StatusCode::NOT_FOUND),
+        };
+        futures::future::ready(response).boxed()
+    });
+    listen(cx, address, handler).await
+}
+
+async fn listen(cx: Context, address: SocketAddr, handler: Handler) -> Result<(), Fault> {
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.map_err(|error| Fault::new(address.to_string(), error))?;
+    let limits = ServerLimits { max_connections: MAX_CONNECTIONS, ..ServerLimits::default() };
+    let serving = serve(listener, limits, handler, Drain::default(), CancellationToken::new());
     cx.ready();
     tokio::select! {
-        ended = serving => {
-            ended.map_err(|problem| Fault::new(settings.readiness.to_string(), problem))
-        }
+        ended = serving => ended.map_err(|problem| Fault::new(address.to_string(), problem)),
         () = cx.stopping() => Ok(()),
     }
 }
 
+/// Returns the metrics as they are now.
+fn current(shared: &Shared, metrics: &Metrics) -> Response {
+    let world = shared.world.lock();
+    let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+    metrics.waiting.set(gauge(world.dispatch.len()));
+    metrics.servers.set(gauge(world.servers.len()));
+    metrics.store_up.set(i64::from(world.store_up));
+    metrics.version.set(i64::try_from(world.routes.version()).unwrap_or(i64::MAX));
+    metrics.dropped_lines.set(i64::try_from(logging::dropped()).unwrap_or(i64::MAX));
+    reply::text(StatusCode::OK, metrics.text())
+}
+
 async fn respond(cx: Context, shared: Arc<Shared>, request: Request) -> Response {
     let known = shared.world.lock().routes.version() > 0;
     match &*request.path {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -37,6 +37,7 @@
     kernel.add(peers::service());
     kernel.add(serve::service());
     kernel.add(ready::service());
+    kernel.add(ready::metrics_service());
     kernel
 }
 
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -162,7 +162,7 @@
     let id: Box<str> = ask.attempt.clone().unwrap_or_default();
     let routed = match route(state, &request, &ask) {
         Ok(routed) => routed,
-        Err(response) => return response,
+        Err(response) => return *response,
     };
     let limit = state.shared.world.lock().routes.limits().max_body_bytes;
     let request = match exchange::Outgoing::read(request, limit).await {
@@ -178,11 +178,11 @@
     }
 }
 
-fn route(state: &State, request: &Request, ask: &Ask) -> Result<Routed, Response> {
+fn route(state: &State, request: &Request, ask: &Ask) -> Result<Routed, Box<Response>> {
     let table = state.shared.world.lock().routes.clone();
     let id = ask.attempt.as_deref().unwrap_or_default();
     if table.version() == 0 {
-        return Err(answer::refused(UNCONFIGURED_PAUSE));
+        return Err(Box::new(answer::refused(UNCONFIGURED_PAUSE)));
     }
     let host = request.header("host").unwrap_or_default();
     let found = table.find(host, &request.path, ask.key.as_deref(), id.as_bytes());
@@ -198,7 +198,7 @@
             version: table.version(),
             status: response.status().as_u16(),
         });
-        response
+        Box::new(response)
     })
 }
 
@@ -222,13 +222,13 @@
         self.count_request();
         let mut tried = Vec::new();
         let mut attempts = 0;
+        // The attempt that may have run, if any: then no answer may promise that none has.
+        let mut may_have_run = None;
         let job = Arc::new(self);
         loop {
             let offer = match job.place(&tried).await {
                 Ok(offer) => offer,
-                Err(refused) if attempts == 0 => return refused,
-                // Another place is not to be had; what the last attempt was decides.
-                Err(refused) => return refused,
+                Err(refused) => return may_have_run.as_ref().map_or(refused, answer::failed),
             };
             attempts += 1;
             let held = Held::new(&job, offer.place.clone());
@@ -239,9 +239,16 @@
                 Err(failed) => failed,
             };
             tried.push(failed.server.clone());
-            if !job.may_retry(&failed, attempts) {
+            let is_last = !job.may_retry(&failed, attempts);
+            if failed.verdict.is_not_run() && is_last {
+                return answer::failed(may_have_run.as_ref().unwrap_or(&failed));
+            }
+            if is_last {
                 return answer::failed(&failed);
             }
+            if !failed.verdict.is_not_run() {
+                may_have_run = Some(failed);
+            }
         }
     }
 
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -21,7 +21,9 @@
     pub callers: SocketAddr,
     /// Where readiness is asked for.
     pub readiness: SocketAddr,
-    /// Where peers connect; metrics are served here too.
+    /// Where metrics are served; none if they are not.
+    pub metrics: Option<SocketAddr>,
+    /// Where peers connect.
     pub peers: SocketAddr,
     /// The platform's key-value service.
     pub store: SocketAddr,
@@ -61,6 +63,7 @@
         failure_domain: fields.text("failure_domain", None),
         callers: fields.address("callers", "127.0.0.1:0"),
         readiness: fields.address("readiness", "127.0.0.1:0"),
+        metrics: fields.optional_address("metrics"),
         peers: fields.address("peers", "127.0.0.1:0"),
         store: fields.address("store", "127.0.0.1:2379"),
         first_start: fields.flag("first_start", false),
--- /dev/null
+++ b/crates/pass/tests/events.rs
@@ -0,0 +1,61 @@
+//! Streams are cut into whole events, wherever their chunks end.
+
+use pass::events::Events;
+use proptest::prelude::*;
+
+/// The bytes of an event, and its id.
+type Found = (Vec<u8>, Option<String>);
+
+fn cut(text: &[u8], ends: &[usize]) -> (Vec<Found>, Vec<u8>) {
+    let mut events = Events::default();
+    let mut found = Vec::new();
+    let mut at = 0;
+    for end in ends.iter().copied().chain([text.len()]) {
+        let end = end.clamp(at, text.len());
+        assert!(events.push(&text[at..end]));
+        at = end;
+        while let Some(event) = events.next_event() {
+            found.push((event.bytes.to_vec(), event.id.map(String::from)));
+        }
+    }
+    (found, events.into_rest().to_vec())
+}
+
+#[test]
+fn an_unfinished_event_is_kept_back() {
+    let (found, rest) = cut(b"id: 1\ndata: a\n\nid: 2\ndata: b", &[]);
+    assert_eq!(found, [(b"id: 1\ndata: a\n\n".to_vec(), Some("1".to_owned()))]);
+    assert_eq!(rest, b"id: 2\ndata: b");
+}
+
+#[test]
+fn carriage_returns_end_events_too() {
+    let (found, rest) = cut(b"id: 7\r\ndata: a\r\n\r\ndata: b\n\n", &[]);
+    assert_eq!(found.len(), 2);
+    assert_eq!(found[0].1.as_deref(), Some("7"));
+    assert_eq!(found[1].1, None);
+    assert!(rest.is_empty());
+}
+
+proptest! {
+    #[test]
+    fn the_same_events_come_out_of_any_chunks(
+        pieces in proptest::collection::vec("[a-z]{0,9}", 1..8),
+        ends in proptest::collection::vec(0_usize..120, 0..12),
+    ) {
+        let text: String = pieces
+            .iter()
+            .enumerate()
+            .map(|(i, piece)| format!("id: {i}\ndata: {piece}\n\n"))
+            .collect();
+        let mut ends = ends;
+        ends.sort_unstable();
+        let (found, rest) = cut(text.as_bytes(), &ends);
+        prop_assert_eq!(found.len(), pieces.len());
+        prop_assert!(rest.is_empty());
+        let joined: Vec<u8> = found.iter().flat_map(|(bytes, _)| bytes.clone()).collect();
+        prop_assert_eq!(joined, text.into_bytes());
+        let ids = found.iter().map(|(_, id)| id.clone().expect("an id"));
+        prop_assert!(ids.eq((0..pieces.len()).map(|i| i.to_string())));
+    }
+}
--- /dev/null
+++ b/crates/pass/tests/routes.rs
@@ -0,0 +1,101 @@
+//! Routes: the longest prefix wins, weights split by a stable hash, keys tell workspaces.
+
+use base::prelude::*;
+use pass::declared::Target;
+use pass::prelude::*;
+use pass::routes::NoRoute;
+
+fn route(name: &str, prefix: &str, targets: &[(&str, u32)]) -> Route {
+    let targets = targets.iter();
+    Route {
+        name: name.into(),
+        host: "Clubs.Example".into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        streams: false,
+        timeout: Duration::from_secs(1),
+        latency_aim: Duration::from_millis(100),
+        pause_aim: None,
+        priority: 2,
+        targets: targets
+            .map(|(service, weight)| Target { service: (*service).into(), weight: *weight })
+            .collect(),
+        max_attempts: 2,
+        public: false,
+    }
+}
+
+fn service(name: &str) -> ServiceSpec {
+    ServiceSpec { name: name.into(), max_connections: 10, engine: None }
+}
+
+fn declared() -> Declared {
+    Declared {
+        version: 3,
+        routes: vec![
+            route("all", "/", &[("desk", 1)]),
+            route("draws", "/draws/", &[("desk", 90), ("new-desk", 10)]),
+            Route { public: true, ..route("rules", "/draws/rules/", &[("desk", 1)]) },
+        ],
+        services: vec![service("desk"), service("new-desk")],
+        workspaces: Some(vec![Workspace {
+            name: "club".into(),
+            priority: Some(0),
+            keys: vec!["key-1".into()],
+        }]),
+        ..Declared::default()
+    }
+}
+
+fn name(table: &RouteTable, path: &str) -> String {
+    let found = table.find("clubs.example:80", path, Some("key-1"), b"draw");
+    found.map_or_else(|problem| format!("{problem:?}"), |routed| routed.route.name.to_string())
+}
+
+#[test]
+fn the_longest_prefix_wins_and_the_host_is_matched_without_port_and_case() {
+    let table = RouteTable::from(declared());
+    assert_eq!(name(&table, "/draws/1"), "draws");
+    assert_eq!(name(&table, "/draws"), "all");
+    assert_eq!(name(&table, "/draws/rules/7/x"), "rules");
+    assert_eq!(name(&table, "/other"), "all");
+    let elsewhere = table.find("other.example", "/draws/1", Some("key-1"), b"");
+    assert_eq!(elsewhere.map(|_| ()), Err(NoRoute::Unknown));
+}
+
+#[test]
+fn a_key_tells_the_workspace_and_its_rank_and_public_routes_need_none() {
+    let table = RouteTable::from(declared());
+    let routed = table.find("clubs.example", "/draws/1", Some("key-1"), b"").expect("a route");
+    assert_eq!(routed.workspace.as_deref(), Some("club"));
+    assert_eq!(routed.priority, 0);
+    for key in [None, Some("other")] {
+        let found = table.find("clubs.example", "/draws/1", key, b"").map(|_| ());
+        assert_eq!(found, Err(NoRoute::Unauthorized));
+    }
+    assert!(table.find("clubs.example", "/draws/rules/", None, b"").is_ok());
+}
+
+#[test]
+fn weights_split_stably_and_in_proportion() {
+    let table = RouteTable::from(declared());
+    let target = |i: u32| {
+        let draw = i.to_be_bytes();
+        let routed = table.find("clubs.example", "/draws/1", Some("key-1"), &draw);
+        routed.expect("a route").service.name.clone()
+    };
+    let to_new = (0..2_000).filter(|i| &*target(*i) == "new-desk").count();
+    assert!((150..250).contains(&to_new), "{to_new} of 2,000");
+    assert!((0..100).all(|i| target(i) == target(i)));
+}
+
+#[test]
+fn every_problem_of_a_declaration_is_found_with_its_place() {
+    let mut declared = declared();
+    declared.routes[0].prefix = "draws".into();
+    declared.routes[1].targets.clear();
+    declared.routes[2].targets[0].service = "gone".into();
+    let findings = declared.verify();
+    let places: Vec<&str> = findings.iter().map(|finding| &*finding.place).collect();
+    assert_eq!(places, ["$.routes[0].prefix", "$.routes[1].targets", "$.routes[2].targets[0]"]);
+}
--- /dev/null
+++ b/crates/web/tests/link.rs
@@ -0,0 +1,93 @@
+//! The pool's errors say whether a request was sent, and a spoilt connection is not used again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use web::body;
+use web::prelude::*;
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+fn pool() -> Pool {
+    let second = Duration::from_secs(1);
+    Pool::new(PoolSettings { connect_timeout: second, idle_timeout: second * 10 })
+}
+
+fn request() -> http::Request<bytes::Bytes> {
+    let mut request = http::Request::new(bytes::Bytes::new());
+    request.headers_mut().insert(http::header::HOST, http::HeaderValue::from_static("a"));
+    request
+}
+
+/// Serves one connection after the other: each entry is what is sent after each request; the
+/// connection ends after its last entry. Returns the address.
+async fn serve_bytes(connections: Vec<Vec<&'static [u8]>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        for answers in connections {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            for answer in answers {
+                let mut buf = [0; 4096];
+                if stream.read(&mut buf).await.unwrap_or(0) == 0 {
+                    break;
+                }
+                stream.write_all(answer).await.expect("sent");
+            }
+        }
+    });
+    address
+}
+
+async fn ask(pool: &Pool, address: SocketAddr, reuse: Reuse) -> Result<String, LinkError> {
+    let response = pool.send(address, request(), reuse).await?;
+    let read = body::read(response.into_body(), 1024).await;
+    Ok(read.map_or_else(|e| e.to_string(), |b| String::from_utf8_lossy(&b).into_owned()))
+}
+
+#[tokio::test]
+async fn a_refused_connection_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let error = ask(&pool(), address, Reuse::Any).await.expect_err("refused");
+    assert!(matches!(error, LinkError::NotSent { refused: true, .. }), "{error}");
+}
+
+#[tokio::test]
+async fn a_connection_that_ends_after_the_request_is_broken_not_unsent() {
+    let address = serve_bytes(vec![vec![b""]]).await;
+    let error = ask(&pool(), address, Reuse::Any).await.expect_err("broken");
+    assert!(matches!(error, LinkError::Broken { .. }), "{error}");
+}
+
+#[tokio::test]
+async fn a_kept_connection_is_used_again_unless_a_new_one_is_asked_for() {
+    let address = serve_bytes(vec![vec![ANSWER, ANSWER], vec![ANSWER]]).await;
+    let pool = pool();
+    assert_eq!(ask(&pool, address, Reuse::Any).await.as_deref(), Ok("ok"));
+    assert_eq!(ask(&pool, address, Reuse::Any).await.as_deref(), Ok("ok"));
+    assert_eq!(ask(&pool, address, Reuse::Never).await.as_deref(), Ok("ok"));
+}
+
+#[tokio::test]
+async fn bytes_after_a_whole_answer_spoil_the_connection() {
+    let spoilt = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n";
+    let address = serve_bytes(vec![vec![spoilt, ANSWER], vec![ANSWER]]).await;
+    let pool = pool();
+    assert_eq!(ask(&pool, address, Reuse::Any).await.as_deref(), Ok("ok"));
+    tokio::task::yield_now().await;
+    assert_eq!(ask(&pool, address, Reuse::Any).await.as_deref(), Ok("ok"));
+}
+
+#[tokio::test]
+async fn an_answer_that_says_close_is_the_last_of_its_connection() {
+    let last = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+    let address = serve_bytes(vec![vec![last], vec![ANSWER]]).await;
+    let pool = pool();
+    assert_eq!(ask(&pool, address, Reuse::Any).await.as_deref(), Ok("ok"));
+    assert_eq!(ask(&pool, address, Reuse::Any).await.as_deref(), Ok("ok"));
+}
