Let a hub's processes share its time, and stronger VMs be hubs

Cause: on the grown site 26 processes asked a hub on 0.12 of a core ten times a second; answers timed out, and most processes followed the store themselves by turns. Ruled out: the store (it refused calls only for its rate). Change: a hub tells when to ask again (12 ms for each process, 0.1 to 0.6 s); a free role is left first to VMs with more processor; thresholds follow the pause.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -21,6 +21,8 @@
 const DEPTH_CHANGES: usize = 256;
 /// How often it is decided whether to follow the store.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// How long a process waits for the first hub before it follows the store itself.
+const FIRST_OWN_AFTER: Duration = Duration::from_millis(2_000);
 /// Age of the rows at which a process that is no hub follows the store itself.
 const OWN_AFTER: Duration = Duration::from_millis(700);
 
@@ -61,14 +63,15 @@
     /// Starts or stops following the store.
     fn check(&mut self) {
         let now = self.cx.now();
-        let (is_hub, age) = {
+        let (is_hub, age, pause) = {
             let mut world = self.shared.world.lock();
             if self.is_synced {
                 world.feed.confirm(now);
             }
-            (world.is_hub, world.feed.age(now))
+            (world.is_hub, world.feed.age(now), world.exchange_pause)
         };
-        let is_stale = age.is_none_or(|age| age > OWN_AFTER) && now > OWN_AFTER;
+        let bound = OWN_AFTER + pause * 2;
+        let is_stale = age.is_none_or(|age| age > bound) && now > FIRST_OWN_AFTER;
         match &self.mirror {
             None if is_hub || is_stale => self.start_mirror(),
             Some(_) if !is_hub && self.is_told() => self.stop_mirror(),
@@ -79,7 +82,8 @@
     /// Returns whether a hub tells this process fresh rows.
     fn is_told(&self) -> bool {
         let world = self.shared.world.lock();
-        world.told_at.is_some_and(|at| self.cx.now() <= at + OWN_AFTER / 2)
+        let bound = OWN_AFTER / 2 + world.exchange_pause;
+        world.told_at.is_some_and(|at| self.cx.now() <= at + bound)
     }
 
     fn start_mirror(&mut self) {
--- a/crates/front/src/hub.rs
+++ b/crates/front/src/hub.rs
@@ -44,6 +44,11 @@
         self.clients.remove(node);
     }
 
+    /// Returns how many processes ask this one.
+    pub fn clients(&self) -> usize {
+        self.clients.len()
+    }
+
     /// Forgets what is too old.
     pub fn expire(&mut self, now: Mono) {
         self.clients.retain(|_, told| now <= told.at + KEPT);
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -69,6 +69,7 @@
         key: format!("{}owner", edges.keys.own).into(),
         value: cx.node().as_bytes().into(),
         lease: LEASE.max(settings.shortest_lease),
+        head_start: Duration::ZERO,
         outlasts_store: false,
     };
     let free = {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -24,6 +24,7 @@
 use crate::follow;
 use crate::hub::Loads;
 use crate::names;
+use crate::report;
 use crate::settings::Settings;
 use crate::tenure;
 use crate::tenure::Claim;
@@ -31,14 +32,21 @@
 
 /// How long a hub stays one without renewal.
 const HUB_LEASE: Duration = Duration::from_secs(3);
-/// How often a process asks its hub, and hubs tell each other.
+/// How often a process asks its hub at most, and how often hubs tell each other.
 const EXCHANGE_PERIOD: Duration = Duration::from_millis(100);
+/// Longest time between two exchanges.
+const LONGEST_PERIOD: Duration = Duration::from_millis(600);
+/// Time that a hub needs between two exchanges, which its processes share.
+const HUB_SPACING: Duration = Duration::from_millis(12);
 /// How long an exchange may take.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Age of its rows above which a hub's answer is not taken for the store's word.
 const FRESH: Duration = Duration::from_millis(400);
 /// Largest message of a peer.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
+/// How long a process without any processor would wait before it becomes a hub: those with more
+/// come first.
+const HUB_HEAD_START: Duration = Duration::from_millis(1_200);
 /// Where hubs stand, below the system's own keys.
 const HUBS: &str = "hub/";
 
@@ -67,6 +75,8 @@
     /// What all other processes have where.
     loads: Loads,
     processes: usize,
+    /// When to ask again.
+    pause_ms: u64,
 }
 
 /// A row of the store.
@@ -137,6 +147,7 @@
         key: format!("{}{HUBS}{}", state.edges.keys.own, state.settings.failure_domain).into(),
         value: serde_json::to_vec(&entry).expect("an entry has a JSON form").into(),
         lease: HUB_LEASE.max(state.settings.shortest_lease),
+        head_start: HUB_HEAD_START.mul_f64((1.0 - state.settings.cores).clamp(0.0, 1.0)),
         outlasts_store: true,
     };
     let (tx, mut rx) = watch::channel(None);
@@ -199,10 +210,17 @@
         whole_at: (told.have.is_some() && known.is_none()).then(|| world.feed.revision()),
         loads,
         processes,
+        pause_ms: report::millis(pause(world.hub.clients())),
     };
     reply::json(StatusCode::OK, &answer)
 }
 
+/// Returns how often each of a hub's `clients` may ask it.
+fn pause(clients: usize) -> Duration {
+    let clients = u32::try_from(clients).unwrap_or(u32::MAX);
+    HUB_SPACING.saturating_mul(clients).clamp(EXCHANGE_PERIOD, LONGEST_PERIOD)
+}
+
 fn row(changed: Changed) -> Row {
     let text = |value: &Versioned| String::from_utf8_lossy(&value.value).into();
     let value = changed.value.map(|value| (value.mod_revision, text(&value)));
@@ -210,7 +228,6 @@
 }
 
 async fn exchange_forever(state: Arc<State>) {
-    let mut period = state.cx.every(EXCHANGE_PERIOD);
     let mut listed = false;
     loop {
         if !listed && !state.shared.world.lock().is_hub {
@@ -222,7 +239,8 @@
         } else {
             ask_hub(&state).await;
         }
-        period.tick().await;
+        let pause = state.shared.world.lock().exchange_pause;
+        state.cx.timer().after(pause.max(EXCHANGE_PERIOD)).tick().await;
     }
 }
 
@@ -319,6 +337,7 @@
         let is_fresh = answer.age_ms.is_some_and(|age| u128::from(age) < FRESH.as_millis());
         let mut world = state.shared.world.lock();
         world.set_fleet(&answer.loads, answer.processes, now);
+        world.exchange_pause = Duration::from_millis(answer.pause_ms).min(LONGEST_PERIOD);
         if is_fresh {
             world.told_at = Some(now);
             return;
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -35,6 +35,8 @@
     pub retries: BudgetSettings,
     /// How long a process may take to stop.
     pub stop: Duration,
+    /// Processor cores that the process has, as a part of one.
+    pub cores: f64,
     /// Shortest lease that the store grants.
     pub shortest_lease: Duration,
 }
@@ -74,6 +76,7 @@
             window: fields.millis("window_ms", 10_000, 100..=MAX_MILLIS),
         }),
         stop: fields.millis("stop_ms", 8_000, 100..=MAX_MILLIS),
+        cores: fields.number("cores", 1.0, 0.0..=4096.0),
         shortest_lease: fields.millis("shortest_lease_ms", 1_000, 1..=MAX_MILLIS),
     };
     fields.finish();
--- a/crates/front/src/tenure.rs
+++ b/crates/front/src/tenure.rs
@@ -32,6 +32,8 @@
     pub(crate) value: Arc<[u8]>,
     /// How long it is held without renewal.
     pub(crate) lease: Duration,
+    /// How long a free key is left to others first.
+    pub(crate) head_start: Duration,
     /// Whether it is kept while the store gives no answer: for roles that two may have at once.
     pub(crate) outlasts_store: bool,
 }
@@ -72,7 +74,7 @@
             None if free() => {
                 // All that find it free would ask at once.
                 let jitter = rand::rng().random_range(0.0..0.3);
-                tokio::time::sleep(period.mul_f64(jitter)).await;
+                tokio::time::sleep(claim.head_start + period.mul_f64(jitter)).await;
                 if free() { take(&*store, &claim).await } else { None }
             }
             None => None,
--- a/crates/front/src/world.rs
+++ b/crates/front/src/world.rs
@@ -53,6 +53,8 @@
     pub hub: Hub,
     /// Whether this process is the hub of its failure domain.
     pub is_hub: bool,
+    /// How long this process waits between two exchanges with its hub.
+    pub exchange_pause: Duration,
     /// When a hub last told fresh rows.
     pub told_at: Option<Mono>,
     /// Processes that are alive, this one included, as far as is known.
@@ -83,6 +85,7 @@
             feed: Feed::default(),
             hub: Hub::default(),
             is_hub: false,
+            exchange_pause: Duration::ZERO,
             told_at: None,
             processes: 1,
             places: Places::default(),
