Choose between two random places among those that are nearly as good as the best

Cause: 77 processes saw the same loads 0.2 to 0.4 s late, and all sent to the same place until they heard of it: fill 0.1, yet the first event took 138 ms in the median and 415 ms for one in ten, where 58 ms was expected. Ruled out: too few groups (slots a tenth taken); exchanging more often (the hub's time). Change: Places::best draws. Test processes_that_see_the_same_loads_spread_..., which fails when the best is taken.

--- a/crates/front/src/world.rs
+++ b/crates/front/src/world.rs
@@ -88,7 +88,7 @@
             exchange_pause: Duration::ZERO,
             told_at: None,
             processes: 1,
-            places: Places::default(),
+            places: Places::seeded(draw_id()),
             dispatch: Dispatch::default(),
             retries: RetryBudget::new(retries),
             store_up: false,
--- a/crates/pass/src/places.rs
+++ b/crates/pass/src/places.rs
@@ -3,7 +3,12 @@
 //! A place is one backend server of a plain service, or the head of a replica group. Its load is
 //! counted in requests and in prompt tokens that are still to be read: what this process sent is
 //! known at once, what other processes sent is known from what they last told.
+//!
+//! All processes see the same loads, late. If each took the best place, all would take the same one
+//! until they hear of it. So the choice is between two random places among those that are nearly
+//! as good as the best.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,6 +16,8 @@
 use base::prelude::*;
 use form::prelude::*;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::declared::ServiceSpec;
 
 /// How long a place that said that it is full gets nothing more.
@@ -25,6 +32,10 @@
 const SILENT_REQUESTS: u32 = 2;
 /// How much longer than alone a prompt takes among others that are read and written meanwhile.
 const QUEUE_FACTOR: f64 = 1.8;
+/// A place is nearly as good as the best up to this multiple of its expected time,
+const NEAR_FACTOR: f64 = 1.3;
+/// and this much more.
+const NEAR_TIME: Duration = Duration::from_millis(30);
 /// Weight of the newest call in the mean time of calls.
 const NEWEST_WEIGHT: f64 = 0.15;
 /// Time of a call to a plain service before any was measured.
@@ -108,9 +119,16 @@
     states: HashMap<ServerId, State>,
     by_service: HashMap<ServiceId, Vec<ServerId>>,
     services: HashMap<ServiceId, Arc<ServiceSpec>>,
+    /// The last random number.
+    drawn: Cell<u64>,
 }
 
 impl Places {
+    /// Makes places whose random numbers begin with `seed`.
+    pub fn seeded(seed: u64) -> Self {
+        Places { drawn: Cell::new(seed), ..Places::default() }
+    }
+
     /// Replaces the services.
     pub fn set_services(&mut self, services: impl IntoIterator<Item = Arc<ServiceSpec>>) {
         self.services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
@@ -146,10 +164,27 @@
     pub fn best(&self, demand: &Demand, now: Mono) -> Option<Offer> {
         let engine = self.services.get(&demand.service).and_then(|spec| spec.engine.as_ref());
         let open = self.of(&demand.service, demand.model.as_deref());
-        let offers = open
+        let mut offers: Vec<Offer> = open
             .filter(|state| !demand.tried.contains(&state.place.server))
-            .filter_map(|state| offer(state, engine, demand, now));
-        offers.min_by(|a, b| a.time.cmp(&b.time).then(a.fill.total_cmp(&b.fill)))
+            .filter_map(|state| offer(state, engine, demand, now))
+            .collect();
+        let best = offers.iter().map(|offer| offer.time).min()?;
+        let bound = best.mul_f64(NEAR_FACTOR) + NEAR_TIME;
+        offers.retain(|offer| offer.time <= bound);
+        let first = offers.swap_remove(self.draw(offers.len()));
+        if offers.is_empty() {
+            return Some(first);
+        }
+        let second = offers.swap_remove(self.draw(offers.len()));
+        let is_better = (second.time, second.fill) < (first.time, first.fill);
+        Some(if is_better { second } else { first })
+    }
+
+    /// Returns a random number below `below`, which is not zero.
+    fn draw(&self, below: usize) -> usize {
+        let drawn = xxh3_64(&self.drawn.get().to_be_bytes());
+        self.drawn.set(drawn);
+        usize::try_from(drawn % below as u64).unwrap_or(0)
     }
 
     fn of<'a>(
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -157,3 +157,23 @@
     assert!(places.still_stands(&next));
     assert!(places.best(&wanting(1, now).demand, now).is_some());
 }
+
+/// Pattern: many processes see the same loads late, and choose at the same moment.
+#[test]
+fn processes_that_see_the_same_loads_spread_over_the_places_that_are_nearly_equal() {
+    let servers = ["a", "b", "c", "d", "e", "f"];
+    let mut chosen = std::collections::BTreeMap::new();
+    let now = millis(1_000);
+    for seed in 0..600 {
+        let mut places = Places::seeded(seed);
+        let spec =
+            ServiceSpec { name: "assistant".into(), max_connections: 9, engine: Some(engine()) };
+        places.set_services([Arc::new(spec)]);
+        places.set(servers.iter().map(|server| place(server)).collect());
+        places.set_others(&[("a".into(), Load { requests: 3, unread_tokens: 20_000 })], now);
+        let offer = places.best(&wanting(1, now).demand, now).expect("an offer");
+        *chosen.entry(offer.place.server).or_insert(0) += 1;
+    }
+    assert_eq!(chosen.get("a"), None, "it is clearly worse");
+    assert!(chosen.values().all(|count| (80..160).contains(count)), "{chosen:?}");
+}
