Choose as widely as the fleet is large; exchange each 50 ms on small fleets

Ruled out: dropping the choice (the grown site needs it). Change: the near part grows with the processes up to 40; hubs are asked each 50 ms as long as their processes are few.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -33,7 +33,7 @@
 /// How long a hub stays one without renewal.
 const HUB_LEASE: Duration = Duration::from_secs(3);
 /// How often a process asks its hub at most, and how often hubs tell each other.
-const EXCHANGE_PERIOD: Duration = Duration::from_millis(100);
+const EXCHANGE_PERIOD: Duration = Duration::from_millis(50);
 /// Longest time between two exchanges.
 const LONGEST_PERIOD: Duration = Duration::from_millis(600);
 /// Time that a hub needs between two exchanges, which its processes share.
--- a/crates/front/src/world.rs
+++ b/crates/front/src/world.rs
@@ -117,7 +117,7 @@
 
     /// Notes what all other processes have where, and how many there are.
     pub fn set_fleet(&mut self, loads: &Loads, processes: usize, now: Mono) {
-        self.places.set_others(loads, now);
+        self.places.set_others(loads, processes.max(1), now);
         self.processes = processes.max(1);
     }
 
--- a/crates/pass/src/places.rs
+++ b/crates/pass/src/places.rs
@@ -6,7 +6,7 @@
 //!
 //! All processes see the same loads, late. If each took the best place, all would take the same one
 //! until they hear of it. So the choice is between two random places among those that are nearly
-//! as good as the best.
+//! as good as the best; the more processes there are, the more places count as that.
 
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -32,10 +32,12 @@
 const SILENT_REQUESTS: u32 = 2;
 /// How much longer than alone a prompt takes among others that are read and written meanwhile.
 const QUEUE_FACTOR: f64 = 1.8;
-/// A place is nearly as good as the best up to this multiple of its expected time,
-const NEAR_FACTOR: f64 = 1.3;
-/// and this much more.
+/// With many processes a place is nearly as good as the best up to this part of its time more,
+const NEAR_PART: f64 = 0.3;
+/// and this much.
 const NEAR_TIME: Duration = Duration::from_millis(30);
+/// Processes that count as many.
+const MANY_PROCESSES: f64 = 40.0;
 /// Weight of the newest call in the mean time of calls.
 const NEWEST_WEIGHT: f64 = 0.15;
 /// Time of a call to a plain service before any was measured.
@@ -121,6 +123,8 @@
     services: HashMap<ServiceId, Arc<ServiceSpec>>,
     /// The last random number.
     drawn: Cell<u64>,
+    /// Processes that choose among the same places.
+    processes: usize,
 }
 
 impl Places {
@@ -169,7 +173,8 @@
             .filter_map(|state| offer(state, engine, demand, now))
             .collect();
         let best = offers.iter().map(|offer| offer.time).min()?;
-        let bound = best.mul_f64(NEAR_FACTOR) + NEAR_TIME;
+        let many = (self.processes as f64 / MANY_PROCESSES).min(1.0);
+        let bound = best.mul_f64(1.0 + NEAR_PART * many) + NEAR_TIME.mul_f64(many);
         offers.retain(|offer| offer.time <= bound);
         let first = offers.swap_remove(self.draw(offers.len()));
         if offers.is_empty() {
@@ -269,7 +274,10 @@
     }
 
     /// Notes the loads of all other processes; places that are not named have none.
-    pub fn set_others(&mut self, loads: &[(ServerId, Load)], now: Mono) {
+    ///
+    /// `processes` is how many choose among these places, this one included.
+    pub fn set_others(&mut self, loads: &[(ServerId, Load)], processes: usize, now: Mono) {
+        self.processes = processes;
         for state in self.states.values_mut() {
             state.others = (Load::default(), now);
         }
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -84,7 +84,7 @@
 fn the_place_with_fewer_unread_tokens_is_chosen_also_by_what_others_sent() {
     let mut places = places(&["a", "b"]);
     let now = millis(1_000);
-    places.set_others(&[("a".into(), Load { requests: 1, unread_tokens: 9_000 })], now);
+    places.set_others(&[("a".into(), Load { requests: 1, unread_tokens: 9_000 })], 6, now);
     let offer = places.best(&wanting(1, now).demand, now).expect("an offer");
     assert_eq!(&*offer.place.server, "b");
     places.began(&place("b"), 20_000, now);
@@ -170,7 +170,7 @@
             ServiceSpec { name: "assistant".into(), max_connections: 9, engine: Some(engine()) };
         places.set_services([Arc::new(spec)]);
         places.set(servers.iter().map(|server| place(server)).collect());
-        places.set_others(&[("a".into(), Load { requests: 3, unread_tokens: 20_000 })], now);
+        places.set_others(&[("a".into(), Load { requests: 3, unread_tokens: 20_000 })], 80, now);
         let offer = places.best(&wanting(1, now).demand, now).expect("an offer");
         *chosen.entry(offer.place.server).or_insert(0) += 1;
     }
