--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -1,8 +1,8 @@
 //! One request's way through the process.
 //!
-//! [`handle`] finds its route, waits for a place, and sends it; [`exchange`] carries one attempt;
-//! [`stream`] passes a stream on event by event and goes on elsewhere where that is allowed;
-//! [`answer`] makes the system's own answers. The decisions are in `pass`.
+//! `handle` finds its route, waits for a place, and sends it; `exchange` carries one attempt;
+//! `stream` passes a stream on event by event and goes on elsewhere where that is allowed;
+//! `answer` makes the system's own answers. The decisions are in `pass`.
 //!
 //! A caller that goes away drops the future of its request, and with it the connection to the
 //! backend server and the place that the request held.
