Choose the groups of all fabric domains together

Groups were chosen one at a time by gain a server, and each domain as soon as its own servers had come, so domains of nine ended as 4 + 3 with two servers over.

Ruled out: the demand that is measured (5.5 to 6.6 groups' time, near what was declared), slots counted wrongly, late loads of other processes.

Change: a domain's groups are chosen as one set, domains in turn until none changes; before traffic the owner waits until no domain fills any more. Dead fields and functions go.

Tests: both new ones in crates/form/tests/owner.rs failed before (6 + 6 groups; no group).

--- a/crates/form/src/compose.rs
+++ b/crates/form/src/compose.rs
@@ -1,14 +1,18 @@
 //! Which groups to form in a fabric domain from the servers that are free there.
 //!
-//! One group is chosen at a time: the model whose next group adds most per server, discounted by
-//! the time until that group could serve. What a group adds follows proportional fairness: the
-//! demand for its model times the logarithm of the growth of its supply, so that a model without
-//! any group goes first and no model starves. Members are those that are ready soonest.
+//! All groups of a domain are chosen together: a good first group may leave a rest that is too
+//! small for any other. What a group adds follows proportional fairness: the demand for its model
+//! times the logarithm of the growth of its supply, so that a model without any group goes first
+//! and no model starves; it is discounted by the time until the group could serve. Domains are
+//! chosen in turn, each against the supply of all others, until no choice changes any more. Members
+//! are those that are ready soonest and, among these, hold the fewest other models.
 //!
 //! A server that would have to load from the weight store is no member, since the others would wait
 //! for it: its host is staged first. Only before the first request, when loads are quick, may
 //! members load as they join.
 
+use std::collections::BTreeMap;
+
 use base::prelude::*;
 
 use crate::server::ServerId;
@@ -24,6 +28,11 @@
 /// Growth that the first group of a model counts as.
 const FIRST_GROUP_GROWTH: f64 = 4.0;
 
+/// Rounds over all fabric domains after which a plan counts as settled.
+const MOST_ROUNDS: usize = 6;
+/// Combinations of groups that are weighed in a fabric domain at most.
+const MOST_COMBINATIONS: usize = 2_000;
+
 /// Time of a load before the first request, as a part of the usual time.
 const EARLY_LOAD_FACTOR: f64 = 0.1;
 
@@ -45,8 +54,6 @@
     pub hot: Option<ModelId>,
     /// The models that lie on its host.
     pub staged: Vec<ModelId>,
-    /// Whether its speed was found to be below that of its peers.
-    pub slow: bool,
 }
 
 impl Candidate {
@@ -64,6 +71,12 @@
         }
     }
 
+    /// Returns how many models it can serve without a load.
+    fn models(&self) -> usize {
+        let hot = self.hot.iter().filter(|hot| !self.staged.contains(hot));
+        hot.count() + self.staged.len()
+    }
+
     /// Returns whether joining a group of `model` reads from the weight store.
     pub fn needs_load(&self, model: &ModelSpec) -> bool {
         self.hot.as_ref() != Some(&model.name) && !self.staged.contains(&model.name)
@@ -104,41 +117,150 @@
     pub members: Vec<ServerId>,
 }
 
-/// Returns the best group that `free` can form, if any; `needs` stand in the order of the models.
-pub fn next(
+/// Returns the groups that the `free` servers of each fabric domain form; `needs` stand in the order
+/// of the models.
+pub fn plan(
+    engine: &EngineSpec,
+    needs: &[Need],
+    free: &BTreeMap<FabricId, Vec<Candidate>>,
+    loads: JoinLoads,
+) -> BTreeMap<FabricId, Vec<Choice>> {
+    let mut needs = needs.to_vec();
+    let mut plan: BTreeMap<FabricId, Vec<Choice>> = BTreeMap::new();
+    for _ in 0..MOST_ROUNDS {
+        let mut changed = false;
+        for (fabric, candidates) in free {
+            let old = plan.remove(fabric).unwrap_or_default();
+            supply(&mut needs, &old, -1.0);
+            let new = best_set(engine, &needs, candidates, loads).groups;
+            supply(&mut needs, &new, 1.0);
+            changed |= old != new;
+            plan.insert(fabric.clone(), new);
+        }
+        if !changed {
+            break;
+        }
+    }
+    plan
+}
+
+fn supply(needs: &mut [Need], groups: &[Choice], each: f64) {
+    for group in groups {
+        needs[group.model].supply += each;
+    }
+}
+
+/// Groups that one fabric domain forms at once, and what they add.
+#[data]
+#[derive(Default)]
+pub struct Set {
+    /// The groups.
+    pub groups: Vec<Choice>,
+    /// What they add together, in the unit of [`Need::gain`].
+    pub gain: f64,
+}
+
+/// Returns the groups that `free` should form: those that add most together.
+pub fn best_set(engine: &EngineSpec, needs: &[Need], free: &[Candidate], loads: JoinLoads) -> Set {
+    let mut best = Set::default();
+    for counts in combinations(engine, free, loads) {
+        let Some(set) = compose(engine, needs, free, loads, &counts) else { continue };
+        if set.gain > best.gain {
+            best = set;
+        }
+    }
+    best
+}
+
+/// Returns how many groups of each model there may be, in all combinations that `free` has enough
+/// servers for.
+fn combinations(engine: &EngineSpec, free: &[Candidate], loads: JoinLoads) -> Vec<Vec<usize>> {
+    let mut found = vec![Vec::new()];
+    for model in &engine.models {
+        let usable = free.iter().filter(|c| is_usable(c, model, loads)).count();
+        let most = usable.checked_div(model.size).unwrap_or(0);
+        let longer = |counts: &Vec<usize>| {
+            let counts = counts.clone();
+            (0..=most).map(move |count| [&counts[..], &[count]].concat())
+        };
+        found = found.iter().flat_map(longer).filter(|c| fits(engine, c, free)).collect();
+        found.truncate(MOST_COMBINATIONS);
+    }
+    found
+}
+
+fn fits(engine: &EngineSpec, counts: &[usize], free: &[Candidate]) -> bool {
+    let sizes = engine.models.iter().map(|model| model.size);
+    counts.iter().zip(sizes).map(|(count, size)| count * size).sum::<usize>() <= free.len()
+}
+
+/// Returns the groups that `counts` asks for, if `free` can form them.
+fn compose(
     engine: &EngineSpec,
     needs: &[Need],
     free: &[Candidate],
     loads: JoinLoads,
-) -> Option<Choice> {
-    let mut best: Option<(f64, Choice)> = None;
-    for (index, (model, need)) in engine.models.iter().zip(needs).enumerate() {
-        let Some((choice, time)) = soonest(index, model, free, loads) else { continue };
-        let left = 1.0 - time.as_secs_f64() / HORIZON.as_secs_f64();
-        let score = need.gain() / model.size as f64 * left.max(LEAST_DISCOUNT);
-        if best.as_ref().is_none_or(|(highest, _)| score > *highest) {
-            best = Some((score, choice));
+    counts: &[usize],
+) -> Option<Set> {
+    let mut needs = needs.to_vec();
+    let mut left: Vec<&Candidate> = free.iter().collect();
+    let mut set = Set::default();
+    for (index, count) in scarcest_first(engine, free, loads, counts) {
+        for _ in 0..count {
+            let (choice, time) = soonest(index, &engine.models[index], &left, loads)?;
+            left.retain(|candidate| !choice.members.contains(&candidate.id));
+            set.gain += needs[index].gain() * discount(time);
+            needs[index].supply += 1.0;
+            set.groups.push(choice);
         }
     }
-    best.map(|(_, choice)| choice)
+    Some(set)
+}
+
+/// Returns the models with their counts; those that the fewest servers can serve come first, since
+/// they have the least choice.
+fn scarcest_first(
+    engine: &EngineSpec,
+    free: &[Candidate],
+    loads: JoinLoads,
+    counts: &[usize],
+) -> Vec<(usize, usize)> {
+    let mut order: Vec<(usize, usize)> = counts.iter().copied().enumerate().collect();
+    order.sort_by_key(|(index, _)| {
+        let model = &engine.models[*index];
+        free.iter().filter(|candidate| is_usable(candidate, model, loads)).count()
+    });
+    order
+}
+
+/// Returns the part of its worth that a group keeps which is ready after `time`.
+fn discount(time: Duration) -> f64 {
+    (1.0 - time.as_secs_f64() / HORIZON.as_secs_f64()).max(LEAST_DISCOUNT)
+}
+
+fn is_usable(candidate: &Candidate, model: &ModelSpec, loads: JoinLoads) -> bool {
+    loads == JoinLoads::Quick || !candidate.needs_load(model)
 }
 
 /// Returns the group of `model` that is ready soonest, and when.
 fn soonest(
     index: usize,
     model: &ModelSpec,
-    free: &[Candidate],
+    free: &[&Candidate],
     loads: JoinLoads,
 ) -> Option<(Choice, Duration)> {
-    let usable = free.iter().filter(|c| loads == JoinLoads::Quick || !c.needs_load(model));
-    let mut order: Vec<(bool, Duration, &Candidate)> =
-        usable.map(|c| (c.slow, c.time_to_join(model, loads), c)).collect();
-    if order.len() < model.size || model.size == 0 {
+    if free.len() < model.size || model.size == 0 {
+        return None;
+    }
+    let usable = free.iter().filter(|candidate| is_usable(candidate, model, loads));
+    let mut order: Vec<(Duration, usize, &Candidate)> =
+        usable.map(|c| (c.time_to_join(model, loads), c.models(), *c)).collect();
+    if order.len() < model.size {
         return None;
     }
     order.sort_by(|a, b| (a.0, a.1, &a.2.id).cmp(&(b.0, b.1, &b.2.id)));
     order.truncate(model.size);
-    let time = order.iter().map(|(_, time, _)| *time).max().unwrap_or_default();
-    let members = order.iter().map(|(_, _, c)| c.id.clone()).collect();
+    let time = order.iter().map(|(time, ..)| *time).max().unwrap_or_default();
+    let members = order.iter().map(|(.., candidate)| candidate.id.clone()).collect();
     Some((Choice { model: index, members }, time))
 }
--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -197,8 +197,8 @@
     closed_at: BTreeMap<(GroupId, Generation), Mono>,
     /// Models that are being staged, and until when.
     staging: BTreeMap<Life, (ModelId, Mono)>,
-    /// When the last new server of a fabric domain was seen.
-    newest: BTreeMap<FabricId, Mono>,
+    /// When the last new server was seen.
+    newest: Mono,
     /// Servers that were seen.
     known: BTreeSet<Life>,
     /// When an order to a server may be repeated.
@@ -225,7 +225,7 @@
             retired_at: now,
             closed_at: BTreeMap::new(),
             staging: BTreeMap::new(),
-            newest: BTreeMap::new(),
+            newest: now,
             known: BTreeSet::new(),
             retry_at: BTreeMap::new(),
             fenced: false,
@@ -237,11 +237,6 @@
         self.fenced
     }
 
-    /// Returns whether something is under way that is worth looking at again soon.
-    pub fn is_busy(&self) -> bool {
-        !self.forming.is_empty() || !self.in_flight.is_empty()
-    }
-
     /// Returns the orders that the situation asks for.
     pub fn decide(&mut self, view: &View<'_>) -> Vec<Command> {
         let census = Census::of(view.service, view.servers.values());
@@ -311,7 +306,7 @@
         self.retry_at.retain(|_, at| *at > now);
         for server in view.servers.values().filter(|server| &*server.service == view.service) {
             if self.known.insert(server.life()) {
-                self.newest.extend(server.fabric.clone().map(|fabric| (fabric, now)));
+                self.newest = now;
             }
         }
     }
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -25,8 +25,10 @@
 /// How long the head of a group must have been silent before it counts as gone for good, beyond
 /// the time after which its report goes missing.
 const GONE_AFTER: Duration = Duration::from_millis(2_500);
-/// How long no new server must have come to a fabric domain at the first start.
+/// How long no new server must have come at the first start,
 const SETTLE: Duration = Duration::from_millis(600);
+/// unless the owner has waited this long.
+const LONGEST_SETTLE: Duration = Duration::from_secs(3);
 
 impl Owner {
     /// Forms as many groups as the free servers allow.
@@ -36,36 +38,40 @@
         census: &Census,
         commands: &mut Vec<Command>,
     ) {
-        let mut free = self.free_by_fabric(view, census);
-        let mut needs = self.needs(view, census);
+        if self.is_filling(view) {
+            return;
+        }
+        let free = self.free_by_fabric(view, census);
+        let needs = self.needs(view, census);
         let loads = if view.before_traffic { JoinLoads::Quick } else { JoinLoads::No };
-        for (fabric, candidates) in &mut free {
-            if self.is_filling(fabric, view) {
-                continue;
-            }
-            while let Some(choice) = compose::next(view.engine, &needs, candidates, loads) {
-                candidates.retain(|c| !choice.members.contains(&c.id));
-                needs[choice.model].supply += 1.0;
-                self.form(&choice, view, census, loads);
+        for (fabric, groups) in compose::plan(view.engine, &needs, &free, loads) {
+            for choice in &groups {
+                self.form(choice, view, census, loads);
             }
             if view.before_traffic {
-                self.warm_up(candidates, view, census);
+                let is_spare = |c: &&Candidate| !groups.iter().any(|g| g.members.contains(&c.id));
+                self.warm_up(free[&fabric].iter().filter(is_spare), view, census);
             }
         }
         self.drive_forming(view, census, commands);
     }
 
-    /// Returns whether servers of a fabric domain are still arriving at the first start, when it
-    /// costs little to wait for a better choice.
-    fn is_filling(&self, fabric: &FabricId, view: &View<'_>) -> bool {
-        let newest = self.newest.get(fabric).copied().unwrap_or_default();
-        view.before_traffic && view.now < newest + SETTLE
+    /// Returns whether servers are still arriving at the first start, when it costs little to wait
+    /// for a better choice.
+    fn is_filling(&self, view: &View<'_>) -> bool {
+        let waits = view.now < self.newest + SETTLE && view.now < self.started + LONGEST_SETTLE;
+        view.before_traffic && waits
     }
 
     /// Lets spare servers join a group of their own, which is never opened, so that they hold a
     /// model in their accelerators when they are needed.
-    fn warm_up(&mut self, spare: &[Candidate], view: &View<'_>, census: &Census) {
-        for candidate in spare.iter().filter(|candidate| candidate.hot.is_none()) {
+    fn warm_up<'a>(
+        &mut self,
+        spare: impl Iterator<Item = &'a Candidate>,
+        view: &View<'_>,
+        census: &Census,
+    ) {
+        for candidate in spare.filter(|candidate| candidate.hot.is_none()) {
             let server = &view.servers[&candidate.id];
             let Some(model) = stage::most_around(server, view, census) else { continue };
             let epoch = self.next_epoch(census);
@@ -209,10 +215,5 @@
 
 /// Returns a server as a candidate for a group.
 pub(super) fn candidate(server: &Server) -> Candidate {
-    Candidate {
-        id: server.id.clone(),
-        hot: server.model.clone(),
-        staged: server.staged.clone(),
-        slow: false,
-    }
+    Candidate { id: server.id.clone(), hot: server.model.clone(), staged: server.staged.clone() }
 }
--- a/crates/form/tests/fleet/mod.rs
+++ b/crates/form/tests/fleet/mod.rs
@@ -83,6 +83,13 @@
         fleet
     }
 
+    /// Spreads the engines over `domains` fabric domains.
+    pub(crate) fn spread(&mut self, domains: usize) {
+        for (i, engine) in self.engines.values_mut().enumerate() {
+            engine.now.fabric = Some(format!("f{}", i % domains).into());
+        }
+    }
+
     /// Adds a cold engine.
     pub(crate) fn add(&mut self, id: &str) {
         let engine = Engine::new(id, self.engines.len() as u64 + 1);
@@ -280,6 +287,13 @@
         census.groups.values().filter(|group| group.serves(&self.spec)).count()
     }
 
+    /// Returns how many groups of `model` serve, by the truth.
+    pub(crate) fn serving_model(&self, model: &str) -> usize {
+        let census = Census::of(SERVICE, self.engines.values().filter(|e| e.alive).map(|e| &e.now));
+        let serving = census.groups.values().filter(|group| group.serves(&self.spec));
+        serving.filter(|group| group.model.as_deref() == Some(model)).count()
+    }
+
     /// Returns the members of the first group that serves, the head first.
     pub(crate) fn first_group(&self) -> Vec<ServerId> {
         let census = Census::of(SERVICE, self.engines.values().map(|engine| &engine.now));
--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -26,6 +26,57 @@
     assert!(spares.clone().all(|e| !e.now.staged.is_empty()), "every host is staged");
 }
 
+/// On the bench: wioslarz-hq, scale-1, where one model had nine groups, a tenth full, and the other
+/// three, which refused.
+#[test]
+fn domains_that_start_together_share_their_servers_by_demand() {
+    let mut fleet = Fleet::new(54);
+    fleet.spread(6);
+    let mut owner = Owner::new(1, fleet.now);
+    fleet.run(&mut owner, 8 * SECOND);
+    fleet.begin_traffic();
+    let (large, small) = (fleet.serving_model("large"), fleet.serving_model("small"));
+    assert!(54 - 4 * large - 3 * small <= 6, "{large} large and {small} small groups");
+    let servers_by_demand = [(4 * large) as f64 / 0.6, (3 * small) as f64 / 0.4];
+    let ratio = servers_by_demand[0] / servers_by_demand[1];
+    assert!((0.6..1.6).contains(&ratio), "{large} large and {small} small groups");
+}
+
+/// On the bench: vatuloa-tides, trouble-3, where a model had no group for 16 s.
+#[test]
+fn a_model_without_groups_takes_one_while_a_repair_of_the_other_hangs() {
+    let mut fleet = Fleet::new(9);
+    fleet.spread(2);
+    fleet.spec.models[0].share = 0.0;
+    let mut owner = Owner::new(1, fleet.now);
+    fleet.run(&mut owner, 8 * SECOND);
+    assert_eq!(fleet.serving_model("small"), 2, "nobody asks for the large one yet");
+    fleet.begin_traffic();
+    // In the domain of five, which holds only the small model, the group loses a member, and the
+    // spares answer no order.
+    let near = |e: &fleet::Engine| e.now.fabric.as_deref() == Some("f0");
+    let is_spare = |e: &fleet::Engine| {
+        e.now.membership.as_ref().is_none_or(|m| m.rank == 0 && m.phase == Phase::Ready)
+    };
+    for spare in fleet.engines.values_mut().filter(|e| near(e) && is_spare(e)) {
+        spare.reachable = false;
+    }
+    for engine in fleet.engines.values_mut().filter(|e| near(e)) {
+        engine.now.staged = vec!["small".into()];
+    }
+    let lost = fleet.engines.values().find(|e| {
+        let rank = e.now.membership.as_ref().map(|m| m.rank);
+        near(e) && rank == Some(1)
+    });
+    let lost = lost.expect("a member").now.id.clone();
+    fleet.kill(&lost);
+    fleet.run(&mut owner, 5 * SECOND);
+    fleet.spec.models[0].share = 0.6;
+    fleet.run(&mut owner, 8 * SECOND);
+    assert_eq!(fleet.serving_model("large"), 1);
+    assert!(fleet.broken.is_empty(), "{:?}", fleet.broken);
+}
+
 #[test]
 fn a_lost_member_is_replaced_by_a_warm_spare() {
     let (mut fleet, mut owner) = formed(9);
