Repair silent groups before reports go missing; keep the ownership through outages

Ruled out: acting on silence alone (a slow group, or an owner that is cut off, looks the same).

Change: processes tell each other which heads they find silent. The owner then asks all members for a sign of life; if the head answers and another member doesn't, the group is given up at once and the member is left alone for 4 s. A head counts as gone once its report is missing and it has given no answer for 2.5 s, counted from the first question. An owner that can't reach the store stays one in waiting: it reads its key, and goes on if it is still its own; it gives up if the renewal after that read has no answer, so that one that hears nothing doesn't keep the key from others.

A group whose head left a join unanswered is now formed anew under a new epoch.

--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -10,6 +10,8 @@
 //!   head has answered an order to leave it, reports a higher epoch, has given it up, or is gone for
 //!   good; or this owner formed the group and never ordered it to open. A report of the head that
 //!   doesn't mention the group proves nothing: the head may have lost its way to the store.
+//! - A group is not opened if its head left an order to join it without an answer: carried out late,
+//!   after the head has left the group, that order and a late one to open would bring it back.
 //! - A group's name ends with the id and address of its head, so that every owner can ask it, also
 //!   one that started after the head's report went missing.
 //! - Epochs rise with every group, over all owners: they begin with the owner's fencing number.
@@ -19,6 +21,7 @@
 mod free;
 mod groups;
 mod rebalance;
+mod silent;
 mod stage;
 
 use std::collections::BTreeMap;
@@ -36,6 +39,7 @@
 use crate::spec::EngineSpec;
 
 use forming::Forming;
+use silent::Round;
 
 /// Bits of an epoch that count the groups of one owner.
 const EPOCH_COUNT_BITS: u32 = 16;
@@ -90,6 +94,8 @@
         /// The model.
         model: ModelId,
     },
+    /// Answer, and change nothing.
+    Probe,
 }
 
 /// An order with its receiver.
@@ -128,23 +134,12 @@
     Unanswered,
 }
 
-/// A server that no longer reports.
-#[data]
-pub struct Departed {
-    /// Its last report.
-    pub server: Server,
-    /// Since when its report is missing.
-    pub since: Mono,
-}
-
 /// What the owner sees.
 pub struct View<'a> {
     /// The service whose groups it owns.
     pub service: &'a str,
     /// All servers that report.
     pub servers: &'a BTreeMap<ServerId, Server>,
-    /// Servers that have ceased to report.
-    pub departed: &'a BTreeMap<ServerId, Departed>,
     /// The engines' figures.
     pub engine: &'a EngineSpec,
     /// Work that callers bring, by model, as parts of the whole.
@@ -183,8 +178,8 @@
     in_flight: BTreeMap<OrderId, InFlight>,
     /// Groups whose head can't serve them any more.
     released: BTreeSet<(GroupId, Generation)>,
-    /// Groups whose head gave no answer to the order to leave.
-    unanswered: BTreeSet<(GroupId, Generation)>,
+    /// Groups whose head gives no answer, and since when.
+    unanswered: BTreeMap<(GroupId, Generation), Mono>,
     /// The last order to join that each server got: its report may be older.
     joined: BTreeMap<Life, Joined>,
     /// When a group that is not whole was first seen so.
@@ -201,6 +196,10 @@
     newest: Mono,
     /// Servers that were seen.
     known: BTreeSet<Life>,
+    /// Questions to the members of silent groups.
+    rounds: BTreeMap<(GroupId, Generation), Round>,
+    /// Servers that gave no sign of life, and until when they get no group.
+    left_alone: BTreeMap<Life, Mono>,
     /// When an order to a server may be repeated.
     retry_at: BTreeMap<ServerId, Mono>,
     fenced: bool,
@@ -218,7 +217,7 @@
             forming: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             released: BTreeSet::new(),
-            unanswered: BTreeSet::new(),
+            unanswered: BTreeMap::new(),
             joined: BTreeMap::new(),
             incomplete_since: BTreeMap::new(),
             retiring: BTreeSet::new(),
@@ -227,6 +226,8 @@
             staging: BTreeMap::new(),
             newest: now,
             known: BTreeSet::new(),
+            rounds: BTreeMap::new(),
+            left_alone: BTreeMap::new(),
             retry_at: BTreeMap::new(),
             fenced: false,
         }
@@ -244,6 +245,7 @@
         let mut commands = Vec::new();
         self.drive_forming(view, &census, &mut commands);
         self.tend_groups(view, &census, &mut commands);
+        self.tend_silent(view, &census, &mut commands);
         self.form_groups(view, &census, &mut commands);
         self.rebalance(view, &census);
         self.stage_models(view, &census, &mut commands);
@@ -254,16 +256,14 @@
     pub fn reply(&mut self, id: OrderId, reply: Reply, now: Mono) -> Option<Order> {
         let InFlight { server, order } = self.in_flight.remove(&id)?;
         let repeats = matches!(order, Order::Close { .. });
-        if repeats
-            || matches!(
-                reply,
-                Reply::Rejected | Reply::Unanswered | Reply::Invalid | Reply::Refused
-            )
-        {
+        let failed =
+            matches!(reply, Reply::Rejected | Reply::Unanswered | Reply::Invalid | Reply::Refused);
+        if order != Order::Probe && (repeats || failed) {
             self.retry_at.insert(server.clone(), now + retry_pause(&order));
         }
         match (&order, reply) {
             (_, Reply::Fenced) => self.fenced = true,
+            (Order::Probe, _) => self.probed(&server, reply, now),
             (Order::Join { group, .. }, _) => self.join_answered(group, &server, reply, now),
             (Order::Open { group, .. }, _) => self.opened(group, reply, now),
             (Order::Leave { group, epoch }, Reply::Done | Reply::Begun) => {
@@ -276,7 +276,7 @@
                 self.released.insert((group.clone(), *epoch));
             }
             (Order::Leave { group, epoch }, _) => {
-                self.unanswered.insert((group.clone(), *epoch));
+                self.unanswered.entry((group.clone(), *epoch)).or_insert(now);
             }
             (Order::Stage { .. }, Reply::Done | Reply::Begun) => {}
             (Order::Stage { .. }, _) => self.staging.retain(|(id, _), _| *id != server),
@@ -294,7 +294,7 @@
         let joined: BTreeSet<&(GroupId, Generation)> =
             self.joined.values().map(|joined| &joined.key).collect();
         self.released.retain(|key| census_has(key) || joined.contains(key));
-        self.unanswered.retain(|key| census_has(key) || joined.contains(key));
+        self.unanswered.retain(|key, _| census_has(key) || joined.contains(key));
         self.retiring.retain(census_has);
         self.closed_at.retain(|key, _| census_has(key));
         self.incomplete_since.retain(|key, _| census_has(key));
@@ -354,7 +354,7 @@
 /// How long to wait before an order is given again.
 fn retry_pause(order: &Order) -> Duration {
     match order {
-        Order::Open { .. } | Order::Leave { .. } => Duration::from_millis(100),
+        Order::Open { .. } | Order::Leave { .. } | Order::Probe => Duration::from_millis(100),
         Order::Join { .. } | Order::Close { .. } => Duration::from_millis(250),
         Order::Stage { .. } => Duration::from_secs(1),
     }
--- a/crates/form/src/owner/forming.rs
+++ b/crates/form/src/owner/forming.rs
@@ -127,7 +127,7 @@
             if group.is_some_and(|group| group.head_phase == Some(Phase::Open)) {
                 continue;
             }
-            if view.now > forming.deadline || !self.members_live(&forming, view) {
+            if view.now >= forming.deadline || !self.members_live(&forming, view) {
                 if !forming.open_ordered {
                     self.released.insert((name, forming.epoch));
                 }
@@ -147,7 +147,9 @@
     fn members_live(&self, forming: &Forming, view: &View<'_>) -> bool {
         forming.members.iter().all(|life| {
             let server = view.servers.get(&life.0);
-            server.is_some_and(|s| s.life() == *life && s.state == ServerState::Ready)
+            let is_ready =
+                server.is_some_and(|s| s.life() == *life && s.state == ServerState::Ready);
+            is_ready && !self.left_alone.contains_key(life)
         })
     }
 
@@ -211,6 +213,8 @@
                 forming.joins[i] = Join::Begun(now + POLL);
             }
             Reply::Begun => forming.joins[i] = Join::Begun(now + forming.times[i]),
+            // It may be carried out late: a new group has a new epoch, which rules that out.
+            Reply::Unanswered if i == 0 => forming.deadline = now,
             // It is being carried out, or the order comes again.
             Reply::Rejected | Reply::Unanswered | Reply::Invalid => {}
             Reply::Fenced | Reply::Elsewhere | Reply::Refused => forming.deadline = now,
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -22,8 +22,8 @@
 use crate::server::Server;
 use crate::server::ServerState;
 
-/// How long the head of a group must have been silent before it counts as gone for good, beyond
-/// the time after which its report goes missing.
+/// How long the head of a group, whose report is missing, must have given no answer before it counts
+/// as gone for good.
 const GONE_AFTER: Duration = Duration::from_millis(2_500);
 /// How long no new server must have come at the first start,
 const SETTLE: Duration = Duration::from_millis(600);
@@ -143,7 +143,7 @@
         if server.state != ServerState::Ready || self.is_in_forming(&server.id) {
             return false;
         }
-        if self.has_order(&server.id) {
+        if self.has_order(&server.id) || self.left_alone.contains_key(&server.life()) {
             return false;
         }
         let reported = server.membership.as_ref();
@@ -197,7 +197,7 @@
     }
 
     /// Returns whether the head of a group that it doesn't report can't serve it any more.
-    fn is_head_gone(&self, key: &(GroupId, Generation), view: &View<'_>) -> bool {
+    pub(super) fn is_head_gone(&self, key: &(GroupId, Generation), view: &View<'_>) -> bool {
         let Some((head, _)) = head_in_name(&key.0) else {
             // A group that no owner of this system formed.
             return view.now >= self.started + GONE_AFTER * 2;
@@ -205,11 +205,7 @@
         if let Some(server) = view.servers.get(head) {
             return server.membership.as_ref().is_some_and(|m| m.epoch > key.1);
         }
-        if !self.unanswered.contains(key) {
-            return false;
-        }
-        let since = view.departed.get(head).map_or(self.started, |departed| departed.since);
-        view.now >= since.max(self.started) + GONE_AFTER
+        self.unanswered.get(key).is_some_and(|since| view.now >= *since + GONE_AFTER)
     }
 }
 
--- a/crates/form/src/owner/groups.rs
+++ b/crates/form/src/owner/groups.rs
@@ -97,7 +97,7 @@
     }
 
     /// Orders the head to leave, which cuts off what still runs there.
-    fn give_up(&mut self, group: &Group, commands: &mut Vec<Command>) {
+    pub(super) fn give_up(&mut self, group: &Group, commands: &mut Vec<Command>) {
         // A group that no owner of this system formed is left alone.
         let Some((head, address)) = head_in_name(&group.name) else { return };
         let order = Order::Leave { group: group.name.clone(), epoch: group.epoch };
@@ -120,7 +120,9 @@
             return;
         }
         // The head's report may be old or missing while the head serves: only its answer tells.
-        self.give_up(group, commands);
+        if !self.is_head_gone(&(group.name.clone(), group.epoch), view) {
+            self.give_up(group, commands);
+        }
     }
 
     fn adopt(&mut self, group: &Group, view: &View<'_>) {
--- /dev/null
+++ b/crates/form/src/owner/silent.rs
@@ -0,0 +1,126 @@
+//! Groups from which nothing comes any more.
+//!
+//! A group stands still as soon as one member is lost, seconds before that member's report goes
+//! missing; requests notice at once. So each member of a group that callers find silent is asked
+//! for a sign of life. Only if the head answers and another member doesn't is the group given up:
+//! that both the streams and a member are silent hardly happens by a slow group, or by an owner
+//! that is cut off itself. The member that gave no sign is left alone for a while.
+//!
+//! A head that gives no sign can't be told to leave, and may serve again: its members stay until its
+//! report has gone missing too.
+
+use std::collections::BTreeSet;
+
+use base::prelude::*;
+
+use super::Command;
+use super::Order;
+use super::Owner;
+use super::Reply;
+use super::View;
+use super::head_in_name;
+use crate::census::Census;
+use crate::census::Group;
+use crate::server::Life;
+use crate::server::ServerId;
+
+/// Time between two rounds of questions to a group.
+const ROUND_PAUSE: Duration = Duration::from_millis(1_500);
+/// How long a server that gave no sign of life is left alone: its report goes missing before.
+const LEFT_ALONE: Duration = Duration::from_secs(4);
+
+/// Questions to the members of a group.
+#[data]
+pub(super) struct Round {
+    /// When they were asked.
+    asked: Mono,
+    /// Members whose answers are awaited.
+    awaited: BTreeSet<ServerId>,
+    /// Members that answered.
+    alive: BTreeSet<ServerId>,
+}
+
+impl Round {
+    fn is_over(&self) -> bool {
+        self.awaited.is_empty()
+    }
+}
+
+impl Owner {
+    /// Asks the members of silent groups, and gives up those that have lost a member.
+    pub(super) fn tend_silent(
+        &mut self,
+        view: &View<'_>,
+        census: &Census,
+        commands: &mut Vec<Command>,
+    ) {
+        let now = view.now;
+        self.left_alone.retain(|_, until| *until > now);
+        self.rounds.retain(|key, round| {
+            census.groups.contains_key(key) && now < round.asked + ROUND_PAUSE
+        });
+        for (key, group) in &census.groups {
+            let is_silent = group.head().is_some_and(|head| view.silent.contains(head));
+            if !is_silent || !group.serves(view.engine) || self.is_released(group) {
+                continue;
+            }
+            match self.rounds.get(key) {
+                None => self.ask_members(group, view, commands),
+                Some(round) if round.is_over() => self.judge(group, view, commands),
+                Some(_) => {}
+            }
+        }
+    }
+
+    fn ask_members(&mut self, group: &Group, view: &View<'_>, commands: &mut Vec<Command>) {
+        let mut awaited = BTreeSet::new();
+        for id in group.members.values() {
+            if self.order(&view.servers[id], Order::Probe, commands) {
+                awaited.insert(id.clone());
+            }
+        }
+        let key = (group.name.clone(), group.epoch);
+        self.rounds.insert(key, Round { asked: view.now, awaited, alive: BTreeSet::new() });
+    }
+
+    /// Gives `group` up if its head answered and another member that was asked didn't.
+    fn judge(&mut self, group: &Group, view: &View<'_>, commands: &mut Vec<Command>) {
+        let key = (group.name.clone(), group.epoch);
+        let round = &self.rounds[&key];
+        let is_alive = |id: &ServerId| round.alive.contains(id);
+        if !group.head().is_some_and(is_alive) {
+            return;
+        }
+        let lost: Vec<Life> = group
+            .members
+            .values()
+            .filter(|id| !is_alive(id))
+            .map(|id| view.servers[id].life())
+            .collect();
+        if lost.is_empty() {
+            return;
+        }
+        let until = view.now + LEFT_ALONE;
+        self.left_alone.extend(lost.into_iter().map(|life| (life, until)));
+        self.give_up(group, commands);
+    }
+
+    /// Takes the answer to a question.
+    pub(super) fn probed(&mut self, server: &ServerId, reply: Reply, now: Mono) {
+        let is_alive = !matches!(reply, Reply::Unanswered | Reply::Refused | Reply::Elsewhere);
+        for (key, round) in &mut self.rounds {
+            let is_head = head_in_name(&key.0).is_some_and(|(head, _)| head == &**server);
+            if !round.awaited.remove(server) {
+                continue;
+            }
+            if is_alive {
+                round.alive.insert(server.clone());
+            } else if is_head {
+                self.unanswered.entry(key.clone()).or_insert(now);
+            }
+            if is_alive && is_head {
+                self.unanswered.remove(key);
+            }
+        }
+    }
+}
--- a/crates/form/tests/fleet/mod.rs
+++ b/crates/form/tests/fleet/mod.rs
@@ -7,7 +7,6 @@
 use std::collections::BTreeSet;
 
 use base::prelude::*;
-use form::owner::Departed;
 use form::owner::View;
 use form::prelude::*;
 
@@ -17,6 +16,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time from the last report of a dead server until its report is missing.
 const LAPSE: Duration = Duration::from_millis(3_600);
+/// Time after which callers notice that a group stands still.
+const SILENCE: Duration = Duration::from_millis(700);
 /// Time after which a head whose member is lost gives its group up.
 const STALL: Duration = Duration::from_secs(6);
 
@@ -47,8 +48,6 @@
     pub(crate) engines: BTreeMap<ServerId, Engine>,
     /// What reaches the owner.
     pub(crate) servers: BTreeMap<ServerId, Server>,
-    /// Servers whose reports are missing.
-    pub(crate) departed: BTreeMap<ServerId, Departed>,
     /// The engines' figures.
     pub(crate) spec: EngineSpec,
     /// Now.
@@ -57,6 +56,8 @@
     pub(crate) broken: Vec<String>,
     /// Parts of orders, in percent, that get no answer and are carried out late.
     pub(crate) late_percent: u64,
+    /// Heads that callers call silent though they aren't.
+    pub(crate) suspects: BTreeSet<ServerId>,
     late: Vec<(Mono, Command)>,
     dice: u64,
     before_traffic: bool,
@@ -68,11 +69,11 @@
         let mut fleet = Fleet {
             engines: BTreeMap::new(),
             servers: BTreeMap::new(),
-            departed: BTreeMap::new(),
             spec: spec(),
             now: Duration::from_secs(1),
             broken: Vec::new(),
             late_percent: 0,
+            suspects: BTreeSet::new(),
             late: Vec::new(),
             dice: 1,
             before_traffic: true,
@@ -145,15 +146,21 @@
         owner.decide(&View {
             service: SERVICE,
             servers: &self.servers,
-            departed: &self.departed,
             engine: &self.spec,
             demand: &demand,
-            silent: &BTreeSet::new(),
+            silent: &self.silent(),
             before_traffic: self.before_traffic,
             now: self.now,
         })
     }
 
+    /// Returns the heads that callers call silent.
+    fn silent(&self) -> BTreeSet<ServerId> {
+        let stand_still = self.engines.values().filter(|engine| self.has_lost(engine, SILENCE));
+        let heads = stand_still.map(|engine| engine.now.id.clone());
+        heads.chain(self.suspects.iter().cloned()).collect()
+    }
+
     fn deliver(&mut self, owner: &mut Owner, command: Command) {
         let id = command.id;
         if !self.engines[&command.server].reachable || !self.engines[&command.server].alive {
@@ -207,12 +214,16 @@
 
     /// Returns the id of an open head that has lost a member for longer than the stall.
     fn stuck(&self, engine: &Engine) -> Option<ServerId> {
-        let membership = engine.now.membership.as_ref()?;
-        let open = membership.phase == Phase::Open && engine.alive;
-        let lost = engine.members.iter().filter_map(|id| self.engines.get(id)).any(|member| {
-            !member.alive && member.silent_since.is_some_and(|at| self.now > at + STALL)
-        });
-        (open && lost).then(|| engine.now.id.clone())
+        (engine.alive && self.has_lost(engine, STALL)).then(|| engine.now.id.clone())
+    }
+
+    /// Returns whether `engine` is an open head that has lost a member for longer than `time`.
+    fn has_lost(&self, engine: &Engine, time: Duration) -> bool {
+        let open = engine.phase() == Some(Phase::Open);
+        let mut members = engine.members.iter().filter_map(|id| self.engines.get(id));
+        open && members.any(|member| {
+            !member.alive && member.silent_since.is_some_and(|at| self.now > at + time)
+        })
     }
 
     fn report(&mut self) {
@@ -220,12 +231,11 @@
         for (id, engine) in &self.engines {
             if engine.alive && engine.reports {
                 self.servers.insert(id.clone(), engine.now.clone());
-                self.departed.remove(id);
                 continue;
             }
             let lapsed = engine.silent_since.is_some_and(|at| now >= at + LAPSE);
-            if let Some(server) = lapsed.then(|| self.servers.remove(id)).flatten() {
-                self.departed.insert(id.clone(), Departed { server, since: now });
+            if lapsed {
+                self.servers.remove(id);
             }
         }
     }
@@ -374,7 +384,7 @@
                 self.now.membership = None;
                 Reply::Done
             }
-            Order::Close { .. } | Order::Leave { .. } => Reply::Done,
+            Order::Close { .. } | Order::Leave { .. } | Order::Probe => Reply::Done,
             Order::Stage { model } => {
                 let load = spec.model(model).expect("a model").load;
                 let load = if quick { load / 10 } else { load };
--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -87,6 +87,39 @@
     assert!(fleet.broken.is_empty(), "{:?}", fleet.broken);
 }
 
+/// On the bench: every day with crashes of members; a group stood still for 5 s after each.
+#[test]
+fn a_silent_group_is_repaired_before_the_lost_member_goes_missing() {
+    let (mut fleet, mut owner) = formed(9);
+    let group = fleet.first_group();
+    fleet.kill(&group[1]);
+    fleet.run(&mut owner, Duration::from_millis(3_400));
+    assert_eq!(fleet.serving(), 2, "0.7 s until it is silent, then a warm join and an opening");
+    assert!(fleet.servers.contains_key(&group[1]), "its report is still there");
+    assert!(fleet.broken.is_empty(), "{:?}", fleet.broken);
+}
+
+#[test]
+fn a_group_that_only_seems_silent_is_left_alone() {
+    let (mut fleet, mut owner) = formed(9);
+    let group = fleet.first_group();
+    fleet.suspects.insert(group[0].clone());
+    fleet.run(&mut owner, 6 * SECOND);
+    assert_eq!(fleet.first_group(), group, "all its members answer");
+}
+
+#[test]
+fn a_silent_group_whose_head_gives_no_sign_is_left_alone() {
+    let (mut fleet, mut owner) = formed(9);
+    let group = fleet.first_group();
+    fleet.suspects.insert(group[0].clone());
+    for member in &group[..2] {
+        fleet.engines.get_mut(member).expect("an engine").reachable = false;
+    }
+    fleet.run(&mut owner, 6 * SECOND);
+    assert_eq!(fleet.first_group(), group, "the owner may be the one that is cut off");
+}
+
 /// On the bench: vatuloa-tides, scale-1, and hunt seed 244888074204.
 #[test]
 fn a_head_that_lost_the_store_as_it_opened_is_asked_before_its_members_move() {
@@ -187,6 +220,8 @@
     Late(u64),
     NewOwner,
     Add,
+    Suspect(usize),
+    Trust,
 }
 
 fn trouble() -> impl Strategy<Value = Trouble> {
@@ -201,6 +236,8 @@
         1 => (0_u64..50).prop_map(Trouble::Late),
         1 => Just(Trouble::NewOwner),
         1 => Just(Trouble::Add),
+        2 => (0_usize..12).prop_map(Trouble::Suspect),
+        1 => Just(Trouble::Trust),
     ]
 }
 
@@ -227,6 +264,10 @@
         }
         Trouble::Late(percent) => fleet.late_percent = *percent,
         Trouble::NewOwner => *owner = Owner::new(step + 2, fleet.now),
+        Trouble::Suspect(i) => {
+            fleet.suspects.insert(id(i));
+        }
+        Trouble::Trust => fleet.suspects.clear(),
         Trouble::Add => fleet.add(&format!("n{step}")),
     }
 }
@@ -265,6 +306,7 @@
             fleet.run(&mut owner, Duration::from_millis(*pause));
         }
         fleet.late_percent = 0;
+        fleet.suspects.clear();
         let ids: Vec<ServerId> = fleet.engines.keys().cloned().collect();
         for id in ids {
             if !fleet.engines[&id].alive {
--- a/crates/front/src/hub.rs
+++ b/crates/front/src/hub.rs
@@ -76,6 +76,7 @@
         let sum = sums.entry(server.clone()).or_default();
         sum.requests += load.requests;
         sum.unread_tokens += load.unread_tokens;
+        sum.silent |= load.silent;
     }
     sums.into_iter().collect()
 }
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -70,7 +70,6 @@
         value: cx.node().as_bytes().into(),
         lease: LEASE.max(settings.shortest_lease),
         head_start: Duration::ZERO,
-        outlasts_store: false,
     };
     let free = {
         let (shared, key) = (shared.clone(), claim.key.clone());
@@ -119,11 +118,10 @@
         for spec in world.routes.services() {
             let Some(engine) = &spec.engine else { continue };
             let owner = owner_of(&mut self.owners.1, &spec.name, fence, now);
-            let (demand, silent) = (world.demand(engine), world.silent());
+            let (demand, silent) = (world.demand(engine), world.places.silent(now));
             let view = View {
                 service: &spec.name,
                 servers: &world.servers,
-                departed: &world.departed,
                 engine,
                 demand: &demand,
                 silent: &silent,
@@ -200,5 +198,6 @@
         Order::Close { group, epoch } => ("close", group, *epoch),
         Order::Leave { group, epoch } => ("leave", group, *epoch),
         Order::Stage { model } => ("stage", model, 0),
+        Order::Probe => ("probe", "", 0),
     }
 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -148,7 +148,6 @@
         value: serde_json::to_vec(&entry).expect("an entry has a JSON form").into(),
         lease: HUB_LEASE.max(state.settings.shortest_lease),
         head_start: HUB_HEAD_START.mul_f64((1.0 - state.settings.cores).clamp(0.0, 1.0)),
-        outlasts_store: true,
     };
     let (tx, mut rx) = watch::channel(None);
     let free = {
@@ -195,7 +194,7 @@
     }
     world.hub.expire(now);
     let known = told.have.filter(|(boot, _)| *boot == world.feed.boot);
-    let own = world.places.own_loads();
+    let own = world.places.own_loads(now);
     let (loads, processes) = world.hub.fleet(&own, &told.node);
     let age = world.feed.age(now);
     let rows = match told.have {
@@ -285,7 +284,7 @@
     let now = state.cx.now();
     let (loads, processes, is_fresh) = {
         let world = state.shared.world.lock();
-        let own = world.places.own_loads();
+        let own = world.places.own_loads(now);
         let (loads, processes) = world.hub.domain(&own);
         (loads, processes, world.feed.age(now).is_some_and(|age| age < FRESH))
     };
@@ -324,7 +323,7 @@
 /// Asks the nearest hub that answers with fresh rows.
 async fn ask_hub(state: &State) {
     for address in hubs(state) {
-        let loads = state.shared.world.lock().places.own_loads();
+        let loads = state.shared.world.lock().places.own_loads(state.cx.now());
         let told = Told {
             node: state.cx.node().clone(),
             loads,
--- a/crates/front/src/tenure.rs
+++ b/crates/front/src/tenure.rs
@@ -3,6 +3,11 @@
 //! The revision that wrote the key rises with each holder, so it serves as a fencing number. A
 //! holder counts its lease from before it asked, on a clock that goes on while the VM is suspended,
 //! and doesn't rely on the last part of it.
+//!
+//! While the store gives no answer, a holder goes on asking: leases may stand still with the store. If
+//! one was renewed in the end, no other has held the key in between. But a holder that is no longer
+//! sure reads its key first, renews only after an answer, and gives up if the renewal has none: otherwise
+//! one that hears nothing would keep the key from all others.
 
 use std::sync::Arc;
 
@@ -34,8 +39,6 @@
     pub(crate) lease: Duration,
     /// How long a free key is left to others first.
     pub(crate) head_start: Duration,
-    /// Whether it is kept while the store gives no answer: for roles that two may have at once.
-    pub(crate) outlasts_store: bool,
 }
 
 /// A key that this process holds.
@@ -49,7 +52,7 @@
 }
 
 impl Tenure {
-    /// Returns whether the key is surely still held.
+    /// Returns whether the key is surely still held, also if the store doesn't answer.
     pub(crate) fn is_valid(&self) -> bool {
         clock::since_boot() < self.until
     }
@@ -67,6 +70,7 @@
     tx: watch::Sender<Option<Tenure>>,
 ) {
     let period = claim.lease / RENEWALS;
+    let mut standing = Standing::None;
     loop {
         let held = *tx.borrow();
         let next = match held {
@@ -79,18 +83,18 @@
             }
             None => None,
         };
-        tell_change(&claim, held, next);
+        tell_change(&claim, held.or(next), &mut standing, Standing::of(next));
         if next != held {
             tx.send_replace(next);
         }
         let mut tick = cx.timer().after(period);
         tokio::select! {
             () = cx.process_stopping() => break,
-            () = resign.notified() => give_up(&*store, &claim, &tx).await,
+            () = resign.notified() => give_up(&*store, &claim, &tx, &mut standing).await,
             () = tick.tick() => {}
         }
     }
-    give_up(&*store, &claim, &tx).await;
+    give_up(&*store, &claim, &tx, &mut standing).await;
 }
 
 async fn take(store: &dyn LeaseStore, claim: &Claim) -> Option<Tenure> {
@@ -114,30 +118,70 @@
 }
 
 async fn renew(store: &dyn LeaseStore, claim: &Claim, tenure: Tenure) -> Option<Tenure> {
+    let was_sure = tenure.is_valid();
+    if !was_sure {
+        match store.get(&claim.key).await {
+            Ok(Some(held)) if held.mod_revision == tenure.revision => {}
+            Ok(_) => return None,
+            Err(error) => return not_renewed(claim, &error, Some(tenure)),
+        }
+    }
     let asked = clock::since_boot();
     match store.renew(tenure.lease).await {
         Ok(true) => Some(Tenure { until: asked + claim.lease.mul_f64(SAFE_PART), ..tenure }),
         Ok(false) => None,
-        Err(error) => {
-            log::warn!("{} was not renewed: {error}", claim.name);
-            (claim.outlasts_store || tenure.is_valid()).then_some(tenure)
-        }
+        Err(error) => not_renewed(claim, &error, was_sure.then_some(tenure)),
     }
 }
 
-async fn give_up(store: &dyn LeaseStore, claim: &Claim, tx: &watch::Sender<Option<Tenure>>) {
+fn not_renewed(claim: &Claim, error: &KvError, left: Option<Tenure>) -> Option<Tenure> {
+    log::warn!("{} was not renewed: {error}", claim.name);
+    left
+}
+
+async fn give_up(
+    store: &dyn LeaseStore,
+    claim: &Claim,
+    tx: &watch::Sender<Option<Tenure>>,
+    standing: &mut Standing,
+) {
     let Some(tenure) = tx.send_replace(None) else { return };
-    tell_change(claim, Some(tenure), None);
+    tell_change(claim, Some(tenure), standing, Standing::None);
     if let Err(error) = store.end(tenure.lease).await {
         log::warn!("{} ends by itself, since it was not given back: {error}", claim.name);
     }
 }
 
-fn tell_change(claim: &Claim, held: Option<Tenure>, next: Option<Tenure>) {
-    let (revision, state) = match (held, next) {
-        (None, Some(tenure)) => (tenure.revision, "taken"),
-        (Some(tenure), None) => (tenure.revision, "lost"),
-        _ => return,
+/// What a process may rely on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Standing {
+    /// It doesn't hold the key.
+    None,
+    /// It held the key, and can't tell whether it still does.
+    Unsure,
+    /// It holds the key.
+    Sure,
+}
+
+impl Standing {
+    fn of(tenure: Option<Tenure>) -> Self {
+        match tenure {
+            None => Standing::None,
+            Some(tenure) if tenure.is_valid() => Standing::Sure,
+            Some(_) => Standing::Unsure,
+        }
+    }
+}
+
+fn tell_change(claim: &Claim, tenure: Option<Tenure>, standing: &mut Standing, next: Standing) {
+    let old = std::mem::replace(standing, next);
+    let state = match (old, next) {
+        _ if old == next => return,
+        (_, Standing::None) => "lost",
+        (_, Standing::Unsure) => "unsure",
+        (Standing::None, Standing::Sure) => "taken",
+        (_, Standing::Sure) => "sure again",
     };
+    let revision = tenure.map_or(0, |tenure| tenure.revision);
     report::write(&Line::Tenure { name: claim.name, revision, state });
 }
--- a/crates/front/src/world.rs
+++ b/crates/front/src/world.rs
@@ -3,11 +3,9 @@
 //! The world only holds and derives; what to do about it is decided in `pass` and `form`.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use base::prelude::*;
-use form::owner::Departed;
 use form::prelude::*;
 use parking_lot::Mutex;
 use pass::budget::BudgetSettings;
@@ -39,6 +37,14 @@
     pub servers_changed: Notify,
 }
 
+/// A server that has ceased to report.
+pub struct Departed {
+    /// Its last report.
+    pub server: Server,
+    /// Since when its report is missing.
+    pub since: Mono,
+}
+
 /// What the process believes.
 pub struct World {
     /// The routes in force.
@@ -292,11 +298,6 @@
         };
         engine.models.iter().map(|model| (model.name.clone(), part(model))).collect()
     }
-
-    /// Returns heads whose streams have all fallen silent.
-    pub fn silent(&self) -> BTreeSet<ServerId> {
-        BTreeSet::new()
-    }
 }
 
 fn place(server: &Server) -> Place {
--- a/crates/front/tests/hub.rs
+++ b/crates/front/tests/hub.rs
@@ -6,7 +6,7 @@
 use pass::places::Load;
 
 fn loads(requests: u32) -> Loads {
-    vec![("a".into(), Load { requests, unread_tokens: u64::from(requests) * 10 })]
+    vec![("a".into(), Load { requests, unread_tokens: u64::from(requests) * 10, silent: false })]
 }
 
 #[test]
--- a/crates/pass/src/places.rs
+++ b/crates/pass/src/places.rs
@@ -9,6 +9,7 @@
 //! as good as the best; the more processes there are, the more places count as that.
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,6 +29,8 @@
 const LONGEST_AVOIDANCE: Duration = Duration::from_secs(4);
 /// How long all requests at a place may get nothing before it counts as silent.
 const SILENCE: Duration = Duration::from_millis(450);
+/// How long a place is called silent after its requests have left it.
+const SILENCE_KEPT: Duration = Duration::from_secs(3);
 /// Requests that must all be silent.
 const SILENT_REQUESTS: u32 = 2;
 /// How much longer than alone a prompt takes among others that are read and written meanwhile.
@@ -74,6 +77,8 @@
     pub requests: u32,
     /// Prompt tokens that are still to be read.
     pub unread_tokens: u64,
+    /// Whether all requests there got nothing for too long, and nothing has come since.
+    pub silent: bool,
 }
 
 #[derive(Debug)]
@@ -87,6 +92,8 @@
     failures: u32,
     /// Since when no request there has got anything.
     quiet_since: Mono,
+    /// When its requests left it since it was silent; none once something has come.
+    left_silent: Option<Mono>,
     /// Mean seconds of a call to a plain service.
     call_seconds: f64,
 }
@@ -217,6 +224,7 @@
     pub fn heard(&mut self, place: &Place, now: Mono) {
         if let Some(state) = self.state(place) {
             state.quiet_since = now;
+            state.left_silent = None;
         }
     }
 
@@ -263,14 +271,28 @@
         if let Some(state) = self.state(place) {
             let pause = FIRST_AVOIDANCE * 2_u32.saturating_pow(state.failures.min(8));
             state.failures += 1;
+            if state.is_silent(now) {
+                state.left_silent = Some(now);
+            }
             state.avoid_until = now + pause.min(LONGEST_AVOIDANCE);
         }
     }
 
     /// Returns this process's load at each place that has any.
-    pub fn own_loads(&self) -> Vec<(ServerId, Load)> {
-        let states = self.states.iter().filter(|(_, state)| state.own != Load::default());
-        states.map(|(id, state)| (id.clone(), state.own)).collect()
+    pub fn own_loads(&self, now: Mono) -> Vec<(ServerId, Load)> {
+        let loads = self.states.iter().map(|(id, state)| {
+            let silent = state.is_silent(now) || state.was_silent(now);
+            (id.clone(), Load { silent, ..state.own })
+        });
+        loads.filter(|(_, load)| *load != Load::default()).collect()
+    }
+
+    /// Returns the servers that this process or another finds silent.
+    pub fn silent(&self, now: Mono) -> BTreeSet<ServerId> {
+        let silent = self.states.iter().filter(|(_, state)| {
+            state.is_silent(now) || state.was_silent(now) || state.others_find_silent(now)
+        });
+        silent.map(|(id, _)| id.clone()).collect()
     }
 
     /// Notes the loads of all other processes; places that are not named have none.
@@ -303,6 +325,7 @@
             avoid_until: Mono::ZERO,
             failures: 0,
             quiet_since: Mono::ZERO,
+            left_silent: None,
             call_seconds: FIRST_CALL_TIME.as_secs_f64(),
         }
     }
@@ -313,6 +336,16 @@
             && now > self.quiet_since + SILENCE
     }
 
+    /// Returns whether its requests left it lately since it was silent.
+    fn was_silent(&self, now: Mono) -> bool {
+        self.left_silent.is_some_and(|at| now < at + SILENCE_KEPT)
+    }
+
+    fn others_find_silent(&self, now: Mono) -> bool {
+        let (others, at) = self.others;
+        others.silent && now <= at + OTHERS_KEPT
+    }
+
     fn total(&self, now: Mono) -> Load {
         let mut total = self.own;
         let (others, at) = self.others;
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -84,7 +84,11 @@
 fn the_place_with_fewer_unread_tokens_is_chosen_also_by_what_others_sent() {
     let mut places = places(&["a", "b"]);
     let now = millis(1_000);
-    places.set_others(&[("a".into(), Load { requests: 1, unread_tokens: 9_000 })], 6, now);
+    places.set_others(
+        &[("a".into(), Load { requests: 1, unread_tokens: 9_000, ..Load::default() })],
+        6,
+        now,
+    );
     let offer = places.best(&wanting(1, now).demand, now).expect("an offer");
     assert_eq!(&*offer.place.server, "b");
     places.began(&place("b"), 20_000, now);
@@ -143,6 +147,33 @@
     assert!(places.best(&wanting(1, now).demand, now + millis(620)).is_some());
 }
 
+/// Pattern: the streams of a dead group move on; its owner must still learn of it.
+#[test]
+fn a_silent_place_is_told_also_after_its_requests_have_left_it() {
+    let mut places = places(&["a"]);
+    let now = millis(1_000);
+    places.began(&place("a"), 0, now);
+    places.began(&place("a"), 0, now);
+    let later = now + millis(600);
+    places.failed(&place("a"), later);
+    places.ended(&place("a"));
+    places.ended(&place("a"));
+    assert!(places.silent(later + millis(200)).contains("a"));
+    assert!(places.own_loads(later + millis(200)).iter().any(|(_, load)| load.silent));
+    places.heard(&place("a"), later + millis(300));
+    assert!(places.silent(later + millis(400)).is_empty());
+}
+
+#[test]
+fn a_place_that_another_process_finds_silent_is_silent() {
+    let mut places = places(&["a"]);
+    let now = millis(1_000);
+    places.set_others(&[("a".into(), Load { silent: true, ..Load::default() })], 2, now);
+    assert!(places.silent(now).contains("a"));
+    places.set_others(&[], 2, now);
+    assert!(places.silent(now).is_empty());
+}
+
 #[test]
 fn a_place_that_changes_its_group_starts_without_load() {
     let mut places = places(&["a"]);
@@ -170,7 +201,11 @@
             ServiceSpec { name: "assistant".into(), max_connections: 9, engine: Some(engine()) };
         places.set_services([Arc::new(spec)]);
         places.set(servers.iter().map(|server| place(server)).collect());
-        places.set_others(&[("a".into(), Load { requests: 3, unread_tokens: 20_000 })], 80, now);
+        places.set_others(
+            &[("a".into(), Load { requests: 3, unread_tokens: 20_000, ..Load::default() })],
+            80,
+            now,
+        );
         let offer = places.best(&wanting(1, now).demand, now).expect("an offer");
         *chosen.entry(offer.place.server).or_insert(0) += 1;
     }
