Tell one request's story: `samphire explain`, and lines for failures that had none

Cause: a 504 at the deadline, a 502 after the last attempt and a body that can't be read left no line with the request's id, and a request's lines had to be put beside the beliefs of its time by hand.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -112,6 +112,14 @@
     },
     /// Merge the events of all servers.
     Timeline(TimelineArgs),
+    /// Tell one request's story from the log files of the processes.
+    Explain {
+        /// The caller's id of the request.
+        request: Box<str>,
+        /// The log files; `-` is standard input.
+        #[arg(short, long = "log", required = true, num_args = 1.., value_name = "FILE")]
+        logs: Vec<PathBuf>,
+    },
     /// Check settings of a daemon, or manifests, without any server.
     Check {
         /// The file.
--- a/crates/front/src/report.rs
+++ b/crates/front/src/report.rs
@@ -55,6 +55,8 @@
         longest_pause_ms: u64,
         events: u64,
     },
+    /// A request ends with a failure of this process's making.
+    Failed { request: &'a str, status: u16, reason: &'a str, after_ms: u64 },
     /// A request's answer was broken off.
     BrokenOff { request: &'a str, server: &'a str, problem: &'a str, events: u64, after_ms: u64 },
     /// The caller went away before the end.
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -167,17 +167,36 @@
     let limit = state.shared.world.lock().routes.limits().max_body_bytes;
     let request = match exchange::Outgoing::read(request, limit).await {
         Ok(request) => request,
-        Err(error) => return answer::bad_body(&id, &error),
+        Err(error) => {
+            let response = answer::bad_body(&error);
+            tell_failed(&id, &response, &error.to_string(), state.cx.now().saturating_sub(arrived));
+            return response;
+        }
     };
     let deadline = arrived + ask.deadline.min(routed.route.timeout);
+    let id_told = id.clone();
     let job = Job { state: state.clone(), id, routed, ask, request, arrived, deadline };
     let left = deadline.saturating_sub(state.cx.now());
     match tokio::time::timeout(left, job.serve()).await {
         Ok(response) => response,
-        Err(_) => answer::timed_out(),
+        Err(_) => {
+            let response = answer::timed_out();
+            tell_failed(
+                &id_told,
+                &response,
+                "its time is up",
+                state.cx.now().saturating_sub(arrived),
+            );
+            response
+        }
     }
 }
 
+fn tell_failed(request: &str, response: &Response, reason: &str, after: Duration) {
+    let status = response.status().as_u16();
+    report::write(&Line::Failed { request, status, reason, after_ms: report::millis(after) });
+}
+
 fn route(state: &State, request: &Request, ask: &Ask) -> Result<Routed, Box<Response>> {
     let table = state.shared.world.lock().routes.clone();
     let id = ask.attempt.as_deref().unwrap_or_default();
@@ -228,7 +247,9 @@
         loop {
             let offer = match job.place(&tried).await {
                 Ok(offer) => offer,
-                Err(refused) => return may_have_run.as_ref().map_or(refused, answer::failed),
+                Err(refused) => {
+                    return may_have_run.as_ref().map_or(refused, |failed| job.fail(failed));
+                }
             };
             attempts += 1;
             let held = Held::new(&job, offer.place.clone());
@@ -241,10 +262,10 @@
             tried.push(failed.server.clone());
             let is_last = !job.may_retry(&failed, attempts);
             if failed.verdict.is_not_run() && is_last {
-                return answer::failed(may_have_run.as_ref().unwrap_or(&failed));
+                return job.fail(may_have_run.as_ref().unwrap_or(&failed));
             }
             if is_last {
-                return answer::failed(&failed);
+                return job.fail(&failed);
             }
             if !failed.verdict.is_not_run() {
                 may_have_run = Some(failed);
@@ -252,6 +273,14 @@
         }
     }
 
+    /// Answers with a failure, after the attempt `failed`.
+    fn fail(&self, failed: &exchange::Failed) -> Response {
+        let response = answer::failed(failed);
+        let reason = format!("the last attempt that counts ended as {:?}", failed.verdict);
+        tell_failed(&self.id, &response, &reason, self.now().saturating_sub(self.arrived));
+        response
+    }
+
     fn count_request(&self) {
         let now = self.now();
         let mut world = self.state.shared.world.lock();
--- a/crates/front/src/serve/answer.rs
+++ b/crates/front/src/serve/answer.rs
@@ -38,8 +38,7 @@
 }
 
 /// The request's body can't be read.
-pub(super) fn bad_body(id: &str, error: &BodyError) -> Response {
-    log::info!("request `{id}`: {error}");
+pub(super) fn bad_body(error: &BodyError) -> Response {
     match error {
         BodyError::TooLarge { .. } => problem(StatusCode::PAYLOAD_TOO_LARGE, &error.to_string()),
         BodyError::Broken(_) => problem(StatusCode::BAD_REQUEST, &error.to_string()),
--- /dev/null
+++ b/crates/front/tests/logging.rs
@@ -0,0 +1,64 @@
+//! A reader of standard output that stands still doesn't hold the process up.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc;
+
+use base::prelude::*;
+use front::logging;
+
+/// More lines than can wait.
+const LINES: u64 = 20_000;
+
+/// An output that takes nothing until it is released.
+struct Blocked {
+    release: mpsc::Receiver<()>,
+    written: Arc<Mutex<String>>,
+    done: mpsc::Sender<()>,
+}
+
+impl Write for Blocked {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        // An error means that it was released for good.
+        let _ = self.release.recv();
+        let text = String::from_utf8_lossy(bytes);
+        self.written.lock().expect("no panic").push_str(&text);
+        if text.contains("the last line") {
+            self.done.send(()).expect("the test waits");
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_that_nobody_reads_are_dropped_and_counted() {
+    let (release, rx) = mpsc::channel();
+    let (done, finished) = mpsc::channel();
+    let written = Arc::new(Mutex::new(String::new()));
+    let out = Blocked { release: rx, written: written.clone(), done };
+    logging::set_up(NodeId::from("n1"), out).expect("set up once");
+    for i in 0..LINES {
+        log::info!("line {i}");
+    }
+    let dropped = logging::dropped();
+    assert!(dropped > LINES / 2, "{dropped}");
+    drop(release);
+    // Once the queue has room again, a line passes.
+    while logging::dropped() > 0 {
+        let before = logging::dropped();
+        log::info!("the last line");
+        if logging::dropped() == before {
+            break;
+        }
+        std::thread::yield_now();
+    }
+    finished.recv().expect("the last line is written");
+    let written = written.lock().expect("no panic");
+    assert!(written.contains("\"message\":\"line 0\""));
+    assert!(written.contains("{\"level\":\"WARN\",\"dropped_lines\":"), "the gap is told");
+}
