Share how quiet a place is between processes; back off from a place that keeps refusing

Ruled out: full slots (the groups of a model were loaded alike).

Change: a process tells how long nothing came from a place; of several the shortest counts, so that one that is cut off itself convinces nobody. A place is silent if the requests of all processes together are. A place that says that it is full is asked again after 60 ms, 120 ms and so on up to 1 s, until something else comes from it.

--- a/crates/front/src/hub.rs
+++ b/crates/front/src/hub.rs
@@ -74,9 +74,7 @@
     let mut sums: BTreeMap<ServerId, Load> = BTreeMap::new();
     for (server, load) in all.flatten() {
         let sum = sums.entry(server.clone()).or_default();
-        sum.requests += load.requests;
-        sum.unread_tokens += load.unread_tokens;
-        sum.silent |= load.silent;
+        *sum = sum.plus(load);
     }
     sums.into_iter().collect()
 }
--- a/crates/pass/src/places.rs
+++ b/crates/pass/src/places.rs
@@ -4,6 +4,9 @@
 //! counted in requests and in prompt tokens that are still to be read: what this process sent is
 //! known at once, what other processes sent is known from what they last told.
 //!
+//! A group that stands still is silent for all requests of all processes at once. A process that is
+//! cut off itself finds all places silent, but others that have requests there don't.
+//!
 //! All processes see the same loads, late. If each took the best place, all would take the same one
 //! until they hear of it. So the choice is between two random places among those that are nearly
 //! as good as the best; the more processes there are, the more places count as that.
@@ -21,8 +24,11 @@
 
 use crate::declared::ServiceSpec;
 
-/// How long a place that said that it is full gets nothing more.
-const FULL_PAUSE: Duration = Duration::from_millis(60);
+/// How long a place that said that it is full gets nothing more; doubles up to the longest, since one
+/// that has ceased to serve says the same.
+const FIRST_FULL_PAUSE: Duration = Duration::from_millis(60);
+/// Longest time that a place which said that it is full gets nothing more.
+const LONGEST_FULL_PAUSE: Duration = Duration::from_millis(1_000);
 /// How long a place is left alone after a failure to reach it; doubles up to the longest.
 const FIRST_AVOIDANCE: Duration = Duration::from_millis(250);
 /// Longest time that a place is left alone.
@@ -77,8 +83,26 @@
     pub requests: u32,
     /// Prompt tokens that are still to be read.
     pub unread_tokens: u64,
-    /// Whether all requests there got nothing for too long, and nothing has come since.
-    pub silent: bool,
+    /// Milliseconds since something came from there, if requests are there, or left it since it was
+    /// silent.
+    pub quiet_ms: Option<u64>,
+}
+
+impl Load {
+    /// Returns this load and `other` together: of the times without anything, the shorter counts.
+    pub fn plus(&self, other: &Load) -> Load {
+        Load {
+            requests: self.requests + other.requests,
+            unread_tokens: self.unread_tokens + other.unread_tokens,
+            quiet_ms: self.quiet_ms.into_iter().chain(other.quiet_ms).min(),
+        }
+    }
+
+    /// Returns whether it tells that all requests get nothing, or have left for that.
+    fn is_silent(&self) -> bool {
+        let enough = self.requests >= SILENT_REQUESTS || self.requests == 0;
+        enough && self.quiet_ms.is_some_and(|quiet| u128::from(quiet) > SILENCE.as_millis())
+    }
 }
 
 #[derive(Debug)]
@@ -88,6 +112,8 @@
     /// What all other processes have there, and when that was told.
     others: (Load, Mono),
     full_until: Mono,
+    /// How often it said that it is full since something else came from it.
+    fulls: u32,
     avoid_until: Mono,
     failures: u32,
     /// Since when no request there has got anything.
@@ -225,6 +251,7 @@
         if let Some(state) = self.state(place) {
             state.quiet_since = now;
             state.left_silent = None;
+            state.fulls = 0;
         }
     }
 
@@ -255,6 +282,7 @@
     pub fn succeeded(&mut self, place: &Place, took: Duration) {
         if let Some(state) = self.state(place) {
             state.failures = 0;
+            state.fulls = 0;
             state.call_seconds += NEWEST_WEIGHT * (took.as_secs_f64() - state.call_seconds);
         }
     }
@@ -262,7 +290,9 @@
     /// Notes that `place` had no room.
     pub fn full(&mut self, place: &Place, now: Mono) {
         if let Some(state) = self.state(place) {
-            state.full_until = now + FULL_PAUSE;
+            let pause = FIRST_FULL_PAUSE * 2_u32.saturating_pow(state.fulls.min(8));
+            state.fulls += 1;
+            state.full_until = now + pause.min(LONGEST_FULL_PAUSE);
         }
     }
 
@@ -280,18 +310,13 @@
 
     /// Returns this process's load at each place that has any.
     pub fn own_loads(&self, now: Mono) -> Vec<(ServerId, Load)> {
-        let loads = self.states.iter().map(|(id, state)| {
-            let silent = state.is_silent(now) || state.was_silent(now);
-            (id.clone(), Load { silent, ..state.own })
-        });
+        let loads = self.states.iter().map(|(id, state)| (id.clone(), state.own_load(now)));
         loads.filter(|(_, load)| *load != Load::default()).collect()
     }
 
     /// Returns the servers that this process or another finds silent.
     pub fn silent(&self, now: Mono) -> BTreeSet<ServerId> {
-        let silent = self.states.iter().filter(|(_, state)| {
-            state.is_silent(now) || state.was_silent(now) || state.others_find_silent(now)
-        });
+        let silent = self.states.iter().filter(|(_, state)| state.is_silent(now));
         silent.map(|(id, _)| id.clone()).collect()
     }
 
@@ -322,6 +347,7 @@
             own: Load::default(),
             others: (Load::default(), Mono::ZERO),
             full_until: Mono::ZERO,
+            fulls: 0,
             avoid_until: Mono::ZERO,
             failures: 0,
             quiet_since: Mono::ZERO,
@@ -330,30 +356,26 @@
         }
     }
 
+    /// Returns whether nothing comes from it any more, for this process or for all.
     fn is_silent(&self, now: Mono) -> bool {
-        self.place.group.is_some()
-            && self.own.requests >= SILENT_REQUESTS
-            && now > self.quiet_since + SILENCE
+        let own = self.own_load(now);
+        self.place.group.is_some() && (own.is_silent() || self.total(now).is_silent())
     }
 
-    /// Returns whether its requests left it lately since it was silent.
-    fn was_silent(&self, now: Mono) -> bool {
-        self.left_silent.is_some_and(|at| now < at + SILENCE_KEPT)
-    }
-
-    fn others_find_silent(&self, now: Mono) -> bool {
-        let (others, at) = self.others;
-        others.silent && now <= at + OTHERS_KEPT
+    /// Returns what this process has there.
+    fn own_load(&self, now: Mono) -> Load {
+        let left = self.left_silent.is_some_and(|at| now < at + SILENCE_KEPT);
+        let counts = self.own.requests > 0 || left;
+        let quiet = now.saturating_sub(self.quiet_since).as_millis();
+        let quiet_ms = counts.then(|| u64::try_from(quiet).unwrap_or(u64::MAX));
+        Load { quiet_ms, ..self.own }
     }
 
+    /// Returns what all processes have there.
     fn total(&self, now: Mono) -> Load {
-        let mut total = self.own;
         let (others, at) = self.others;
-        if now <= at + OTHERS_KEPT {
-            total.requests += others.requests;
-            total.unread_tokens += others.unread_tokens;
-        }
-        total
+        let own = self.own_load(now);
+        if now <= at + OTHERS_KEPT { own.plus(&others) } else { own }
     }
 }
 
--- a/crates/web/src/link.rs
+++ b/crates/web/src/link.rs
@@ -89,26 +89,36 @@
 }
 
 /// Connections kept for reuse, by address. Clones share them.
+///
+/// Addresses that are never asked for again would stay: whenever a connection is kept, those that
+/// were idle for too long are dropped, at most once in the time that they may be idle.
 #[derive(Clone)]
 pub struct Pool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    swept: Arc<Mutex<Instant>>,
     settings: PoolSettings,
 }
 
 impl Pool {
     /// Makes an empty pool.
     pub fn new(settings: PoolSettings) -> Self {
-        Pool { idle: Arc::default(), settings }
+        Pool { idle: Arc::default(), swept: Arc::new(Mutex::new(Instant::now())), settings }
     }
 
-    /// Closes all kept connections to `address`.
-    pub fn forget(&self, address: SocketAddr) {
-        self.idle.lock().remove(&address);
+    /// Returns how many addresses connections are kept for.
+    pub fn kept_addresses(&self) -> usize {
+        self.idle.lock().len()
     }
 
     /// Closes what was idle for too long.
-    pub fn sweep(&self) {
-        let now = Instant::now();
+    fn sweep(&self, now: Instant) {
+        {
+            let mut swept = self.swept.lock();
+            if now.duration_since(*swept) < self.settings.idle_timeout {
+                return;
+            }
+            *swept = now;
+        }
         self.idle.lock().retain(|_, kept| {
             kept.retain(|idle| self.is_usable(idle, now, Reuse::Any));
             !kept.is_empty()
@@ -204,6 +214,7 @@
 
     fn put(&self, ticket: Ticket) {
         let now = Instant::now();
+        self.sweep(now);
         let until = match ticket.keep {
             Kept::No => return,
             Kept::Yes => None,
--- a/crates/web/tests/link.rs
+++ b/crates/web/tests/link.rs
@@ -91,3 +91,17 @@
     assert_eq!(ask(&pool, address, Reuse::Any).await.as_deref(), Ok("ok"));
     assert_eq!(ask(&pool, address, Reuse::Any).await.as_deref(), Ok("ok"));
 }
+
+#[tokio::test]
+async fn connections_to_addresses_that_are_not_asked_for_again_are_dropped() {
+    let pool = Pool::new(PoolSettings {
+        connect_timeout: Duration::from_secs(1),
+        idle_timeout: Duration::from_millis(20),
+    });
+    for _ in 0..3 {
+        let gone = serve_bytes(vec![vec![ANSWER]]).await;
+        assert_eq!(ask(&pool, gone, Reuse::Any).await.expect("an answer"), "ok");
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    assert_eq!(pool.kept_addresses(), 1, "only the last one");
+}
