--- a/crates/kernel/tests/kernel.rs
+++ b/crates/kernel/tests/kernel.rs
@@ -41,6 +41,24 @@
     assert_eq!(*steps.lock(), ["a up", "b up", "c up", "c down", "b down", "a down"]);
 }
 
+/// Found by the soak, seed 2: a process that was asked to stop ended with a fault.
+#[tokio::test]
+async fn a_service_that_ends_because_the_process_stops_has_not_ended_early() {
+    for _ in 0..50 {
+        let mut kernel = Kernel::new("n".into());
+        kernel.add(Service::new("a", &[], |cx| async move {
+            cx.ready();
+            cx.process_stopping().await;
+            Ok(())
+        }));
+        let stop = kernel.stop_handle();
+        let running = tokio::spawn(kernel.run());
+        tokio::task::yield_now().await;
+        stop.cancel();
+        running.await.unwrap().unwrap();
+    }
+}
+
 #[tokio::test]
 async fn a_panicking_service_is_named_and_the_others_end_cleanly() {
     let steps = Steps::default();
