Take a refusal for another server's sake as the word that a group stands still

Change: the verdict `Broken`; the place counts as silent at once, which all processes and the owner hear of by the next exchange.

Tests: crates/pass/tests/{verdict,dispatch}.rs.

--- a/crates/front/src/serve/exchange.rs
+++ b/crates/front/src/serve/exchange.rs
@@ -132,7 +132,8 @@
         };
         let (status, headers) = (response.status(), response.headers());
         let id = job.ask.attempt.as_deref();
-        match Verdict::of(status, headers, id, &job.state.edges.dialect) {
+        let server = &self.held.place().server;
+        match Verdict::of(status, headers, id, server, &job.state.edges.dialect) {
             Verdict::Answered => Ok(response),
             // What it says itself about its failure is passed on if nothing else may follow.
             Verdict::Failed if !Verdict::Failed.may_retry(job.routed.route.repeat) => Ok(response),
--- a/crates/front/src/serve/held.rs
+++ b/crates/front/src/serve/held.rs
@@ -67,6 +67,7 @@
         match verdict {
             Verdict::Answered | Verdict::Failed => {}
             Verdict::Full => world.places.full(&self.place, now),
+            Verdict::Broken => world.places.broken(&self.place, now),
             Verdict::NotSent | Verdict::Misdirected | Verdict::Unknown => {
                 world.places.failed(&self.place, now);
             }
--- a/crates/pass/src/dialect.rs
+++ b/crates/pass/src/dialect.rs
@@ -13,6 +13,8 @@
     pub only_server: HeaderName,
     /// Id of a backend server, in its answers.
     pub server: HeaderName,
+    /// Id of the backend server for whose sake a request was not run, in answers.
+    pub fault_server: HeaderName,
     /// Name of the workspace.
     pub workspace: HeaderName,
     /// Rank of the request at the backend server.
@@ -39,6 +41,7 @@
             deadline_ms: name("samphire-deadline-ms"),
             only_server: name("samphire-only-server"),
             server: name("samphire-server"),
+            fault_server: name("samphire-fault-server"),
             workspace: name("samphire-workspace"),
             rank: name("samphire-rank"),
             not_run: name("samphire-not-run"),
--- a/crates/pass/src/places.rs
+++ b/crates/pass/src/places.rs
@@ -37,6 +37,8 @@
 const SILENCE: Duration = Duration::from_millis(450);
 /// How long a place is called silent after its requests have left it.
 const SILENCE_KEPT: Duration = Duration::from_secs(3);
+/// How long a group that says that it stands still counts as quiet at least.
+const BROKEN_QUIET: Duration = Duration::from_secs(1);
 /// Requests that must all be silent.
 const SILENT_REQUESTS: u32 = 2;
 /// How much longer than alone a prompt takes among others that are read and written meanwhile.
@@ -296,6 +298,14 @@
         }
     }
 
+    /// Notes that the group at `place` says that it stands still; it counts as silent.
+    pub fn broken(&mut self, place: &Place, now: Mono) {
+        if let Some(state) = self.state(place) {
+            state.quiet_since = state.quiet_since.min(now.saturating_sub(BROKEN_QUIET));
+            state.left_silent = Some(now);
+        }
+    }
+
     /// Notes that `place` failed a request; it is left alone for a while.
     pub fn failed(&mut self, place: &Place, now: Mono) {
         if let Some(state) = self.state(place) {
--- a/crates/pass/src/verdict.rs
+++ b/crates/pass/src/verdict.rs
@@ -20,6 +20,8 @@
     NotSent,
     /// Not run: the backend server has no room, or no time was left.
     Full,
+    /// Not run: the group stands still for the sake of another member.
+    Broken,
     /// Not run: another backend server is there, or this one isn't the head of a group.
     Misdirected,
     /// It was sent and may have run.
@@ -29,11 +31,12 @@
 }
 
 impl Verdict {
-    /// Weighs the head of an answer to the attempt `attempt`.
+    /// Weighs the head of an answer of `server` to the attempt `attempt`.
     pub fn of(
         status: StatusCode,
         headers: &HeaderMap,
         attempt: Option<&str>,
+        server: &str,
         dialect: &Dialect,
     ) -> Self {
         let echoed = headers.get(&dialect.attempt).and_then(|value| value.to_str().ok());
@@ -45,7 +48,9 @@
             return Verdict::Misdirected;
         }
         if headers.contains_key(&dialect.not_run) {
-            return Verdict::Full;
+            let fault = headers.get(&dialect.fault_server);
+            let is_other = fault.is_some_and(|fault| fault.as_bytes() != server.as_bytes());
+            return if is_other { Verdict::Broken } else { Verdict::Full };
         }
         let signed = headers.contains_key(&dialect.signature);
         if status.is_success() && !(signed && echoed.is_some()) {
@@ -59,14 +64,14 @@
 
     /// Returns whether the request surely has not run.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Verdict::NotSent | Verdict::Full | Verdict::Misdirected)
+        matches!(self, Verdict::NotSent | Verdict::Full | Verdict::Broken | Verdict::Misdirected)
     }
 
     /// Returns whether the request may be sent to another backend server.
     pub fn may_retry(self, repeat: Repeat) -> bool {
         match self {
             Verdict::Answered => false,
-            Verdict::NotSent | Verdict::Full | Verdict::Misdirected => true,
+            Verdict::NotSent | Verdict::Full | Verdict::Broken | Verdict::Misdirected => true,
             Verdict::Unknown | Verdict::Failed => {
                 matches!(repeat, Repeat::Idempotent | Repeat::Resumable)
             }
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -203,6 +203,21 @@
     assert!(places.best(&wanting(1, soon).demand, soon).is_some(), "it was only full");
 }
 
+/// Pattern: a group has lost a member while the store is away, and its head says so.
+#[test]
+fn a_place_that_says_that_it_stands_still_is_silent_for_all() {
+    let mut places = places(&["a"]);
+    let now = millis(5_000);
+    places.began(&place("a"), 0, now);
+    places.broken(&place("a"), now);
+    places.ended(&place("a"));
+    assert!(places.best(&wanting(1, now).demand, now).is_none());
+    let told = places.own_loads(now);
+    assert!(told[0].1.quiet_ms.is_some_and(|quiet| quiet >= 1_000));
+    let later = now + millis(3_100);
+    assert!(places.best(&wanting(1, later).demand, later).is_some(), "it is tried again");
+}
+
 #[test]
 fn a_place_that_changes_its_group_starts_without_load() {
     let mut places = places(&["a"]);
--- a/crates/pass/tests/verdict.rs
+++ b/crates/pass/tests/verdict.rs
@@ -12,7 +12,7 @@
         map.insert((*name).clone(), HeaderValue::from_str(value).expect("a value"));
     }
     let status = StatusCode::from_u16(status).expect("a status");
-    Verdict::of(status, &map, Some("a-1"), &Dialect::default())
+    Verdict::of(status, &map, Some("a-1"), "s-1", &Dialect::default())
 }
 
 #[test]
@@ -50,3 +50,12 @@
         assert!(verdict.is_not_run());
     }
 }
+
+#[test]
+fn a_refusal_for_the_sake_of_another_server_tells_that_the_group_stands_still() {
+    let d = Dialect::default();
+    let refused = (&d.not_run, "1");
+    assert_eq!(weigh(503, &[refused]), Verdict::Full);
+    assert_eq!(weigh(503, &[refused, (&d.fault_server, "s-1")]), Verdict::Full);
+    assert_eq!(weigh(503, &[refused, (&d.fault_server, "s-2")]), Verdict::Broken);
+}
