--- a/crates/form/src/census.rs
+++ b/crates/form/src/census.rs
@@ -12,6 +12,9 @@
 use crate::server::ServerId;
 use crate::spec::EngineSpec;
 
+/// A group's name and epoch.
+pub type GroupKey = (GroupId, Generation);
+
 /// A group as the reports of its members show it.
 #[data]
 pub struct Group {
@@ -34,6 +37,11 @@
 }
 
 impl Group {
+    /// Returns its name and epoch.
+    pub fn key(&self) -> GroupKey {
+        (self.name.clone(), self.epoch)
+    }
+
     /// Returns the head, if it reports the group.
     pub fn head(&self) -> Option<&ServerId> {
         self.members.get(&0)
@@ -59,7 +67,7 @@
 #[derive(Default)]
 pub struct Census {
     /// The groups by name and epoch.
-    pub groups: BTreeMap<(GroupId, Generation), Group>,
+    pub groups: BTreeMap<GroupKey, Group>,
 }
 
 impl Census {
--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -32,6 +32,7 @@
 
 use crate::census::Census;
 use crate::census::Group;
+use crate::census::GroupKey;
 use crate::loads::Loads;
 use crate::server::Life;
 use crate::server::Server;
@@ -163,7 +164,7 @@
 /// An order to join that a server got.
 #[derive(Clone, Debug)]
 struct Joined {
-    key: (GroupId, Generation),
+    key: GroupKey,
     /// Whether the server said that it joins.
     accepted: bool,
 }
@@ -179,21 +180,21 @@
     forming: BTreeMap<GroupId, Forming>,
     in_flight: BTreeMap<OrderId, InFlight>,
     /// Groups whose head can't serve them any more.
-    released: BTreeSet<(GroupId, Generation)>,
+    released: BTreeSet<GroupKey>,
     /// Groups whose head gives no answer, and since when.
-    unanswered: BTreeMap<(GroupId, Generation), Mono>,
+    unanswered: BTreeMap<GroupKey, Mono>,
     /// The last order to join that each server got: its report may be older.
     joined: BTreeMap<Life, Joined>,
     /// When a group that is not whole was first seen so.
-    incomplete_since: BTreeMap<(GroupId, Generation), Mono>,
+    incomplete_since: BTreeMap<GroupKey, Mono>,
     /// Groups that are given up for others.
-    retiring: BTreeSet<(GroupId, Generation)>,
+    retiring: BTreeSet<GroupKey>,
     /// Moves under way, by fabric domain.
     moves: BTreeMap<FabricId, Move>,
     /// When each fabric domain was weighed.
     balances: BTreeMap<FabricId, Balance>,
     /// When a group was first ordered to close.
-    closed_at: BTreeMap<(GroupId, Generation), Mono>,
+    closed_at: BTreeMap<GroupKey, Mono>,
     /// Models that are being staged, and until when.
     staging: BTreeMap<Life, (ModelId, Mono)>,
     /// When the last new server was seen.
@@ -201,7 +202,7 @@
     /// Servers that were seen.
     known: BTreeSet<Life>,
     /// Questions to the members of silent groups.
-    rounds: BTreeMap<(GroupId, Generation), Round>,
+    rounds: BTreeMap<GroupKey, Round>,
     /// Servers that gave no sign of life, and until when they get no group.
     left_alone: BTreeMap<Life, Mono>,
     /// When an order to a server may be repeated.
@@ -292,12 +293,11 @@
 
     /// Notes reports, and forgets what no report mentions any more.
     fn remember(&mut self, view: &View<'_>, census: &Census) {
-        let census_has = |key: &(GroupId, Generation)| census.groups.contains_key(key);
+        let census_has = |key: &GroupKey| census.groups.contains_key(key);
         self.joined.retain(|life, _| {
             view.servers.get(&life.0).is_some_and(|server| server.life() == *life)
         });
-        let joined: BTreeSet<&(GroupId, Generation)> =
-            self.joined.values().map(|joined| &joined.key).collect();
+        let joined: BTreeSet<&GroupKey> = self.joined.values().map(|joined| &joined.key).collect();
         self.released.retain(|key| census_has(key) || joined.contains(key));
         self.unanswered.retain(|key, _| census_has(key) || joined.contains(key));
         self.retiring.retain(census_has);
@@ -352,7 +352,7 @@
     }
 
     fn is_released(&self, group: &Group) -> bool {
-        self.released.contains(&(group.name.clone(), group.epoch))
+        self.released.contains(&group.key())
     }
 }
 
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -13,6 +13,7 @@
 use super::head_in_name;
 use super::stage;
 use crate::census::Census;
+use crate::census::GroupKey;
 use crate::compose;
 use crate::compose::Candidate;
 use crate::compose::Choice;
@@ -177,7 +178,7 @@
     }
 
     /// Returns whether the group of a server whose report is older can't serve any more.
-    fn is_past(&self, key: &(GroupId, Generation), view: &View<'_>, census: &Census) -> bool {
+    fn is_past(&self, key: &GroupKey, view: &View<'_>, census: &Census) -> bool {
         match census.groups.get(key).map(|group| group.head_phase) {
             Some(Some(Phase::Broken)) => true,
             Some(Some(_)) => false,
@@ -203,7 +204,7 @@
     }
 
     /// Returns whether the head of a group that it doesn't report can't serve it any more.
-    pub(super) fn is_head_gone(&self, key: &(GroupId, Generation), view: &View<'_>) -> bool {
+    pub(super) fn is_head_gone(&self, key: &GroupKey, view: &View<'_>) -> bool {
         let Some((head, _)) = head_in_name(&key.0) else {
             // A group that no owner of this system formed.
             return view.now >= self.started + GONE_AFTER * 2;
--- a/crates/form/src/owner/groups.rs
+++ b/crates/form/src/owner/groups.rs
@@ -59,7 +59,7 @@
         view: &View<'_>,
         commands: &mut Vec<Command>,
     ) {
-        let key = (group.name.clone(), group.epoch);
+        let key = group.key();
         match group.head_phase {
             Some(Phase::Open) => self.close(group, head, view, commands),
             Some(Phase::Closing) => self.finish_closing(group, view, commands),
@@ -81,7 +81,7 @@
         commands: &mut Vec<Command>,
     ) {
         let Some(head) = head else { return };
-        let key = (group.name.clone(), group.epoch);
+        let key = group.key();
         let order = Order::Close { group: key.0.clone(), epoch: key.1 };
         if self.order(head, order, commands) {
             self.closed_at.entry(key).or_insert(view.now);
@@ -89,7 +89,7 @@
     }
 
     fn finish_closing(&mut self, group: &Group, view: &View<'_>, commands: &mut Vec<Command>) {
-        let key = (group.name.clone(), group.epoch);
+        let key = group.key();
         let since = *self.closed_at.entry(key).or_insert(view.now);
         if !is_staffed(group, view) || view.now > since + CLOSE_WAIT {
             self.give_up(group, commands);
@@ -111,7 +111,7 @@
         view: &View<'_>,
         commands: &mut Vec<Command>,
     ) {
-        let key = (group.name.clone(), group.epoch);
+        let key = group.key();
         let since = *self.incomplete_since.entry(key).or_insert(view.now);
         let is_joining = group.head_phase.is_some() && !group.joined;
         let grace = if is_joining { JOINING_GRACE } else { INCOMPLETE_GRACE };
@@ -120,7 +120,7 @@
             return;
         }
         // The head's report may be old or missing while the head serves: only its answer tells.
-        if !self.is_head_gone(&(group.name.clone(), group.epoch), view) {
+        if !self.is_head_gone(&group.key(), view) {
             self.give_up(group, commands);
         }
     }
--- a/crates/form/src/owner/reshape.rs
+++ b/crates/form/src/owner/reshape.rs
@@ -17,6 +17,7 @@
 use super::View;
 use crate::census::Census;
 use crate::census::Group;
+use crate::census::GroupKey;
 use crate::compose;
 use crate::compose::Candidate;
 use crate::compose::JoinLoads;
@@ -44,7 +45,7 @@
 #[data]
 pub(super) struct Move {
     /// The groups that are retired for it.
-    retired: Vec<(GroupId, Generation)>,
+    retired: Vec<GroupKey>,
     /// The models of the groups that it will bring, by their index.
     pub(super) brings: Vec<usize>,
     /// When the domain's free servers wait no longer.
@@ -70,7 +71,7 @@
 
 /// A move that may be begun.
 struct Weighed {
-    retired: Vec<(GroupId, Generation)>,
+    retired: Vec<GroupKey>,
     set: Set,
     gain: f64,
 }
@@ -159,7 +160,7 @@
             left[index].supply -= 1.0;
             candidates
                 .extend(group.members.values().map(|id| super::free::candidate(&view.servers[id])));
-            retired.push((group.name.clone(), group.epoch));
+            retired.push(group.key());
             let set = compose::best_set(view.engine, &left, &candidates, JoinLoads::No);
             let gain = set.gain - alone - loss;
             if gain > (loss + alone) * MOVE_COST {
--- a/crates/form/src/owner/silent.rs
+++ b/crates/form/src/owner/silent.rs
@@ -79,13 +79,13 @@
                 awaited.insert(id.clone());
             }
         }
-        let key = (group.name.clone(), group.epoch);
+        let key = group.key();
         self.rounds.insert(key, Round { asked: view.now, awaited, alive: BTreeSet::new() });
     }
 
     /// Gives `group` up if its head answered and another member that was asked didn't.
     fn judge(&mut self, group: &Group, view: &View<'_>, commands: &mut Vec<Command>) {
-        let key = (group.name.clone(), group.epoch);
+        let key = group.key();
         let round = &self.rounds[&key];
         let is_alive = |id: &ServerId| round.alive.contains(id);
         if !group.head().is_some_and(is_alive) {
