Ask a store that gives no answer less often in a large fleet

Change: tries of processes that are no hub come 40 ms apart on average over the fleet, 8 s at most for each; hubs go on twice a second and tell the rest. A process that becomes a hub begins anew.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -23,6 +23,13 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// How long a process waits for the first hub before it follows the store itself.
 const FIRST_OWN_AFTER: Duration = Duration::from_millis(2_000);
+/// Longest pause between tries of a hub while the store gives no answer.
+const HUB_RETRY: Duration = Duration::from_millis(500);
+/// Tries that all other processes make together come no closer on average: hubs are back first, and
+/// tell the rest.
+const FLEET_RETRY: Duration = Duration::from_millis(40);
+/// Longest pause between tries of any process, below the time in which changes come in force.
+const LONGEST_RETRY: Duration = Duration::from_secs(8);
 /// Age of the rows at which a process that is no hub follows the store itself.
 const OWN_AFTER: Duration = Duration::from_millis(700);
 
@@ -36,6 +43,8 @@
     edges: Edges,
     shared: Arc<Shared>,
     mirror: Option<JoinHandle<()>>,
+    /// Whether the mirror was started as a hub's.
+    is_hub_mirror: bool,
     rx: mpsc::Receiver<Change>,
     /// Whether the own mirror misses no change.
     is_synced: bool,
@@ -45,7 +54,15 @@
     let edges: Edges = cx.registry().find(names::PROCESS)?;
     let shared: Arc<Shared> = cx.registry().find(names::PROCESS)?;
     let (_, rx) = mpsc::channel(1);
-    let mut follow = Follow { cx: cx.clone(), edges, shared, mirror: None, rx, is_synced: false };
+    let mut follow = Follow {
+        cx: cx.clone(),
+        edges,
+        shared,
+        mirror: None,
+        is_hub_mirror: false,
+        rx,
+        is_synced: false,
+    };
     let mut check = cx.every(CHECK_PERIOD);
     cx.ready();
     loop {
@@ -75,6 +92,10 @@
         match &self.mirror {
             None if is_hub || is_stale => self.start_mirror(),
             Some(_) if !is_hub && self.is_told() => self.stop_mirror(),
+            Some(_) if is_hub && !self.is_hub_mirror && !self.is_synced => {
+                self.stop_mirror();
+                self.start_mirror();
+            }
             _ => {}
         }
     }
@@ -90,8 +111,13 @@
         let (tx, rx) = mpsc::channel(DEPTH_CHANGES);
         let keys = &self.edges.keys;
         let prefixes = vec![keys.declared.clone(), keys.servers.clone(), keys.own.clone()];
-        let known = self.shared.world.lock().feed.rows();
-        let mirror = kv::mirror::run(self.edges.store.clone(), prefixes, known, tx);
+        let (known, is_hub, processes) = {
+            let world = self.shared.world.lock();
+            (world.feed.rows(), world.is_hub, world.processes())
+        };
+        self.is_hub_mirror = is_hub;
+        let pause = longest_pause(is_hub, processes);
+        let mirror = kv::mirror::run(self.edges.store.clone(), prefixes, known, pause, tx);
         self.mirror = Some(tokio::spawn(mirror));
         self.rx = rx;
         report::write(&Line::Dependency { name: "store", state: "followed", problem: "" });
@@ -147,6 +173,16 @@
     }
 }
 
+/// Returns how long a process may wait between two tries to follow a store that gives no answer, in
+/// a fleet of so many `processes`.
+pub fn longest_pause(is_hub: bool, processes: usize) -> Duration {
+    let processes = u32::try_from(processes).unwrap_or(u32::MAX);
+    if is_hub {
+        return HUB_RETRY;
+    }
+    FLEET_RETRY.saturating_mul(processes).clamp(HUB_RETRY, LONGEST_RETRY)
+}
+
 /// Applies one row, wherever it comes from.
 pub(crate) fn apply(edges: &Edges, shared: &Shared, changed: Changed, now: Mono) {
     let Changed { key, value, revision } = changed;
--- a/crates/kv/src/mirror.rs
+++ b/crates/kv/src/mirror.rs
@@ -20,8 +20,6 @@
 
 /// Pause before the first new try after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-/// Longest pause between tries.
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
 /// What a mirror tells its reader.
 #[derive(Clone, Debug, PartialEq)]
@@ -125,11 +123,13 @@
 
 /// Follows `prefixes` in `store` until the reader of `tx` has gone.
 ///
-/// `rows` is what the reader knows already; it is told what has changed since.
+/// `rows` is what the reader knows already; it is told what has changed since. While the store gives
+/// no answer, the pause between tries doubles up to `longest_pause`.
 pub async fn run(
     store: Arc<dyn Store>,
     prefixes: Vec<Box<str>>,
     mut rows: Rows,
+    longest_pause: Duration,
     tx: mpsc::Sender<Change>,
 ) {
     let mut pause = FIRST_PAUSE;
@@ -147,7 +147,7 @@
             Err(_) => {}
         }
         tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
+        pause = (pause * 2).min(longest_pause);
     }
 }
 
--- a/crates/kv/tests/mirror.rs
+++ b/crates/kv/tests/mirror.rs
@@ -8,6 +8,9 @@
 use kv::prelude::*;
 use tokio::sync::mpsc;
 
+/// Longest pause between tries.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
 fn bytes(text: &str) -> Arc<[u8]> {
     text.as_bytes().into()
 }
@@ -42,7 +45,7 @@
     let (tx, mut rx) = mpsc::channel(16);
     let gone = Versioned { value: bytes("old"), mod_revision: 0 };
     let known: Rows = [(Box::from("s/0"), gone)].into_iter().collect();
-    tokio::spawn(mirror::run(Arc::new(store.clone()), vec!["s/".into()], known, tx));
+    tokio::spawn(mirror::run(Arc::new(store.clone()), vec!["s/".into()], known, LONGEST_PAUSE, tx));
     assert_eq!(next_row(&mut rx).await, ("s/0".into(), false), "deleted before it started");
     assert_eq!(next_row(&mut rx).await, ("s/1".into(), true));
     assert_eq!(next(&mut rx).await, Change::Synced);
