Keep a group whose member only lost the store

Change: a missing report ends no group whose head still reports that it serves; the last report counts. A head whose report is missing gets nothing, as before.

Tests: a_member_that_only_lost_the_store_keeps_its_group (seen failing without the last report), and a_lost_member_that_nobody_noticed_is_found_once_its_report_is_missing.

--- a/crates/form/src/census.rs
+++ b/crates/form/src/census.rs
@@ -1,7 +1,9 @@
 //! The groups that the servers' reports add up to.
 //!
-//! Invariant: a group takes requests only while all its members are there, report this very group
-//! and epoch, and none of them is leaving.
+//! Invariant: a group takes requests only while its head reports that, and every other member reports
+//! this very group and epoch, or did so when its report went missing, and none of them is leaving. A
+//! member may have lost only its way to the store: that a report is missing ends no group, silence
+//! does.
 
 use std::collections::BTreeMap;
 
@@ -34,6 +36,8 @@
     pub joined: bool,
     /// Whether a member is leaving.
     pub leaving: bool,
+    /// Whether the report of a member is missing.
+    pub is_missing_report: bool,
 }
 
 impl Group {
@@ -71,15 +75,35 @@
 }
 
 impl Census {
-    /// Counts the groups that `servers` of `service` report.
-    pub fn of<'a>(service: &str, servers: impl IntoIterator<Item = &'a Server>) -> Self {
+    /// Counts the groups that `servers` of `service` report; `missing` are the last reports of servers
+    /// whose reports are missing.
+    pub fn of<'a>(
+        service: &str,
+        servers: impl IntoIterator<Item = &'a Server>,
+        missing: impl IntoIterator<Item = &'a Server>,
+    ) -> Self {
         let mut census = Census::default();
         for server in servers.into_iter().filter(|server| &*server.service == service) {
             census.add(server);
         }
+        for server in missing.into_iter().filter(|server| &*server.service == service) {
+            census.add_missing(server);
+        }
         census
     }
 
+    /// Counts a server whose report is missing as a member, if the head still serves the group.
+    fn add_missing(&mut self, server: &Server) {
+        let Some(membership) = &server.membership else { return };
+        let key = (membership.group.clone(), membership.epoch);
+        let Some(group) = self.groups.get_mut(&key) else { return };
+        if group.head_phase != Some(Phase::Open) || group.members.contains_key(&membership.rank) {
+            return;
+        }
+        group.is_missing_report = true;
+        self.add(server);
+    }
+
     fn add(&mut self, server: &Server) {
         let Some(membership) = &server.membership else { return };
         let key = (membership.group.clone(), membership.epoch);
@@ -92,6 +116,7 @@
             head_phase: None,
             joined: true,
             leaving: false,
+            is_missing_report: false,
         });
         if group.members.insert(membership.rank, server.id.clone()).is_some() {
             // Two servers claim one rank: the group can't be relied on.
--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -137,12 +137,23 @@
     Unanswered,
 }
 
+/// A server that has ceased to report.
+#[data]
+pub struct Departed {
+    /// Its last report.
+    pub server: Server,
+    /// Since when its report is missing.
+    pub since: Mono,
+}
+
 /// What the owner sees.
 pub struct View<'a> {
     /// The service whose groups it owns.
     pub service: &'a str,
     /// All servers that report.
     pub servers: &'a BTreeMap<ServerId, Server>,
+    /// Servers that have ceased to report.
+    pub departed: &'a BTreeMap<ServerId, Departed>,
     /// The engines' figures.
     pub engine: &'a EngineSpec,
     /// Work that callers bring, by model, as parts of the whole.
@@ -155,6 +166,14 @@
     pub now: Mono,
 }
 
+impl View<'_> {
+    /// Returns what server `id` reports, or reported last.
+    fn known(&self, id: &str) -> Option<&Server> {
+        let departed = self.departed.get(id).map(|departed| &departed.server);
+        self.servers.get(id).or(departed)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct InFlight {
     server: ServerId,
@@ -246,7 +265,8 @@
 
     /// Returns the orders that the situation asks for.
     pub fn decide(&mut self, view: &View<'_>) -> Vec<Command> {
-        let census = Census::of(view.service, view.servers.values());
+        let departed = view.departed.values().map(|departed| &departed.server);
+        let census = Census::of(view.service, view.servers.values(), departed);
         self.remember(view, &census);
         let mut commands = Vec::new();
         self.drive_forming(view, &census, &mut commands);
--- a/crates/form/src/owner/reshape.rs
+++ b/crates/form/src/owner/reshape.rs
@@ -129,7 +129,10 @@
         let mut fabrics: BTreeMap<FabricId, Vec<&Group>> = BTreeMap::new();
         let stays = |key| !self.retiring.contains(key) && !self.released.contains(key);
         let serving = census.groups.iter().filter(|(key, group)| {
-            stays(*key) && group.serves(view.engine) && !self.forming.contains_key(&key.0)
+            stays(*key)
+                && group.serves(view.engine)
+                && !group.is_missing_report
+                && !self.forming.contains_key(&key.0)
         });
         for (_, group) in serving {
             if let Some(fabric) = &group.fabric {
--- a/crates/form/src/owner/silent.rs
+++ b/crates/form/src/owner/silent.rs
@@ -1,8 +1,8 @@
 //! Groups from which nothing comes any more.
 //!
 //! A group stands still as soon as one member is lost, seconds before that member's report goes
-//! missing; requests notice at once. So each member of a group that callers find silent is asked
-//! for a sign of life. Only if the head answers and another member doesn't is the group given up:
+//! missing; requests notice at once. So each member of a group that callers find silent, or of which
+//! a report is missing, is asked for a sign of life. Only if the head answers and another member doesn't is the group given up:
 //! that both the streams and a member are silent hardly happens by a slow group, or by an owner
 //! that is cut off itself. The member that gave no sign is left alone for a while.
 //!
@@ -61,7 +61,8 @@
         });
         for (key, group) in &census.groups {
             let is_silent = group.head().is_some_and(|head| view.silent.contains(head));
-            if !is_silent || !group.serves(view.engine) || self.is_released(group) {
+            let is_doubtful = is_silent || group.is_missing_report;
+            if !is_doubtful || !group.serves(view.engine) || self.is_released(group) {
                 continue;
             }
             match self.rounds.get(key) {
@@ -75,7 +76,8 @@
     fn ask_members(&mut self, group: &Group, view: &View<'_>, commands: &mut Vec<Command>) {
         let mut awaited = BTreeSet::new();
         for id in group.members.values() {
-            if self.order(&view.servers[id], Order::Probe, commands) {
+            let Some(server) = view.known(id) else { continue };
+            if self.order(server, Order::Probe, commands) {
                 awaited.insert(id.clone());
             }
         }
@@ -95,7 +97,7 @@
             .members
             .values()
             .filter(|id| !is_alive(id))
-            .map(|id| view.servers[id].life())
+            .filter_map(|id| Some(view.known(id)?.life()))
             .collect();
         if lost.is_empty() {
             return;
--- a/crates/form/tests/fleet/mod.rs
+++ b/crates/form/tests/fleet/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeSet;
 
 use base::prelude::*;
+use form::owner::Departed;
 use form::owner::View;
 use form::prelude::*;
 
@@ -48,6 +49,10 @@
     pub(crate) engines: BTreeMap<ServerId, Engine>,
     /// What reaches the owner.
     pub(crate) servers: BTreeMap<ServerId, Server>,
+    /// Servers whose reports are missing.
+    pub(crate) departed: BTreeMap<ServerId, Departed>,
+    /// Whether callers notice groups that stand still.
+    pub(crate) has_callers: bool,
     /// The engines' figures.
     pub(crate) spec: EngineSpec,
     /// Now.
@@ -69,6 +74,8 @@
         let mut fleet = Fleet {
             engines: BTreeMap::new(),
             servers: BTreeMap::new(),
+            departed: BTreeMap::new(),
+            has_callers: true,
             spec: spec(),
             now: Duration::from_secs(1),
             broken: Vec::new(),
@@ -146,6 +153,7 @@
         owner.decide(&View {
             service: SERVICE,
             servers: &self.servers,
+            departed: &self.departed,
             engine: &self.spec,
             demand: &demand,
             silent: &self.silent(),
@@ -156,7 +164,10 @@
 
     /// Returns the heads that callers call silent.
     fn silent(&self) -> BTreeSet<ServerId> {
-        let stand_still = self.engines.values().filter(|engine| self.has_lost(engine, SILENCE));
+        let stand_still = self
+            .engines
+            .values()
+            .filter(|engine| self.has_callers && self.has_lost(engine, SILENCE));
         let heads = stand_still.map(|engine| engine.now.id.clone());
         heads.chain(self.suspects.iter().cloned()).collect()
     }
@@ -231,11 +242,12 @@
         for (id, engine) in &self.engines {
             if engine.alive && engine.reports {
                 self.servers.insert(id.clone(), engine.now.clone());
+                self.departed.remove(id);
                 continue;
             }
             let lapsed = engine.silent_since.is_some_and(|at| now >= at + LAPSE);
-            if lapsed {
-                self.servers.remove(id);
+            if let Some(server) = lapsed.then(|| self.servers.remove(id)).flatten() {
+                self.departed.insert(id.clone(), Departed { server, since: now });
             }
         }
     }
@@ -293,13 +305,15 @@
 
     /// Returns how many groups serve, by the truth.
     pub(crate) fn serving(&self) -> usize {
-        let census = Census::of(SERVICE, self.engines.values().filter(|e| e.alive).map(|e| &e.now));
+        let census =
+            Census::of(SERVICE, self.engines.values().filter(|e| e.alive).map(|e| &e.now), []);
         census.groups.values().filter(|group| group.serves(&self.spec)).count()
     }
 
     /// Returns how many groups of `model` serve, by the truth.
     pub(crate) fn serving_model(&self, model: &str) -> usize {
-        let census = Census::of(SERVICE, self.engines.values().filter(|e| e.alive).map(|e| &e.now));
+        let census =
+            Census::of(SERVICE, self.engines.values().filter(|e| e.alive).map(|e| &e.now), []);
         let serving = census.groups.values().filter(|group| group.serves(&self.spec));
         serving.filter(|group| group.model.as_deref() == Some(model)).count()
     }
@@ -315,7 +329,7 @@
     }
 
     fn first_group_that(&self, fits: impl Fn(&Group) -> bool) -> Vec<ServerId> {
-        let census = Census::of(SERVICE, self.engines.values().map(|engine| &engine.now));
+        let census = Census::of(SERVICE, self.engines.values().map(|engine| &engine.now), []);
         let mut serving = census.groups.values().filter(|group| group.serves(&self.spec));
         let group = serving.find(|group| fits(group));
         group.map(|group| group.members.values().cloned().collect()).unwrap_or_default()
--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -124,6 +124,31 @@
     assert!(fleet.broken.is_empty(), "{:?}", fleet.broken);
 }
 
+/// On the bench: vatuloa-tides, scale-1: six servers lost the store, and with them six groups that went
+/// on serving were given up.
+#[test]
+fn a_member_that_only_lost_the_store_keeps_its_group() {
+    let (mut fleet, mut owner) = formed(9);
+    let group = fleet.first_group();
+    fleet.set_reports(&group[1], false);
+    fleet.run(&mut owner, 12 * SECOND);
+    assert_eq!(fleet.first_group(), group);
+    fleet.set_reports(&group[1], true);
+    fleet.run(&mut owner, SECOND);
+    assert_eq!(fleet.first_group(), group);
+}
+
+#[test]
+fn a_lost_member_that_nobody_noticed_is_found_once_its_report_is_missing() {
+    let (mut fleet, mut owner) = formed(9);
+    let group = fleet.first_group();
+    fleet.has_callers = false;
+    fleet.kill(&group[1]);
+    fleet.run(&mut owner, 8 * SECOND);
+    assert_eq!(fleet.serving(), 2);
+    assert!(fleet.broken.is_empty(), "{:?}", fleet.broken);
+}
+
 #[test]
 fn a_group_that_only_seems_silent_is_left_alone() {
     let (mut fleet, mut owner) = formed(9);
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -122,6 +122,7 @@
             let view = View {
                 service: &spec.name,
                 servers: &world.servers,
+                departed: &world.departed,
                 engine,
                 demand: &demand,
                 silent: &silent,
--- a/crates/front/src/world.rs
+++ b/crates/front/src/world.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use form::owner::Departed;
 use form::prelude::*;
 use parking_lot::Mutex;
 use pass::budget::BudgetSettings;
@@ -37,14 +38,6 @@
     pub servers_changed: Notify,
 }
 
-/// A server that has ceased to report.
-pub struct Departed {
-    /// Its last report.
-    pub server: Server,
-    /// Since when its report is missing.
-    pub since: Mono,
-}
-
 /// What the process believes.
 pub struct World {
     /// The routes in force.
@@ -205,7 +198,8 @@
     }
 
     fn add_groups(&self, service: &str, engine: &EngineSpec, places: &mut Vec<Place>) {
-        let census = Census::of(service, self.servers.values());
+        let departed = self.departed.values().map(|departed| &departed.server);
+        let census = Census::of(service, self.servers.values(), departed);
         for group in census.groups.values().filter(|group| group.serves(engine)) {
             let head = group.head().and_then(|head| self.servers.get(head));
             if let Some(head) = head {
