Don't count an order that was lost long before as a head's silence

Change: any answer of a head clears its silence, and one order must have gone unanswered after the report went missing; a head that was silent before is asked at once.

Test: an_order_that_was_lost_once_is_no_proof_..., seen failing without the second condition.

--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -188,6 +188,15 @@
     accepted: bool,
 }
 
+/// A head that left orders without an answer, and has answered none since.
+#[derive(Clone, Copy, Debug)]
+struct Unanswered {
+    /// When the first of them had no answer.
+    first: Mono,
+    /// When the last of them had none.
+    last: Mono,
+}
+
 /// The owner of one service's groups.
 #[derive(Clone, Debug)]
 pub struct Owner {
@@ -200,8 +209,8 @@
     in_flight: BTreeMap<OrderId, InFlight>,
     /// Groups whose head can't serve them any more.
     released: BTreeSet<GroupKey>,
-    /// Groups whose head gives no answer, and since when.
-    unanswered: BTreeMap<GroupKey, Mono>,
+    /// Groups whose head gives no answer.
+    unanswered: BTreeMap<GroupKey, Unanswered>,
     /// The last order to join that each server got: its report may be older.
     joined: BTreeMap<Life, Joined>,
     /// When a group that is not whole was first seen so.
@@ -287,6 +296,9 @@
         if order != Order::Probe && (repeats || failed) {
             self.retry_at.insert(server.clone(), now + retry_pause(&order));
         }
+        if !matches!(reply, Reply::Unanswered | Reply::Refused | Reply::Elsewhere) {
+            self.unanswered.retain(|key, _| !is_head(&server, key));
+        }
         match (&order, reply) {
             (_, Reply::Fenced) => self.fenced = true,
             (Order::Probe, _) => self.probed(&server, reply, now),
@@ -302,7 +314,7 @@
                 self.released.insert((group.clone(), *epoch));
             }
             (Order::Leave { group, epoch }, _) => {
-                self.unanswered.entry((group.clone(), *epoch)).or_insert(now);
+                self.note_unanswered((group.clone(), *epoch), now);
             }
             (Order::Stage { .. }, Reply::Done | Reply::Begun) => {}
             (Order::Stage { .. }, _) => self.staging.retain(|(id, _), _| *id != server),
@@ -360,6 +372,11 @@
         true
     }
 
+    fn note_unanswered(&mut self, key: GroupKey, now: Mono) {
+        let unanswered = self.unanswered.entry(key);
+        unanswered.or_insert(Unanswered { first: now, last: now }).last = now;
+    }
+
     fn has_order(&self, server: &str) -> bool {
         self.in_flight.values().any(|in_flight| &*in_flight.server == server)
     }
@@ -390,6 +407,11 @@
     format!("g{epoch}-{}@{}", head.id, head.address).into()
 }
 
+/// Returns whether `server` is the head of the group `key`.
+fn is_head(server: &str, key: &GroupKey) -> bool {
+    head_in_name(&key.0).is_some_and(|(head, _)| head == server)
+}
+
 /// Returns the id and address of the head that a group's name tells.
 fn head_in_name(group: &str) -> Option<(&str, SocketAddr)> {
     let (id, address) = group.split_once('-')?.1.rsplit_once('@')?;
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -212,7 +212,11 @@
         if let Some(server) = view.servers.get(head) {
             return server.membership.as_ref().is_some_and(|m| m.epoch > key.1);
         }
-        self.unanswered.get(key).is_some_and(|since| view.now >= *since + GONE_AFTER)
+        // An order that was lost on the way long before the report says nothing.
+        let missing = view.departed.get(head).map_or(self.started, |departed| departed.since);
+        self.unanswered.get(key).is_some_and(|unanswered| {
+            view.now >= unanswered.first + GONE_AFTER && unanswered.last >= missing
+        })
     }
 }
 
--- a/crates/form/src/owner/groups.rs
+++ b/crates/form/src/owner/groups.rs
@@ -114,7 +114,12 @@
         let key = group.key();
         let since = *self.incomplete_since.entry(key).or_insert(view.now);
         let is_joining = group.head_phase.is_some() && !group.joined;
-        let grace = if is_joining { JOINING_GRACE } else { INCOMPLETE_GRACE };
+        let is_head_silent = head.is_none() && self.unanswered.contains_key(&group.key());
+        let grace = match is_joining {
+            true => JOINING_GRACE,
+            false if is_head_silent => Duration::ZERO,
+            false => INCOMPLETE_GRACE,
+        };
         // A server alone is a spare that was warmed up.
         if view.now < since + grace || (head.is_some() && group.members.len() < 2) {
             return;
--- a/crates/form/src/owner/silent.rs
+++ b/crates/form/src/owner/silent.rs
@@ -18,7 +18,7 @@
 use super::Owner;
 use super::Reply;
 use super::View;
-use super::head_in_name;
+use super::is_head;
 use crate::census::Census;
 use crate::census::Group;
 use crate::server::Life;
@@ -110,19 +110,19 @@
     /// Takes the answer to a question.
     pub(super) fn probed(&mut self, server: &ServerId, reply: Reply, now: Mono) {
         let is_alive = !matches!(reply, Reply::Unanswered | Reply::Refused | Reply::Elsewhere);
+        let mut silent_heads = Vec::new();
         for (key, round) in &mut self.rounds {
-            let is_head = head_in_name(&key.0).is_some_and(|(head, _)| head == &**server);
             if !round.awaited.remove(server) {
                 continue;
             }
             if is_alive {
                 round.alive.insert(server.clone());
-            } else if is_head {
-                self.unanswered.entry(key.clone()).or_insert(now);
-            }
-            if is_alive && is_head {
-                self.unanswered.remove(key);
+            } else if is_head(server, key) {
+                silent_heads.push(key.clone());
             }
         }
+        for key in silent_heads {
+            self.note_unanswered(key, now);
+        }
     }
 }
--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -170,6 +170,22 @@
     assert_eq!(fleet.first_group(), group, "the owner may be the one that is cut off");
 }
 
+#[test]
+fn an_order_that_was_lost_once_is_no_proof_when_the_report_goes_missing() {
+    let (mut fleet, mut owner) = formed(9);
+    let head = fleet.first_group()[0].clone();
+    fleet.suspects.insert(head.clone());
+    fleet.engines.get_mut(&head).expect("an engine").reachable = false;
+    fleet.run(&mut owner, SECOND);
+    fleet.suspects.clear();
+    // It stays out of the owner's reach only until it loses the store.
+    fleet.set_reports(&head, false);
+    fleet.run(&mut owner, Duration::from_millis(2_000));
+    fleet.engines.get_mut(&head).expect("an engine").reachable = true;
+    fleet.run(&mut owner, 8 * SECOND);
+    assert!(fleet.broken.is_empty(), "{:?}", fleet.broken);
+}
+
 /// On the bench: vatuloa-tides, scale-1, and hunt seed 244888074204.
 #[test]
 fn a_head_that_lost_the_store_as_it_opened_is_asked_before_its_members_move() {
