Judge only members that were asked

Cause, found reading the change as a newcomer: a member that had an order under way, or had to wait before the next, was not asked for a sign of life and then counted as one that gave none: its group, which served, was given up.

Change: a round keeps those that gave no answer; only these are lost. Comments are wrapped again.

Test: a_member_that_could_not_be_asked_is_not_lost, seen failing.

--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -1,9 +1,9 @@
 //! One request's story, from the log lines of all processes.
 //!
-//! A line of `samphire-platform` holds a time, a node and a decision. The story of a request has its
-//! lines in the order of time. Each line that names a backend server is followed by what the same
-//! process believed of that server then, and by the first different thing that any process learned
-//! of it soon after: that is what was true while the decision was made.
+//! A line of `samphire-platform` holds a time, a node and a decision. The story of a request has
+//! its lines in the order of time. Each line that names a backend server is followed by what the
+//! same process believed of that server then, and by the first different thing that any process
+//! learned of it soon after: that is what was true while the decision was made.
 
 use base::prelude::*;
 use serde::Deserialize;
@@ -40,8 +40,8 @@
     pub inputs: Map<String, Value>,
 }
 
-/// Reads the lines that tell of decisions; others are passed over. A line may begin with other text,
-/// such as the time of a collector.
+/// Reads the lines that tell of decisions; others are passed over. A line may begin with other
+/// text, such as the time of a collector.
 pub fn read(text: &str) -> Vec<Entry> {
     let entry = |line: &str| serde_json::from_str(&line[line.find("{\"at_ms\"")?..]).ok();
     text.lines().filter_map(entry).collect()
--- a/crates/form/src/census.rs
+++ b/crates/form/src/census.rs
@@ -1,9 +1,9 @@
 //! The groups that the servers' reports add up to.
 //!
-//! Invariant: a group takes requests only while its head reports that, and every other member reports
-//! this very group and epoch, or did so when its report went missing, and none of them is leaving. A
-//! member may have lost only its way to the store: that a report is missing ends no group, silence
-//! does.
+//! Invariant: a group takes requests only while its head reports that, and every other member
+//! reports this very group and epoch, or did so when its report went missing, and none of them is
+//! leaving. A member may have lost only its way to the store: that a report is missing ends no
+//! group, silence does.
 
 use std::collections::BTreeMap;
 
@@ -75,8 +75,8 @@
 }
 
 impl Census {
-    /// Counts the groups that `servers` of `service` report; `missing` are the last reports of servers
-    /// whose reports are missing.
+    /// Counts the groups that `servers` of `service` report; `missing` are the last reports of
+    /// servers whose reports are missing.
     pub fn of<'a>(
         service: &str,
         servers: impl IntoIterator<Item = &'a Server>,
--- a/crates/form/src/compose.rs
+++ b/crates/form/src/compose.rs
@@ -117,8 +117,8 @@
     pub members: Vec<ServerId>,
 }
 
-/// Returns the groups that the `free` servers of each fabric domain form; `needs` stand in the order
-/// of the models.
+/// Returns the groups that the `free` servers of each fabric domain form; `needs` stand in the
+/// order of the models.
 pub fn plan(
     engine: &EngineSpec,
     needs: &[Need],
--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -7,11 +7,11 @@
 //! Invariants:
 //! - `open` is ordered only after every member was seen joined under that name and epoch.
 //! - A server is given a join only if the head of its group can't serve that group any more: the
-//!   head has answered an order to leave it, reports a higher epoch, has given it up, or is gone for
-//!   good; or this owner formed the group and never ordered it to open. A report of the head that
-//!   doesn't mention the group proves nothing: the head may have lost its way to the store.
-//! - A group is not opened if its head left an order to join it without an answer: carried out late,
-//!   after the head has left the group, that order and a late one to open would bring it back.
+//!   head has answered an order to leave it, reports a higher epoch, has given it up, or is gone
+//!   for good; or this owner formed the group and never ordered it to open. A report of the head
+//!   that doesn't mention the group proves nothing: the head may have lost its way to the store.
+//! - A group is not opened if its head left an order to join it without an answer: carried out
+//!   late, after the head has left the group, that order and a late one to open would bring it back.
 //! - A group's name ends with the id and address of its head, so that every owner can ask it, also
 //!   one that started after the head's report went missing.
 //! - Epochs rise with every group, over all owners: they begin with the owner's fencing number.
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -23,8 +23,8 @@
 use crate::server::Server;
 use crate::server::ServerState;
 
-/// How long the head of a group, whose report is missing, must have given no answer before it counts
-/// as gone for good.
+/// How long the head of a group, whose report is missing, must have given no answer before it
+/// counts as gone for good.
 const GONE_AFTER: Duration = Duration::from_millis(2_500);
 /// How long no new server must have come at the first start,
 const SETTLE: Duration = Duration::from_millis(600);
--- a/crates/form/src/owner/reshape.rs
+++ b/crates/form/src/owner/reshape.rs
@@ -3,11 +3,12 @@
 //! Losses hit models unevenly, and a free server can only join what it holds. A large group that
 //! loses one member leaves many servers that could only form small ones, while one more server of
 //! the fabric domain would bring it back. So before free servers form groups, the domain is weighed
-//! as a whole: some groups of one model are retired if their members, with the free servers, can form
-//! groups that add clearly more than the retired groups and what the free servers add alone. The domain's free servers wait until the retired groups have finished what they have.
+//! as a whole: some groups of one model are retired if their members, with the free servers, can
+//! form groups that add clearly more than the retired groups and what the free servers add alone.
+//! The domain's free servers wait until the retired groups have finished what they have.
 //!
-//! What a move will bring counts as supply at once. A domain is weighed again when the number of its
-//! free servers changes, and from time to time, since demand drifts.
+//! What a move will bring counts as supply at once. A domain is weighed again when the number of
+//! its free servers changes, and from time to time, since demand drifts.
 
 use std::collections::BTreeMap;
 
@@ -24,8 +25,8 @@
 use crate::compose::Need;
 use crate::compose::Set;
 
-/// What a move costs, as a part of what the retired groups and the free servers add without it: they
-/// all stand idle for some seconds, and until the next loss.
+/// What a move costs, as a part of what the retired groups and the free servers add without it:
+/// they all stand idle for some seconds, and until the next loss.
 const MOVE_COST: f64 = 0.4;
 /// Part of the groups that may be retired at once; one move may always be under way.
 const MOST_MOVING: f64 = 0.08;
@@ -52,13 +53,15 @@
     until: Mono,
 }
 
-/// When a fabric domain was weighed last, and when its last move was begun.
+/// What is remembered of the weighing of a fabric domain.
 #[data]
 #[derive(Default)]
 pub(super) struct Balance {
+    /// When it was weighed last.
     weighed: Mono,
     /// Its free servers then.
     free: usize,
+    /// When its last move was begun.
     moved: Option<Mono>,
 }
 
@@ -69,7 +72,7 @@
     }
 }
 
-/// A move that may be begun.
+/// A move that is worth it: the groups to retire, those to form, and what that adds in all.
 struct Weighed {
     retired: Vec<GroupKey>,
     set: Set,
--- a/crates/form/src/owner/silent.rs
+++ b/crates/form/src/owner/silent.rs
@@ -1,13 +1,13 @@
 //! Groups from which nothing comes any more.
 //!
 //! A group stands still as soon as one member is lost, seconds before that member's report goes
-//! missing; requests notice at once. So each member of a group that callers find silent, or of which
-//! a report is missing, is asked for a sign of life. Only if the head answers and another member doesn't is the group given up:
-//! that both the streams and a member are silent hardly happens by a slow group, or by an owner
-//! that is cut off itself. The member that gave no sign is left alone for a while.
+//! missing; requests notice at once. So each member of a group that callers find silent, or of
+//! which a report is missing, is asked for a sign of life. Only if the head answers and another
+//! member that was asked doesn't is the group given up: a slow group, or an owner that is cut off
+//! itself, hardly looks like that. The member that gave no sign is left alone for a while.
 //!
-//! A head that gives no sign can't be told to leave, and may serve again: its members stay until its
-//! report has gone missing too.
+//! A head that gives no sign can't be told to leave, and may serve again: its members stay until
+//! its report has gone missing too.
 
 use std::collections::BTreeSet;
 
@@ -38,6 +38,8 @@
     awaited: BTreeSet<ServerId>,
     /// Members that answered.
     alive: BTreeSet<ServerId>,
+    /// Members that gave no answer.
+    silent: BTreeSet<ServerId>,
 }
 
 impl Round {
@@ -82,24 +84,18 @@
             }
         }
         let key = group.key();
-        self.rounds.insert(key, Round { asked: view.now, awaited, alive: BTreeSet::new() });
+        let (alive, silent) = (BTreeSet::new(), BTreeSet::new());
+        self.rounds.insert(key, Round { asked: view.now, awaited, alive, silent });
     }
 
     /// Gives `group` up if its head answered and another member that was asked didn't.
     fn judge(&mut self, group: &Group, view: &View<'_>, commands: &mut Vec<Command>) {
         let key = group.key();
         let round = &self.rounds[&key];
-        let is_alive = |id: &ServerId| round.alive.contains(id);
-        if !group.head().is_some_and(is_alive) {
-            return;
-        }
-        let lost: Vec<Life> = group
-            .members
-            .values()
-            .filter(|id| !is_alive(id))
-            .filter_map(|id| Some(view.known(id)?.life()))
-            .collect();
-        if lost.is_empty() {
+        let is_head_alive = group.head().is_some_and(|head| round.alive.contains(head));
+        let lost: Vec<Life> =
+            round.silent.iter().filter_map(|id| Some(view.known(id)?.life())).collect();
+        if !is_head_alive || lost.is_empty() {
             return;
         }
         let until = view.now + LEFT_ALONE;
@@ -117,7 +113,10 @@
             }
             if is_alive {
                 round.alive.insert(server.clone());
-            } else if is_head(server, key) {
+                continue;
+            }
+            round.silent.insert(server.clone());
+            if is_head(server, key) {
                 silent_heads.push(key.clone());
             }
         }
--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -77,8 +77,8 @@
     assert!(fleet.broken.is_empty(), "{:?}", fleet.broken);
 }
 
-/// On the bench: vatuloa-tides-grown, trouble-3: groups of 16 that lost a member became small ones, and
-/// never came back, until one model refused while the other was a fifth full.
+/// On the bench: vatuloa-tides-grown, trouble-3: groups of 16 that lost a member became small ones,
+/// and never came back, until one model refused while the other was a fifth full.
 #[test]
 fn a_large_group_that_loses_a_member_takes_one_from_a_small_group() {
     let mut fleet = Fleet::new(19);
@@ -124,8 +124,8 @@
     assert!(fleet.broken.is_empty(), "{:?}", fleet.broken);
 }
 
-/// On the bench: vatuloa-tides, scale-1: six servers lost the store, and with them six groups that went
-/// on serving were given up.
+/// On the bench: vatuloa-tides, scale-1: six servers lost the store, and with them six groups that
+/// went on serving were given up.
 #[test]
 fn a_member_that_only_lost_the_store_keeps_its_group() {
     let (mut fleet, mut owner) = formed(9);
@@ -158,6 +158,22 @@
     assert_eq!(fleet.first_group(), group, "all its members answer");
 }
 
+/// A member that was busy with another order was taken for lost.
+#[test]
+fn a_member_that_could_not_be_asked_is_not_lost() {
+    let (mut fleet, mut owner) = formed(9);
+    let group = fleet.first_group();
+    let member = fleet.engines.get_mut(&group[1]).expect("an engine");
+    member.now.staged.clear();
+    member.reachable = false;
+    fleet.run(&mut owner, Duration::from_millis(100));
+    // The order to stage had no answer, so the member gets none for a second.
+    fleet.engines.get_mut(&group[1]).expect("an engine").reachable = true;
+    fleet.suspects.insert(group[0].clone());
+    fleet.run(&mut owner, Duration::from_millis(600));
+    assert_eq!(fleet.first_group(), group);
+}
+
 #[test]
 fn a_silent_group_whose_head_gives_no_sign_is_left_alone() {
     let (mut fleet, mut owner) = formed(9);
--- a/crates/front/src/tenure.rs
+++ b/crates/front/src/tenure.rs
@@ -4,10 +4,10 @@
 //! holder counts its lease from before it asked, on a clock that goes on while the VM is suspended,
 //! and doesn't rely on the last part of it.
 //!
-//! While the store gives no answer, a holder goes on asking: leases may stand still with the store. If
-//! one was renewed in the end, no other has held the key in between. But a holder that is no longer
-//! sure reads its key first, renews only after an answer, and gives up if the renewal has none: otherwise
-//! one that hears nothing would keep the key from all others.
+//! While the store gives no answer, a holder goes on asking: leases may stand still with the store.
+//! If one was renewed in the end, no other has held the key in between. But a holder that is no
+//! longer sure reads its key first, renews only after an answer, and gives up if the renewal has
+//! none: otherwise one that hears nothing would keep the key from all others.
 
 use std::sync::Arc;
 
--- a/crates/front/tests/follow.rs
+++ b/crates/front/tests/follow.rs
@@ -3,7 +3,8 @@
 use base::prelude::*;
 use front::follow::longest_pause;
 
-/// On the bench: vatuloa-tides-grown, trouble-3: 69 processes asked twice a second through an outage.
+/// On the bench: vatuloa-tides-grown, trouble-3: 69 processes asked twice a second through an
+/// outage.
 #[test]
 fn a_large_fleet_asks_a_silent_store_no_more_often_than_a_small_one() {
     for processes in [8, 73, 200] {
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -125,7 +125,8 @@
                 error = first_ended(&mut running) => Some(error),
             };
         }
-        // A service may end as soon as the process is asked to stop, and be seen before the request.
+        // A service may end as soon as the process is asked to stop, and be seen before the
+        // request.
         let stopping = self.stop_all.is_cancelled();
         first_error.take_if(|error| stopping && matches!(error, KernelError::Ended { .. }));
         self.stop_all.cancel();
--- a/crates/pass/src/places.rs
+++ b/crates/pass/src/places.rs
@@ -24,8 +24,8 @@
 
 use crate::declared::ServiceSpec;
 
-/// How long a place that said that it is full gets nothing more; doubles up to the longest, since one
-/// that has ceased to serve says the same.
+/// How long a place that said that it is full gets nothing more; doubles up to the longest, since
+/// one that has ceased to serve says the same.
 const FIRST_FULL_PAUSE: Duration = Duration::from_millis(60);
 /// Longest time that a place which said that it is full gets nothing more.
 const LONGEST_FULL_PAUSE: Duration = Duration::from_millis(1_000);
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -183,7 +183,8 @@
     assert!(!places.is_silent(&place("a"), later), "another process hears from it");
 }
 
-/// Pattern: a group has been lost while the store is away; its head refuses at once, and looks free.
+/// Pattern: a group has been lost while the store is away; its head refuses at once, and looks
+/// free.
 #[test]
 fn a_place_that_keeps_saying_that_it_is_full_gets_ever_less() {
     let mut places = places(&["a"]);
