Record callers that leave early, late running and failed exchanges

The logs could not tell the hypotheses of the incident apart: a caller that left before its response began left no record, nothing showed how late a process runs its tasks, and a failed exchange between processes was dropped without a line.

Added: the record caller_gone for every phase of a request, ran_late, exchange_failed; a histogram of the event loop's delay, and counters of the bytes and whole caches that a hub sends and of failed exchanges. A request's id is no longer cloned for its time-out line.

No decision is changed.

--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -4,6 +4,8 @@
 //! the request's id, the inputs that decided, their age or version, and the outcome. `samphire
 //! explain` reads these records, so the names of events and fields are stable.
 
+use std::net::SocketAddr;
+
 use base::prelude::*;
 use serde::Serialize;
 
@@ -60,7 +62,8 @@
     Failed { request: &'a str, status: u16, reason: &'a str, after_ms: u64 },
     /// A request's response was aborted after a part of it had been sent.
     BrokenOff { request: &'a str, server: &'a str, problem: &'a str, events: u64, after_ms: u64 },
-    /// The caller disconnected before the end of the response.
+    /// The caller disconnected before the end of the response. `server` is empty if the request had
+    /// not been sent to a backend server.
     CallerGone { request: &'a str, server: &'a str, after_ms: u64 },
     /// A new configuration took effect.
     InForce { version: Revision, routes: usize },
@@ -87,6 +90,10 @@
     Lock { name: &'a str, revision: u64, state: &'a str },
     /// A dependency became unavailable or available, or this process started or stopped using it.
     Dependency { name: &'a str, state: &'a str, problem: &'a str },
+    /// An exchange with a hub failed.
+    ExchangeFailed { hub: SocketAddr, problem: &'a str, after_ms: u64 },
+    /// The process ran its tasks late.
+    RanLate { by_ms: u64 },
     /// The process starts or stops.
     Process { node: &'a str, state: &'a str, detail: &'a str },
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`serve`]: forwards requests: routing, admission, attempts, streams.
 //! - [`ready`]: readiness and metrics endpoints.
 //! - [`logging`]: non-blocking log output.
+//! - [`loop_delay`]: measures how late the process runs its tasks.
 
 pub mod clock;
 mod decision_log;
@@ -24,6 +25,7 @@
 pub mod load_reports;
 pub mod local_state;
 pub mod logging;
+pub mod loop_delay;
 pub mod metrics;
 pub mod names;
 pub mod owner;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -3,8 +3,10 @@
 use base::prelude::*;
 use http::StatusCode;
 use prometheus::Encoder;
+use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::Opts;
@@ -14,6 +16,9 @@
 /// Upper bounds of the latency histogram's buckets, in seconds.
 const TIME_BUCKETS_S: [f64; 10] = [0.01, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.8, 2.0, 8.0];
 
+/// Upper bounds of the buckets of the event loop's delay, in seconds.
+const DELAY_BUCKETS_S: [f64; 8] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0];
+
 /// The metrics of one process. Clones share the same values.
 #[derive(Clone)]
 pub struct Metrics {
@@ -22,6 +27,14 @@
     responses: IntCounterVec,
     /// Seconds until the head of a response, by status class.
     response_seconds: HistogramVec,
+    /// How late the process runs its tasks.
+    pub loop_delay_seconds: Histogram,
+    /// Bytes of the responses to other processes' exchanges.
+    pub exchange_bytes: IntCounter,
+    /// Exchanges whose response held the whole row cache.
+    pub whole_exchanges: IntCounter,
+    /// Exchanges with a hub that failed.
+    pub failed_exchanges: IntCounter,
     /// Requests that wait for an endpoint.
     pub waiting: IntGauge,
     /// Backend servers with a current report.
@@ -50,9 +63,14 @@
         let seconds =
             HistogramOpts::new("samphire_answer_seconds", help).buckets(TIME_BUCKETS_S.to_vec());
         let response_seconds = HistogramVec::new(seconds, &["class"]).expect("the name is valid");
+        let help = "Seconds by which the process ran its tasks late.";
+        let delay = HistogramOpts::new("samphire_loop_delay_seconds", help)
+            .buckets(DELAY_BUCKETS_S.to_vec());
+        let loop_delay_seconds = Histogram::with_opts(delay).expect("the name is valid");
         for collector in [
             Box::new(responses.clone()) as Box<dyn prometheus::core::Collector>,
             Box::new(response_seconds.clone()),
+            Box::new(loop_delay_seconds.clone()),
         ] {
             registry.register(collector).expect("each name is registered once");
         }
@@ -61,9 +79,27 @@
             registry.register(Box::new(gauge.clone())).expect("each name is registered once");
             gauge
         };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("the name is valid");
+            registry.register(Box::new(counter.clone())).expect("each name is registered once");
+            counter
+        };
         Metrics {
+            exchange_bytes: counter(
+                "samphire_exchange_bytes_total",
+                "Bytes of the responses to exchanges.",
+            ),
+            whole_exchanges: counter(
+                "samphire_whole_exchanges_total",
+                "Exchanges answered with the whole row cache.",
+            ),
+            failed_exchanges: counter(
+                "samphire_failed_exchanges_total",
+                "Exchanges with a hub that failed.",
+            ),
             responses,
             response_seconds,
+            loop_delay_seconds,
             waiting: gauge("samphire_waiting_requests", "Requests that wait for a place."),
             servers: gauge("samphire_known_servers", "Backend servers that report."),
             version: gauge("samphire_config_version", "The configuration in force."),
--- a/crates/front/src/names.rs
+++ b/crates/front/src/names.rs
@@ -16,3 +16,5 @@
 pub const METRICS: ServiceName = "metrics";
 /// The exchange with other processes.
 pub const PEERS: ServiceName = "peers";
+/// The measurement of the event loop's delay.
+pub const LOOP_DELAY: ServiceName = "loop_delay";
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -30,12 +30,14 @@
 use web::prelude::*;
 
 use crate::decision_log;
+use crate::decision_log::Record;
 use crate::integration::Integration;
 use crate::integration::PeerEntry;
 use crate::lease_lock;
 use crate::lease_lock::LockSpec;
 use crate::load_reports::Loads;
 use crate::local_state::SharedState;
+use crate::metrics::Metrics;
 use crate::names;
 use crate::row_cache::RowChange;
 use crate::settings::Settings;
@@ -117,6 +119,7 @@
     settings: Arc<Settings>,
     shared: Arc<SharedState>,
     client: Client,
+    metrics: Metrics,
     /// By hub: the id of its row cache, and the last change received from it.
     known: Mutex<HashMap<SocketAddr, (BootId, u64)>>,
 }
@@ -129,6 +132,7 @@
         settings: settings.clone(),
         shared: cx.registry().lookup(names::PROCESS)?,
         client: Client::pooled(EXCHANGE_TIMEOUT),
+        metrics: cx.registry().lookup(names::PROCESS)?,
         known: Mutex::default(),
     });
     let listener = TcpListener::bind(settings.peers).await;
@@ -234,7 +238,15 @@
         processes,
         pause_ms: decision_log::millis(exchange_interval(local.load_reports.client_count())),
     };
-    reply::json(StatusCode::OK, &response)
+    let body = match serde_json::to_vec(&response) {
+        Ok(body) => body,
+        Err(error) => return reply::text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    };
+    state.metrics.exchange_bytes.inc_by(body.len() as u64);
+    if response.whole_at.is_some() {
+        state.metrics.whole_exchanges.inc();
+    }
+    reply::with_type(StatusCode::OK, "application/json", body)
 }
 
 /// Returns the time between two exchanges of each of a hub's `clients`.
@@ -378,9 +390,17 @@
     address: SocketAddr,
     exchange: &ExchangeRequest,
 ) -> Result<ExchangeResponse, ClientError> {
+    let sent_at = state.cx.now();
     let sent =
         state.client.json(address, Method::POST, "/exchange", Some(exchange), EXCHANGE_TIMEOUT);
-    let response: ExchangeResponse = sent.await?;
+    let response: ExchangeResponse = sent.await.inspect_err(|error| {
+        state.metrics.failed_exchanges.inc();
+        decision_log::write(&Record::ExchangeFailed {
+            hub: address,
+            problem: &error.to_string(),
+            after_ms: decision_log::millis(state.cx.now().saturating_sub(sent_at)),
+        });
+    })?;
     if exchange.have.is_some() {
         state.known.lock().insert(address, (response.boot, response.number));
     }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -11,6 +11,7 @@
 use crate::decision_log::Record;
 use crate::integration::Integration;
 use crate::local_state::SharedState;
+use crate::loop_delay;
 use crate::metrics::Metrics;
 use crate::names;
 use crate::owner;
@@ -39,6 +40,7 @@
     kernel.add(serve::service());
     kernel.add(ready::service());
     kernel.add(ready::metrics_service());
+    kernel.add(loop_delay::service());
     kernel
 }
 
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -26,6 +26,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use kernel::prelude::*;
+use parking_lot::Mutex;
 use pass::dispatch::Decision;
 use pass::dispatch::PendingRequest;
 use pass::dispatch::Refusal;
@@ -92,6 +93,8 @@
     arrived: Mono,
     /// The earlier of the caller's deadline and the route's timeout.
     deadline: Mono,
+    /// The backend server that the current attempt was sent to.
+    current_server: Mutex<Option<ServerId>>,
 }
 
 async fn run(cx: Context) -> Result<(), ServiceError> {
@@ -182,16 +185,26 @@
         }
     };
     let deadline = arrived + metadata.deadline.min(routed.route.timeout);
-    let request_id = id.clone();
-    let active =
-        ActiveRequest { state: state.clone(), id, routed, metadata, outgoing, arrived, deadline };
+    let active = Arc::new(ActiveRequest {
+        state: state.clone(),
+        id,
+        routed,
+        metadata,
+        outgoing,
+        arrived,
+        deadline,
+        current_server: Mutex::default(),
+    });
+    let departure = DepartureGuard::new(active.clone());
     let left = deadline.saturating_sub(state.cx.now());
-    match tokio::time::timeout(left, active.serve()).await {
+    let served = tokio::time::timeout(left, active.clone().serve()).await;
+    departure.disarm();
+    match served {
         Ok(response) => response,
         Err(_) => {
             let response = responses::timed_out();
             log_failed(
-                &request_id,
+                &active.id,
                 &response,
                 "the request's deadline passed",
                 state.cx.now().saturating_sub(arrived),
@@ -256,14 +269,14 @@
     }
 
     /// Serves the request to its final response.
-    async fn serve(self) -> Response {
+    async fn serve(self: Arc<Self>) -> Response {
         self.count_request();
         let mut tried = Vec::new();
         let mut attempts = 0;
         // The last attempt that may have run. Once there is one, no response may promise that the
         // request has not run.
         let mut may_have_run = None;
-        let active = Arc::new(self);
+        let active = self;
         loop {
             let choice = match active.wait_for_endpoint(&tried).await {
                 Ok(choice) => choice,
@@ -279,6 +292,7 @@
                 Ok(response) => return response,
                 Err(failed) => failed,
             };
+            *active.current_server.lock() = None;
             tried.push(failed.server.clone());
             let is_last = !active.may_retry(&failed, attempts);
             if failed.outcome.is_not_run() && is_last {
@@ -382,6 +396,7 @@
     }
 
     fn log_sent(&self, attempt: u32, choice: &EndpointChoice) {
+        *self.current_server.lock() = Some(choice.endpoint.server.clone());
         decision_log::write(&Record::Sent {
             request: &self.id,
             attempt,
@@ -394,6 +409,33 @@
     }
 }
 
+/// Logs that the caller of a request disconnected before its response began, unless disarmed.
+struct DepartureGuard {
+    active: Option<Arc<ActiveRequest>>,
+}
+
+impl DepartureGuard {
+    fn new(active: Arc<ActiveRequest>) -> Self {
+        DepartureGuard { active: Some(active) }
+    }
+
+    fn disarm(mut self) {
+        self.active = None;
+    }
+}
+
+impl Drop for DepartureGuard {
+    fn drop(&mut self) {
+        let Some(active) = self.active.take() else { return };
+        let server = active.current_server.lock();
+        decision_log::write(&Record::CallerGone {
+            request: &active.id,
+            server: server.as_deref().unwrap_or_default(),
+            after_ms: decision_log::millis(active.now().saturating_sub(active.arrived)),
+        });
+    }
+}
+
 /// The id of a backend server.
 type ServerId = form::server::ServerId;
 
