Don't give up an exchange whose response is still arriving

Callers saw: work went on for callers that had left (GONE), and requests reached servers a second late, at VMs whose process is a hub on a slow link.

Cause: an exchange between processes was given up 400 ms after it began, however much had arrived. All rows of a grown site don't cross a link of 20 Mbit/s in that time when several processes ask at once, so each discarded what it had, and asked for everything again. The load fed on itself and filled the link, on which callers' requests and the closing of their connections waited.

Change: the timeout bounds each part of the response, not the whole. Work that was done is kept, so the load ends when each process has its rows.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -52,7 +52,7 @@
 /// Time that a hub needs for each exchange. The interval of each process grows with the number of
 /// processes that share the hub.
 const HUB_TIME_PER_EXCHANGE: Duration = Duration::from_millis(12);
-/// How long an exchange may take.
+/// How long an exchange may take until the next part of the response arrives.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Age of rows up to which they count as the current content of the store.
 const MAX_FRESH_AGE: Duration = Duration::from_millis(400);
@@ -391,8 +391,13 @@
     exchange: &ExchangeRequest,
 ) -> Result<ExchangeResponse, ClientError> {
     let sent_at = state.cx.now();
-    let sent =
-        state.client.json(address, Method::POST, "/exchange", Some(exchange), EXCHANGE_TIMEOUT);
+    let sent = state.client.json_with_idle_timeout(
+        address,
+        Method::POST,
+        "/exchange",
+        Some(exchange),
+        EXCHANGE_TIMEOUT,
+    );
     let response: ExchangeResponse = sent.await.inspect_err(|error| {
         state.metrics.failed_exchanges.inc();
         decision_log::write(&Record::ExchangeFailed {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -141,30 +141,67 @@
         value: Option<&A>,
         timeout: Duration,
     ) -> Result<B, ClientError> {
-        let mut call = Call::new(method, path);
-        if let Some(value) = value {
-            call.body = serde_json::to_vec(value).expect("request types have a JSON form").into();
-            let media = http::HeaderValue::from_static("application/json");
-            call.headers.insert(http::header::CONTENT_TYPE, media);
-        }
-        let incomplete =
-            |problem: String| ClientError::Incomplete { address, problem: problem.into() };
         let exchange = async {
-            let response = self.send(address, call, timeout).await?;
+            let response = self.send(address, json_call(method, path, value), timeout).await?;
             let status = response.status();
-            let bytes = body::read(response.into_body(), MAX_JSON_BYTES).await;
-            let bytes = bytes.map_err(|error| incomplete(error.to_string()))?;
-            if !status.is_success() {
-                let body = String::from_utf8_lossy(&bytes).into();
-                return Err(ClientError::Status { address, status: status.as_u16(), body });
-            }
-            serde_json::from_slice(&bytes).map_err(|error| incomplete(error.to_string()))
+            let read = body::read(response.into_body(), MAX_JSON_BYTES).await;
+            decode_json(address, status, read)
         };
         match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(incomplete(format!("no response within {timeout:?}"))),
+            Err(_) => {
+                let problem = format!("no response within {timeout:?}").into();
+                Err(ClientError::Incomplete { address, problem })
+            }
         }
     }
+
+    /// Sends `value` as JSON and reads the JSON response, however long that takes, as long as no
+    /// part of it takes longer than `idle_timeout`.
+    ///
+    /// A response that is large for the link is thus not given up and requested again.
+    pub async fn json_with_idle_timeout<A: Serialize + ?Sized, B: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        value: Option<&A>,
+        idle_timeout: Duration,
+    ) -> Result<B, ClientError> {
+        let response = self.send(address, json_call(method, path, value), idle_timeout).await?;
+        let status = response.status();
+        let read =
+            body::read_with_idle_timeout(response.into_body(), MAX_JSON_BYTES, idle_timeout).await;
+        decode_json(address, status, read)
+    }
+}
+
+fn json_call<'a, A: Serialize + ?Sized>(
+    method: Method,
+    path: &'a str,
+    value: Option<&A>,
+) -> Call<'a> {
+    let mut call = Call::new(method, path);
+    if let Some(value) = value {
+        call.body = serde_json::to_vec(value).expect("request types have a JSON form").into();
+        let media = http::HeaderValue::from_static("application/json");
+        call.headers.insert(http::header::CONTENT_TYPE, media);
+    }
+    call
+}
+
+fn decode_json<B: DeserializeOwned>(
+    address: SocketAddr,
+    status: http::StatusCode,
+    read: Result<bytes::Bytes, body::BodyError>,
+) -> Result<B, ClientError> {
+    let incomplete = |problem: String| ClientError::Incomplete { address, problem: problem.into() };
+    let bytes = read.map_err(|error| incomplete(error.to_string()))?;
+    if !status.is_success() {
+        let body = String::from_utf8_lossy(&bytes).into();
+        return Err(ClientError::Status { address, status: status.as_u16(), body });
+    }
+    serde_json::from_slice(&bytes).map_err(|error| incomplete(error.to_string()))
 }
 
 /// Returns whether the error shows that no connection was made.
