Send a process only the rows that it lacks, whichever hub it asks

Cause: the changes of a hub's rows were numbered by each hub for itself, so a process that turned to another hub, and a hub that turned to another while its own rows were stale, asked for all rows. When the store turns the hubs of a failure domain away, all its processes do that at once, and a stale hub began another request every 50 ms, beside those that were still running. The link of a small VM (20 Mbit/s) was full with rows that their readers had, and callers' requests and the closing of their connections waited on it for about a second.

Change: a process asks a hub whose numbering it doesn't know with the revisions of its rows (POST /rows), and is sent the difference. It follows the hub's numbering once the hub's rows are fresh. A stale hub has one such request to another hub at a time. A hub of an earlier version answers 404, and is asked for all rows as before. peers.rs is split by role: messages, hub, exchange.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -7,35 +7,33 @@
 //! other domains. A hub sends the totals of its domain to all other hubs, and takes rows from them
 //! only while its own are stale, because the store doesn't respond to it.
 //!
-//! Changes are asked for by the cache's boot id and a change number ([`crate::row_cache`]). A
-//! caller that names no change of this cache gets all rows; if they are fresh, it deletes the rows
-//! that they lack.
+//! - `messages`: the messages of an exchange.
+//! - `exchange`: calls to a hub, and which rows a process asks for.
+//! - `hub`: what a hub answers.
+
+mod exchange;
+mod hub;
+mod messages;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use base::prelude::*;
 use futures::FutureExt;
-use http::Method;
-use http::StatusCode;
 use kernel::prelude::*;
-use kv::prelude::*;
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
-use web::body;
 use web::prelude::*;
 
-use crate::decision_log;
-use crate::decision_log::Record;
 use crate::integration::Integration;
 use crate::integration::PeerEntry;
 use crate::lease_lock;
 use crate::lease_lock::LockSpec;
-use crate::load_reports::Loads;
 use crate::local_state::SharedState;
 use crate::metrics::Metrics;
 use crate::names;
@@ -43,71 +41,24 @@
 use crate::settings::Settings;
 use crate::store_sync;
 
+use messages::ExchangeRequest;
+
 /// How long a process stays the hub without renewal.
 const HUB_LEASE: Duration = Duration::from_secs(3);
 /// Shortest time between two exchanges; also the time between two reports of a hub to the others.
 const MIN_EXCHANGE_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time between two exchanges.
 const MAX_EXCHANGE_INTERVAL: Duration = Duration::from_millis(600);
-/// Time that a hub needs for each exchange. The interval of each process grows with the number of
-/// processes that share the hub.
-const HUB_TIME_PER_EXCHANGE: Duration = Duration::from_millis(12);
 /// How long an exchange may take until the next part of the response arrives.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Age of rows up to which they count as the current content of the store.
 const MAX_FRESH_AGE: Duration = Duration::from_millis(400);
-/// Largest accepted exchange message.
-const MAX_MESSAGE_BYTES: usize = 8 << 20;
 /// How long a process waits before it takes a free hub lock, times the part of a processor core
 /// that it lacks. Processes with more processor become hubs first.
 const MAX_HUB_ELECTION_DELAY: Duration = Duration::from_millis(1_200);
 /// Prefix of the hub locks, below the prefix of the system's own keys.
 const HUB_PREFIX: &str = "hub/";
 
-/// A message from a process to a hub.
-#[wire]
-struct ExchangeRequest {
-    node: NodeId,
-    /// The sender's load; that of its whole domain if it is a hub.
-    loads: Loads,
-    /// The number of processes of the sender's domain if it is a hub.
-    domain_processes: Option<usize>,
-    /// The row cache that the sender knows, and the last change of it that it has; `None` asks for
-    /// no rows.
-    have: Option<(BootId, u64)>,
-}
-
-/// A hub's response.
-#[wire]
-struct ExchangeResponse {
-    /// Identifies the hub's row cache.
-    boot: BootId,
-    /// The last change of that cache.
-    number: u64,
-    /// Milliseconds since the hub's rows last matched the store.
-    age_ms: Option<u64>,
-    rows: Vec<Row>,
-    /// If `rows` is the hub's whole cache, the highest revision of the store that it has seen.
-    whole_at: Option<u64>,
-    /// The load of the fleet without the sender's.
-    loads: Loads,
-    /// The number of processes of the fleet.
-    processes: usize,
-    /// Time until the sender should call again.
-    pause_ms: u64,
-}
-
-/// A change of a row of the store.
-#[wire]
-struct Row {
-    key: Box<str>,
-    /// The revision that wrote the value, and its text; `None` if the key was deleted. Every
-    /// decodable value is UTF-8; a value that is not loses nothing by the lossy conversion.
-    value: Option<(u64, Box<str>)>,
-    /// A revision of the store that includes the change.
-    revision: u64,
-}
-
 /// Returns the service that exchanges rows and loads with the other processes.
 pub fn service() -> Service {
     Service::new(names::PEERS, &[names::STORE_SYNC], run)
@@ -122,6 +73,16 @@
     metrics: Metrics,
     /// By hub: the id of its row cache, and the last change received from it.
     known: Mutex<HashMap<SocketAddr, (BootId, u64)>>,
+    /// The hubs from which this hub is getting rows.
+    getting_rows_from: Mutex<HashSet<SocketAddr>>,
+}
+
+impl State {
+    /// Returns the id of the row cache of the hub at `address`, and the last change received from
+    /// it; `None` if that cache is not known.
+    fn last_change_of(&self, address: SocketAddr) -> Option<(BootId, u64)> {
+        self.known.lock().get(&address).copied()
+    }
 }
 
 async fn run(cx: Context) -> Result<(), ServiceError> {
@@ -134,6 +95,7 @@
         client: Client::pooled(EXCHANGE_TIMEOUT),
         metrics: cx.registry().lookup(names::PROCESS)?,
         known: Mutex::default(),
+        getting_rows_from: Mutex::default(),
     });
     let listener = TcpListener::bind(settings.peers).await;
     let listener =
@@ -141,7 +103,10 @@
     let address = listener.local_addr().map_err(|error| ServiceError::new("peers", error))?;
     let handler = {
         let state = state.clone();
-        Arc::new(move |request| respond(state.clone(), request).boxed())
+        Arc::new(move |request| {
+            let state = state.clone();
+            async move { hub::respond(&state, request).await }.boxed()
+        })
     };
     let stop = CancellationToken::new();
     let limits = ServerLimits::default();
@@ -195,74 +160,6 @@
     state.shared.local.lock().is_hub = false;
 }
 
-async fn respond(state: Arc<State>, request: Request) -> Response {
-    match (&request.method, &*request.path) {
-        (&Method::POST, "/exchange") => respond_to_exchange(&state, request).await,
-        _ => reply::empty(StatusCode::NOT_FOUND),
-    }
-}
-
-async fn respond_to_exchange(state: &State, request: Request) -> Response {
-    let bytes = match body::read(request.body, MAX_MESSAGE_BYTES).await {
-        Ok(bytes) => bytes,
-        Err(error) => return reply::text(StatusCode::BAD_REQUEST, error.to_string()),
-    };
-    let exchange: ExchangeRequest = match serde_json::from_slice(&bytes) {
-        Ok(exchange) => exchange,
-        Err(error) => return reply::text(StatusCode::BAD_REQUEST, error.to_string()),
-    };
-    let now = state.cx.now();
-    let mut local = state.shared.local.lock();
-    match exchange.domain_processes {
-        Some(processes) => {
-            local.load_reports.record_hub(&exchange.node, exchange.loads, processes, now)
-        }
-        None => local.load_reports.record_client(&exchange.node, exchange.loads, now),
-    }
-    local.load_reports.expire(now);
-    let known = exchange.have.filter(|(boot, _)| *boot == local.row_cache.boot);
-    let own = local.endpoints.local_loads(now);
-    let (loads, processes) = local.load_reports.fleet_total(&own, &exchange.node);
-    let age = local.row_cache.age(now);
-    let rows = match exchange.have {
-        None => Vec::new(),
-        Some(_) => local.row_cache.changes_since(known.map_or(0, |(_, number)| number)),
-    };
-    let response = ExchangeResponse {
-        boot: local.row_cache.boot,
-        number: local.row_cache.last_change(),
-        age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-        rows: rows.into_iter().map(wire_row).collect(),
-        whole_at: (exchange.have.is_some() && known.is_none()).then(|| local.row_cache.revision()),
-        loads,
-        processes,
-        pause_ms: decision_log::millis(exchange_interval(local.load_reports.client_count())),
-    };
-    let body = match serde_json::to_vec(&response) {
-        Ok(body) => body,
-        Err(error) => return reply::text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
-    };
-    state.metrics.exchange_bytes.inc_by(body.len() as u64);
-    if response.whole_at.is_some() {
-        state.metrics.whole_exchanges.inc();
-    }
-    reply::with_type(StatusCode::OK, "application/json", body)
-}
-
-/// Returns the time between two exchanges of each of a hub's `clients`.
-fn exchange_interval(clients: usize) -> Duration {
-    let clients = u32::try_from(clients).unwrap_or(u32::MAX);
-    HUB_TIME_PER_EXCHANGE
-        .saturating_mul(clients)
-        .clamp(MIN_EXCHANGE_INTERVAL, MAX_EXCHANGE_INTERVAL)
-}
-
-fn wire_row(change: RowChange) -> Row {
-    let text = |value: &Versioned| String::from_utf8_lossy(&value.value).into();
-    let value = change.value.map(|value| (value.mod_revision, text(&value)));
-    Row { key: change.key, value, revision: change.revision }
-}
-
 async fn exchange_periodically(state: Arc<State>) {
     let mut listed = false;
     loop {
@@ -317,8 +214,8 @@
     hubs.into_iter().map(|(_, address)| address).collect()
 }
 
-/// Sends the totals of the own domain to the other hubs, and takes rows from them while the own
-/// rows are stale.
+/// Sends the totals of the own domain to the other hubs, and gets rows from them while the own rows
+/// are stale.
 async fn report_to_hubs(state: &Arc<State>) {
     let now = state.cx.now();
     let (loads, processes, is_fresh) = {
@@ -331,25 +228,34 @@
         if address.ip() == state.settings.peers.ip() && address == state.settings.peers {
             continue;
         }
-        let have = (!is_fresh).then(|| state.last_change_of(address));
-        let exchange = ExchangeRequest {
+        let request = ExchangeRequest {
             node: state.cx.node().clone(),
             loads: loads.clone(),
             domain_processes: Some(processes),
-            have,
+            have: None,
         };
-        let state = state.clone();
-        tokio::spawn(async move {
-            let responded = exchange_with(&state, address, &exchange).await;
-            // Without a request for rows, the age in the response doesn't apply to the own rows.
-            if let (Ok(response), Some(_)) = (responded, exchange.have) {
-                apply_rows(&state, &response);
-            }
-        });
+        tokio::spawn(report_to_hub(state.clone(), address, request, !is_fresh));
     }
     update_fleet_loads(state);
 }
 
+/// Sends the totals of the own domain to another hub. Gets rows as well if `needs_rows`, unless an
+/// earlier call to that hub is still getting some.
+async fn report_to_hub(
+    state: Arc<State>,
+    address: SocketAddr,
+    request: ExchangeRequest,
+    needs_rows: bool,
+) {
+    // Failures are logged where they occur; the next report follows soon.
+    if needs_rows && state.getting_rows_from.lock().insert(address) {
+        let _ = exchange::exchange(&state, address, request).await;
+        state.getting_rows_from.lock().remove(&address);
+    } else {
+        let _ = exchange::report(&state, address, request).await;
+    }
+}
+
 /// Updates the load of the fleet from the reports that this hub has received.
 fn update_fleet_loads(state: &State) {
     let now = state.cx.now();
@@ -363,96 +269,20 @@
 async fn exchange_with_hub(state: &State) {
     for address in hubs(state) {
         let loads = state.shared.local.lock().endpoints.local_loads(state.cx.now());
-        let exchange = ExchangeRequest {
+        let request = ExchangeRequest {
             node: state.cx.node().clone(),
             loads,
             domain_processes: None,
-            have: Some(state.last_change_of(address)),
+            have: None,
         };
-        let Ok(response) = exchange_with(state, address, &exchange).await else { continue };
-        apply_rows(state, &response);
+        let Ok(hub) = exchange::exchange(state, address, request).await else { continue };
         let now = state.cx.now();
-        let is_fresh =
-            response.age_ms.is_some_and(|age| u128::from(age) < MAX_FRESH_AGE.as_millis());
         let mut local = state.shared.local.lock();
-        local.set_fleet(&response.loads, response.processes, now);
-        local.exchange_interval =
-            Duration::from_millis(response.pause_ms).min(MAX_EXCHANGE_INTERVAL);
-        if is_fresh {
+        local.set_fleet(&hub.loads, hub.processes, now);
+        local.exchange_interval = hub.pause.min(MAX_EXCHANGE_INTERVAL);
+        if hub.is_fresh {
             local.fresh_rows_at = Some(now);
             return;
         }
     }
 }
-
-async fn exchange_with(
-    state: &State,
-    address: SocketAddr,
-    exchange: &ExchangeRequest,
-) -> Result<ExchangeResponse, ClientError> {
-    let sent_at = state.cx.now();
-    let sent = state.client.json_with_idle_timeout(
-        address,
-        Method::POST,
-        "/exchange",
-        Some(exchange),
-        EXCHANGE_TIMEOUT,
-    );
-    let response: ExchangeResponse = sent.await.inspect_err(|error| {
-        state.metrics.failed_exchanges.inc();
-        decision_log::write(&Record::ExchangeFailed {
-            hub: address,
-            problem: &error.to_string(),
-            after_ms: decision_log::millis(state.cx.now().saturating_sub(sent_at)),
-        });
-    })?;
-    if exchange.have.is_some() {
-        state.known.lock().insert(address, (response.boot, response.number));
-    }
-    Ok(response)
-}
-
-impl State {
-    /// Returns the id of the row cache of the hub at `address`, and the last change received from
-    /// it; zeros before the first exchange.
-    fn last_change_of(&self, address: SocketAddr) -> (BootId, u64) {
-        self.known.lock().get(&address).copied().unwrap_or((0, 0))
-    }
-}
-
-/// Deletes the rows that are missing from a hub's whole cache, if that cache is fresh.
-fn drop_missing(state: &State, response: &ExchangeResponse, revision: u64) {
-    let is_fresh = response.age_ms.is_some_and(|age| u128::from(age) < MAX_FRESH_AGE.as_millis());
-    if !is_fresh {
-        return;
-    }
-    let all_keys = response.rows.iter().map(|row| &*row.key).collect();
-    let missing = state.shared.local.lock().row_cache.missing_from(&all_keys, revision);
-    for key in missing {
-        let change = RowChange { key, value: None, revision };
-        store_sync::apply(&state.integration, &state.shared, change, state.cx.now());
-    }
-}
-
-fn apply_rows(state: &State, response: &ExchangeResponse) {
-    let now = state.cx.now();
-    if let Some(revision) = response.whole_at {
-        drop_missing(state, response, revision);
-    }
-    for row in &response.rows {
-        let value = row.value.as_ref().map(|(mod_revision, text)| Versioned {
-            value: text.as_bytes().into(),
-            mod_revision: *mod_revision,
-        });
-        let change = RowChange { key: row.key.clone(), value, revision: row.revision };
-        store_sync::apply(&state.integration, &state.shared, change, now);
-    }
-    if let Some(age) = response.age_ms {
-        let at = now.saturating_sub(Duration::from_millis(age));
-        state.shared.local.lock().row_cache.mark_current(at);
-    }
-    if !response.rows.is_empty() {
-        state.shared.dispatch_queued(now);
-        state.shared.servers_changed.notify_one();
-    }
-}
--- a/crates/front/src/row_cache.rs
+++ b/crates/front/src/row_cache.rs
@@ -84,6 +84,32 @@
         rows.filter_map(|(key, row)| Some((key.clone(), row.value.clone()?))).collect()
     }
 
+    /// Returns the revision that wrote each row that is not deleted.
+    pub fn versions(&self) -> BTreeMap<Box<str>, u64> {
+        let rows = self.rows.iter();
+        rows.filter_map(|(key, row)| Some((key.clone(), row.value.as_ref()?.mod_revision)))
+            .collect()
+    }
+
+    /// Returns what another cache lacks that holds `versions` of rows. If this cache `is_fresh`, it
+    /// lacks the deletion of all rows that aren't in this cache.
+    pub fn difference(&self, versions: &BTreeMap<Box<str>, u64>, is_fresh: bool) -> Vec<RowChange> {
+        let newer = self.rows.iter().filter(|(key, row)| match (versions.get(*key), &row.value) {
+            (None, value) => value.is_some(),
+            (Some(version), Some(value)) => value.mod_revision > *version,
+            (Some(version), None) => row.revision >= *version,
+        });
+        let mut changes: Vec<RowChange> =
+            newer.map(|(key, row)| row_change(key, row.value.clone(), row.revision)).collect();
+        if is_fresh {
+            let unknown = versions.iter().filter(|(key, version)| {
+                !self.rows.contains_key(*key) && **version <= self.revision
+            });
+            changes.extend(unknown.map(|(key, _)| row_change(key, None, self.revision)));
+        }
+        changes
+    }
+
     /// Returns the keys that were deleted according to another cache.
     ///
     /// `all_keys` are all keys of that cache at `revision` of the store. A row that the store wrote
@@ -138,11 +164,10 @@
     /// Returns the last change of every row that changed after change `number`, deletions included.
     pub fn changes_since(&self, number: u64) -> Vec<RowChange> {
         let rows = self.rows.iter().filter(|(_, row)| row.number > number);
-        rows.map(|(key, row)| RowChange {
-            key: key.clone(),
-            value: row.value.clone(),
-            revision: row.revision,
-        })
-        .collect()
+        rows.map(|(key, row)| row_change(key, row.value.clone(), row.revision)).collect()
     }
 }
+
+fn row_change(key: &str, value: Option<Versioned>, revision: u64) -> RowChange {
+    RowChange { key: key.into(), value, revision }
+}
--- a/crates/front/tests/row_cache.rs
+++ b/crates/front/tests/row_cache.rs
@@ -47,6 +47,28 @@
     assert_eq!(missing, [Box::from("old")]);
 }
 
+// Issue 20: a process that changed hubs was sent all rows, which filled the link of a small hub.
+#[test]
+fn the_difference_to_a_cache_holds_only_rows_that_it_lacks() {
+    let mut hub = RowCache::default();
+    for (key, revision) in [("same", 2), ("changed", 6), ("added", 7), ("deleted", 3)] {
+        hub.apply(key, value(revision), revision);
+    }
+    hub.apply("deleted", None, 8);
+    let mut other = RowCache::default();
+    for (key, revision) in [("same", 2), ("changed", 4), ("deleted", 3), ("gone", 1), ("newer", 9)]
+    {
+        other.apply(key, value(revision), revision);
+    }
+    let keys = |is_fresh: bool| -> Vec<(Box<str>, bool)> {
+        let changes = hub.difference(&other.versions(), is_fresh);
+        changes.into_iter().map(|change| (change.key, change.value.is_some())).collect()
+    };
+    let lacking = [("added".into(), true), ("changed".into(), true), ("deleted".into(), false)];
+    assert_eq!(keys(false), lacking, "a stale hub may lack rows that were not deleted");
+    assert_eq!(keys(true), [lacking.as_slice(), &[("gone".into(), false)]].concat());
+}
+
 #[test]
 fn age_counts_from_the_latest_match_with_the_store() {
     let mut row_cache = RowCache::default();
@@ -57,6 +79,44 @@
 }
 
 proptest! {
+    /// A cache that gets the difference to a fresh one ends with the rows that it would have after
+    /// all changes and the deletion of all rows that are missing.
+    #[test]
+    fn the_difference_has_the_effect_of_all_rows(
+        writes in proptest::collection::vec((0_usize..5, any::<bool>(), 0_u8..3), 1..40),
+    ) {
+        let mut hub = RowCache::default();
+        let mut others = [RowCache::default(), RowCache::default()];
+        for (i, (key, is_deletion, reached)) in writes.iter().enumerate() {
+            let revision = i as u64 + 1;
+            let key = format!("k{key}");
+            let row = if *is_deletion { None } else { value(revision) };
+            // Some changes reach only the hub, some both, some only the others.
+            if *reached != 2 {
+                hub.apply(&key, row.clone(), revision);
+            }
+            if *reached != 0 {
+                others.iter_mut().for_each(|other| { other.apply(&key, row.clone(), revision); });
+            }
+        }
+        let [by_difference, by_all_rows] = &mut others;
+        for change in hub.difference(&by_difference.versions(), true) {
+            by_difference.apply(&change.key, change.value, change.revision);
+        }
+        let all = hub.changes_since(0);
+        let keys = all.iter().map(|change| &*change.key).collect();
+        for key in by_all_rows.missing_from(&keys, hub.revision()) {
+            by_all_rows.apply(&key, None, hub.revision());
+        }
+        for change in all {
+            by_all_rows.apply(&change.key, change.value, change.revision);
+        }
+        let rows = |row_cache: &RowCache| -> Vec<(String, u64)> {
+            row_cache.with_prefix("").map(|(key, value)| (key.to_owned(), value.mod_revision)).collect()
+        };
+        prop_assert_eq!(rows(by_difference), rows(by_all_rows));
+    }
+
     /// Two caches that receive disjoint writes and then exchange all changes hold the same rows.
     #[test]
     fn caches_converge(writes in proptest::collection::vec((0_usize..4, any::<bool>(), any::<bool>()), 1..40)) {
