Limit the rows that a hub sends to half of its link

Callers would have seen: work that goes on after they left, once large configurations come in series while small VMs are hubs.

Cause: rows that processes do need can fill a link as well. A configuration of 360 KB takes 26 processes 3.8 s of a link of 20 Mbit/s, and callers' requests and the closing of their connections wait behind it.

Change: a token bucket in bytes for the rows that a hub sends, half of the link of the settings (link_mbps, from the platform's bandwidth). Small rows are always sent, so a large one doesn't hold back what is known of servers; a response without all rows is not current, so the process asks another hub, and then the store.

Ruled out: shared turns for large responses (the HTTP library buffers 400 KB, so the end of a response is not seen), and compression (processor time on the VMs that have least of it).

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -10,7 +10,9 @@
 //! - `messages`: the messages of an exchange.
 //! - `exchange`: calls to a hub, and which rows a process asks for.
 //! - `hub`: what a hub answers.
+//! - `bulk_limiter`: how many rows a hub sends.
 
+mod bulk_limiter;
 mod exchange;
 mod hub;
 mod messages;
@@ -41,6 +43,7 @@
 use crate::settings::Settings;
 use crate::store_sync;
 
+pub use bulk_limiter::BulkLimiter;
 use messages::ExchangeRequest;
 
 /// How long a process stays the hub without renewal.
@@ -75,6 +78,8 @@
     known: Mutex<HashMap<SocketAddr, (BootId, u64)>>,
     /// The hubs from which this hub is getting rows.
     getting_rows_from: Mutex<HashSet<SocketAddr>>,
+    /// Limits the rows that this process sends.
+    bulk_limiter: Mutex<BulkLimiter>,
 }
 
 impl State {
@@ -96,6 +101,7 @@
         metrics: cx.registry().lookup(names::PROCESS)?,
         known: Mutex::default(),
         getting_rows_from: Mutex::default(),
+        bulk_limiter: Mutex::new(BulkLimiter::new(settings.link_bytes_per_second)),
     });
     let listener = TcpListener::bind(settings.peers).await;
     let listener =
--- a/crates/front/src/peers/exchange.rs
+++ b/crates/front/src/peers/exchange.rs
@@ -2,7 +2,8 @@
 //!
 //! Algorithm: a process asks a hub whose row cache it doesn't know for the rows that it lacks, by
 //! the versions of those that it has. From then on it asks for the changes after the last one that
-//! it has. It knows a row cache from when the hub's rows were fresh until a call to the hub fails.
+//! it has. It knows a row cache from when the hub's rows were fresh until a call to the hub fails, or
+//! until the hub can't send all of the rows.
 //!
 //! Invariant: rows that the process has are not sent again, whichever hub it asks.
 
@@ -64,8 +65,11 @@
     request.have = state.last_change_of(address);
     let Some((known_boot, _)) = request.have else { return report(state, address, request).await };
     let response: ExchangeResponse = call(state, address, "/exchange", &request).await?;
-    if response.boot == known_boot || response.whole_at.is_some() {
+    let is_known = response.boot == known_boot || response.whole_at.is_some();
+    if is_known && response.age_ms.is_some() {
         state.known.lock().insert(address, (response.boot, response.number));
+    } else {
+        state.known.lock().remove(&address);
     }
     if let Some(revision) = response.whole_at {
         drop_missing(state, &response, revision);
--- a/crates/front/src/peers/hub.rs
+++ b/crates/front/src/peers/hub.rs
@@ -12,12 +12,14 @@
 use super::MAX_FRESH_AGE;
 use super::MIN_EXCHANGE_INTERVAL;
 use super::State;
+use super::bulk_limiter::SMALL_BYTES;
 use super::messages::ExchangeRequest;
 use super::messages::ExchangeResponse;
 use super::messages::Row;
 use super::messages::RowsRequest;
 use super::messages::RowsResponse;
 use crate::decision_log;
+use crate::row_cache::RowChange;
 
 /// Time that a hub needs for each exchange. The interval of each process grows with the number of
 /// processes that share the hub.
@@ -29,7 +31,10 @@
 pub(super) async fn respond(state: &State, request: Request) -> Response {
     match (&request.method, &*request.path) {
         (&Method::POST, "/exchange") => match read(request).await {
-            Ok(exchange) => reply(state, &exchange_response(state, exchange)),
+            Ok(exchange) => match exchange_response(state, exchange) {
+                Some(response) => reply(state, &response),
+                None => reply::text(StatusCode::SERVICE_UNAVAILABLE, "the link is busy"),
+            },
             Err(refused) => *refused,
         },
         (&Method::POST, "/rows") => match read(request).await {
@@ -57,7 +62,9 @@
     }
 }
 
-fn exchange_response(state: &State, exchange: ExchangeRequest) -> ExchangeResponse {
+/// Returns the response to an exchange; `None` if it asks for the whole row cache and the link can't
+/// take that now.
+fn exchange_response(state: &State, exchange: ExchangeRequest) -> Option<ExchangeResponse> {
     let now = state.cx.now();
     let mut local = state.shared.local.lock();
     match exchange.domain_processes {
@@ -75,19 +82,27 @@
         Some(_) => local.row_cache.changes_since(known.map_or(0, |(_, number)| number)),
     };
     let is_whole = exchange.have.is_some() && known.is_none();
+    let (rows, is_complete) = limit_rows(state, rows);
+    if is_whole && !is_complete {
+        return None;
+    }
     if is_whole {
         state.metrics.whole_exchanges.inc();
     }
-    ExchangeResponse {
+    let number = match known {
+        Some((_, number)) if !is_complete => number,
+        _ => local.row_cache.last_change(),
+    };
+    Some(ExchangeResponse {
         boot: local.row_cache.boot,
-        number: local.row_cache.last_change(),
-        age_ms: local.row_cache.age(now).map(decision_log::millis),
-        rows: rows.into_iter().map(Row::from).collect(),
+        number,
+        age_ms: local.row_cache.age(now).filter(|_| is_complete).map(decision_log::millis),
+        rows,
         whole_at: is_whole.then(|| local.row_cache.revision()),
         loads,
         processes,
         pause_ms: decision_log::millis(exchange_interval(local.load_reports.client_count())),
-    }
+    })
 }
 
 fn rows_response(state: &State, asked: &RowsRequest) -> RowsResponse {
@@ -96,12 +111,32 @@
     let age = local.row_cache.age(now);
     let is_fresh = age.is_some_and(|age| age < MAX_FRESH_AGE);
     let rows = local.row_cache.difference(&asked.versions, is_fresh);
+    let (rows, is_complete) = limit_rows(state, rows);
     RowsResponse {
         boot: local.row_cache.boot,
         number: local.row_cache.last_change(),
-        age_ms: age.map(decision_log::millis),
-        rows: rows.into_iter().map(Row::from).collect(),
+        age_ms: age.filter(|_| is_complete).map(decision_log::millis),
+        rows,
+    }
+}
+
+/// Returns which of `rows` are sent now, and whether these are all. If the link can't take all of
+/// them, the first small ones are sent, so that a large row doesn't hold them back.
+fn limit_rows(state: &State, rows: Vec<RowChange>) -> (Vec<Row>, bool) {
+    let mut rows: Vec<Row> = rows.into_iter().map(Row::from).collect();
+    let mut limiter = state.bulk_limiter.lock();
+    let now = state.cx.now();
+    if limiter.try_send(rows.iter().map(Row::size).sum(), now) {
+        return (rows, true);
     }
+    let mut bytes = 0;
+    rows.retain(|row| {
+        let fits = bytes + row.size() <= SMALL_BYTES;
+        bytes += if fits { row.size() } else { 0 };
+        fits
+    });
+    limiter.try_send(bytes, now);
+    (rows, false)
 }
 
 /// Returns the time between two exchanges of each of a hub's `clients`.
--- a/crates/front/src/peers/messages.rs
+++ b/crates/front/src/peers/messages.rs
@@ -28,7 +28,8 @@
     pub(super) boot: BootId,
     /// The last change of that cache.
     pub(super) number: u64,
-    /// Milliseconds since the hub's rows last matched the store.
+    /// Milliseconds since the hub's rows last matched the store; `None` if they never have, or if not
+    /// all of the rows that the sender lacks are in the response.
     pub(super) age_ms: Option<u64>,
     pub(super) rows: Vec<Row>,
     /// If `rows` is the hub's whole cache, the highest revision of the store that it has seen.
@@ -55,7 +56,8 @@
     pub(super) boot: BootId,
     /// The last change of that cache.
     pub(super) number: u64,
-    /// Milliseconds since the hub's rows last matched the store.
+    /// Milliseconds since the hub's rows last matched the store; `None` if they never have, or if not
+    /// all of the rows that the sender lacks are in the response.
     pub(super) age_ms: Option<u64>,
     /// The rows of which the sender has no version, or an older one.
     pub(super) rows: Vec<Row>,
@@ -72,6 +74,13 @@
     pub(super) revision: u64,
 }
 
+impl Row {
+    /// Returns roughly how many bytes the row takes in a message.
+    pub(super) fn size(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, |(_, text)| text.len())
+    }
+}
+
 impl From<RowChange> for Row {
     fn from(change: RowChange) -> Self {
         let text = |value: &Versioned| String::from_utf8_lossy(&value.value).into();
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -10,6 +10,9 @@
 /// Upper bound of all durations in the settings.
 const MAX_MILLIS: u64 = 10 * 60 * 1_000;
 
+/// Bytes in a megabit.
+const BYTES_PER_MEGABIT: f64 = 1e6 / 8.0;
+
 /// The settings of a pass-through process.
 #[data]
 pub struct Settings {
@@ -37,6 +40,8 @@
     pub stop: Duration,
     /// Processor cores available to the process; a value below 1 is a fraction of one core.
     pub cores: f64,
+    /// What the link of the VM carries, in bytes a second.
+    pub link_bytes_per_second: f64,
     /// The shortest lease that the store grants.
     pub shortest_lease: Duration,
 }
@@ -77,6 +82,7 @@
         }),
         stop: fields.millis("stop_ms", 8_000, 100..=MAX_MILLIS),
         cores: fields.number("cores", 1.0, 0.0..=4096.0),
+        link_bytes_per_second: fields.number("link_mbps", 1_000.0, 0.1..=1e6) * BYTES_PER_MEGABIT,
         shortest_lease: fields.millis("shortest_lease_ms", 1_000, 1..=MAX_MILLIS),
     };
     fields.finish();
