Report a process's load to one hub only

Callers saw: late responses while hubs can't vouch for their rows, since requests waited for endpoints that seemed fuller than they were.

Cause: a process asks hub after hub until one has fresh rows, and sent its load to each of them. Hubs add their totals up, so such a load counted two or three times. It counted for the time that loads are kept, 1.5 s, on every such exchange.

Change: only the first hub that answers gets the load, and the fleet's load is taken from it.

Evidence: a_load_is_reported_to_one_hub_only failed before ("the load is counted twice", 4 reports at the second hub).

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -36,6 +36,7 @@
 use crate::integration::PeerEntry;
 use crate::lease_lock;
 use crate::lease_lock::LockSpec;
+use crate::load_reports::Loads;
 use crate::local_state::SharedState;
 use crate::metrics::Metrics;
 use crate::names;
@@ -272,9 +273,15 @@
 }
 
 /// Calls the hubs, that of the own domain first, until one answers with fresh rows.
+///
+/// Only the first hub that answers gets the own load, since the totals of the hubs are added up.
 async fn exchange_with_hub(state: &State) {
+    let mut is_reported = false;
     for address in hubs(state) {
-        let loads = state.shared.local.lock().endpoints.local_loads(state.cx.now());
+        let loads = match is_reported {
+            true => Loads::new(),
+            false => state.shared.local.lock().endpoints.local_loads(state.cx.now()),
+        };
         let request = ExchangeRequest {
             node: state.cx.node().clone(),
             loads,
@@ -284,8 +291,11 @@
         let Ok(hub) = exchange::exchange(state, address, request).await else { continue };
         let now = state.cx.now();
         let mut local = state.shared.local.lock();
-        local.set_fleet(&hub.loads, hub.processes, now);
-        local.exchange_interval = hub.pause.min(MAX_EXCHANGE_INTERVAL);
+        if !is_reported {
+            is_reported = true;
+            local.set_fleet(&hub.loads, hub.processes, now);
+            local.exchange_interval = hub.pause.min(MAX_EXCHANGE_INTERVAL);
+        }
         if hub.is_fresh {
             local.fresh_rows_at = Some(now);
             return;
