Free an endpoint whose request's caller left as it was assigned

Not seen by callers as such; each case would have made an endpoint seem fuller by one request until the endpoint is replaced.

Cause: a waiting request is counted at its endpoint when it is decided, and its own task takes over the count when it runs next. A caller that disconnected in between dropped the task with the decision unread, and nobody ended the count. The branch for an undelivered decision also kept its prompt tokens.

Change: a waiting request is one object (WaitingRequest) that withdraws itself when dropped, from the queue or from the endpoint that it was assigned to.

--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use pass::budget::BudgetSettings;
 use pass::dispatch::Decision;
+use pass::dispatch::PendingRequest;
 use pass::dispatch::Ticket;
 use pass::prelude::*;
 use tokio::sync::Notify;
@@ -103,6 +104,21 @@
         SharedState { local: Mutex::new(local), servers_changed: Notify::new() }
     }
 
+    /// Decides on a new request. If it must wait, returns it as `Err`.
+    pub fn submit(
+        self: &Arc<Self>,
+        pending: PendingRequest,
+        now: Mono,
+    ) -> Result<Decision, WaitingRequest> {
+        let prompt_tokens = pending.requirements.prompt_tokens;
+        let mut local = self.local.lock();
+        let (decision, ticket) = local.submit(pending, now);
+        let Some(ticket) = ticket else { return Ok(decision) };
+        let (tx, rx) = oneshot::channel();
+        local.waiters.insert(ticket, tx);
+        Err(WaitingRequest { shared: self.clone(), ticket, prompt_tokens, rx })
+    }
+
     /// Decides on waiting requests, for as long as there are some that needn't wait any more.
     pub fn dispatch_queued(&self, now: Mono) {
         let mut local = self.local.lock();
@@ -229,40 +245,21 @@
         Some((ticket, decision))
     }
 
+    /// Sends a waiting request its decision.
     fn send_decision(&mut self, ticket: Ticket, decision: Decision) {
-        let waiter = self.waiters.remove(&ticket);
-        let unsent = match waiter {
-            Some(waiter) => waiter.send(decision).err(),
-            None => Some(decision),
-        };
-        // The caller has disconnected in the meantime.
-        if let Some(Decision::Send(choice)) = unsent {
-            self.endpoints.request_ended(&choice.endpoint);
+        if let Some(waiter) = self.waiters.remove(&ticket) {
+            // Only a request that is being dropped doesn't receive it; it then withdraws itself.
+            let _ = waiter.send(decision);
         }
     }
 
-    /// Decides on a new request. If it must wait, returns its ticket and the receiver of its later
-    /// decision as `Err`.
-    pub fn submit(
-        &mut self,
-        pending: pass::dispatch::PendingRequest,
-        now: Mono,
-    ) -> Result<Decision, (Ticket, oneshot::Receiver<Decision>)> {
+    fn submit(&mut self, pending: PendingRequest, now: Mono) -> (Decision, Option<Ticket>) {
         let tokens = pending.requirements.prompt_tokens;
         let (decision, ticket) = self.dispatch.submit(pending, &self.endpoints, now);
-        if let Some(ticket) = ticket {
-            let (tx, rx) = oneshot::channel();
-            self.waiters.insert(ticket, tx);
-            return Err((ticket, rx));
+        if ticket.is_none() {
+            self.count_started(&decision, tokens, now);
         }
-        self.count_started(&decision, tokens, now);
-        Ok(decision)
-    }
-
-    /// Drops a waiting request whose caller has disconnected.
-    pub fn cancel(&mut self, ticket: Ticket) {
-        self.dispatch.cancel(ticket);
-        self.waiters.remove(&ticket);
+        (decision, ticket)
     }
 
     fn count_started(&mut self, decision: &Decision, tokens: u64, now: Mono) {
@@ -306,6 +303,35 @@
     }
 }
 
+/// A request that waits for an endpoint. Dropping it, as its caller's disconnecting does, withdraws
+/// it from the queue, or from the endpoint that it was just assigned to.
+pub struct WaitingRequest {
+    shared: Arc<SharedState>,
+    ticket: Ticket,
+    prompt_tokens: u64,
+    rx: oneshot::Receiver<Decision>,
+}
+
+impl WaitingRequest {
+    /// Waits for the decision.
+    pub async fn decision(mut self) -> Decision {
+        // The sender is dropped only together with the process's state.
+        (&mut self.rx).await.unwrap_or(Decision::Wait)
+    }
+}
+
+impl Drop for WaitingRequest {
+    fn drop(&mut self) {
+        let mut local = self.shared.local.lock();
+        local.dispatch.cancel(self.ticket);
+        local.waiters.remove(&self.ticket);
+        if let Ok(Decision::Send(choice)) = self.rx.try_recv() {
+            local.endpoints.prefill_done(&choice.endpoint, self.prompt_tokens);
+            local.endpoints.request_ended(&choice.endpoint);
+        }
+    }
+}
+
 fn endpoint(server: &Server) -> Endpoint {
     Endpoint {
         server: server.id.clone(),
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -51,7 +51,6 @@
 use crate::settings::Settings;
 
 use attempt::Attempt;
-use reservation::QueueGuard;
 use reservation::Reservation;
 
 /// Maximum open connections of callers.
@@ -349,15 +348,9 @@
     /// Waits for an endpoint; `tried` are the servers of earlier attempts.
     async fn wait_for_endpoint(&self, tried: &[ServerId]) -> Result<EndpointChoice, Response> {
         let pending = self.pending_request(tried);
-        let submitted = self.state.shared.local.lock().submit(pending, self.now());
-        let decision = match submitted {
+        let decision = match self.state.shared.submit(pending, self.now()) {
             Ok(decision) => decision,
-            Err((ticket, rx)) => {
-                let waiting = QueueGuard::new(self.state.clone(), ticket);
-                let decision = rx.await.ok();
-                waiting.disarm();
-                decision.unwrap_or(Decision::Wait)
-            }
+            Err(waiting) => waiting.decision().await,
         };
         match decision {
             Decision::Send(choice) => Ok(choice),
--- a/crates/front/src/serve/reservation.rs
+++ b/crates/front/src/serve/reservation.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use base::prelude::*;
-use pass::dispatch::Ticket;
 use pass::prelude::*;
 
 use super::ActiveRequest;
@@ -86,29 +85,3 @@
         self.state.shared.dispatch_queued(self.state.cx.now());
     }
 }
-
-/// A request's ticket in the queue; dropping it removes the request from the queue.
-pub(crate) struct QueueGuard {
-    state: Arc<State>,
-    ticket: Option<Ticket>,
-}
-
-impl QueueGuard {
-    /// Holds `ticket`.
-    pub(crate) fn new(state: Arc<State>, ticket: Ticket) -> Self {
-        QueueGuard { state, ticket: Some(ticket) }
-    }
-
-    /// Releases the ticket without removing it, after the request got its decision.
-    pub(crate) fn disarm(mut self) {
-        self.ticket = None;
-    }
-}
-
-impl Drop for QueueGuard {
-    fn drop(&mut self) {
-        if let Some(ticket) = self.ticket.take() {
-            self.state.shared.local.lock().cancel(ticket);
-        }
-    }
-}
