--- a/crates/front/src/peers/exchange.rs
+++ b/crates/front/src/peers/exchange.rs
@@ -30,7 +30,7 @@
 use crate::row_cache::RowChange;
 use crate::store_sync;
 
-/// What a hub's response said.
+/// What a hub says of itself and of the fleet.
 pub(super) struct HubState {
     /// Whether the hub's rows match the store, and the process has got all of them.
     pub(super) is_fresh: bool,
--- a/crates/front/src/peers/hub.rs
+++ b/crates/front/src/peers/hub.rs
@@ -32,19 +32,20 @@
     match (&request.method, &*request.path) {
         (&Method::POST, "/exchange") => match read(request).await {
             Ok(exchange) => match exchange_response(state, exchange) {
-                Some(response) => reply(state, &response),
+                Some(response) => json_response(state, &response),
                 None => reply::text(StatusCode::SERVICE_UNAVAILABLE, "the link is busy"),
             },
             Err(refused) => *refused,
         },
         (&Method::POST, "/rows") => match read(request).await {
-            Ok(asked) => reply(state, &rows_response(state, &asked)),
+            Ok(asked) => json_response(state, &rows_response(state, &asked)),
             Err(refused) => *refused,
         },
         _ => reply::empty(StatusCode::NOT_FOUND),
     }
 }
 
+/// Reads a JSON message; returns the response that refuses it if that fails.
 async fn read<M: DeserializeOwned>(request: Request) -> Result<M, Box<Response>> {
     let refused = |problem: String| Box::new(reply::text(StatusCode::BAD_REQUEST, problem));
     let bytes = body::read(request.body, MAX_MESSAGE_BYTES).await;
@@ -52,7 +53,8 @@
     serde_json::from_slice(&bytes).map_err(|error| refused(error.to_string()))
 }
 
-fn reply<M: Serialize>(state: &State, message: &M) -> Response {
+/// Returns a response with a JSON message, and counts its bytes.
+fn json_response<M: Serialize>(state: &State, message: &M) -> Response {
     match serde_json::to_vec(message) {
         Ok(body) => {
             state.metrics.exchange_bytes.inc_by(body.len() as u64);
