Reread the change: one test of freshness, and no second name for a request

Whether rows count as the store's current content was written three times, in peers, hub and exchange, once over milliseconds: one function says it now.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -91,6 +91,11 @@
     }
 }
 
+/// Returns whether rows that matched the store `age` ago count as its current content.
+fn is_fresh(age: Option<Duration>) -> bool {
+    age.is_some_and(|age| age < MAX_FRESH_AGE)
+}
+
 async fn run(cx: Context) -> Result<(), ServiceError> {
     let settings: Arc<Settings> = cx.registry().lookup(names::PROCESS)?;
     let state = Arc::new(State {
@@ -229,7 +234,7 @@
         let local = state.shared.local.lock();
         let own = local.endpoints.local_loads(now);
         let (loads, processes) = local.load_reports.domain_total(&own);
-        (loads, processes, local.row_cache.age(now).is_some_and(|age| age < MAX_FRESH_AGE))
+        (loads, processes, is_fresh(local.row_cache.age(now)))
     };
     for address in hubs(state) {
         if address.ip() == state.settings.peers.ip() && address == state.settings.peers {
--- a/crates/front/src/peers/exchange.rs
+++ b/crates/front/src/peers/exchange.rs
@@ -17,8 +17,8 @@
 use web::prelude::*;
 
 use super::EXCHANGE_TIMEOUT;
-use super::MAX_FRESH_AGE;
 use super::State;
+use super::is_fresh;
 use super::messages::ExchangeRequest;
 use super::messages::ExchangeResponse;
 use super::messages::Row;
@@ -75,7 +75,7 @@
         drop_missing(state, &response, revision);
     }
     apply_rows(state, &response.rows, response.age_ms);
-    Ok(hub_state(&response, is_fresh(response.age_ms)))
+    Ok(hub_state(&response, is_fresh(response.age_ms.map(Duration::from_millis))))
 }
 
 /// Gets the rows that this process lacks from a hub whose row cache it doesn't know.
@@ -92,7 +92,7 @@
             Err(error) => return Err(error),
         };
     // The changes of a hub that is still filling its cache are mostly rows that this process has.
-    if is_fresh(response.age_ms) {
+    if is_fresh(response.age_ms.map(Duration::from_millis)) {
         state.known.lock().insert(address, (response.boot, response.number));
     }
     apply_rows(state, &response.rows, response.age_ms);
@@ -130,13 +130,9 @@
     }
 }
 
-fn is_fresh(age_ms: Option<u64>) -> bool {
-    age_ms.is_some_and(|age| u128::from(age) < MAX_FRESH_AGE.as_millis())
-}
-
 /// Deletes the rows that are missing from a hub's whole cache, if that cache is fresh.
 fn drop_missing(state: &State, response: &ExchangeResponse, revision: u64) {
-    if !is_fresh(response.age_ms) {
+    if !is_fresh(response.age_ms.map(Duration::from_millis)) {
         return;
     }
     let all_keys = response.rows.iter().map(|row| &*row.key).collect();
--- a/crates/front/src/peers/hub.rs
+++ b/crates/front/src/peers/hub.rs
@@ -9,10 +9,10 @@
 use web::prelude::*;
 
 use super::MAX_EXCHANGE_INTERVAL;
-use super::MAX_FRESH_AGE;
 use super::MIN_EXCHANGE_INTERVAL;
 use super::State;
 use super::bulk_limiter::SMALL_BYTES;
+use super::is_fresh;
 use super::messages::ExchangeRequest;
 use super::messages::ExchangeResponse;
 use super::messages::Row;
@@ -111,8 +111,7 @@
     let now = state.cx.now();
     let local = state.shared.local.lock();
     let age = local.row_cache.age(now);
-    let is_fresh = age.is_some_and(|age| age < MAX_FRESH_AGE);
-    let rows = local.row_cache.difference(&asked.versions, is_fresh);
+    let rows = local.row_cache.difference(&asked.versions, is_fresh(age));
     let (rows, is_complete) = limit_rows(state, rows);
     RowsResponse {
         boot: local.row_cache.boot,
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -275,30 +275,29 @@
         // The last attempt that may have run. Once there is one, no response may promise that the
         // request has not run.
         let mut may_have_run = None;
-        let active = self;
         loop {
-            let choice = match active.wait_for_endpoint(&tried).await {
+            let choice = match self.wait_for_endpoint(&tried).await {
                 Ok(choice) => choice,
                 Err(refused) => {
-                    return may_have_run.as_ref().map_or(refused, |failed| active.fail(failed));
+                    return may_have_run.as_ref().map_or(refused, |failed| self.fail(failed));
                 }
             };
             attempts += 1;
-            let reservation = Reservation::new(&active, choice.endpoint.clone());
-            active.log_sent(attempts, &choice);
-            let attempt = Attempt { active: &active, reservation, number: attempts };
+            let reservation = Reservation::new(&self, choice.endpoint.clone());
+            self.log_sent(attempts, &choice);
+            let attempt = Attempt { active: &self, reservation, number: attempts };
             let failed = match attempt.run().await {
                 Ok(response) => return response,
                 Err(failed) => failed,
             };
-            *active.current_server.lock() = None;
+            *self.current_server.lock() = None;
             tried.push(failed.server.clone());
-            let is_last = !active.may_retry(&failed, attempts);
+            let is_last = !self.may_retry(&failed, attempts);
             if failed.outcome.is_not_run() && is_last {
-                return active.fail(may_have_run.as_ref().unwrap_or(&failed));
+                return self.fail(may_have_run.as_ref().unwrap_or(&failed));
             }
             if is_last {
-                return active.fail(&failed);
+                return self.fail(&failed);
             }
             if !failed.outcome.is_not_run() {
                 may_have_run = Some(failed);
