Keep the owner's pass short in a large fleet

Whether a server is in a group being formed, or has an order in flight, was looked up by going through all of them for each server; the models served nearby were counted anew for each server; and each of a thousand replies to orders caused a pass of its own.

Change: sets for both look-ups, one count of the models a pass, the free servers found once for rebalancing and forming, and replies that came together are decided on together.

--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -43,7 +43,7 @@
 use crate::server_table::MissingServer;
 use crate::spec::EngineSpec;
 
-use forming::FormingGroup;
+use forming::FormingGroups;
 use rebalance::FabricEvaluation;
 use rebalance::Rebalance;
 use stall::ProbeRound;
@@ -202,8 +202,10 @@
     next_group: u64,
     next_order: OrderId,
     load_limiter: LoadLimiter,
-    forming: BTreeMap<GroupId, FormingGroup>,
+    forming: FormingGroups,
     in_flight: BTreeMap<OrderId, InFlight>,
+    /// The servers to which an order is in flight.
+    busy: BTreeSet<ServerId>,
     /// Groups whose head can no longer serve them.
     released: BTreeSet<GroupKey>,
     /// Groups whose head leaves orders unanswered.
@@ -224,8 +226,8 @@
     staging: BTreeMap<InstanceId, (ModelId, Mono)>,
     /// When a server was last observed for the first time.
     last_arrival: Mono,
-    /// Server instances that were observed.
-    known: BTreeSet<InstanceId>,
+    /// The start time of the last observed instance of each server.
+    known: BTreeMap<ServerId, u64>,
     /// Probes to the members of stalled groups.
     probe_rounds: BTreeMap<GroupKey, ProbeRound>,
     /// Server instances that failed a probe, and until when they join no group.
@@ -244,8 +246,9 @@
             next_group: 0,
             next_order: 0,
             load_limiter: LoadLimiter::new(now),
-            forming: BTreeMap::new(),
+            forming: FormingGroups::default(),
             in_flight: BTreeMap::new(),
+            busy: BTreeSet::new(),
             released: BTreeSet::new(),
             unanswered: BTreeMap::new(),
             last_joins: BTreeMap::new(),
@@ -256,7 +259,7 @@
             closed_at: BTreeMap::new(),
             staging: BTreeMap::new(),
             last_arrival: now,
-            known: BTreeSet::new(),
+            known: BTreeMap::new(),
             probe_rounds: BTreeMap::new(),
             unresponsive_until: BTreeMap::new(),
             retry_at: BTreeMap::new(),
@@ -277,8 +280,9 @@
         self.advance_forming(observed, observed_groups, &mut commands);
         self.maintain_groups(observed, observed_groups, &mut commands);
         self.check_stalled_groups(observed, observed_groups, &mut commands);
-        self.rebalance(observed, observed_groups);
-        self.form_groups(observed, observed_groups, &mut commands);
+        let free = self.free_by_fabric(observed, observed_groups);
+        self.rebalance(&free, observed, observed_groups);
+        self.form_groups(free, observed, observed_groups, &mut commands);
         self.stage_models(observed, observed_groups, &mut commands);
         commands
     }
@@ -286,6 +290,7 @@
     /// Processes the reply to order `id`; returns the order, for the log.
     pub fn handle_reply(&mut self, id: OrderId, reply: Reply, now: Mono) -> Option<Order> {
         let InFlight { server, order } = self.in_flight.remove(&id)?;
+        self.busy.remove(&server);
         let is_repeated = matches!(order, Order::Close { .. });
         let failed =
             matches!(reply, Reply::Rejected | Reply::Unanswered | Reply::Invalid | Reply::Refused);
@@ -347,7 +352,8 @@
         for server in
             observed.servers.values().filter(|server| &*server.service == observed.service)
         {
-            if self.known.insert(server.instance_id()) {
+            if self.known.get(&server.id) != Some(&server.started_at_ms) {
+                self.known.insert(server.id.clone(), server.started_at_ms);
                 self.last_arrival = now;
             }
         }
@@ -373,6 +379,7 @@
         self.next_order += 1;
         let id = self.next_order;
         let server: ServerId = server.into();
+        self.busy.insert(server.clone());
         self.in_flight.insert(id, InFlight { server: server.clone(), order: order.clone() });
         commands.push(Command { id, server, address, fencing_token: self.fencing_token, order });
         true
@@ -384,7 +391,7 @@
     }
 
     fn has_order_in_flight(&self, server: &str) -> bool {
-        self.in_flight.values().any(|in_flight| &*in_flight.server == server)
+        self.busy.contains(server)
     }
 
     fn next_epoch(&mut self, observed_groups: &ObservedGroups) -> Generation {
--- a/crates/form/src/owner/forming.rs
+++ b/crates/form/src/owner/forming.rs
@@ -7,6 +7,8 @@
 //! was ordered to open counts as released, so that its members are free at once; otherwise its head
 //! must leave it first.
 
+use std::collections::BTreeMap;
+
 use base::prelude::*;
 
 use super::Command;
@@ -20,6 +22,7 @@
 use crate::server::InstanceId;
 use crate::server::Phase;
 use crate::server::Server;
+use crate::server::ServerId;
 use crate::server::ServerState;
 
 /// Interval at which an accepted join is polled once its expected duration has passed.
@@ -121,6 +124,62 @@
     }
 }
 
+/// The groups that are being formed, by name.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FormingGroups {
+    by_name: BTreeMap<GroupId, FormingGroup>,
+    /// The servers that these groups name as members, and how many groups name each.
+    members: BTreeMap<ServerId, usize>,
+}
+
+impl FormingGroups {
+    /// Adds a group, in place of an earlier one of that name.
+    pub(super) fn insert(&mut self, name: GroupId, forming: FormingGroup) {
+        self.remove(&name);
+        for (id, _) in &forming.members {
+            *self.members.entry(id.clone()).or_default() += 1;
+        }
+        self.by_name.insert(name, forming);
+    }
+
+    /// Removes a group.
+    pub(super) fn remove(&mut self, name: &str) -> Option<FormingGroup> {
+        let forming = self.by_name.remove(name)?;
+        for (id, _) in &forming.members {
+            if let Some(groups) = self.members.get_mut(id) {
+                *groups -= 1;
+                if *groups == 0 {
+                    self.members.remove(id);
+                }
+            }
+        }
+        Some(forming)
+    }
+
+    /// Returns whether a group of that name is being formed.
+    pub(super) fn contains(&self, name: &str) -> bool {
+        self.by_name.contains_key(name)
+    }
+
+    /// Returns whether any of the groups names `server` as a member.
+    pub(super) fn contains_member(&self, server: &str) -> bool {
+        self.members.contains_key(server)
+    }
+
+    /// Returns the groups.
+    pub(super) fn values(&self) -> impl Iterator<Item = &FormingGroup> {
+        self.by_name.values()
+    }
+
+    fn names(&self) -> Vec<GroupId> {
+        self.by_name.keys().cloned().collect()
+    }
+
+    fn get_mut(&mut self, name: &str) -> Option<&mut FormingGroup> {
+        self.by_name.get_mut(name)
+    }
+}
+
 impl Owner {
     /// Advances every group that is being formed.
     pub(super) fn advance_forming(
@@ -129,8 +188,7 @@
         observed_groups: &ObservedGroups,
         commands: &mut Vec<Command>,
     ) {
-        let names: Vec<GroupId> = self.forming.keys().cloned().collect();
-        for name in names {
+        for name in self.forming.names() {
             let Some(mut forming) = self.forming.remove(&name) else { continue };
             let group = observed_groups.by_key.get(&(name.clone(), forming.epoch));
             if group.is_some_and(|group| group.head_phase == Some(Phase::Open)) {
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -18,7 +18,7 @@
 use super::forming::FormingGroup;
 use super::group_name;
 use super::head_in_name;
-use super::stage;
+use super::stage::ServedModels;
 use crate::compose;
 use crate::compose::Candidate;
 use crate::compose::ModelDemand;
@@ -40,9 +40,10 @@
 const MAX_SETTLE_TIME: Duration = Duration::from_secs(3);
 
 impl Owner {
-    /// Forms as many groups as the free servers allow.
+    /// Forms as many groups as the `free` servers of each fabric domain allow.
     pub(super) fn form_groups(
         &mut self,
+        mut free: BTreeMap<FabricId, Vec<Candidate>>,
         observed: &ObservedState<'_>,
         observed_groups: &ObservedGroups,
         commands: &mut Vec<Command>,
@@ -50,7 +51,6 @@
         if self.is_awaiting_servers(observed) {
             return;
         }
-        let mut free = self.free_by_fabric(observed, observed_groups);
         free.retain(|fabric, _| !self.rebalances.contains_key(fabric));
         let demands = self.model_demands(observed, observed_groups);
         let loads =
@@ -87,11 +87,10 @@
         observed: &ObservedState<'_>,
         observed_groups: &ObservedGroups,
     ) {
+        let served = ServedModels::new(observed_groups);
         for candidate in spare.filter(|candidate| candidate.loaded_model.is_none()) {
             let server = &observed.servers[&candidate.id];
-            let Some(model) = stage::most_served_nearby(server, observed, observed_groups) else {
-                continue;
-            };
+            let Some(model) = served.most_served_near(server, observed) else { continue };
             let epoch = self.next_epoch(observed_groups);
             let times = vec![candidate.time_to_join(model, StoreLoads::Allowed)];
             let name = model.name.clone();
@@ -127,7 +126,7 @@
             let serving = observed_groups.by_key.iter().filter(|(key, group)| {
                 group.model.as_deref() == Some(model)
                     && group.is_serving(observed.engine)
-                    && !self.forming.contains_key(&group.name)
+                    && !self.forming.contains(&group.name)
                     && !self.retiring_groups.contains(*key)
             });
             let forming = self.forming.values().filter(|forming| &*forming.model == model);
@@ -184,13 +183,12 @@
         if server.state != ServerState::Ready || self.is_in_forming(&server.id) {
             return false;
         }
-        if self.has_order_in_flight(&server.id)
-            || self.unresponsive_until.contains_key(&server.instance_id())
-        {
+        let instance = server.instance_id();
+        if self.has_order_in_flight(&server.id) || self.unresponsive_until.contains_key(&instance) {
             return false;
         }
         let reported = server.membership.as_ref();
-        let joined = self.last_joins.get(&server.instance_id());
+        let joined = self.last_joins.get(&instance);
         if let Some(joined) = joined.filter(|j| reported.is_none_or(|m| m.epoch < j.key.1)) {
             // The report is from before the join: a group that includes this server can't be
             // observed to serve.
@@ -251,7 +249,7 @@
     }
 
     pub(super) fn is_in_forming(&self, server: &str) -> bool {
-        self.forming.values().any(|forming| forming.members.iter().any(|(id, _)| &**id == server))
+        self.forming.contains_member(server)
     }
 
     /// Returns whether the head of group `key`, which doesn't report this group, can no longer
--- a/crates/form/src/owner/groups.rs
+++ b/crates/form/src/owner/groups.rs
@@ -41,7 +41,7 @@
         commands: &mut Vec<Command>,
     ) {
         for (key, group) in &observed_groups.by_key {
-            if self.forming.contains_key(&key.0) || self.is_released(group) {
+            if self.forming.contains(&key.0) || self.is_released(group) {
                 continue;
             }
             let head = group.head().and_then(|head| observed.servers.get(head));
--- a/crates/form/src/owner/rebalance.rs
+++ b/crates/form/src/owner/rebalance.rs
@@ -84,8 +84,11 @@
 
 impl Owner {
     /// Ends rebalances whose retired groups are gone, and starts those that are worthwhile.
+    ///
+    /// `free` are the free servers of each fabric domain.
     pub(super) fn rebalance(
         &mut self,
+        free: &BTreeMap<FabricId, Vec<Candidate>>,
         observed: &ObservedState<'_>,
         observed_groups: &ObservedGroups,
     ) {
@@ -97,7 +100,6 @@
         if observed.before_traffic || observed.now < self.started + INITIAL_DELAY {
             return;
         }
-        let free = self.free_by_fabric(observed, observed_groups);
         for (fabric, groups) in self.groups_by_fabric(observed, observed_groups) {
             let free = free.get(&fabric).map(Vec::as_slice).unwrap_or_default();
             let evaluation = self.evaluations.entry(fabric.clone()).or_default();
@@ -146,7 +148,7 @@
             is_kept(*key)
                 && group.is_serving(observed.engine)
                 && !group.has_missing_report
-                && !self.forming.contains_key(&key.0)
+                && !self.forming.contains(&key.0)
         });
         for (_, group) in serving {
             if let Some(fabric) = &group.fabric {
--- a/crates/form/src/owner/stage.rs
+++ b/crates/form/src/owner/stage.rs
@@ -5,6 +5,11 @@
 //! given the model that they lack. Before the first request loads are fast, and every host is
 //! staged.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+
 use super::Command;
 use super::ObservedState;
 use super::Order;
@@ -38,11 +43,26 @@
         if !observed.before_traffic {
             while self.stage_for_best_group(max_loads, observed, observed_groups, commands) {}
         }
-        for server in servers().filter(|server| is_cold(server)) {
-            self.stage_on(server, max_loads, observed, observed_groups, commands);
+        let served = ServedModels::new(observed_groups);
+        let cold: Vec<&Server> = servers().filter(|server| is_cold(server)).collect();
+        let free = match cold.is_empty() {
+            true => BTreeMap::new(),
+            false => self.free_servers(observed, observed_groups),
+        };
+        for server in cold {
+            if self.may_stage(server, max_loads, observed)
+                && let Some(model) = self.most_needed(server, observed, &free, &served)
+            {
+                self.order_stage(server, model, observed, commands);
+            }
         }
         for server in servers().filter(|server| !is_cold(server)) {
-            self.stage_on(server, max_second_models, observed, observed_groups, commands);
+            if self.may_stage(server, max_second_models, observed)
+                && let Some(model) = served.most_served_near(server, observed)
+                && !server.staged_models.contains(&model.name)
+            {
+                self.order_stage(server, model, observed, commands);
+            }
         }
     }
 
@@ -96,28 +116,13 @@
         (idle.len() >= missing).then_some((missing, first))
     }
 
-    fn stage_on(
-        &mut self,
-        server: &Server,
-        max_loads: usize,
-        observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
-        commands: &mut Vec<Command>,
-    ) {
-        let busy = self.has_order_in_flight(&server.id)
-            || self.staging.contains_key(&server.instance_id())
-            || self.is_in_forming(&server.id);
-        if busy || (self.staging.len() >= max_loads && !observed.before_traffic) {
-            return;
-        }
-        let wanted = match is_cold(server) {
-            true => self.most_needed(server, observed, observed_groups),
-            false => most_served_nearby(server, observed, observed_groups),
-        };
-        let Some(model) = wanted.filter(|model| !server.staged_models.contains(&model.name)) else {
-            return;
-        };
-        self.order_stage(server, model, observed, commands);
+    /// Returns whether `server` may load a model onto its host now, besides at most `max_loads`
+    /// others.
+    fn may_stage(&self, server: &Server, max_loads: usize, observed: &ObservedState<'_>) -> bool {
+        (self.staging.len() < max_loads || observed.before_traffic)
+            && !self.has_order_in_flight(&server.id)
+            && !self.staging.contains_key(&server.instance_id())
+            && !self.is_in_forming(&server.id)
     }
 
     fn order_stage(
@@ -141,51 +146,65 @@
         ordered
     }
 
-    /// Returns the model of which a cold server completes a group soonest; among equals, the one
-    /// that most groups nearby serve.
+    /// Returns the model of which a cold server completes a group soonest with the `free` servers of
+    /// its fabric domain; among equals, the one that most groups nearby serve.
     fn most_needed<'a>(
         &self,
         server: &Server,
         observed: &ObservedState<'a>,
-        observed_groups: &ObservedGroups,
+        free: &BTreeMap<FabricId, Vec<&Server>>,
+        served: &ServedModels,
     ) -> Option<&'a ModelSpec> {
+        let fabric = server.fabric.as_ref()?;
+        let nearby = free.get(fabric).map(Vec::as_slice).unwrap_or_default();
+        let holds = |other: &Server, model: &ModelSpec| {
+            let staging = self.staging.get(&other.instance_id());
+            other.model.as_ref() == Some(&model.name)
+                || other.staged_models.contains(&model.name)
+                || staging.is_some_and(|(staging, _)| *staging == model.name)
+        };
         let missing = |model: &ModelSpec| {
-            let nearby = observed.servers.values().filter(|other| other.fabric == server.fabric);
-            let ready = nearby.filter(|other| {
-                let staging = self.staging.get(&other.instance_id());
-                let holds = other.model.as_ref() == Some(&model.name)
-                    || other.staged_models.contains(&model.name)
-                    || staging.is_some_and(|(staging, _)| *staging == model.name);
-                holds && self.is_free(other, observed, observed_groups)
-            });
-            model.group_size - (ready.count() % model.group_size.max(1))
+            let ready = nearby.iter().filter(|other| holds(other, model)).count();
+            model.group_size - (ready % model.group_size.max(1))
         };
         let models = observed.engine.models.iter();
-        models.min_by_key(|model| {
-            (missing(model), usize::MAX - members_nearby(model, server, observed_groups))
-        })
+        models.min_by_key(|model| (missing(model), Reverse(served.servers(fabric, &model.name))))
     }
 }
 
-fn is_cold(server: &Server) -> bool {
-    server.model.is_none() && server.staged_models.is_empty()
-}
+/// How many servers of each fabric domain are in groups of each model.
+pub(super) struct ServedModels<'a>(BTreeMap<(&'a str, &'a str), usize>);
+
+impl<'a> ServedModels<'a> {
+    /// Counts the members of the groups.
+    pub(super) fn new(observed_groups: &'a ObservedGroups) -> Self {
+        let mut servers = BTreeMap::new();
+        for group in observed_groups.by_key.values() {
+            if let (Some(fabric), Some(model)) = (&group.fabric, &group.model) {
+                *servers.entry((&**fabric, &**model)).or_default() += group.members.len();
+            }
+        }
+        ServedModels(servers)
+    }
 
-/// Returns the model that most servers of the fabric domain serve, other than the one that `server`
-/// has loaded.
-pub(super) fn most_served_nearby<'a>(
-    server: &Server,
-    observed: &ObservedState<'a>,
-    observed_groups: &ObservedGroups,
-) -> Option<&'a ModelSpec> {
-    let models = observed.engine.models.iter();
-    let others = models.filter(|model| server.model.as_ref() != Some(&model.name));
-    others.max_by_key(|model| members_nearby(model, server, observed_groups))
+    fn servers(&self, fabric: &str, model: &str) -> usize {
+        self.0.get(&(fabric, model)).copied().unwrap_or(0)
+    }
+
+    /// Returns the model that most servers of the server's fabric domain serve, other than the one
+    /// that it has loaded.
+    pub(super) fn most_served_near<'m>(
+        &self,
+        server: &Server,
+        observed: &ObservedState<'m>,
+    ) -> Option<&'m ModelSpec> {
+        let fabric = server.fabric.as_ref()?;
+        let models = observed.engine.models.iter();
+        let others = models.filter(|model| server.model.as_ref() != Some(&model.name));
+        others.max_by_key(|model| self.servers(fabric, &model.name))
+    }
 }
 
-fn members_nearby(model: &ModelSpec, server: &Server, observed_groups: &ObservedGroups) -> usize {
-    let groups = observed_groups.by_key.values();
-    let served = groups
-        .filter(|group| group.fabric == server.fabric && group.model.as_ref() == Some(&model.name));
-    served.count() * model.group_size
+fn is_cold(server: &Server) -> bool {
+    server.model.is_none() && server.staged_models.is_empty()
 }
--- a/crates/form/tests/fleet/mod.rs
+++ b/crates/form/tests/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 use base::prelude::*;
 use form::owner::ObservedState;
@@ -63,6 +64,8 @@
     pub(crate) delayed_percent: u64,
     /// Heads that callers report as stalled although they are not.
     pub(crate) false_stalls: BTreeSet<ServerId>,
+    /// Processor time of each decision of the owner.
+    pub(crate) decide_times: Vec<Duration>,
     delayed_orders: Vec<(Mono, Command)>,
     rng_state: u64,
     before_traffic: bool,
@@ -81,6 +84,7 @@
             violations: Vec::new(),
             delayed_percent: 0,
             false_stalls: BTreeSet::new(),
+            decide_times: Vec::new(),
             delayed_orders: Vec::new(),
             rng_state: 1,
             before_traffic: true,
@@ -153,7 +157,7 @@
         let demand = models.map(|model| (model.name.clone(), model.initial_demand_share)).collect();
         let missing = self.missing.values().map(|missing| &missing.server);
         let groups = ObservedGroups::from_reports(SERVICE, self.servers.values(), missing);
-        owner.decide(&ObservedState {
+        let observed = ObservedState {
             service: SERVICE,
             servers: &self.servers,
             missing: &self.missing,
@@ -163,7 +167,11 @@
             stalled_heads: &self.stalled_heads(),
             before_traffic: self.before_traffic,
             now: self.now,
-        })
+        };
+        let start = Instant::now();
+        let commands = owner.decide(&observed);
+        self.decide_times.push(start.elapsed());
+        commands
     }
 
     /// Returns the heads that callers report as stalled.
--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -1,5 +1,6 @@
 //! The owner against simulated engines: formation, repair, and invariants under random faults.
 
+mod cost;
 mod fleet;
 
 use base::prelude::*;
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -30,6 +30,8 @@
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two decision passes when nothing changes.
 const DECIDE_PERIOD: Duration = Duration::from_millis(100);
+/// Shortest time between two decision passes: what changes meanwhile is decided on together.
+const MIN_DECIDE_INTERVAL: Duration = Duration::from_millis(20);
 /// Capacity of the queue of results of orders.
 const RESULT_QUEUE_LEN: usize = 1_024;
 
@@ -91,10 +93,15 @@
     loop {
         tokio::select! {
             () = cx.process_stopping() => break,
-            () = decide.tick() => service.decide(),
-            () = shared.servers_changed.notified() => service.decide(),
+            () = decide.tick() => {}
+            () = shared.servers_changed.notified() => {}
             Some(result) = results_rx.recv() => service.handle_result(result),
         }
+        while let Ok(result) = results_rx.try_recv() {
+            service.handle_result(result);
+        }
+        service.decide();
+        cx.timer().after(MIN_DECIDE_INTERVAL).tick().await;
     }
     // Let the task release its lock.
     let _ = tokio::time::timeout(RESIGN_TIMEOUT, locking).await;
@@ -177,9 +184,7 @@
             log::warn!("a server reports a newer fencing token or epoch; releasing the ownership");
             self.owners = (0, Vec::new());
             self.resign.notify_one();
-            return;
         }
-        self.decide();
     }
 }
 
