Act on what servers say in their responses: that they are leaving, or want a pause

Both were ignored: a leaving server got 100 requests in the two seconds after its drain time, and a request that all servers had turned away got 502 instead of a refusal.

Leaving is one piece of knowledge with three sources: the report, a response, and the load reports of other processes. ServerTable marks the instance as draining for good, so that choice, the owner's closing of its group and the plan of new ones follow without more. A pause holds for the instance of the server at this process; pass::availability answers when an endpoint may get a request again, and a request that would wait longer than it may is refused with the end of the first pause. Values that can't be read are findings, logged once for an endpoint.

--- a/crates/form/src/server_table.rs
+++ b/crates/form/src/server_table.rs
@@ -4,6 +4,9 @@
 //! the group that the server mentioned before and the one that it mentions now, so only these are
 //! reconstructed. The cost of a change follows the size of a group, not the number of servers.
 //!
+//! A server may say by other ways than its report that it is leaving. Its instance then counts as
+//! draining for good, whatever its reports say.
+//!
 //! Invariant: [`ServerTable::groups`] equals [`ObservedGroups::from_reports`] over the same reports.
 
 use std::collections::BTreeMap;
@@ -15,6 +18,7 @@
 use crate::observed_groups::ObservedGroups;
 use crate::server::Server;
 use crate::server::ServerId;
+use crate::server::ServerState;
 
 /// How long a server whose report is missing is remembered.
 const MISSING_TTL: Duration = Duration::from_secs(60);
@@ -53,6 +57,8 @@
     servers: BTreeMap<ServerId, Server>,
     missing: BTreeMap<ServerId, MissingServer>,
     groups: BTreeMap<ServiceId, ServiceGroups>,
+    /// The start time of the last instance of each server that is known to be leaving.
+    leaving: BTreeMap<ServerId, u64>,
 }
 
 impl ServerTable {
@@ -80,7 +86,16 @@
 
     /// Records a current report, and returns the groups that it changes; `None` if the report says
     /// nothing new.
-    pub fn report(&mut self, server: Server) -> Option<Vec<ChangedGroup>> {
+    pub fn report(&mut self, mut server: Server) -> Option<Vec<ChangedGroup>> {
+        match self.leaving.get(&server.id) {
+            Some(started_at_ms) if *started_at_ms == server.started_at_ms => {
+                server.state = ServerState::Draining;
+            }
+            Some(started_at_ms) if *started_at_ms < server.started_at_ms => {
+                self.leaving.remove(&server.id);
+            }
+            _ => {}
+        }
         let missing = self.missing.remove(&server.id).map(|missing| missing.server);
         let old = self.servers.insert(server.id.clone(), server.clone());
         if old.as_ref() == Some(&server) {
@@ -94,6 +109,18 @@
         Some(self.rebuild(old.iter().chain([&server])))
     }
 
+    /// Records that an instance of a server is leaving, and returns the groups that this changes;
+    /// `None` if it is no news.
+    pub fn set_leaving(&mut self, id: &str, started_at_ms: u64) -> Option<Vec<ChangedGroup>> {
+        if self.leaving.get(id).is_some_and(|known| *known >= started_at_ms) {
+            return None;
+        }
+        self.leaving.insert(id.into(), started_at_ms);
+        let server = self.servers.get(id).filter(|server| server.started_at_ms == started_at_ms);
+        let server = server.cloned();
+        Some(server.and_then(|server| self.report(server)).unwrap_or_default())
+    }
+
     /// Records that a server's report is missing, and returns the groups that this changes; `None`
     /// if the server had no current report.
     pub fn report_missing(&mut self, id: &str, now: Mono) -> Option<Vec<ChangedGroup>> {
@@ -110,6 +137,7 @@
         let expired: Vec<Server> = expired.map(|(_, missing)| missing.server).collect();
         for server in &expired {
             self.forget_mention(server);
+            self.leaving.remove(&server.id);
         }
         expired
     }
--- a/crates/form/tests/server_table.rs
+++ b/crates/form/tests/server_table.rs
@@ -124,3 +124,25 @@
         assert_eq!(groups, [format!("g{}", i / GROUP_SIZE).into()]);
     }
 }
+
+// Guards against a leaving server that gets work again because a report of the same instance still
+// says that it is ready.
+#[test]
+fn a_leaving_server_counts_as_draining_until_its_next_start() {
+    let mut table = ServerTable::default();
+    table.report(server("s0", 1, member("g0", 0, Phase::Open)));
+    let changed = table.set_leaving("s0", 1).expect("news");
+    assert_eq!(changed.len(), 1, "its group is reconstructed");
+    assert_eq!(table.set_leaving("s0", 1), None, "no news");
+    let state = |table: &ServerTable| table.servers()["s0"].state;
+    assert_eq!(state(&table), ServerState::Draining);
+    table.report(server("s0", 2, member("g0", 0, Phase::Open)));
+    assert_eq!(state(&table), ServerState::Draining);
+    table.report_missing("s0", Duration::ZERO);
+    table.report(server("s0", 3, None));
+    assert_eq!(state(&table), ServerState::Draining, "its report had only lapsed");
+    table.report(Server { started_at_ms: 9, ..server("s0", 0, None) });
+    assert_eq!(state(&table), ServerState::Ready, "a new instance");
+    assert_eq!(table.set_leaving("s0", 1).map(|changed| changed.len()), Some(0));
+    assert_eq!(state(&table), ServerState::Ready, "an earlier instance had left");
+}
--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -72,6 +72,11 @@
     /// A response named another limit of its server's request rate than was known, or none. `request`
     /// is empty if another process got the response.
     ServerLimit { request: &'a str, server: &'a str, per_second: Option<RequestRate> },
+    /// A server turned a request away and wants no others from this process for a while.
+    ServerPause { request: &'a str, server: &'a str, for_ms: u64 },
+    /// A server said in a response that it is leaving. `request` is empty if another process got the
+    /// response.
+    ServerLeaving { request: &'a str, server: &'a str, born_ms: u64 },
     /// A stream continues at another backend server.
     Resumed { request: &'a str, server: &'a str, after_event: &'a str },
     /// A request got its complete response.
@@ -93,7 +98,7 @@
     CallerGone { request: &'a str, server: &'a str, after_ms: u64 },
     /// A new configuration took effect.
     InForce { version: Revision, routes: usize },
-    /// A value of the store, or invalid parts of it, were ignored.
+    /// A value of the store, or what a server says of itself, or invalid parts of it, were ignored.
     LeftOut { key: &'a str, findings: &'a Findings },
     /// The known state of a backend server changed.
     Server {
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -14,6 +14,7 @@
 use pass::dispatch::Decision;
 use pass::dispatch::PendingRequest;
 use pass::dispatch::Ticket;
+use pass::endpoints::Load;
 use pass::prelude::*;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -25,6 +26,9 @@
 use crate::load_reports::Loads;
 use crate::row_cache::RowCache;
 
+/// How long this process reports to others that a server is leaving.
+const LEAVING_REPORT_TTL: Duration = Duration::from_secs(10);
+
 /// Time constant of the exponential decay of recent work.
 const WORK_DECAY_TIME: Duration = Duration::from_secs(8);
 /// Recent work, in seconds of servers, from which the demand by model follows recent work alone;
@@ -77,6 +81,8 @@
     work_at: Mono,
     /// Number of requests since the process started.
     pub requests: u64,
+    /// The server instances whose responses to this process said that they are leaving, and when.
+    own_leaving: BTreeMap<ServerId, (u64, Mono)>,
     /// Where waiting requests receive their decisions.
     waiters: BTreeMap<Ticket, oneshot::Sender<Decision>>,
 }
@@ -101,6 +107,7 @@
             work: BTreeMap::new(),
             work_at: Mono::ZERO,
             requests: 0,
+            own_leaving: BTreeMap::new(),
             waiters: BTreeMap::new(),
         };
         SharedState {
@@ -153,6 +160,11 @@
             decision_log::write(&Record::ServerLimit { request: "", server: &server, per_second });
         }
         self.processes = processes.max(1);
+        for (server, load) in loads {
+            if let Some(started_at_ms) = load.leaving {
+                self.set_leaving(server, started_at_ms, "", now);
+            }
+        }
     }
 
     /// Makes `config` the current configuration, if its version is newer.
@@ -190,6 +202,33 @@
         self.update_endpoints(&id, &changed);
     }
 
+    /// Records that an instance of a server is leaving, as a response to `request` said; to be sent
+    /// to the other processes if it arrived at this one.
+    pub fn set_leaving(&mut self, id: &str, started_at_ms: u64, request: &str, now: Mono) {
+        let Some(changed) = self.servers.set_leaving(id, started_at_ms) else { return };
+        let born_ms = started_at_ms;
+        decision_log::write(&Record::ServerLeaving { request, server: id, born_ms });
+        if !request.is_empty() {
+            self.own_leaving.retain(|_, (_, at)| now < *at + LEAVING_REPORT_TTL);
+            self.own_leaving.insert(id.into(), (started_at_ms, now));
+        }
+        self.update_endpoints(id, &changed);
+    }
+
+    /// Returns the load from this process, and what it alone knows of the servers.
+    pub fn own_loads(&self, now: Mono) -> Loads {
+        let mut loads = self.endpoints.local_loads(now);
+        let recent = self.own_leaving.iter().filter(|(_, (_, at))| now < *at + LEAVING_REPORT_TTL);
+        for (id, (started_at_ms, _)) in recent {
+            let leaving = Some(*started_at_ms);
+            match loads.iter_mut().find(|(server, _)| server == id) {
+                Some((_, load)) => load.leaving = leaving,
+                None => loads.push((id.clone(), Load { leaving, ..Load::default() })),
+            }
+        }
+        loads
+    }
+
     /// Records that a server's report is missing.
     pub fn remove_server(&mut self, id: &str, now: Mono) {
         let Some(changed) = self.servers.report_missing(id, now) else { return };
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -241,7 +241,7 @@
     let now = state.cx.now();
     let (loads, processes, is_fresh) = {
         let local = state.shared.local.lock();
-        let own = local.endpoints.local_loads(now);
+        let own = local.own_loads(now);
         let (loads, processes) = local.load_reports.domain_total(&own, now);
         (loads, processes, is_fresh(local.row_cache.age(now)))
     };
@@ -294,7 +294,7 @@
     for address in hubs(state) {
         let loads = match is_reported {
             true => Loads::new(),
-            false => state.shared.local.lock().endpoints.local_loads(state.cx.now()),
+            false => state.shared.local.lock().own_loads(state.cx.now()),
         };
         let request = ExchangeRequest {
             node: state.cx.node().clone(),
--- a/crates/front/src/peers/hub.rs
+++ b/crates/front/src/peers/hub.rs
@@ -82,7 +82,7 @@
     }
     local.load_reports.expire(now);
     let known = exchange.have.filter(|(boot, _)| *boot == local.row_cache.boot);
-    let own = local.endpoints.local_loads(now);
+    let own = local.own_loads(now);
     let (loads, processes) = local.load_reports.fleet_total(&own, &exchange.node, now);
     let rows = match exchange.have {
         None => Vec::new(),
--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -12,8 +12,7 @@
 use http::StatusCode;
 use http::header;
 use pass::prelude::*;
-use pass::server_limit::RequestRate;
-use pass::server_limit::named_limit;
+use pass::server_notice::ServerNotice;
 use route::prelude::Fingerprint;
 use route::request::body_fingerprint;
 use volo_http::body::Body;
@@ -150,10 +149,9 @@
         let server = &self.reservation.endpoint().server;
         let header_names = &active.state.integration.header_names;
         let outcome = AttemptOutcome::classify(status, headers, id, server, header_names);
-        match named_limit(headers, header_names) {
-            Ok(limit) => self.record_limit(outcome, limit),
-            Err(error) => log::warn!("a response of `{server}` says nothing of a limit: {error}"),
-        }
+        let mut findings = Findings::default();
+        let notice = ServerNotice::read(status, headers, header_names, &mut findings);
+        self.record_notice(outcome, &notice, &findings);
         match outcome {
             AttemptOutcome::Answered => Ok(response),
             // The backend server's own error response is forwarded if no retry may follow.
@@ -169,22 +167,32 @@
         }
     }
 
-    /// Records the limit that a response named. A response of the server that names none says that
-    /// there is none; one that the server may not have sent says nothing.
-    fn record_limit(&self, outcome: AttemptOutcome, per_second: Option<RequestRate>) {
-        let is_from_server = match outcome {
+    /// Records what a response says of its server, unless it may come from another one.
+    ///
+    /// A response to a request that ran and that names no limit says that there is none.
+    fn record_notice(&self, outcome: AttemptOutcome, notice: &ServerNotice, findings: &Findings) {
+        let has_run = match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Failed => true,
-            AttemptOutcome::Full | AttemptOutcome::Broken => per_second.is_some(),
+            AttemptOutcome::Full | AttemptOutcome::Broken => false,
             AttemptOutcome::NotSent | AttemptOutcome::Misdirected | AttemptOutcome::Unknown => {
-                false
+                return;
             }
         };
-        if is_from_server && self.reservation.record_limit(per_second) {
-            decision_log::write(&Record::ServerLimit {
-                request: &self.active.id,
-                server: &self.reservation.endpoint().server,
-                per_second,
-            });
+        let (request, server) = (&*self.active.id, &*self.reservation.endpoint().server);
+        let per_second = notice.limit;
+        if (has_run || per_second.is_some()) && self.reservation.record_limit(per_second) {
+            decision_log::write(&Record::ServerLimit { request, server, per_second });
+        }
+        if let Some(pause) = notice.pause {
+            self.reservation.record_pause(pause);
+            let for_ms = decision_log::millis(pause);
+            decision_log::write(&Record::ServerPause { request, server, for_ms });
+        }
+        if notice.is_leaving {
+            self.reservation.record_leaving(request);
+        }
+        if !findings.is_empty() && self.reservation.record_invalid_notice() {
+            decision_log::write(&Record::LeftOut { key: server, findings });
         }
     }
 
--- a/crates/front/src/serve/reservation.rs
+++ b/crates/front/src/serve/reservation.rs
@@ -71,6 +71,25 @@
         self.state.shared.local.lock().endpoints.limit_observed(&self.endpoint, per_second, now)
     }
 
+    /// Records that the server wants no requests for `pause`.
+    pub(crate) fn record_pause(&self, pause: Duration) {
+        let now = self.state.cx.now();
+        self.state.shared.local.lock().endpoints.pause_requested(&self.endpoint, pause, now);
+    }
+
+    /// Records that a response to `request` said that the server is leaving.
+    pub(crate) fn record_leaving(&self, request: &str) {
+        let Endpoint { server, started_at_ms, .. } = &self.endpoint;
+        let mut local = self.state.shared.local.lock();
+        local.set_leaving(server, *started_at_ms, request, self.state.cx.now());
+        self.state.shared.servers_changed.notify_one();
+    }
+
+    /// Records that a response said something invalid of the server; returns whether that is news.
+    pub(crate) fn record_invalid_notice(&self) -> bool {
+        self.state.shared.local.lock().endpoints.invalid_notice_seen(&self.endpoint)
+    }
+
     /// Records a complete response.
     ///
     /// Only a success shows that the endpoint survives the request: a server may answer with an error
--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -79,6 +79,8 @@
     /// All endpoints have a limit of their request rate, which is used up for longer than the request
     /// may wait.
     Limited,
+    /// All backend servers have asked for a pause, for longer than the request may wait.
+    Paused,
     /// Backend servers that ran it ended.
     Quarantined,
 }
@@ -194,6 +196,11 @@
         if !endpoints.has_endpoint(&pending.requirements.service, model) {
             return refuse(NO_ENDPOINT_RETRY_AFTER, Refusal::NoPlace);
         }
+        if let Some(pause) = endpoints.time_to_pause_end(&pending.requirements, now)
+            && waited + pause > max_wait(pending)
+        {
+            return refuse(pause, Refusal::Paused);
+        }
         return if waited < max_wait(pending) {
             Decision::Wait
         } else {
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -25,21 +25,13 @@
 use form::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::availability::Backoffs;
+use crate::availability::Pauses;
 use crate::config::ServiceSpec;
 use crate::server_limit::LimitObservation;
 use crate::server_limit::RequestRate;
 use crate::server_limit::ServerLimits;
 
-/// How long an endpoint that reported itself full gets no requests. Doubles with each report up to
-/// the maximum, since an endpoint that has ceased to serve reports the same.
-const INITIAL_FULL_BACKOFF: Duration = Duration::from_millis(60);
-/// Maximum time that an endpoint that reported itself full gets no requests.
-const MAX_FULL_BACKOFF: Duration = Duration::from_millis(1_000);
-/// How long an endpoint gets no requests after it failed one. Doubles with each failure up to the
-/// maximum.
-const INITIAL_FAILURE_BACKOFF: Duration = Duration::from_millis(250);
-/// Maximum time that an endpoint gets no requests after failures.
-const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(4);
 /// Time without data for all requests at an endpoint after which it counts as stalled.
 const STALL_TIMEOUT: Duration = Duration::from_millis(450);
 /// How long an endpoint stays reported as stalled after its requests were moved elsewhere.
@@ -105,6 +97,9 @@
     /// What the endpoint's last response said of its limit, if it has named one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<LimitObservation>,
+    /// The start time of the server instance, in Unix milliseconds, if it has said that it is leaving.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leaving: Option<u64>,
 }
 
 impl Load {
@@ -116,6 +111,7 @@
             pending_prefill_tokens: self.pending_prefill_tokens + other.pending_prefill_tokens,
             ms_since_data: self.ms_since_data.into_iter().chain(other.ms_since_data).min(),
             limit: self.limit.into_iter().chain(other.limit).reduce(LimitObservation::later),
+            leaving: self.leaving.max(other.leaving),
         }
     }
 
@@ -139,15 +135,13 @@
     local: Load,
     /// Load from all other processes, and when it was reported.
     remote: (Load, Mono),
-    full_until: Mono,
-    /// How often it reported itself full since it last made progress.
-    consecutive_fulls: u32,
-    backoff_until: Mono,
-    consecutive_failures: u32,
+    backoffs: Backoffs,
     /// Time since when no request of this process has received data.
     no_data_since: Mono,
     /// Time when requests were moved away because of a stall; `None` once there was data again.
     stall_noted_at: Option<Mono>,
+    /// Whether a response said something invalid of the server.
+    has_invalid_notice: bool,
     /// Moving average of the duration of a call to a plain service, in seconds.
     mean_call_seconds: f64,
 }
@@ -203,6 +197,8 @@
     services: HashMap<ServiceId, Arc<ServiceSpec>>,
     /// The servers that have named a limit.
     limits: ServerLimits,
+    /// The servers that have asked for a pause.
+    pauses: Pauses,
     /// State of the random number generator.
     rng_state: Cell<u64>,
     /// Number of processes that choose among these endpoints.
@@ -328,6 +324,7 @@
         states
             .filter(|state| !requirements.excluded.contains(&state.endpoint.server))
             .filter(|state| self.has_permit(&state.endpoint, now))
+            .filter(|state| now >= self.pause_end(&state.endpoint))
             .filter_map(|state| evaluate(state, engine, requirements, now))
             .collect()
     }
@@ -345,6 +342,37 @@
         self.random_below(STEPS) as f64 / STEPS as f64
     }
 
+    /// Records that the server of `endpoint` wants no requests for `pause`.
+    pub fn pause_requested(&mut self, endpoint: &Endpoint, pause: Duration, now: Mono) {
+        self.pauses.record(&endpoint.server, endpoint.started_at_ms, pause, now);
+    }
+
+    /// Records that a response said something invalid of the server of `endpoint`; returns whether
+    /// none did before.
+    pub fn invalid_notice_seen(&mut self, endpoint: &Endpoint) -> bool {
+        let state = self.state(endpoint);
+        state.is_some_and(|state| !std::mem::replace(&mut state.has_invalid_notice, true))
+    }
+
+    /// Returns how long it takes until the first pause ends, if all servers that may get a request
+    /// have asked for one.
+    pub fn time_to_pause_end(
+        &self,
+        requirements: &EndpointRequirements,
+        now: Mono,
+    ) -> Option<Duration> {
+        let states = self.candidates(&requirements.service, requirements.model.as_deref());
+        let endpoints = states.map(|state| &state.endpoint);
+        let untried =
+            endpoints.filter(|endpoint| !requirements.excluded.contains(&endpoint.server));
+        let first = untried.map(|endpoint| self.pause_end(endpoint)).min()?;
+        Some(first.saturating_sub(now)).filter(|left| !left.is_zero())
+    }
+
+    fn pause_end(&self, endpoint: &Endpoint) -> Mono {
+        self.pauses.until(&endpoint.server, endpoint.started_at_ms)
+    }
+
     fn has_permit(&self, endpoint: &Endpoint, now: Mono) -> bool {
         self.limits.has_permit(&endpoint.server, endpoint.started_at_ms, now)
     }
@@ -376,7 +404,7 @@
         if let Some(state) = self.state(endpoint) {
             state.no_data_since = now;
             state.stall_noted_at = None;
-            state.consecutive_fulls = 0;
+            state.backoffs.made_progress();
         }
     }
 
@@ -410,8 +438,7 @@
     /// Records a complete response of `endpoint` and its duration.
     pub fn request_succeeded(&mut self, endpoint: &Endpoint, took: Duration) {
         if let Some(state) = self.state(endpoint) {
-            state.consecutive_failures = 0;
-            state.consecutive_fulls = 0;
+            state.backoffs.request_succeeded();
             state.mean_call_seconds +=
                 LATENCY_EWMA_WEIGHT * (took.as_secs_f64() - state.mean_call_seconds);
         }
@@ -420,9 +447,7 @@
     /// Records that `endpoint` refused a request for lack of capacity.
     pub fn reported_full(&mut self, endpoint: &Endpoint, now: Mono) {
         if let Some(state) = self.state(endpoint) {
-            let pause = INITIAL_FULL_BACKOFF * 2_u32.saturating_pow(state.consecutive_fulls.min(8));
-            state.consecutive_fulls += 1;
-            state.full_until = now + pause.min(MAX_FULL_BACKOFF);
+            state.backoffs.reported_full(now);
         }
     }
 
@@ -437,13 +462,10 @@
     /// Records that `endpoint` failed a request; it gets no others for a while.
     pub fn request_failed(&mut self, endpoint: &Endpoint, now: Mono) {
         if let Some(state) = self.state(endpoint) {
-            let pause =
-                INITIAL_FAILURE_BACKOFF * 2_u32.saturating_pow(state.consecutive_failures.min(8));
-            state.consecutive_failures += 1;
             if state.is_stalled(now) {
                 state.stall_noted_at = Some(now);
             }
-            state.backoff_until = now + pause.min(MAX_FAILURE_BACKOFF);
+            state.backoffs.request_failed(now);
         }
     }
 
@@ -532,12 +554,10 @@
             endpoint,
             local: Load::default(),
             remote: (Load::default(), Mono::ZERO),
-            full_until: Mono::ZERO,
-            consecutive_fulls: 0,
-            backoff_until: Mono::ZERO,
-            consecutive_failures: 0,
+            backoffs: Backoffs::default(),
             no_data_since: Mono::ZERO,
             stall_noted_at: None,
+            has_invalid_notice: false,
             mean_call_seconds: INITIAL_CALL_TIME.as_secs_f64(),
         }
     }
@@ -584,7 +604,7 @@
     requirements: &EndpointRequirements,
     now: Mono,
 ) -> Option<Candidate<'a>> {
-    if now < state.full_until || now < state.backoff_until || state.is_stalled(now) {
+    if now < state.backoffs.until() || state.is_stalled(now) {
         return None;
     }
     let load = state.total_load(now);
--- a/crates/pass/src/header_names.rs
+++ b/crates/pass/src/header_names.rs
@@ -23,6 +23,8 @@
     pub not_run: HeaderName,
     /// In responses: the requests a second that the backend server takes from all processes together.
     pub server_limit: HeaderName,
+    /// In responses: 1 if the backend server will end soon and wants no new requests.
+    pub leaving: HeaderName,
     /// In responses: the backend server's signature.
     pub signature: HeaderName,
     /// The model.
@@ -48,6 +50,7 @@
             priority: name("samphire-rank"),
             not_run: name("samphire-not-run"),
             server_limit: name("samphire-server-limit"),
+            leaving: name("samphire-leaving"),
             signature: name("samphire-signature"),
             model: name("samphire-model"),
             token_counts: name("samphire-tokens"),
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -6,12 +6,15 @@
 //! - [`header_names`]: the names of the headers that callers and backend servers use.
 //! - [`request`]: the metadata in the headers of a request.
 //! - [`endpoints`]: the endpoints that can receive requests, and their load.
+//! - [`availability`]: when an endpoint may get a request again.
+//! - [`server_notice`]: what a backend server says of itself in the headers of a response.
 //! - [`server_limit`]: the request rates that backend servers name.
 //! - [`dispatch`]: which requests are sent, queued or refused.
 //! - [`budget`]: this process's share of a fleet-wide retry budget.
 //! - [`outcome`]: the outcome of an attempt, and whether it may be retried.
 //! - [`events`]: splits a stream into complete events.
 
+pub mod availability;
 pub mod budget;
 pub mod config;
 pub mod dispatch;
@@ -22,6 +25,7 @@
 pub mod request;
 pub mod routes;
 pub mod server_limit;
+pub mod server_notice;
 
 /// The common types of this crate.
 pub mod prelude {
--- a/crates/pass/src/server_limit.rs
+++ b/crates/pass/src/server_limit.rs
@@ -17,37 +17,11 @@
 use std::collections::HashMap;
 
 use base::prelude::*;
-use displaydoc::Display;
 use form::prelude::*;
-use http::HeaderMap;
-use http::HeaderValue;
-
-use crate::header_names::HeaderNames;
 
 /// Requests per second.
 pub type RequestRate = f64;
 
-/// the limit {0:?} is no request rate
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
-pub struct InvalidLimit(HeaderValue);
-
-impl std::error::Error for InvalidLimit {}
-
-/// Returns the limit that a response names, if it names one.
-///
-/// # Errors
-///
-/// Returns the value that isn't a finite decimal number of 0 or more.
-pub fn named_limit(
-    headers: &HeaderMap,
-    header_names: &HeaderNames,
-) -> Result<Option<RequestRate>, InvalidLimit> {
-    let Some(value) = headers.get(&header_names.server_limit) else { return Ok(None) };
-    let limit = value.to_str().ok().and_then(|text| text.trim().parse::<RequestRate>().ok());
-    let limit = limit.filter(|limit| limit.is_finite() && *limit >= 0.0);
-    limit.map(Some).ok_or_else(|| InvalidLimit(value.clone()))
-}
-
 /// How long a permit may be used after it became due.
 pub const PERMIT_TTL: Duration = Duration::from_secs(1);
 /// Share of a limit that is used. The rest covers what was sent before all processes knew of it, and
--- a/crates/pass/tests/server_limit.rs
+++ b/crates/pass/tests/server_limit.rs
@@ -2,14 +2,10 @@
 
 use base::hash::stable;
 use base::prelude::*;
-use http::HeaderMap;
-use http::HeaderValue;
-use pass::prelude::*;
 use pass::server_limit::LimitObservation;
 use pass::server_limit::MIN_RATE;
 use pass::server_limit::ServerLimits;
 use pass::server_limit::USED_SHARE;
-use pass::server_limit::named_limit;
 use proptest::prelude::*;
 
 /// The server that names a limit, and its start.
@@ -57,24 +53,6 @@
     sent.iter().enumerate().map(|(i, first)| until(*first) - i).max().unwrap_or(0)
 }
 
-fn headers(value: &'static str) -> HeaderMap {
-    let name = HeaderNames::default().server_limit;
-    [(name, HeaderValue::from_static(value))].into_iter().collect()
-}
-
-// Guards against an unreadable limit being taken as none, or as zero.
-#[test]
-fn a_limit_that_is_no_rate_is_an_error() {
-    let names = HeaderNames::default();
-    assert_eq!(named_limit(&HeaderMap::new(), &names), Ok(None));
-    for (text, limit) in [("2.2", 2.2), (" 40 ", 40.0), ("0", 0.0)] {
-        assert_eq!(named_limit(&headers(text), &names), Ok(Some(limit)), "{text}");
-    }
-    for text in ["", "many", "-1", "NaN", "inf", "2,2"] {
-        assert!(named_limit(&headers(text), &names).is_err(), "{text}");
-    }
-}
-
 /// Returns a fleet whose processes learn of the limit at random times between two permits.
 fn random_fleet(processes: usize, limit: f64, seed: u64) -> Vec<ServerLimits> {
     let phase = |number| {
