Bound the bytes and the time that a server takes without giving a response

Over stand-ins: heads, interim responses, chunk sizes and trailers without end ended at the library's limits, but a body that drips on held an idempotent request until its deadline (504 after 20 s, though another server was free); and the rest of a long response was relayed past the deadline, with up to 64 read buffers queued for a slow caller.

An attempt's time-out now covers the body that is buffered, the rest ends with the request's deadline, two read buffers are queued at most, a head has at most 64 KiB and an event 256 KiB.

Also: a Keep-Alive time-out near 2^64 overflowed (the new test didn't end within 100 s on the code before).

--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -242,10 +242,14 @@
     /// Forwards a response that is no stream of events.
     async fn relay_response(mut self, response: Response) -> Result<Response, FailedAttempt> {
         let (mut parts, mut from) = response.into_parts();
-        let read = super::read_up_to(&mut from, MAX_BUFFERED_RESPONSE_BYTES).await;
-        let (bytes, is_whole) = match read {
-            Ok(read) => read,
-            Err(error) => {
+        let reading = super::read_up_to(&mut from, MAX_BUFFERED_RESPONSE_BYTES);
+        let (bytes, is_whole) = match tokio::time::timeout(self.timeout(), reading).await {
+            Ok(Ok(read)) => read,
+            Err(_) => {
+                let status = parts.status.as_u16();
+                return Err(self.fail(AttemptOutcome::Unknown, status, "the body takes too long"));
+            }
+            Ok(Err(error)) => {
                 server_end::check(self.active, self.reservation.endpoint()).await;
                 return Err(self.fail(
                     AttemptOutcome::Unknown,
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -140,15 +140,19 @@
     mut from: Body,
     reservation: Reservation,
 ) -> Body {
-    let (tx, body) = body::stream(());
+    let (tx, body) = body::stream_of_large_chunks();
     tokio::spawn(async move {
         let reservation = reservation;
         if !tx.send(first).await {
             return;
         }
         loop {
+            let left = active.deadline.saturating_sub(active.now());
             let chunk = tokio::select! {
                 () = tx.closed() => return,
+                () = tokio::time::sleep(left) => {
+                    return tx.abort("the request's deadline passed").await;
+                }
                 chunk = body::next_chunk(&mut from) => chunk,
             };
             match chunk {
--- a/crates/pass/src/events.rs
+++ b/crates/pass/src/events.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 
 /// Maximum size of an incomplete event; a stream with a larger one is considered malformed.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/pass/tests/events.rs
+++ b/crates/pass/tests/events.rs
@@ -59,3 +59,17 @@
         prop_assert!(ids.eq((0..pieces.len()).map(|i| i.to_string())));
     }
 }
+
+// Guards against memory that grows with a stream whose event never ends.
+#[test]
+fn an_event_without_end_is_refused_within_bounds() {
+    const LARGEST_EVENT_BYTES: usize = 256 << 10;
+    let mut events = EventSplitter::default();
+    let chunk = [b'x'; 4_096];
+    let mut pushed = 0;
+    while events.push(&chunk) {
+        assert!(events.next_event().is_none());
+        pushed += chunk.len();
+        assert!(pushed <= LARGEST_EVENT_BYTES, "{pushed} bytes without an event");
+    }
+}
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -17,6 +17,8 @@
 
 /// Chunks that a streamed body buffers before its writer waits.
 const STREAM_DEPTH_CHUNKS: usize = 64;
+/// Large chunks that a streamed body buffers before its writer waits.
+const LARGE_CHUNK_STREAM_DEPTH: usize = 2;
 
 /// Why a body could not be read.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
@@ -114,6 +116,12 @@
     (BodySender { tx }, Body::from_stream(GuardedStream { rx, _guard: guard }))
 }
 
+/// Returns a streamed body and its writer, for chunks that may be as large as a read buffer.
+pub fn stream_of_large_chunks() -> (BodySender, Body) {
+    let (tx, rx) = mpsc::channel(LARGE_CHUNK_STREAM_DEPTH);
+    (BodySender { tx }, Body::from_stream(GuardedStream { rx, _guard: () }))
+}
+
 struct GuardedStream<G> {
     rx: mpsc::Receiver<Result<Frame<Bytes>, BoxError>>,
     _guard: G,
--- a/crates/web/src/pool.rs
+++ b/crates/web/src/pool.rs
@@ -39,6 +39,10 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
 /// Most headers of a response.
 const MAX_HEADERS: usize = 100;
+/// Size of the read buffer of a connection in bytes, and with it of the largest head of a response.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+/// Longest time for which an idle connection is kept because of a `Keep-Alive` header.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
 
 /// Why a request failed.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
@@ -189,7 +193,7 @@
         let _ = stream.set_nodelay(true);
         let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
         let mut builder = http1::Builder::new();
-        builder.max_headers(MAX_HEADERS);
+        builder.max_headers(MAX_HEADERS).max_buf_size(READ_BUFFER_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| not_sent(address, &error, false))?;
         tokio::spawn(async move {
@@ -285,7 +289,9 @@
         match seconds {
             None => KeepAlive::Unlimited,
             // Half of the time, so that no request is sent just as the peer closes the connection.
-            Some(seconds) => KeepAlive::For(Duration::from_millis(seconds * 500)),
+            Some(seconds) => {
+                KeepAlive::For(Duration::from_secs(seconds).min(MAX_KEEP_ALIVE).mul_f64(0.5))
+            }
         }
     }
 }
--- a/crates/web/tests/pool.rs
+++ b/crates/web/tests/pool.rs
@@ -107,3 +107,24 @@
     }
     assert_eq!(pool.idle_addresses(), 1, "only the last one");
 }
+
+// Guards against a huge `Keep-Alive` timeout that overflows and ends the request that got it.
+#[tokio::test]
+async fn a_connection_is_reused_after_a_huge_keep_alive_timeout() {
+    let huge = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=18446744073709551615\r\n\
+        Content-Length: 2\r\n\r\nok";
+    let address = serve_bytes(vec![vec![huge, RESPONSE]]).await;
+    let pool = pool();
+    assert_eq!(send(&pool, address, Reuse::Any).await.as_deref(), Ok("ok"));
+    assert_eq!(send(&pool, address, Reuse::Any).await.as_deref(), Ok("ok"));
+}
+
+// Guards against a head that is read into memory without bound.
+#[tokio::test]
+async fn a_head_that_exceeds_the_read_buffer_is_no_response() {
+    let head = format!("HTTP/1.1 200 OK\r\nX-Rest: {}\r\n", "x".repeat(100 << 10));
+    let head: &'static [u8] = Box::leak(head.into_bytes().into_boxed_slice());
+    let address = serve_bytes(vec![vec![head, RESPONSE]]).await;
+    let error = send(&pool(), address, Reuse::Any).await.expect_err("no response");
+    assert!(matches!(error, PoolError::Incomplete { .. }), "{error}");
+}
