Share out all capacity when the first demand is met with half of it

fair_shares compared its step with what was left after the step, so a step that used exactly half of the capacity was taken for the last one: of 2.0, demands of 0.5 and 3.0 got 0.5 each.

--- a/crates/route/src/share.rs
+++ b/crates/route/src/share.rs
@@ -273,14 +273,15 @@
         }
         // All rise together until the first demand is met.
         let steps = open.iter().map(|&i| (demands[i].demand - given[i]) / demands[i].weight);
-        let step = steps.fold(free / weights, f64::min);
+        let last_step = free / weights;
+        let step = steps.fold(last_step, f64::min);
         for &i in &open {
             let raised = given[i] + step * demands[i].weight;
             let is_met = raised >= demands[i].demand * (1.0 - f64::EPSILON);
             given[i] = if is_met { demands[i].demand } else { raised };
         }
         free -= step * weights;
-        if step == free / weights || free <= capacity * f64::EPSILON {
+        if step == last_step || free <= capacity * f64::EPSILON {
             return given;
         }
     }
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -302,3 +302,11 @@
         }
     }
 }
+
+// Guards against capacity that is left while a demand is unmet: the first step used exactly half of
+// it, which was taken for the end.
+#[test]
+fn capacity_is_shared_out_when_the_first_demand_is_met_with_half_of_it() {
+    let demand = |demand| CapacityDemand { demand, guaranteed: 0.0, weight: 1.0 };
+    assert_eq!(fair_shares(2.0, &[demand(0.5), demand(3.0)]), [0.5, 1.5]);
+}
