--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -63,6 +63,8 @@
 /// How long a process waits before it takes a free hub lock, times the part of a processor core
 /// that it lacks. Processes with more processor become hubs first.
 const MAX_HUB_ELECTION_DELAY: Duration = Duration::from_millis(1_200);
+/// Pause between two listings of the hubs by a process that knows none.
+const HUB_LISTING_PAUSE: Duration = Duration::from_millis(300);
 /// Prefix of the hub locks, below the prefix of the system's own keys.
 const HUB_PREFIX: &str = "hub/";
 
@@ -182,10 +184,13 @@
 
 async fn exchange_periodically(state: Arc<State>) {
     let mut listed = false;
+    let mut next_listing = Mono::ZERO;
     loop {
-        if !listed && !state.shared.local.lock().is_hub {
+        let now = state.cx.now();
+        if !listed && now >= next_listing && !state.shared.local.lock().is_hub {
             // The addresses of the hubs are rows of the store, which normally come from a hub.
             listed = list_hubs(&state).await;
+            next_listing = now + HUB_LISTING_PAUSE;
         }
         crashes::keep_waiting(&state);
         if state.shared.local.lock().is_hub {
