--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -16,29 +16,22 @@
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use base::prelude::*;
+use form::observed_groups::GroupKey;
 use form::prelude::*;
-
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::availability::Backoffs;
+use crate::availability::Pauses;
 use crate::config::ServiceSpec;
 use crate::server_limit::LimitObservation;
 use crate::server_limit::RequestRate;
 use crate::server_limit::ServerLimits;
 
-/// How long an endpoint that reported itself full gets no requests. Doubles with each report up to
-/// the maximum, since an endpoint that has ceased to serve reports the same.
-const INITIAL_FULL_BACKOFF: Duration = Duration::from_millis(60);
-/// Maximum time that an endpoint that reported itself full gets no requests.
-const MAX_FULL_BACKOFF: Duration = Duration::from_millis(1_000);
-/// How long an endpoint gets no requests after it failed one. Doubles with each failure up to the
-/// maximum.
-const INITIAL_FAILURE_BACKOFF: Duration = Duration::from_millis(250);
-/// Maximum time that an endpoint gets no requests after failures.
-const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(4);
 /// Time without data for all requests at an endpoint after which it counts as stalled.
 const STALL_TIMEOUT: Duration = Duration::from_millis(450);
 /// How long an endpoint stays reported as stalled after its requests were moved elsewhere.
@@ -77,7 +70,7 @@
     /// The service.
     pub service: ServiceId,
     /// The group that it heads, and its epoch.
-    pub group: Option<(GroupId, u64)>,
+    pub group: Option<GroupKey>,
     /// The model of the group.
     pub model: Option<ModelId>,
     /// Requests that it runs concurrently.
@@ -104,6 +97,9 @@
     /// What the endpoint's last response said of its limit, if it has named one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<LimitObservation>,
+    /// The start time of the server instance, in Unix milliseconds, if it has said that it is leaving.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leaving: Option<u64>,
 }
 
 impl Load {
@@ -115,6 +111,7 @@
             pending_prefill_tokens: self.pending_prefill_tokens + other.pending_prefill_tokens,
             ms_since_data: self.ms_since_data.into_iter().chain(other.ms_since_data).min(),
             limit: self.limit.into_iter().chain(other.limit).reduce(LimitObservation::later),
+            leaving: self.leaving.max(other.leaving),
         }
     }
 
@@ -138,15 +135,13 @@
     local: Load,
     /// Load from all other processes, and when it was reported.
     remote: (Load, Mono),
-    full_until: Mono,
-    /// How often it reported itself full since it last made progress.
-    consecutive_fulls: u32,
-    backoff_until: Mono,
-    consecutive_failures: u32,
+    backoffs: Backoffs,
     /// Time since when no request of this process has received data.
     no_data_since: Mono,
     /// Time when requests were moved away because of a stall; `None` once there was data again.
     stall_noted_at: Option<Mono>,
+    /// Whether a response said something invalid of the server.
+    has_invalid_notice: bool,
     /// Moving average of the duration of a call to a plain service, in seconds.
     mean_call_seconds: f64,
 }
@@ -175,14 +170,35 @@
     pub utilization: f64,
 }
 
+/// An endpoint that has capacity, with its expected response time.
+struct Candidate<'a> {
+    endpoint: &'a Endpoint,
+    /// See [`EndpointChoice::expected_time`].
+    expected_time: Duration,
+    /// See [`EndpointChoice::utilization`].
+    utilization: f64,
+}
+
+impl From<Candidate<'_>> for EndpointChoice {
+    fn from(candidate: Candidate<'_>) -> Self {
+        EndpointChoice {
+            endpoint: candidate.endpoint.clone(),
+            expected_time: candidate.expected_time,
+            utilization: candidate.utilization,
+        }
+    }
+}
+
 /// All endpoints, by service.
 #[derive(Debug, Default)]
 pub struct EndpointPool {
     states: HashMap<ServerId, EndpointState>,
-    by_service: HashMap<ServiceId, Vec<ServerId>>,
+    by_service: HashMap<ServiceId, BTreeSet<ServerId>>,
     services: HashMap<ServiceId, Arc<ServiceSpec>>,
     /// The servers that have named a limit.
     limits: ServerLimits,
+    /// The servers that have asked for a pause.
+    pauses: Pauses,
     /// State of the random number generator.
     rng_state: Cell<u64>,
     /// Number of processes that choose among these endpoints.
@@ -202,20 +218,45 @@
 
     /// Replaces all endpoints; the state of unchanged ones is kept.
     pub fn set_endpoints(&mut self, endpoints: Vec<Endpoint>) {
-        let mut old = std::mem::take(&mut self.states);
-        self.by_service.clear();
+        let listed: HashSet<&ServerId> =
+            endpoints.iter().map(|endpoint| &endpoint.server).collect();
+        let gone: Vec<ServerId> =
+            self.states.keys().filter(|id| !listed.contains(id)).cloned().collect();
+        for id in gone {
+            self.remove(&id);
+        }
         for endpoint in endpoints {
-            let kept = old
-                .remove(&endpoint.server)
-                .filter(|state| is_same_endpoint(&state.endpoint, &endpoint));
-            let state = match kept {
-                Some(state) => EndpointState { endpoint, ..state },
-                None => EndpointState::new(endpoint),
-            };
-            let id = state.endpoint.server.clone();
-            self.by_service.entry(state.endpoint.service.clone()).or_default().push(id.clone());
-            self.states.insert(id, state);
+            self.set_endpoint(endpoint);
+        }
+    }
+
+    /// Adds an endpoint or replaces that of the same server; the state of an unchanged one is kept.
+    pub fn set_endpoint(&mut self, endpoint: Endpoint) {
+        let kept = self.remove(&endpoint.server);
+        let state = match kept.filter(|state| is_same_endpoint(&state.endpoint, &endpoint)) {
+            Some(state) => EndpointState { endpoint, ..state },
+            None => EndpointState::new(endpoint),
+        };
+        let id = state.endpoint.server.clone();
+        self.by_service.entry(state.endpoint.service.clone()).or_default().insert(id.clone());
+        self.states.insert(id, state);
+    }
+
+    /// Removes the endpoint of a server, if it has one for `group`; `None` stands for the endpoint of
+    /// a plain service.
+    pub fn remove_endpoint(&mut self, server: &str, group: Option<&GroupKey>) {
+        let endpoint = self.states.get(server).map(|state| &state.endpoint);
+        if endpoint.is_some_and(|endpoint| endpoint.group.as_ref() == group) {
+            self.remove(server);
+        }
+    }
+
+    fn remove(&mut self, server: &str) -> Option<EndpointState> {
+        let state = self.states.remove(server)?;
+        if let Some(ids) = self.by_service.get_mut(&state.endpoint.service) {
+            ids.remove(server);
         }
+        Some(state)
     }
 
     /// Returns whether any endpoint serves `model` of `service`.
@@ -241,43 +282,49 @@
         if self.limits.is_empty() {
             return None;
         }
-        let choices = self.choices(requirements, now);
-        let best = choices.iter().map(|choice| choice.expected_time).min()?;
-        let is_preferred = |choice: &EndpointChoice| {
-            let (server, started_at_ms) = (&choice.endpoint.server, choice.endpoint.started_at_ms);
-            let is_fast = choice.expected_time <= best + NEAR_BEST_MARGIN;
+        let candidates = self.available(requirements, now);
+        let best = candidates.iter().map(|candidate| candidate.expected_time).min()?;
+        let is_preferred = |candidate: &Candidate<'_>| {
+            let endpoint = candidate.endpoint;
+            let is_fast = candidate.expected_time <= best + NEAR_BEST_MARGIN;
             self.limits
-                .limit_age(server, started_at_ms, now)
+                .limit_age(&endpoint.server, endpoint.started_at_ms, now)
                 .is_some_and(|age| is_fast || age > MAX_LIMIT_AGE)
         };
-        choices.into_iter().filter(is_preferred).min_by_key(|choice| choice.expected_time)
+        let preferred = candidates.into_iter().filter(is_preferred);
+        preferred.min_by_key(|candidate| candidate.expected_time).map(EndpointChoice::from)
     }
 
     /// Chooses an endpoint with a nearly optimal expected response time; `None` if none has
     /// capacity.
     pub fn choose(&self, requirements: &EndpointRequirements, now: Mono) -> Option<EndpointChoice> {
-        let mut choices = self.choices(requirements, now);
-        let best = choices.iter().map(|choice| choice.expected_time).min()?;
+        let mut candidates = self.available(requirements, now);
+        let best = candidates.iter().map(|candidate| candidate.expected_time).min()?;
         let many = (self.processes as f64 / MANY_PROCESSES).min(1.0);
         let bound = best.mul_f64(1.0 + NEAR_BEST_RATIO * many) + NEAR_BEST_MARGIN.mul_f64(many);
-        choices.retain(|choice| choice.expected_time <= bound);
-        let first = choices.swap_remove(self.random_below(choices.len()));
-        if choices.is_empty() {
-            return Some(first);
+        candidates.retain(|candidate| candidate.expected_time <= bound);
+        let first = candidates.swap_remove(self.random_below(candidates.len()));
+        if candidates.is_empty() {
+            return Some(first.into());
         }
-        let second = choices.swap_remove(self.random_below(choices.len()));
+        let second = candidates.swap_remove(self.random_below(candidates.len()));
         let is_better =
             (second.expected_time, second.utilization) < (first.expected_time, first.utilization);
-        Some(if is_better { second } else { first })
+        Some(if is_better { second } else { first }.into())
     }
 
     /// Returns the endpoints that have capacity.
-    fn choices(&self, requirements: &EndpointRequirements, now: Mono) -> Vec<EndpointChoice> {
+    fn available<'a>(
+        &'a self,
+        requirements: &'a EndpointRequirements,
+        now: Mono,
+    ) -> Vec<Candidate<'a>> {
         let engine = self.services.get(&requirements.service).and_then(|spec| spec.engine.as_ref());
-        let candidates = self.candidates(&requirements.service, requirements.model.as_deref());
-        candidates
+        let states = self.candidates(&requirements.service, requirements.model.as_deref());
+        states
             .filter(|state| !requirements.excluded.contains(&state.endpoint.server))
             .filter(|state| self.has_permit(&state.endpoint, now))
+            .filter(|state| now >= self.pause_end(&state.endpoint))
             .filter_map(|state| evaluate(state, engine, requirements, now))
             .collect()
     }
@@ -295,6 +342,37 @@
         self.random_below(STEPS) as f64 / STEPS as f64
     }
 
+    /// Records that the server of `endpoint` wants no requests for `pause`.
+    pub fn pause_requested(&mut self, endpoint: &Endpoint, pause: Duration, now: Mono) {
+        self.pauses.record(&endpoint.server, endpoint.started_at_ms, pause, now);
+    }
+
+    /// Records that a response said something invalid of the server of `endpoint`; returns whether
+    /// none did before.
+    pub fn invalid_notice_seen(&mut self, endpoint: &Endpoint) -> bool {
+        let state = self.state(endpoint);
+        state.is_some_and(|state| !std::mem::replace(&mut state.has_invalid_notice, true))
+    }
+
+    /// Returns how long it takes until the first pause ends, if all servers that may get a request
+    /// have asked for one.
+    pub fn time_to_pause_end(
+        &self,
+        requirements: &EndpointRequirements,
+        now: Mono,
+    ) -> Option<Duration> {
+        let states = self.candidates(&requirements.service, requirements.model.as_deref());
+        let endpoints = states.map(|state| &state.endpoint);
+        let untried =
+            endpoints.filter(|endpoint| !requirements.excluded.contains(&endpoint.server));
+        let first = untried.map(|endpoint| self.pause_end(endpoint)).min()?;
+        Some(first.saturating_sub(now)).filter(|left| !left.is_zero())
+    }
+
+    fn pause_end(&self, endpoint: &Endpoint) -> Mono {
+        self.pauses.until(&endpoint.server, endpoint.started_at_ms)
+    }
+
     fn has_permit(&self, endpoint: &Endpoint, now: Mono) -> bool {
         self.limits.has_permit(&endpoint.server, endpoint.started_at_ms, now)
     }
@@ -304,8 +382,8 @@
         service: &str,
         model: Option<&'a str>,
     ) -> impl Iterator<Item = &'a EndpointState> + 'a {
-        let ids = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
-        let states = ids.iter().filter_map(|id| self.states.get(id));
+        let ids = self.by_service.get(service).into_iter().flatten();
+        let states = ids.filter_map(|id| self.states.get(id));
         states.filter(move |state| state.endpoint.model.as_deref() == model)
     }
 
@@ -326,7 +404,7 @@
         if let Some(state) = self.state(endpoint) {
             state.no_data_since = now;
             state.stall_noted_at = None;
-            state.consecutive_fulls = 0;
+            state.backoffs.made_progress();
         }
     }
 
@@ -360,8 +438,7 @@
     /// Records a complete response of `endpoint` and its duration.
     pub fn request_succeeded(&mut self, endpoint: &Endpoint, took: Duration) {
         if let Some(state) = self.state(endpoint) {
-            state.consecutive_failures = 0;
-            state.consecutive_fulls = 0;
+            state.backoffs.request_succeeded();
             state.mean_call_seconds +=
                 LATENCY_EWMA_WEIGHT * (took.as_secs_f64() - state.mean_call_seconds);
         }
@@ -370,9 +447,7 @@
     /// Records that `endpoint` refused a request for lack of capacity.
     pub fn reported_full(&mut self, endpoint: &Endpoint, now: Mono) {
         if let Some(state) = self.state(endpoint) {
-            let pause = INITIAL_FULL_BACKOFF * 2_u32.saturating_pow(state.consecutive_fulls.min(8));
-            state.consecutive_fulls += 1;
-            state.full_until = now + pause.min(MAX_FULL_BACKOFF);
+            state.backoffs.reported_full(now);
         }
     }
 
@@ -387,13 +462,10 @@
     /// Records that `endpoint` failed a request; it gets no others for a while.
     pub fn request_failed(&mut self, endpoint: &Endpoint, now: Mono) {
         if let Some(state) = self.state(endpoint) {
-            let pause =
-                INITIAL_FAILURE_BACKOFF * 2_u32.saturating_pow(state.consecutive_failures.min(8));
-            state.consecutive_failures += 1;
             if state.is_stalled(now) {
                 state.stall_noted_at = Some(now);
             }
-            state.backoff_until = now + pause.min(MAX_FAILURE_BACKOFF);
+            state.backoffs.request_failed(now);
         }
     }
 
@@ -482,12 +554,10 @@
             endpoint,
             local: Load::default(),
             remote: (Load::default(), Mono::ZERO),
-            full_until: Mono::ZERO,
-            consecutive_fulls: 0,
-            backoff_until: Mono::ZERO,
-            consecutive_failures: 0,
+            backoffs: Backoffs::default(),
             no_data_since: Mono::ZERO,
             stall_noted_at: None,
+            has_invalid_notice: false,
             mean_call_seconds: INITIAL_CALL_TIME.as_secs_f64(),
         }
     }
@@ -528,13 +598,13 @@
 }
 
 /// Returns the endpoint with its expected response time, unless it is backing off, stalled or full.
-fn evaluate(
-    state: &EndpointState,
+fn evaluate<'a>(
+    state: &'a EndpointState,
     engine: Option<&EngineSpec>,
     requirements: &EndpointRequirements,
     now: Mono,
-) -> Option<EndpointChoice> {
-    if now < state.full_until || now < state.backoff_until || state.is_stalled(now) {
+) -> Option<Candidate<'a>> {
+    if now < state.backoffs.until() || state.is_stalled(now) {
         return None;
     }
     let load = state.total_load(now);
@@ -546,11 +616,7 @@
     };
     let has_room = engine.is_none() || utilization < 1.0;
     let expected_time = Duration::from_secs_f64(seconds);
-    has_room.then(|| EndpointChoice {
-        endpoint: state.endpoint.clone(),
-        expected_time,
-        utilization,
-    })
+    has_room.then_some(Candidate { endpoint: &state.endpoint, expected_time, utilization })
 }
 
 /// Returns the expected time to the first event: the prefill of all pending prompts, then the
