--- a/crates/form/src/server_table.rs
+++ b/crates/form/src/server_table.rs
@@ -112,7 +112,10 @@
     /// Records that an instance of a server is leaving, and returns the groups that this changes;
     /// `None` if it is no news.
     pub fn set_leaving(&mut self, id: &str, started_at_ms: u64) -> Option<Vec<ChangedGroup>> {
-        if self.leaving.get(id).is_some_and(|known| *known >= started_at_ms) {
+        let is_known = self.leaving.get(id).is_some_and(|known| *known >= started_at_ms);
+        let has_restarted =
+            self.servers.get(id).is_some_and(|server| server.started_at_ms > started_at_ms);
+        if is_known || has_restarted {
             return None;
         }
         self.leaving.insert(id.into(), started_at_ms);
--- a/crates/form/tests/server_table.rs
+++ b/crates/form/tests/server_table.rs
@@ -143,6 +143,6 @@
     assert_eq!(state(&table), ServerState::Draining, "its report had only lapsed");
     table.report(Server { started_at_ms: 9, ..server("s0", 0, None) });
     assert_eq!(state(&table), ServerState::Ready, "a new instance");
-    assert_eq!(table.set_leaving("s0", 1).map(|changed| changed.len()), Some(0));
+    assert_eq!(table.set_leaving("s0", 1), None, "no news of the instance that reports now");
     assert_eq!(state(&table), ServerState::Ready, "an earlier instance had left");
 }
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -52,7 +52,7 @@
     /// The current routes; version 0 before the first configuration.
     pub routes: Arc<RouteTable>,
     /// The reports of all servers, and their groups.
-    servers: ServerTable,
+    reports: ServerTable,
     /// The rows of the store from which the rest is derived.
     pub row_cache: RowCache,
     /// The loads that other processes reported.
@@ -92,7 +92,7 @@
     pub fn new(retries: BudgetSettings) -> Self {
         let local = LocalState {
             routes: Arc::default(),
-            servers: ServerTable::default(),
+            reports: ServerTable::default(),
             row_cache: RowCache::default(),
             load_reports: LoadReports::default(),
             is_hub: false,
@@ -180,14 +180,14 @@
     }
 
     /// Returns the reports of all servers, and their groups.
-    pub fn servers(&self) -> &ServerTable {
-        &self.servers
+    pub fn reports(&self) -> &ServerTable {
+        &self.reports
     }
 
     /// Applies a server's report, unless a later one was seen.
     pub fn set_server(&mut self, server: Server) {
         let id = server.id.clone();
-        if self.servers.is_outdated(&server) {
+        if self.reports.is_outdated(&server) {
             decision_log::write(&Record::Outdated {
                 server: &id,
                 born_ms: server.started_at_ms,
@@ -195,8 +195,8 @@
             });
             return;
         }
-        let Some(changed) = self.servers.report(server) else { return };
-        if let Some(server) = self.servers.servers().get(&id) {
+        let Some(changed) = self.reports.report(server) else { return };
+        if let Some(server) = self.reports.servers().get(&id) {
             log_report(server);
         }
         self.update_endpoints(&id, &changed);
@@ -205,7 +205,7 @@
     /// Records that an instance of a server is leaving, as a response to `request` said; to be sent
     /// to the other processes if it arrived at this one.
     pub fn set_leaving(&mut self, id: &str, started_at_ms: u64, request: &str, now: Mono) {
-        let Some(changed) = self.servers.set_leaving(id, started_at_ms) else { return };
+        let Some(changed) = self.reports.set_leaving(id, started_at_ms) else { return };
         let born_ms = started_at_ms;
         decision_log::write(&Record::ServerLeaving { request, server: id, born_ms });
         if !request.is_empty() {
@@ -231,8 +231,8 @@
 
     /// Records that a server's report is missing.
     pub fn remove_server(&mut self, id: &str, now: Mono) {
-        let Some(changed) = self.servers.report_missing(id, now) else { return };
-        if let Some(missing) = self.servers.missing().get(id) {
+        let Some(changed) = self.reports.report_missing(id, now) else { return };
+        if let Some(missing) = self.reports.missing().get(id) {
             log_missing_report(&missing.server);
         }
         self.update_endpoints(id, &changed);
@@ -244,12 +244,12 @@
         for spec in self.routes.services() {
             match &spec.engine {
                 Some(engine) => {
-                    let groups = self.servers.groups(&spec.name);
+                    let groups = self.reports.groups(&spec.name);
                     let groups = groups.into_iter().flat_map(|groups| groups.by_key.values());
                     endpoints.extend(groups.filter_map(|group| self.group_endpoint(group, engine)));
                 }
                 None => {
-                    let servers = self.servers.servers().values();
+                    let servers = self.reports.servers().values();
                     let servers = servers.filter(|server| server.service == spec.name);
                     endpoints.extend(servers.filter_map(plain_endpoint));
                 }
@@ -266,7 +266,7 @@
         let is_plain = |server: &&Server| {
             self.routes.service(&server.service).is_some_and(|spec| spec.engine.is_none())
         };
-        let server = self.servers.servers().get(id).filter(is_plain);
+        let server = self.reports.servers().get(id).filter(is_plain);
         match server.and_then(plain_endpoint) {
             Some(endpoint) => self.endpoints.set_endpoint(endpoint),
             None => self.endpoints.remove_endpoint(id, None),
@@ -276,7 +276,7 @@
     fn update_group_endpoint(&mut self, changed: &ChangedGroup) {
         let engine =
             self.routes.service(&changed.service).and_then(|service| service.engine.as_ref());
-        let groups = self.servers.groups(&changed.service);
+        let groups = self.reports.groups(&changed.service);
         let group = groups.and_then(|groups| groups.by_key.get(&changed.key));
         let endpoint =
             group.zip(engine).and_then(|(group, engine)| self.group_endpoint(group, engine));
@@ -292,7 +292,7 @@
     /// Returns the endpoint of a group, if the group takes requests.
     fn group_endpoint(&self, group: &Group, engine: &EngineSpec) -> Option<Endpoint> {
         let head = group.head().filter(|_| group.is_serving(engine))?;
-        let head = self.servers.servers().get(head)?;
+        let head = self.reports.servers().get(head)?;
         let (name, model) = (Some((group.name.clone(), group.epoch)), group.model.clone());
         Some(Endpoint { group: name, model, slots: engine.slots, ..endpoint(head) })
     }
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -131,9 +131,9 @@
             let (demand, stalled) = (local.demand(engine), local.endpoints.stalled_servers(now));
             let observed = ObservedState {
                 service: &spec.name,
-                servers: local.servers().servers(),
-                missing: local.servers().missing(),
-                groups: local.servers().groups(&spec.name).unwrap_or(&no_groups),
+                servers: local.reports().servers(),
+                missing: local.reports().missing(),
+                groups: local.reports().groups(&spec.name).unwrap_or(&no_groups),
                 engine,
                 demand: &demand,
                 stalled_heads: &stalled,
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -78,7 +78,7 @@
     let local = shared.local.lock();
     let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
     metrics.waiting.set(gauge(local.dispatch.len()));
-    metrics.servers.set(gauge(local.servers().servers().len()));
+    metrics.servers.set(gauge(local.reports().servers().len()));
     metrics.store_up.set(i64::from(local.store_up));
     metrics.version.set(i64::try_from(local.routes.version()).unwrap_or(i64::MAX));
     metrics.dropped_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
--- a/crates/front/src/serve/server_end.rs
+++ b/crates/front/src/serve/server_end.rs
@@ -47,7 +47,7 @@
 /// Returns whether the server's last report says that it takes requests.
 fn is_serving(active: &ActiveRequest, endpoint: &Endpoint) -> bool {
     let local = active.state.shared.local.lock();
-    let server = local.servers().servers().get(&endpoint.server);
+    let server = local.reports().servers().get(&endpoint.server);
     server.is_some_and(|server| {
         server.state == ServerState::Ready && server.started_at_ms == endpoint.started_at_ms
     })
