Pass the observed groups to the owner's steps once

ObservedState got the groups when they came to be kept up to date by the changed row, but each step of the owner still took them as a second parameter beside it, which could differ. Now they come from ObservedState alone. No behaviour changes; the tests of the owner, its property tests included, pass unchanged.

--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -274,16 +274,15 @@
 
     /// Returns the orders that the observed state requires.
     pub fn decide(&mut self, observed: &ObservedState<'_>) -> Vec<Command> {
-        let observed_groups = observed.groups;
-        self.update_memory(observed, observed_groups);
+        self.update_memory(observed);
         let mut commands = Vec::new();
-        self.advance_forming(observed, observed_groups, &mut commands);
-        self.maintain_groups(observed, observed_groups, &mut commands);
-        self.check_stalled_groups(observed, observed_groups, &mut commands);
-        let free = self.free_by_fabric(observed, observed_groups);
-        self.rebalance(&free, observed, observed_groups);
-        self.form_groups(free, observed, observed_groups, &mut commands);
-        self.stage_models(observed, observed_groups, &mut commands);
+        self.advance_forming(observed, &mut commands);
+        self.maintain_groups(observed, &mut commands);
+        self.check_stalled_groups(observed, &mut commands);
+        let free = self.free_by_fabric(observed);
+        self.rebalance(&free, observed);
+        self.form_groups(free, observed, &mut commands);
+        self.stage_models(observed, &mut commands);
         commands
     }
 
@@ -325,8 +324,8 @@
     }
 
     /// Records new servers, and drops the memory of what no report mentions any more.
-    fn update_memory(&mut self, observed: &ObservedState<'_>, observed_groups: &ObservedGroups) {
-        let is_observed = |key: &GroupKey| observed_groups.by_key.contains_key(key);
+    fn update_memory(&mut self, observed: &ObservedState<'_>) {
+        let is_observed = |key: &GroupKey| observed.groups.by_key.contains_key(key);
         self.last_joins.retain(|instance, _| {
             observed
                 .servers
@@ -394,10 +393,10 @@
         self.busy.contains(server)
     }
 
-    fn next_epoch(&mut self, observed_groups: &ObservedGroups) -> Generation {
+    fn next_epoch(&mut self, groups: &ObservedGroups) -> Generation {
         self.next_group += 1;
         let own = (self.fencing_token << EPOCH_COUNT_BITS) + self.next_group;
-        let seen = observed_groups.by_key.keys().map(|(_, epoch)| *epoch).max().unwrap_or(0);
+        let seen = groups.by_key.keys().map(|(_, epoch)| *epoch).max().unwrap_or(0);
         own.max(seen + 1)
     }
 
--- a/crates/form/src/owner/forming.rs
+++ b/crates/form/src/owner/forming.rs
@@ -18,7 +18,6 @@
 use super::Owner;
 use super::Reply;
 use crate::observed_groups::Group;
-use crate::observed_groups::ObservedGroups;
 use crate::server::InstanceId;
 use crate::server::Phase;
 use crate::server::Server;
@@ -185,12 +184,11 @@
     pub(super) fn advance_forming(
         &mut self,
         observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
         commands: &mut Vec<Command>,
     ) {
         for name in self.forming.names() {
             let Some(mut forming) = self.forming.remove(&name) else { continue };
-            let group = observed_groups.by_key.get(&(name.clone(), forming.epoch));
+            let group = observed.groups.by_key.get(&(name.clone(), forming.epoch));
             if group.is_some_and(|group| group.head_phase == Some(Phase::Open)) {
                 continue;
             }
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -25,7 +25,6 @@
 use crate::compose::PlannedGroup;
 use crate::compose::StoreLoads;
 use crate::observed_groups::GroupKey;
-use crate::observed_groups::ObservedGroups;
 use crate::server::Phase;
 use crate::server::Server;
 use crate::server::ServerState;
@@ -45,30 +44,25 @@
         &mut self,
         mut free: BTreeMap<FabricId, Vec<Candidate>>,
         observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
         commands: &mut Vec<Command>,
     ) {
         if self.is_awaiting_servers(observed) {
             return;
         }
         free.retain(|fabric, _| !self.rebalances.contains_key(fabric));
-        let demands = self.model_demands(observed, observed_groups);
+        let demands = self.model_demands(observed);
         let loads =
             if observed.before_traffic { StoreLoads::Allowed } else { StoreLoads::Forbidden };
         for (fabric, groups) in compose::plan(observed.engine, &demands, &free, loads) {
             for choice in &groups {
-                self.form(choice, observed, observed_groups, loads);
+                self.form(choice, observed, loads);
             }
             if observed.before_traffic {
                 let is_spare = |c: &&Candidate| !groups.iter().any(|g| g.members.contains(&c.id));
-                self.warm_up_spares(
-                    free[&fabric].iter().filter(is_spare),
-                    observed,
-                    observed_groups,
-                );
+                self.warm_up_spares(free[&fabric].iter().filter(is_spare), observed);
             }
         }
-        self.advance_forming(observed, observed_groups, commands);
+        self.advance_forming(observed, commands);
     }
 
     /// Returns whether servers are still arriving at the first start, when waiting for a better
@@ -85,13 +79,12 @@
         &mut self,
         spare: impl Iterator<Item = &'a Candidate>,
         observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
     ) {
-        let served = ServedModels::new(observed_groups);
+        let served = ServedModels::new(observed.groups);
         for candidate in spare.filter(|candidate| candidate.loaded_model.is_none()) {
             let server = &observed.servers[&candidate.id];
             let Some(model) = served.most_served_near(server, observed) else { continue };
-            let epoch = self.next_epoch(observed_groups);
+            let epoch = self.next_epoch(observed.groups);
             let times = vec![candidate.time_to_join(model, StoreLoads::Allowed)];
             let name = model.name.clone();
             let forming =
@@ -100,14 +93,8 @@
         }
     }
 
-    fn form(
-        &mut self,
-        choice: &PlannedGroup,
-        observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
-        loads: StoreLoads,
-    ) {
-        let epoch = self.next_epoch(observed_groups);
+    fn form(&mut self, choice: &PlannedGroup, observed: &ObservedState<'_>, loads: StoreLoads) {
+        let epoch = self.next_epoch(observed.groups);
         let name = group_name(epoch, &observed.servers[&choice.members[0]]);
         let model = &observed.engine.models[choice.model_index];
         let servers = || choice.members.iter().map(|id| &observed.servers[id]);
@@ -117,13 +104,9 @@
         self.forming.insert(name, forming);
     }
 
-    pub(super) fn model_demands(
-        &self,
-        observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
-    ) -> Vec<ModelDemand> {
+    pub(super) fn model_demands(&self, observed: &ObservedState<'_>) -> Vec<ModelDemand> {
         let supply = |model: &str| {
-            let serving = observed_groups.by_key.iter().filter(|(key, group)| {
+            let serving = observed.groups.by_key.iter().filter(|(key, group)| {
                 group.model.as_deref() == Some(model)
                     && group.is_serving(observed.engine)
                     && !self.forming.contains(&group.name)
@@ -148,9 +131,8 @@
     pub(super) fn free_by_fabric(
         &self,
         observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
     ) -> BTreeMap<FabricId, Vec<Candidate>> {
-        let free = self.free_servers(observed, observed_groups).into_iter();
+        let free = self.free_servers(observed).into_iter();
         free.map(|(fabric, servers)| (fabric, servers.into_iter().map(candidate).collect()))
             .collect()
     }
@@ -159,14 +141,13 @@
     pub(super) fn free_servers<'a>(
         &self,
         observed: &ObservedState<'a>,
-        observed_groups: &ObservedGroups,
     ) -> BTreeMap<FabricId, Vec<&'a Server>> {
         let mut free: BTreeMap<FabricId, Vec<&Server>> = BTreeMap::new();
         for server in
             observed.servers.values().filter(|server| &*server.service == observed.service)
         {
             let Some(fabric) = &server.fabric else { continue };
-            if self.is_free(server, observed, observed_groups) {
+            if self.is_free(server, observed) {
                 free.entry(fabric.clone()).or_default().push(server);
             }
         }
@@ -174,12 +155,7 @@
     }
 
     /// Returns whether `server` may be ordered to join a group.
-    pub(super) fn is_free(
-        &self,
-        server: &Server,
-        observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
-    ) -> bool {
+    pub(super) fn is_free(&self, server: &Server, observed: &ObservedState<'_>) -> bool {
         if server.state != ServerState::Ready || self.is_in_forming(&server.id) {
             return false;
         }
@@ -194,17 +170,16 @@
             // observed to serve.
             let key = &joined.key;
             return !joined.accepted
-                && (self.released.contains(key)
-                    || self.cannot_serve_again(key, observed, observed_groups));
+                && (self.released.contains(key) || self.cannot_serve_again(key, observed));
         }
         let Some(membership) = reported else {
-            return !self.may_have_joined(server, observed, observed_groups);
+            return !self.may_have_joined(server, observed);
         };
         let key = (membership.group.clone(), membership.epoch);
         if self.released.contains(&key) {
             return true;
         }
-        let Some(group) = observed_groups.by_key.get(&key) else { return true };
+        let Some(group) = observed.groups.by_key.get(&key) else { return true };
         let is_head = membership.rank == 0;
         match group.head_phase {
             Some(Phase::Broken) => true,
@@ -217,13 +192,8 @@
 
     /// Returns whether the group that a server was ordered to join, after its last report, can
     /// never serve again.
-    fn cannot_serve_again(
-        &self,
-        key: &GroupKey,
-        observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
-    ) -> bool {
-        match observed_groups.by_key.get(key).map(|group| group.head_phase) {
+    fn cannot_serve_again(&self, key: &GroupKey, observed: &ObservedState<'_>) -> bool {
+        match observed.groups.by_key.get(key).map(|group| group.head_phase) {
             Some(Some(Phase::Broken)) => true,
             Some(Some(_)) => false,
             Some(None) | None => self.is_head_gone(key, observed),
@@ -232,16 +202,11 @@
 
     /// Returns whether a server that reports no group may be the member that some group lacks, as
     /// far as a new owner can tell.
-    fn may_have_joined(
-        &self,
-        server: &Server,
-        observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
-    ) -> bool {
+    fn may_have_joined(&self, server: &Server, observed: &ObservedState<'_>) -> bool {
         if observed.before_traffic || observed.now > self.started + MAX_REPORT_AGE {
             return false;
         }
-        let nearby = observed_groups.by_key.values().filter(|group| group.fabric == server.fabric);
+        let nearby = observed.groups.by_key.values().filter(|group| group.fabric == server.fabric);
         nearby.filter(|group| !self.is_released(group)).any(|group| {
             let open = matches!(group.head_phase, Some(Phase::Open | Phase::Closing));
             open && !group.is_serving(observed.engine)
--- a/crates/form/src/owner/groups.rs
+++ b/crates/form/src/owner/groups.rs
@@ -24,7 +24,6 @@
 use super::forming::FormingGroup;
 use super::head_in_name;
 use crate::observed_groups::Group;
-use crate::observed_groups::ObservedGroups;
 use crate::server::Phase;
 use crate::server::Server;
 
@@ -37,10 +36,9 @@
     pub(super) fn maintain_groups(
         &mut self,
         observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
         commands: &mut Vec<Command>,
     ) {
-        for (key, group) in &observed_groups.by_key {
+        for (key, group) in &observed.groups.by_key {
             if self.forming.contains(&key.0) || self.is_released(group) {
                 continue;
             }
--- a/crates/form/src/owner/rebalance.rs
+++ b/crates/form/src/owner/rebalance.rs
@@ -24,7 +24,6 @@
 use crate::compose::StoreLoads;
 use crate::observed_groups::Group;
 use crate::observed_groups::GroupKey;
-use crate::observed_groups::ObservedGroups;
 
 /// Cost of a rebalance, relative to the value of the retired groups and of what the free servers
 /// could form alone: all these servers are idle for some seconds, and the gain lasts only until the
@@ -90,17 +89,16 @@
         &mut self,
         free: &BTreeMap<FabricId, Vec<Candidate>>,
         observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
     ) {
         let released = &self.released;
         self.rebalances.retain(|_, rebalance| {
-            let gone = |key| released.contains(key) || !observed_groups.by_key.contains_key(key);
+            let gone = |key| released.contains(key) || !observed.groups.by_key.contains_key(key);
             observed.now < rebalance.until && !rebalance.retired.iter().all(gone)
         });
         if observed.before_traffic || observed.now < self.started + INITIAL_DELAY {
             return;
         }
-        for (fabric, groups) in self.groups_by_fabric(observed, observed_groups) {
+        for (fabric, groups) in self.groups_by_fabric(observed) {
             let free = free.get(&fabric).map(Vec::as_slice).unwrap_or_default();
             let evaluation = self.evaluations.entry(fabric.clone()).or_default();
             if self.rebalances.contains_key(&fabric) || !evaluation.is_due(free.len(), observed.now)
@@ -109,7 +107,7 @@
             }
             evaluation.evaluated_at = observed.now;
             evaluation.free = free.len();
-            let demands = self.model_demands(observed, observed_groups);
+            let demands = self.model_demands(observed);
             let options = worthwhile_rebalances(&groups, free, &demands, observed).into_iter();
             let best = options.max_by(|a, b| a.gain.total_cmp(&b.gain));
             if let Some(best) = best.filter(|best| self.has_room_for(best, &demands)) {
@@ -139,12 +137,11 @@
     /// released.
     fn groups_by_fabric<'a>(
         &self,
-        observed: &ObservedState<'_>,
-        observed_groups: &'a ObservedGroups,
+        observed: &ObservedState<'a>,
     ) -> BTreeMap<FabricId, Vec<&'a Group>> {
         let mut fabrics: BTreeMap<FabricId, Vec<&Group>> = BTreeMap::new();
         let is_kept = |key| !self.retiring_groups.contains(key) && !self.released.contains(key);
-        let serving = observed_groups.by_key.iter().filter(|(key, group)| {
+        let serving = observed.groups.by_key.iter().filter(|(key, group)| {
             is_kept(*key)
                 && group.is_serving(observed.engine)
                 && !group.has_missing_report
--- a/crates/form/src/owner/stage.rs
+++ b/crates/form/src/owner/stage.rs
@@ -30,7 +30,6 @@
     pub(super) fn stage_models(
         &mut self,
         observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
         commands: &mut Vec<Command>,
     ) {
         let service = observed.service;
@@ -41,13 +40,13 @@
         let max_loads = observed.engine.max_concurrent_loads;
         let max_second_models = (max_loads as f64 * SECOND_MODEL_SHARE) as usize;
         if !observed.before_traffic {
-            while self.stage_for_best_group(max_loads, observed, observed_groups, commands) {}
+            while self.stage_for_best_group(max_loads, observed, commands) {}
         }
-        let served = ServedModels::new(observed_groups);
+        let served = ServedModels::new(observed.groups);
         let cold: Vec<&Server> = servers().filter(|server| is_cold(server)).collect();
         let free = match cold.is_empty() {
             true => BTreeMap::new(),
-            false => self.free_servers(observed, observed_groups),
+            false => self.free_servers(observed),
         };
         for server in cold {
             if self.may_stage(server, max_loads, observed)
@@ -72,15 +71,14 @@
         &mut self,
         max_loads: usize,
         observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
         commands: &mut Vec<Command>,
     ) -> bool {
         if self.staging.len() >= max_loads {
             return false;
         }
-        let demands = self.model_demands(observed, observed_groups);
+        let demands = self.model_demands(observed);
         let mut best: Option<(f64, &ModelSpec, &Server)> = None;
-        for free in self.free_servers(observed, observed_groups).values() {
+        for free in self.free_servers(observed).values() {
             for (model, demand) in observed.engine.models.iter().zip(&demands) {
                 let Some((missing, server)) = self.next_host(free, model) else { continue };
                 let time = missing as f64 * model.store_load_time.as_secs_f64();
@@ -177,9 +175,9 @@
 
 impl<'a> ServedModels<'a> {
     /// Counts the members of the groups.
-    pub(super) fn new(observed_groups: &'a ObservedGroups) -> Self {
+    pub(super) fn new(groups: &'a ObservedGroups) -> Self {
         let mut servers = BTreeMap::new();
-        for group in observed_groups.by_key.values() {
+        for group in groups.by_key.values() {
             if let (Some(fabric), Some(model)) = (&group.fabric, &group.model) {
                 *servers.entry((&**fabric, &**model)).or_default() += group.members.len();
             }
--- a/crates/form/src/owner/stall.rs
+++ b/crates/form/src/owner/stall.rs
@@ -20,7 +20,6 @@
 use super::Reply;
 use super::is_head;
 use crate::observed_groups::Group;
-use crate::observed_groups::ObservedGroups;
 use crate::server::InstanceId;
 use crate::server::ServerId;
 
@@ -54,15 +53,14 @@
     pub(super) fn check_stalled_groups(
         &mut self,
         observed: &ObservedState<'_>,
-        observed_groups: &ObservedGroups,
         commands: &mut Vec<Command>,
     ) {
         let now = observed.now;
         self.unresponsive_until.retain(|_, until| *until > now);
         self.probe_rounds.retain(|key, round| {
-            observed_groups.by_key.contains_key(key) && now < round.sent_at + PROBE_INTERVAL
+            observed.groups.by_key.contains_key(key) && now < round.sent_at + PROBE_INTERVAL
         });
-        for (key, group) in &observed_groups.by_key {
+        for (key, group) in &observed.groups.by_key {
             let is_stalled = group.head().is_some_and(|head| observed.stalled_heads.contains(head));
             let is_suspect = is_stalled || group.has_missing_report;
             if !is_suspect || !group.is_serving(observed.engine) || self.is_released(group) {
