Filter the endpoints that a request has tried in one place

Choice, limits and pauses each left out the tried endpoints by a filter of their own. Also breaks an overlong line of a module's comment. No behaviour changes; the tests of pass are unchanged.

--- a/crates/front/src/crash_reports.rs
+++ b/crates/front/src/crash_reports.rs
@@ -3,10 +3,11 @@
 //! [`route::quarantine`] keeps the crashes and decides which requests are quarantined. Here a backend
 //! server takes the place of a group, and its start time that of a generation. Unlike in
 //! [`route::router`] there are no trials: a request that crashed one server is sent again as usual,
-//! and one that crashed two, one after the other, is refused, with all that ran beside it in both. Servers that fail together count as one
-//! crash, since a request that many callers send runs on several of them. Nobody can lift a
-//! quarantine, so after [`RETRIAL_TIME`] the request may be sent again. If it succeeds, it is
-//! cleared; if it crashes another server, it is refused again at once, and for longer.
+//! and one that crashed two, one after the other, is refused, with all that ran beside it in both.
+//! Servers that fail together count as one crash, since a request that many callers send runs on
+//! several of them. Nobody can lift a quarantine, so after [`RETRIAL_TIME`] the request may be sent
+//! again. If it succeeds, it is cleared; if it crashes another server, it is refused again at once,
+//! and for longer.
 //!
 //! Changes are numbered, so that another process gets those that it lacks ([`crate::peers`]).
 
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -320,9 +320,7 @@
         now: Mono,
     ) -> Vec<Candidate<'a>> {
         let engine = self.services.get(&requirements.service).and_then(|spec| spec.engine.as_ref());
-        let states = self.candidates(&requirements.service, requirements.model.as_deref());
-        states
-            .filter(|state| !requirements.excluded.contains(&state.endpoint.server))
+        self.untried(requirements)
             .filter(|state| self.has_permit(&state.endpoint, now))
             .filter(|state| now >= self.pause_end(&state.endpoint))
             .filter_map(|state| evaluate(state, engine, requirements, now))
@@ -361,11 +359,8 @@
         requirements: &EndpointRequirements,
         now: Mono,
     ) -> Option<Duration> {
-        let states = self.candidates(&requirements.service, requirements.model.as_deref());
-        let endpoints = states.map(|state| &state.endpoint);
-        let untried =
-            endpoints.filter(|endpoint| !requirements.excluded.contains(&endpoint.server));
-        let first = untried.map(|endpoint| self.pause_end(endpoint)).min()?;
+        let ends = self.untried(requirements).map(|state| self.pause_end(&state.endpoint));
+        let first = ends.min()?;
         Some(first.saturating_sub(now)).filter(|left| !left.is_zero())
     }
 
@@ -377,6 +372,15 @@
         self.limits.has_permit(&endpoint.server, endpoint.started_at_ms, now)
     }
 
+    /// Returns the endpoints of the service and model that a request hasn't been sent to yet.
+    fn untried<'a>(
+        &'a self,
+        requirements: &'a EndpointRequirements,
+    ) -> impl Iterator<Item = &'a EndpointState> + 'a {
+        let states = self.candidates(&requirements.service, requirements.model.as_deref());
+        states.filter(|state| !requirements.excluded.contains(&state.endpoint.server))
+    }
+
     fn candidates<'a>(
         &'a self,
         service: &str,
@@ -488,11 +492,8 @@
         count: usize,
         now: Mono,
     ) -> Option<Duration> {
-        let candidates = self.candidates(&requirements.service, requirements.model.as_deref());
-        let servers = candidates
-            .map(|state| &state.endpoint)
-            .filter(|endpoint| !requirements.excluded.contains(&endpoint.server))
-            .map(|endpoint| (&*endpoint.server, endpoint.started_at_ms));
+        let endpoints = self.untried(requirements).map(|state| &state.endpoint);
+        let servers = endpoints.map(|endpoint| (&*endpoint.server, endpoint.started_at_ms));
         self.limits.time_to_permits(servers, count, now)
     }
 
