Log how old the load was that chose an endpoint, and the forecast beside what came

The logs could not tell a choice made on old loads from a wrong forecast: the line 'sent' has the age of the other processes' load now, 'answered' the forecast of the first event of its last attempt and what came of it, and the metric samphire_first_event_forecast_ratio their ratio. No decision changes.

--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -36,6 +36,7 @@
         group: &'a str,
         expected_ms: u64,
         fill: f64,
+        load_age_ms: Option<u64>,
         waited_ms: u64,
     },
     /// An attempt ended without a response that can be forwarded.
@@ -79,11 +80,14 @@
     ServerLeaving { request: &'a str, server: &'a str, born_ms: u64 },
     /// A stream continues at another backend server.
     Resumed { request: &'a str, server: &'a str, after_event: &'a str },
-    /// A request got its complete response.
+    /// A request got its complete response. `expected_ms` is the forecast of its last attempt, and
+    /// `first_event_ms` what came of it.
     Answered {
         request: &'a str,
         server: &'a str,
         status: u16,
+        expected_ms: u64,
+        first_event_ms: u64,
         first_ms: u64,
         total_ms: u64,
         longest_pause_ms: u64,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -19,6 +19,9 @@
 /// Upper bounds of the buckets of the event loop's delay, in seconds.
 const DELAY_BUCKETS_S: [f64; 8] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0];
 
+/// Upper bounds of the buckets of the ratio of observed to forecast times.
+const RATIO_BUCKETS: [f64; 8] = [0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0, 8.0];
+
 /// The metrics of one process. Clones share the same values.
 #[derive(Clone)]
 pub struct Metrics {
@@ -27,6 +30,8 @@
     responses: IntCounterVec,
     /// Seconds until the head of a response, by status class.
     response_seconds: HistogramVec,
+    /// Observed time to the first event of a stream, relative to its forecast.
+    first_event_ratio: Histogram,
     /// How late the process runs its tasks.
     pub loop_delay_seconds: Histogram,
     /// Bytes of the responses to other processes' exchanges.
@@ -69,9 +74,14 @@
         let delay = HistogramOpts::new("samphire_loop_delay_seconds", help)
             .buckets(DELAY_BUCKETS_S.to_vec());
         let loop_delay_seconds = Histogram::with_opts(delay).expect("the name is valid");
+        let help = "Time to a stream's first event, relative to its forecast.";
+        let ratio = HistogramOpts::new("samphire_first_event_forecast_ratio", help)
+            .buckets(RATIO_BUCKETS.to_vec());
+        let first_event_ratio = Histogram::with_opts(ratio).expect("the name is valid");
         for collector in [
             Box::new(responses.clone()) as Box<dyn prometheus::core::Collector>,
             Box::new(response_seconds.clone()),
+            Box::new(first_event_ratio.clone()),
             Box::new(loop_delay_seconds.clone()),
         ] {
             registry.register(collector).expect("each name is registered once");
@@ -105,6 +115,7 @@
             ),
             responses,
             response_seconds,
+            first_event_ratio,
             loop_delay_seconds,
             waiting: gauge("samphire_waiting_requests", "Requests that wait for a place."),
             servers: gauge("samphire_known_servers", "Backend servers that report."),
@@ -126,6 +137,13 @@
         self.response_seconds.with_label_values(&[class]).observe(took.as_secs_f64());
     }
 
+    /// Records how long a stream's first event took, beside its forecast.
+    pub fn record_first_event(&self, expected: Duration, took: Duration) {
+        if !expected.is_zero() {
+            self.first_event_ratio.observe(took.as_secs_f64() / expected.as_secs_f64());
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut buf = Vec::new();
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -291,8 +291,8 @@
                 }
             };
             attempts += 1;
-            let reservation = Reservation::new(&self, choice.endpoint.clone());
             self.log_sent(attempts, &choice);
+            let reservation = Reservation::new(&self, choice);
             let attempt = Attempt { active: &self, reservation, number: attempts };
             let failed = match attempt.run().await {
                 Ok(response) => return response,
@@ -366,7 +366,7 @@
             Decision::Send(choice) => match self.refuse_if_quarantined() {
                 None => Ok(choice),
                 Some(refused) => {
-                    drop(Reservation::new(self, choice.endpoint));
+                    drop(Reservation::new(self, choice));
                     Err(refused)
                 }
             },
@@ -421,6 +421,7 @@
             group: choice.endpoint.group.as_ref().map_or("", |(name, _)| name),
             expected_ms: decision_log::millis(choice.expected_time),
             fill: choice.utilization,
+            load_age_ms: choice.load_age.map(decision_log::millis),
             waited_ms: decision_log::millis(self.now().saturating_sub(self.arrived)),
         });
     }
--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -275,6 +275,8 @@
             request: &self.active.id,
             server: &self.reservation.endpoint().server,
             status: status.as_u16(),
+            expected_ms: decision_log::millis(self.reservation.expected_time()),
+            first_event_ms: decision_log::millis(self.reservation.age()),
             first_ms: age,
             total_ms: age,
             longest_pause_ms: 0,
@@ -289,7 +291,7 @@
         let timeout = self.timeout();
         match stream::first_event(self.active, &self.reservation, from, timeout).await {
             Ok((event, source)) => {
-                self.reservation.record_prefill();
+                self.reservation.record_first_event();
                 let body = stream::relay_events(
                     self.active.clone(),
                     self.reservation,
--- a/crates/front/src/serve/reservation.rs
+++ b/crates/front/src/serve/reservation.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use http::StatusCode;
+use pass::endpoints::EndpointChoice;
 use pass::prelude::*;
 use pass::server_limit::RequestRate;
 use route::prelude::Fingerprint;
@@ -19,18 +20,24 @@
     /// Tokens of the prompt that are not prefilled yet.
     pending_prefill: u64,
     started_at: Mono,
+    /// The forecast of the time to the response or, for a stream, to its first event.
+    expected_time: Duration,
+    /// The time to the first event, once it has come.
+    first_event_time: Option<Duration>,
     fingerprint: Fingerprint,
 }
 
 impl Reservation {
-    /// Returns the reservation of an endpoint that counts this request already.
-    pub(crate) fn new(active: &ActiveRequest, endpoint: Endpoint) -> Self {
+    /// Returns the reservation of a chosen endpoint that counts this request already.
+    pub(crate) fn new(active: &ActiveRequest, choice: EndpointChoice) -> Self {
         let pending_prefill = active.prompt_tokens();
         Reservation {
             state: active.state.clone(),
-            endpoint,
+            endpoint: choice.endpoint,
             pending_prefill,
             started_at: active.now(),
+            expected_time: choice.expected_time,
+            first_event_time: None,
             fingerprint: active.fingerprint,
         }
     }
@@ -44,6 +51,24 @@
         self.state.cx.now().saturating_sub(self.started_at)
     }
 
+    /// Returns the forecast of the time to the response or, for a stream, to its first event.
+    pub(crate) fn expected_time(&self) -> Duration {
+        self.expected_time
+    }
+
+    /// Returns the time from the reservation to the first event of a stream, once it has come.
+    pub(crate) fn first_event_time(&self) -> Option<Duration> {
+        self.first_event_time
+    }
+
+    /// Records that the first event of a stream has come: its prompt has been prefilled.
+    pub(crate) fn record_first_event(&mut self) {
+        let took = self.age();
+        self.first_event_time = Some(took);
+        self.state.metrics.record_first_event(self.expected_time, took);
+        self.record_prefill();
+    }
+
     /// Records that the prompt has been prefilled.
     pub(crate) fn record_prefill(&mut self) {
         let pending_prefill = std::mem::take(&mut self.pending_prefill);
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -301,12 +301,12 @@
             choice = active.wait_for_endpoint(&tried) => choice.ok()?,
         };
         self.attempts += 1;
-        let reservation = Reservation::new(&active, choice.endpoint.clone());
         decision_log::write(&Record::Resumed {
             request: &active.id,
             server: &choice.endpoint.server,
             after_event: &last_id,
         });
+        let reservation = Reservation::new(&active, choice);
         let mut attempt = Attempt { active: &active, reservation, number: self.attempts };
         let response = tokio::select! {
             () = self.tx.closed() => return None,
@@ -336,10 +336,17 @@
             reservation.record_response(StatusCode::OK);
         }
         let since = |at: Mono| decision_log::millis(at.saturating_sub(self.active.arrived));
+        let (expected, first_event) = match &self.reservation {
+            Some(reservation) => (reservation.expected_time(), reservation.first_event_time()),
+            None => (Duration::ZERO, None),
+        };
+        let first_event = first_event.unwrap_or_default();
         decision_log::write(&Record::Answered {
             request: &self.active.id,
             server: self.server(),
             status: 200,
+            expected_ms: decision_log::millis(expected),
+            first_event_ms: decision_log::millis(first_event),
             first_ms: since(self.first_at),
             total_ms: since(self.last_at),
             longest_pause_ms: decision_log::millis(self.longest_gap),
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -168,6 +168,8 @@
     pub expected_time: Duration,
     /// Requests from all processes, relative to the endpoint's slots.
     pub utilization: f64,
+    /// Time since the other processes' load was reported; `None` if it never was.
+    pub load_age: Option<Duration>,
 }
 
 /// An endpoint that has capacity, with its expected response time.
@@ -177,6 +179,8 @@
     expected_time: Duration,
     /// See [`EndpointChoice::utilization`].
     utilization: f64,
+    /// See [`EndpointChoice::load_age`].
+    load_age: Option<Duration>,
 }
 
 impl From<Candidate<'_>> for EndpointChoice {
@@ -185,6 +189,7 @@
             endpoint: candidate.endpoint.clone(),
             expected_time: candidate.expected_time,
             utilization: candidate.utilization,
+            load_age: candidate.load_age,
         }
     }
 }
@@ -578,6 +583,12 @@
         Load { ms_since_data, ..self.local }
     }
 
+    /// Returns the time since the other processes' load was reported, if it was.
+    fn load_age(&self, now: Mono) -> Option<Duration> {
+        let (_, reported_at) = self.remote;
+        (reported_at > Mono::ZERO).then(|| now.saturating_sub(reported_at))
+    }
+
     /// Returns the load from all processes.
     fn total_load(&self, now: Mono) -> Load {
         let (remote, reported_at) = self.remote;
@@ -617,7 +628,12 @@
     };
     let has_room = engine.is_none() || utilization < 1.0;
     let expected_time = Duration::from_secs_f64(seconds);
-    has_room.then_some(Candidate { endpoint: &state.endpoint, expected_time, utilization })
+    has_room.then_some(Candidate {
+        endpoint: &state.endpoint,
+        expected_time,
+        utilization,
+        load_age: state.load_age(now),
+    })
 }
 
 /// Returns the expected time to the first event: the prefill of all pending prompts, then the
