Expect what other processes send until their loads are reported again

All 77 processes choose on loads that are 0.1 to 0.6 s old, and each took the group that seemed least loaded: one that opened or had just finished got 60 to 70 requests within half a second, of which it runs 30 and reads the prompts one after the other, while the others idled.

Now each process adds to the reported loads what all are expected to send (pass::arrivals): new requests level the loads, no faster than a group can read their prompts, and what the groups can't take is held back in the same share everywhere. Groups are picked by these shares. For that, processes report the arrivals, sends and sizes of the requests of each model beside their loads. The time to a first event comes from a model of the engine's passes (pass::engine_time) instead of the plain sum times 1.8, which found no room for long prompts; a part of the aim is kept for what isn't known, by a prompt of mean length and not by the request's own.

Ruled out: the old forecast alone. With loads known at once it is right for both models; with late ones, no factor helps.

--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -10,11 +10,12 @@
 use form::prelude::*;
 use form::server_table::ChangedGroup;
 use parking_lot::Mutex;
+use pass::arrivals::Demands;
 use pass::budget::BudgetSettings;
 use pass::dispatch::Decision;
 use pass::dispatch::PendingRequest;
 use pass::dispatch::Ticket;
-use pass::endpoints::Load;
+use pass::load::Load;
 use pass::prelude::*;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -154,8 +155,9 @@
         self.processes
     }
 
-    /// Sets the load from all other processes, and the number of all processes.
-    pub fn set_fleet(&mut self, loads: &Loads, processes: usize, now: Mono) {
+    /// Sets the load and the demand from all other processes, and the number of all processes.
+    pub fn set_fleet(&mut self, loads: &Loads, demands: Demands, processes: usize, now: Mono) {
+        self.endpoints.set_remote_demands(demands);
         for (server, per_second) in self.endpoints.set_remote_loads(loads, processes.max(1), now) {
             decision_log::write(&Record::ServerLimit { request: "", server: &server, per_second });
         }
@@ -315,6 +317,7 @@
 
     fn submit(&mut self, pending: PendingRequest, now: Mono) -> (Decision, Option<Ticket>) {
         let tokens = pending.requirements.prompt_tokens;
+        self.endpoints.request_arrived(&pending.requirements, now);
         let (decision, ticket) = self.dispatch.submit(pending, &self.endpoints, now);
         if ticket.is_none() {
             self.count_started(&decision, tokens, now);
@@ -332,10 +335,7 @@
     pub fn record_work(&mut self, engine: &EngineSpec, generation: &GenerationRequest, now: Mono) {
         let Some(model) = engine.model(&generation.model) else { return };
         let (read, write) = engine.token_seconds();
-        let answer = generation
-            .expected_output_tokens
-            .unwrap_or(generation.max_output_tokens)
-            .min(generation.max_output_tokens);
+        let answer = generation.likely_output_tokens();
         let group =
             (generation.prompt_tokens as f64 * read + answer as f64 * write) * model.time_factor;
         let aged = now.saturating_sub(self.work_at).as_secs_f64() / WORK_DECAY_TIME.as_secs_f64();
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -275,6 +275,11 @@
         self.metadata.generation.as_ref().map_or(0, |generation| generation.prompt_tokens)
     }
 
+    /// Returns how many tokens the answer is expected to have.
+    fn output_tokens(&self) -> u64 {
+        self.metadata.generation.as_ref().map_or(0, GenerationRequest::likely_output_tokens)
+    }
+
     /// Serves the request to its final response.
     async fn serve(self: Arc<Self>) -> Response {
         self.count_request();
@@ -389,6 +394,7 @@
                 service: self.routed.service.name.clone(),
                 model: self.model(),
                 prompt_tokens: self.prompt_tokens(),
+                output_tokens: self.output_tokens(),
                 excluded: tried.to_vec(),
             },
             arrived_at: self.arrived,
--- a/crates/front/tests/load_reports.rs
+++ b/crates/front/tests/load_reports.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use front::load_reports::LoadReports;
 use front::load_reports::Loads;
-use pass::endpoints::Load;
+use pass::load::Load;
 use pass::server_limit::LimitObservation;
 
 fn loads(requests: u32) -> Loads {
--- a/crates/front/tests/waiting_requests.rs
+++ b/crates/front/tests/waiting_requests.rs
@@ -41,6 +41,7 @@
             service: "desk".into(),
             model: None,
             prompt_tokens: 100,
+            output_tokens: 0,
             excluded: Vec::new(),
         },
         arrived_at: Duration::ZERO,
--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -12,6 +12,7 @@
 
 use std::collections::BTreeMap;
 
+use base::hash::stable;
 use base::prelude::*;
 
 use crate::endpoints::EndpointChoice;
@@ -26,6 +27,9 @@
 /// A late request is sent only to an endpoint whose expected response time is below this share of
 /// the request's latency target.
 const MAX_LATE_TIME_RATIO: f64 = 0.8;
+/// Least and greatest share of its latency target that a request with a prompt of mean length may be
+/// expected to take at an endpoint that gets another one. The rest is for what isn't known of its load.
+const TYPICAL_TIME_RATIOS: (f64, f64) = (0.6, 1.0);
 /// Maximum retry-after time, relative to the time left until the deadline; callers don't follow
 /// longer ones.
 const MAX_RETRY_AFTER_RATIO: f64 = 0.3;
@@ -185,12 +189,19 @@
 fn decide(pending: &PendingRequest, endpoints: &EndpointPool, now: Mono) -> Decision {
     let waited = now.saturating_sub(pending.arrived_at);
     let refuse = |pause, reason| refuse(pending, pause, reason, now);
-    let is_on_time =
-        |choice: &EndpointChoice| waited + choice.expected_time <= pending.latency_target;
+    let typical_target = pending.latency_target.mul_f64(typical_time_ratio(pending));
+    let is_on_time = |choice: &EndpointChoice| {
+        waited + choice.expected_time <= pending.latency_target
+            && choice.typical_time <= typical_target
+    };
     let limited = endpoints.choose_limited(&pending.requirements, now);
     if let Some(choice) = limited.filter(is_on_time) {
         return Decision::Send(choice);
     }
+    // A request that has waited long is sent or refused, whatever the others do.
+    if !endpoints.admits(&pending.requirements, pending.arrived_at) && waited < max_wait(pending) {
+        return Decision::Wait;
+    }
     let Some(choice) = endpoints.choose(&pending.requirements, now) else {
         let model = pending.requirements.model.as_deref();
         if !endpoints.has_endpoint(&pending.requirements.service, model) {
@@ -207,7 +218,8 @@
             refuse(BUSY_RETRY_AFTER, Refusal::Busy)
         };
     };
-    let spare = choice.utilization < MAX_LATE_UTILIZATION
+    let spare = endpoints.takes_all(&pending.requirements)
+        && choice.utilization < MAX_LATE_UTILIZATION
         && choice.expected_time < pending.latency_target.mul_f64(MAX_LATE_TIME_RATIO);
     if is_on_time(&choice) || spare {
         return Decision::Send(choice);
@@ -219,6 +231,17 @@
     }
 }
 
+/// Returns the share of its latency target that a request with a prompt of mean length may be expected
+/// to take at an endpoint for this request.
+///
+/// It differs from request to request, so that processes that know the same loads don't all begin and
+/// stop sending at the same moment.
+fn typical_time_ratio(pending: &PendingRequest) -> f64 {
+    let (least, greatest) = TYPICAL_TIME_RATIOS;
+    let draw = stable(&pending.arrived_at.as_nanos().to_be_bytes()) as f64 / u64::MAX as f64;
+    least + (greatest - least) * draw
+}
+
 fn max_wait(pending: &PendingRequest) -> Duration {
     let total_time = pending.deadline.saturating_sub(pending.arrived_at);
     pending
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -9,15 +9,15 @@
 //! don't.
 //!
 //! All processes see the same loads with a delay. If each picked the best endpoint, all would pick
-//! the same one until the reports catch up. So an endpoint is picked by the power of two choices:
-//! the better of two random endpoints among those that are nearly as good as the best. The more
-//! processes there are, the more endpoints count as nearly as good.
+//! the same one until the reports catch up. So an endpoint is picked at random among those that are
+//! nearly as good as the best: a group by the share of the new requests that levels the loads
+//! ([`arrivals`](crate::arrivals)), a server of a plain service by the power of two choices. The more
+//! processes choose among servers of a plain service, the more of these count as nearly as good.
 
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use base::prelude::*;
@@ -25,23 +25,27 @@
 use form::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::availability::Backoffs;
+use crate::arrivals;
+use crate::arrivals::Demands;
+use crate::arrivals::Flow;
+use crate::arrivals::Level;
 use crate::availability::Pauses;
 use crate::config::ServiceSpec;
-use crate::server_limit::LimitObservation;
+use crate::endpoint::Candidate;
+pub use crate::endpoint::Endpoint;
+use crate::endpoint::EndpointState;
+use crate::endpoint::Evaluation;
+use crate::endpoint::evaluate;
+use crate::endpoint::is_same_endpoint;
+use crate::engine_time::RequestSize;
+use crate::flows::FlowOutlook;
+use crate::flows::Flows;
+use crate::load::Load;
 use crate::server_limit::RequestRate;
 use crate::server_limit::ServerLimits;
 
-/// Time without data for all requests at an endpoint after which it counts as stalled.
-const STALL_TIMEOUT: Duration = Duration::from_millis(450);
-/// How long an endpoint stays reported as stalled after its requests were moved elsewhere.
-const STALL_RETENTION: Duration = Duration::from_secs(3);
 /// Minimum time without data that is assumed for a group that reports itself stalled.
 const REPORTED_STALL_AGE: Duration = Duration::from_secs(1);
-/// Minimum number of requests without data for an endpoint to count as stalled.
-const MIN_STALLED_REQUESTS: u32 = 2;
-/// Factor by which a prompt takes longer when others are prefilled and decoded at the same time.
-const BATCH_SLOWDOWN: f64 = 1.8;
 /// With many processes, an endpoint is nearly as good as the best if its expected time exceeds the
 /// best by at most this ratio plus [`NEAR_BEST_MARGIN`].
 const NEAR_BEST_RATIO: f64 = 0.3;
@@ -52,99 +56,9 @@
 const MANY_PROCESSES: f64 = 40.0;
 /// Weight of the latest call in the moving average of call times.
 const LATENCY_EWMA_WEIGHT: f64 = 0.15;
-/// Call time that is assumed for a plain service before any was measured.
-const INITIAL_CALL_TIME: Duration = Duration::from_millis(30);
 /// Age of what is known of a server's limit from which on a request is sent to learn whether it
 /// still holds.
 const MAX_LIMIT_AGE: Duration = Duration::from_secs(2);
-/// How long the loads reported by other processes are used.
-const REMOTE_LOAD_RETENTION: Duration = Duration::from_millis(1_500);
-
-/// One backend server that takes requests.
-#[data]
-pub struct Endpoint {
-    /// The backend server.
-    pub server: ServerId,
-    /// The address on which it listens.
-    pub address: SocketAddr,
-    /// The service.
-    pub service: ServiceId,
-    /// The group that it heads, and its epoch.
-    pub group: Option<GroupKey>,
-    /// The model of the group.
-    pub model: Option<ModelId>,
-    /// Requests that it runs concurrently.
-    pub slots: usize,
-    /// Its failure domain.
-    pub failure_domain: FailureDomainId,
-    /// Start time of the server instance in Unix milliseconds.
-    pub started_at_ms: u64,
-}
-
-/// Load of an endpoint.
-#[data]
-#[derive(Copy, Default, serde::Serialize, serde::Deserialize)]
-pub struct Load {
-    /// Requests in progress.
-    pub requests: u32,
-    /// Prompt tokens that are still to be prefilled.
-    #[serde(rename = "unread_tokens")]
-    pub pending_prefill_tokens: u64,
-    /// Milliseconds since the last data from the endpoint; `None` if no request is there and none
-    /// was recently moved away because of a stall.
-    #[serde(rename = "quiet_ms")]
-    pub ms_since_data: Option<u64>,
-    /// What the endpoint's last response said of its limit, if it has named one.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub limit: Option<LimitObservation>,
-    /// The start time of the server instance, in Unix milliseconds, if it has said that it is leaving.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub leaving: Option<u64>,
-}
-
-impl Load {
-    /// Returns the sum of both loads; of the times without data the shorter one counts, since the
-    /// endpoint is responsive if any process gets data.
-    pub fn combined_with(&self, other: &Load) -> Load {
-        Load {
-            requests: self.requests + other.requests,
-            pending_prefill_tokens: self.pending_prefill_tokens + other.pending_prefill_tokens,
-            ms_since_data: self.ms_since_data.into_iter().chain(other.ms_since_data).min(),
-            limit: self.limit.into_iter().chain(other.limit).reduce(LimitObservation::later),
-            leaving: self.leaving.max(other.leaving),
-        }
-    }
-
-    /// Returns the load with its observation of a limit as it is after some time.
-    pub fn with_limit_aged(self, by: Duration) -> Load {
-        Load { limit: self.limit.map(|limit| limit.aged(by)), ..self }
-    }
-
-    /// Returns whether no request gets data, or all were moved away for that reason.
-    fn is_stalled(&self) -> bool {
-        let enough = self.requests >= MIN_STALLED_REQUESTS || self.requests == 0;
-        enough
-            && self.ms_since_data.is_some_and(|idle| u128::from(idle) > STALL_TIMEOUT.as_millis())
-    }
-}
-
-/// State of an endpoint, as this process knows it.
-#[derive(Debug)]
-struct EndpointState {
-    endpoint: Endpoint,
-    local: Load,
-    /// Load from all other processes, and when it was reported.
-    remote: (Load, Mono),
-    backoffs: Backoffs,
-    /// Time since when no request of this process has received data.
-    no_data_since: Mono,
-    /// Time when requests were moved away because of a stall; `None` once there was data again.
-    stall_noted_at: Option<Mono>,
-    /// Whether a response said something invalid of the server.
-    has_invalid_notice: bool,
-    /// Moving average of the duration of a call to a plain service, in seconds.
-    mean_call_seconds: f64,
-}
 
 /// What a request needs of an endpoint.
 #[data]
@@ -155,6 +69,8 @@
     pub model: Option<ModelId>,
     /// Number of tokens of the prompt.
     pub prompt_tokens: u64,
+    /// Number of tokens that the answer is expected to have.
+    pub output_tokens: u64,
     /// Servers that were already tried and must not be tried again.
     pub excluded: Vec<ServerId>,
 }
@@ -166,34 +82,14 @@
     pub endpoint: Endpoint,
     /// Expected time until the response or, for a stream, its first event.
     pub expected_time: Duration,
+    /// That of a request with a prompt of mean length.
+    pub typical_time: Duration,
     /// Requests from all processes, relative to the endpoint's slots.
     pub utilization: f64,
     /// Time since the other processes' load was reported; `None` if it never was.
     pub load_age: Option<Duration>,
 }
 
-/// An endpoint that has capacity, with its expected response time.
-struct Candidate<'a> {
-    endpoint: &'a Endpoint,
-    /// See [`EndpointChoice::expected_time`].
-    expected_time: Duration,
-    /// See [`EndpointChoice::utilization`].
-    utilization: f64,
-    /// See [`EndpointChoice::load_age`].
-    load_age: Option<Duration>,
-}
-
-impl From<Candidate<'_>> for EndpointChoice {
-    fn from(candidate: Candidate<'_>) -> Self {
-        EndpointChoice {
-            endpoint: candidate.endpoint.clone(),
-            expected_time: candidate.expected_time,
-            utilization: candidate.utilization,
-            load_age: candidate.load_age,
-        }
-    }
-}
-
 /// All endpoints, by service.
 #[derive(Debug, Default)]
 pub struct EndpointPool {
@@ -208,6 +104,8 @@
     rng_state: Cell<u64>,
     /// Number of processes that choose among these endpoints.
     processes: usize,
+    /// The requests that want an endpoint.
+    flows: Flows,
 }
 
 impl EndpointPool {
@@ -231,12 +129,19 @@
             self.remove(&id);
         }
         for endpoint in endpoints {
-            self.set_endpoint(endpoint);
+            self.insert(endpoint);
         }
+        self.update_outlooks();
     }
 
     /// Adds an endpoint or replaces that of the same server; the state of an unchanged one is kept.
     pub fn set_endpoint(&mut self, endpoint: Endpoint) {
+        let flow = flow_of(&endpoint);
+        self.insert(endpoint);
+        self.update_outlook(&flow);
+    }
+
+    fn insert(&mut self, endpoint: Endpoint) {
         let kept = self.remove(&endpoint.server);
         let state = match kept.filter(|state| is_same_endpoint(&state.endpoint, &endpoint)) {
             Some(state) => EndpointState { endpoint, ..state },
@@ -251,8 +156,10 @@
     /// a plain service.
     pub fn remove_endpoint(&mut self, server: &str, group: Option<&GroupKey>) {
         let endpoint = self.states.get(server).map(|state| &state.endpoint);
-        if endpoint.is_some_and(|endpoint| endpoint.group.as_ref() == group) {
-            self.remove(server);
+        if endpoint.is_some_and(|endpoint| endpoint.group.as_ref() == group)
+            && let Some(removed) = self.remove(server)
+        {
+            self.update_outlook(&flow_of(&removed.endpoint));
         }
     }
 
@@ -305,30 +212,53 @@
     pub fn choose(&self, requirements: &EndpointRequirements, now: Mono) -> Option<EndpointChoice> {
         let mut candidates = self.available(requirements, now);
         let best = candidates.iter().map(|candidate| candidate.expected_time).min()?;
-        let many = (self.processes as f64 / MANY_PROCESSES).min(1.0);
+        let total_share: f64 = candidates.iter().map(|candidate| candidate.share).sum();
+        let many = match total_share > 0.0 {
+            true => 1.0,
+            false => (self.processes as f64 / MANY_PROCESSES).min(1.0),
+        };
         let bound = best.mul_f64(1.0 + NEAR_BEST_RATIO * many) + NEAR_BEST_MARGIN.mul_f64(many);
         candidates.retain(|candidate| candidate.expected_time <= bound);
-        let first = candidates.swap_remove(self.random_below(candidates.len()));
-        if candidates.is_empty() {
+        let first = candidates.swap_remove(self.pick(&candidates));
+        if candidates.is_empty() || first.share > 0.0 {
             return Some(first.into());
         }
-        let second = candidates.swap_remove(self.random_below(candidates.len()));
+        let second = candidates.swap_remove(self.pick(&candidates));
         let is_better =
             (second.expected_time, second.utilization) < (first.expected_time, first.utilization);
         Some(if is_better { second } else { first }.into())
     }
 
+    /// Picks a candidate at random, by the shares of the new requests if any has one.
+    fn pick(&self, candidates: &[Candidate<'_>]) -> usize {
+        let total: f64 = candidates.iter().map(|candidate| candidate.share).sum();
+        let mut left = self.random_fraction() * total;
+        let picked = candidates.iter().position(|candidate| {
+            left -= candidate.share;
+            left < 0.0
+        });
+        picked.unwrap_or_else(|| self.random_below(candidates.len()))
+    }
+
     /// Returns the endpoints that have capacity.
     fn available<'a>(
         &'a self,
         requirements: &'a EndpointRequirements,
         now: Mono,
     ) -> Vec<Candidate<'a>> {
-        let engine = self.services.get(&requirements.service).and_then(|spec| spec.engine.as_ref());
+        let engine = self.engine(&requirements.service);
+        let usual = engine.map_or(0.0, |engine| engine.mean_prompt_tokens);
+        let mean = self.flow_outlook(requirements).mean_size.map(|mean| mean.prompt_tokens);
+        let evaluation = Evaluation {
+            engine,
+            prompt_tokens: requirements.prompt_tokens,
+            mean_prompt_tokens: mean.unwrap_or(usual),
+            report_age: self.flows.report_age(now),
+        };
         self.untried(requirements)
             .filter(|state| self.has_permit(&state.endpoint, now))
             .filter(|state| now >= self.pause_end(&state.endpoint))
-            .filter_map(|state| evaluate(state, engine, requirements, now))
+            .filter_map(|state| evaluate(state, &evaluation, now))
             .collect()
     }
 
@@ -396,9 +326,51 @@
         states.filter(move |state| state.endpoint.model.as_deref() == model)
     }
 
+    /// Records that a request has arrived.
+    pub fn request_arrived(&mut self, requirements: &EndpointRequirements, now: Mono) {
+        let EndpointRequirements { service, model, .. } = requirements;
+        let engine = self.services.get(service).and_then(|spec| spec.engine.as_ref());
+        // Callers may name any model.
+        let Some(model) = model
+            .as_deref()
+            .filter(|model| engine.is_some_and(|engine| engine.model(model).is_some()))
+        else {
+            return;
+        };
+        let size = RequestSize {
+            prompt_tokens: requirements.prompt_tokens as f64,
+            output_tokens: requirements.output_tokens as f64,
+        };
+        self.flows.request_arrived(&(service.clone(), Some(model.into())), size, now);
+    }
+
+    /// Returns whether a request may be sent before the next report. If the endpoints can't take all
+    /// that arrive, each process sends the same share of its own.
+    pub fn admits(&self, requirements: &EndpointRequirements, arrived_at: Mono) -> bool {
+        let is_repeated = !requirements.excluded.is_empty();
+        is_repeated || self.flows.admits(self.flow_outlook(requirements), arrived_at)
+    }
+
+    /// Returns whether the endpoints can take all requests that arrive until the next report.
+    pub fn takes_all(&self, requirements: &EndpointRequirements) -> bool {
+        self.flow_outlook(requirements).admitted >= 1.0
+    }
+
+    fn flow_outlook(&self, requirements: &EndpointRequirements) -> FlowOutlook {
+        self.flows.outlook(&requirements.service, requirements.model.as_deref())
+    }
+
+    /// Returns the demand of each flow at this process.
+    pub fn own_demands(&self, now: Mono) -> Demands {
+        self.flows.own_demands(now)
+    }
+
     /// Records that a request is sent to `endpoint`.
     pub fn request_sent(&mut self, endpoint: &Endpoint, prompt_tokens: u64, now: Mono) {
         self.limits.take(&endpoint.server, endpoint.started_at_ms, now);
+        if endpoint.group.is_some() {
+            self.flows.request_sent(&flow_of(endpoint), now);
+        }
         if let Some(state) = self.state(endpoint) {
             if state.local.requests == 0 {
                 state.no_data_since = now;
@@ -517,6 +489,11 @@
         stalled.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Sets the demand at all other processes, which counts from the next report of their loads on.
+    pub fn set_remote_demands(&mut self, demands: Demands) {
+        self.flows.set_remote(demands);
+    }
+
     /// Sets the loads from all other processes; endpoints that are not listed have none.
     ///
     /// `processes` is the number of processes that choose among these endpoints, including this
@@ -544,119 +521,58 @@
                 changed.push((server.clone(), limit.per_second));
             }
         }
+        self.flows.note_report(now);
+        self.update_outlooks();
         changed
     }
 
-    fn state(&mut self, endpoint: &Endpoint) -> Option<&mut EndpointState> {
-        self.states
-            .get_mut(&endpoint.server)
-            .filter(|state| is_same_endpoint(&state.endpoint, endpoint))
-    }
-}
-
-impl EndpointState {
-    fn new(endpoint: Endpoint) -> Self {
-        EndpointState {
-            endpoint,
-            local: Load::default(),
-            remote: (Load::default(), Mono::ZERO),
-            backoffs: Backoffs::default(),
-            no_data_since: Mono::ZERO,
-            stall_noted_at: None,
-            has_invalid_notice: false,
-            mean_call_seconds: INITIAL_CALL_TIME.as_secs_f64(),
+    /// Updates what the other processes are expected to send to all groups.
+    fn update_outlooks(&mut self) {
+        let groups = self.states.values().filter(|state| state.endpoint.group.is_some());
+        let flows: HashSet<Flow> = groups.map(|state| flow_of(&state.endpoint)).collect();
+        for flow in flows {
+            self.update_outlook(&flow);
         }
     }
 
-    /// Returns whether the endpoint is stalled for this process or for all processes together.
-    fn is_stalled(&self, now: Mono) -> bool {
-        let local = self.local_load(now);
-        self.endpoint.group.is_some() && (local.is_stalled() || self.total_load(now).is_stalled())
-    }
-
-    /// Returns the load from this process.
-    fn local_load(&self, now: Mono) -> Load {
-        let left = self.stall_noted_at.is_some_and(|at| now < at + STALL_RETENTION);
-        let is_known = self.local.requests > 0 || left;
-        let idle = now.saturating_sub(self.no_data_since).as_millis();
-        let ms_since_data = is_known.then(|| u64::try_from(idle).unwrap_or(u64::MAX));
-        Load { ms_since_data, ..self.local }
+    /// Updates what the other processes are expected to send to the groups of a flow.
+    fn update_outlook(&mut self, flow: &Flow) {
+        let (service, model) = flow;
+        let Some(engine) = self.engine(service) else { return };
+        let now = self.flows.reported_at();
+        let demand = self.flows.demand(flow, self.processes, now);
+        let mean_size = demand.mean_size().unwrap_or(RequestSize {
+            prompt_tokens: engine.mean_prompt_tokens,
+            output_tokens: engine.mean_output_tokens,
+        });
+        let states = self.candidates(service, model.as_deref());
+        let (servers, levels): (Vec<ServerId>, Vec<Level>) = states
+            .filter(|state| !state.is_stalled(now))
+            .map(|state| (state.endpoint.server.clone(), state.level(engine, mean_size, now)))
+            .unzip();
+        let interval = self.flows.report_interval();
+        let outlook = arrivals::outlook(&levels, demand, self.processes, interval);
+        for (server, drift) in servers.iter().zip(outlook.drifts) {
+            if let Some(state) = self.states.get_mut(server) {
+                state.drift = drift;
+            }
+        }
+        let outlook = FlowOutlook { admitted: outlook.admitted, mean_size: Some(mean_size) };
+        self.flows.set_outlook(flow, outlook);
     }
 
-    /// Returns the time since the other processes' load was reported, if it was.
-    fn load_age(&self, now: Mono) -> Option<Duration> {
-        let (_, reported_at) = self.remote;
-        (reported_at > Mono::ZERO).then(|| now.saturating_sub(reported_at))
+    fn engine(&self, service: &str) -> Option<&EngineSpec> {
+        self.services.get(service).and_then(|spec| spec.engine.as_ref())
     }
 
-    /// Returns the load from all processes.
-    fn total_load(&self, now: Mono) -> Load {
-        let (remote, reported_at) = self.remote;
-        let local = self.local_load(now);
-        if now <= reported_at + REMOTE_LOAD_RETENTION {
-            local.combined_with(&remote)
-        } else {
-            local
-        }
+    fn state(&mut self, endpoint: &Endpoint) -> Option<&mut EndpointState> {
+        self.states
+            .get_mut(&endpoint.server)
+            .filter(|state| is_same_endpoint(&state.endpoint, endpoint))
     }
 }
 
-/// Returns whether both are the same server instance in the same role.
-fn is_same_endpoint(a: &Endpoint, b: &Endpoint) -> bool {
-    a.started_at_ms == b.started_at_ms
-        && a.group == b.group
-        && a.address == b.address
-        && a.service == b.service
-}
-
-/// Returns the endpoint with its expected response time, unless it is backing off, stalled or full.
-fn evaluate<'a>(
-    state: &'a EndpointState,
-    engine: Option<&EngineSpec>,
-    requirements: &EndpointRequirements,
-    now: Mono,
-) -> Option<Candidate<'a>> {
-    if now < state.backoffs.until() || state.is_stalled(now) {
-        return None;
-    }
-    let load = state.total_load(now);
-    let slots = state.endpoint.slots.max(1) as f64;
-    let utilization = f64::from(load.requests) / slots;
-    let seconds = match engine {
-        Some(engine) => first_event_seconds(engine, state, load, requirements.prompt_tokens),
-        None => call_seconds(state, load),
-    };
-    let has_room = engine.is_none() || utilization < 1.0;
-    let expected_time = Duration::from_secs_f64(seconds);
-    has_room.then_some(Candidate {
-        endpoint: &state.endpoint,
-        expected_time,
-        utilization,
-        load_age: state.load_age(now),
-    })
-}
-
-/// Returns the expected time to the first event: the prefill of all pending prompts, then the
-/// decode steps of one flush.
-fn first_event_seconds(
-    engine: &EngineSpec,
-    state: &EndpointState,
-    load: Load,
-    prompt_tokens: u64,
-) -> f64 {
-    let model = state.endpoint.model.as_deref().and_then(|model| engine.model(model));
-    let time_factor = model.map_or(1.0, |model| model.time_factor);
-    let pending_tokens = (load.pending_prefill_tokens + prompt_tokens) as f64;
-    let step = engine.step_time.as_secs_f64()
-        + f64::from(load.requests) * engine.step_time_per_request.as_secs_f64();
-    let flush = step * f64::from(engine.steps_per_flush);
-    time_factor
-        * (pending_tokens / engine.prefill_tokens_per_second.max(1.0) + flush)
-        * BATCH_SLOWDOWN
-}
-
-/// Returns the expected duration of a call to a plain service, including the time in its queue.
-fn call_seconds(state: &EndpointState, load: Load) -> f64 {
-    let queued = f64::from(load.requests + 1) - state.endpoint.slots.max(1) as f64;
-    state.mean_call_seconds * (1.0 + queued.max(0.0) / state.endpoint.slots.max(1) as f64)
+/// Returns the flow of requests that an endpoint takes part in.
+fn flow_of(endpoint: &Endpoint) -> Flow {
+    (endpoint.service.clone(), endpoint.model.clone())
 }
--- /dev/null
+++ b/crates/pass/src/flows.rs
@@ -0,0 +1,159 @@
+//! The flows of requests: what this process sees of each, and what the others report.
+//!
+//! There are as many flows as services have models, so they are looked up one after the other.
+
+use base::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::arrivals::Demand;
+use crate::arrivals::Demands;
+use crate::arrivals::Flow;
+use crate::arrivals::FlowRates;
+use crate::engine_time::RequestSize;
+
+/// Longest time between two reports that is assumed.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// What is known of one flow.
+#[derive(Debug)]
+struct FlowState {
+    flow: Flow,
+    rates: FlowRates,
+    /// The demand at the other processes, if they report any.
+    remote: Option<Demand>,
+    outlook: FlowOutlook,
+}
+
+/// What is expected of a flow until the next report.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FlowOutlook {
+    /// The share of the arriving requests that the endpoints can take.
+    pub(crate) admitted: f64,
+    /// The mean size of a request.
+    pub(crate) mean_size: Option<RequestSize>,
+}
+
+impl Default for FlowOutlook {
+    fn default() -> Self {
+        FlowOutlook { admitted: 1.0, mean_size: None }
+    }
+}
+
+/// All flows.
+#[derive(Debug, Default)]
+pub(crate) struct Flows {
+    states: Vec<FlowState>,
+    /// Number of reports from the other processes, and when the last one came.
+    reports: u64,
+    reported_at: Mono,
+    /// About the time between two reports.
+    report_interval: Duration,
+}
+
+impl Flows {
+    /// Records that a request has arrived.
+    pub(crate) fn request_arrived(&mut self, flow: &Flow, size: RequestSize, now: Mono) {
+        self.state_mut(flow).rates.request_arrived(size, now);
+    }
+
+    /// Records that a request is sent to an endpoint.
+    pub(crate) fn request_sent(&mut self, flow: &Flow, now: Mono) {
+        self.state_mut(flow).rates.request_sent(now);
+    }
+
+    /// Sets the demand at the other processes; flows that are not listed have none.
+    pub(crate) fn set_remote(&mut self, demands: Demands) {
+        for state in &mut self.states {
+            state.remote = None;
+        }
+        for (flow, demand) in demands {
+            self.state_mut(&flow).remote = Some(demand);
+        }
+    }
+
+    /// Records that the other processes' loads have been reported.
+    pub(crate) fn note_report(&mut self, now: Mono) {
+        if !self.reported_at.is_zero() {
+            let interval = now.saturating_sub(self.reported_at).min(MAX_REPORT_INTERVAL);
+            self.report_interval = (self.report_interval + interval) / 2;
+        }
+        self.reported_at = now;
+        self.reports += 1;
+    }
+
+    /// Returns when the other processes' loads were last reported.
+    pub(crate) fn reported_at(&self) -> Mono {
+        self.reported_at
+    }
+
+    /// Returns about the time between two reports.
+    pub(crate) fn report_interval(&self) -> Duration {
+        self.report_interval
+    }
+
+    /// Returns the age of the last report. It was half an interval old on average when it came.
+    pub(crate) fn report_age(&self, now: Mono) -> Duration {
+        now.saturating_sub(self.reported_at) + self.report_interval / 2
+    }
+
+    /// Returns the demand of each flow at this process.
+    pub(crate) fn own_demands(&self, now: Mono) -> Demands {
+        self.states.iter().map(|state| (state.flow.clone(), state.rates.demand(now))).collect()
+    }
+
+    /// Returns the demand of a flow at all `processes`. What others don't report is assumed to be as at
+    /// this one.
+    pub(crate) fn demand(&self, flow: &Flow, processes: usize, now: Mono) -> Demand {
+        let Some(state) = self.state(&flow.0, flow.1.as_deref()) else { return Demand::default() };
+        let own = state.rates.demand(now);
+        match state.remote {
+            Some(remote) => remote.combined_with(own),
+            None => own.times(processes as f64),
+        }
+    }
+
+    /// Sets what is expected of a flow until the next report.
+    pub(crate) fn set_outlook(&mut self, flow: &Flow, outlook: FlowOutlook) {
+        self.state_mut(flow).outlook = outlook;
+    }
+
+    /// Returns what is expected of a flow until the next report.
+    pub(crate) fn outlook(&self, service: &str, model: Option<&str>) -> FlowOutlook {
+        self.state(service, model).map_or(FlowOutlook::default(), |state| state.outlook)
+    }
+
+    /// Returns whether a request that arrived at `arrived_at` belongs to the share of a flow that is
+    /// sent until the next report. The answer doesn't change until then.
+    pub(crate) fn admits(&self, outlook: FlowOutlook, arrived_at: Mono) -> bool {
+        if outlook.admitted >= 1.0 {
+            return true;
+        }
+        let mut bytes = [0; 24];
+        bytes[..16].copy_from_slice(&arrived_at.as_nanos().to_be_bytes());
+        bytes[16..].copy_from_slice(&self.reports.to_be_bytes());
+        let draw = xxh3_64(&bytes) as f64 / u64::MAX as f64;
+        draw < outlook.admitted
+    }
+
+    fn state(&self, service: &str, model: Option<&str>) -> Option<&FlowState> {
+        self.states
+            .iter()
+            .find(|state| &*state.flow.0 == service && state.flow.1.as_deref() == model)
+    }
+
+    fn state_mut(&mut self, flow: &Flow) -> &mut FlowState {
+        let index = match self.states.iter().position(|state| state.flow == *flow) {
+            Some(index) => index,
+            None => {
+                self.states.push(FlowState {
+                    flow: flow.clone(),
+                    rates: FlowRates::default(),
+                    remote: None,
+                    outlook: FlowOutlook::default(),
+                });
+                self.states.len() - 1
+            }
+        };
+        &mut self.states[index]
+    }
+}
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -5,22 +5,32 @@
 //! - [`routes`]: the table that finds the route and workspace of a request.
 //! - [`header_names`]: the names of the headers that callers and backend servers use.
 //! - [`request`]: the metadata in the headers of a request.
+//! - `flows`: the flows of requests, as this process sees them and as the others report them.
+//! - [`load`]: the load of an endpoint.
+//! - `endpoint`: one endpoint, and how long it is expected to take to respond.
 //! - [`endpoints`]: the endpoints that can receive requests, and their load.
+//! - [`arrivals`]: what other processes are expected to have sent since their loads were reported.
 //! - [`availability`]: when an endpoint may get a request again.
 //! - [`server_notice`]: what a backend server says of itself in the headers of a response.
 //! - [`server_limit`]: the request rates that backend servers name.
 //! - [`dispatch`]: which requests are sent, queued or refused.
 //! - [`budget`]: this process's share of a fleet-wide retry budget.
 //! - [`outcome`]: the outcome of an attempt, and whether it may be retried.
+//! - [`engine_time`]: a model of the time that a replica group takes to the first event.
 //! - [`events`]: splits a stream into complete events.
 
+pub mod arrivals;
 pub mod availability;
 pub mod budget;
 pub mod config;
 pub mod dispatch;
+mod endpoint;
 pub mod endpoints;
+pub mod engine_time;
 pub mod events;
+mod flows;
 pub mod header_names;
+pub mod load;
 pub mod outcome;
 pub mod request;
 pub mod routes;
@@ -42,6 +52,7 @@
     pub use crate::endpoints::EndpointPool;
     pub use crate::events::EventSplitter;
     pub use crate::header_names::HeaderNames;
+    pub use crate::load::Load;
     pub use crate::outcome::AttemptOutcome;
     pub use crate::request::GenerationRequest;
     pub use crate::request::RequestMetadata;
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -22,6 +22,13 @@
     pub expected_output_tokens: Option<u64>,
 }
 
+impl GenerationRequest {
+    /// Returns how many tokens the answer is expected to have.
+    pub fn likely_output_tokens(&self) -> u64 {
+        self.expected_output_tokens.unwrap_or(self.max_output_tokens).min(self.max_output_tokens)
+    }
+}
+
 /// The metadata of a request.
 #[data]
 pub struct RequestMetadata {
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -9,7 +9,7 @@
 use pass::dispatch::PendingRequest;
 use pass::dispatch::Refusal;
 use pass::endpoints::EndpointRequirements;
-use pass::endpoints::Load;
+use pass::load::Load;
 use pass::prelude::*;
 
 const MODEL: &str = "large";
@@ -72,6 +72,7 @@
             service: "assistant".into(),
             model: Some(MODEL.into()),
             prompt_tokens: 1_000,
+            output_tokens: 100,
             excluded: Vec::new(),
         },
         arrived_at,
