Count a group as stalled though requests keep coming to it

What callers saw: requests waited 0.9 to 1.6 s at heads that had gone dark up to 3 s before, then were sent elsewhere and came late. The time without data at a group was the shortest of all processes', and a process that had just sent its first request there counted from that moment: as long as requests came, a dark head looked alive. Since sends are spread by share, that happened to most dark heads.

Loads say apart how long ago there was data, of which the shortest time counts, and for how long requests wait without any, of which the longest counts.

Test: requests_that_keep_coming_do_not_hide_that_a_group_is_stalled failed before.

--- a/crates/pass/src/endpoint.rs
+++ b/crates/pass/src/endpoint.rs
@@ -64,8 +64,10 @@
     /// How the others are expected to have changed that load since.
     pub(crate) drift: Drift,
     pub(crate) backoffs: Backoffs,
-    /// Time since when no request of this process has received data.
-    pub(crate) no_data_since: Mono,
+    /// When this process last received data, if it did.
+    pub(crate) last_data_at: Option<Mono>,
+    /// Time since when requests of this process wait for data.
+    pub(crate) waiting_since: Mono,
     /// Time when requests were moved away because of a stall; `None` once there was data again.
     pub(crate) stall_noted_at: Option<Mono>,
     /// Whether a response said something invalid of the server.
@@ -121,7 +123,8 @@
             remote: (Load::default(), Mono::ZERO),
             drift: Drift::default(),
             backoffs: Backoffs::default(),
-            no_data_since: Mono::ZERO,
+            last_data_at: None,
+            waiting_since: Mono::ZERO,
             stall_noted_at: None,
             has_invalid_notice: false,
             mean_call_seconds: INITIAL_CALL_TIME.as_secs_f64(),
@@ -134,13 +137,25 @@
         self.endpoint.group.is_some() && (local.is_stalled() || self.total_load(now).is_stalled())
     }
 
+    /// Returns whether it is a group of which nothing shows that it makes progress: no process has got
+    /// data for a while.
+    pub(crate) fn is_quiet(&self, now: Mono) -> bool {
+        self.endpoint.group.is_some() && self.total_load(now).is_quiet()
+    }
+
     /// Returns the load from this process.
     pub(crate) fn local_load(&self, now: Mono) -> Load {
         let left = self.stall_noted_at.is_some_and(|at| now < at + STALL_RETENTION);
         let is_known = self.local.requests > 0 || left;
-        let idle = now.saturating_sub(self.no_data_since).as_millis();
-        let ms_since_data = is_known.then(|| u64::try_from(idle).unwrap_or(u64::MAX));
-        Load { ms_since_data, ..self.local }
+        let ms_since = |at: Mono| {
+            let passed = now.saturating_sub(at).as_millis();
+            u64::try_from(passed).unwrap_or(u64::MAX)
+        };
+        Load {
+            ms_since_data: self.last_data_at.filter(|_| is_known).map(ms_since),
+            ms_waiting: is_known.then(|| ms_since(self.waiting_since)),
+            ..self.local
+        }
     }
 
     /// Returns the time since the other processes' load was reported, if it was.
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -373,7 +373,7 @@
         }
         if let Some(state) = self.state(endpoint) {
             if state.local.requests == 0 {
-                state.no_data_since = now;
+                state.waiting_since = now;
             }
             state.local.requests += 1;
             state.local.pending_prefill_tokens += prompt_tokens;
@@ -383,7 +383,8 @@
     /// Records that data was received from `endpoint`.
     pub fn data_received(&mut self, endpoint: &Endpoint, now: Mono) {
         if let Some(state) = self.state(endpoint) {
-            state.no_data_since = now;
+            state.last_data_at = Some(now);
+            state.waiting_since = now;
             state.stall_noted_at = None;
             state.backoffs.made_progress();
         }
@@ -435,7 +436,9 @@
     /// Records that the group at `endpoint` reports itself stalled; it counts as stalled at once.
     pub fn reported_stalled(&mut self, endpoint: &Endpoint, now: Mono) {
         if let Some(state) = self.state(endpoint) {
-            state.no_data_since = state.no_data_since.min(now.saturating_sub(REPORTED_STALL_AGE));
+            let stalled_since = now.saturating_sub(REPORTED_STALL_AGE);
+            state.waiting_since = state.waiting_since.min(stalled_since);
+            state.last_data_at = state.last_data_at.map(|at| at.min(stalled_since));
             state.stall_noted_at = Some(now);
         }
     }
@@ -443,7 +446,7 @@
     /// Records that `endpoint` failed a request; it gets no others for a while.
     pub fn request_failed(&mut self, endpoint: &Endpoint, now: Mono) {
         if let Some(state) = self.state(endpoint) {
-            if state.is_stalled(now) {
+            if state.is_quiet(now) {
                 state.stall_noted_at = Some(now);
             }
             state.backoffs.request_failed(now);
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -163,7 +163,7 @@
     endpoints.request_ended(&endpoint("a"));
     assert!(endpoints.stalled_servers(later + millis(200)).contains("a"));
     let reported = endpoints.local_loads(later + millis(200));
-    assert_eq!(reported[0].1.ms_since_data, Some(800));
+    assert_eq!(reported[0].1.idle_ms(), Some(800));
     endpoints.data_received(&endpoint("a"), later + millis(300));
     assert!(endpoints.stalled_servers(later + millis(400)).is_empty());
 }
@@ -186,6 +186,27 @@
     assert!(!endpoints.is_stalled(&endpoint("a"), later), "another process receives data");
 }
 
+// Issue 33: a head that had gone dark got requests for seconds, since each new one counted as data.
+#[test]
+fn requests_that_keep_coming_do_not_hide_that_a_group_is_stalled() {
+    let now = millis(5_000);
+    let pool = || endpoints(&["a"]);
+    let mut waiting = pool();
+    waiting.request_sent(&endpoint("a"), 0, now - millis(600));
+    waiting.request_sent(&endpoint("a"), 0, now - millis(600));
+    let mut new = pool();
+    new.request_sent(&endpoint("a"), 0, now - millis(10));
+    let load = |endpoints: &EndpointPool| endpoints.local_loads(now)[0].1;
+    let loads = [("a".into(), load(&waiting).combined_with(&load(&new)))];
+    let mut other = pool();
+    other.set_remote_loads(&loads, 8, now);
+    assert!(other.is_stalled(&endpoint("a"), now));
+    new.data_received(&endpoint("a"), now);
+    let loads = [("a".into(), load(&waiting).combined_with(&load(&new)))];
+    other.set_remote_loads(&loads, 8, now);
+    assert!(!other.is_stalled(&endpoint("a"), now), "another process gets data");
+}
+
 /// A group is lost while the store is unavailable: its head refuses every request at once, and
 /// looks idle.
 #[test]
@@ -220,7 +241,7 @@
     endpoints.request_ended(&endpoint("a"));
     assert!(endpoints.choose(&pending(1, now).requirements, now).is_none());
     let reported = endpoints.local_loads(now);
-    assert!(reported[0].1.ms_since_data.is_some_and(|idle| idle >= 1_000));
+    assert!(reported[0].1.idle_ms().is_some_and(|idle| idle >= 1_000));
     let later = now + millis(3_100);
     assert!(
         endpoints.choose(&pending(1, later).requirements, later).is_some(),
