Report the demand of a flow within the loads of its endpoints

Loads ignore what they don't know: a process now says its demand in the load of one endpoint of the flow, and the sum of the loads carries it.

--- a/crates/front/src/load_reports.rs
+++ b/crates/front/src/load_reports.rs
@@ -10,9 +10,6 @@
 
 use base::prelude::*;
 use form::prelude::*;
-use pass::arrivals::Demand;
-use pass::arrivals::Demands;
-use pass::arrivals::Flow;
 use pass::load::Load;
 
 /// How long a report counts.
@@ -24,7 +21,6 @@
 #[derive(Debug)]
 struct LoadReport {
     loads: Loads,
-    demands: Demands,
     processes: usize,
     at: Mono,
 }
@@ -42,26 +38,16 @@
 impl LoadReports {
     /// Records the load of a process of the own domain.
     pub fn record_client(&mut self, node: &NodeId, loads: Loads, now: Mono) {
-        let demands = Demands::new();
-        self.clients.insert(node.clone(), LoadReport { loads, demands, processes: 1, at: now });
+        self.clients.insert(node.clone(), LoadReport { loads, processes: 1, at: now });
         self.hubs.remove(node);
     }
 
     /// Records the totals of another hub's domain, which has so many `processes`.
     pub fn record_hub(&mut self, node: &NodeId, loads: Loads, processes: usize, now: Mono) {
-        let demands = Demands::new();
-        self.hubs.insert(node.clone(), LoadReport { loads, demands, processes, at: now });
+        self.hubs.insert(node.clone(), LoadReport { loads, processes, at: now });
         self.clients.remove(node);
     }
 
-    /// Adds the demand of each flow to the last report of a process, or of a hub's domain.
-    pub fn record_demands(&mut self, node: &NodeId, demands: Demands) {
-        let report = self.clients.get_mut(node).or_else(|| self.hubs.get_mut(node));
-        if let Some(report) = report {
-            report.demands = demands;
-        }
-    }
-
     /// Returns how many processes use this one as their hub.
     pub fn client_count(&self) -> usize {
         self.clients.len()
@@ -79,18 +65,6 @@
         (sum(self.clients.values(), own, now), self.clients.len() + 1)
     }
 
-    /// Returns the demand of each flow in the own domain; `own` is that of this process.
-    pub fn domain_demands(&self, own: &Demands) -> Demands {
-        sum_demands(self.clients.values(), own)
-    }
-
-    /// Returns the demand of each flow in the fleet, without that of client `except`; `own` is that of
-    /// this process.
-    pub fn fleet_demands(&self, own: &Demands, except: &str) -> Demands {
-        let clients = self.clients.iter().filter(|(node, _)| &***node != except);
-        sum_demands(clients.chain(&self.hubs).map(|(_, report)| report), own)
-    }
-
     /// Returns the load and the number of processes of the fleet; `own` is the load of this process.
     ///
     /// The load leaves out the report of client `except`, which adds its own load itself; the number
@@ -115,12 +89,3 @@
     }
     sums.into_iter().collect()
 }
-
-fn sum_demands<'a>(reports: impl Iterator<Item = &'a LoadReport>, own: &Demands) -> Demands {
-    let mut sums: BTreeMap<Flow, Demand> = own.iter().cloned().collect();
-    for (flow, demand) in reports.flat_map(|report| &report.demands) {
-        let sum = sums.entry(flow.clone()).or_default();
-        *sum = sum.combined_with(*demand);
-    }
-    sums.into_iter().collect()
-}
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -10,7 +10,6 @@
 use form::prelude::*;
 use form::server_table::ChangedGroup;
 use parking_lot::Mutex;
-use pass::arrivals::Demands;
 use pass::budget::BudgetSettings;
 use pass::dispatch::Decision;
 use pass::dispatch::PendingRequest;
@@ -155,9 +154,8 @@
         self.processes
     }
 
-    /// Sets the load and the demand from all other processes, and the number of all processes.
-    pub fn set_fleet(&mut self, loads: &Loads, demands: Demands, processes: usize, now: Mono) {
-        self.endpoints.set_remote_demands(demands);
+    /// Sets the load from all other processes, and the number of all processes.
+    pub fn set_fleet(&mut self, loads: &Loads, processes: usize, now: Mono) {
         for (server, per_second) in self.endpoints.set_remote_loads(loads, processes.max(1), now) {
             decision_log::write(&Record::ServerLimit { request: "", server: &server, per_second });
         }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -38,6 +38,7 @@
 use crate::integration::PeerEntry;
 use crate::lease_lock;
 use crate::lease_lock::LockSpec;
+use crate::load_reports::Loads;
 use crate::local_state::SharedState;
 use crate::metrics::Metrics;
 use crate::names;
@@ -243,11 +244,11 @@
 /// are stale.
 async fn report_to_hubs(state: &Arc<State>) {
     let now = state.cx.now();
-    let (loads, demands, processes, is_fresh) = {
+    let (loads, processes, is_fresh) = {
         let local = state.shared.local.lock();
-        let (loads, processes) = local.load_reports.domain_total(&local.own_loads(now), now);
-        let demands = local.load_reports.domain_demands(&local.endpoints.own_demands(now));
-        (loads, demands, processes, is_fresh(local.row_cache.age(now)))
+        let own = local.own_loads(now);
+        let (loads, processes) = local.load_reports.domain_total(&own, now);
+        (loads, processes, is_fresh(local.row_cache.age(now)))
     };
     for address in hubs(state) {
         if address.ip() == state.settings.peers.ip() && address == state.settings.peers {
@@ -256,7 +257,6 @@
         let request = ExchangeRequest {
             node: state.cx.node().clone(),
             loads: loads.clone(),
-            demands: demands.clone(),
             domain_processes: Some(processes),
             have: None,
         };
@@ -288,8 +288,7 @@
     let mut local = state.shared.local.lock();
     local.load_reports.expire(now);
     let (loads, processes) = local.load_reports.fleet_total(&Vec::new(), "", now);
-    let demands = local.load_reports.fleet_demands(&Vec::new(), "");
-    local.set_fleet(&loads, demands, processes, now);
+    local.set_fleet(&loads, processes, now);
 }
 
 /// Calls the hubs, that of the own domain first, until one answers with fresh rows.
@@ -298,17 +297,13 @@
 async fn exchange_with_hub(state: &State) {
     let mut is_reported = false;
     for address in hubs(state) {
-        let (loads, demands) = match is_reported {
-            true => Default::default(),
-            false => {
-                let (local, now) = (state.shared.local.lock(), state.cx.now());
-                (local.own_loads(now), local.endpoints.own_demands(now))
-            }
+        let loads = match is_reported {
+            true => Loads::new(),
+            false => state.shared.local.lock().own_loads(state.cx.now()),
         };
         let request = ExchangeRequest {
             node: state.cx.node().clone(),
             loads,
-            demands,
             domain_processes: None,
             have: None,
         };
@@ -317,7 +312,7 @@
         let mut local = state.shared.local.lock();
         if !is_reported {
             is_reported = true;
-            local.set_fleet(&hub.loads, hub.demands, hub.processes, now);
+            local.set_fleet(&hub.loads, hub.processes, now);
             local.exchange_interval = hub.pause.min(MAX_EXCHANGE_INTERVAL);
         }
         if hub.is_fresh {
--- a/crates/front/src/peers/exchange.rs
+++ b/crates/front/src/peers/exchange.rs
@@ -12,7 +12,6 @@
 use base::prelude::*;
 use http::Method;
 use http::StatusCode;
-use pass::arrivals::Demands;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use web::prelude::*;
@@ -37,8 +36,6 @@
     pub(super) is_fresh: bool,
     /// The load of the fleet without the process's own.
     pub(super) loads: Loads,
-    /// The demand of each flow in the fleet without the process's own.
-    pub(super) demands: Demands,
     /// The number of processes of the fleet.
     pub(super) processes: usize,
     /// Time until the next call.
@@ -141,7 +138,6 @@
     HubState {
         is_fresh,
         loads: response.loads.clone(),
-        demands: response.demands.clone(),
         processes: response.processes,
         pause: Duration::from_millis(response.pause_ms),
     }
--- a/crates/front/src/peers/hub.rs
+++ b/crates/front/src/peers/hub.rs
@@ -80,13 +80,10 @@
         }
         None => local.load_reports.record_client(&exchange.node, exchange.loads, now),
     }
-    local.load_reports.record_demands(&exchange.node, exchange.demands);
     local.load_reports.expire(now);
     let known = exchange.have.filter(|(boot, _)| *boot == local.row_cache.boot);
     let own = local.own_loads(now);
     let (loads, processes) = local.load_reports.fleet_total(&own, &exchange.node, now);
-    let own_demands = local.endpoints.own_demands(now);
-    let demands = local.load_reports.fleet_demands(&own_demands, &exchange.node);
     let rows = match exchange.have {
         None => Vec::new(),
         Some(_) => local.row_cache.changes_since(known.map_or(0, |(_, number)| number)),
@@ -110,7 +107,6 @@
         rows,
         whole_at: is_whole.then(|| local.row_cache.revision()),
         loads,
-        demands,
         processes,
         pause_ms: decision_log::millis(exchange_interval(local.load_reports.client_count())),
     })
--- a/crates/front/src/peers/messages.rs
+++ b/crates/front/src/peers/messages.rs
@@ -4,7 +4,6 @@
 
 use base::prelude::*;
 use kv::prelude::*;
-use pass::arrivals::Demands;
 
 use crate::load_reports::Loads;
 use crate::row_cache::RowChange;
@@ -15,9 +14,6 @@
     pub(super) node: NodeId,
     /// The sender's load; that of its whole domain if it is a hub.
     pub(super) loads: Loads,
-    /// The demand of each flow at the sender; that of its whole domain if it is a hub.
-    #[serde(default)]
-    pub(super) demands: Demands,
     /// The number of processes of the sender's domain if it is a hub.
     pub(super) domain_processes: Option<usize>,
     /// The row cache that the sender knows, and the last change of it that it has; `None` asks for
@@ -40,9 +36,6 @@
     pub(super) whole_at: Option<u64>,
     /// The load of the fleet without the sender's.
     pub(super) loads: Loads,
-    /// The demand of each flow in the fleet without the sender's.
-    #[serde(default)]
-    pub(super) demands: Demands,
     /// The number of processes of the fleet.
     pub(super) processes: usize,
     /// Time until the sender should call again.
--- a/crates/pass/src/arrivals.rs
+++ b/crates/pass/src/arrivals.rs
@@ -30,9 +30,6 @@
 /// model.
 pub type Flow = (ServiceId, Option<ModelId>);
 
-/// The demand of each flow.
-pub type Demands = Vec<(Flow, Demand)>;
-
 /// The rate of events at one process, as a moving average.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EventRate {
@@ -102,8 +99,8 @@
 }
 
 /// How many requests of a flow want an endpoint, and how many get one.
-#[wire]
-#[derive(Copy, Default)]
+#[data]
+#[derive(Copy, Default, serde::Serialize, serde::Deserialize)]
 pub struct Demand {
     /// Requests that arrive.
     pub arrivals_per_second: f64,
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -26,7 +26,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::arrivals;
-use crate::arrivals::Demands;
+use crate::arrivals::Demand;
 use crate::arrivals::Flow;
 use crate::arrivals::Level;
 use crate::availability::Pauses;
@@ -56,6 +56,8 @@
 const MANY_PROCESSES: f64 = 40.0;
 /// Weight of the latest call in the moving average of call times.
 const LATENCY_EWMA_WEIGHT: f64 = 0.15;
+/// Arrivals a second up to which a process doesn't report the demand of a flow.
+const MIN_REPORTED_RATE: f64 = 0.01;
 /// Age of what is known of a server's limit from which on a request is sent to learn whether it
 /// still holds.
 const MAX_LIMIT_AGE: Duration = Duration::from_secs(2);
@@ -360,11 +362,6 @@
         self.flows.outlook(&requirements.service, requirements.model.as_deref())
     }
 
-    /// Returns the demand of each flow at this process.
-    pub fn own_demands(&self, now: Mono) -> Demands {
-        self.flows.own_demands(now)
-    }
-
     /// Records that a request is sent to `endpoint`.
     pub fn request_sent(&mut self, endpoint: &Endpoint, prompt_tokens: u64, now: Mono) {
         self.limits.take(&endpoint.server, endpoint.started_at_ms, now);
@@ -477,11 +474,22 @@
         self.limits.time_to_permits(servers, count, now)
     }
 
-    /// Returns the load from this process at each endpoint that has any.
+    /// Returns the load from this process at each endpoint that has any, with the demand of each flow at
+    /// one of its endpoints.
     pub fn local_loads(&self, now: Mono) -> Vec<(ServerId, Load)> {
+        let carried: HashMap<&str, Demand> = self
+            .flows
+            .own_demands(now)
+            .filter(|(_, demand)| demand.arrivals_per_second > MIN_REPORTED_RATE)
+            .filter_map(|((service, model), demand)| {
+                let carrier = self.candidates(service, model.as_deref()).next()?;
+                Some((&*carrier.endpoint.server, demand))
+            })
+            .collect();
         let loads = self.states.iter().map(|(id, state)| {
             let limit = self.limits.own_observation(id, now);
-            (id.clone(), Load { limit, ..state.local_load(now) })
+            let demand = carried.get(&**id).copied();
+            (id.clone(), Load { limit, demand, ..state.local_load(now) })
         });
         loads.filter(|(_, load)| *load != Load::default()).collect()
     }
@@ -492,11 +500,6 @@
         stalled.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Sets the demand at all other processes, which counts from the next report of their loads on.
-    pub fn set_remote_demands(&mut self, demands: Demands) {
-        self.flows.set_remote(demands);
-    }
-
     /// Sets the loads from all other processes; endpoints that are not listed have none.
     ///
     /// `processes` is the number of processes that choose among these endpoints, including this
@@ -513,9 +516,13 @@
         for state in self.states.values_mut() {
             state.remote = (Load::default(), now);
         }
+        self.flows.clear_remote();
         for (server, load) in loads {
             if let Some(state) = self.states.get_mut(server) {
                 state.remote = (*load, now);
+                if let Some(demand) = load.demand {
+                    self.flows.add_remote(&flow_of(&state.endpoint), demand);
+                }
             }
             let phase = self.random_fraction();
             if let Some(limit) = load.limit
--- a/crates/pass/src/flows.rs
+++ b/crates/pass/src/flows.rs
@@ -6,7 +6,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::arrivals::Demand;
-use crate::arrivals::Demands;
 use crate::arrivals::Flow;
 use crate::arrivals::FlowRates;
 use crate::engine_time::RequestSize;
@@ -61,14 +60,17 @@
         self.state_mut(flow).rates.request_sent(now);
     }
 
-    /// Sets the demand at the other processes; flows that are not listed have none.
-    pub(crate) fn set_remote(&mut self, demands: Demands) {
+    /// Forgets the demand at the other processes, before they report it again.
+    pub(crate) fn clear_remote(&mut self) {
         for state in &mut self.states {
             state.remote = None;
         }
-        for (flow, demand) in demands {
-            self.state_mut(&flow).remote = Some(demand);
-        }
+    }
+
+    /// Adds a demand at other processes.
+    pub(crate) fn add_remote(&mut self, flow: &Flow, demand: Demand) {
+        let remote = &mut self.state_mut(flow).remote;
+        *remote = Some(remote.unwrap_or_default().combined_with(demand));
     }
 
     /// Records that the other processes' loads have been reported.
@@ -97,8 +99,8 @@
     }
 
     /// Returns the demand of each flow at this process.
-    pub(crate) fn own_demands(&self, now: Mono) -> Demands {
-        self.states.iter().map(|state| (state.flow.clone(), state.rates.demand(now))).collect()
+    pub(crate) fn own_demands(&self, now: Mono) -> impl Iterator<Item = (&Flow, Demand)> {
+        self.states.iter().map(move |state| (&state.flow, state.rates.demand(now)))
     }
 
     /// Returns the demand of a flow at all `processes`. What others don't report is assumed to be as at
--- a/crates/pass/src/load.rs
+++ b/crates/pass/src/load.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 
+use crate::arrivals::Demand;
 use crate::server_limit::LimitObservation;
 
 /// Time without data for all requests at an endpoint after which it counts as stalled.
@@ -27,6 +28,10 @@
     /// Milliseconds for which requests have waited for data without any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ms_waiting: Option<u64>,
+    /// How many requests want an endpoint of the same service and model. A process says so in the load
+    /// of one of them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub demand: Option<Demand>,
     /// What the endpoint's last response said of its limit, if it has named one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<LimitObservation>,
@@ -45,6 +50,7 @@
             pending_prefill_tokens: self.pending_prefill_tokens + other.pending_prefill_tokens,
             ms_since_data: self.ms_since_data.into_iter().chain(other.ms_since_data).min(),
             ms_waiting: self.ms_waiting.max(other.ms_waiting),
+            demand: self.demand.into_iter().chain(other.demand).reduce(Demand::combined_with),
             limit: self.limit.into_iter().chain(other.limit).reduce(LimitObservation::later),
             leaving: self.leaving.max(other.leaving),
         }
