Refuse prompts with a part that crashes servers, by the part

Cause: crashes were remembered by the whole request, and no two of these requests are alike; nothing read the parts of a prompt. The class of fault: what is learned at a high price is kept under a key that doesn't come again.

Each crash now counts against the shared parts of the prompts whose answers had not begun at that server (route::prompt_parts); an answer that begins with a part clears it. Three servers since then, over 0.3 s or more, refuse a part, and of parts with the same crashes only the deepest, so that the first part of a route's prompts stays usable. The last part is the request's own and not tracked. Parts count by model, and for the workspace that crashed servers with them until a second one did. Processes exchange them with the histories of whole requests, in the same numbered changes; memory is bounded by 1,024 parts. The line 'refused' names the part and the crashes.

In a fleet of mixed builds, a process of an older build refuses a message that has parts; it has none unless servers crash.

--- a/crates/front/src/crash_reports.rs
+++ b/crates/front/src/crash_reports.rs
@@ -10,17 +10,24 @@
 //! and for longer.
 //!
 //! Changes are numbered, so that another process gets those that it lacks ([`crate::peers`]).
+//!
+//! - `parts`: the same for parts of prompts, which requests share.
 
-use std::collections::BTreeMap;
-use std::collections::HashMap;
+mod parts;
 
 use base::prelude::*;
 use route::prelude::*;
+use route::prompt_parts::PartKey;
+use route::prompt_parts::PartQuarantine;
 use route::quarantine::Crash;
 
+use crate::change_log::ChangeLog;
+pub use crate::change_log::ChangeNumber;
 use crate::decision_log;
 use crate::decision_log::Record;
 
+pub use parts::TrackedParts;
+
 /// Shortest time since its last crash after which a quarantined request may be sent again.
 pub const RETRIAL_TIME: Duration = Duration::from_secs(120);
 /// Most histories in one message, which keeps it small beside callers' requests.
@@ -42,8 +49,14 @@
 /// Time between two removals of histories that are too old, in milliseconds.
 const EXPIRY_PERIOD_MILLIS: u64 = 10_000;
 
-/// The number of a change; numbers start at 1.
-pub type ChangeNumber = u64;
+/// What a change is of.
+#[key]
+enum Changed {
+    /// The history of a whole request.
+    Request(Fingerprint),
+    /// The history of a part of prompts.
+    Part(PartKey),
+}
 
 /// Whom changes are for.
 #[key]
@@ -67,11 +80,10 @@
     /// Identifies this instance, and so what its change numbers mean.
     pub boot: BootId,
     quarantine: Quarantine,
+    parts: PartQuarantine,
     clock: HlcClock,
-    last_change: ChangeNumber,
-    /// The last change of each history.
-    changes: BTreeMap<ChangeNumber, Fingerprint>,
-    numbers: HashMap<Fingerprint, ChangeNumber>,
+    /// The changes of histories.
+    changes: ChangeLog<Changed>,
     /// Wall-clock time of the next removal of histories that are too old.
     expiry_at_millis: u64,
 }
@@ -82,10 +94,9 @@
         CrashReports {
             boot,
             quarantine: Quarantine::without_trials(),
+            parts: PartQuarantine::default(),
             clock: HlcClock::default(),
-            last_change: 0,
-            changes: BTreeMap::new(),
-            numbers: HashMap::new(),
+            changes: ChangeLog::default(),
             expiry_at_millis: 0,
         }
     }
@@ -100,12 +111,7 @@
         if successive_crashes(&history) < CRASHES_TO_REFUSE {
             return None;
         }
-        let first_crash = uncleared(&history).next()?.at.millis;
-        let last_crash = uncleared(&history).last()?.at.millis;
-        let span = last_crash.saturating_sub(first_crash);
-        let pause = Duration::from_millis(span.saturating_mul(RETRIAL_SPANS)).max(RETRIAL_TIME);
-        let passed = Duration::from_millis(millis.saturating_sub(last_crash));
-        Some(pause.saturating_sub(passed)).filter(|left| !left.is_zero())
+        time_to_retrial(uncleared(&history), millis)
     }
 
     /// Records that the server `server`, which started at `started_at_ms`, ended while it ran a
@@ -156,12 +162,13 @@
         audience: Audience,
     ) -> (Vec<CrashHistory>, ChangeNumber) {
         let (mut histories, mut last) = (Vec::new(), after);
-        for (number, fingerprint) in self.changes.range(after.saturating_add(1)..) {
+        for (number, changed) in self.changes.since(after) {
             if histories.len() == MAX_HISTORIES_PER_MESSAGE {
                 break;
             }
-            last = *number;
-            let history = self.quarantine.history(*fingerprint);
+            last = number;
+            let Changed::Request(fingerprint) = changed else { continue };
+            let history = self.quarantine.history(fingerprint);
             if audience == Audience::Hub || history.crashes.len() > 1 {
                 histories.push(history);
             }
@@ -172,13 +179,13 @@
     /// Numbers the changed histories.
     fn number(&mut self, changed: &[CrashHistory], millis: u64) {
         for history in changed {
-            self.last_change += 1;
-            self.changes.insert(self.last_change, history.fingerprint);
-            if let Some(old) = self.numbers.insert(history.fingerprint, self.last_change) {
-                self.changes.remove(&old);
-            }
+            self.changes.record(Changed::Request(history.fingerprint));
             log_change(history, millis);
         }
+        self.expire_if_due(millis);
+    }
+
+    fn expire_if_due(&mut self, millis: u64) {
         if millis >= self.expiry_at_millis {
             self.expiry_at_millis = millis + EXPIRY_PERIOD_MILLIS;
             self.expire(millis);
@@ -188,14 +195,29 @@
     /// Drops histories that are too old, and the numbers of those that the quarantine has dropped.
     fn expire(&mut self, millis: u64) {
         self.quarantine.expire(millis);
+        self.parts.expire(millis);
         let quarantine = &self.quarantine;
-        let is_known =
-            |fingerprint: Fingerprint| !quarantine.history(fingerprint).crashes.is_empty();
-        self.changes.retain(|_, fingerprint| is_known(*fingerprint));
-        self.numbers.retain(|fingerprint, _| is_known(*fingerprint));
+        let parts = &self.parts;
+        self.changes.retain(|changed| match changed {
+            Changed::Request(fingerprint) => !quarantine.history(fingerprint).crashes.is_empty(),
+            Changed::Part(part) => parts.history(part).is_some(),
+        });
     }
 }
 
+/// Returns the time until what caused `crashes`, oldest first, may be sent again; `None` if it may.
+pub(crate) fn time_to_retrial<'a>(
+    crashes: impl Iterator<Item = &'a Crash>,
+    millis: u64,
+) -> Option<Duration> {
+    let stamps: Vec<u64> = crashes.map(|crash| crash.at.millis).collect();
+    let (first, last) = (stamps.first()?, stamps.last()?);
+    let span = last.saturating_sub(*first);
+    let pause = Duration::from_millis(span.saturating_mul(RETRIAL_SPANS)).max(RETRIAL_TIME);
+    let passed = Duration::from_millis(millis.saturating_sub(*last));
+    Some(pause.saturating_sub(passed)).filter(|left| !left.is_zero())
+}
+
 /// Returns the crashes since the request was last cleared, oldest first.
 fn uncleared(history: &CrashHistory) -> impl Iterator<Item = &Crash> {
     history.crashes.iter().filter(|crash| crash.at > history.cleared)
--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -9,6 +9,7 @@
 use base::prelude::*;
 use pass::server_limit::RequestRate;
 use route::prelude::Fingerprint;
+use route::prompt_parts::PartKey;
 use serde::Serialize;
 use serde::Serializer;
 
@@ -27,6 +28,8 @@
         waited_ms: u64,
         waiting: usize,
         retry_after_ms: u64,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        because: Option<PartRefusalRecord<'a>>,
     },
     /// An attempt of a request was sent to a backend server.
     Sent {
@@ -61,6 +64,8 @@
         server: &'a str,
         born_ms: u64,
         after_ms: u64,
+        parts: &'a [Box<str>],
+        has_begun: bool,
     },
     /// A request under which several servers ended is quarantined, suspect (they failed together), or
     /// cleared; `servers` are the last of them.
@@ -70,6 +75,14 @@
         state: &'a str,
         servers: &'a [&'a str],
     },
+    /// Several servers ended before answers to prompts with a part began: it is suspect, or cleared by
+    /// an answer that began. `servers` are those since it was last cleared.
+    SuspectPart {
+        #[serde(serialize_with = "hexadecimal")]
+        part: PartKey,
+        state: &'a str,
+        servers: &'a [&'a str],
+    },
     /// A response named another limit of its server's request rate than was known, or none. `request`
     /// is empty if another process got the response.
     ServerLimit { request: &'a str, server: &'a str, per_second: Option<RequestRate> },
@@ -133,6 +146,18 @@
     Process { node: &'a str, state: &'a str, detail: &'a str },
 }
 
+/// The part of a prompt for which a request was refused, and the servers that ended under it.
+#[derive(Debug, Serialize)]
+pub(crate) struct PartRefusalRecord<'a> {
+    /// The id of the part, as the caller named it.
+    pub(crate) part_id: &'a str,
+    /// Its key in other records.
+    #[serde(serialize_with = "hexadecimal")]
+    pub(crate) part: PartKey,
+    /// The servers, and the wall-clock times of their crashes in milliseconds since 1970.
+    pub(crate) crashes: Vec<(&'a str, u64)>,
+}
+
 /// Writes a record to the log.
 pub(crate) fn write(record: &Record<'_>) {
     match serde_json::to_string(record) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,13 +12,15 @@
 //! - [`peers`]: exchanges rows and loads with the other processes, through one hub per failure
 //!   domain.
 //! - [`load_reports`]: the loads that other processes have reported to this one.
-//! - [`crash_reports`]: requests that crash the backend servers that run them.
+//! - [`crash_reports`]: requests, and parts of prompts, that crash the backend servers that run them.
+//! - [`change_log`]: numbers changes, so that another process gets those that it lacks.
 //! - [`owner`]: controls the replica groups, in one process at a time.
 //! - [`serve`]: forwards requests: routing, admission, attempts, streams.
 //! - [`ready`]: readiness and metrics endpoints.
 //! - [`logging`]: non-blocking log output.
 //! - [`loop_delay`]: measures how late the process runs its tasks.
 
+pub mod change_log;
 pub mod clock;
 pub mod crash_reports;
 mod decision_log;
--- a/crates/front/src/peers/crashes.rs
+++ b/crates/front/src/peers/crashes.rs
@@ -12,6 +12,7 @@
 
 use base::prelude::*;
 use route::prelude::CrashHistory;
+use route::prompt_parts::PartHistory;
 use web::prelude::*;
 
 use super::EXCHANGE_TIMEOUT;
@@ -33,6 +34,9 @@
     is_hub: bool,
     /// Changes that the receiver may lack.
     histories: Vec<CrashHistory>,
+    /// Those of parts of prompts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    parts: Vec<PartHistory>,
     /// The instance and number of the receiver's last change that the sender has.
     have: Option<(BootId, ChangeNumber)>,
     /// How long the response may wait for a change that the sender lacks.
@@ -48,6 +52,9 @@
     number: ChangeNumber,
     /// Changes that the sender lacks.
     histories: Vec<CrashHistory>,
+    /// Those of parts of prompts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    parts: Vec<PartHistory>,
 }
 
 /// What a process knows of its calls to a hub.
@@ -136,7 +143,7 @@
         progress.received = Some((response.boot, response.number));
         progress.failed_at = None;
     }
-    merge(state, &response.histories);
+    merge(state, &response.histories, &response.parts);
     Ok(())
 }
 
@@ -144,10 +151,12 @@
 fn request(state: &State, address: SocketAddr, wait: Duration) -> (CrashRequest, ChangeNumber) {
     let progress = state.crash_progress.lock().get(&address).cloned().unwrap_or_default();
     let local = state.shared.local.lock();
-    let (histories, sent) = local.crash_reports.changes_since(progress.sent, Audience::Hub);
+    let reports = &local.crash_reports;
+    let (histories, sent) = reports.changes_since(progress.sent, Audience::Hub);
     let request = CrashRequest {
         is_hub: local.is_hub,
         histories,
+        parts: reports.part_changes(progress.sent, sent, Audience::Hub),
         have: progress.received,
         wait_ms: u64::try_from(wait.as_millis()).unwrap_or(0),
     };
@@ -157,7 +166,7 @@
 /// Answers a call as soon as there is a change that the sender lacks, or when it has waited long
 /// enough.
 pub(super) async fn respond(state: &State, request: CrashRequest) -> CrashResponse {
-    merge(state, &request.histories);
+    merge(state, &request.histories, &request.parts);
     let until = state.cx.now() + Duration::from_millis(request.wait_ms);
     let audience = if request.is_hub { Audience::Hub } else { Audience::Client };
     let boot = state.shared.local.lock().crash_reports.boot;
@@ -166,11 +175,15 @@
     loop {
         let mut changed = std::pin::pin!(state.shared.crash_reports_changed.notified());
         changed.as_mut().enable();
-        let (histories, number) =
-            state.shared.local.lock().crash_reports.changes_since(after, audience);
+        let (histories, parts, number) = {
+            let local = state.shared.local.lock();
+            let (histories, number) = local.crash_reports.changes_since(after, audience);
+            let parts = local.crash_reports.part_changes(after, number, audience);
+            (histories, parts, number)
+        };
         let left = until.saturating_sub(state.cx.now());
-        if !histories.is_empty() || left.is_zero() {
-            return CrashResponse { boot, number, histories };
+        if !histories.is_empty() || !parts.is_empty() || left.is_zero() {
+            return CrashResponse { boot, number, histories, parts };
         }
         after = number;
         // Whether it changed or the time is over, the next round decides.
@@ -178,8 +191,10 @@
     }
 }
 
-fn merge(state: &State, histories: &[CrashHistory]) {
-    if state.shared.local.lock().crash_reports.merge(histories, wall_millis()) {
+fn merge(state: &State, histories: &[CrashHistory], parts: &[PartHistory]) {
+    let mut local = state.shared.local.lock();
+    let any = local.crash_reports.merge(histories, wall_millis());
+    if local.crash_reports.merge_parts(parts, wall_millis()) || any {
         state.shared.crash_reports_changed.notify_waiters();
     }
 }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -38,6 +38,9 @@
 use pass::routes::RouteError;
 use pass::routes::RouteMatch;
 use route::prelude::Fingerprint;
+use route::prompt_parts::PartRefusal;
+use route::prompt_parts::part_key;
+use route::prompt_parts::source;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use web::body;
@@ -45,7 +48,9 @@
 use web::prelude::*;
 
 use crate::clock::wall_millis;
+use crate::crash_reports::TrackedParts;
 use crate::decision_log;
+use crate::decision_log::PartRefusalRecord;
 use crate::decision_log::Record;
 use crate::integration::Integration;
 use crate::local_state::SharedState;
@@ -95,6 +100,8 @@
     outgoing: attempt::OutgoingRequest,
     /// Identifies the request when its caller sends it again.
     fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may share.
+    parts: TrackedParts,
     arrived: Mono,
     /// The earlier of the caller's deadline and the route's timeout.
     deadline: Mono,
@@ -191,6 +198,7 @@
     };
     let deadline = arrived + metadata.deadline.min(routed.route.timeout);
     let fingerprint = outgoing.fingerprint(routed.workspace.as_deref().unwrap_or_default());
+    let parts = tracked_parts(&routed, &metadata);
     let active = Arc::new(ActiveRequest {
         state: state.clone(),
         id,
@@ -198,6 +206,7 @@
         metadata,
         outgoing,
         fingerprint,
+        parts,
         arrived,
         deadline,
         current_server: Mutex::default(),
@@ -259,16 +268,30 @@
     })
 }
 
+/// Returns the model that a request is for, if its service has models.
+fn model(routed: &RouteMatch, metadata: &RequestMetadata) -> Option<ModelId> {
+    let engine = routed.service.engine.as_ref()?;
+    let requested = metadata.generation.as_ref().map(|generation| generation.model.clone());
+    requested.or_else(|| engine.models.first().map(|model| model.name.clone()))
+}
+
+/// Returns the parts of a request's prompt that other requests may share.
+fn tracked_parts(routed: &RouteMatch, metadata: &RequestMetadata) -> TrackedParts {
+    let Some(model) = model(routed, metadata) else { return TrackedParts::default() };
+    let ids = metadata.shared_parts.iter();
+    TrackedParts {
+        keys: ids.map(|id| part_key(&routed.service.name, &model, id)).collect(),
+        source: source(routed.workspace.as_deref().unwrap_or_default()),
+    }
+}
+
 impl ActiveRequest {
     fn now(&self) -> Mono {
         self.state.cx.now()
     }
 
     fn model(&self) -> Option<ModelId> {
-        let engine = self.routed.service.engine.as_ref()?;
-        let requested =
-            self.metadata.generation.as_ref().map(|generation| generation.model.clone());
-        requested.or_else(|| engine.models.first().map(|model| model.name.clone()))
+        model(&self.routed, &self.metadata)
     }
 
     fn prompt_tokens(&self) -> u64 {
@@ -382,12 +405,29 @@
 
     /// Returns a refusal if the request crashed the servers that ran it.
     fn refuse_if_quarantined(&self) -> Option<Response> {
-        let local = self.state.shared.local.lock();
-        let refused_for = local.crash_reports.refused_for(self.fingerprint, wall_millis());
-        drop(local);
+        let (refused_for, part) = {
+            let local = self.state.shared.local.lock();
+            let refused_for = local.crash_reports.refused_for(self.fingerprint, wall_millis());
+            (refused_for, local.crash_reports.part_refusal(&self.parts, wall_millis()))
+        };
+        if let Some((refusal, left)) = part {
+            let because = self.because_of_part(&refusal);
+            return Some(self.refuse_because(left, Refusal::Quarantined, Some(because)));
+        }
         refused_for.map(|left| self.refuse(left, Refusal::Quarantined))
     }
 
+    /// Returns what the log says of a part for which the request is refused.
+    fn because_of_part<'a>(&'a self, refusal: &'a PartRefusal) -> PartRefusalRecord<'a> {
+        let ids = self.parts.keys.iter().zip(&self.metadata.shared_parts);
+        let id = ids.filter(|(key, _)| **key == refusal.part).map(|(_, id)| &**id).next();
+        PartRefusalRecord {
+            part_id: id.unwrap_or_default(),
+            part: refusal.part,
+            crashes: refusal.crashes.iter().map(|c| (&*c.group, c.at.millis)).collect(),
+        }
+    }
+
     fn pending_request(&self, tried: &[ServerId]) -> PendingRequest {
         PendingRequest {
             requirements: EndpointRequirements {
@@ -405,6 +445,15 @@
     }
 
     fn refuse(&self, retry_after: Duration, reason: Refusal) -> Response {
+        self.refuse_because(retry_after, reason, None)
+    }
+
+    fn refuse_because(
+        &self,
+        retry_after: Duration,
+        reason: Refusal,
+        because: Option<PartRefusalRecord<'_>>,
+    ) -> Response {
         let waiting = self.state.shared.local.lock().dispatch.len();
         decision_log::write(&Record::Refused {
             request: &self.id,
@@ -414,6 +463,7 @@
             waited_ms: decision_log::millis(self.now().saturating_sub(self.arrived)),
             waiting,
             retry_after_ms: decision_log::millis(retry_after),
+            because,
         });
         responses::refused(retry_after)
     }
--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -140,7 +140,7 @@
                 return Err(self.fail(AttemptOutcome::NotSent, 0, &problem));
             }
             Err(PoolError::Incomplete { problem, .. }) => {
-                server_end::check(&active, self.reservation.endpoint()).await;
+                server_end::check(&active, &self.reservation).await;
                 return Err(self.fail(AttemptOutcome::Unknown, 0, &problem));
             }
         };
@@ -250,7 +250,7 @@
                 return Err(self.fail(AttemptOutcome::Unknown, status, "the body takes too long"));
             }
             Ok(Err(error)) => {
-                server_end::check(self.active, self.reservation.endpoint()).await;
+                server_end::check(self.active, &self.reservation).await;
                 return Err(self.fail(
                     AttemptOutcome::Unknown,
                     parts.status.as_u16(),
@@ -303,7 +303,7 @@
             }
             Err(interruption) => {
                 if matches!(interruption, stream::Interruption::Broken(_)) {
-                    server_end::check(self.active, self.reservation.endpoint()).await;
+                    server_end::check(self.active, &self.reservation).await;
                 }
                 let problem = interruption.to_string();
                 Err(self.fail(AttemptOutcome::Unknown, parts.status.as_u16(), &problem))
--- a/crates/front/src/serve/reservation.rs
+++ b/crates/front/src/serve/reservation.rs
@@ -12,6 +12,11 @@
 use super::ActiveRequest;
 use super::State;
 use crate::clock::wall_millis;
+use crate::crash_reports::TrackedParts;
+
+/// Events of a stream after which its answer has begun for certain: a server that a part of the prompt
+/// crashes may send the first events before it ends.
+const EVENTS_OF_BEGUN_ANSWER: u32 = 3;
 
 /// A request's share of the capacity of an endpoint.
 pub(crate) struct Reservation {
@@ -25,6 +30,10 @@
     /// The time to the first event, once it has come.
     first_event_time: Option<Duration>,
     fingerprint: Fingerprint,
+    /// See [`ActiveRequest::parts`].
+    parts: TrackedParts,
+    /// Events of a stream that have come.
+    events: u32,
 }
 
 impl Reservation {
@@ -39,6 +48,8 @@
             expected_time: choice.expected_time,
             first_event_time: None,
             fingerprint: active.fingerprint,
+            parts: active.parts.clone(),
+            events: 0,
         }
     }
 
@@ -77,10 +88,32 @@
         }
     }
 
-    /// Records that the endpoint has sent something for this request.
-    pub(crate) fn record_progress(&self) {
+    /// Records that the endpoint has sent an event for this request.
+    pub(crate) fn record_progress(&mut self) {
         let now = self.state.cx.now();
         self.state.shared.local.lock().endpoints.data_received(&self.endpoint, now);
+        self.events += 1;
+        if self.events == EVENTS_OF_BEGUN_ANSWER {
+            self.record_answer_begun();
+        }
+    }
+
+    /// Returns whether the answer has begun, so that none of the prompt's parts keeps servers from
+    /// answering.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.events >= EVENTS_OF_BEGUN_ANSWER
+    }
+
+    /// Returns the parts of the prompt that other requests may share.
+    pub(crate) fn parts(&self) -> &TrackedParts {
+        &self.parts
+    }
+
+    fn record_answer_begun(&self) {
+        let mut local = self.state.shared.local.lock();
+        if local.crash_reports.record_part_answer(&self.parts, wall_millis()) {
+            self.state.shared.notify_of_crash_report();
+        }
     }
 
     /// Returns whether the endpoint is stalled: it makes no progress on any request.
@@ -120,6 +153,9 @@
     /// Only a success shows that the endpoint survives the request: a server may answer with an error
     /// without having run it.
     pub(crate) fn record_response(&self, status: StatusCode) {
+        if status.is_success() {
+            self.record_answer_begun();
+        }
         let mut local = self.state.shared.local.lock();
         local.endpoints.request_succeeded(&self.endpoint, self.age());
         if status.is_success() && local.crash_reports.record_answer(self.fingerprint, wall_millis())
--- a/crates/front/src/serve/server_end.rs
+++ b/crates/front/src/serve/server_end.rs
@@ -5,7 +5,8 @@
 //! A server that was leaving doesn't count, since it ends anyway.
 //!
 //! The crash is recorded against the request, so that a request that crashes each server that runs it
-//! is refused from some crash on ([`crate::crash_reports`]).
+//! is refused from some crash on ([`crate::crash_reports`]), and against the parts of its prompt, unless
+//! its answer had begun.
 
 use base::prelude::*;
 use form::server::ServerState;
@@ -13,6 +14,7 @@
 use web::pool::is_refused;
 
 use super::ActiveRequest;
+use super::reservation::Reservation;
 use crate::clock::wall_millis;
 use crate::decision_log;
 use crate::decision_log::Record;
@@ -21,26 +23,31 @@
 /// running.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Checks whether the server of `endpoint` has ended, after a connection to it broke with the
+/// Checks whether the server of a reservation has ended, after a connection to it broke with the
 /// request on it.
-pub(super) async fn check(active: &ActiveRequest, endpoint: &Endpoint) {
+pub(super) async fn check(active: &ActiveRequest, reservation: &Reservation) {
+    let endpoint = reservation.endpoint();
     if !is_serving(active, endpoint) || !is_refused(endpoint.address, PROBE_TIMEOUT).await {
         return;
     }
-    active.state.shared.local.lock().crash_reports.record_crash(
-        active.fingerprint,
-        &endpoint.server,
-        endpoint.started_at_ms,
-        wall_millis(),
-    );
+    let (server, started_at_ms, millis) = (&endpoint.server, endpoint.started_at_ms, wall_millis());
+    {
+        let reports = &mut active.state.shared.local.lock().crash_reports;
+        reports.record_crash(active.fingerprint, server, started_at_ms, millis);
+        if !reservation.has_begun() {
+            reports.record_part_crash(reservation.parts(), server, started_at_ms, millis);
+        }
+    }
     active.state.shared.notify_of_crash_report();
     active.state.metrics.server_ends.inc();
     decision_log::write(&Record::ServerEnded {
         request: &active.id,
         fingerprint: active.fingerprint,
-        server: &endpoint.server,
-        born_ms: endpoint.started_at_ms,
+        server,
+        born_ms: started_at_ms,
         after_ms: decision_log::millis(active.now().saturating_sub(active.arrived)),
+        parts: &active.metadata.shared_parts,
+        has_begun: reservation.has_begun(),
     });
 }
 
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -163,7 +163,7 @@
                 }
                 Some(Err(error)) => {
                     tx.abort(&error.to_string()).await;
-                    return server_end::check(&active, reservation.endpoint()).await;
+                    return server_end::check(&active, &reservation).await;
                 }
                 None => return reservation.record_response(status),
             }
@@ -269,7 +269,7 @@
         if self.events > 0 {
             self.longest_gap = self.longest_gap.max(now.saturating_sub(self.last_at));
         }
-        if let Some(reservation) = &self.reservation {
+        if let Some(reservation) = &mut self.reservation {
             reservation.record_progress();
         }
         self.last_at = now;
@@ -286,7 +286,7 @@
         let reservation = self.reservation.take()?;
         let server = reservation.endpoint().server.clone();
         if matches!(interruption, Interruption::Broken(_)) {
-            server_end::check(&active, reservation.endpoint()).await;
+            server_end::check(&active, &reservation).await;
         }
         let mut attempt = Attempt { active: &active, reservation, number: self.attempts };
         let failed = attempt.fail(AttemptOutcome::Unknown, 0, &interruption.to_string());
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -6,6 +6,8 @@
 
 use crate::header_names::HeaderNames;
 
+/// Maximum number of parts of a prompt that are considered.
+const MAX_PARTS: usize = 16;
 /// Timeout of a request that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -40,6 +42,8 @@
     pub api_key: Option<Box<str>>,
     /// What the request asks of a model, if it does.
     pub generation: Option<GenerationRequest>,
+    /// The ids of the parts of its prompt that other requests may share, in their order.
+    pub shared_parts: Vec<Box<str>>,
 }
 
 impl RequestMetadata {
@@ -50,6 +54,7 @@
             deadline: deadline(headers, header_names),
             api_key: bearer(headers),
             generation: generation(headers, header_names),
+            shared_parts: shared_parts(headers, header_names),
         }
     }
 }
@@ -80,3 +85,11 @@
             .and_then(|value| value.parse().ok()),
     })
 }
+
+/// Returns the parts of the prompt but for the last, which belongs to the request alone.
+fn shared_parts(headers: &HeaderMap, header_names: &HeaderNames) -> Vec<Box<str>> {
+    let Some(parts) = text(headers, &header_names.prompt_parts) else { return Vec::new() };
+    let Some((shared, _own)) = parts.rsplit_once(',') else { return Vec::new() };
+    let id = |part: &str| part.split_once(':').map(|(id, _tokens)| id.trim().into());
+    shared.split(',').filter_map(id).take(MAX_PARTS).collect()
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod hot;
 pub mod limits;
 pub mod load;
+pub mod prompt_parts;
 pub mod quarantine;
 pub mod queue;
 pub mod request;
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -46,7 +46,7 @@
 }
 
 impl Crash {
-    fn is_same(&self, other: &Crash) -> bool {
+    pub(crate) fn is_same(&self, other: &Crash) -> bool {
         self.group == other.group && self.generation == other.generation
     }
 }
