--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -29,7 +29,7 @@
 const MAX_LATE_TIME_RATIO: f64 = 0.8;
 /// Least and greatest share of its latency target that a request with a prompt of mean length may be
 /// expected to take at an endpoint that gets another one. The rest is for what isn't known of its load.
-const TYPICAL_TIME_RATIOS: (f64, f64) = (0.6, 1.0);
+const TYPICAL_TIME_RATIOS: (f64, f64) = (0.5, 0.9);
 /// Maximum retry-after time, relative to the time left until the deadline; callers don't follow
 /// longer ones.
 const MAX_RETRY_AFTER_RATIO: f64 = 0.3;
