Bound what a request's claimed size counts for

Found by reading the diff: callers claim the sizes of their requests, and one that claims 2^64 tokens made the mean prompt of its model so long that no group seemed to be able to begin any: all requests of the model waited and were refused. A size counts up to eight times the usual one now, and token counts are read up to 2^32.

Test: a_request_that_claims_a_huge_prompt_does_not_hold_others_back failed before (Wait where Send is due).

--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -56,6 +56,8 @@
 const MANY_PROCESSES: f64 = 40.0;
 /// Weight of the latest call in the moving average of call times.
 const LATENCY_EWMA_WEIGHT: f64 = 0.15;
+/// Size up to which a request counts for the mean of its flow, relative to the usual size.
+const MAX_SIZE_RATIO: f64 = 8.0;
 /// Arrivals a second up to which a process doesn't report the demand of a flow.
 const MIN_REPORTED_RATE: f64 = 0.01;
 /// Age of what is known of a server's limit from which on a request is sent to learn whether it
@@ -331,19 +333,17 @@
     /// Records that a request has arrived.
     pub fn request_arrived(&mut self, requirements: &EndpointRequirements, now: Mono) {
         let EndpointRequirements { service, model, .. } = requirements;
-        let engine = self.services.get(service).and_then(|spec| spec.engine.as_ref());
-        // Callers may name any model.
-        let Some(model) = model
-            .as_deref()
-            .filter(|model| engine.is_some_and(|engine| engine.model(model).is_some()))
-        else {
+        // Callers may name any model, and claim any size.
+        let (Some(engine), Some(model)) = (self.engine(service), model) else { return };
+        if engine.model(model).is_none() {
             return;
-        };
+        }
+        let counted = |tokens: u64, usual: f64| (tokens as f64).min(usual * MAX_SIZE_RATIO);
         let size = RequestSize {
-            prompt_tokens: requirements.prompt_tokens as f64,
-            output_tokens: requirements.output_tokens as f64,
+            prompt_tokens: counted(requirements.prompt_tokens, engine.mean_prompt_tokens),
+            output_tokens: counted(requirements.output_tokens, engine.mean_output_tokens),
         };
-        self.flows.request_arrived(&(service.clone(), Some(model.into())), size, now);
+        self.flows.request_arrived(&(service.clone(), Some(model.clone())), size, now);
     }
 
     /// Returns whether a request may be sent before the next report. If the endpoints can't take all
--- a/crates/pass/src/request.rs
+++ b/crates/pass/src/request.rs
@@ -6,6 +6,8 @@
 
 use crate::header_names::HeaderNames;
 
+/// Largest number of tokens that is considered, so that sums don't overflow.
+const MAX_TOKENS: u64 = 1 << 32;
 /// Maximum number of parts of a prompt that are considered.
 const MAX_PARTS: usize = 16;
 /// Timeout of a request that names none.
@@ -79,13 +81,18 @@
     let (prompt, most) = text(headers, &header_names.token_counts)?.split_once(',')?;
     Some(GenerationRequest {
         model: model.into(),
-        prompt_tokens: prompt.trim().parse().ok()?,
-        max_output_tokens: most.trim().parse().ok()?,
+        prompt_tokens: tokens(prompt)?,
+        max_output_tokens: tokens(most)?,
         expected_output_tokens: text(headers, &header_names.length_hint)
             .and_then(|value| value.parse().ok()),
     })
 }
 
+/// Returns a number of tokens; a larger one than any server holds counts as [`MAX_TOKENS`].
+fn tokens(text: &str) -> Option<u64> {
+    text.trim().parse().ok().map(|tokens: u64| tokens.min(MAX_TOKENS))
+}
+
 /// Returns the parts of the prompt but for the last, which belongs to the request alone.
 fn shared_parts(headers: &HeaderMap, header_names: &HeaderNames) -> Vec<Box<str>> {
     let Some(parts) = text(headers, &header_names.prompt_parts) else { return Vec::new() };
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -98,6 +98,29 @@
     assert_eq!(&*choice.endpoint.server, "a");
 }
 
+// A caller may claim any number of tokens; what it claims must not keep others' requests out.
+#[test]
+fn a_request_that_claims_a_huge_prompt_does_not_hold_others_back() {
+    let mut endpoints = endpoints(&["a", "b"]);
+    let mut dispatch = DispatchQueue::default();
+    let start = millis(1_000);
+    for number in 0..40 {
+        let now = start + millis(number * 50);
+        let mut pending = pending(1, now);
+        if number % 10 == 0 {
+            pending.requirements.prompt_tokens = u64::MAX;
+            pending.requirements.output_tokens = u64::MAX;
+        }
+        endpoints.request_arrived(&pending.requirements, now);
+    }
+    let now = start + millis(2_000);
+    endpoints.set_remote_loads(&[], 8, now);
+    endpoints.set_remote_loads(&[], 8, now + millis(50));
+    let now = now + millis(60);
+    let (decision, _) = dispatch.submit(pending(1, now), &endpoints, now);
+    assert!(matches!(decision, Decision::Send(_)), "{decision:?}");
+}
+
 #[test]
 fn without_any_endpoint_a_request_is_refused_at_once_with_a_retry_after_time() {
     let endpoints = endpoints(&[]);
