--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -42,6 +42,13 @@
         load_age_ms: Option<u64>,
         waited_ms: u64,
     },
+    /// An attempt of a request was handed over to another process, since no endpoint can be reached from
+    /// here.
+    HandedOver { request: &'a str, attempt: u32, to: SocketAddr, waited_ms: u64 },
+    /// This process serves a request that another one has handed over.
+    TakenOver { request: &'a str, from: &'a str, attempts: u32, waited_ms: u64 },
+    /// This process declined a request that another one wanted to hand over.
+    Declined { request: &'a str, from: &'a str, reason: &'a str },
     /// An attempt ended without a response that can be forwarded.
     AttemptFailed {
         request: &'a str,
@@ -67,6 +74,13 @@
         parts: &'a [Box<str>],
         has_begun: bool,
     },
+    /// A connection to a server broke under a request and new ones are refused here, but another process
+    /// reaches the server, so it has not ended.
+    EndUnconfirmed { request: &'a str, server: &'a str },
+    /// This process can or can't reach backend servers, after a check that reached `reached` of `tried`.
+    Reach { state: &'a str, reached: usize, tried: usize, helpers: usize },
+    /// A server can't be reached from here though another process reaches it, or can be again.
+    Path { server: &'a str, state: &'a str },
     /// A request under which several servers ended is quarantined, suspect (they failed together), or
     /// cleared; `servers` are the last of them.
     Quarantine {
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -14,6 +14,7 @@
 use pass::dispatch::Decision;
 use pass::dispatch::PendingRequest;
 use pass::dispatch::Ticket;
+use pass::helpers::Helpers;
 use pass::load::Load;
 use pass::prelude::*;
 use tokio::sync::Notify;
@@ -45,6 +46,10 @@
     pub crash_recorded: Notify,
     /// Wakes the responses that wait for crash reports.
     pub crash_reports_changed: Notify,
+    /// Wakes the task that checks the paths to the servers, after one failed.
+    pub path_failed: Notify,
+    /// Wakes those that wait for the outcome of such a check.
+    pub paths_checked: Notify,
 }
 
 /// What the process knows of the system.
@@ -71,6 +76,8 @@
     pub dispatch: DispatchQueue,
     /// This process's share of the retry budget.
     pub retries: RetryBudget,
+    /// The processes that take requests over from this one.
+    pub helpers: Helpers,
     /// Requests that crash backend servers.
     pub crash_reports: CrashReports,
     /// Whether the store responds.
@@ -102,6 +109,7 @@
             endpoints: EndpointPool::with_seed(random_id()),
             dispatch: DispatchQueue::default(),
             retries: RetryBudget::new(retries),
+            helpers: Helpers::default(),
             crash_reports: CrashReports::new(random_id()),
             store_up: false,
             work: BTreeMap::new(),
@@ -115,6 +123,8 @@
             servers_changed: Notify::new(),
             crash_recorded: Notify::new(),
             crash_reports_changed: Notify::new(),
+            path_failed: Notify::new(),
+            paths_checked: Notify::new(),
         }
     }
 
@@ -139,6 +149,26 @@
         self.crash_reports_changed.notify_waiters();
     }
 
+    /// Records that no connection to the server of `endpoint` could be made from here.
+    pub fn connect_failed(&self, endpoint: &Endpoint, now: Mono) {
+        let mut local = self.local.lock();
+        local.endpoints.paths.connect_failed(&endpoint.server, endpoint.started_at_ms, now);
+        self.path_failed.notify_one();
+    }
+
+    /// Returns whether this process reaches servers, as soon as no check is under way.
+    pub async fn checked_reach(&self) -> Reach {
+        loop {
+            let mut checked = std::pin::pin!(self.paths_checked.notified());
+            checked.as_mut().enable();
+            let reach = self.local.lock().endpoints.paths.reach();
+            if reach != Reach::Checking {
+                return reach;
+            }
+            checked.await;
+        }
+    }
+
     /// Decides on waiting requests, for as long as there are some that needn't wait any more.
     pub fn dispatch_queued(&self, now: Mono) {
         let mut local = self.local.lock();
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -42,6 +42,12 @@
     pub failed_exchanges: IntCounter,
     /// Requests of this process during which their backend server ended.
     pub server_ends: IntCounter,
+    /// Attempts that were handed over to another process.
+    pub handed_over: IntCounter,
+    /// Requests that another process handed over to this one.
+    pub taken_over: IntCounter,
+    /// Whether this process can't reach any backend server.
+    pub cut_off: IntGauge,
     /// Requests that wait for an endpoint.
     pub waiting: IntGauge,
     /// Backend servers with a current report.
@@ -113,6 +119,15 @@
                 "samphire_server_ends_total",
                 "Requests during which their backend server ended.",
             ),
+            handed_over: counter(
+                "samphire_handed_over_total",
+                "Attempts that were handed over to another process.",
+            ),
+            taken_over: counter(
+                "samphire_taken_over_total",
+                "Requests that another process handed over to this one.",
+            ),
+            cut_off: gauge("samphire_cut_off", "Whether no backend server can be reached."),
             responses,
             response_seconds,
             first_event_ratio,
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -10,6 +10,7 @@
 use form::owner::ObservedState;
 use form::prelude::*;
 use kernel::prelude::*;
+use pass::prelude::*;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -78,7 +79,8 @@
         let (shared, key) = (shared.clone(), spec.key.clone());
         move || {
             let local = shared.local.lock();
-            local.is_hub && !local.row_cache.contains(&key)
+            let is_cut_off = local.endpoints.paths.reach() == Reach::CutOff;
+            local.is_hub && !is_cut_off && !local.row_cache.contains(&key)
         }
     };
     let store = integration.store.clone();
@@ -118,6 +120,13 @@
     /// Runs a decision pass for each service with groups, and sends the resulting orders.
     fn decide(&mut self) {
         let Some(fencing_token) = self.fencing_token() else { return };
+        let reach = self.shared.local.lock().endpoints.paths.reach();
+        match reach {
+            Reach::Open => {}
+            // What this process sees of the servers shows nothing.
+            Reach::Checking => return,
+            Reach::CutOff => return self.resign_because("no server can be reached"),
+        }
         if self.owners.0 != fencing_token {
             self.owners = (fencing_token, Vec::new());
         }
@@ -181,11 +190,15 @@
         let owner = owner_of(&mut self.owners.1, &service, revision, now);
         owner.handle_reply(command.id, reply, now);
         if owner.is_fenced() {
-            log::warn!("a server reports a newer fencing token or epoch; releasing the ownership");
-            self.owners = (0, Vec::new());
-            self.resign.notify_one();
+            self.resign_because("a server reports a newer fencing token or epoch");
         }
     }
+
+    fn resign_because(&mut self, reason: &str) {
+        log::warn!("{reason}; releasing the ownership");
+        self.owners = (0, Vec::new());
+        self.resign.notify_one();
+    }
 }
 
 fn owner_of<'a>(
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -11,13 +11,17 @@
 //! - `exchange`: calls to a hub, and which rows a process asks for.
 //! - `hub`: what a hub answers.
 //! - `crashes`: spreads crash reports.
+//! - `reach`: finds out whether this process reaches backend servers.
+//! - `helpers`: which processes take requests over, and what others see of the paths to servers.
 //! - `bulk_limiter`: how many rows a hub sends.
 
 mod bulk_limiter;
 mod crashes;
 mod exchange;
+mod helpers;
 mod hub;
 mod messages;
+mod reach;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -25,6 +29,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use form::prelude::*;
 use futures::FutureExt;
 use kernel::prelude::*;
 use parking_lot::Mutex;
@@ -65,6 +70,8 @@
 const MAX_HUB_ELECTION_DELAY: Duration = Duration::from_millis(1_200);
 /// Pause between two listings of the hubs by a process that knows none.
 const HUB_LISTING_PAUSE: Duration = Duration::from_millis(300);
+/// Most bytes of the headers of a message: those of a caller's request and what goes with it.
+const MAX_HEADER_BYTES: usize = 96 << 10;
 /// Prefix of the hub locks, below the prefix of the system's own keys.
 const HUB_PREFIX: &str = "hub/";
 
@@ -88,6 +95,35 @@
     bulk_limiter: Mutex<BulkLimiter>,
     /// By hub: which crash reports it and this process have of each other.
     crash_progress: Mutex<HashMap<SocketAddr, HubProgress>>,
+    /// The processes that have announced themselves here.
+    announcements: helpers::Announcements,
+}
+
+/// What the other processes see of the paths to servers.
+#[derive(Clone)]
+pub(crate) struct PeerOpinions {
+    state: Arc<State>,
+    /// Held while others are asked: what one question shows may answer the next.
+    asking: Arc<tokio::sync::Mutex<()>>,
+}
+
+impl PeerOpinions {
+    /// Returns whether another process reaches a server that refuses connections from here.
+    ///
+    /// While no server at all can be reached from here, that others reach one shows that the paths are
+    /// cut, so it holds for all.
+    pub(crate) async fn is_reached(&self, server: &ServerId) -> bool {
+        let _asking = self.asking.lock().await;
+        if self.state.shared.local.lock().endpoints.paths.is_cut_confirmed() {
+            return true;
+        }
+        let servers = std::slice::from_ref(server);
+        let is_reached = !helpers::reached_elsewhere(&self.state, servers).await.is_empty();
+        if is_reached {
+            self.state.shared.local.lock().endpoints.paths.confirm_cut();
+        }
+        is_reached
+    }
 }
 
 impl State {
@@ -116,7 +152,10 @@
         getting_rows_from: Mutex::default(),
         bulk_limiter: Mutex::new(BulkLimiter::new(settings.link_bytes_per_second)),
         crash_progress: Mutex::default(),
+        announcements: helpers::Announcements::default(),
     });
+    let opinions = PeerOpinions { state: state.clone(), asking: Arc::default() };
+    cx.registry().register(names::PEERS, opinions);
     let listener = TcpListener::bind(settings.peers).await;
     let listener =
         listener.map_err(|error| ServiceError::new(settings.peers.to_string(), error))?;
@@ -129,10 +168,11 @@
         })
     };
     let stop = CancellationToken::new();
-    let limits = ServerLimits::default();
+    let limits = ServerLimits { max_header_bytes: MAX_HEADER_BYTES, ..ServerLimits::default() };
     let serving = serve(listener, limits, handler, Drain::default(), stop.clone());
     let hub_lock = tokio::spawn(run_hub_lock(state.clone(), address));
     let sending_crashes = tokio::spawn(crashes::send_recorded(state.clone()));
+    let checking = tokio::spawn(reach::run(state.clone()));
     let exchanging = tokio::spawn(exchange_periodically(state));
     cx.ready();
     let ended = tokio::select! {
@@ -142,6 +182,7 @@
         () = cx.stopping() => Ok(()),
     };
     exchanging.abort();
+    checking.abort();
     sending_crashes.abort();
     // Let the task release its lock. It ends because the kernel stops services only once the
     // process is stopping.
--- a/crates/front/src/peers/hub.rs
+++ b/crates/front/src/peers/hub.rs
@@ -1,4 +1,4 @@
-//! What a hub answers to other processes.
+//! What a process, mostly a hub, answers to other processes.
 
 use base::prelude::*;
 use http::Method;
@@ -13,6 +13,7 @@
 use super::State;
 use super::bulk_limiter::SMALL_BYTES;
 use super::crashes;
+use super::helpers;
 use super::is_fresh;
 use super::messages::ExchangeRequest;
 use super::messages::ExchangeResponse;
@@ -20,7 +21,10 @@
 use super::messages::RowsRequest;
 use super::messages::RowsResponse;
 use crate::decision_log;
+use crate::names;
 use crate::row_cache::RowChange;
+use crate::serve::TAKE_OVER_PATH;
+use crate::serve::TakeOver;
 
 /// Time that a hub needs for each exchange. The interval of each process grows with the number of
 /// processes that share the hub.
@@ -46,10 +50,27 @@
             Ok(asked) => json_response(state, &crashes::respond(state, asked).await),
             Err(refused) => *refused,
         },
+        (&Method::POST, "/helpers") => match read(request).await {
+            Ok(asked) => json_response(state, &helpers::respond(state, asked)),
+            Err(refused) => *refused,
+        },
+        (&Method::POST, "/paths") => match read(request).await {
+            Ok(asked) => json_response(state, &helpers::respond_paths(state, asked).await),
+            Err(refused) => *refused,
+        },
+        (&Method::POST, TAKE_OVER_PATH) => take_over(state, request).await,
         _ => reply::empty(StatusCode::NOT_FOUND),
     }
 }
 
+/// Serves a request that another process has handed over.
+async fn take_over(state: &State, request: Request) -> Response {
+    match state.cx.registry().lookup::<TakeOver>(names::SERVE) {
+        Ok(take_over) => take_over.serve(request).await,
+        Err(error) => reply::text(StatusCode::NOT_FOUND, error.to_string()),
+    }
+}
+
 /// Reads a JSON message; returns the response that refuses it if that fails.
 async fn read<M: DeserializeOwned>(request: Request) -> Result<M, Box<Response>> {
     let refused = |problem: String| Box::new(reply::text(StatusCode::BAD_REQUEST, problem));
--- /dev/null
+++ b/crates/front/src/peers/reach.rs
@@ -0,0 +1,245 @@
+//! Finds out whether this process reaches backend servers, and keeps helpers at hand while it doesn't.
+//!
+//! What follows from a check is decided in [`pass::paths`].
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use form::prelude::*;
+use form::server::ServerState;
+use futures::future::join_all;
+use pass::paths::Check;
+use pass::paths::CheckTarget;
+use pass::paths::SERVERS_PER_CHECK;
+use pass::paths::spread_over_domains;
+use pass::prelude::*;
+use rand::Rng;
+use web::pool::Probe;
+use web::pool::probe;
+
+use super::State;
+use super::helpers;
+use super::hubs;
+use crate::decision_log;
+use crate::decision_log::Record;
+use crate::local_state::LocalState;
+
+/// How long a connection to a server may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time between two looks at what is due when nothing fails.
+const TICK: Duration = Duration::from_millis(100);
+/// Time between two announcements to the hub when nothing changes.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two lists of helpers while some are needed.
+const HELPERS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two questions to other processes, and between two tries to reach single servers.
+const PATHS_INTERVAL: Duration = Duration::from_millis(300);
+
+/// What this process has done so far.
+#[derive(Default)]
+struct Progress {
+    announced_at: Mono,
+    /// The hub to which it has announced itself.
+    announced_to: Option<SocketAddr>,
+    helpers_at: Mono,
+    paths_at: Mono,
+}
+
+/// Checks the paths to the servers until the service stops.
+pub(super) async fn run(state: Arc<State>) {
+    let mut progress = Progress::default();
+    loop {
+        let mut tick = state.cx.timer().after(TICK);
+        tokio::select! {
+            () = state.shared.path_failed.notified() => {}
+            () = tick.tick() => {}
+        }
+        check_if_due(&state, &mut progress).await;
+        look_at_single_paths(&state, &mut progress).await;
+        keep_helpers(&state, &mut progress).await;
+        announce(&state, &mut progress).await;
+    }
+}
+
+async fn check_if_due(state: &State, progress: &mut Progress) {
+    while let Some(check) = due_check(state) {
+        let targets = targets(state, check);
+        let reached = connect_to(state, &targets).await;
+        let has_failed = reached == 0 && !targets.is_empty();
+        if check == Check::Idle && has_failed {
+            state.shared.local.lock().endpoints.paths.suspect(state.cx.now());
+            continue;
+        }
+        if has_failed {
+            // So that no request is refused for lack of helpers as soon as the cut is known.
+            refresh_helpers(state, progress).await;
+        }
+        end_check(state, progress, reached, targets.len());
+    }
+}
+
+fn due_check(state: &State) -> Option<Check> {
+    let now = state.cx.now();
+    let endpoints = &mut state.shared.local.lock().endpoints;
+    let silent_for = endpoints.silent_for(now);
+    endpoints.paths.due_check(silent_for, now)
+}
+
+/// Returns the servers that a check connects to: first of all such to which no connection has failed.
+fn targets(state: &State, check: Check) -> Vec<CheckTarget> {
+    let draw = rand::rng().random_range(0..usize::MAX);
+    let count = if check == Check::Idle { 1 } else { SERVERS_PER_CHECK };
+    let local = state.shared.local.lock();
+    let paths = &local.endpoints.paths;
+    let ready = local.reports().servers().values().filter(|s| s.state == ServerState::Ready);
+    let (failed, others): (Vec<&Server>, Vec<&Server>) =
+        ready.partition(|server| paths.has_failed(&server.id));
+    let servers = if others.is_empty() { failed } else { others };
+    spread_over_domains(servers.into_iter().map(target).collect(), count, draw)
+}
+
+pub(super) fn target(server: &Server) -> CheckTarget {
+    CheckTarget {
+        server: server.id.clone(),
+        started_at_ms: server.started_at_ms,
+        address: server.address,
+        failure_domain: server.failure_domain.clone(),
+    }
+}
+
+/// Returns the servers that accept a connection.
+pub(super) async fn accepting(targets: &[CheckTarget]) -> Vec<ServerId> {
+    let probing = targets.iter().map(|target| probe(target.address, CONNECT_TIMEOUT));
+    let probes = join_all(probing).await;
+    let probed = targets.iter().zip(probes).filter(|(_, probe)| *probe == Probe::Accepted);
+    probed.map(|(target, _)| target.server.clone()).collect()
+}
+
+/// Connects to servers and records what that shows of the paths; returns how many accept the connection.
+async fn connect_to(state: &State, targets: &[CheckTarget]) -> usize {
+    let reached = accepting(targets).await;
+    let now = state.cx.now();
+    let endpoints = &mut state.shared.local.lock().endpoints;
+    for CheckTarget { server, started_at_ms, .. } in targets {
+        if !reached.contains(server) {
+            endpoints.paths.record_failure(server, *started_at_ms, now);
+            continue;
+        }
+        if endpoints.paths.is_unreachable(server, *started_at_ms) {
+            decision_log::write(&Record::Path { server, state: "reached" });
+        }
+        endpoints.connected(server, now);
+    }
+    reached.len()
+}
+
+fn end_check(state: &State, progress: &mut Progress, reached: usize, tried: usize) {
+    let now = state.cx.now();
+    let changed = {
+        let mut local = state.shared.local.lock();
+        let changed = local.endpoints.paths.check_ended(reached, tried, now);
+        if changed == Some(Reach::Open) {
+            local.endpoints.paths_returned();
+        }
+        changed.map(|reach| (reach, local.helpers.addresses(now).count()))
+    };
+    state.shared.paths_checked.notify_waiters();
+    state.shared.dispatch_queued(now);
+    let Some((reach, helpers)) = changed else { return };
+    // The hub learns of it at once.
+    progress.announced_to = None;
+    state.metrics.cut_off.set(i64::from(reach == Reach::CutOff));
+    state.shared.servers_changed.notify_one();
+    let is_cut_off = reach == Reach::CutOff;
+    let name = if is_cut_off { "cut off" } else { "open" };
+    decision_log::write(&Record::Reach { state: name, reached, tried, helpers });
+}
+
+/// Finds out whether servers to which connections failed can be reached by others, whether the paths to other
+/// servers of the same services work, and whether those that didn't do again.
+async fn look_at_single_paths(state: &State, progress: &mut Progress) {
+    let now = state.cx.now();
+    let (unexplained, to_try) = {
+        let local = state.shared.local.lock();
+        if local.endpoints.paths.reach() != Reach::Open || now < progress.paths_at + PATHS_INTERVAL
+        {
+            return;
+        }
+        let failures = local.endpoints.paths.unexplained_failures(now);
+        let listed = failures.filter(|id| local.reports().servers().contains_key(*id));
+        let unexplained: Vec<ServerId> = listed.take(helpers::MAX_SERVERS).cloned().collect();
+        let mut to_try = related_servers(&local, &unexplained);
+        let unreachable = local.endpoints.paths.unreachable_servers();
+        let unreachable = unreachable.filter_map(|id| local.reports().servers().get(id));
+        to_try.extend(unreachable.take(helpers::MAX_SERVERS).map(target));
+        (unexplained, to_try)
+    };
+    if unexplained.is_empty() && to_try.is_empty() {
+        return;
+    }
+    progress.paths_at = now;
+    connect_to(state, &to_try).await;
+    if !unexplained.is_empty() {
+        let reached = helpers::reached_elsewhere(state, &unexplained).await;
+        for server in &reached {
+            decision_log::write(&Record::Path { server, state: "unreachable" });
+        }
+        state.shared.local.lock().endpoints.paths.reached_elsewhere(&reached);
+    }
+    state.shared.dispatch_queued(state.cx.now());
+}
+
+/// Returns servers of the services of `failed` to which no connection has failed yet.
+fn related_servers(local: &LocalState, failed: &[ServerId]) -> Vec<CheckTarget> {
+    let servers = local.reports().servers();
+    let services: BTreeSet<&ServiceId> =
+        failed.iter().filter_map(|id| servers.get(id)).map(|server| &server.service).collect();
+    let related = servers.values().filter(|server| {
+        services.contains(&server.service)
+            && server.state == ServerState::Ready
+            && !local.endpoints.paths.has_failed(&server.id)
+    });
+    let draw = rand::rng().random_range(0..usize::MAX);
+    spread_over_domains(related.map(target).collect(), helpers::MAX_SERVERS, draw)
+}
+
+/// Keeps a list of helpers while this process can't reach some server that others reach.
+async fn keep_helpers(state: &State, progress: &mut Progress) {
+    let needs_helpers = {
+        let local = state.shared.local.lock();
+        let paths = &local.endpoints.paths;
+        paths.reach() == Reach::CutOff || paths.unreachable_servers().next().is_some()
+    };
+    if needs_helpers && state.cx.now() >= progress.helpers_at + HELPERS_INTERVAL {
+        refresh_helpers(state, progress).await;
+    }
+}
+
+async fn refresh_helpers(state: &State, progress: &mut Progress) {
+    helpers::refresh(state).await;
+    progress.helpers_at = state.cx.now();
+}
+
+/// Tells the hub where this process listens and whether it reaches servers, and learns of some helpers, when
+/// that is due.
+async fn announce(state: &State, progress: &mut Progress) {
+    let now = state.cx.now();
+    let is_hub = state.shared.local.lock().is_hub;
+    let first = hubs(state).into_iter().find(|address| *address != state.settings.peers);
+    let Some(hub) = first else { return };
+    let is_known = progress.announced_to == Some(hub);
+    if is_known && now < progress.announced_at + ANNOUNCEMENT_INTERVAL {
+        return;
+    }
+    progress.announced_at = now;
+    progress.announced_to = Some(hub);
+    if is_hub {
+        return refresh_helpers(state, progress).await;
+    }
+    // A failed call is logged where it occurs; the next try follows after the interval.
+    if let Ok(helpers) = helpers::announce(state, hub).await {
+        helpers::set(state, &helpers);
+    }
+}
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -4,6 +4,8 @@
 //! attempt that fails is repeated at another endpoint if the route and the retry budget allow it.
 //!
 //! - `attempt`: one attempt of a request.
+//! - `carrier`: what carries an attempt, a connection of this process or another process.
+//! - `hand_over`: handing a request over to another process, and taking one over.
 //! - `stream`: forwards a stream event by event, and resumes it at another backend server where that
 //!   is allowed.
 //! - `server_end`: finds out whether a backend server ended while it ran a request.
@@ -16,6 +18,8 @@
 //! backend server and the request's reservation.
 
 mod attempt;
+mod carrier;
+mod hand_over;
 mod reservation;
 mod responses;
 mod server_end;
@@ -32,7 +36,6 @@
 use pass::dispatch::Decision;
 use pass::dispatch::PendingRequest;
 use pass::dispatch::Refusal;
-use pass::endpoints::EndpointChoice;
 use pass::endpoints::EndpointRequirements;
 use pass::prelude::*;
 use pass::routes::RouteError;
@@ -56,20 +59,34 @@
 use crate::local_state::SharedState;
 use crate::metrics::Metrics;
 use crate::names;
+use crate::peers::PeerOpinions;
 use crate::run::lame_duck;
 use crate::settings::Settings;
 
 use attempt::Attempt;
+use attempt::FailedAttempt;
+use carrier::Carrier;
+use hand_over::Declined;
+use hand_over::HandOver;
+use hand_over::Origin;
+pub(crate) use hand_over::TAKE_OVER_PATH;
+pub(crate) use hand_over::TakeOver;
 use reservation::Reservation;
 
 /// Maximum open connections of callers.
 const MAX_CONNECTIONS: usize = 2_000;
 /// Timeout of connecting to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long a connection to a backend server is kept idle.
+/// Timeout of connecting to another process.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long a connection to a backend server or another process is kept idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time between two decisions on waiting requests when nothing else triggers one.
 const DISPATCH_PERIOD: Duration = Duration::from_millis(20);
+/// Number of processes that may decline a request before that counts as an attempt.
+const MAX_DECLINED: u32 = 2;
+/// Retry-After of requests that no other process can take over.
+const NO_HELPER_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Retry-After of requests that come before this process has a configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -78,7 +95,7 @@
 
 /// Returns the service that serves callers.
 pub fn service() -> Service {
-    Service::new(names::SERVE, &[names::STORE_SYNC], run)
+    Service::new(names::SERVE, &[names::STORE_SYNC, names::PEERS], run)
 }
 
 /// The state that all requests share.
@@ -87,6 +104,12 @@
     integration: Integration,
     shared: Arc<SharedState>,
     pool: Pool,
+    /// Connections to the other processes.
+    peers: Pool,
+    /// What the other processes see of the servers.
+    opinions: PeerOpinions,
+    /// The requests that this process has taken over from others.
+    taken_over: Drain,
     metrics: Metrics,
 }
 
@@ -102,6 +125,7 @@
     fingerprint: Fingerprint,
     /// The parts of its prompt that other requests may share.
     parts: TrackedParts,
+    origin: Origin,
     arrived: Mono,
     /// The earlier of the caller's deadline and the route's timeout.
     deadline: Mono,
@@ -109,6 +133,30 @@
     current_server: Mutex<Option<ServerId>>,
 }
 
+/// The attempts of a request so far.
+#[data]
+#[derive(Default)]
+pub(crate) struct Tries {
+    /// The servers that this process must not try again.
+    servers: Vec<ServerId>,
+    /// Those that were reached, which no process should try again.
+    reached: Vec<ServerId>,
+    /// Attempts that may have run.
+    may_have_run: u32,
+}
+
+impl Tries {
+    fn add(&mut self, failed: &FailedAttempt) {
+        self.servers.extend(failed.server.clone());
+        if failed.outcome != AttemptOutcome::NotSent {
+            self.reached.extend(failed.server.clone());
+        }
+        if !failed.outcome.is_not_run() {
+            self.may_have_run += 1;
+        }
+    }
+}
+
 async fn run(cx: Context) -> Result<(), ServiceError> {
     let settings: Arc<Settings> = cx.registry().lookup(names::PROCESS)?;
     let state = Arc::new(State {
@@ -119,6 +167,12 @@
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
         }),
+        peers: Pool::new(PoolSettings {
+            connect_timeout: PEER_CONNECT_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+        }),
+        opinions: cx.registry().lookup(names::PEERS)?,
+        taken_over: Drain::default(),
         metrics: cx.registry().lookup(names::PROCESS)?,
     });
     let listener = TcpListener::bind(settings.callers).await;
@@ -132,7 +186,13 @@
         Arc::new(move |request| handle(state.clone(), request).boxed())
     };
     let serving = serve(listener, limits(), handler, drain, stop.clone());
+    cx.registry().register(names::SERVE, TakeOver(state.clone()));
     cx.ready();
+    let serving = async {
+        let ended = serving.await;
+        state.taken_over.idle().await;
+        ended
+    };
     let stopping = async {
         cx.process_stopping().await;
         // The load balancer opens connections here until it notices that the process isn't ready.
@@ -170,7 +230,7 @@
 
 async fn handle(state: Arc<State>, request: Request) -> Response {
     let started = Instant::now();
-    let mut response = respond(&state, request).await;
+    let mut response = respond(&state, request, Origin::Caller).await;
     if state.cx.is_process_stopping() {
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(http::header::CONNECTION, close);
@@ -179,8 +239,12 @@
     response
 }
 
-async fn respond(state: &Arc<State>, request: Request) -> Response {
-    let arrived = state.cx.now();
+async fn respond(state: &Arc<State>, request: Request, origin: Origin) -> Response {
+    let now = state.cx.now();
+    let arrived = match &origin {
+        Origin::Caller => now,
+        Origin::Process(progress) => now.saturating_sub(progress.waited),
+    };
     let metadata = RequestMetadata::from_headers(&request.headers, &state.integration.header_names);
     let id: Box<str> = metadata.attempt_id.clone().unwrap_or_default();
     let routed = match route(state, &request, &metadata) {
@@ -196,7 +260,7 @@
             return response;
         }
     };
-    let deadline = arrived + metadata.deadline.min(routed.route.timeout);
+    let deadline = now + metadata.deadline.min(routed.route.timeout);
     let fingerprint = outgoing.fingerprint(routed.workspace.as_deref().unwrap_or_default());
     let parts = tracked_parts(&routed, &metadata);
     let active = Arc::new(ActiveRequest {
@@ -207,6 +271,7 @@
         outgoing,
         fingerprint,
         parts,
+        origin,
         arrived,
         deadline,
         current_server: Mutex::default(),
@@ -306,28 +371,34 @@
     /// Serves the request to its final response.
     async fn serve(self: Arc<Self>) -> Response {
         self.count_request();
-        let mut tried = Vec::new();
-        let mut attempts = 0;
+        let mut tries = match &self.origin {
+            Origin::Caller => Tries::default(),
+            Origin::Process(progress) => progress.tries.clone(),
+        };
+        let (mut attempts, mut declined) = (tries.may_have_run, 0);
         // The last attempt that may have run. Once there is one, no response may promise that the
         // request has not run.
         let mut may_have_run = None;
         loop {
-            let choice = match self.wait_for_endpoint(&tried).await {
-                Ok(choice) => choice,
+            let carrier = match self.wait_for_carrier(&tries.servers).await {
+                Ok(carrier) => carrier,
                 Err(refused) => {
                     return may_have_run.as_ref().map_or(refused, |failed| self.fail(failed));
                 }
             };
             attempts += 1;
-            self.log_sent(attempts, &choice);
-            let reservation = Reservation::new(&self, choice);
-            let attempt = Attempt { active: &self, reservation, number: attempts };
+            self.log_sent(attempts, &carrier);
+            let attempt = Attempt { active: &self, carrier, number: attempts, tries: &tries };
             let failed = match attempt.run().await {
                 Ok(response) => return response,
                 Err(failed) => failed,
             };
             *self.current_server.lock() = None;
-            tried.push(failed.server.clone());
+            tries.add(&failed);
+            if failed.was_declined() && declined < MAX_DECLINED {
+                declined += 1;
+                attempts -= 1;
+            }
             let is_last = !self.may_retry(&failed, attempts);
             if failed.outcome.is_not_run() && is_last {
                 return self.fail(may_have_run.as_ref().unwrap_or(&failed));
@@ -342,7 +413,7 @@
     }
 
     /// Returns the response to a request whose last attempt was `failed`.
-    fn fail(&self, failed: &attempt::FailedAttempt) -> Response {
+    fn fail(&self, failed: &FailedAttempt) -> Response {
         let response = responses::failed(failed);
         let reason = format!("the last relevant attempt ended as {:?}", failed.outcome);
         log_failed(&self.id, &response, &reason, self.now().saturating_sub(self.arrived));
@@ -361,7 +432,7 @@
         }
     }
 
-    fn may_retry(&self, failed: &attempt::FailedAttempt, attempts: u32) -> bool {
+    fn may_retry(&self, failed: &FailedAttempt, attempts: u32) -> bool {
         let route = &self.routed.route;
         if !failed.outcome.may_retry(route.execution_policy) {
             return false;
@@ -380,8 +451,9 @@
             || local.retries.try_take(&self.routed.service.name, processes, self.now())
     }
 
-    /// Waits for an endpoint; `tried` are the servers of earlier attempts.
-    async fn wait_for_endpoint(&self, tried: &[ServerId]) -> Result<EndpointChoice, Response> {
+    /// Waits for an endpoint, or for another process that takes the request over; `tried` are the servers
+    /// of earlier attempts.
+    async fn wait_for_carrier(&self, tried: &[ServerId]) -> Result<Carrier, Response> {
         if let Some(refused) = self.refuse_if_quarantined() {
             return Err(refused);
         }
@@ -391,12 +463,16 @@
             Err(waiting) => waiting.decision().await,
         };
         match decision {
-            Decision::Send(choice) => match self.refuse_if_quarantined() {
-                None => Ok(choice),
-                Some(refused) => {
-                    drop(Reservation::new(self, choice));
-                    Err(refused)
+            Decision::Send(choice) => {
+                let reservation = Reservation::new(self, choice);
+                match self.refuse_if_quarantined() {
+                    None => Ok(Carrier::Server(reservation)),
+                    Some(refused) => Err(refused),
                 }
+            }
+            Decision::HandOver => match HandOver::choose(&self.state) {
+                Some(hand_over) => Ok(Carrier::Process(hand_over)),
+                None => Err(self.refuse(NO_HELPER_RETRY_AFTER, Refusal::CutOff)),
             },
             Decision::Refuse { retry_after, reason } => Err(self.refuse(retry_after, reason)),
             Decision::Wait => Err(responses::refused(UNCONFIGURED_RETRY_AFTER)),
@@ -441,6 +517,7 @@
             latency_target: self.routed.route.latency_target,
             deadline: self.deadline,
             priority: self.routed.priority,
+            may_hand_over: self.origin == Origin::Caller,
         }
     }
 
@@ -454,6 +531,12 @@
         reason: Refusal,
         because: Option<PartRefusalRecord<'_>>,
     ) -> Response {
+        let mut response = responses::refused(retry_after);
+        if reason == Refusal::CutOff && self.origin != Origin::Caller {
+            // The process that wanted to hand it over asks another one.
+            response.extensions_mut().insert(Declined);
+            return response;
+        }
         let waiting = self.state.shared.local.lock().dispatch.len();
         decision_log::write(&Record::Refused {
             request: &self.id,
@@ -465,10 +548,13 @@
             retry_after_ms: decision_log::millis(retry_after),
             because,
         });
-        responses::refused(retry_after)
+        response
     }
 
-    fn log_sent(&self, attempt: u32, choice: &EndpointChoice) {
+    fn log_sent(&self, attempt: u32, carrier: &Carrier) {
+        // A hand-over has a record of its own.
+        let Carrier::Server(reservation) = carrier else { return };
+        let choice = reservation.choice();
         *self.current_server.lock() = Some(choice.endpoint.server.clone());
         decision_log::write(&Record::Sent {
             request: &self.id,
--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -22,8 +22,10 @@
 
 use super::ActiveRequest;
 use super::ServerId;
+use super::Tries;
+use super::carrier::Carrier;
+use super::hand_over::HandOver;
 use super::reservation::Reservation;
-use super::server_end;
 use super::stream;
 use crate::decision_log;
 use crate::decision_log::Record;
@@ -32,13 +34,16 @@
 /// retried elsewhere if the response is truncated.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 128 << 10;
 /// Longest idle time of a connection that is reused for a request that may run at most once.
-const MAX_IDLE_AT_MOST_ONCE: Duration = Duration::from_millis(500);
+pub(super) const MAX_IDLE_AT_MOST_ONCE: Duration = Duration::from_millis(500);
 /// How long an idempotent call to a plain service may take before it is retried elsewhere, as a
 /// multiple of the route's latency target.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
 /// Lower bound of the timeout of an attempt.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How often an attempt that waits for a response checks whether its server can still be reached.
+const LOST_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// Headers that apply to one connection only and are not forwarded.
 const CONNECTION_HEADERS: [HeaderName; 7] = [
     header::CONNECTION,
@@ -52,10 +57,10 @@
 
 /// A caller's request, without the headers of its connection.
 pub(crate) struct OutgoingRequest {
-    method: Method,
-    target: Box<str>,
-    headers: HeaderMap,
-    body: Bytes,
+    pub(super) method: Method,
+    pub(super) target: Box<str>,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
 }
 
 impl OutgoingRequest {
@@ -94,20 +99,29 @@
 
 /// An attempt that ended without a response to forward.
 pub(crate) struct FailedAttempt {
-    /// The backend server that it was sent to.
-    pub(crate) server: ServerId,
+    /// The backend server that it was sent to, if this process chose one.
+    pub(crate) server: Option<ServerId>,
     /// Its outcome.
     pub(crate) outcome: AttemptOutcome,
 }
 
+impl FailedAttempt {
+    /// Returns whether another process would not take the request over.
+    pub(crate) fn was_declined(&self) -> bool {
+        self.server.is_none() && self.outcome == AttemptOutcome::NotSent
+    }
+}
+
 /// One attempt of a request.
 pub(crate) struct Attempt<'a> {
     /// The request.
     pub(crate) active: &'a Arc<ActiveRequest>,
-    /// Its reservation of an endpoint.
-    pub(crate) reservation: Reservation,
+    /// What carries it.
+    pub(crate) carrier: Carrier,
     /// Its number, from 1.
     pub(crate) number: u32,
+    /// The attempts before it.
+    pub(crate) tries: &'a Tries,
 }
 
 impl Attempt<'_> {
@@ -123,35 +137,88 @@
     /// Sends the request and waits for the head of the response. A resumed stream continues after
     /// the event with id `after`.
     pub(crate) async fn send(&mut self, after: Option<&str>) -> Result<Response, FailedAttempt> {
-        let active = self.active.clone();
-        let request = build(&active, self.reservation.endpoint(), after);
-        let reuse = match active.routed.route.execution_policy {
+        let sent = match &self.carrier {
+            Carrier::Server(reservation) => self.send_to_server(reservation, after).await,
+            Carrier::Process(hand_over) => self.hand_over(hand_over, after).await,
+        };
+        match sent {
+            Some(Ok(response)) => self.accept(response),
+            Some(Err(PoolError::NotSent { problem, .. })) => {
+                self.record_unreached();
+                Err(self.fail(AttemptOutcome::NotSent, 0, &problem))
+            }
+            Some(Err(PoolError::Incomplete { problem, .. })) => {
+                self.carrier.check_end(self.active).await;
+                Err(self.fail(AttemptOutcome::Unknown, 0, &problem))
+            }
+            None => Err(self.fail(AttemptOutcome::Unknown, 0, "response timed out")),
+        }
+    }
+
+    /// Returns `None` if no response begins in time, or the server can't be reached any more.
+    async fn send_to_server(
+        &self,
+        reservation: &Reservation,
+        after: Option<&str>,
+    ) -> Option<Result<Response, PoolError>> {
+        let request = build(self.active, reservation.endpoint(), after);
+        let reuse = match self.active.routed.route.execution_policy {
             ExecutionPolicy::AtMostOnce => Reuse::IdleAtMost(MAX_IDLE_AT_MOST_ONCE),
             ExecutionPolicy::Idempotent | ExecutionPolicy::Resumable => Reuse::Any,
         };
-        let sending = active.state.pool.send(self.reservation.endpoint().address, request, reuse);
-        let sent = match tokio::time::timeout(self.timeout(), sending).await {
-            Ok(sent) => sent,
-            Err(_) => return Err(self.fail(AttemptOutcome::Unknown, 0, "response timed out")),
-        };
-        let response = match sent {
-            Ok(response) => response,
-            Err(PoolError::NotSent { problem, .. }) => {
-                return Err(self.fail(AttemptOutcome::NotSent, 0, &problem));
+        let pool = &self.active.state.pool;
+        let mut sending = std::pin::pin!(pool.send(reservation.endpoint().address, request, reuse));
+        let timeout = self.timeout();
+        loop {
+            let left = timeout.saturating_sub(reservation.age());
+            let slice = left.min(LOST_CHECK_PERIOD);
+            if let Ok(sent) = tokio::time::timeout(slice, &mut sending).await {
+                return Some(sent);
             }
-            Err(PoolError::Incomplete { problem, .. }) => {
-                server_end::check(&active, &self.reservation).await;
-                return Err(self.fail(AttemptOutcome::Unknown, 0, &problem));
+            let age = reservation.age();
+            if age >= timeout || (self.may_be_made_elsewhere() && reservation.is_cut_off(age)) {
+                return None;
             }
-        };
+        }
+    }
+
+    /// Returns `None` if no response begins in time.
+    async fn hand_over(
+        &self,
+        hand_over: &HandOver,
+        after: Option<&str>,
+    ) -> Option<Result<Response, PoolError>> {
+        let sending = hand_over.send(self.active, self.number, self.tries, after);
+        tokio::time::timeout(self.timeout(), sending).await.ok()
+    }
+
+    /// Returns whether the request may be sent again although this attempt may have run.
+    fn may_be_made_elsewhere(&self) -> bool {
+        let route = &self.active.routed.route;
+        self.number < route.max_attempts
+            && AttemptOutcome::Unknown.may_retry(route.execution_policy)
+    }
+
+    /// Records that no connection could be made.
+    fn record_unreached(&self) {
+        if let Carrier::Server(reservation) = &self.carrier {
+            self.active.state.shared.connect_failed(reservation.endpoint(), self.active.now());
+        }
+    }
+
+    /// Returns the response if it can be passed on. That of another process can: it has tried what there
+    /// was to try.
+    fn accept(&mut self, response: Response) -> Result<Response, FailedAttempt> {
+        let Carrier::Server(reservation) = &self.carrier else { return Ok(response) };
+        let active = self.active;
         let (status, headers) = (response.status(), response.headers());
         let id = active.metadata.attempt_id.as_deref();
-        let server = &self.reservation.endpoint().server;
+        let server = &reservation.endpoint().server;
         let header_names = &active.state.integration.header_names;
         let outcome = AttemptOutcome::classify(status, headers, id, server, header_names);
         let mut findings = Findings::default();
         let notice = ServerNotice::read(status, headers, header_names, &mut findings);
-        self.record_notice(outcome, &notice, &findings);
+        self.record_notice(reservation, outcome, &notice, &findings);
         match outcome {
             AttemptOutcome::Answered => Ok(response),
             // The backend server's own error response is forwarded if no retry may follow.
@@ -170,7 +237,13 @@
     /// Records what a response says of its server, unless it may come from another one.
     ///
     /// A response to a request that ran and that names no limit says that there is none.
-    fn record_notice(&self, outcome: AttemptOutcome, notice: &ServerNotice, findings: &Findings) {
+    fn record_notice(
+        &self,
+        reservation: &Reservation,
+        outcome: AttemptOutcome,
+        notice: &ServerNotice,
+        findings: &Findings,
+    ) {
         let has_run = match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Failed => true,
             AttemptOutcome::Full | AttemptOutcome::Broken => false,
@@ -178,26 +251,35 @@
                 return;
             }
         };
-        let (request, server) = (&*self.active.id, &*self.reservation.endpoint().server);
+        let (request, server) = (&*self.active.id, &*reservation.endpoint().server);
         let per_second = notice.limit;
-        if (has_run || per_second.is_some()) && self.reservation.record_limit(per_second) {
+        if (has_run || per_second.is_some()) && reservation.record_limit(per_second) {
             decision_log::write(&Record::ServerLimit { request, server, per_second });
         }
         if let Some(pause) = notice.pause {
-            self.reservation.record_pause(pause);
+            reservation.record_pause(pause);
             let for_ms = decision_log::millis(pause);
             decision_log::write(&Record::ServerPause { request, server, for_ms });
         }
         if notice.is_leaving {
-            self.reservation.record_leaving(request);
+            reservation.record_leaving(request);
         }
-        if !findings.is_empty() && self.reservation.record_invalid_notice() {
+        if !findings.is_empty() && reservation.record_invalid_notice() {
             decision_log::write(&Record::LeftOut { key: server, findings });
         }
     }
 
     /// Returns how long the backend server may take to begin its response.
     fn timeout(&self) -> Duration {
+        let left = self.active.deadline.saturating_sub(self.active.now());
+        match &self.carrier {
+            Carrier::Server(_) => self.server_timeout(),
+            // The other process may try two servers, one after the other.
+            Carrier::Process(_) => (self.server_timeout() * 2).min(left),
+        }
+    }
+
+    fn server_timeout(&self) -> Duration {
         let left = self.active.deadline.saturating_sub(self.active.now());
         let route = &self.active.routed.route;
         let last = self.number >= route.max_attempts;
@@ -218,7 +300,7 @@
         status: u16,
         problem: &str,
     ) -> FailedAttempt {
-        self.reservation.record_failure(outcome);
+        self.carrier.record_failure(outcome);
         let active = self.active;
         let retries_left = {
             let mut local = active.state.shared.local.lock();
@@ -229,14 +311,14 @@
             request: &active.id,
             fingerprint: active.fingerprint,
             attempt: self.number,
-            server: &self.reservation.endpoint().server,
+            server: self.carrier.name(),
             verdict: &format!("{outcome:?}"),
             status,
             problem,
-            after_ms: decision_log::millis(self.reservation.age()),
+            after_ms: decision_log::millis(self.carrier.age(active.now())),
             retries_left,
         });
-        FailedAttempt { server: self.reservation.endpoint().server.clone(), outcome }
+        FailedAttempt { server: self.carrier.server().cloned(), outcome }
     }
 
     /// Forwards a response that is no stream of events.
@@ -250,7 +332,7 @@
                 return Err(self.fail(AttemptOutcome::Unknown, status, "the body takes too long"));
             }
             Ok(Err(error)) => {
-                server_end::check(self.active, &self.reservation).await;
+                self.carrier.check_end(self.active).await;
                 return Err(self.fail(
                     AttemptOutcome::Unknown,
                     parts.status.as_u16(),
@@ -260,12 +342,11 @@
         };
         strip_connection_headers(&mut parts.headers);
         if is_whole {
-            self.reservation.record_response(parts.status);
+            self.carrier.record_response(parts.status);
             self.log_answered(parts.status);
             return Ok(Response::from_parts(parts, Body::from(bytes)));
         }
-        let rest =
-            stream::relay_rest(self.active.clone(), parts.status, bytes, from, self.reservation);
+        let rest = stream::relay_rest(self.active.clone(), parts.status, bytes, from, self.carrier);
         Ok(Response::from_parts(parts, rest))
     }
 
@@ -273,10 +354,10 @@
         let age = decision_log::millis(self.active.now().saturating_sub(self.active.arrived));
         decision_log::write(&Record::Answered {
             request: &self.active.id,
-            server: &self.reservation.endpoint().server,
+            server: self.carrier.name(),
             status: status.as_u16(),
-            expected_ms: decision_log::millis(self.reservation.expected_time()),
-            first_event_ms: decision_log::millis(self.reservation.age()),
+            expected_ms: decision_log::millis(self.carrier.expected_time()),
+            first_event_ms: decision_log::millis(self.carrier.age(self.active.now())),
             first_ms: age,
             total_ms: age,
             longest_pause_ms: 0,
@@ -289,12 +370,12 @@
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
         let timeout = self.timeout();
-        match stream::first_event(self.active, &self.reservation, from, timeout).await {
+        match stream::first_event(self.active, &self.carrier, from, timeout).await {
             Ok((event, source)) => {
-                self.reservation.record_first_event();
+                self.carrier.record_first_event(self.active.now());
                 let body = stream::relay_events(
                     self.active.clone(),
-                    self.reservation,
+                    self.carrier,
                     self.number,
                     event,
                     source,
@@ -303,7 +384,7 @@
             }
             Err(interruption) => {
                 if matches!(interruption, stream::Interruption::Broken(_)) {
-                    server_end::check(self.active, &self.reservation).await;
+                    self.carrier.check_end(self.active).await;
                 }
                 let problem = interruption.to_string();
                 Err(self.fail(AttemptOutcome::Unknown, parts.status.as_u16(), &problem))
@@ -341,7 +422,7 @@
     request
 }
 
-fn set(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
+pub(super) fn set(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
     match HeaderValue::from_str(value) {
         Ok(value) => {
             headers.insert(name.clone(), value);
--- /dev/null
+++ b/crates/front/src/serve/carrier.rs
@@ -0,0 +1,118 @@
+//! What carries an attempt to a backend server: a connection of this process, or another process.
+
+use base::prelude::*;
+use http::StatusCode;
+use pass::prelude::*;
+
+use super::ActiveRequest;
+use super::ServerId;
+use super::hand_over::HandOver;
+use super::reservation::Reservation;
+use super::server_end;
+
+/// What carries an attempt.
+pub(crate) enum Carrier {
+    /// This process sends it to an endpoint.
+    Server(Reservation),
+    /// Another process serves the request.
+    Process(HandOver),
+}
+
+impl Carrier {
+    /// Returns the backend server, if this process has chosen it.
+    pub(crate) fn server(&self) -> Option<&ServerId> {
+        match self {
+            Carrier::Server(reservation) => Some(&reservation.endpoint().server),
+            Carrier::Process(_) => None,
+        }
+    }
+
+    /// Returns the name of the server or the process, for the log.
+    pub(crate) fn name(&self) -> &str {
+        match self {
+            Carrier::Server(reservation) => &reservation.endpoint().server,
+            Carrier::Process(hand_over) => hand_over.name(),
+        }
+    }
+
+    /// Returns the time since the attempt began.
+    pub(crate) fn age(&self, now: Mono) -> Duration {
+        match self {
+            Carrier::Server(reservation) => reservation.age(),
+            Carrier::Process(hand_over) => now.saturating_sub(hand_over.started_at),
+        }
+    }
+
+    /// Returns the forecast of the time to the response or, for a stream, to its first event; zero if
+    /// another process makes it.
+    pub(crate) fn expected_time(&self) -> Duration {
+        match self {
+            Carrier::Server(reservation) => reservation.expected_time(),
+            Carrier::Process(_) => Duration::ZERO,
+        }
+    }
+
+    /// Returns the time to the first event of a stream, once it has come.
+    pub(crate) fn first_event_time(&self) -> Option<Duration> {
+        match self {
+            Carrier::Server(reservation) => reservation.first_event_time(),
+            Carrier::Process(hand_over) => hand_over.first_event_time,
+        }
+    }
+
+    /// Records that the first event of a stream has come.
+    pub(crate) fn record_first_event(&mut self, now: Mono) {
+        let age = self.age(now);
+        match self {
+            Carrier::Server(reservation) => reservation.record_first_event(),
+            Carrier::Process(hand_over) => hand_over.first_event_time = Some(age),
+        }
+    }
+
+    /// Records that the prompt has been prefilled.
+    pub(crate) fn record_prefill(&mut self) {
+        if let Carrier::Server(reservation) = self {
+            reservation.record_prefill();
+        }
+    }
+
+    /// Records that an event has come.
+    pub(crate) fn record_progress(&mut self) {
+        if let Carrier::Server(reservation) = self {
+            reservation.record_progress();
+        }
+    }
+
+    /// Records a complete response.
+    pub(crate) fn record_response(&self, status: StatusCode) {
+        if let Carrier::Server(reservation) = self {
+            reservation.record_response(status);
+        }
+    }
+
+    /// Records the outcome of a failed attempt.
+    pub(crate) fn record_failure(&self, outcome: AttemptOutcome) {
+        match self {
+            Carrier::Server(reservation) => reservation.record_failure(outcome),
+            Carrier::Process(hand_over) => hand_over.record_failure(),
+        }
+    }
+
+    /// Returns whether an attempt that has got nothing for the time `silent_for` should be made elsewhere:
+    /// its endpoint makes no progress on any request, or this process can't reach it any more.
+    pub(crate) fn is_lost(&self, silent_for: Duration) -> bool {
+        match self {
+            Carrier::Server(reservation) => {
+                reservation.is_stalled() || reservation.is_cut_off(silent_for)
+            }
+            Carrier::Process(_) => false,
+        }
+    }
+
+    /// Finds out whether the backend server ended, after its connection broke.
+    pub(crate) async fn check_end(&self, active: &ActiveRequest) {
+        if let Carrier::Server(reservation) = self {
+            server_end::check(active, reservation).await;
+        }
+    }
+}
--- a/crates/front/src/serve/reservation.rs
+++ b/crates/front/src/serve/reservation.rs
@@ -18,15 +18,16 @@
 /// crashes may send the first events before it ends.
 const EVENTS_OF_BEGUN_ANSWER: u32 = 3;
 
+/// Time without data after which a connection to a server counts as lost if no new one can be made to any.
+const LOST_SILENCE: Duration = Duration::from_millis(250);
+
 /// A request's share of the capacity of an endpoint.
 pub(crate) struct Reservation {
     state: Arc<State>,
-    endpoint: Endpoint,
+    choice: EndpointChoice,
     /// Tokens of the prompt that are not prefilled yet.
     pending_prefill: u64,
     started_at: Mono,
-    /// The forecast of the time to the response or, for a stream, to its first event.
-    expected_time: Duration,
     /// The time to the first event, once it has come.
     first_event_time: Option<Duration>,
     fingerprint: Fingerprint,
@@ -42,10 +43,9 @@
         let pending_prefill = active.prompt_tokens();
         Reservation {
             state: active.state.clone(),
-            endpoint: choice.endpoint,
+            choice,
             pending_prefill,
             started_at: active.now(),
-            expected_time: choice.expected_time,
             first_event_time: None,
             fingerprint: active.fingerprint,
             parts: active.parts.clone(),
@@ -54,7 +54,12 @@
     }
 
     pub(crate) fn endpoint(&self) -> &Endpoint {
-        &self.endpoint
+        &self.choice.endpoint
+    }
+
+    /// Returns the endpoint as it was chosen.
+    pub(crate) fn choice(&self) -> &EndpointChoice {
+        &self.choice
     }
 
     /// Returns the time since the reservation was made.
@@ -64,7 +69,7 @@
 
     /// Returns the forecast of the time to the response or, for a stream, to its first event.
     pub(crate) fn expected_time(&self) -> Duration {
-        self.expected_time
+        self.choice.expected_time
     }
 
     /// Returns the time from the reservation to the first event of a stream, once it has come.
@@ -76,7 +81,7 @@
     pub(crate) fn record_first_event(&mut self) {
         let took = self.age();
         self.first_event_time = Some(took);
-        self.state.metrics.record_first_event(self.expected_time, took);
+        self.state.metrics.record_first_event(self.choice.expected_time, took);
         self.record_prefill();
     }
 
@@ -84,14 +89,14 @@
     pub(crate) fn record_prefill(&mut self) {
         let pending_prefill = std::mem::take(&mut self.pending_prefill);
         if pending_prefill > 0 {
-            self.state.shared.local.lock().endpoints.prefill_done(&self.endpoint, pending_prefill);
+            self.state.shared.local.lock().endpoints.prefill_done(self.endpoint(), pending_prefill);
         }
     }
 
     /// Records that the endpoint has sent an event for this request.
     pub(crate) fn record_progress(&mut self) {
         let now = self.state.cx.now();
-        self.state.shared.local.lock().endpoints.data_received(&self.endpoint, now);
+        self.state.shared.local.lock().endpoints.data_received(self.endpoint(), now);
         self.events += 1;
         if self.events == EVENTS_OF_BEGUN_ANSWER {
             self.record_answer_begun();
@@ -119,25 +124,32 @@
     /// Returns whether the endpoint is stalled: it makes no progress on any request.
     pub(crate) fn is_stalled(&self) -> bool {
         let now = self.state.cx.now();
-        self.state.shared.local.lock().endpoints.is_stalled(&self.endpoint, now)
+        self.state.shared.local.lock().endpoints.is_stalled(self.endpoint(), now)
+    }
+
+    /// Returns whether this process can't reach servers any more and the connection has been silent for so
+    /// long that it is lost as well.
+    pub(crate) fn is_cut_off(&self, silent_for: Duration) -> bool {
+        let reach = self.state.shared.local.lock().endpoints.paths.reach();
+        reach == Reach::CutOff && silent_for >= LOST_SILENCE
     }
 
     /// Records which limit of the server's request rate a response named, if any; returns whether
     /// that is news.
     pub(crate) fn record_limit(&self, per_second: Option<RequestRate>) -> bool {
         let now = self.state.cx.now();
-        self.state.shared.local.lock().endpoints.limit_observed(&self.endpoint, per_second, now)
+        self.state.shared.local.lock().endpoints.limit_observed(self.endpoint(), per_second, now)
     }
 
     /// Records that the server wants no requests for `pause`.
     pub(crate) fn record_pause(&self, pause: Duration) {
         let now = self.state.cx.now();
-        self.state.shared.local.lock().endpoints.pause_requested(&self.endpoint, pause, now);
+        self.state.shared.local.lock().endpoints.pause_requested(self.endpoint(), pause, now);
     }
 
     /// Records that a response to `request` said that the server is leaving.
     pub(crate) fn record_leaving(&self, request: &str) {
-        let Endpoint { server, started_at_ms, .. } = &self.endpoint;
+        let Endpoint { server, started_at_ms, .. } = self.endpoint();
         let mut local = self.state.shared.local.lock();
         local.set_leaving(server, *started_at_ms, request, self.state.cx.now());
         self.state.shared.servers_changed.notify_one();
@@ -145,7 +157,7 @@
 
     /// Records that a response said something invalid of the server; returns whether that is news.
     pub(crate) fn record_invalid_notice(&self) -> bool {
-        self.state.shared.local.lock().endpoints.invalid_notice_seen(&self.endpoint)
+        self.state.shared.local.lock().endpoints.invalid_notice_seen(self.endpoint())
     }
 
     /// Records a complete response.
@@ -156,8 +168,9 @@
         if status.is_success() {
             self.record_answer_begun();
         }
+        let now = self.state.cx.now();
         let mut local = self.state.shared.local.lock();
-        local.endpoints.request_succeeded(&self.endpoint, self.age());
+        local.endpoints.request_succeeded(self.endpoint(), self.age(), now);
         if status.is_success() && local.crash_reports.record_answer(self.fingerprint, wall_millis())
         {
             self.state.shared.notify_of_crash_report();
@@ -170,10 +183,10 @@
         let mut local = self.state.shared.local.lock();
         match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Failed => {}
-            AttemptOutcome::Full => local.endpoints.reported_full(&self.endpoint, now),
-            AttemptOutcome::Broken => local.endpoints.reported_stalled(&self.endpoint, now),
+            AttemptOutcome::Full => local.endpoints.reported_full(self.endpoint(), now),
+            AttemptOutcome::Broken => local.endpoints.reported_stalled(self.endpoint(), now),
             AttemptOutcome::NotSent | AttemptOutcome::Misdirected | AttemptOutcome::Unknown => {
-                local.endpoints.request_failed(&self.endpoint, now);
+                local.endpoints.request_failed(self.endpoint(), now);
             }
         }
     }
@@ -182,7 +195,7 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.record_prefill();
-        self.state.shared.local.lock().endpoints.request_ended(&self.endpoint);
+        self.state.shared.local.lock().endpoints.request_ended(self.endpoint());
         self.state.shared.dispatch_queued(self.state.cx.now());
     }
 }
--- a/crates/front/src/serve/server_end.rs
+++ b/crates/front/src/serve/server_end.rs
@@ -1,7 +1,8 @@
 //! Finds out whether a backend server ended while it may have been running a request.
 //!
 //! A connection that breaks doesn't tell: the network may have reset it, or the server may have
-//! given up the request. If nothing listens at the server's address any more, the server has ended.
+//! given up the request. That new connections are refused doesn't either: the path from here to the
+//! server may be cut. So other processes are asked, and a server that one of them reaches has not ended.
 //! A server that was leaving doesn't count, since it ends anyway.
 //!
 //! The crash is recorded against the request, so that a request that crashes each server that runs it
@@ -11,7 +12,8 @@
 use base::prelude::*;
 use form::server::ServerState;
 use pass::prelude::*;
-use web::pool::is_refused;
+use web::pool::Probe;
+use web::pool::probe;
 
 use super::ActiveRequest;
 use super::reservation::Reservation;
@@ -27,9 +29,18 @@
 /// request on it.
 pub(super) async fn check(active: &ActiveRequest, reservation: &Reservation) {
     let endpoint = reservation.endpoint();
-    if !is_serving(active, endpoint) || !is_refused(endpoint.address, PROBE_TIMEOUT).await {
+    if !is_serving(active, endpoint) {
         return;
     }
+    match probe(endpoint.address, PROBE_TIMEOUT).await {
+        Probe::Accepted => return,
+        Probe::NoAnswer => return active.state.shared.connect_failed(endpoint, active.now()),
+        Probe::Refused => active.state.shared.connect_failed(endpoint, active.now()),
+    }
+    if is_reached_elsewhere(active, endpoint).await {
+        let (request, server) = (&*active.id, &*endpoint.server);
+        return decision_log::write(&Record::EndUnconfirmed { request, server });
+    }
     let (server, started_at_ms, millis) = (&endpoint.server, endpoint.started_at_ms, wall_millis());
     {
         let reports = &mut active.state.shared.local.lock().crash_reports;
@@ -51,6 +62,13 @@
     });
 }
 
+/// Returns whether another process reaches the server, so that refused connections don't show its end.
+async fn is_reached_elsewhere(active: &ActiveRequest, endpoint: &Endpoint) -> bool {
+    // The check tells whether this process reaches servers at all, which decides whom it asks.
+    active.state.shared.checked_reach().await;
+    active.state.opinions.is_reached(&endpoint.server).await
+}
+
 /// Returns whether the server's last report says that it takes requests.
 fn is_serving(active: &ActiveRequest, endpoint: &Endpoint) -> bool {
     let local = active.state.shared.local.lock();
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -18,9 +18,11 @@
 use web::body::BodySender;
 
 use super::ActiveRequest;
+use super::ServerId;
+use super::Tries;
 use super::attempt::Attempt;
-use super::reservation::Reservation;
-use super::server_end;
+use super::attempt::FailedAttempt;
+use super::carrier::Carrier;
 use crate::decision_log;
 use crate::decision_log::Record;
 
@@ -92,12 +94,12 @@
 /// Waits for the first event of a stream.
 pub(super) async fn first_event(
     active: &ActiveRequest,
-    reservation: &Reservation,
+    carrier: &Carrier,
     from: Body,
     timeout: Duration,
 ) -> Result<(Event, Source), Interruption> {
     let mut source = Source { from, events: EventSplitter::default() };
-    match next_or_stalled(active, reservation, &mut source, timeout).await {
+    match next_or_stalled(active, carrier, &mut source, timeout).await {
         Some(Ok(event)) => Ok((event, source)),
         Some(Err(End::Broken(problem))) => Err(Interruption::Broken(problem)),
         Some(Err(End::Complete)) => {
@@ -111,7 +113,7 @@
 /// also as soon as the endpoint is stalled for all its requests.
 async fn next_or_stalled(
     active: &ActiveRequest,
-    reservation: &Reservation,
+    carrier: &Carrier,
     source: &mut Source,
     timeout: Duration,
 ) -> Option<Result<Event, End>> {
@@ -126,7 +128,8 @@
         // The timeout is shorter than the time to the deadline only if the request may be retried
         // elsewhere.
         let may_leave = timeout < active.deadline.saturating_sub(since);
-        if timed_out || (may_leave && reservation.is_stalled()) {
+        let silent_for = active.now().saturating_sub(since);
+        if timed_out || (may_leave && carrier.is_lost(silent_for)) {
             return None;
         }
     }
@@ -138,11 +141,11 @@
     status: StatusCode,
     first: Bytes,
     mut from: Body,
-    reservation: Reservation,
+    carrier: Carrier,
 ) -> Body {
     let (tx, body) = body::stream_of_large_chunks();
     tokio::spawn(async move {
-        let reservation = reservation;
+        let carrier = carrier;
         if !tx.send(first).await {
             return;
         }
@@ -163,9 +166,9 @@
                 }
                 Some(Err(error)) => {
                     tx.abort(&error.to_string()).await;
-                    return server_end::check(&active, &reservation).await;
+                    return carrier.check_end(&active).await;
                 }
-                None => return reservation.record_response(status),
+                None => return carrier.record_response(status),
             }
         }
     });
@@ -175,7 +178,7 @@
 /// Forwards a stream whose first event has been received.
 pub(super) fn relay_events(
     active: Arc<ActiveRequest>,
-    reservation: Reservation,
+    carrier: Carrier,
     attempts: u32,
     first: Event,
     source: Source,
@@ -183,7 +186,7 @@
     let (tx, body) = body::stream(());
     let relay = Relay {
         tx,
-        reservation: Some(reservation),
+        carrier: Some(carrier),
         attempts,
         last_id: None,
         events: 0,
@@ -200,7 +203,7 @@
 struct Relay {
     active: Arc<ActiveRequest>,
     tx: BodySender,
-    reservation: Option<Reservation>,
+    carrier: Option<Carrier>,
     attempts: u32,
     /// The id of the last forwarded event that had one; a resumed stream continues after it.
     last_id: Option<Box<str>>,
@@ -242,8 +245,8 @@
     }
 
     async fn next(&self, source: &mut Source) -> Option<Result<Event, End>> {
-        let Some(reservation) = &self.reservation else { return None };
-        next_or_stalled(&self.active, reservation, source, self.event_timeout()).await
+        let Some(carrier) = &self.carrier else { return None };
+        next_or_stalled(&self.active, carrier, source, self.event_timeout()).await
     }
 
     /// Returns how long the next event may take.
@@ -269,8 +272,8 @@
         if self.events > 0 {
             self.longest_gap = self.longest_gap.max(now.saturating_sub(self.last_at));
         }
-        if let Some(reservation) = &mut self.reservation {
-            reservation.record_progress();
+        if let Some(carrier) = &mut self.carrier {
+            carrier.record_progress();
         }
         self.last_at = now;
         self.events += 1;
@@ -283,41 +286,62 @@
     /// Resumes the stream at another backend server, if that is allowed.
     async fn resume(&mut self, interruption: &Interruption) -> Option<Source> {
         let active = self.active.clone();
-        let reservation = self.reservation.take()?;
-        let server = reservation.endpoint().server.clone();
+        let carrier = self.carrier.take()?;
         if matches!(interruption, Interruption::Broken(_)) {
-            server_end::check(&active, &reservation).await;
+            carrier.check_end(&active).await;
         }
-        let mut attempt = Attempt { active: &active, reservation, number: self.attempts };
-        let failed = attempt.fail(AttemptOutcome::Unknown, 0, &interruption.to_string());
+        let server: Vec<ServerId> = carrier.server().cloned().into_iter().collect();
+        let may_have_run = self.attempts;
+        let tries = Tries { servers: server.clone(), reached: server, may_have_run };
+        let number = self.attempts;
+        let mut attempt = Attempt { active: &active, carrier, number, tries: &tries };
+        let mut failed = attempt.fail(AttemptOutcome::Unknown, 0, &interruption.to_string());
         drop(attempt);
         let last_id = self.last_id.clone()?;
-        if !active.may_retry(&failed, self.attempts) {
-            return None;
+        // A process that declines the stream has sent nothing, so another one may get it.
+        while active.may_retry(&failed, self.attempts) {
+            match self.resume_after(&last_id, &tries).await? {
+                Ok(source) => return Some(source),
+                Err(next) if next.was_declined() => failed = next,
+                Err(_) => return None,
+            }
         }
-        let tried = [server];
-        let choice = tokio::select! {
+        None
+    }
+
+    /// Sends the request once more, for the events after `last_id`; `None` if that is impossible.
+    async fn resume_after(
+        &mut self,
+        last_id: &str,
+        tries: &Tries,
+    ) -> Option<Result<Source, FailedAttempt>> {
+        let active = self.active.clone();
+        let carrier = tokio::select! {
             () = self.tx.closed() => return None,
-            choice = active.wait_for_endpoint(&tried) => choice.ok()?,
+            carrier = active.wait_for_carrier(&tries.servers) => carrier.ok()?,
         };
         self.attempts += 1;
         decision_log::write(&Record::Resumed {
             request: &active.id,
-            server: &choice.endpoint.server,
-            after_event: &last_id,
+            server: carrier.name(),
+            after_event: last_id,
         });
-        let reservation = Reservation::new(&active, choice);
-        let mut attempt = Attempt { active: &active, reservation, number: self.attempts };
+        let number = self.attempts;
+        let mut attempt = Attempt { active: &active, carrier, number, tries };
         let response = tokio::select! {
             () = self.tx.closed() => return None,
-            response = attempt.send(Some(&last_id)) => response.ok()?,
+            response = attempt.send(Some(last_id)) => response,
         };
-        if !response.status().is_success() {
-            return None;
+        match response {
+            Ok(response) if response.status().is_success() => {
+                attempt.carrier.record_prefill();
+                self.carrier = Some(attempt.carrier);
+                let events = EventSplitter::default();
+                Some(Ok(Source { from: response.into_body(), events }))
+            }
+            Ok(_) => None,
+            Err(failed) => Some(Err(failed)),
         }
-        attempt.reservation.record_prefill();
-        self.reservation = Some(attempt.reservation);
-        Some(Source { from: response.into_body(), events: EventSplitter::default() })
     }
 
     async fn abort(&self, problem: &str) {
@@ -332,12 +356,12 @@
     }
 
     fn log_completed(&self) {
-        if let Some(reservation) = &self.reservation {
-            reservation.record_response(StatusCode::OK);
+        if let Some(carrier) = &self.carrier {
+            carrier.record_response(StatusCode::OK);
         }
         let since = |at: Mono| decision_log::millis(at.saturating_sub(self.active.arrived));
-        let (expected, first_event) = match &self.reservation {
-            Some(reservation) => (reservation.expected_time(), reservation.first_event_time()),
+        let (expected, first_event) = match &self.carrier {
+            Some(carrier) => (carrier.expected_time(), carrier.first_event_time()),
             None => (Duration::ZERO, None),
         };
         let first_event = first_event.unwrap_or_default();
@@ -363,6 +387,6 @@
     }
 
     fn server(&self) -> &str {
-        self.reservation.as_ref().map_or("", |reservation| &reservation.endpoint().server)
+        self.carrier.as_ref().map_or("", Carrier::name)
     }
 }
--- a/crates/pass/src/availability.rs
+++ b/crates/pass/src/availability.rs
@@ -57,6 +57,12 @@
         self.failed_until = now + pause.min(MAX_FAILURE_BACKOFF);
     }
 
+    /// Forgets the failures: they weren't those of the endpoint.
+    pub fn failures_explained(&mut self) {
+        self.failed_until = Mono::ZERO;
+        self.consecutive_failures = 0;
+    }
+
     /// Records that the endpoint sent something for a request.
     pub fn made_progress(&mut self) {
         self.consecutive_fulls = 0;
--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::endpoints::EndpointChoice;
 use crate::endpoints::EndpointPool;
 use crate::endpoints::EndpointRequirements;
+use crate::paths::Reach;
 
 /// Number of a waiting request, unique in its process.
 pub type Ticket = u64;
@@ -41,6 +42,8 @@
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Retry-after time when there is no endpoint.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+/// Retry-after time when no endpoint can be reached from here.
+const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(400);
 
 /// A request that needs an endpoint.
 #[data]
@@ -55,6 +58,8 @@
     pub deadline: Mono,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// Whether another process may take the request over. One that was handed over already stays.
+    pub may_hand_over: bool,
 }
 
 /// What is done with a request.
@@ -64,6 +69,8 @@
     Send(EndpointChoice),
     /// It waits.
     Wait,
+    /// It is handed over to another process: from here, no endpoint can be reached.
+    HandOver,
     /// It is refused.
     Refuse {
         /// Time after which the caller may retry.
@@ -87,6 +94,8 @@
     Paused,
     /// Backend servers that ran it ended.
     Quarantined,
+    /// No endpoint can be reached from here, and no other process takes the request.
+    CutOff,
 }
 
 /// The requests that wait for an endpoint.
@@ -112,11 +121,12 @@
                 && !is_late(other, now)
         };
         let ahead = self.waiting.values().filter(is_ahead).count();
-        let decision = refuse_beyond_limits(&pending, endpoints, ahead, now)
-            .unwrap_or_else(|| decide(&pending, endpoints, now));
+        let decision = decide_unreached(&pending, endpoints, now)
+            .or_else(|| refuse_beyond_limits(&pending, endpoints, ahead, now))
+            .unwrap_or_else(|| decide_reached(&pending, endpoints, now));
         match decision {
             Decision::Send(_) if ahead == 0 => (decision, None),
-            Decision::Refuse { .. } => (decision, None),
+            Decision::Refuse { .. } | Decision::HandOver => (decision, None),
             _ => {
                 self.next += 1;
                 self.waiting.insert(self.next, pending);
@@ -187,6 +197,31 @@
 }
 
 fn decide(pending: &PendingRequest, endpoints: &EndpointPool, now: Mono) -> Decision {
+    decide_unreached(pending, endpoints, now)
+        .unwrap_or_else(|| decide_reached(pending, endpoints, now))
+}
+
+/// Decides on a request if no endpoint can be reached from here, as far as is known.
+fn decide_unreached(
+    pending: &PendingRequest,
+    endpoints: &EndpointPool,
+    now: Mono,
+) -> Option<Decision> {
+    match endpoints.reach_of(&pending.requirements) {
+        Reach::Open => {
+            let has_left = endpoints.paths.have_all_failed(&pending.requirements.excluded);
+            (has_left && pending.may_hand_over).then_some(Decision::HandOver)
+        }
+        // The check takes less time than an attempt that fails.
+        Reach::Checking => {
+            let waited = now.saturating_sub(pending.arrived_at);
+            (waited < max_wait(pending)).then_some(Decision::Wait)
+        }
+        Reach::CutOff => Some(leave(pending, now)),
+    }
+}
+
+fn decide_reached(pending: &PendingRequest, endpoints: &EndpointPool, now: Mono) -> Decision {
     let waited = now.saturating_sub(pending.arrived_at);
     let refuse = |pause, reason| refuse(pending, pause, reason, now);
     let typical_target = pending.latency_target.mul_f64(typical_time_ratio(pending));
@@ -212,11 +247,7 @@
         {
             return refuse(pause, Refusal::Paused);
         }
-        return if waited < max_wait(pending) {
-            Decision::Wait
-        } else {
-            refuse(BUSY_RETRY_AFTER, Refusal::Busy)
-        };
+        return wait_or_leave(pending, endpoints, now);
     };
     let spare = endpoints.takes_all(&pending.requirements)
         && choice.utilization < MAX_LATE_UTILIZATION
@@ -224,10 +255,26 @@
     if is_on_time(&choice) || spare {
         return Decision::Send(choice);
     }
-    if waited < max_wait(pending) {
-        Decision::Wait
-    } else {
-        refuse(BUSY_RETRY_AFTER, Refusal::Busy)
+    wait_or_leave(pending, endpoints, now)
+}
+
+/// Decides on a request that no endpoint can accept now.
+fn wait_or_leave(pending: &PendingRequest, endpoints: &EndpointPool, now: Mono) -> Decision {
+    if endpoints.has_unreachable(&pending.requirements) {
+        // Another process has more endpoints to choose from.
+        return leave(pending, now);
+    }
+    if now.saturating_sub(pending.arrived_at) < max_wait(pending) {
+        return Decision::Wait;
+    }
+    refuse(pending, BUSY_RETRY_AFTER, Refusal::Busy, now)
+}
+
+/// Decides on a request that this process can't send to an endpoint that others may reach.
+fn leave(pending: &PendingRequest, now: Mono) -> Decision {
+    match pending.may_hand_over {
+        true => Decision::HandOver,
+        false => refuse(pending, CUT_OFF_RETRY_AFTER, Refusal::CutOff, now),
     }
 }
 
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -41,6 +41,8 @@
 use crate::flows::FlowOutlook;
 use crate::flows::Flows;
 use crate::load::Load;
+use crate::paths::Paths;
+use crate::paths::Reach;
 use crate::server_limit::RequestRate;
 use crate::server_limit::ServerLimits;
 
@@ -110,6 +112,10 @@
     processes: usize,
     /// The requests that want an endpoint.
     flows: Flows,
+    /// The paths from this process to the servers.
+    pub paths: Paths,
+    /// Requests in progress, and since when there have been some.
+    in_progress: (usize, Mono),
 }
 
 impl EndpointPool {
@@ -260,12 +266,59 @@
             report_age: self.flows.report_age(now),
         };
         self.untried(requirements)
+            .filter(|state| !self.is_unreachable(&state.endpoint))
             .filter(|state| self.has_permit(&state.endpoint, now))
             .filter(|state| now >= self.pause_end(&state.endpoint))
             .filter_map(|state| evaluate(state, &evaluation, now))
             .collect()
     }
 
+    /// Returns whether this process reaches the endpoints that a request may be sent to.
+    pub fn reach_of(&self, requirements: &EndpointRequirements) -> Reach {
+        if self.paths.reach() != Reach::Open {
+            return self.paths.reach();
+        }
+        let mut untried = self.untried(requirements).peekable();
+        let has_any = untried.peek().is_some();
+        match has_any && untried.all(|state| self.is_unreachable(&state.endpoint)) {
+            true => Reach::CutOff,
+            false => Reach::Open,
+        }
+    }
+
+    /// Returns whether another process may reach more of the endpoints that a request may be sent to.
+    pub fn has_unreachable(&self, requirements: &EndpointRequirements) -> bool {
+        self.untried(requirements).any(|state| self.is_unreachable(&state.endpoint))
+    }
+
+    fn is_unreachable(&self, endpoint: &Endpoint) -> bool {
+        self.paths.is_unreachable(&endpoint.server, endpoint.started_at_ms)
+    }
+
+    /// Returns for how long nothing has come from any server though requests are in progress.
+    pub fn silent_for(&self, now: Mono) -> Duration {
+        match self.in_progress {
+            (0, _) => Duration::ZERO,
+            (_, since) => now.saturating_sub(since.max(self.paths.contact_at())),
+        }
+    }
+
+    /// Records that a connection to a server was made: its failures were those of the path.
+    pub fn connected(&mut self, server: &str, now: Mono) {
+        self.paths.connected(server, now);
+        if let Some(state) = self.states.get_mut(server) {
+            state.backoffs.failures_explained();
+        }
+    }
+
+    /// Forgets what failures on the way to the servers showed, once the way is open again.
+    pub fn paths_returned(&mut self) {
+        for state in self.states.values_mut() {
+            state.stall_noted_at = None;
+            state.backoffs.failures_explained();
+        }
+    }
+
     /// Returns a pseudo-random number below `below`, which must not be zero.
     fn random_below(&self, below: usize) -> usize {
         let random = xxh3_64(&self.rng_state.get().to_be_bytes());
@@ -375,10 +428,15 @@
             state.local.requests += 1;
             state.local.pending_prefill_tokens += prompt_tokens;
         }
+        match &mut self.in_progress {
+            (count @ 0, since) => (*count, *since) = (1, now),
+            (count, _) => *count += 1,
+        }
     }
 
     /// Records that data was received from `endpoint`.
     pub fn data_received(&mut self, endpoint: &Endpoint, now: Mono) {
+        self.paths.data_received(now);
         if let Some(state) = self.state(endpoint) {
             state.last_data_at = Some(now);
             state.waiting_since = now;
@@ -409,13 +467,15 @@
 
     /// Records that a request at `endpoint` has ended.
     pub fn request_ended(&mut self, endpoint: &Endpoint) {
+        self.in_progress.0 = self.in_progress.0.saturating_sub(1);
         if let Some(state) = self.state(endpoint) {
             state.local.requests = state.local.requests.saturating_sub(1);
         }
     }
 
     /// Records a complete response of `endpoint` and its duration.
-    pub fn request_succeeded(&mut self, endpoint: &Endpoint, took: Duration) {
+    pub fn request_succeeded(&mut self, endpoint: &Endpoint, took: Duration, now: Mono) {
+        self.paths.data_received(now);
         if let Some(state) = self.state(endpoint) {
             state.backoffs.request_succeeded();
             state.mean_call_seconds +=
@@ -489,7 +549,12 @@
         let loads = self.states.iter().map(|(id, state)| {
             let limit = self.limits.own_observation(id, now);
             let demand = carried.get(&**id).copied();
-            (id.clone(), Load { limit, demand, ..state.local_load(now) })
+            let load = match self.paths.reach() {
+                Reach::Open => state.local_load(now),
+                // That no data comes shows nothing of the servers.
+                Reach::Checking | Reach::CutOff => state.local,
+            };
+            (id.clone(), Load { limit, demand, ..load })
         });
         loads.filter(|(_, load)| *load != Load::default()).collect()
     }
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -15,6 +15,8 @@
 //! - [`server_limit`]: the request rates that backend servers name.
 //! - [`dispatch`]: which requests are sent, queued or refused.
 //! - [`budget`]: this process's share of a fleet-wide retry budget.
+//! - [`paths`]: which backend servers this process can connect to.
+//! - [`helpers`]: the other processes that take requests over from this one.
 //! - [`outcome`]: the outcome of an attempt, and whether it may be retried.
 //! - [`engine_time`]: a model of the time that a replica group takes to the first event.
 //! - [`events`]: splits a stream into complete events.
@@ -30,8 +32,10 @@
 pub mod events;
 mod flows;
 pub mod header_names;
+pub mod helpers;
 pub mod load;
 pub mod outcome;
+pub mod paths;
 pub mod request;
 pub mod routes;
 pub mod server_limit;
@@ -54,6 +58,7 @@
     pub use crate::header_names::HeaderNames;
     pub use crate::load::Load;
     pub use crate::outcome::AttemptOutcome;
+    pub use crate::paths::Reach;
     pub use crate::request::GenerationRequest;
     pub use crate::request::RequestMetadata;
     pub use crate::routes::RouteTable;
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -79,6 +79,7 @@
         latency_target: millis(300),
         deadline: arrived_at + Duration::from_secs(8),
         priority,
+        may_hand_over: false,
     }
 }
 
@@ -245,7 +246,7 @@
         now += millis(10);
     }
     assert!(sent <= 9, "{sent} requests in 4 s");
-    endpoints.request_succeeded(&endpoint("a"), millis(50));
+    endpoints.request_succeeded(&endpoint("a"), millis(50), Mono::ZERO);
     endpoints.reported_full(&endpoint("a"), now);
     let soon = now + millis(70);
     assert!(
@@ -388,3 +389,81 @@
 fn a_permit_of_an_endpoint_that_would_be_late_is_not_used() {
     assert!(!uses_a_limited_endpoint(100_000, millis(4_000)));
 }
+
+fn from_caller(arrived_at: Mono) -> PendingRequest {
+    PendingRequest { may_hand_over: true, ..pending(1, arrived_at) }
+}
+
+fn is_cut_off(decision: &Decision) -> bool {
+    matches!(decision, Decision::Refuse { reason: Refusal::CutOff, .. })
+}
+
+// Load: all servers are out of reach from here, and other processes reach them.
+#[test]
+fn requests_of_a_process_that_is_cut_off_go_to_others_at_once() {
+    let mut endpoints = endpoints(&["a", "b", "c"]);
+    let mut dispatch = DispatchQueue::default();
+    let now = millis(1_000);
+    endpoints.paths.connect_failed("a", 1, now);
+    let (decision, ticket) = dispatch.submit(from_caller(now), &endpoints, now);
+    assert_eq!(decision, Decision::Wait, "a check is under way");
+    endpoints.paths.check_ended(0, 3, now);
+    let polled = dispatch.poll(&endpoints, now).expect("a decision");
+    assert_eq!((Some(polled.0), polled.2), (ticket, Decision::HandOver));
+    assert_eq!(dispatch.submit(from_caller(now), &endpoints, now).0, Decision::HandOver);
+    // One that comes from another process doesn't go on from here.
+    assert!(is_cut_off(&dispatch.submit(pending(1, now), &endpoints, now).0));
+}
+
+// Load: some servers are out of reach from here, and the others are full.
+#[test]
+fn requests_go_to_a_process_that_reaches_more_servers_when_those_left_are_full() {
+    let mut endpoints = endpoints(&["a", "b"]);
+    let mut dispatch = DispatchQueue::default();
+    let now = millis(1_000);
+    endpoints.paths.connect_failed("a", 1, now);
+    endpoints.paths.check_ended(3, 3, now);
+    endpoints.paths.reached_elsewhere(&["a".into()]);
+    for _ in 0..4 {
+        let (decision, _) = dispatch.submit(from_caller(now), &endpoints, now);
+        let Decision::Send(choice) = decision else { panic!("{decision:?}") };
+        assert_eq!(&*choice.endpoint.server, "b");
+        endpoints.request_sent(&choice.endpoint, 1_000, now);
+    }
+    assert_eq!(dispatch.submit(from_caller(now), &endpoints, now).0, Decision::HandOver);
+    assert!(is_cut_off(&dispatch.submit(pending(1, now), &endpoints, now).0));
+}
+
+// Load: a request meets servers out of reach, one after the other, before anybody knows more of them.
+#[test]
+fn a_request_that_could_not_reach_two_servers_is_not_tried_at_a_third() {
+    let mut endpoints = endpoints(&["a", "b", "c"]);
+    let mut dispatch = DispatchQueue::default();
+    let now = millis(1_000);
+    for server in ["a", "b"] {
+        endpoints.paths.connect_failed(server, 1, now);
+        endpoints.paths.check_ended(1, 3, now);
+    }
+    let mut request = from_caller(now);
+    request.requirements.excluded = vec!["a".into()];
+    let (decision, _) = dispatch.submit(request.clone(), &endpoints, now);
+    assert!(matches!(decision, Decision::Send(_)), "{decision:?}");
+    request.requirements.excluded.push("b".into());
+    assert_eq!(dispatch.submit(request, &endpoints, now).0, Decision::HandOver);
+}
+
+// Load: a process that is cut off has requests that wait at servers, and others have none there.
+#[test]
+fn a_process_that_is_cut_off_reports_no_group_as_stalled() {
+    let mut endpoints = endpoints(&["a"]);
+    let now = millis(1_000);
+    endpoints.request_sent(&endpoint("a"), 1_000, now);
+    endpoints.request_sent(&endpoint("a"), 1_000, now);
+    let later = now + millis(700);
+    assert!(endpoints.local_loads(later)[0].1.ms_waiting.is_some());
+    assert!(endpoints.silent_for(later) >= millis(700));
+    endpoints.paths.connect_failed("a", 1, later);
+    endpoints.paths.check_ended(0, 3, later);
+    let (_, load) = endpoints.local_loads(later)[0].clone();
+    assert_eq!((load.requests, load.ms_waiting, load.ms_since_data), (2, None, None));
+}
--- a/crates/pass/tests/fleet/mod.rs
+++ b/crates/pass/tests/fleet/mod.rs
@@ -235,6 +235,7 @@
             latency_target: self.scenario.latency_target,
             deadline: now + DEADLINE,
             priority: 1,
+            may_hand_over: false,
         };
         let process = &mut self.processes[index];
 
@@ -291,7 +292,7 @@
                 endpoints.prefill_done(&endpoint, request.prompt_tokens);
             }
             if job.events_left == 0 {
-                endpoints.request_succeeded(&endpoint, now - request.arrived_at);
+                endpoints.request_succeeded(&endpoint, now - request.arrived_at, now);
                 endpoints.request_ended(&endpoint);
             }
         }
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -122,6 +122,36 @@
     (BodySender { tx }, Body::from_stream(GuardedStream { rx, _guard: () }))
 }
 
+/// Returns `body`, holding `guard` until it has been sent or dropped.
+pub fn guarded<G: Send + Sync + Unpin + 'static>(body: Body, guard: G) -> Body {
+    Body::from_body(GuardedBody { body, _guard: guard })
+}
+
+struct GuardedBody<G> {
+    body: Body,
+    _guard: G,
+}
+
+impl<G: Unpin> http_body::Body for GuardedBody<G> {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 struct GuardedStream<G> {
     rx: mpsc::Receiver<Result<Frame<Bytes>, BoxError>>,
     _guard: G,
--- a/crates/web/src/pool.rs
+++ b/crates/web/src/pool.rs
@@ -78,13 +78,23 @@
     Never,
 }
 
-/// Returns whether a connection to `address` is refused, that is, nothing listens there.
-///
-/// An address that doesn't respond within `timeout` doesn't count as refusing.
-pub async fn is_refused(address: SocketAddr, timeout: Duration) -> bool {
+/// What a connection attempt shows of an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// Something listens there.
+    Accepted,
+    /// Nothing listens there.
+    Refused,
+    /// Neither in time.
+    NoAnswer,
+}
+
+/// Connects to `address`, and closes the connection at once if that succeeds within `timeout`.
+pub async fn probe(address: SocketAddr, timeout: Duration) -> Probe {
     match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
-        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
+        Ok(Ok(_)) => Probe::Accepted,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Probe::Refused,
+        Ok(Err(_)) | Err(_) => Probe::NoAnswer,
     }
 }
 
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -20,10 +20,10 @@
 use tokio_util::sync::CancellationToken;
 use volo::context::Context;
 use volo::net::Address;
-use volo_http::body::Body;
 use volo_http::context::ServerContext;
 use volo_http::server::Server;
 
+use crate::body;
 use crate::listen::BoundedIncoming;
 use crate::listen::Connections;
 use crate::reply;
@@ -167,37 +167,7 @@
             peer,
         };
         let response = (self.handler)(request).await;
-        Ok(response.map(|body| hold_until_sent(body, guard)))
-    }
-}
-
-/// Returns `body`, holding `guard` until it has been sent or dropped.
-fn hold_until_sent(body: Body, guard: RequestGuard) -> Body {
-    Body::from_body(GuardedBody { body, _guard: guard })
-}
-
-struct GuardedBody {
-    body: Body,
-    _guard: RequestGuard,
-}
-
-impl http_body::Body for GuardedBody {
-    type Data = bytes::Bytes;
-    type Error = volo_http::error::BoxError;
-
-    fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<http_body::Frame<Self::Data>, Self::Error>>> {
-        std::pin::Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> http_body::SizeHint {
-        self.body.size_hint()
+        Ok(response.map(|sent| body::guarded(sent, guard)))
     }
 }
 
