--- a/crates/pass/src/paths.rs
+++ b/crates/pass/src/paths.rs
@@ -128,6 +128,11 @@
     /// unless one has just ended.
     pub fn connect_failed(&mut self, server: &str, started_at_ms: u64, now: Mono) {
         self.record_failure(server, started_at_ms, now);
+        let since_check = self.failed.values().filter(|path| path.failed_at > self.checked_at);
+        // More than one failure is news, however soon after a check.
+        if since_check.count() >= FAILURES_TO_LEAVE && self.reach == Reach::Open {
+            self.reach = Reach::Checking;
+        }
         self.suspect(now);
     }
 
--- a/crates/pass/tests/paths.rs
+++ b/crates/pass/tests/paths.rs
@@ -27,10 +27,23 @@
     assert_eq!(paths.due_check(Duration::ZERO, START), Some(Check::Full));
     assert_eq!(paths.check_ended(1, 3, START), None);
     assert_eq!(paths.reach(), Reach::Open);
-    paths.connect_failed("s2", 1, START);
+    paths.connect_failed("s2", 1, START + Duration::from_millis(1));
     assert_eq!(paths.reach(), Reach::Open, "a check has just ended");
 }
 
+// Guards against a cut that begins just after a check and is noticed only when the next one may be made.
+#[test]
+fn several_failures_after_a_check_start_another_at_once() {
+    let mut paths = Paths::default();
+    paths.connect_failed("s1", 1, START);
+    assert_eq!(paths.check_ended(3, 3, START), None);
+    for server in ["s2", "s3"] {
+        assert_eq!(paths.reach(), Reach::Open);
+        paths.connect_failed(server, 1, START + Duration::from_millis(1));
+    }
+    assert_eq!(paths.reach(), Reach::Checking);
+}
+
 // Guards against a process that goes back to its own paths while they come and go.
 #[test]
 fn a_cut_ends_after_two_good_checks_in_a_row() {
