Let a resumed stream wait from its interruption

Callers saw streams broken off that other servers could have finished: the wait for an endpoint counted from the arrival of the request, so a stream that had run for longer than a new request may wait was refused unless an endpoint had spare capacity that moment. Most showed as 'Busy' with 1 s to 4.6 s waited. It counts from the interruption now, also at a process that the stream is handed over to.

--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -380,7 +380,7 @@
         // request has not run.
         let mut may_have_run = None;
         loop {
-            let carrier = match self.wait_for_carrier(&tries.servers).await {
+            let carrier = match self.wait_for_carrier(&tries.servers, self.arrived).await {
                 Ok(carrier) => carrier,
                 Err(refused) => {
                     return may_have_run.as_ref().map_or(refused, |failed| self.fail(failed));
@@ -452,12 +452,12 @@
     }
 
     /// Waits for an endpoint, or for another process that takes the request over; `tried` are the servers
-    /// of earlier attempts.
-    async fn wait_for_carrier(&self, tried: &[ServerId]) -> Result<Carrier, Response> {
+    /// of earlier attempts, and `since` is the time from which the wait counts.
+    async fn wait_for_carrier(&self, tried: &[ServerId], since: Mono) -> Result<Carrier, Response> {
         if let Some(refused) = self.refuse_if_quarantined() {
             return Err(refused);
         }
-        let pending = self.pending_request(tried);
+        let pending = self.pending_request(tried, since);
         let decision = match self.state.shared.submit(pending, self.now()) {
             Ok(decision) => decision,
             Err(waiting) => waiting.decision().await,
@@ -504,7 +504,7 @@
         }
     }
 
-    fn pending_request(&self, tried: &[ServerId]) -> PendingRequest {
+    fn pending_request(&self, tried: &[ServerId], since: Mono) -> PendingRequest {
         PendingRequest {
             requirements: EndpointRequirements {
                 service: self.routed.service.name.clone(),
@@ -513,7 +513,7 @@
                 output_tokens: self.output_tokens(),
                 excluded: tried.to_vec(),
             },
-            arrived_at: self.arrived,
+            arrived_at: since,
             latency_target: self.routed.route.latency_target,
             deadline: self.deadline,
             priority: self.routed.priority,
--- a/crates/front/src/serve/hand_over.rs
+++ b/crates/front/src/serve/hand_over.rs
@@ -157,7 +157,11 @@
         headers.remove(http::header::CONTENT_LENGTH);
         headers.remove(http::header::EXPECT);
         let version = self.state.shared.local.lock().routes.version();
-        let waited = decision_log::millis(active.now().saturating_sub(active.arrived));
+        // That of a resumed stream counts from its interruption.
+        let waited = match after {
+            None => decision_log::millis(active.now().saturating_sub(active.arrived)),
+            Some(_) => 0,
+        };
         let left = decision_log::millis(active.deadline.saturating_sub(active.now()));
         set(&mut headers, &FROM, self.state.cx.node());
         set(&mut headers, &METHOD, outgoing.method.as_str());
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -316,9 +316,11 @@
         tries: &Tries,
     ) -> Option<Result<Source, FailedAttempt>> {
         let active = self.active.clone();
+        // The wait counts from the interruption: the time before it was spent on the answer.
+        let waiting = active.wait_for_carrier(&tries.servers, active.now());
         let carrier = tokio::select! {
             () = self.tx.closed() => return None,
-            carrier = active.wait_for_carrier(&tries.servers) => carrier.ok()?,
+            carrier = waiting => carrier.ok()?,
         };
         self.attempts += 1;
         decision_log::write(&Record::Resumed {
