Look for the end of a cut at servers whose paths failed too

A check left out the servers to which a connection had failed. A process that is cut off tries any server now.

--- a/crates/front/src/peers/reach.rs
+++ b/crates/front/src/peers/reach.rs
@@ -87,7 +87,8 @@
     endpoints.paths.due_check(silent_for, now)
 }
 
-/// Returns the servers that a check connects to: first of all such to which no connection has failed.
+/// Returns the servers that a check connects to. A process that isn't cut off tries such to which no
+/// connection has failed, if there are some; one that is cut off tries any.
 fn targets(state: &State, check: Check) -> Vec<CheckTarget> {
     let draw = rand::rng().random_range(0..usize::MAX);
     let count = if check == Check::Idle { 1 } else { SERVERS_PER_CHECK };
@@ -96,7 +97,13 @@
     let ready = local.reports().servers().values().filter(|s| s.state == ServerState::Ready);
     let (failed, others): (Vec<&Server>, Vec<&Server>) =
         ready.partition(|server| paths.has_failed(&server.id));
-    let servers = if others.is_empty() { failed } else { others };
+    let servers = if paths.reach() == Reach::CutOff {
+        failed.into_iter().chain(others).collect()
+    } else if others.is_empty() {
+        failed
+    } else {
+        others
+    };
     spread_over_domains(servers.into_iter().map(target).collect(), count, draw)
 }
 
