Ask few processes, of different domains, which servers they reach

By reading, for the large site: after a crash of many servers each of 95 processes asked all five hubs about each of its broken requests, which on a hub with an eighth of a core takes seconds of processor time. Three processes of different domains are asked now, others each time; hubs name some processes of other domains; an answer holds for all requests of the same server for 0.3 s. Other servers of a service are connected to only once a path is known to be cut.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -70,6 +70,8 @@
 const MAX_HUB_ELECTION_DELAY: Duration = Duration::from_millis(1_200);
 /// Pause between two listings of the hubs by a process that knows none.
 const HUB_LISTING_PAUSE: Duration = Duration::from_millis(300);
+/// How long an answer of others on a server is used.
+const OPINION_TTL: Duration = Duration::from_millis(300);
 /// Most bytes of the headers of a message: those of a caller's request and what goes with it.
 const MAX_HEADER_BYTES: usize = 96 << 10;
 /// Prefix of the hub locks, below the prefix of the system's own keys.
@@ -103,8 +105,9 @@
 #[derive(Clone)]
 pub(crate) struct PeerOpinions {
     state: Arc<State>,
-    /// Held while others are asked: what one question shows may answer the next.
-    asking: Arc<tokio::sync::Mutex<()>>,
+    /// Recent answers by server: when it was given, and whether another process reaches the server. Locked
+    /// while others are asked, since many requests ask of the same server at once.
+    recent: Arc<tokio::sync::Mutex<HashMap<ServerId, (Mono, bool)>>>,
 }
 
 impl PeerOpinions {
@@ -113,12 +116,18 @@
     /// While no server at all can be reached from here, that others reach one shows that the paths are
     /// cut, so it holds for all.
     pub(crate) async fn is_reached(&self, server: &ServerId) -> bool {
-        let _asking = self.asking.lock().await;
+        let mut recent = self.recent.lock().await;
         if self.state.shared.local.lock().endpoints.paths.is_cut_confirmed() {
             return true;
         }
+        let now = self.state.cx.now();
+        recent.retain(|_, (at, _)| now < *at + OPINION_TTL);
+        if let Some((_, is_reached)) = recent.get(server) {
+            return *is_reached;
+        }
         let servers = std::slice::from_ref(server);
         let is_reached = !helpers::reached_elsewhere(&self.state, servers).await.is_empty();
+        recent.insert(server.clone(), (self.state.cx.now(), is_reached));
         if is_reached {
             self.state.shared.local.lock().endpoints.paths.confirm_cut();
         }
@@ -154,7 +163,7 @@
         crash_progress: Mutex::default(),
         announcements: helpers::Announcements::default(),
     });
-    let opinions = PeerOpinions { state: state.clone(), asking: Arc::default() };
+    let opinions = PeerOpinions { state: state.clone(), recent: Arc::default() };
     cx.registry().register(names::PEERS, opinions);
     let listener = TcpListener::bind(settings.peers).await;
     let listener =
--- a/crates/front/src/peers/helpers.rs
+++ b/crates/front/src/peers/helpers.rs
@@ -28,10 +28,12 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long a process counts as a helper after its last announcement.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(12);
-/// Most helpers in a response.
+/// Most helpers of the own domain in a response.
 const MAX_HELPERS: usize = 16;
-/// Most helpers that are asked which servers they reach, besides the hubs.
-const MAX_ASKED_HELPERS: usize = 2;
+/// Most helpers of other domains in a response.
+const MAX_OTHER_HELPERS: usize = 4;
+/// Number of processes that are asked which servers they reach.
+const WITNESSES: usize = 3;
 /// Most servers that one question names.
 pub(super) const MAX_SERVERS: usize = 8;
 
@@ -116,7 +118,10 @@
         announced.retain(|_, announcement| now < announcement.at + ANNOUNCEMENT_TTL);
         announced.insert(request.address, announcement);
     }
-    HelpersResponse { helpers: known_helpers(state, request.address) }
+    let mut helpers = known_helpers(state, request.address);
+    let local = state.shared.local.lock();
+    helpers.extend(local.helpers.of_other_domains(MAX_OTHER_HELPERS, now));
+    HelpersResponse { helpers }
 }
 
 /// Returns the processes that have announced themselves here and reach servers, and this one if it does;
@@ -164,14 +169,12 @@
     PathsResponse { reached: reach::accepting(&targets).await }
 }
 
-/// Returns which of `servers` others reach: all hubs and some helpers are asked, since the paths from one
-/// of them may be cut as well.
+/// Returns which of `servers` others reach. Several processes are asked, since the paths from one of them
+/// may be cut as well.
 pub(super) async fn reached_elsewhere(state: &State, servers: &[ServerId]) -> Vec<ServerId> {
     let request = &PathsRequest { servers: servers.to_vec() };
     let now = state.cx.now();
-    let mut asked: BTreeSet<SocketAddr> = hubs(state).into_iter().collect();
-    asked.extend(state.shared.local.lock().helpers.addresses(now).take(MAX_ASKED_HELPERS));
-    asked.remove(&state.settings.peers);
+    let asked = state.shared.local.lock().helpers.witnesses(WITNESSES, now);
     let calls = asked.into_iter().map(|address| async move {
         let call = exchange::call_hub(state, address, "/paths", request, CALL_TIMEOUT).await;
         // A failed call is logged where it occurs.
--- a/crates/front/src/peers/reach.rs
+++ b/crates/front/src/peers/reach.rs
@@ -164,11 +164,11 @@
     decision_log::write(&Record::Reach { state: name, reached, tried, helpers });
 }
 
-/// Finds out whether servers to which connections failed can be reached by others, whether the paths to other
-/// servers of the same services work, and whether those that didn't do again.
+/// Finds out whether servers to which connections failed can be reached by others and, if so, whether the paths
+/// to more servers of the same services are cut, and whether those that were cut work again.
 async fn look_at_single_paths(state: &State, progress: &mut Progress) {
     let now = state.cx.now();
-    let (unexplained, to_try) = {
+    let (unexplained, unreachable) = {
         let local = state.shared.local.lock();
         if local.endpoints.paths.reach() != Reach::Open || now < progress.paths_at + PATHS_INTERVAL
         {
@@ -177,27 +177,38 @@
         let failures = local.endpoints.paths.unexplained_failures(now);
         let listed = failures.filter(|id| local.reports().servers().contains_key(*id));
         let unexplained: Vec<ServerId> = listed.take(helpers::MAX_SERVERS).cloned().collect();
-        let mut to_try = related_servers(&local, &unexplained);
         let unreachable = local.endpoints.paths.unreachable_servers();
         let unreachable = unreachable.filter_map(|id| local.reports().servers().get(id));
-        to_try.extend(unreachable.take(helpers::MAX_SERVERS).map(target));
-        (unexplained, to_try)
+        (unexplained, unreachable.take(helpers::MAX_SERVERS).map(target).collect::<Vec<_>>())
     };
-    if unexplained.is_empty() && to_try.is_empty() {
+    if unexplained.is_empty() && unreachable.is_empty() {
         return;
     }
     progress.paths_at = now;
-    connect_to(state, &to_try).await;
+    connect_to(state, &unreachable).await;
     if !unexplained.is_empty() {
-        let reached = helpers::reached_elsewhere(state, &unexplained).await;
-        for server in &reached {
-            decision_log::write(&Record::Path { server, state: "unreachable" });
-        }
-        state.shared.local.lock().endpoints.paths.reached_elsewhere(&reached);
+        explain(state, &unexplained).await;
     }
     state.shared.dispatch_queued(state.cx.now());
 }
 
+/// Asks others whether they reach servers to which connections from here have failed.
+async fn explain(state: &State, failed: &[ServerId]) {
+    let reached = helpers::reached_elsewhere(state, failed).await;
+    if reached.is_empty() {
+        return;
+    }
+    for server in &reached {
+        decision_log::write(&Record::Path { server, state: "unreachable" });
+    }
+    let related = {
+        let mut local = state.shared.local.lock();
+        local.endpoints.paths.reached_elsewhere(&reached);
+        related_servers(&local, &reached)
+    };
+    connect_to(state, &related).await;
+}
+
 /// Returns servers of the services of `failed` to which no connection has failed yet.
 fn related_servers(local: &LocalState, failed: &[ServerId]) -> Vec<CheckTarget> {
     let servers = local.reports().servers();
--- a/crates/pass/src/helpers.rs
+++ b/crates/pass/src/helpers.rs
@@ -25,6 +25,7 @@
 
 #[derive(Debug)]
 struct HelperState {
+    failure_domain: FailureDomainId,
     is_own_domain: bool,
     /// Requests that it serves for this process.
     open: usize,
@@ -37,7 +38,7 @@
 #[derive(Debug, Default)]
 pub struct Helpers {
     by_address: BTreeMap<SocketAddr, HelperState>,
-    /// Number of requests handed over, which varies the choice among equals.
+    /// Number of choices, which varies those among equals.
     chosen: usize,
 }
 
@@ -49,11 +50,13 @@
         }
         for helper in helpers {
             let state = self.by_address.entry(helper.address).or_insert(HelperState {
+                failure_domain: helper.failure_domain.clone(),
                 is_own_domain: false,
                 open: 0,
                 failed_until: Mono::ZERO,
                 is_listed: true,
             });
+            state.failure_domain.clone_from(&helper.failure_domain);
             state.is_own_domain = *helper.failure_domain == *own_domain;
             state.is_listed = true;
         }
@@ -66,6 +69,38 @@
         usable.map(|(address, _)| *address)
     }
 
+    /// Returns up to `count` processes to ask what they see, of as many failure domains as possible; others
+    /// at each call, so that no process is asked by all.
+    pub fn witnesses(&mut self, count: usize, now: Mono) -> Vec<SocketAddr> {
+        let usable = self.by_address.iter().filter(|(_, state)| state.takes_requests(now));
+        let mut left: Vec<(SocketAddr, &str)> =
+            usable.map(|(address, state)| (*address, &*state.failure_domain)).collect();
+        self.chosen = self.chosen.wrapping_add(1);
+        let start = self.chosen % left.len().max(1);
+        left.rotate_left(start);
+        let mut asked: Vec<(SocketAddr, &str)> = Vec::new();
+        while asked.len() < count && !left.is_empty() {
+            let is_new =
+                |(_, domain): &(SocketAddr, &str)| asked.iter().all(|(_, other)| other != domain);
+            let next = left.iter().position(is_new).unwrap_or(0);
+            asked.push(left.remove(next));
+        }
+        asked.into_iter().map(|(address, _)| address).collect()
+    }
+
+    /// Returns up to `count` helpers of other failure domains.
+    pub fn of_other_domains(&self, count: usize, now: Mono) -> Vec<Helper> {
+        let others = self
+            .by_address
+            .iter()
+            .filter(|(_, state)| state.takes_requests(now) && !state.is_own_domain);
+        let helper = |(address, state): (&SocketAddr, &HelperState)| Helper {
+            address: *address,
+            failure_domain: state.failure_domain.clone(),
+        };
+        others.map(helper).take(count).collect()
+    }
+
     /// Chooses a helper for a request and counts the request there.
     pub fn choose(&mut self, now: Mono) -> Option<SocketAddr> {
         let load = |state: &HelperState| {
--- a/crates/pass/src/paths.rs
+++ b/crates/pass/src/paths.rs
@@ -37,7 +37,7 @@
 /// next caller doesn't pay for a cut.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// For how long others are asked of a server after a connection to it failed.
-const QUESTION_TIME: Duration = Duration::from_secs(1);
+const QUESTION_TIME: Duration = Duration::from_millis(600);
 /// Longest time for which a failed path is remembered without a further failure.
 const FAILURE_RETENTION: Duration = Duration::from_secs(10);
 
--- a/crates/pass/tests/helpers.rs
+++ b/crates/pass/tests/helpers.rs
@@ -71,3 +71,29 @@
     helpers.ended(address(1));
     assert_eq!(helpers.choose(NOW), Some(address(1)));
 }
+
+// Guards against a failure domain whose processes are all cut off that is asked alone, and against one
+// process that all others ask.
+#[test]
+fn witnesses_come_from_different_domains_and_vary() {
+    let mut helpers = helpers(&["a", "a", "a", "b", "b", "c"]);
+    let mut asked = BTreeMap::new();
+    for _ in 0..12 {
+        let witnesses = helpers.witnesses(3, NOW);
+        let domain = |address: &SocketAddr| match address.port() {
+            1..=3 => "a",
+            4..=5 => "b",
+            _ => "c",
+        };
+        let mut domains: Vec<&str> = witnesses.iter().map(domain).collect();
+        domains.sort_unstable();
+        assert_eq!(domains, ["a", "b", "c"]);
+        for address in witnesses {
+            *asked.entry(address).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(asked.len(), 6, "{asked:?}");
+    assert!(
+        helpers.witnesses(9, NOW).len() == 6 && Helpers::default().witnesses(3, NOW).is_empty()
+    );
+}
