Let an old call time count for less, so that a server gets requests again after a pause

Cause, now traced by a test without a network: the moving average of a server's call times is measured only by requests that it gets. A value that is older than a second halves every 0.5 s now, until a request measures it.

--- a/crates/pass/src/endpoint.rs
+++ b/crates/pass/src/endpoint.rs
@@ -23,6 +23,12 @@
 const STALL_RETENTION: Duration = Duration::from_secs(3);
 /// Call time that is assumed for a plain service before any was measured.
 const INITIAL_CALL_TIME: Duration = Duration::from_millis(30);
+/// Weight of the latest call in the moving average of call times.
+const LATENCY_EWMA_WEIGHT: f64 = 0.15;
+/// Time without a call from which on the measured call time counts for less.
+const CALL_TIME_VALIDITY: Duration = Duration::from_secs(1);
+/// Time in which it halves from then on.
+const CALL_TIME_HALF_LIFE: Duration = Duration::from_millis(500);
 /// How long the loads reported by other processes are used.
 const REMOTE_LOAD_RETENTION: Duration = Duration::from_millis(1_500);
 /// Share of a group's time in which prompts may be read. With more, new requests wait for each other.
@@ -72,8 +78,34 @@
     pub(crate) stall_noted_at: Option<Mono>,
     /// Whether a response said something invalid of the server.
     pub(crate) has_invalid_notice: bool,
-    /// Moving average of the duration of a call to a plain service, in seconds.
-    pub(crate) mean_call_seconds: f64,
+    /// The duration of a call to a plain service.
+    pub(crate) call_time: CallTime,
+}
+
+/// Moving average of the duration of a call to a plain service.
+///
+/// It is measured only while the server gets requests, which it doesn't while it seems slow. So an old value
+/// counts for less and less, until the server gets a request that measures it anew.
+#[data]
+pub(crate) struct CallTime {
+    mean_seconds: f64,
+    measured_at: Mono,
+}
+
+impl CallTime {
+    /// Records the duration of a call.
+    pub(crate) fn record(&mut self, took: Duration, now: Mono) {
+        let expected = self.expected_seconds(now);
+        self.mean_seconds = expected + LATENCY_EWMA_WEIGHT * (took.as_secs_f64() - expected);
+        self.measured_at = now;
+    }
+
+    /// Returns the duration to expect, in seconds.
+    fn expected_seconds(&self, now: Mono) -> f64 {
+        let unmeasured = now.saturating_sub(self.measured_at + CALL_TIME_VALIDITY);
+        let halvings = unmeasured.as_secs_f64() / CALL_TIME_HALF_LIFE.as_secs_f64();
+        self.mean_seconds * 0.5_f64.powf(halvings)
+    }
 }
 
 /// An endpoint that has capacity, with its expected response time.
@@ -127,7 +159,10 @@
             waiting_since: Mono::ZERO,
             stall_noted_at: None,
             has_invalid_notice: false,
-            mean_call_seconds: INITIAL_CALL_TIME.as_secs_f64(),
+            call_time: CallTime {
+                mean_seconds: INITIAL_CALL_TIME.as_secs_f64(),
+                measured_at: Mono::ZERO,
+            },
         }
     }
 
@@ -256,7 +291,7 @@
             (time(request.prompt_tokens as f64), time(request.mean_prompt_tokens))
         }
         None => {
-            let time = Duration::from_secs_f64(call_seconds(state, load));
+            let time = Duration::from_secs_f64(call_seconds(state, load, now));
             (time, time)
         }
     };
@@ -272,7 +307,8 @@
 }
 
 /// Returns the expected duration of a call to a plain service, including the time in its queue.
-fn call_seconds(state: &EndpointState, load: Load) -> f64 {
+fn call_seconds(state: &EndpointState, load: Load, now: Mono) -> f64 {
     let queued = f64::from(load.requests + 1) - state.endpoint.slots.max(1) as f64;
-    state.mean_call_seconds * (1.0 + queued.max(0.0) / state.endpoint.slots.max(1) as f64)
+    state.call_time.expected_seconds(now)
+        * (1.0 + queued.max(0.0) / state.endpoint.slots.max(1) as f64)
 }
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -56,8 +56,6 @@
 /// Number of processes from which on the full ratio and margin apply; below it they are scaled down
 /// in proportion.
 const MANY_PROCESSES: f64 = 40.0;
-/// Weight of the latest call in the moving average of call times.
-const LATENCY_EWMA_WEIGHT: f64 = 0.15;
 /// Size up to which a request counts for the mean of its flow, relative to the usual size.
 const MAX_SIZE_RATIO: f64 = 8.0;
 /// Arrivals a second up to which a process doesn't report the demand of a flow.
@@ -478,8 +476,7 @@
         self.paths.data_received(now);
         if let Some(state) = self.state(endpoint) {
             state.backoffs.request_succeeded();
-            state.mean_call_seconds +=
-                LATENCY_EWMA_WEIGHT * (took.as_secs_f64() - state.mean_call_seconds);
+            state.call_time.record(took, now);
         }
     }
 
