Keep a pause that a response to an earlier request asked for

By reading, and shown by a test that failed before (6 requests of two processes in a pause of 30 s, where 2 may be): a 503 with Retry-After whose echoed id is that of an earlier request was not read for notices, since its outcome for this request is unknown. It comes from the server on whose connection it arrives, so its pause holds; its limit and that it leaves are still left out, as the request that it answers is not known.

--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -42,6 +42,8 @@
     pub failed_exchanges: IntCounter,
     /// Requests of this process during which their backend server ended.
     pub server_ends: IntCounter,
+    /// Responses in which a server asked for a pause.
+    pub server_pauses: IntCounter,
     /// Attempts that were handed over to another process.
     pub handed_over: IntCounter,
     /// Requests that another process handed over to this one.
@@ -119,6 +121,10 @@
                 "samphire_server_ends_total",
                 "Requests during which their backend server ended.",
             ),
+            server_pauses: counter(
+                "samphire_server_pauses_total",
+                "Responses in which a server asked for a pause.",
+            ),
             handed_over: counter(
                 "samphire_handed_over_total",
                 "Attempts that were handed over to another process.",
--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -236,7 +236,8 @@
 
     /// Records what a response says of its server, unless it may come from another one.
     ///
-    /// A response to a request that ran and that names no limit says that there is none.
+    /// A response to a request that ran and that names no limit says that there is none. Of a response to
+    /// an earlier request only the pause counts: it says for how long the server wants nothing.
     fn record_notice(
         &self,
         reservation: &Reservation,
@@ -247,20 +248,15 @@
         let has_run = match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Failed => true,
             AttemptOutcome::Full | AttemptOutcome::Broken => false,
-            AttemptOutcome::NotSent | AttemptOutcome::Misdirected | AttemptOutcome::Unknown => {
-                return;
-            }
+            AttemptOutcome::Unknown => return self.record_pause(reservation, notice),
+            AttemptOutcome::NotSent | AttemptOutcome::Misdirected => return,
         };
         let (request, server) = (&*self.active.id, &*reservation.endpoint().server);
         let per_second = notice.limit;
         if (has_run || per_second.is_some()) && reservation.record_limit(per_second) {
             decision_log::write(&Record::ServerLimit { request, server, per_second });
         }
-        if let Some(pause) = notice.pause {
-            reservation.record_pause(pause);
-            let for_ms = decision_log::millis(pause);
-            decision_log::write(&Record::ServerPause { request, server, for_ms });
-        }
+        self.record_pause(reservation, notice);
         if notice.is_leaving {
             reservation.record_leaving(request);
         }
@@ -269,6 +265,16 @@
         }
     }
 
+    /// Records the pause that a response asked for, if it did.
+    fn record_pause(&self, reservation: &Reservation, notice: &ServerNotice) {
+        let Some(pause) = notice.pause else { return };
+        reservation.record_pause(pause);
+        self.active.state.metrics.server_pauses.inc();
+        let (request, server) = (&*self.active.id, &*reservation.endpoint().server);
+        let for_ms = decision_log::millis(pause);
+        decision_log::write(&Record::ServerPause { request, server, for_ms });
+    }
+
     /// Returns how long the backend server may take to begin its response.
     fn timeout(&self) -> Duration {
         let left = self.active.deadline.saturating_sub(self.active.now());
