Send one request to a server after its pause before others follow

The first one now finds out; others follow its first data or answer, or after 1 s without any. Both new tests of pass plain_services failed before (a third request to two servers that had just come back).

--- a/crates/pass/src/availability.rs
+++ b/crates/pass/src/availability.rs
@@ -3,7 +3,8 @@
 //! An endpoint gets no requests for a while after it reported itself full or failed a request; these
 //! back-offs double while it goes on, and end with its role. A server may also ask for a pause, which
 //! holds for the instance of the server, whatever its role: this process keeps it also if the report
-//! of the server lapses meanwhile.
+//! of the server lapses meanwhile. After its end one request finds out whether the server takes them
+//! again, before others follow.
 
 use std::collections::HashMap;
 
@@ -22,6 +23,8 @@
 const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(4);
 /// Exponent from which on a back-off is certainly above its maximum.
 const MAX_DOUBLINGS: u32 = 8;
+/// How long the first request after a pause keeps others back, unless it gets an answer sooner.
+const TRIAL_TIME: Duration = Duration::from_secs(1);
 /// Rows of ended pauses beyond this number are dropped.
 const MAX_ENDED_ROWS: usize = 1_024;
 
@@ -80,6 +83,8 @@
 struct Pause {
     started_at_ms: u64,
     until: Mono,
+    /// When the first request since its end was sent.
+    trial_at: Option<Mono>,
 }
 
 /// The pauses that servers have asked for.
@@ -93,12 +98,38 @@
             self.0.retain(|_, pause| now < pause.until);
         }
         let until = (now + pause).max(self.until(server, started_at_ms));
-        self.0.insert(server.into(), Pause { started_at_ms, until });
+        self.0.insert(server.into(), Pause { started_at_ms, until, trial_at: None });
     }
 
     /// Returns when the pause of a server instance ends; a time that has passed if there is none.
     pub fn until(&self, server: &str, started_at_ms: u64) -> Mono {
-        let pause = self.0.get(server).filter(|pause| pause.started_at_ms == started_at_ms);
-        pause.map_or(Mono::ZERO, |pause| pause.until)
+        self.of(server, started_at_ms).map_or(Mono::ZERO, |pause| pause.until)
+    }
+
+    /// Returns whether a server instance may get a request: it has no pause, or the pause has ended and no
+    /// other request is finding out whether the server takes them again.
+    pub fn allow(&self, server: &str, started_at_ms: u64, now: Mono) -> bool {
+        self.of(server, started_at_ms).is_none_or(|pause| {
+            now >= pause.until && pause.trial_at.is_none_or(|at| now >= at + TRIAL_TIME)
+        })
+    }
+
+    /// Records that a request is sent to a server.
+    pub fn request_sent(&mut self, server: &str, now: Mono) {
+        if let Some(pause) = self.0.get_mut(server).filter(|pause| now >= pause.until) {
+            pause.trial_at = Some(now);
+        }
+    }
+
+    /// Records that a server has answered a request that it runs. Before the first request since the end of
+    /// its pause, that says nothing.
+    pub fn answered(&mut self, server: &str) {
+        if self.0.get(server).is_some_and(|pause| pause.trial_at.is_some()) {
+            self.0.remove(server);
+        }
+    }
+
+    fn of(&self, server: &str, started_at_ms: u64) -> Option<&Pause> {
+        self.0.get(server).filter(|pause| pause.started_at_ms == started_at_ms)
     }
 }
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -266,7 +266,7 @@
         self.untried(requirements)
             .filter(|state| !self.is_unreachable(&state.endpoint))
             .filter(|state| self.has_permit(&state.endpoint, now))
-            .filter(|state| now >= self.pause_end(&state.endpoint))
+            .filter(|state| self.has_no_pause(&state.endpoint, now))
             .filter_map(|state| evaluate(state, &evaluation, now))
             .collect()
     }
@@ -358,6 +358,10 @@
         self.pauses.until(&endpoint.server, endpoint.started_at_ms)
     }
 
+    fn has_no_pause(&self, endpoint: &Endpoint, now: Mono) -> bool {
+        self.pauses.allow(&endpoint.server, endpoint.started_at_ms, now)
+    }
+
     fn has_permit(&self, endpoint: &Endpoint, now: Mono) -> bool {
         self.limits.has_permit(&endpoint.server, endpoint.started_at_ms, now)
     }
@@ -416,6 +420,7 @@
     /// Records that a request is sent to `endpoint`.
     pub fn request_sent(&mut self, endpoint: &Endpoint, prompt_tokens: u64, now: Mono) {
         self.limits.take(&endpoint.server, endpoint.started_at_ms, now);
+        self.pauses.request_sent(&endpoint.server, now);
         if endpoint.group.is_some() {
             self.flows.request_sent(&flow_of(endpoint), now);
         }
@@ -435,6 +440,7 @@
     /// Records that data was received from `endpoint`.
     pub fn data_received(&mut self, endpoint: &Endpoint, now: Mono) {
         self.paths.data_received(now);
+        self.pauses.answered(&endpoint.server);
         if let Some(state) = self.state(endpoint) {
             state.last_data_at = Some(now);
             state.waiting_since = now;
@@ -474,6 +480,7 @@
     /// Records a complete response of `endpoint` and its duration.
     pub fn request_succeeded(&mut self, endpoint: &Endpoint, took: Duration, now: Mono) {
         self.paths.data_received(now);
+        self.pauses.answered(&endpoint.server);
         if let Some(state) = self.state(endpoint) {
             state.backoffs.request_succeeded();
             state.call_time.record(took, now);
--- a/crates/pass/tests/plain_services.rs
+++ b/crates/pass/tests/plain_services.rs
@@ -89,3 +89,42 @@
     let sent = send_steadily(&mut endpoints, start, start + RETURN_TIME * 4, slow);
     assert!(sent[0] >= 2 && sent[0] <= sent[1] / 100, "requests to each server: {sent:?}");
 }
+
+// Load: all servers ask for a pause at once, and requests wait for its end. Guards against a wave of requests
+// that finds the servers as busy as before.
+#[test]
+fn after_a_pause_one_request_finds_out_before_others_follow() {
+    let mut endpoints = endpoints(&["a", "b"]);
+    let start = Duration::from_secs(2);
+    let pause = Duration::from_secs(3);
+    for server in ["a", "b"] {
+        endpoints.pause_requested(&endpoint(server), pause, start);
+    }
+    let now = start + pause;
+    assert!(endpoints.choose(&requirements(), now - INTERVAL).is_none());
+    let mut first = Vec::new();
+    while let Some(choice) = endpoints.choose(&requirements(), now) {
+        endpoints.request_sent(&choice.endpoint, 0, now);
+        first.push(choice.endpoint);
+        assert!(first.len() <= 2, "more than one request to a server: {first:?}");
+    }
+    endpoints.pause_requested(&first[0], pause, now + INTERVAL);
+    endpoints.request_succeeded(&first[1], INTERVAL, now + INTERVAL);
+    for _ in 0..5 {
+        let choice = endpoints.choose(&requirements(), now + INTERVAL).expect("the second is back");
+        assert_eq!(choice.endpoint.server, first[1].server);
+        endpoints.request_sent(&choice.endpoint, 0, now + INTERVAL);
+    }
+}
+
+// Guards against a server that is lost since the first request after its pause got no answer.
+#[test]
+fn a_first_request_without_an_answer_does_not_keep_others_back_for_good() {
+    let mut endpoints = endpoints(&["a"]);
+    let start = Duration::from_secs(2);
+    endpoints.pause_requested(&endpoint("a"), Duration::from_secs(3), start);
+    let end = start + Duration::from_secs(3);
+    endpoints.request_sent(&endpoint("a"), 0, end);
+    assert!(endpoints.choose(&requirements(), end + INTERVAL).is_none());
+    assert!(endpoints.choose(&requirements(), end + Duration::from_secs(2)).is_some());
+}
