Split the forwarding of requests and the pool of endpoints, which had grown large

The attempts of one request are in a file of their own (serve/attempts.rs), as are the loads that processes report (endpoints/fleet_loads.rs).

--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -22,7 +22,7 @@
 
 use super::ActiveRequest;
 use super::ServerId;
-use super::Tries;
+use super::attempts::Tries;
 use super::carrier::Carrier;
 use super::hand_over::HandOver;
 use super::reservation::Reservation;
--- a/crates/front/src/serve/hand_over.rs
+++ b/crates/front/src/serve/hand_over.rs
@@ -25,9 +25,9 @@
 
 use super::ActiveRequest;
 use super::State;
-use super::Tries;
 use super::attempt::MAX_IDLE_AT_MOST_ONCE;
 use super::attempt::set;
+use super::attempts::Tries;
 use crate::decision_log;
 use crate::decision_log::Record;
 
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -19,9 +19,9 @@
 
 use super::ActiveRequest;
 use super::ServerId;
-use super::Tries;
 use super::attempt::Attempt;
 use super::attempt::FailedAttempt;
+use super::attempts::Tries;
 use super::carrier::Carrier;
 use crate::decision_log;
 use crate::decision_log::Record;
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -14,6 +14,8 @@
 //! ([`arrivals`]), a server of a plain service by the power of two choices. The more
 //! processes choose among servers of a plain service, the more of these count as nearly as good.
 
+mod fleet_loads;
+
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -25,10 +27,7 @@
 use form::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::arrivals;
-use crate::arrivals::Demand;
 use crate::arrivals::Flow;
-use crate::arrivals::Level;
 use crate::availability::Pauses;
 use crate::config::ServiceSpec;
 use crate::endpoint::Candidate;
@@ -40,7 +39,6 @@
 use crate::engine_time::RequestSize;
 use crate::flows::FlowOutlook;
 use crate::flows::Flows;
-use crate::load::Load;
 use crate::paths::Paths;
 use crate::paths::Reach;
 use crate::server_limit::RequestRate;
@@ -58,8 +56,6 @@
 const MANY_PROCESSES: f64 = 40.0;
 /// Size up to which a request counts for the mean of its flow, relative to the usual size.
 const MAX_SIZE_RATIO: f64 = 8.0;
-/// Arrivals a second up to which a process doesn't report the demand of a flow.
-const MIN_REPORTED_RATE: f64 = 0.01;
 /// Age of what is known of a server's limit from which on a request is sent to learn whether it
 /// still holds.
 const MAX_LIMIT_AGE: Duration = Duration::from_secs(2);
@@ -538,108 +534,6 @@
         self.limits.time_to_permits(servers, count, now)
     }
 
-    /// Returns the load from this process at each endpoint that has any, with the demand of each flow at
-    /// one of its endpoints.
-    pub fn local_loads(&self, now: Mono) -> Vec<(ServerId, Load)> {
-        let carried: HashMap<&str, Demand> = self
-            .flows
-            .own_demands(now)
-            .filter(|(_, demand)| demand.arrivals_per_second > MIN_REPORTED_RATE)
-            .filter_map(|((service, model), demand)| {
-                let carrier = self.candidates(service, model.as_deref()).next()?;
-                Some((&*carrier.endpoint.server, demand))
-            })
-            .collect();
-        let loads = self.states.iter().map(|(id, state)| {
-            let limit = self.limits.own_observation(id, now);
-            let demand = carried.get(&**id).copied();
-            let load = match self.paths.reach() {
-                Reach::Open => state.local_load(now),
-                // That no data comes shows nothing of the servers.
-                Reach::Checking | Reach::CutOff => state.local,
-            };
-            (id.clone(), Load { limit, demand, ..load })
-        });
-        loads.filter(|(_, load)| *load != Load::default()).collect()
-    }
-
-    /// Returns the servers that are stalled for this process or for all processes together.
-    pub fn stalled_servers(&self, now: Mono) -> BTreeSet<ServerId> {
-        let stalled = self.states.iter().filter(|(_, state)| state.is_stalled(now));
-        stalled.map(|(id, _)| id.clone()).collect()
-    }
-
-    /// Sets the loads from all other processes; endpoints that are not listed have none.
-    ///
-    /// `processes` is the number of processes that choose among these endpoints, including this
-    /// one. Returns the servers whose limit changed with it, and their limits.
-    pub fn set_remote_loads(
-        &mut self,
-        loads: &[(ServerId, Load)],
-        processes: usize,
-        now: Mono,
-    ) -> Vec<(ServerId, Option<RequestRate>)> {
-        self.processes = processes;
-        self.limits.set_processes(processes, now);
-        let mut changed = Vec::new();
-        for state in self.states.values_mut() {
-            state.remote = (Load::default(), now);
-        }
-        self.flows.clear_remote();
-        for (server, load) in loads {
-            if let Some(state) = self.states.get_mut(server) {
-                state.remote = (*load, now);
-                if let Some(demand) = load.demand {
-                    self.flows.add_remote(&flow_of(&state.endpoint), demand);
-                }
-            }
-            let phase = self.random_fraction();
-            if let Some(limit) = load.limit
-                && self.limits.merge(server, limit, phase, now)
-            {
-                changed.push((server.clone(), limit.per_second));
-            }
-        }
-        self.flows.note_report(now);
-        self.update_outlooks();
-        changed
-    }
-
-    /// Updates what the other processes are expected to send to all groups.
-    fn update_outlooks(&mut self) {
-        let groups = self.states.values().filter(|state| state.endpoint.group.is_some());
-        let flows: HashSet<Flow> = groups.map(|state| flow_of(&state.endpoint)).collect();
-        for flow in flows {
-            self.update_outlook(&flow);
-        }
-    }
-
-    /// Updates what the other processes are expected to send to the groups of a flow.
-    fn update_outlook(&mut self, flow: &Flow) {
-        let (service, model) = flow;
-        let Some(engine) = self.engine(service) else { return };
-        let now = self.flows.reported_at();
-        let demand = self.flows.demand(flow, self.processes, now);
-        let mean_size = demand.mean_size().unwrap_or(RequestSize {
-            prompt_tokens: engine.mean_prompt_tokens,
-            output_tokens: engine.mean_output_tokens,
-        });
-        let states = self.candidates(service, model.as_deref());
-        let (servers, levels): (Vec<ServerId>, Vec<Level>) = states
-            .filter(|state| !state.is_stalled(now))
-            .map(|state| (state.endpoint.server.clone(), state.level(engine, mean_size, now)))
-            .unzip();
-        let interval = self.flows.report_interval();
-        let outlook = arrivals::outlook(&levels, demand, self.processes, interval);
-        for (server, drift) in servers.iter().zip(outlook.drifts) {
-            if let Some(state) = self.states.get_mut(server) {
-                state.drift = drift;
-            }
-        }
-        let outlook = FlowOutlook { admitted: outlook.admitted, mean_size: Some(mean_size) };
-        self.flows.set_outlook(flow, outlook);
-    }
-
     fn engine(&self, service: &str) -> Option<&EngineSpec> {
         self.services.get(service).and_then(|spec| spec.engine.as_ref())
     }
