Close a connection whose response was broken off

What callers saw: a response that was broken off stayed open, so they waited until they gave up, where they could have resumed at once. Cause: the listener keeps a second handle of each socket, which the library's drop doesn't close. A response that is dropped before its end now shuts its socket down; one to HEAD has no body to read. a_caller_sees_at_once_that_a_response_was_broken_off failed (5 s) and passes.

--- a/crates/web/src/listen.rs
+++ b/crates/web/src/listen.rs
@@ -81,6 +81,15 @@
         }
     }
 
+    /// Closes a connection whose response was broken off. The library's drop doesn't, since this table has
+    /// a second handle of the socket.
+    pub(crate) fn close(&self, peer: SocketAddr) {
+        if let Some(open) = self.open.lock().get(&peer) {
+            // The peer may have closed it already.
+            let _ = open.socket.shutdown(Shutdown::Both);
+        }
+    }
+
     async fn wait_for_room(&self) {
         loop {
             let closed = self.closed.notified();
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -20,6 +20,7 @@
 use tokio_util::sync::CancellationToken;
 use volo::context::Context;
 use volo::net::Address;
+use volo_http::body::Body;
 use volo_http::context::ServerContext;
 use volo_http::server::Server;
 
@@ -118,13 +119,17 @@
 struct RequestGuard {
     connections: Connections,
     peer: Option<SocketAddr>,
+    /// Whether the whole response has been read for sending.
+    is_complete: bool,
     _in_flight: InFlightGuard,
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        if let Some(peer) = self.peer {
-            self.connections.request_ended(peer);
+        let Some(peer) = self.peer else { return };
+        self.connections.request_ended(peer);
+        if !self.is_complete {
+            self.connections.close(peer);
         }
     }
 }
@@ -148,6 +153,8 @@
         let guard = RequestGuard {
             connections: self.connections.clone(),
             peer,
+            // The body of a response to HEAD is never read.
+            is_complete: req.method() == http::Method::HEAD,
             _in_flight: self.drain.begin(),
         };
         let (parts, body) = req.into_parts();
@@ -156,7 +163,8 @@
         if header_bytes > self.max_header_bytes {
             let problem = format!("the headers are larger than {} bytes", self.max_header_bytes);
             let status = http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-            return Ok(reply::text(status, problem));
+            let refused = reply::text(status, problem);
+            return Ok(refused.map(|sent| hold(sent, guard)));
         }
         let request = Request {
             method: parts.method,
@@ -167,10 +175,15 @@
             peer,
         };
         let response = (self.handler)(request).await;
-        Ok(response.map(|sent| body::guarded(sent, guard)))
+        Ok(response.map(|sent| hold(sent, guard)))
     }
 }
 
+/// Returns `sent`, holding `guard` until it has been sent or dropped.
+fn hold(sent: Body, guard: RequestGuard) -> Body {
+    body::guarded(sent, guard, |guard| guard.is_complete = true)
+}
+
 /// Serves `listener` with `handler` until `stop` is cancelled and `drain` is idle.
 ///
 /// New connections are accepted until `stop`.
