--- a/crates/front/src/logging.rs
+++ b/crates/front/src/logging.rs
@@ -16,6 +16,9 @@
 /// Capacity of the queue to the writer thread, in lines.
 const QUEUE_LINES: usize = 4_096;
 
+/// Most lines of one write. With the queue, this bounds the memory that lines take.
+const MAX_LINES_PER_WRITE: usize = 256;
+
 /// Number of lines dropped since the process started.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -65,7 +68,7 @@
     let mut reported = 0;
     while let Ok(line) = rx.recv() {
         let mut text = line;
-        while let Ok(more) = rx.try_recv() {
+        for more in rx.try_iter().take(MAX_LINES_PER_WRITE - 1) {
             text.push_str(&more);
         }
         let dropped = dropped_lines();
