--- a/crates/front/src/peers/helpers.rs
+++ b/crates/front/src/peers/helpers.rs
@@ -28,6 +28,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long a process counts as a helper after its last announcement.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(12);
+/// Most processes that may announce themselves at one hub.
+const MAX_ANNOUNCEMENTS: usize = 1_024;
 /// Most helpers of the own domain in a response.
 const MAX_HELPERS: usize = 16;
 /// Most helpers of other domains in a response.
@@ -116,7 +118,9 @@
     {
         let mut announced = state.announcements.0.lock();
         announced.retain(|_, announcement| now < announcement.at + ANNOUNCEMENT_TTL);
-        announced.insert(request.address, announcement);
+        if announced.len() < MAX_ANNOUNCEMENTS || announced.contains_key(&request.address) {
+            announced.insert(request.address, announcement);
+        }
     }
     let mut helpers = known_helpers(state, request.address);
     let local = state.shared.local.lock();
@@ -140,7 +144,7 @@
             failure_domain: announcement.failure_domain.clone(),
         })
         .collect();
-    // Of many, others name other ones: a map has no fixed order.
+    // Hubs name different ones of many, since each map has an order of its own.
     helpers.truncate(MAX_HELPERS);
     if takes_requests(state) {
         let failure_domain = state.settings.failure_domain.clone();
--- a/crates/front/src/serve/hand_over.rs
+++ b/crates/front/src/serve/hand_over.rs
@@ -43,14 +43,14 @@
 /// Number of attempts that may have run.
 const ATTEMPTS: HeaderName = HeaderName::from_static("samphire-attempts");
 /// The servers that were reached, separated by commas.
-const TRIED: HeaderName = HeaderName::from_static("samphire-tried");
+const REACHED: HeaderName = HeaderName::from_static("samphire-reached");
 /// Milliseconds since the caller's request arrived.
 const WAITED_MS: HeaderName = HeaderName::from_static("samphire-waited-ms");
 /// The version of the configuration that the sender knows.
 const VERSION: HeaderName = HeaderName::from_static("samphire-version");
 /// In responses: the request was declined, and why.
 const DECLINED: HeaderName = HeaderName::from_static("samphire-declined");
-const OWN_HEADERS: [HeaderName; 7] = [FROM, METHOD, TARGET, ATTEMPTS, TRIED, WAITED_MS, VERSION];
+const OWN_HEADERS: [HeaderName; 7] = [FROM, METHOD, TARGET, ATTEMPTS, REACHED, WAITED_MS, VERSION];
 
 /// Marks a response that declines a request in the process that generates it.
 #[derive(Clone, Copy, Debug)]
@@ -167,7 +167,7 @@
         set(&mut headers, &METHOD, outgoing.method.as_str());
         set(&mut headers, &TARGET, &outgoing.target);
         set(&mut headers, &ATTEMPTS, &tries.may_have_run.to_string());
-        set(&mut headers, &TRIED, &tries.reached.join(","));
+        set(&mut headers, &REACHED, &tries.reached.join(","));
         set(&mut headers, &WAITED_MS, &waited.to_string());
         set(&mut headers, &VERSION, &version.to_string());
         let deadline_ms = &self.state.integration.header_names.deadline_ms;
@@ -252,9 +252,9 @@
     let may_have_run = parsed(headers, &ATTEMPTS, &mut findings).unwrap_or_default();
     let waited = parsed(headers, &WAITED_MS, &mut findings).unwrap_or_default();
     let version = parsed(headers, &VERSION, &mut findings).unwrap_or_default();
-    let tried: String = parsed(headers, &TRIED, &mut findings).unwrap_or_default();
+    let reached: String = parsed(headers, &REACHED, &mut findings).unwrap_or_default();
     let from: String = parsed(headers, &FROM, &mut findings).unwrap_or_default();
-    let reached = tried.split(',').filter(|id| !id.is_empty()).map(Into::into);
+    let reached = reached.split(',').filter(|id| !id.is_empty()).map(Into::into);
     let reached: Vec<ServerId> = reached.collect();
     let progress = Progress {
         from: from.into(),
