--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -106,6 +106,10 @@
 }
 
 impl FailedAttempt {
+    /// An attempt that another process made before it handed the request over, and that may have run.
+    pub(crate) const ELSEWHERE: FailedAttempt =
+        FailedAttempt { server: None, outcome: AttemptOutcome::Unknown };
+
     /// Returns whether another process would not take the request over.
     pub(crate) fn was_declined(&self) -> bool {
         self.server.is_none() && self.outcome == AttemptOutcome::NotSent
--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -33,6 +33,11 @@
 /// Retry-After of requests that no other process can take over.
 const NO_HELPER_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Returns whether a response declines a request that another process handed over.
+fn is_declined(response: &Response) -> bool {
+    response.extensions().get::<Declined>().is_some()
+}
+
 /// The attempts of a request so far.
 #[data]
 #[derive(Default)]
@@ -65,13 +70,17 @@
             Origin::Caller => Tries::default(),
             Origin::Process(progress) => progress.tries.clone(),
         };
-        let (mut attempts, mut declined) = (tries.may_have_run, 0);
+        let earlier = tries.may_have_run;
+        let (mut attempts, mut declined) = (earlier, 0);
         // The last attempt that may have run. Once there is one, no response may promise that the
         // request has not run.
-        let mut may_have_run = None;
+        let mut may_have_run = (earlier > 0).then_some(FailedAttempt::ELSEWHERE);
         loop {
             let carrier = match self.wait_for_carrier(&tries.servers, self.arrived).await {
                 Ok(carrier) => carrier,
+                Err(refused) if is_declined(&refused) && tries.may_have_run == earlier => {
+                    return refused;
+                }
                 Err(refused) => {
                     return may_have_run.as_ref().map_or(refused, |failed| self.fail(failed));
                 }
