--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -11,7 +11,7 @@
 //! All processes see the same loads with a delay. If each picked the best endpoint, all would pick
 //! the same one until the reports catch up. So an endpoint is picked at random among those that are
 //! nearly as good as the best: a group by the share of the new requests that levels the loads
-//! ([`arrivals`]), a server of a plain service by the power of two choices. The more
+//! ([`crate::arrivals`]), a server of a plain service by the power of two choices. The more
 //! processes choose among servers of a plain service, the more of these count as nearly as good.
 
 mod fleet_loads;
