--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -66,6 +66,8 @@
     pub is_hub: bool,
     /// Time between two exchanges with the hub, as the hub asked for.
     pub exchange_interval: Duration,
+    /// Whether every hub that the store lists was asked for rows, and none had fresh ones.
+    pub all_hubs_tried: bool,
     /// When a hub last answered with fresh rows.
     pub fresh_rows_at: Option<Mono>,
     /// Number of processes that are alive, this one included, as far as is known.
@@ -104,6 +106,7 @@
             load_reports: LoadReports::default(),
             is_hub: false,
             exchange_interval: Duration::ZERO,
+            all_hubs_tried: false,
             fresh_rows_at: None,
             processes: 1,
             endpoints: EndpointPool::with_seed(random_id()),
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -246,7 +246,8 @@
         if state.shared.local.lock().is_hub {
             report_to_hubs(&state).await;
         } else {
-            exchange_with_hub(&state).await;
+            let found = exchange_with_hub(&state).await;
+            state.shared.local.lock().all_hubs_tried = listed && !found;
         }
         let pause = state.shared.local.lock().exchange_interval;
         state.cx.timer().after(pause.max(MIN_EXCHANGE_INTERVAL)).tick().await;
@@ -341,10 +342,11 @@
     local.set_fleet(&loads, processes, now);
 }
 
-/// Calls the hubs, that of the own domain first, until one answers with fresh rows.
+/// Calls the hubs, that of the own domain first, until one answers with fresh rows; returns whether
+/// one did.
 ///
 /// Only the first hub that answers gets the own load, since the totals of the hubs are added up.
-async fn exchange_with_hub(state: &State) {
+async fn exchange_with_hub(state: &State) -> bool {
     let mut is_reported = false;
     for address in hubs(state) {
         let loads = match is_reported {
@@ -367,7 +369,8 @@
         }
         if hub.is_fresh {
             local.fresh_rows_at = Some(now);
-            return;
+            return true;
         }
     }
+    false
 }
--- a/crates/front/src/store_sync.rs
+++ b/crates/front/src/store_sync.rs
@@ -23,7 +23,8 @@
 const CHANGE_QUEUE_LEN: usize = 256;
 /// How often the process decides whether to watch the store.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
-/// How long a new process waits for rows from a hub before it watches the store itself.
+/// How long a new process waits for rows from a hub before it watches the store itself, unless it
+/// finds out sooner that no hub has fresh rows.
 const FIRST_HUB_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Longest pause between a hub's attempts to watch a store that doesn't respond; no process gets a
 /// shorter limit.
@@ -84,15 +85,18 @@
     /// Starts or stops the mirror, according to the role of this process and the age of its rows.
     fn check(&mut self) {
         let now = self.cx.now();
-        let (is_hub, age, pause) = {
+        let (is_hub, age, pause, hubs_tried) = {
             let mut local = self.shared.local.lock();
             if self.is_synced {
                 local.row_cache.mark_current(now);
             }
-            (local.is_hub, local.row_cache.age(now), local.exchange_interval)
+            let age = local.row_cache.age(now);
+            (local.is_hub, age, local.exchange_interval, local.all_hubs_tried)
         };
         let bound = STALE_AFTER + pause * 2;
-        let is_stale = age.is_none_or(|age| age > bound) && now > FIRST_HUB_TIMEOUT;
+        // After a restart of the whole fleet no hub has rows, so waiting for one gains nothing.
+        let has_waited = now > FIRST_HUB_TIMEOUT || (hubs_tried && age.is_none());
+        let is_stale = age.is_none_or(|age| age > bound) && has_waited;
         match &self.mirror {
             None if is_hub || is_stale => self.start_mirror(),
             Some(_) if !is_hub && self.is_fed_by_hub() => self.stop_mirror(),
