Take a hub's lock over from an earlier instance of the same process

Change: a process whose own value is still in the key replaces it at once, unless it may have written that value itself.

--- a/crates/front/src/lease_lock.rs
+++ b/crates/front/src/lease_lock.rs
@@ -26,6 +26,8 @@
 
 /// Fraction of the lease after which the holder stops relying on it.
 const SAFE_FRACTION: f64 = 0.8;
+/// How often a process that waits before it takes a lock looks whether it may take it at once.
+const CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Renewals per lease duration.
 const RENEWALS_PER_LEASE: u32 = 4;
 
@@ -43,6 +45,20 @@
     pub(crate) acquire_delay: Duration,
 }
 
+/// Whether a process may take a lock, as far as it knows.
+#[key]
+pub(crate) enum LockState {
+    /// No process holds it.
+    Free,
+    /// An earlier instance of this process held it; `revision` wrote the key.
+    OwnEarlier {
+        /// See [`LockState::OwnEarlier`].
+        revision: u64,
+    },
+    /// Another process holds it, or this one must not take it now.
+    Taken,
+}
+
 /// A lock that this process holds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct HeldLock {
@@ -62,29 +78,43 @@
 
 /// Acquires and renews the lock of `spec` until the process stops, then releases it.
 ///
-/// It is acquired only while `is_free` returns true. `tx` publishes the held lock; a notification
+/// It is acquired only while `state` allows it. `tx` publishes the held lock; a notification
 /// of `resign` releases it.
 pub(crate) async fn run(
     cx: Context,
     store: Arc<dyn LeaseStore>,
     spec: LockSpec,
-    is_free: impl Fn() -> bool + Send,
+    state: impl Fn() -> LockState + Send,
     resign: Arc<Notify>,
     tx: watch::Sender<Option<HeldLock>>,
 ) {
     let period = spec.lease / RENEWALS_PER_LEASE;
     let mut status = LockStatus::NotHeld;
+    // A key that this instance may have written is left to its lease: requests that arrive while their
+    // responses are lost would keep it from all others.
+    let mut may_have_written = false;
     loop {
         let held = *tx.borrow();
         let next = match held {
             Some(lock) => renew(&*store, &spec, lock).await,
-            None if is_free() => {
+            None => {
                 // Without jitter, all processes that see the lock free would ask at once.
                 let jitter = rand::rng().random_range(0.0..0.3);
-                tokio::time::sleep(spec.acquire_delay + period.mul_f64(jitter)).await;
-                if is_free() { acquire(&*store, &spec).await } else { None }
+                let delay = spec.acquire_delay + period.mul_f64(jitter);
+                let expected = match wait_for_turn(&state, delay).await {
+                    LockState::Free => Some(0),
+                    LockState::OwnEarlier { revision } if !may_have_written => Some(revision),
+                    LockState::OwnEarlier { .. } | LockState::Taken => None,
+                };
+                match expected {
+                    Some(expected) => {
+                        let acquired = acquire(&*store, &spec, expected).await;
+                        may_have_written |= acquired != Acquisition::Refused;
+                        acquired.lock()
+                    }
+                    None => None,
+                }
             }
-            None => None,
         };
         log_transition(&spec, held.or(next), &mut status, LockStatus::of(next));
         if next != held {
@@ -100,24 +130,58 @@
     release(&*store, &spec, &tx, &mut status).await;
 }
 
-async fn acquire(store: &dyn LeaseStore, spec: &LockSpec) -> Option<HeldLock> {
+/// Outcome of an attempt to take a lock.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Acquisition {
+    Held(HeldLock),
+    /// The key has another revision than expected; nothing was written.
+    Refused,
+    /// The store didn't respond; the key may have been written.
+    Unknown,
+}
+
+impl Acquisition {
+    fn lock(self) -> Option<HeldLock> {
+        match self {
+            Acquisition::Held(lock) => Some(lock),
+            Acquisition::Refused | Acquisition::Unknown => None,
+        }
+    }
+}
+
+/// Returns the state of a lock that stays free for `delay`; of one that doesn't, as soon as that is known.
+async fn wait_for_turn(state: &impl Fn() -> LockState, delay: Duration) -> LockState {
+    let mut left = delay;
+    while state() == LockState::Free && !left.is_zero() {
+        let pause = left.min(CHECK_PERIOD);
+        tokio::time::sleep(pause).await;
+        left -= pause;
+    }
+    state()
+}
+
+/// Takes a lock whose key was written by revision `expected`; zero stands for no key.
+async fn acquire(store: &dyn LeaseStore, spec: &LockSpec, expected: u64) -> Acquisition {
     let sent_at = clock::since_boot();
     let acquired = async {
         let lease = store.grant(spec.lease).await?.id;
         // If the response is lost, the key may have been written; it then expires with the lease.
-        let swap = store.compare_and_swap_leased(&spec.key, 0, spec.value.clone(), lease).await?;
+        let value = spec.value.clone();
+        let swap = store.compare_and_swap_leased(&spec.key, expected, value, lease).await?;
         Ok::<_, KvError>((lease, swap))
     };
     match acquired.await {
-        Ok((lease, Some(CasResult::Done { mod_revision: revision }))) => Some(HeldLock {
-            revision,
-            lease,
-            safe_until: sent_at + spec.lease.mul_f64(SAFE_FRACTION),
-        }),
-        Ok(_) => None,
+        Ok((lease, Some(CasResult::Done { mod_revision: revision }))) => {
+            Acquisition::Held(HeldLock {
+                revision,
+                lease,
+                safe_until: sent_at + spec.lease.mul_f64(SAFE_FRACTION),
+            })
+        }
+        Ok(_) => Acquisition::Refused,
         Err(error) => {
             log::warn!("could not acquire the lock `{}`: {error}", spec.name);
-            None
+            Acquisition::Unknown
         }
     }
 }
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -21,6 +21,7 @@
 use crate::lease_lock;
 use crate::lease_lock::HeldLock;
 use crate::lease_lock::LockSpec;
+use crate::lease_lock::LockState;
 use crate::local_state::SharedState;
 use crate::names;
 use crate::settings::Settings;
@@ -75,17 +76,20 @@
         lease: LEASE.max(settings.shortest_lease),
         acquire_delay: Duration::ZERO,
     };
-    let is_free = {
+    let lock_state = {
         let (shared, key) = (shared.clone(), spec.key.clone());
         move || {
             let local = shared.local.lock();
             let is_cut_off = local.endpoints.paths.reach() == Reach::CutOff;
-            local.is_hub && !is_cut_off && !local.row_cache.contains(&key)
+            match local.is_hub && !is_cut_off && !local.row_cache.contains(&key) {
+                true => LockState::Free,
+                false => LockState::Taken,
+            }
         }
     };
     let store = integration.store.clone();
     let locking =
-        tokio::spawn(lease_lock::run(cx.clone(), store, spec, is_free, resign.clone(), tx));
+        tokio::spawn(lease_lock::run(cx.clone(), store, spec, lock_state, resign.clone(), tx));
     let owners = (0, Vec::new());
     let mut service =
         Ownership { cx: cx.clone(), integration, shared, settings, lock, resign, owners, results };
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -43,6 +43,7 @@
 use crate::integration::PeerEntry;
 use crate::lease_lock;
 use crate::lease_lock::LockSpec;
+use crate::lease_lock::LockState;
 use crate::load_reports::Loads;
 use crate::local_state::SharedState;
 use crate::metrics::Metrics;
@@ -211,14 +212,19 @@
         acquire_delay: MAX_HUB_ELECTION_DELAY.mul_f64((1.0 - state.settings.cores).clamp(0.0, 1.0)),
     };
     let (tx, mut rx) = watch::channel(None);
-    let is_free = {
-        let (state, key) = (state.clone(), spec.key.clone());
+    let lock_state = {
+        let (state, key, value) = (state.clone(), spec.key.clone(), spec.value.clone());
         // With an empty cache the lock seems free; the conditional write then decides.
-        move || !state.shared.local.lock().row_cache.contains(&key)
+        move || match state.shared.local.lock().row_cache.get(&key) {
+            None => LockState::Free,
+            // Only this process listens on its address.
+            Some(row) if row.value == value => LockState::OwnEarlier { revision: row.mod_revision },
+            Some(_) => LockState::Taken,
+        }
     };
     let store = state.integration.store.clone();
     let locking =
-        lease_lock::run(state.cx.clone(), store, spec, is_free, Arc::new(Notify::new()), tx);
+        lease_lock::run(state.cx.clone(), store, spec, lock_state, Arc::new(Notify::new()), tx);
     let publishing = async {
         while rx.changed().await.is_ok() {
             state.shared.local.lock().is_hub = rx.borrow().is_some();
--- a/crates/front/src/row_cache.rs
+++ b/crates/front/src/row_cache.rs
@@ -68,6 +68,11 @@
         self.rows.get(key).is_some_and(|row| row.value.is_some())
     }
 
+    /// Returns the value of `key`, if it is present and not deleted.
+    pub fn get(&self, key: &str) -> Option<&Versioned> {
+        self.rows.get(key).and_then(|row| row.value.as_ref())
+    }
+
     /// Returns the keys that begin with `prefix`, and their values.
     pub fn with_prefix<'a>(
         &'a self,
