Learn the part of the time to the first event that doesn't depend on load

Change: a low quantile of what first events take beyond the time that load explains, for each flow, is added to forecasts; the margin for unknown load is a share of what the fixed time leaves of the target.

--- a/crates/front/src/serve/reservation.rs
+++ b/crates/front/src/serve/reservation.rs
@@ -82,6 +82,8 @@
         let took = self.age();
         self.first_event_time = Some(took);
         self.state.metrics.record_first_event(self.choice.expected_time, took);
+        let now = self.state.cx.now();
+        self.state.shared.local.lock().endpoints.first_event_seen(&self.choice, took, now);
         self.record_prefill();
     }
 
--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -224,10 +224,11 @@
 fn decide_reached(pending: &PendingRequest, endpoints: &EndpointPool, now: Mono) -> Decision {
     let waited = now.saturating_sub(pending.arrived_at);
     let refuse = |pause, reason| refuse(pending, pause, reason, now);
-    let typical_target = pending.latency_target.mul_f64(typical_time_ratio(pending));
+    let typical_ratio = typical_time_ratio(pending);
     let is_on_time = |choice: &EndpointChoice| {
+        let room = pending.latency_target.saturating_sub(choice.fixed_time);
         waited + choice.expected_time <= pending.latency_target
-            && choice.typical_time <= typical_target
+            && choice.typical_time - choice.fixed_time <= room.mul_f64(typical_ratio)
     };
     let limited = endpoints.choose_limited(&pending.requirements, now);
     if let Some(choice) = limited.filter(is_on_time) {
@@ -251,7 +252,8 @@
     };
     let spare = endpoints.takes_all(&pending.requirements)
         && choice.utilization < MAX_LATE_UTILIZATION
-        && choice.expected_time < pending.latency_target.mul_f64(MAX_LATE_TIME_RATIO);
+        && choice.expected_time - choice.fixed_time
+            < pending.latency_target.mul_f64(MAX_LATE_TIME_RATIO);
     if is_on_time(&choice) || spare {
         return Decision::Send(choice);
     }
--- a/crates/pass/src/endpoint.rs
+++ b/crates/pass/src/endpoint.rs
@@ -115,6 +115,8 @@
     pub(crate) expected_time: Duration,
     /// See [`EndpointChoice::typical_time`].
     pub(crate) typical_time: Duration,
+    /// See [`EndpointChoice::fixed_time`].
+    pub(crate) fixed_time: Duration,
     /// See [`EndpointChoice::utilization`].
     pub(crate) utilization: f64,
     /// See [`EndpointChoice::load_age`].
@@ -129,6 +131,7 @@
             endpoint: candidate.endpoint.clone(),
             expected_time: candidate.expected_time,
             typical_time: candidate.typical_time,
+            fixed_time: candidate.fixed_time,
             utilization: candidate.utilization,
             load_age: candidate.load_age,
         }
@@ -145,6 +148,8 @@
     pub(crate) mean_prompt_tokens: f64,
     /// Age of the other processes' loads.
     pub(crate) report_age: Duration,
+    /// The part of the time to the first event that doesn't depend on load.
+    pub(crate) fixed_time: Duration,
 }
 
 impl EndpointState {
@@ -287,7 +292,7 @@
                 unread_tokens: load.pending_prefill_tokens as f64,
                 mean_prompt_tokens: request.mean_prompt_tokens,
             };
-            let time = |tokens| first_event_time(engine, model, batch, tokens);
+            let time = |tokens| request.fixed_time + first_event_time(engine, model, batch, tokens);
             (time(request.prompt_tokens as f64), time(request.mean_prompt_tokens))
         }
         None => {
@@ -300,6 +305,7 @@
         endpoint: &state.endpoint,
         expected_time,
         typical_time,
+        fixed_time: request.fixed_time,
         utilization,
         load_age: state.load_age(now),
         share: state.drift.sends_per_second,
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -84,6 +84,8 @@
     pub expected_time: Duration,
     /// That of a request with a prompt of mean length.
     pub typical_time: Duration,
+    /// The part of both times that doesn't depend on load.
+    pub fixed_time: Duration,
     /// Requests from all processes, relative to the endpoint's slots.
     pub utilization: f64,
     /// Time since the other processes' load was reported; `None` if it never was.
@@ -244,6 +246,18 @@
         picked.unwrap_or_else(|| self.random_below(candidates.len()))
     }
 
+    fn fixed_time(&self, requirements: &EndpointRequirements) -> Duration {
+        self.flows.fixed_time(&requirements.service, requirements.model.as_deref())
+    }
+
+    /// Records that the first event of a stream came after the time `seen`.
+    pub fn first_event_seen(&mut self, choice: &EndpointChoice, seen: Duration, now: Mono) {
+        if choice.endpoint.group.is_some() {
+            let explained = choice.expected_time.saturating_sub(choice.fixed_time);
+            self.flows.first_event_seen(&flow_of(&choice.endpoint), seen, explained, now);
+        }
+    }
+
     /// Returns the endpoints that have capacity.
     fn available<'a>(
         &'a self,
@@ -258,6 +272,7 @@
             prompt_tokens: requirements.prompt_tokens,
             mean_prompt_tokens: mean.unwrap_or(usual),
             report_age: self.flows.report_age(now),
+            fixed_time: self.fixed_time(requirements),
         };
         self.untried(requirements)
             .filter(|state| !self.is_unreachable(&state.endpoint))
--- a/crates/pass/src/flows.rs
+++ b/crates/pass/src/flows.rs
@@ -9,6 +9,7 @@
 use crate::arrivals::Flow;
 use crate::arrivals::FlowRates;
 use crate::engine_time::RequestSize;
+use crate::fixed_time::FixedTime;
 
 /// Longest time between two reports that is assumed.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -21,6 +22,7 @@
     /// The demand at the other processes, if they report any.
     remote: Option<Demand>,
     outlook: FlowOutlook,
+    fixed_time: FixedTime,
 }
 
 /// What is expected of a flow until the next report.
@@ -60,6 +62,23 @@
         self.state_mut(flow).rates.request_sent(now);
     }
 
+    /// Records that a first event took the time `seen`, of which the load of the group explains
+    /// `explained`.
+    pub(crate) fn first_event_seen(
+        &mut self,
+        flow: &Flow,
+        seen: Duration,
+        explained: Duration,
+        now: Mono,
+    ) {
+        self.state_mut(flow).fixed_time.record(seen, explained, now);
+    }
+
+    /// Returns the part of the time to the first event that doesn't depend on load.
+    pub(crate) fn fixed_time(&self, service: &str, model: Option<&str>) -> Duration {
+        self.state(service, model).map_or(Duration::ZERO, |state| state.fixed_time.estimate())
+    }
+
     /// Forgets the demand at the other processes, before they report it again.
     pub(crate) fn clear_remote(&mut self) {
         for state in &mut self.states {
@@ -152,6 +171,7 @@
                     rates: FlowRates::default(),
                     remote: None,
                     outlook: FlowOutlook::default(),
+                    fixed_time: FixedTime::default(),
                 });
                 self.states.len() - 1
             }
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`helpers`]: the other processes that take requests over from this one.
 //! - [`outcome`]: the outcome of an attempt, and whether it may be retried.
 //! - [`engine_time`]: a model of the time that a replica group takes to the first event.
+//! - [`fixed_time`]: the part of that time that doesn't depend on load.
 //! - [`events`]: splits a stream into complete events.
 
 pub mod arrivals;
@@ -30,6 +31,7 @@
 pub mod endpoints;
 pub mod engine_time;
 pub mod events;
+pub mod fixed_time;
 mod flows;
 pub mod header_names;
 pub mod helpers;
