--- a/crates/pass/tests/stale_loads.rs
+++ b/crates/pass/tests/stale_loads.rs
@@ -14,6 +14,10 @@
 const MAX_OVERLOAD_LOSS: f64 = 0.1;
 /// How often the longest prompts have to be served, relative to all.
 const MIN_SHARE_OF_LONGEST: f64 = 0.5;
+/// Variation of the requests between groups, relative to that of random choice, that must not be reached.
+const MAX_UNEVENNESS: f64 = 0.85;
+/// Time between two exchanges of the processes of a failure domain with 27 of them.
+const FREQUENT_EXCHANGE_INTERVAL: Duration = Duration::from_millis(108);
 /// Number of seeds that are played.
 const SEEDS: u64 = 4;
 /// When the first requests have ended, and the loads that processes know are those of a busy fleet.
@@ -91,35 +95,17 @@
     }
 }
 
+// Each process took loads that were old for the present, so groups were overrun in turns while others
+// were idle, worse than if each process had chosen at random.
 #[test]
-fn probe() {
-    for (name, groups, per_second, prompt) in [
-        ("5 large", 5, 50.0, 1_600),
-        ("5 busy", 5, 65.0, 1_600),
-        ("14 light", 14, 100.0, 1_600),
-        ("3", 3, 30.0, 1_600),
-    ] {
-        for interval in [50, 300, 600] {
-            let s = Scenario {
-                exchange_interval: Duration::from_millis(interval),
-                prompt_tokens: prompt,
-                ..scenario(per_second, vec![Duration::ZERO; groups])
-            };
-            let all: Vec<_> = (1..=SEEDS).map(|seed| play(&s, seed)).collect();
-            let mean = |f: &dyn Fn(&fleet::Outcome) -> f64| {
-                all.iter().map(f).sum::<f64>() / all.len() as f64
-            };
-            println!(
-                "{name} {interval}ms: unevenness {:.2} in time {:.3} mean {:.1}",
-                mean(&|o| o.unevenness(BUSY_FROM)),
-                mean(&|o| o.share_in_time(BUSY_FROM, TARGET)),
-                mean(&|o| o
-                    .samples
-                    .iter()
-                    .map(|(_, c)| c.iter().sum::<f64>() / c.len() as f64)
-                    .sum::<f64>()
-                    / o.samples.len() as f64)
-            );
-        }
+fn requests_lie_more_evenly_on_groups_than_by_random_choice() {
+    for groups in [3, 5, 14] {
+        let frequent = Scenario {
+            exchange_interval: FREQUENT_EXCHANGE_INTERVAL,
+            ..scenario(9.0 * groups as f64, vec![Duration::ZERO; groups])
+        };
+        let unevenness = |seed| play(&frequent, seed).unevenness(BUSY_FROM);
+        let mean = (1..=SEEDS).map(unevenness).sum::<f64>() / SEEDS as f64;
+        assert!(mean < MAX_UNEVENNESS, "{groups} groups: {mean:.2} of random choice");
     }
 }
