Limit the request rate of servers in warm-up, and expect them to be slow

Cause: the time that a server's warm-up still takes was decoded and not used, so a server that had just started got its full share of requests from all processes. Change: a service may configure `warmup_s` and `warmup_per_s`. Each process takes an equal part of the rate in permits that lapse after 100 ms, as for servers that name a limit themselves; the lower rate applies. The used rate is the largest one for which a binomial bound keeps the requests of one second within `per_second * over + slack` but with a probability of 1e-5. The rate is divided by the largest fleet of the last minute, and by 300 until the fleet is known. A server in warm-up, and a group with such a member, is expected to take longer. Log record `warm_up`, gauge `samphire_servers_in_warm_up`, response header for the time left, settings `warm_up`.

--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -105,6 +105,8 @@
     /// A server said in a response that it is leaving. `request` is empty if another process got the
     /// response.
     ServerLeaving { request: &'a str, server: &'a str, born_ms: u64 },
+    /// The warm-up of a server has begun or ended; `per_second` is the rate that it takes meanwhile.
+    WarmUp { server: &'a str, state: &'a str, left_ms: u64, per_second: Option<RequestRate> },
     /// A stream continues at another backend server.
     Resumed { request: &'a str, server: &'a str, after_event: &'a str },
     /// A request got its complete response. `expected_ms` is the forecast of its last attempt, and
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -193,6 +193,7 @@
             decision_log::write(&Record::ServerLimit { request: "", server: &server, per_second });
         }
         self.processes = processes.max(1);
+        self.log_warm_ups(now);
         for (server, load) in loads {
             if let Some(started_at_ms) = load.leaving {
                 self.set_leaving(server, started_at_ms, "", now);
@@ -218,7 +219,7 @@
     }
 
     /// Applies a server's report, unless a later one was seen.
-    pub fn set_server(&mut self, server: Server) {
+    pub fn set_server(&mut self, server: Server, now: Mono) {
         let id = server.id.clone();
         if self.reports.is_outdated(&server) {
             decision_log::write(&Record::Outdated {
@@ -228,13 +229,35 @@
             });
             return;
         }
+        let (service, started_at_ms) = (server.service.clone(), server.started_at_ms);
+        let left = server.warmup_remaining;
         let Some(changed) = self.reports.report(server) else { return };
+        self.endpoints.warm_ups.report(&service, &id, started_at_ms, left, now);
+        self.log_warm_ups(now);
         if let Some(server) = self.reports.servers().get(&id) {
             log_report(server);
         }
         self.update_endpoints(&id, &changed);
     }
 
+    /// Records that a response of `endpoint` said how long the server's warm-up still takes.
+    pub fn set_warm_up(&mut self, endpoint: &Endpoint, left: Duration, now: Mono) {
+        let Endpoint { service, server, started_at_ms, .. } = endpoint;
+        self.endpoints.warm_ups.report(service, server, *started_at_ms, left, now);
+        self.log_warm_ups(now);
+    }
+
+    fn log_warm_ups(&mut self, now: Mono) {
+        for change in self.endpoints.warm_ups.take_changes(now) {
+            decision_log::write(&Record::WarmUp {
+                server: &change.server,
+                state: if change.left.is_some() { "begun" } else { "ended" },
+                left_ms: decision_log::millis(change.left.unwrap_or_default()),
+                per_second: change.per_second,
+            });
+        }
+    }
+
     /// Records that an instance of a server is leaving, as a response to `request` said; to be sent
     /// to the other processes if it arrived at this one.
     pub fn set_leaving(&mut self, id: &str, started_at_ms: u64, request: &str, now: Mono) {
@@ -307,6 +330,7 @@
     }
 
     fn update_group_endpoint(&mut self, changed: &ChangedGroup) {
+        self.update_group_members(changed);
         let engine =
             self.routes.service(&changed.service).and_then(|service| service.engine.as_ref());
         let groups = self.reports.groups(&changed.service);
@@ -322,6 +346,16 @@
         }
     }
 
+    /// Records which servers a group consists of, as it is as slow as its slowest member.
+    fn update_group_members(&mut self, changed: &ChangedGroup) {
+        let groups = self.reports.groups(&changed.service);
+        let group = groups.and_then(|groups| groups.by_key.get(&changed.key));
+        if let Some((group, head)) = group.and_then(|group| Some((group, group.head()?))) {
+            let members = group.members.values().cloned().collect();
+            self.endpoints.warm_ups.set_members(head, members);
+        }
+    }
+
     /// Returns the endpoint of a group, if the group takes requests.
     fn group_endpoint(&self, group: &Group, engine: &EngineSpec) -> Option<Endpoint> {
         let head = group.head().filter(|_| group.is_serving(engine))?;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -54,6 +54,8 @@
     pub waiting: IntGauge,
     /// Backend servers with a current report.
     pub servers: IntGauge,
+    /// Backend servers in warm-up.
+    pub servers_in_warm_up: IntGauge,
     /// The version of the current configuration.
     pub version: IntGauge,
     /// Whether the store responds.
@@ -140,6 +142,7 @@
             loop_delay_seconds,
             waiting: gauge("samphire_waiting_requests", "Requests that wait for a place."),
             servers: gauge("samphire_known_servers", "Backend servers that report."),
+            servers_in_warm_up: gauge("samphire_servers_in_warm_up", "Backend servers in warm-up."),
             version: gauge("samphire_config_version", "The configuration in force."),
             store_up: gauge("samphire_store_up", "Whether the key-value service answers."),
             dropped_lines: gauge("samphire_dropped_log_lines", "Log lines that were dropped."),
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -1,6 +1,7 @@
 //! The readiness endpoint for the load balancer in front of the processes, and the metrics
 //! endpoint.
 
+use base::prelude::*;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -51,9 +52,10 @@
         cx.stopping().await;
         return Ok(());
     };
+    let context = cx.clone();
     let handler = Arc::new(move |request: Request| {
         let response = match &*request.path {
-            "/metrics" => current(&shared, &metrics),
+            "/metrics" => current(&shared, &metrics, context.now()),
             _ => reply::empty(StatusCode::NOT_FOUND),
         };
         futures::future::ready(response).boxed()
@@ -74,11 +76,12 @@
 }
 
 /// Updates the gauges and returns all metrics.
-fn current(shared: &SharedState, metrics: &Metrics) -> Response {
+fn current(shared: &SharedState, metrics: &Metrics, now: Mono) -> Response {
     let local = shared.local.lock();
     let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
     metrics.waiting.set(gauge(local.dispatch.len()));
     metrics.servers.set(gauge(local.reports().servers().len()));
+    metrics.servers_in_warm_up.set(gauge(local.endpoints.warm_ups.len(now)));
     metrics.store_up.set(i64::from(local.store_up));
     metrics.version.set(i64::try_from(local.routes.version()).unwrap_or(i64::MAX));
     metrics.dropped_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -261,6 +261,9 @@
             decision_log::write(&Record::ServerLimit { request, server, per_second });
         }
         self.record_pause(reservation, notice);
+        if let Some(left) = notice.warm_up {
+            reservation.record_warm_up(left);
+        }
         if notice.is_leaving {
             reservation.record_leaving(request);
         }
--- a/crates/front/src/serve/reservation.rs
+++ b/crates/front/src/serve/reservation.rs
@@ -155,6 +155,12 @@
         self.state.shared.servers_changed.notify_one();
     }
 
+    /// Records that the server's warm-up still takes so long.
+    pub(crate) fn record_warm_up(&self, left: Duration) {
+        let now = self.state.cx.now();
+        self.state.shared.local.lock().set_warm_up(self.endpoint(), left, now);
+    }
+
     /// Records that a response said something invalid of the server; returns whether that is news.
     pub(crate) fn record_invalid_notice(&self) -> bool {
         self.state.shared.local.lock().endpoints.invalid_notice_seen(self.endpoint())
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use config::fields::Fields;
 use pass::budget::BudgetSettings;
+use pass::warm_up::Tolerance;
 use serde_json::Value;
 
 /// Upper bound of all durations in the settings.
@@ -36,6 +37,8 @@
     pub fencing: bool,
     /// The fleet-wide retry budget.
     pub retries: BudgetSettings,
+    /// What servers in warm-up tolerate.
+    pub warm_up: Tolerance,
     /// How long a process may take to stop.
     pub stop: Duration,
     /// Processor cores available to the process; a value below 1 is a fraction of one core.
@@ -80,6 +83,13 @@
             slack: fields.number("slack", 100.0, 0.0..=1e6),
             window: fields.millis("window_ms", 10_000, 100..=MAX_MILLIS),
         }),
+        warm_up: fields.nested("warm_up", |fields| {
+            let usual = Tolerance::default();
+            Tolerance {
+                over: fields.number("over", usual.over, 0.0..=100.0),
+                slack: fields.number("slack", usual.slack, 0.0..=1e6),
+            }
+        }),
         stop: fields.millis("stop_ms", 8_000, 100..=MAX_MILLIS),
         cores: fields.number("cores", 1.0, 0.0..=4096.0),
         link_bytes_per_second: fields.number("link_mbps", 1_000.0, 0.1..=1e6) * BYTES_PER_MEGABIT,
--- a/crates/front/src/store_sync.rs
+++ b/crates/front/src/store_sync.rs
@@ -221,7 +221,7 @@
     let decoded = value.map(|value| integration.decoder.decode_server(id, &value.value));
     let mut local = shared.local.lock();
     match decoded {
-        Some(Ok(server)) => local.set_server(server),
+        Some(Ok(server)) => local.set_server(server, now),
         Some(Err(findings)) => {
             decision_log::write(&Record::LeftOut { key: id, findings: &findings });
             local.remove_server(id, now);
--- a/crates/front/tests/waiting_requests.rs
+++ b/crates/front/tests/waiting_requests.rs
@@ -27,7 +27,7 @@
         failure_domain: "a".into(),
         started_at_ms: 1,
     };
-    let spec = ServiceSpec { name: "desk".into(), max_connections: 9, engine: None };
+    let spec = ServiceSpec { name: "desk".into(), max_connections: 9, engine: None, warm_up: None };
     let mut local = shared.local.lock();
     local.endpoints.set_services([Arc::new(spec)]);
     local.endpoints.set_endpoints(vec![endpoint]);
--- a/crates/pass/src/arrivals.rs
+++ b/crates/pass/src/arrivals.rs
@@ -161,6 +161,17 @@
     pub capacity_per_second: f64,
 }
 
+impl Level {
+    /// Returns the level of an endpoint that takes at most `per_second` requests.
+    pub fn limited_to(self, per_second: f64) -> Level {
+        Level {
+            starts_per_second: self.starts_per_second.min(per_second),
+            capacity_per_second: self.capacity_per_second.min(per_second),
+            ..self
+        }
+    }
+}
+
 /// How the load of an endpoint from other processes is expected to change until the next report.
 #[data]
 #[derive(Copy, Default)]
--- a/crates/pass/src/config.rs
+++ b/crates/pass/src/config.rs
@@ -3,6 +3,8 @@
 use base::prelude::*;
 use form::prelude::*;
 
+use crate::warm_up::WarmUp;
+
 /// Name of a route.
 pub type RouteId = Box<str>;
 
@@ -66,6 +68,8 @@
     pub max_connections: usize,
     /// The engines, if the service serves models.
     pub engine: Option<EngineSpec>,
+    /// How its servers warm up, if they need it.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// Limits on what callers may send.
--- a/crates/pass/src/endpoint.rs
+++ b/crates/pass/src/endpoint.rs
@@ -123,6 +123,18 @@
     pub(crate) share: f64,
 }
 
+impl Candidate<'_> {
+    /// Returns the candidate as it is if its server takes `factor` times as long as usual.
+    pub(crate) fn slowed(self, factor: f64) -> Self {
+        Candidate {
+            expected_time: self.expected_time.mul_f64(factor),
+            typical_time: self.typical_time.mul_f64(factor),
+            share: self.share / factor,
+            ..self
+        }
+    }
+}
+
 impl From<Candidate<'_>> for EndpointChoice {
     fn from(candidate: Candidate<'_>) -> Self {
         EndpointChoice {
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -41,8 +41,11 @@
 use crate::flows::Flows;
 use crate::paths::Paths;
 use crate::paths::Reach;
+use crate::server_limit::Allowance;
 use crate::server_limit::RequestRate;
 use crate::server_limit::ServerLimits;
+use crate::server_limit::time_to_permits;
+use crate::warm_up::WarmUps;
 
 /// Minimum time without data that is assumed for a group that reports itself stalled.
 const REPORTED_STALL_AGE: Duration = Duration::from_secs(1);
@@ -98,6 +101,8 @@
     services: HashMap<ServiceId, Arc<ServiceSpec>>,
     /// The servers that have named a limit.
     limits: ServerLimits,
+    /// The servers in warm-up.
+    pub warm_ups: WarmUps,
     /// The servers that have asked for a pause.
     pauses: Pauses,
     /// State of the random number generator.
@@ -115,12 +120,17 @@
 impl EndpointPool {
     /// Creates an empty pool with a seeded random number generator.
     pub fn with_seed(seed: u64) -> Self {
-        EndpointPool { rng_state: Cell::new(seed), ..EndpointPool::default() }
+        EndpointPool {
+            rng_state: Cell::new(seed),
+            warm_ups: WarmUps::with_seed(seed),
+            ..EndpointPool::default()
+        }
     }
 
     /// Replaces the services.
     pub fn set_services(&mut self, services: impl IntoIterator<Item = Arc<ServiceSpec>>) {
         self.services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
+        self.warm_ups.set_services(self.services.values());
     }
 
     /// Replaces all endpoints; the state of unchanged ones is kept.
@@ -195,7 +205,7 @@
         requirements: &EndpointRequirements,
         now: Mono,
     ) -> Option<EndpointChoice> {
-        if self.limits.is_empty() {
+        if self.limits.is_empty() && self.warm_ups.len(now) == 0 {
             return None;
         }
         let candidates = self.available(requirements, now);
@@ -203,9 +213,10 @@
         let is_preferred = |candidate: &Candidate<'_>| {
             let endpoint = candidate.endpoint;
             let is_fast = candidate.expected_time <= best + NEAR_BEST_MARGIN;
-            self.limits
-                .limit_age(&endpoint.server, endpoint.started_at_ms, now)
-                .is_some_and(|age| is_fast || age > MAX_LIMIT_AGE)
+            let (server, started_at_ms) = (&endpoint.server, endpoint.started_at_ms);
+            let age = self.limits.limit_age(server, started_at_ms, now);
+            let is_warming = self.warm_ups.fleet_rate(server, started_at_ms, now).is_some();
+            age.map_or(is_fast && is_warming, |age| is_fast || age > MAX_LIMIT_AGE)
         };
         let preferred = candidates.into_iter().filter(is_preferred);
         preferred.min_by_key(|candidate| candidate.expected_time).map(EndpointChoice::from)
@@ -264,6 +275,10 @@
             .filter(|state| self.has_permit(&state.endpoint, now))
             .filter(|state| self.has_no_pause(&state.endpoint, now))
             .filter_map(|state| evaluate(state, &evaluation, now))
+            .map(|candidate| {
+                let slowdown = self.warm_ups.slowdown(candidate.endpoint, now);
+                candidate.slowed(slowdown)
+            })
             .collect()
     }
 
@@ -359,7 +374,9 @@
     }
 
     fn has_permit(&self, endpoint: &Endpoint, now: Mono) -> bool {
-        self.limits.has_permit(&endpoint.server, endpoint.started_at_ms, now)
+        let Endpoint { server, started_at_ms, .. } = endpoint;
+        self.limits.has_permit(server, *started_at_ms, now)
+            && self.warm_ups.has_permit(server, *started_at_ms, now)
     }
 
     /// Returns the endpoints of the service and model that a request hasn't been sent to yet.
@@ -416,6 +433,7 @@
     /// Records that a request is sent to `endpoint`.
     pub fn request_sent(&mut self, endpoint: &Endpoint, prompt_tokens: u64, now: Mono) {
         self.limits.take(&endpoint.server, endpoint.started_at_ms, now);
+        self.warm_ups.take(&endpoint.server, endpoint.started_at_ms, now);
         self.pauses.request_sent(&endpoint.server, now);
         if endpoint.group.is_some() {
             self.flows.request_sent(&flow_of(endpoint), now);
@@ -529,9 +547,12 @@
         count: usize,
         now: Mono,
     ) -> Option<Duration> {
-        let endpoints = self.untried(requirements).map(|state| &state.endpoint);
-        let servers = endpoints.map(|endpoint| (&*endpoint.server, endpoint.started_at_ms));
-        self.limits.time_to_permits(servers, count, now)
+        let allowance = |Endpoint { server, started_at_ms, .. }: &Endpoint| {
+            let named = self.limits.allowance(server, *started_at_ms, now);
+            let warming = self.warm_ups.allowance(server, *started_at_ms, now);
+            named.into_iter().chain(warming).reduce(Allowance::stricter)
+        };
+        time_to_permits(self.untried(requirements).map(|state| allowance(&state.endpoint)), count)
     }
 
     fn engine(&self, service: &str) -> Option<&EngineSpec> {
--- a/crates/pass/src/endpoints/fleet_loads.rs
+++ b/crates/pass/src/endpoints/fleet_loads.rs
@@ -7,6 +7,7 @@
 use base::prelude::*;
 use form::prelude::*;
 
+use super::Endpoint;
 use super::EndpointPool;
 use super::flow_of;
 use crate::arrivals;
@@ -66,6 +67,7 @@
     ) -> Vec<(ServerId, Option<RequestRate>)> {
         self.processes = processes;
         self.limits.set_processes(processes, now);
+        self.warm_ups.set_processes(processes, now);
         let mut changed = Vec::new();
         for state in self.states.values_mut() {
             state.remote = (Load::default(), now);
@@ -112,7 +114,12 @@
         let states = self.candidates(service, model.as_deref());
         let (servers, levels): (Vec<ServerId>, Vec<Level>) = states
             .filter(|state| !state.is_stalled(now))
-            .map(|state| (state.endpoint.server.clone(), state.level(engine, mean_size, now)))
+            .map(|state| {
+                let Endpoint { server, started_at_ms, .. } = &state.endpoint;
+                let rate = self.warm_ups.fleet_rate(server, *started_at_ms, now);
+                let level = state.level(engine, mean_size, now);
+                (server.clone(), level.limited_to(rate.unwrap_or(f64::INFINITY)))
+            })
             .unzip();
         let interval = self.flows.report_interval();
         let outlook = arrivals::outlook(&levels, demand, self.processes, interval);
--- a/crates/pass/src/header_names.rs
+++ b/crates/pass/src/header_names.rs
@@ -25,6 +25,8 @@
     pub server_limit: HeaderName,
     /// In responses: 1 if the backend server will end soon and wants no new requests.
     pub leaving: HeaderName,
+    /// In responses: milliseconds until the backend server's warm-up ends.
+    pub warm_up_ms: HeaderName,
     /// In responses: the backend server's signature.
     pub signature: HeaderName,
     /// The model.
@@ -51,6 +53,7 @@
             not_run: name("samphire-not-run"),
             server_limit: name("samphire-server-limit"),
             leaving: name("samphire-leaving"),
+            warm_up_ms: name("samphire-warm-up-ms"),
             signature: name("samphire-signature"),
             model: name("samphire-model"),
             token_counts: name("samphire-tokens"),
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`availability`]: when an endpoint may get a request again.
 //! - [`server_notice`]: what a backend server says of itself in the headers of a response.
 //! - [`server_limit`]: the request rates that backend servers name.
+//! - [`warm_up`]: servers in warm-up, and the rate that they take.
 //! - [`dispatch`]: which requests are sent, queued or refused.
 //! - [`budget`]: this process's share of a fleet-wide retry budget.
 //! - [`paths`]: which backend servers this process can connect to.
@@ -40,6 +41,7 @@
 pub mod routes;
 pub mod server_limit;
 pub mod server_notice;
+pub mod warm_up;
 
 /// The common types of this crate.
 pub mod prelude {
--- a/crates/pass/src/server_limit.rs
+++ b/crates/pass/src/server_limit.rs
@@ -64,30 +64,62 @@
 
 /// The permits of this process for one server.
 #[data]
-struct Permits {
+pub(crate) struct Permits {
     /// Permits per second.
     rate: f64,
     /// Permits that are due, and the part of the next one; below zero if more were used.
     level: f64,
     updated_at: Mono,
+    /// How long a permit may be used after it became due.
+    ttl: Duration,
+}
+
+/// What a process may send a server.
+#[data]
+#[derive(Copy)]
+pub(crate) struct Allowance {
+    /// Permits that are due, and the part of the next one.
+    pub(crate) due: f64,
+    /// Permits per second.
+    pub(crate) rate: f64,
+    /// Seconds until the server takes any number of requests; infinite if that isn't known.
+    pub(crate) ends_in: f64,
+}
+
+impl Allowance {
+    /// Returns the allowance at a server with two limits: that with the lower rate, until both end.
+    pub(crate) fn stricter(self, other: Allowance) -> Allowance {
+        let ends_in = self.ends_in.max(other.ends_in);
+        let lower = if self.rate <= other.rate { self } else { other };
+        Allowance { due: self.due.min(other.due), ends_in, ..lower }
+    }
 }
 
 impl Permits {
+    /// Returns the permits of a process that begins with the part `phase` of one.
+    pub(crate) fn new(rate: f64, phase: f64, ttl: Duration, now: Mono) -> Self {
+        Permits { rate, level: phase, updated_at: now, ttl }
+    }
+
+    pub(crate) fn allowance(&self, now: Mono) -> Allowance {
+        Allowance { due: self.level(now), rate: self.rate, ends_in: f64::INFINITY }
+    }
+
     fn level(&self, now: Mono) -> f64 {
         let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
         let level = self.level + self.rate * elapsed;
-        let lasting = self.rate * PERMIT_TTL.as_secs_f64();
-        // Permits beyond those of the last PERMIT_TTL have lapsed; the part of the next one hasn't.
+        let lasting = self.rate * self.ttl.as_secs_f64();
+        // Permits beyond those of the last `ttl` have lapsed; the part of the next one hasn't.
         if level < 1.0 + lasting { level } else { lasting + (level - lasting).fract() }
     }
 
-    fn set_rate(&mut self, rate: f64, now: Mono) {
+    pub(crate) fn set_rate(&mut self, rate: f64, now: Mono) {
         self.level = self.level(now);
-        self.updated_at = now;
+        self.updated_at = self.updated_at.max(now);
         self.rate = rate;
     }
 
-    fn take(&mut self, now: Mono) {
+    pub(crate) fn take(&mut self, now: Mono) {
         self.level = self.level(now) - 1.0;
         self.updated_at = now;
     }
@@ -188,7 +220,7 @@
         let changed_at = known.filter(|_| is_same).map_or(now, |row| row.changed_at);
         let limited = known.filter(|row| row.per_second.is_some());
         let mut permits = limited
-            .map_or(Permits { rate, level: phase, updated_at: now }, |row| row.permits.clone());
+            .map_or_else(|| Permits::new(rate, phase, PERMIT_TTL, now), |row| row.permits.clone());
         permits.set_rate(rate, now);
         let observed_at = now.saturating_sub(Duration::from_millis(age_ms));
         let row =
@@ -243,17 +275,19 @@
         count: usize,
         now: Mono,
     ) -> Option<Duration> {
-        let (mut level, mut rate, mut first) = (0.0, 0.0, f64::INFINITY);
-        for (server, started_at_ms) in servers {
-            let permits = &self.limited(server, started_at_ms)?.permits;
-            let due = permits.level(now);
-            level += due;
-            rate += permits.rate;
-            first = f64::min(first, ((1.0 - due) / permits.rate).max(0.0));
-        }
-        let all = ((count as f64 - level) / rate).max(0.0);
-        // Without servers, the time is infinite.
-        Duration::try_from_secs_f64(all.max(first)).ok()
+        let allowances =
+            servers.map(|(server, started_at_ms)| self.allowance(server, started_at_ms, now));
+        time_to_permits(allowances, count)
+    }
+
+    /// Returns the permits of this process for a server instance; `None` if it has no limit.
+    pub(crate) fn allowance(
+        &self,
+        server: &str,
+        started_at_ms: u64,
+        now: Mono,
+    ) -> Option<Allowance> {
+        Some(self.limited(server, started_at_ms)?.permits.allowance(now))
     }
 
     fn row(&self, server: &str, started_at_ms: u64) -> Option<&ServerLimit> {
@@ -269,3 +303,23 @@
 fn own_rate(per_second: Option<RequestRate>, processes: usize) -> f64 {
     per_second.unwrap_or(0.0).max(MIN_RATE) * USED_SHARE / processes.max(1) as f64
 }
+
+/// Returns about how long it takes until `count` requests may be sent to servers; `None` if there are
+/// none, or any of them has no limit.
+pub(crate) fn time_to_permits(
+    allowances: impl Iterator<Item = Option<Allowance>>,
+    count: usize,
+) -> Option<Duration> {
+    let (mut level, mut rate) = (0.0, 0.0);
+    let (mut first, mut first_end) = (f64::INFINITY, f64::INFINITY);
+    for allowance in allowances {
+        let Allowance { due, rate: own_rate, ends_in } = allowance?;
+        level += due;
+        rate += own_rate;
+        first = f64::min(first, ((1.0 - due) / own_rate).max(0.0));
+        first_end = f64::min(first_end, ends_in);
+    }
+    let all = ((count as f64 - level) / rate).max(0.0);
+    // Without servers, the time is infinite.
+    Duration::try_from_secs_f64(all.max(first).min(first_end)).ok()
+}
--- a/crates/pass/src/server_notice.rs
+++ b/crates/pass/src/server_notice.rs
@@ -2,6 +2,7 @@
 //!
 //! - A limit: the requests a second that it takes from all processes together.
 //! - That it is leaving: it will end soon, and gets no new requests.
+//! - How long its warm-up still takes.
 //! - A pause, in a response that turned a request away: the time for which it wants no requests from
 //!   this process.
 //!
@@ -16,6 +17,7 @@
 
 use crate::header_names::HeaderNames;
 use crate::server_limit::RequestRate;
+use crate::warm_up::MAX_DURATION;
 
 /// Longest pause that is kept. After it, a request finds out whether the server still wants none.
 pub const MAX_PAUSE: Duration = Duration::from_secs(300);
@@ -28,6 +30,8 @@
     pub limit: Option<RequestRate>,
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// How long its warm-up still takes, if it says so; at most [`MAX_DURATION`].
+    pub warm_up: Option<Duration>,
     /// How long it wants no requests, from when the response arrived; at most [`MAX_PAUSE`].
     pub pause: Option<Duration>,
 }
@@ -44,11 +48,19 @@
         if leaving.is_some_and(|leaving| leaving != 0.0 && leaving != 1.0) {
             findings.add(header_names.leaving.as_str(), "is neither 0 nor 1");
         }
+        let longest = MAX_DURATION.as_millis() as f64;
+        let warm_up = number(headers, &header_names.warm_up_ms, findings);
+        if warm_up.is_some_and(|warm_up| warm_up > longest) {
+            findings.add(header_names.warm_up_ms.as_str(), format!("is above {longest}"));
+        }
         let turns_away = status == StatusCode::SERVICE_UNAVAILABLE;
         let pause = turns_away.then(|| number(headers, &RETRY_AFTER, findings)).flatten();
         ServerNotice {
             limit: number(headers, &header_names.server_limit, findings),
             is_leaving: leaving == Some(1.0),
+            warm_up: warm_up
+                .filter(|warm_up| *warm_up <= longest)
+                .map(|warm_up| Duration::from_secs_f64(warm_up / 1_000.0)),
             pause: pause
                 .filter(|seconds| *seconds > 0.0)
                 .map(|seconds| Duration::from_secs_f64(seconds.min(MAX_PAUSE.as_secs_f64()))),
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -60,7 +60,12 @@
 
 fn endpoints(servers: &[&str]) -> EndpointPool {
     let mut endpoints = EndpointPool::default();
-    let spec = ServiceSpec { name: "assistant".into(), max_connections: 9, engine: Some(engine()) };
+    let spec = ServiceSpec {
+        name: "assistant".into(),
+        max_connections: 9,
+        engine: Some(engine()),
+        warm_up: None,
+    };
     endpoints.set_services([Arc::new(spec)]);
     endpoints.set_endpoints(servers.iter().map(|server| endpoint(server)).collect());
     endpoints
@@ -296,8 +301,12 @@
     let now = millis(1_000);
     for seed in 0..600 {
         let mut endpoints = EndpointPool::with_seed(seed);
-        let spec =
-            ServiceSpec { name: "assistant".into(), max_connections: 9, engine: Some(engine()) };
+        let spec = ServiceSpec {
+            name: "assistant".into(),
+            max_connections: 9,
+            engine: Some(engine()),
+            warm_up: None,
+        };
         endpoints.set_services([Arc::new(spec)]);
         endpoints.set_endpoints(servers.iter().map(|server| endpoint(server)).collect());
         endpoints.set_remote_loads(
--- a/crates/pass/tests/fleet/mod.rs
+++ b/crates/pass/tests/fleet/mod.rs
@@ -148,7 +148,8 @@
         let mut endpoints =
             EndpointPool::with_seed(stable(&(seed, index).0.to_be_bytes()) + index as u64);
         let engine = Some(engine_spec());
-        let spec = ServiceSpec { name: SERVICE.into(), max_connections: 690, engine };
+        let spec =
+            ServiceSpec { name: SERVICE.into(), max_connections: 690, engine, warm_up: None };
         endpoints.set_services([Arc::new(spec)]);
         Process {
             endpoints,
--- a/crates/pass/tests/plain_services.rs
+++ b/crates/pass/tests/plain_services.rs
@@ -26,7 +26,7 @@
 
 fn endpoints(servers: &[&str]) -> EndpointPool {
     let mut endpoints = EndpointPool::with_seed(1);
-    let spec = ServiceSpec { name: "desk".into(), max_connections: 9, engine: None };
+    let spec = ServiceSpec { name: "desk".into(), max_connections: 9, engine: None, warm_up: None };
     endpoints.set_services([Arc::new(spec)]);
     endpoints.set_endpoints(servers.iter().map(|server| endpoint(server)).collect());
     // Few processes choose, so only a server that is hardly slower than the best gets requests.
--- a/crates/pass/tests/routes.rs
+++ b/crates/pass/tests/routes.rs
@@ -27,7 +27,7 @@
 }
 
 fn service(name: &str) -> ServiceSpec {
-    ServiceSpec { name: name.into(), max_connections: 10, engine: None }
+    ServiceSpec { name: name.into(), max_connections: 10, engine: None, warm_up: None }
 }
 
 fn config() -> RoutingConfig {
