Evacuation of a failure domain: no new requests reach its servers

Cause: the rows `op/evacuate/DOMAIN` by which operators ask for the evacuation of a failure domain were not read. Change: the rows are followed from the store and through the hubs. `pass::evacuation` decides which servers may still get new requests: within two fifths of `evacuation_ms` if the rows were fresh, at once otherwise, and within 1 s of a cancellation again. Endpoints there are excluded from every choice, also for retries, resumed streams and requests taken over, and no connection is checked there. A request without any other endpoint is refused at once. The record `evacuation` of the decision log names each change of state. The other tests of platform were not run for this commit.

--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -141,6 +141,9 @@
         model: &'a str,
         staged: &'a [ModelId],
     },
+    /// A failure domain is being evacuated, is evacuated, returns, or is open again. `revision` is
+    /// that of the store at which the evacuation was requested or canceled.
+    Evacuation { domain: &'a str, state: &'a str, revision: Revision },
     /// A report was ignored because a later one had been seen.
     Outdated { server: &'a str, born_ms: u64, orders: u64 },
     /// An order was sent.
--- a/crates/front/src/integration.rs
+++ b/crates/front/src/integration.rs
@@ -42,6 +42,8 @@
     pub servers: Box<str>,
     /// The key of the operators' configuration.
     pub config: Box<str>,
+    /// The prefix of the keys that exist while operators evacuate the failure domain that they name.
+    pub evacuations: Box<str>,
     /// The prefix of the system's own keys.
     pub own: Box<str>,
 }
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -14,6 +14,7 @@
 use pass::dispatch::Decision;
 use pass::dispatch::PendingRequest;
 use pass::dispatch::Ticket;
+use pass::evacuation::EvacuationChange;
 use pass::helpers::Helpers;
 use pass::load::Load;
 use pass::prelude::*;
@@ -248,6 +249,47 @@
         self.update_endpoints(id, &changed);
     }
 
+    /// Records that the row for the evacuation of a failure domain exists, since `revision`.
+    pub fn request_evacuation(&mut self, domain: &str, revision: Revision, now: Mono) {
+        let age = self.row_cache.age(now);
+        self.endpoints.evacuations.request(domain, revision, age, now);
+        self.update_evacuations(now);
+    }
+
+    /// Records that the row for the evacuation of a failure domain was deleted.
+    pub fn cancel_evacuation(&mut self, domain: &str, revision: Revision, now: Mono) {
+        self.endpoints.evacuations.cancel(domain, revision, now);
+        self.update_evacuations(now);
+    }
+
+    /// Brings the evacuations up to `now`, and logs what changed.
+    pub fn update_evacuations(&mut self, now: Mono) {
+        for EvacuationChange { domain, state, revision } in self.endpoints.update_evacuations(now) {
+            let (domain, state) = (&*domain, state.name());
+            decision_log::write(&Record::Evacuation { domain, state, revision });
+        }
+        for domain in self.endpoints.evacuations.take_unchecked_domains(now) {
+            if !self.is_known_domain(&domain) {
+                let mut findings = Findings::default();
+                findings.add("$", "no server is known in this failure domain");
+                decision_log::write(&Record::LeftOut { key: &domain, findings: &findings });
+            }
+        }
+    }
+
+    fn is_known_domain(&self, domain: &str) -> bool {
+        let missing = self.reports.missing().values().map(|missing| &missing.server);
+        let mut servers = self.reports.servers().values().chain(missing);
+        servers.any(|server| &*server.failure_domain == domain)
+    }
+
+    /// Returns whether a server may be connected to for a check of the paths: it takes requests, and
+    /// its failure domain is not being evacuated.
+    pub fn may_be_checked(&self, server: &Server) -> bool {
+        server.state == ServerState::Ready
+            && !self.endpoints.evacuations.is_evacuating(&server.failure_domain)
+    }
+
     /// Returns the load from this process, and what it alone knows of the servers.
     pub fn own_loads(&self, now: Mono) -> Loads {
         let mut loads = self.endpoints.local_loads(now);
@@ -333,6 +375,7 @@
     /// Decides on the first waiting request that needn't wait any more, and counts it at its
     /// endpoint.
     fn poll(&mut self, now: Mono) -> Option<(Ticket, Decision)> {
+        self.update_evacuations(now);
         let (ticket, tokens, decision) = self.dispatch.poll(&self.endpoints, now)?;
         self.count_started(&decision, tokens, now);
         Some((ticket, decision))
@@ -348,6 +391,7 @@
 
     fn submit(&mut self, pending: PendingRequest, now: Mono) -> (Decision, Option<Ticket>) {
         let tokens = pending.requirements.prompt_tokens;
+        self.update_evacuations(now);
         self.endpoints.request_arrived(&pending.requirements, now);
         let (decision, ticket) = self.dispatch.submit(pending, &self.endpoints, now);
         if ticket.is_none() {
--- a/crates/front/src/peers/helpers.rs
+++ b/crates/front/src/peers/helpers.rs
@@ -11,7 +11,6 @@
 
 use base::prelude::*;
 use form::prelude::*;
-use form::server::ServerState;
 use futures::future::join_all;
 use parking_lot::Mutex;
 use pass::helpers::Helper;
@@ -167,7 +166,7 @@
         let local = state.shared.local.lock();
         let servers = local.reports().servers();
         let ready = request.servers.iter().filter_map(|id| servers.get(id));
-        ready.filter(|server| server.state == ServerState::Ready).map(reach::target).collect()
+        ready.filter(|server| local.may_be_checked(server)).map(reach::target).collect()
     };
     // That a server refuses this process as well is no news that others must hear of.
     PathsResponse { reached: reach::accepting(&targets).await }
--- a/crates/front/src/peers/reach.rs
+++ b/crates/front/src/peers/reach.rs
@@ -8,7 +8,6 @@
 
 use base::prelude::*;
 use form::prelude::*;
-use form::server::ServerState;
 use futures::future::join_all;
 use pass::paths::Check;
 use pass::paths::CheckTarget;
@@ -94,7 +93,7 @@
     let count = if check == Check::Idle { 1 } else { SERVERS_PER_CHECK };
     let local = state.shared.local.lock();
     let paths = &local.endpoints.paths;
-    let ready = local.reports().servers().values().filter(|s| s.state == ServerState::Ready);
+    let ready = local.reports().servers().values().filter(|s| local.may_be_checked(s));
     let (failed, others): (Vec<&Server>, Vec<&Server>) =
         ready.partition(|server| paths.has_failed(&server.id));
     let servers = if paths.reach() == Reach::CutOff {
@@ -175,10 +174,14 @@
             return;
         }
         let failures = local.endpoints.paths.unexplained_failures(now);
-        let listed = failures.filter(|id| local.reports().servers().contains_key(*id));
+        let servers = local.reports().servers();
+        let listed = failures
+            .filter(|id| servers.get(*id).is_some_and(|server| local.may_be_checked(server)));
         let unexplained: Vec<ServerId> = listed.take(helpers::MAX_SERVERS).cloned().collect();
         let unreachable = local.endpoints.paths.unreachable_servers();
-        let unreachable = unreachable.filter_map(|id| local.reports().servers().get(id));
+        let unreachable = unreachable
+            .filter_map(|id| servers.get(id))
+            .filter(|server| local.may_be_checked(server));
         (unexplained, unreachable.take(helpers::MAX_SERVERS).map(target).collect::<Vec<_>>())
     };
     if unexplained.is_empty() && unreachable.is_empty() {
@@ -216,7 +219,7 @@
         failed.iter().filter_map(|id| servers.get(id)).map(|server| &server.service).collect();
     let related = servers.values().filter(|server| {
         services.contains(&server.service)
-            && server.state == ServerState::Ready
+            && local.may_be_checked(server)
             && !local.endpoints.paths.has_failed(&server.id)
     });
     let draw = rand::rng().random_range(0..usize::MAX);
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -30,7 +30,11 @@
     let settings = Arc::new(settings);
     let mut kernel = Kernel::new(settings.node.clone());
     let registry = kernel.registry();
-    registry.register(names::PROCESS, Arc::new(SharedState::new(settings.retries)));
+    let shared = SharedState::new(settings.retries);
+    if let Some(bound) = settings.evacuation {
+        shared.local.lock().endpoints.evacuations.set_bound(bound);
+    }
+    registry.register(names::PROCESS, Arc::new(shared));
     registry.register(names::PROCESS, Metrics::new());
     registry.register(names::PROCESS, integration);
     registry.register(names::PROCESS, settings);
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -183,7 +183,12 @@
     let mut ticks = state.cx.every(DISPATCH_PERIOD);
     loop {
         ticks.tick().await;
-        if !state.shared.local.lock().dispatch.is_empty() {
+        let is_waiting = {
+            let mut local = state.shared.local.lock();
+            local.update_evacuations(state.cx.now());
+            !local.dispatch.is_empty()
+        };
+        if is_waiting {
             state.shared.dispatch_queued(state.cx.now());
         }
     }
--- a/crates/front/src/serve/server_end.rs
+++ b/crates/front/src/serve/server_end.rs
@@ -3,14 +3,14 @@
 //! A connection that breaks doesn't tell: the network may have reset it, or the server may have
 //! given up the request. That new connections are refused doesn't either: the path from here to the
 //! server may be cut. So other processes are asked, and a server that one of them reaches has not ended.
-//! A server that was leaving doesn't count, since it ends anyway.
+//! A server that was leaving doesn't count, since it ends anyway, nor does one in a failure domain that is
+//! being evacuated, which may be shut down at any time.
 //!
 //! The crash is recorded against the request, so that a request that crashes each server that runs it
 //! is refused from some crash on ([`crate::crash_reports`]), and against the parts of its prompt, unless
 //! its answer had begun.
 
 use base::prelude::*;
-use form::server::ServerState;
 use pass::prelude::*;
 use web::pool::Probe;
 use web::pool::probe;
@@ -74,6 +74,6 @@
     let local = active.state.shared.local.lock();
     let server = local.reports().servers().get(&endpoint.server);
     server.is_some_and(|server| {
-        server.state == ServerState::Ready && server.started_at_ms == endpoint.started_at_ms
+        local.may_be_checked(server) && server.started_at_ms == endpoint.started_at_ms
     })
 }
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -44,6 +44,9 @@
     pub link_bytes_per_second: f64,
     /// The shortest lease that the store grants.
     pub shortest_lease: Duration,
+    /// Time from the store's acknowledgement of an evacuation until no new request may reach the
+    /// failure domain; without it, requests stop at once.
+    pub evacuation: Option<Duration>,
 }
 
 impl TryFrom<&str> for Settings {
@@ -83,6 +86,7 @@
         stop: fields.millis("stop_ms", 8_000, 100..=MAX_MILLIS),
         cores: fields.number("cores", 1.0, 0.0..=4096.0),
         link_bytes_per_second: fields.number("link_mbps", 1_000.0, 0.1..=1e6) * BYTES_PER_MEGABIT,
+        evacuation: fields.optional_millis("evacuation_ms", 1..=MAX_MILLIS),
         shortest_lease: fields.millis("shortest_lease_ms", 1_000, 1..=MAX_MILLIS),
     };
     fields.finish();
--- a/crates/front/src/store_sync.rs
+++ b/crates/front/src/store_sync.rs
@@ -119,7 +119,12 @@
     fn start_mirror(&mut self) {
         let (tx, rx) = mpsc::channel(CHANGE_QUEUE_LEN);
         let keys = &self.integration.keys;
-        let prefixes = vec![keys.config.clone(), keys.servers.clone(), keys.own.clone()];
+        let prefixes = vec![
+            keys.config.clone(),
+            keys.servers.clone(),
+            keys.own.clone(),
+            keys.evacuations.clone(),
+        ];
         let (known, is_hub, processes) = {
             let local = self.shared.local.lock();
             (local.row_cache.rows(), local.is_hub, local.processes())
@@ -206,6 +211,8 @@
     }
     if let Some(id) = key.strip_prefix(&*integration.keys.servers) {
         apply_server_row(integration, shared, id, value.as_ref(), now);
+    } else if let Some(domain) = key.strip_prefix(&*integration.keys.evacuations) {
+        apply_evacuation_row(shared, &key, domain, value.as_ref(), revision, now);
     } else if let Some(value) = value.filter(|_| key == integration.keys.config) {
         apply_config_row(integration, shared, &value);
     }
@@ -230,6 +237,30 @@
     }
 }
 
+fn apply_evacuation_row(
+    shared: &SharedState,
+    key: &str,
+    domain: &str,
+    value: Option<&Versioned>,
+    revision: u64,
+    now: Mono,
+) {
+    let mut local = shared.local.lock();
+    let Some(value) = value else { return local.cancel_evacuation(domain, revision, now) };
+    let mut findings = Findings::default();
+    if domain.is_empty() || domain.contains('/') {
+        findings.add("$", "the key doesn't name a failure domain");
+    } else if let Err(error) =
+        serde_json::from_slice::<serde_json::Map<String, serde_json::Value>>(&value.value)
+    {
+        findings.add("$", error.to_string());
+    }
+    if findings.is_empty() {
+        return local.request_evacuation(domain, value.mod_revision, now);
+    }
+    decision_log::write(&Record::LeftOut { key, findings: &findings });
+}
+
 fn apply_config_row(integration: &Integration, shared: &SharedState, value: &Versioned) {
     match integration.decoder.decode_config(&value.value) {
         Ok(config) => {
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -37,6 +37,8 @@
 use crate::endpoint::evaluate;
 use crate::endpoint::is_same_endpoint;
 use crate::engine_time::RequestSize;
+use crate::evacuation::EvacuationChange;
+use crate::evacuation::Evacuations;
 use crate::flows::FlowOutlook;
 use crate::flows::Flows;
 use crate::paths::Paths;
@@ -108,6 +110,8 @@
     flows: Flows,
     /// The paths from this process to the servers.
     pub paths: Paths,
+    /// The failure domains that operators evacuate.
+    pub evacuations: Evacuations,
     /// Requests in progress, and since when there have been some.
     in_progress: (usize, Mono),
 }
@@ -115,7 +119,11 @@
 impl EndpointPool {
     /// Creates an empty pool with a seeded random number generator.
     pub fn with_seed(seed: u64) -> Self {
-        EndpointPool { rng_state: Cell::new(seed), ..EndpointPool::default() }
+        EndpointPool {
+            rng_state: Cell::new(seed),
+            evacuations: Evacuations::with_seed(seed),
+            ..EndpointPool::default()
+        }
     }
 
     /// Replaces the services.
@@ -175,9 +183,43 @@
         Some(state)
     }
 
-    /// Returns whether any endpoint serves `model` of `service`.
+    /// Returns whether any endpoint that may get new requests serves `model` of `service`.
     pub fn has_endpoint(&self, service: &str, model: Option<&str>) -> bool {
-        self.candidates(service, model).next().is_some()
+        self.candidates(service, model).any(|state| self.allows_requests(&state.endpoint))
+    }
+
+    /// Brings what is known of evacuations up to `now`, and returns the changes of states. Must
+    /// precede each decision on a request.
+    pub fn update_evacuations(&mut self, now: Mono) -> Vec<EvacuationChange> {
+        if self.evacuations.is_empty() {
+            return Vec::new();
+        }
+        self.evacuations.update(now);
+        let changes = self.evacuations.take_changes();
+        if !changes.is_empty() {
+            self.update_outlooks();
+        }
+        changes
+    }
+
+    /// Returns how many requests of this process are in progress in a failure domain.
+    pub fn requests_in(&self, domain: &str) -> u32 {
+        let states = self.states.values().filter(|s| &*s.endpoint.failure_domain == domain);
+        states.map(|state| state.local.requests).sum()
+    }
+
+    /// Returns whether evacuations leave no endpoint for which an outlook was calculated, so that waiting
+    /// for a share of it would gain nothing.
+    fn is_being_evacuated(&self, requirements: &EndpointRequirements) -> bool {
+        let model = requirements.model.as_deref();
+        let counts = |state: &EndpointState| {
+            self.evacuations.counts_as_capacity(&state.endpoint.failure_domain)
+        };
+        !self.evacuations.is_empty() && !self.candidates(&requirements.service, model).any(counts)
+    }
+
+    fn allows_requests(&self, endpoint: &Endpoint) -> bool {
+        self.evacuations.allows(&endpoint.failure_domain, &endpoint.server)
     }
 
     /// Returns whether `endpoint` is still the same server instance in the same role.
@@ -362,12 +404,13 @@
         self.limits.has_permit(&endpoint.server, endpoint.started_at_ms, now)
     }
 
-    /// Returns the endpoints of the service and model that a request hasn't been sent to yet.
+    /// Returns the endpoints of the service and model that a request may be sent to and hasn't been yet.
     fn untried<'a>(
         &'a self,
         requirements: &'a EndpointRequirements,
     ) -> impl Iterator<Item = &'a EndpointState> + 'a {
         let states = self.candidates(&requirements.service, requirements.model.as_deref());
+        let states = states.filter(|state| self.allows_requests(&state.endpoint));
         states.filter(|state| !requirements.excluded.contains(&state.endpoint.server))
     }
 
@@ -401,7 +444,9 @@
     /// that arrive, each process sends the same share of its own.
     pub fn admits(&self, requirements: &EndpointRequirements, arrived_at: Mono) -> bool {
         let is_repeated = !requirements.excluded.is_empty();
-        is_repeated || self.flows.admits(self.flow_outlook(requirements), arrived_at)
+        is_repeated
+            || self.flows.admits(self.flow_outlook(requirements), arrived_at)
+            || self.is_being_evacuated(requirements)
     }
 
     /// Returns whether the endpoints can take all requests that arrive until the next report.
--- a/crates/pass/src/endpoints/fleet_loads.rs
+++ b/crates/pass/src/endpoints/fleet_loads.rs
@@ -111,6 +111,7 @@
         });
         let states = self.candidates(service, model.as_deref());
         let (servers, levels): (Vec<ServerId>, Vec<Level>) = states
+            .filter(|state| self.evacuations.counts_as_capacity(&state.endpoint.failure_domain))
             .filter(|state| !state.is_stalled(now))
             .map(|state| (state.endpoint.server.clone(), state.level(engine, mean_size, now)))
             .unzip();
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`endpoints`]: the endpoints that can receive requests, and their load.
 //! - [`arrivals`]: what other processes are expected to have sent since their loads were reported.
 //! - [`availability`]: when an endpoint may get a request again.
+//! - [`evacuation`]: which servers may get new requests while operators evacuate failure domains.
 //! - [`server_notice`]: what a backend server says of itself in the headers of a response.
 //! - [`server_limit`]: the request rates that backend servers name.
 //! - [`dispatch`]: which requests are sent, queued or refused.
@@ -29,6 +30,7 @@
 mod endpoint;
 pub mod endpoints;
 pub mod engine_time;
+pub mod evacuation;
 pub mod events;
 mod flows;
 pub mod header_names;
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -467,3 +467,50 @@
     let (_, load) = endpoints.local_loads(later)[0].clone();
     assert_eq!((load.requests, load.ms_waiting, load.ms_since_data), (2, None, None));
 }
+
+// Guards against requests that wait for servers that they must not be sent to, and against retries that
+// go there.
+#[test]
+fn a_request_is_refused_at_once_while_all_its_endpoints_are_evacuated() {
+    let mut endpoints = endpoints(&["a", "b"]);
+    let start = millis(1_000);
+    for number in 0..400 {
+        endpoints.request_arrived(&pending(1, start).requirements, start + millis(number * 5));
+    }
+    let now = start + millis(2_000);
+    endpoints.evacuations.request("a", 5, None, now);
+    endpoints.update_evacuations(now);
+    endpoints.set_remote_loads(&[], 8, now);
+    endpoints.set_remote_loads(&[], 8, now + millis(50));
+    let now = now + millis(60);
+    let mut retry = pending(1, now);
+    retry.requirements.excluded = vec!["a".into()];
+    for pending in [pending(1, now), retry] {
+        let (decision, ticket) = DispatchQueue::default().submit(pending, &endpoints, now);
+        let Decision::Refuse { retry_after, reason } = decision else { panic!("{decision:?}") };
+        assert_eq!((reason, ticket), (Refusal::NoPlace, None));
+        assert!(!retry_after.is_zero());
+    }
+    endpoints.evacuations.cancel("a", 6, now);
+    endpoints.update_evacuations(now + millis(1_000));
+    assert!(endpoints.has_endpoint("assistant", Some(MODEL)));
+}
+
+// Guards against a request that is sent to an evacuated domain because its servers are the least loaded.
+#[test]
+fn requests_go_to_busy_endpoints_rather_than_to_evacuated_ones() {
+    let mut endpoints = endpoints(&["a", "b"]);
+    let mut elsewhere = endpoint("c");
+    elsewhere.failure_domain = "other".into();
+    endpoints.set_endpoint(elsewhere.clone());
+    let now = millis(1_000);
+    let load = Load { requests: 1, pending_prefill_tokens: 9_000, ..Load::default() };
+    endpoints.set_remote_loads(&[("c".into(), load)], 6, now);
+    endpoints.evacuations.request("a", 5, None, now);
+    for _ in 0..3 {
+        let choice = endpoints.choose(&pending(1, now).requirements, now).expect("a choice");
+        assert_eq!(&*choice.endpoint.server, "c");
+        endpoints.request_sent(&choice.endpoint, 1_000, now);
+    }
+    assert_eq!((endpoints.requests_in("a"), endpoints.requests_in("other")), (0, 3));
+}
