Evacuation: the owner plans no groups in evacuated failure domains

Cause: with no requests sent to an evacuated domain, its groups still counted as supply, and its servers were still ordered to join, open and stage. Change: servers of an evacuated domain are not free and not staged, groups that are being formed there are given up, and groups there are neither supply nor donors of a rebalance. Open groups stay open.

--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -157,6 +157,8 @@
     pub demand: &'a BTreeMap<ModelId, f64>,
     /// Heads of groups that are stalled for all their requests.
     pub stalled_heads: &'a BTreeSet<ServerId>,
+    /// The failure domains that operators evacuate.
+    pub evacuated: &'a BTreeSet<FailureDomainId>,
     /// Whether no request has arrived yet, so that loads are fast and not counted by the platform.
     pub before_traffic: bool,
     /// Current time.
@@ -164,6 +166,19 @@
 }
 
 impl ObservedState<'_> {
+    /// Returns whether the failure domain of `server` is being evacuated, so that it must not join, open
+    /// or stage anything.
+    fn is_evacuated(&self, server: &Server) -> bool {
+        self.evacuated.contains(&server.failure_domain)
+    }
+
+    /// Returns whether a member of `group` is in a failure domain that is being evacuated, so that the
+    /// group gets no requests and is no supply.
+    fn is_group_evacuated(&self, group: &Group) -> bool {
+        let mut members = group.members.values().filter_map(|id| self.latest_report(id));
+        !self.evacuated.is_empty() && members.any(|server| self.is_evacuated(server))
+    }
+
     /// Returns the current report of server `id`, or its last one if that is missing.
     fn latest_report(&self, id: &str) -> Option<&Server> {
         let missing = self.missing.get(id).map(|missing| &missing.server);
--- a/crates/form/src/owner/forming.rs
+++ b/crates/form/src/owner/forming.rs
@@ -1,8 +1,8 @@
 //! Groups that are being formed.
 //!
 //! First every member is ordered to join, and accepted joins are polled until all members have
-//! joined; then the head is ordered to open. Forming is given up if a member drains, restarts, goes
-//! missing or becomes unresponsive, if a connection for an order is refused, if the head leaves an
+//! joined; then the head is ordered to open. Forming is given up if a member drains, is evacuated,
+//! restarts, goes missing or becomes unresponsive, if a connection for an order is refused, if the head leaves an
 //! order to join unanswered, or when the deadline has passed. A group that is given up before it
 //! was ordered to open counts as released, so that its members are free at once; otherwise its head
 //! must leave it first.
@@ -214,7 +214,9 @@
             let server = observed.servers.get(&instance.0);
             let is_ready = server
                 .is_some_and(|s| s.instance_id() == *instance && s.state == ServerState::Ready);
-            is_ready && !self.unresponsive_until.contains_key(instance)
+            is_ready
+                && !self.unresponsive_until.contains_key(instance)
+                && !server.is_some_and(|server| observed.is_evacuated(server))
         })
     }
 
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -1,6 +1,7 @@
 //! Which servers are free, and the groups that are formed from them.
 //!
-//! A ready server is free if no order to it is in flight, it is in no group that is being formed,
+//! A ready server is free if no order to it is in flight, it is in no group that is being formed, its
+//! failure domain is not being evacuated,
 //! it has not failed a probe lately, and the head of the group that it was last in can no longer
 //! serve that group. The last report may predate the last join, so the owner's own memory of that
 //! join takes precedence. The groups to form are planned by [`compose`](crate::compose). Before the
@@ -109,6 +110,7 @@
             let serving = observed.groups.by_key.iter().filter(|(key, group)| {
                 group.model.as_deref() == Some(model)
                     && group.is_serving(observed.engine)
+                    && !observed.is_group_evacuated(group)
                     && !self.forming.contains(&group.name)
                     && !self.retiring_groups.contains(*key)
             });
@@ -159,6 +161,9 @@
         if server.state != ServerState::Ready || self.is_in_forming(&server.id) {
             return false;
         }
+        if observed.is_evacuated(server) {
+            return false;
+        }
         let instance = server.instance_id();
         if self.has_order_in_flight(&server.id) || self.unresponsive_until.contains_key(&instance) {
             return false;
--- a/crates/form/src/owner/rebalance.rs
+++ b/crates/form/src/owner/rebalance.rs
@@ -145,6 +145,7 @@
             is_kept(*key)
                 && group.is_serving(observed.engine)
                 && !group.has_missing_report
+                && !observed.is_group_evacuated(group)
                 && !self.forming.contains(&key.0)
         });
         for (_, group) in serving {
--- a/crates/form/src/owner/stage.rs
+++ b/crates/form/src/owner/stage.rs
@@ -35,7 +35,7 @@
         let service = observed.service;
         let servers = || {
             let ready = observed.servers.values().filter(|s| s.state == ServerState::Ready);
-            ready.filter(|server| &*server.service == service)
+            ready.filter(|server| &*server.service == service && !observed.is_evacuated(server))
         };
         let max_loads = observed.engine.max_concurrent_loads;
         let max_second_models = (max_loads as f64 * SECOND_MODEL_SHARE) as usize;
--- a/crates/form/tests/fleet/mod.rs
+++ b/crates/form/tests/fleet/mod.rs
@@ -68,6 +68,8 @@
     pub(crate) decide_times: Vec<Duration>,
     delayed_orders: Vec<(Mono, Command)>,
     rng_state: u64,
+    /// The failure domains that operators evacuate.
+    pub(crate) evacuated: BTreeSet<FailureDomainId>,
     before_traffic: bool,
 }
 
@@ -87,6 +89,7 @@
             decide_times: Vec::new(),
             delayed_orders: Vec::new(),
             rng_state: 1,
+            evacuated: BTreeSet::new(),
             before_traffic: true,
         };
         for i in 0..count {
@@ -165,6 +168,7 @@
             engine: &self.spec,
             demand: &demand,
             stalled_heads: &self.stalled_heads(),
+            evacuated: &self.evacuated,
             before_traffic: self.before_traffic,
             now: self.now,
         };
@@ -186,6 +190,12 @@
 
     fn deliver(&mut self, owner: &mut Owner, command: Command) {
         let id = command.id;
+        let is_work =
+            matches!(command.order, Order::Join { .. } | Order::Open { .. } | Order::Stage { .. });
+        if is_work && self.evacuated.contains(&self.engines[&command.server].server.failure_domain)
+        {
+            self.violations.push(format!("{command:?} was sent to an evacuated domain"));
+        }
         if !self.engines[&command.server].reachable || !self.engines[&command.server].alive {
             owner.handle_reply(id, Reply::Unanswered, self.now);
             return;
--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -423,3 +423,55 @@
         prop_assert!(fleet.serving() >= 2, "{} groups serve", fleet.serving());
     }
 }
+
+// Guards against orders to join, open or stage in an evacuated domain, at whichever moment of the
+// forming of groups the evacuation is requested, and against servers that aren't used again after it.
+#[test]
+fn groups_in_an_evacuated_domain_get_no_orders_until_it_returns() {
+    for steps in 0..30 {
+        let mut fleet = Fleet::new(9);
+        let mut owner = Owner::new(1, fleet.now);
+        fleet.run(&mut owner, steps * SECOND / 10);
+        let serving = fleet.serving();
+        fleet.evacuated.insert("a".into());
+        fleet.run(&mut owner, 5 * SECOND);
+        fleet.begin_traffic();
+        fleet.run(&mut owner, 5 * SECOND);
+        assert!(fleet.serving() >= serving, "open groups stay open");
+        assert!(fleet.violations.is_empty(), "step {steps}: {:?}", fleet.violations);
+        fleet.evacuated.clear();
+        fleet.run(&mut owner, 60 * SECOND);
+        assert_eq!(fleet.serving(), 2, "step {steps}");
+        assert!(fleet.violations.is_empty(), "step {steps}: {:?}", fleet.violations);
+    }
+}
+
+// Guards against a model that stays without any group for requests, since its groups in an evacuated
+// domain count as supply.
+#[test]
+fn a_model_whose_groups_are_evacuated_gets_one_elsewhere() {
+    let mut fleet = Fleet::new(8);
+    fleet.spread(2);
+    fleet.spec.models[0].initial_demand_share = 0.4;
+    fleet.spec.models[1].initial_demand_share = 0.6;
+    let mut owner = Owner::new(1, fleet.now);
+    fleet.run(&mut owner, 8 * SECOND);
+    fleet.begin_traffic();
+    assert_eq!((fleet.serving_model("large"), fleet.serving_model("small")), (1, 1));
+    let large = fleet.first_group_of("large");
+    let evacuated = fleet.engines[&large[0]].server.fabric.clone();
+    let engines = || fleet.engines.values().map(|engine| engine.server.fabric.clone());
+    let other = engines().find(|fabric| *fabric != evacuated).expect("another fabric domain");
+    for engine in fleet.engines.values_mut().filter(|e| e.server.fabric == evacuated) {
+        engine.server.failure_domain = "b".into();
+    }
+    fleet.run(&mut owner, SECOND);
+    fleet.evacuated.insert("b".into());
+    for id in ["n0", "n1", "n2", "n3"] {
+        fleet.add(id);
+        fleet.engines.get_mut(id).expect("an engine").server.fabric = other.clone();
+    }
+    fleet.run(&mut owner, 60 * SECOND);
+    assert_eq!((fleet.serving_model("large"), fleet.serving_model("small")), (2, 1));
+    assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
+}
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -133,6 +133,7 @@
         let now = self.cx.now();
         let local = self.shared.local.lock();
         let no_groups = ObservedGroups::default();
+        let evacuated = local.endpoints.evacuations.evacuating().cloned().collect();
         let mut commands = Vec::new();
         for spec in local.routes.services() {
             let Some(engine) = &spec.engine else { continue };
@@ -146,6 +147,7 @@
                 engine,
                 demand: &demand,
                 stalled_heads: &stalled,
+                evacuated: &evacuated,
                 before_traffic: self.settings.first_start && local.requests == 0,
                 now,
             };
