--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -32,6 +32,9 @@
     let registry = kernel.registry();
     let shared = SharedState::new(settings.retries);
     shared.local.lock().endpoints.warm_ups.set_tolerance(settings.warm_up);
+    if let Some(bound) = settings.evacuation {
+        shared.local.lock().endpoints.evacuations.set_bound(bound);
+    }
     registry.register(names::PROCESS, Arc::new(shared));
     registry.register(names::PROCESS, Metrics::new());
     registry.register(names::PROCESS, integration);
--- a/crates/pass/tests/fleet/mod.rs
+++ b/crates/pass/tests/fleet/mod.rs
@@ -211,7 +211,7 @@
             if self.random() < expected {
                 self.arrive(now);
             }
-            if now.as_millis() % SAMPLE_PERIOD.as_millis() == 0 {
+            if now.as_millis().is_multiple_of(SAMPLE_PERIOD.as_millis()) {
                 let counts = self.groups.values().map(|group| group.len() as f64).collect();
                 self.samples.push((now, counts));
             }
