Box the reservation of an attempt

Cause: with the fixed time in it, one variant of Carrier is far larger than the other (clippy). Change: Carrier::Server holds a box.

--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -169,7 +169,7 @@
             Decision::Send(choice) => {
                 let reservation = Reservation::new(self, choice);
                 match self.refuse_if_quarantined() {
-                    None => Ok(Carrier::Server(reservation)),
+                    None => Ok(Carrier::Server(Box::new(reservation))),
                     Some(refused) => Err(refused),
                 }
             }
--- a/crates/front/src/serve/carrier.rs
+++ b/crates/front/src/serve/carrier.rs
@@ -13,7 +13,7 @@
 /// What carries an attempt.
 pub(crate) enum Carrier {
     /// This process sends it to an endpoint.
-    Server(Reservation),
+    Server(Box<Reservation>),
     /// Another process serves the request.
     Process(HandOver),
 }
