Evacuation: operators' view, metrics and documentation

Cause: operators could not see which processes know of an evacuation, nor the requests that are still in progress.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -110,6 +110,9 @@
         #[arg(long, value_name = "ID")]
         write: Option<u64>,
     },
+    /// Show the evacuations of failure domains as each process knows them; the servers are the metrics
+    /// addresses of processes of `samphire-platform`.
+    Evacuations,
     /// Show the events of all servers in one timeline.
     Timeline(TimelineArgs),
     /// Show the history of one request from the log files of the processes.
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod edit;
+mod evacuations;
 mod explain;
 mod show;
 mod status;
@@ -44,6 +45,7 @@
         Command::Undrain { name } => edit::drain(&servers, &name, false, output).await,
         Command::Status { write: None } => status::processes(&servers, output).await,
         Command::Status { write: Some(id) } => status::write(&servers, id, output).await,
+        Command::Evacuations => evacuations::evacuations(&servers, output).await,
         Command::Timeline(filter) => timeline::timeline(&servers, &filter, output).await,
         Command::Explain { request, logs } => explain::explain(&request, &logs),
         Command::Check { file } => check(&file),
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -177,3 +177,27 @@
     assert_eq!(check(r#"{"node": 1}"#).unwrap_err().exit_code(), 2);
     std::fs::remove_dir_all(&dir).unwrap();
 }
+
+// Guards against a tool that can't read what processes show of evacuations, and against one that
+// fails because a single process doesn't respond.
+#[tokio::test]
+async fn evacuations_are_shown_as_long_as_one_process_responds() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let handler = Arc::new(move |request: Request| {
+        assert_eq!(&*request.path, "/evacuations");
+        let text =
+            r#"[{"domain": "b", "state": "leaving", "age_ms": 70, "requests": 3, "new": 1}]"#;
+        let response = reply::with_type(StatusCode::OK, "application/json", text.to_owned());
+        std::future::ready(response).boxed()
+    });
+    let stop = CancellationToken::new();
+    tokio::spawn(serve(listener, ServerLimits::default(), handler, Drain::default(), stop));
+    let unused = unused_address().await;
+    let run = async |servers: String| {
+        let args = ["samphire", "evacuations", "--timeout-ms", "300", "--server", &servers];
+        cli::command::run(<Args as clap::Parser>::parse_from(args)).await
+    };
+    assert!(run(format!("{unused},{address}")).await.is_ok());
+    assert!(matches!(run(unused.to_string()).await, Err(Failure::Unreachable(_))));
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`crash_reports`]: requests, and parts of prompts, that crash the backend servers that run them.
 //! - [`change_log`]: numbers changes, so that another process gets those that it lacks.
 //! - [`owner`]: controls the replica groups, in one process at a time.
+//! - `evacuations`: shows operators the evacuations that this process knows.
 //! - [`serve`]: forwards requests: routing, admission, attempts, streams.
 //! - [`ready`]: readiness and metrics endpoints.
 //! - [`logging`]: non-blocking log output.
@@ -24,6 +25,7 @@
 pub mod clock;
 pub mod crash_reports;
 mod decision_log;
+mod evacuations;
 pub mod integration;
 mod lease_lock;
 pub mod load_reports;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -52,6 +52,10 @@
     pub cut_off: IntGauge,
     /// Requests that wait for an endpoint.
     pub waiting: IntGauge,
+    /// Failure domains that operators evacuate.
+    pub evacuating_domains: IntGauge,
+    /// Requests of this process in progress in these domains.
+    pub requests_in_evacuated_domains: IntGauge,
     /// Backend servers with a current report.
     pub servers: IntGauge,
     /// The version of the current configuration.
@@ -139,6 +143,14 @@
             first_event_ratio,
             loop_delay_seconds,
             waiting: gauge("samphire_waiting_requests", "Requests that wait for a place."),
+            evacuating_domains: gauge(
+                "samphire_evacuating_domains",
+                "Failure domains that are being evacuated.",
+            ),
+            requests_in_evacuated_domains: gauge(
+                "samphire_requests_in_evacuated_domains",
+                "Requests in progress in failure domains that are being evacuated.",
+            ),
             servers: gauge("samphire_known_servers", "Backend servers that report."),
             version: gauge("samphire_config_version", "The configuration in force."),
             store_up: gauge("samphire_store_up", "Whether the key-value service answers."),
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -1,5 +1,5 @@
-//! The readiness endpoint for the load balancer in front of the processes, and the metrics
-//! endpoint.
+//! The readiness endpoint for the load balancer in front of the processes, and the endpoint for
+//! metrics and evacuations.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,6 +12,7 @@
 use web::prelude::*;
 use web::server::Handler;
 
+use crate::evacuations;
 use crate::local_state::SharedState;
 use crate::logging;
 use crate::metrics::Metrics;
@@ -51,9 +52,11 @@
         cx.stopping().await;
         return Ok(());
     };
+    let context = cx.clone();
     let handler = Arc::new(move |request: Request| {
         let response = match &*request.path {
             "/metrics" => current(&shared, &metrics),
+            "/evacuations" => evacuations::respond(&shared, context.now()),
             _ => reply::empty(StatusCode::NOT_FOUND),
         };
         futures::future::ready(response).boxed()
@@ -79,6 +82,10 @@
     let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
     metrics.waiting.set(gauge(local.dispatch.len()));
     metrics.servers.set(gauge(local.reports().servers().len()));
+    let evacuating = || local.endpoints.evacuations.evacuating();
+    let requests = evacuating().map(|domain| local.endpoints.requests_in(domain)).sum::<u32>();
+    metrics.evacuating_domains.set(gauge(evacuating().count()));
+    metrics.requests_in_evacuated_domains.set(i64::from(requests));
     metrics.store_up.set(i64::from(local.store_up));
     metrics.version.set(i64::try_from(local.routes.version()).unwrap_or(i64::MAX));
     metrics.dropped_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
