Evacuation: a process that starts learns of evacuations before endpoints

Cause: the store's prefixes were listed with evacuations last, so a process that follows the store itself could know servers and routes, and send requests, before it knew of an evacuation. Found by reading; a test with the stand-in store, which lists at once, doesn't show it. Change: evacuations are listed first.

--- a/crates/front/src/store_sync.rs
+++ b/crates/front/src/store_sync.rs
@@ -119,11 +119,12 @@
     fn start_mirror(&mut self) {
         let (tx, rx) = mpsc::channel(CHANGE_QUEUE_LEN);
         let keys = &self.integration.keys;
+        // Evacuations come first, so that a process that starts knows them before it knows endpoints.
         let prefixes = vec![
+            keys.evacuations.clone(),
             keys.config.clone(),
             keys.servers.clone(),
             keys.own.clone(),
-            keys.evacuations.clone(),
         ];
         let (known, is_hub, processes) = {
             let local = self.shared.local.lock();
