--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -1,10 +1,10 @@
-//! The readiness endpoint for the load balancer in front of the processes, and the metrics
-//! endpoint.
+//! The readiness endpoint for the load balancer in front of the processes, and the endpoint for
+//! metrics and evacuations.
 
-use base::prelude::*;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use base::prelude::*;
 use futures::FutureExt;
 use http::StatusCode;
 use kernel::prelude::*;
@@ -13,6 +13,7 @@
 use web::prelude::*;
 use web::server::Handler;
 
+use crate::evacuations;
 use crate::local_state::SharedState;
 use crate::logging;
 use crate::metrics::Metrics;
@@ -56,6 +57,7 @@
     let handler = Arc::new(move |request: Request| {
         let response = match &*request.path {
             "/metrics" => current(&shared, &metrics, context.now()),
+            "/evacuations" => evacuations::respond(&shared, context.now()),
             _ => reply::empty(StatusCode::NOT_FOUND),
         };
         futures::future::ready(response).boxed()
@@ -82,6 +84,10 @@
     metrics.waiting.set(gauge(local.dispatch.len()));
     metrics.servers.set(gauge(local.reports().servers().len()));
     metrics.servers_in_warm_up.set(gauge(local.endpoints.warm_ups.len(now)));
+    let evacuating = || local.endpoints.evacuations.evacuating();
+    let requests = evacuating().map(|domain| local.endpoints.requests_in(domain)).sum::<u32>();
+    metrics.evacuating_domains.set(gauge(evacuating().count()));
+    metrics.requests_in_evacuated_domains.set(i64::from(requests));
     metrics.store_up.set(i64::from(local.store_up));
     metrics.version.set(i64::try_from(local.routes.version()).unwrap_or(i64::MAX));
     metrics.dropped_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
