--- a/crates/pass/src/endpoint.rs
+++ b/crates/pass/src/endpoint.rs
@@ -128,7 +128,6 @@
     pub(crate) fn slowed(self, factor: f64) -> Self {
         Candidate {
             expected_time: self.expected_time.mul_f64(factor),
-            typical_time: self.typical_time.mul_f64(factor),
             share: self.share / factor,
             ..self
         }
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -270,16 +270,29 @@
             mean_prompt_tokens: mean.unwrap_or(usual),
             report_age: self.flows.report_age(now),
         };
-        self.untried(requirements)
+        let candidates = self
+            .untried(requirements)
             .filter(|state| !self.is_unreachable(&state.endpoint))
             .filter(|state| self.has_permit(&state.endpoint, now))
             .filter(|state| self.has_no_pause(&state.endpoint, now))
             .filter_map(|state| evaluate(state, &evaluation, now))
-            .map(|candidate| {
-                let slowdown = self.warm_ups.slowdown(candidate.endpoint, now);
-                candidate.slowed(slowdown)
-            })
-            .collect()
+            .collect();
+        self.slowed(candidates, now)
+    }
+
+    /// Returns the candidates with the expected times and shares that follow from their warm-ups.
+    ///
+    /// If all are in warm-up, the least slow one counts as usual: it would be passed over otherwise,
+    /// though no other is faster.
+    fn slowed<'a>(&self, candidates: Vec<Candidate<'a>>, now: Mono) -> Vec<Candidate<'a>> {
+        if self.warm_ups.len(now) == 0 {
+            return candidates;
+        }
+        let slowdown = |candidate: &Candidate<'_>| self.warm_ups.slowdown(candidate.endpoint, now);
+        let slowdowns: Vec<f64> = candidates.iter().map(slowdown).collect();
+        let least = slowdowns.iter().copied().fold(f64::INFINITY, f64::min);
+        let slowed = candidates.into_iter().zip(slowdowns);
+        slowed.map(|(candidate, slowdown)| candidate.slowed(slowdown / least)).collect()
     }
 
     /// Returns whether this process reaches the endpoints that a request may be sent to.
--- a/crates/pass/src/warm_up.rs
+++ b/crates/pass/src/warm_up.rs
@@ -45,8 +45,9 @@
 /// of its domain within it.
 pub const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Expected time of a server at the start of its warm-up, relative to a warm one. It is an assumption,
-/// as reports tell only how long the warm-up lasts.
-const INITIAL_SLOWDOWN: f64 = 2.0;
+/// as reports tell only how long the warm-up lasts. A higher one would exclude idle servers by their
+/// expected time alone.
+const INITIAL_SLOWDOWN: f64 = 1.5;
 /// Longest warm-up that is plausible.
 pub const MAX_DURATION: Duration = Duration::from_secs(3_600);
 /// Highest plausible rate.
