Use the permits for a server in warm-up where callers wait

Cause: while other groups are forecast to be a little faster but admit nothing, the permits for a server in warm-up lapsed. Change: choose_limited prefers a server in warm-up that has a permit also if the flow's admitted share is below one.

--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -199,7 +199,7 @@
 
     /// Chooses an endpoint whose server has a limit that allows a request: one that is hardly slower
     /// than the best, since the permit would lapse soon, or one of which no response has told for a
-    /// while whether the limit holds.
+    /// while whether the limit holds, or one in warm-up if callers wait.
     pub fn choose_limited(
         &self,
         requirements: &EndpointRequirements,
@@ -210,13 +210,16 @@
         }
         let candidates = self.available(requirements, now);
         let best = candidates.iter().map(|candidate| candidate.expected_time).min()?;
+        let has_waiting = !self.takes_all(requirements);
         let is_preferred = |candidate: &Candidate<'_>| {
             let endpoint = candidate.endpoint;
             let is_fast = candidate.expected_time <= best + NEAR_BEST_MARGIN;
             let (server, started_at_ms) = (&endpoint.server, endpoint.started_at_ms);
             let age = self.limits.limit_age(server, started_at_ms, now);
             let is_warming = self.warm_ups.fleet_rate(server, started_at_ms, now).is_some();
-            age.map_or(is_fast && is_warming, |age| is_fast || age > MAX_LIMIT_AGE)
+            // Where callers wait, no permit of a server in warm-up is left to lapse.
+            let is_wanted = is_warming && (is_fast || has_waiting);
+            is_wanted || age.is_some_and(|age| is_fast || age > MAX_LIMIT_AGE)
         };
         let preferred = candidates.into_iter().filter(is_preferred);
         preferred.min_by_key(|candidate| candidate.expected_time).map(EndpointChoice::from)
