--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -240,7 +240,7 @@
 
     /// Chooses an endpoint whose server has a limit that allows a request: one that is hardly slower
     /// than the best, since the permit would lapse soon, or one of which no response has told for a
-    /// while whether the limit holds.
+    /// while whether the limit holds, or one in warm-up if callers wait.
     pub fn choose_limited(
         &self,
         requirements: &EndpointRequirements,
@@ -251,13 +251,16 @@
         }
         let candidates = self.available(requirements, now);
         let best = candidates.iter().map(|candidate| candidate.expected_time).min()?;
+        let has_waiting = !self.takes_all(requirements);
         let is_preferred = |candidate: &Candidate<'_>| {
             let endpoint = candidate.endpoint;
             let is_fast = candidate.expected_time <= best + NEAR_BEST_MARGIN;
             let (server, started_at_ms) = (&endpoint.server, endpoint.started_at_ms);
             let age = self.limits.limit_age(server, started_at_ms, now);
             let is_warming = self.warm_ups.fleet_rate(server, started_at_ms, now).is_some();
-            age.map_or(is_fast && is_warming, |age| is_fast || age > MAX_LIMIT_AGE)
+            // Where callers wait, no permit of a server in warm-up is left to lapse.
+            let is_wanted = is_warming && (is_fast || has_waiting);
+            is_wanted || age.is_some_and(|age| is_fast || age > MAX_LIMIT_AGE)
         };
         let preferred = candidates.into_iter().filter(is_preferred);
         preferred.min_by_key(|candidate| candidate.expected_time).map(EndpointChoice::from)
@@ -324,16 +327,29 @@
             report_age: self.flows.report_age(now),
             fixed_time: self.fixed_time(requirements),
         };
-        self.untried(requirements)
+        let candidates = self
+            .untried(requirements)
             .filter(|state| !self.is_unreachable(&state.endpoint))
             .filter(|state| self.has_permit(&state.endpoint, now))
             .filter(|state| self.has_no_pause(&state.endpoint, now))
             .filter_map(|state| evaluate(state, &evaluation, now))
-            .map(|candidate| {
-                let slowdown = self.warm_ups.slowdown(candidate.endpoint, now);
-                candidate.slowed(slowdown)
-            })
-            .collect()
+            .collect();
+        self.slowed(candidates, now)
+    }
+
+    /// Returns the candidates with the expected times and shares that follow from their warm-ups.
+    ///
+    /// If all are in warm-up, the least slow one counts as usual: it would be passed over otherwise,
+    /// though no other is faster.
+    fn slowed<'a>(&self, candidates: Vec<Candidate<'a>>, now: Mono) -> Vec<Candidate<'a>> {
+        if self.warm_ups.len(now) == 0 {
+            return candidates;
+        }
+        let slowdown = |candidate: &Candidate<'_>| self.warm_ups.slowdown(candidate.endpoint, now);
+        let slowdowns: Vec<f64> = candidates.iter().map(slowdown).collect();
+        let least = slowdowns.iter().copied().fold(f64::INFINITY, f64::min);
+        let slowed = candidates.into_iter().zip(slowdowns);
+        slowed.map(|(candidate, slowdown)| candidate.slowed(slowdown / least)).collect()
     }
 
     /// Returns whether this process reaches the endpoints that a request may be sent to.
