--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -66,7 +66,8 @@
     pub is_hub: bool,
     /// Time between two exchanges with the hub, as the hub asked for.
     pub exchange_interval: Duration,
-    /// Whether every hub that the store lists was asked for rows, and none had fresh ones.
+    /// Whether every hub that the store lists was asked for rows, and none had fresh ones, or the store
+    /// lists none.
     pub all_hubs_tried: bool,
     /// When a hub last answered with fresh rows.
     pub fresh_rows_at: Option<Mono>,
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -233,13 +233,14 @@
 }
 
 async fn exchange_periodically(state: Arc<State>) {
-    let mut listed = false;
+    let mut listing = HubListing::NoAnswer;
     let mut next_listing = Mono::ZERO;
     loop {
         let now = state.cx.now();
-        if !listed && now >= next_listing && !state.shared.local.lock().is_hub {
+        if listing != HubListing::Found && now >= next_listing && !state.shared.local.lock().is_hub
+        {
             // The addresses of the hubs are rows of the store, which normally come from a hub.
-            listed = list_hubs(&state).await;
+            listing = list_hubs(&state).await;
             next_listing = now + HUB_LISTING_PAUSE;
         }
         crashes::keep_waiting(&state);
@@ -247,29 +248,47 @@
             report_to_hubs(&state).await;
         } else {
             let found = exchange_with_hub(&state).await;
-            state.shared.local.lock().all_hubs_tried = listed && !found;
+            let all_hubs_tried = match listing {
+                HubListing::NoAnswer => false,
+                // On a first start, the first hub is about to be elected.
+                HubListing::Empty => !state.settings.first_start,
+                HubListing::Found => !found,
+            };
+            state.shared.local.lock().all_hubs_tried = all_hubs_tried;
         }
         let pause = state.shared.local.lock().exchange_interval;
         state.cx.timer().after(pause.max(MIN_EXCHANGE_INTERVAL)).tick().await;
     }
 }
 
-async fn list_hubs(state: &State) -> bool {
+/// What the store answered when it was asked for the hubs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HubListing {
+    /// Nothing, so there may be hubs.
+    NoAnswer,
+    /// That there is no hub.
+    Empty,
+    /// At least one hub.
+    Found,
+}
+
+/// Asks the store for the hubs, and applies their rows.
+async fn list_hubs(state: &State) -> HubListing {
     let prefix = format!("{}{HUB_PREFIX}", state.integration.keys.own);
     match state.integration.store.list(&prefix).await {
         Ok(listed) => {
             let now = state.cx.now();
-            let found = !listed.rows.is_empty();
+            let is_empty = listed.rows.is_empty();
             for (key, value) in listed.rows {
                 let revision = listed.revision;
                 let change = RowChange { key, value: Some(value), revision };
                 store_sync::apply(&state.integration, &state.shared, change, now);
             }
-            found
+            if is_empty { HubListing::Empty } else { HubListing::Found }
         }
         Err(error) => {
             log::warn!("could not list the hubs from the store: {error}");
-            false
+            HubListing::NoAnswer
         }
     }
 }
