--- a/crates/front/src/integration.rs
+++ b/crates/front/src/integration.rs
@@ -62,7 +62,8 @@
 }
 
 /// The value of a hub lock: how other processes reach the hub.
-#[wire]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct PeerEntry {
     /// Where the hub listens for peers.
     pub address: SocketAddr,
--- a/crates/front/src/peers/crashes.rs
+++ b/crates/front/src/peers/crashes.rs
@@ -28,7 +28,8 @@
 const FAILURE_BACKOFF: Duration = Duration::from_secs(1);
 
 /// A process's call to a hub.
-#[wire]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct CrashRequest {
     /// Whether the sender is a hub.
     is_hub: bool,
@@ -44,7 +45,8 @@
 }
 
 /// A hub's response.
-#[wire]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct CrashResponse {
     /// Identifies the instance that numbers the changes.
     boot: BootId,
--- a/crates/front/src/peers/helpers.rs
+++ b/crates/front/src/peers/helpers.rs
@@ -40,7 +40,8 @@
 pub(super) const MAX_SERVERS: usize = 8;
 
 /// A process says where it listens and whether it takes requests over, and asks for helpers.
-#[wire]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct HelpersRequest {
     address: SocketAddr,
     failure_domain: FailureDomainId,
@@ -48,20 +49,22 @@
 }
 
 /// The helpers that a hub knows.
-#[wire]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct HelpersResponse {
     helpers: Vec<Helper>,
 }
 
 /// Asks a process which servers it reaches.
-#[wire]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct PathsRequest {
     servers: Vec<ServerId>,
 }
 
 /// Which of these servers a process reaches.
-#[wire]
-#[derive(Default)]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize, Default)]
 pub(super) struct PathsResponse {
     reached: Vec<ServerId>,
 }
--- a/crates/front/src/peers/messages.rs
+++ b/crates/front/src/peers/messages.rs
@@ -9,7 +9,8 @@
 use crate::row_cache::RowChange;
 
 /// A message from a process to a hub.
-#[wire]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct ExchangeRequest {
     pub(super) node: NodeId,
     /// The sender's load; that of its whole domain if it is a hub.
@@ -22,7 +23,8 @@
 }
 
 /// A hub's response.
-#[wire]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct ExchangeResponse {
     /// Identifies the hub's row cache.
     pub(super) boot: BootId,
@@ -43,14 +45,16 @@
 }
 
 /// Asks a hub whose row cache the sender doesn't know for the rows that the sender lacks.
-#[wire]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct RowsRequest {
     /// The revision that wrote each row that the sender has.
     pub(super) versions: BTreeMap<Box<str>, u64>,
 }
 
 /// A hub's response to a [`RowsRequest`].
-#[wire]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct RowsResponse {
     /// Identifies the hub's row cache.
     pub(super) boot: BootId,
@@ -64,7 +68,8 @@
 }
 
 /// A change of a row of the store.
-#[wire]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Row {
     pub(super) key: Box<str>,
     /// The revision that wrote the value, and its text; `None` if the key was deleted. Every
--- a/crates/pass/src/helpers.rs
+++ b/crates/pass/src/helpers.rs
@@ -15,7 +15,8 @@
 const FAILURE_BACKOFF: Duration = Duration::from_secs(1);
 
 /// A process that takes requests over.
-#[wire]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Helper {
     /// Where it listens for other processes.
     pub address: SocketAddr,
--- a/crates/route/src/prompt_parts.rs
+++ b/crates/route/src/prompt_parts.rs
@@ -57,8 +57,8 @@
 }
 
 /// A crash in which an answer to a prompt with a part had not begun.
-#[wire]
-#[derive(Eq, PartialOrd, Ord)]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize, Eq, PartialOrd, Ord)]
 pub struct PartCrash {
     /// The crash.
     pub crash: Crash,
@@ -73,8 +73,8 @@
 }
 
 /// The crashes of a part, and its clearing.
-#[wire]
-#[derive(Eq)]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize, Eq)]
 pub struct PartHistory {
     /// The part.
     pub part: PartKey,
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -34,8 +34,8 @@
 pub const QUARANTINE_LIFETIME: Duration = Duration::from_secs(3600);
 
 /// A crash in which a request was running.
-#[wire]
-#[derive(Eq, PartialOrd, Ord)]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize, Eq, PartialOrd, Ord)]
 pub struct Crash {
     /// The stamp of its detection.
     pub at: Hlc,
@@ -52,8 +52,8 @@
 }
 
 /// The crashes in which a request was running, and its clearing.
-#[wire]
-#[derive(Eq)]
+#[data]
+#[derive(serde::Serialize, serde::Deserialize, Eq)]
 pub struct CrashHistory {
     /// The fingerprint of the request.
     pub fingerprint: Fingerprint,
