Log reports of servers only where they tell something new

Cause: each process wrote a `server` record for each report that differed in any field, such as the time left in a warm-up or the count of orders. Change: hubs and the owner write one if the record differs from the last or the instance is another; other processes only if an endpoint changes, then also for the head of a new endpoint. Names of events and fields are the same. A process that becomes a hub does not write the states that it knows already. The tests of front pass; those of platform pass except soak, which was not run.

--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -64,6 +64,8 @@
     pub load_reports: LoadReports,
     /// Whether this process is the hub of its failure domain.
     pub is_hub: bool,
+    /// Whether this process certainly owns the replica groups.
+    pub is_owner: bool,
     /// Time between two exchanges with the hub, as the hub asked for.
     pub exchange_interval: Duration,
     /// Whether every hub that the store lists was asked for rows, and none had fresh ones, or the store
@@ -106,6 +108,7 @@
             row_cache: RowCache::default(),
             load_reports: LoadReports::default(),
             is_hub: false,
+            is_owner: false,
             exchange_interval: Duration::ZERO,
             all_hubs_tried: false,
             fresh_rows_at: None,
@@ -229,11 +232,20 @@
             });
             return;
         }
+        let old = self.reports.servers().get(&id).cloned();
         let Some(changed) = self.reports.report(server) else { return };
-        if let Some(server) = self.reports.servers().get(&id) {
+        let has_endpoint_changed = self.update_endpoints(&id, &changed);
+        let Some(server) = self.reports.servers().get(&id) else { return };
+        let is_new = old.is_none_or(|old| !shows_same(&old, server));
+        if has_endpoint_changed || (is_new && self.logs_all_servers()) {
             log_report(server);
         }
-        self.update_endpoints(&id, &changed);
+    }
+
+    /// Returns whether this process logs each server of which it learns something new. Others log only
+    /// those whose endpoint changes, so that the fleet's log doesn't grow with processes times servers.
+    fn logs_all_servers(&self) -> bool {
+        self.is_hub || self.is_owner
     }
 
     /// Records that an instance of a server is leaving, as a response to `request` said; to be sent
@@ -266,10 +278,13 @@
     /// Records that a server's report is missing.
     pub fn remove_server(&mut self, id: &str, now: Mono) {
         let Some(changed) = self.reports.report_missing(id, now) else { return };
+        let has_endpoint_changed = self.update_endpoints(id, &changed);
+        if !has_endpoint_changed && !self.logs_all_servers() {
+            return;
+        }
         if let Some(missing) = self.reports.missing().get(id) {
             log_missing_report(&missing.server);
         }
-        self.update_endpoints(id, &changed);
     }
 
     /// Derives all endpoints from the servers and the configured services.
@@ -292,35 +307,51 @@
         self.endpoints.set_endpoints(endpoints);
     }
 
-    /// Updates the endpoints after the report of server `id` changed, and with it some groups.
-    fn update_endpoints(&mut self, id: &str, changed: &[ChangedGroup]) {
+    /// Updates the endpoints after the report of server `id` changed, and with it some groups; returns
+    /// whether an endpoint changed.
+    fn update_endpoints(&mut self, id: &str, changed: &[ChangedGroup]) -> bool {
+        let mut any = false;
         for group in changed {
-            self.update_group_endpoint(group);
+            any |= self.update_group_endpoint(id, group);
         }
         let is_plain = |server: &&Server| {
             self.routes.service(&server.service).is_some_and(|spec| spec.engine.is_none())
         };
         let server = self.reports.servers().get(id).filter(is_plain);
         match server.and_then(plain_endpoint) {
-            Some(endpoint) => self.endpoints.set_endpoint(endpoint),
-            None => self.endpoints.remove_endpoint(id, None),
+            Some(endpoint) => any | self.set_endpoint(endpoint),
+            None => any | self.endpoints.remove_endpoint(id, None),
         }
     }
 
-    fn update_group_endpoint(&mut self, changed: &ChangedGroup) {
+    /// Adds or replaces an endpoint; returns whether it is new or has changed.
+    fn set_endpoint(&mut self, endpoint: Endpoint) -> bool {
+        let is_new = !self.endpoints.is_current(&endpoint);
+        self.endpoints.set_endpoint(endpoint);
+        is_new
+    }
+
+    fn update_group_endpoint(&mut self, id: &str, changed: &ChangedGroup) -> bool {
         let engine =
             self.routes.service(&changed.service).and_then(|service| service.engine.as_ref());
         let groups = self.reports.groups(&changed.service);
         let group = groups.and_then(|groups| groups.by_key.get(&changed.key));
         let endpoint =
             group.zip(engine).and_then(|(group, engine)| self.group_endpoint(group, engine));
-        let head = endpoint.as_ref().map(|endpoint| &endpoint.server);
-        if let Some(old) = changed.old_head.as_ref().filter(|old| Some(*old) != head) {
-            self.endpoints.remove_endpoint(old, Some(&changed.key));
-        }
-        if let Some(endpoint) = endpoint {
-            self.endpoints.set_endpoint(endpoint);
+        let head = endpoint.as_ref().map(|endpoint| endpoint.server.clone());
+        let old = changed.old_head.as_ref().filter(|old| Some(*old) != head.as_ref());
+        let is_gone =
+            old.is_some_and(|old| self.endpoints.remove_endpoint(old, Some(&changed.key)));
+        let is_new = endpoint.is_some_and(|endpoint| self.set_endpoint(endpoint));
+        // `samphire explain` shows what this process knew of the server that it chose.
+        if is_new
+            && !self.logs_all_servers()
+            && let Some(head) = head.filter(|head| **head != *id)
+            && let Some(head) = self.reports.servers().get(&head)
+        {
+            log_report(head);
         }
+        is_gone || is_new
     }
 
     /// Returns the endpoint of a group, if the group takes requests.
@@ -429,6 +460,13 @@
     (server.state == ServerState::Ready).then(|| endpoint(server))
 }
 
+/// Returns whether the records of both reports are the same, and both are of one instance.
+fn shows_same(a: &Server, b: &Server) -> bool {
+    (a.started_at_ms, a.state, &a.fabric) == (b.started_at_ms, b.state, &b.fabric)
+        && (&a.membership, &a.model, &a.staged_models)
+            == (&b.membership, &b.model, &b.staged_models)
+}
+
 fn log_report(server: &Server) {
     let membership = server.membership.as_ref();
     decision_log::write(&Record::Server {
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -119,7 +119,9 @@
 
     /// Runs a decision pass for each service with groups, and sends the resulting orders.
     fn decide(&mut self) {
-        let Some(fencing_token) = self.fencing_token() else { return };
+        let fencing_token = self.fencing_token();
+        self.shared.local.lock().is_owner = fencing_token.is_some();
+        let Some(fencing_token) = fencing_token else { return };
         let reach = self.shared.local.lock().endpoints.paths.reach();
         match reach {
             Reach::Open => {}
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -157,14 +157,16 @@
     }
 
     /// Removes the endpoint of a server, if it has one for `group`; `None` stands for the endpoint of
-    /// a plain service.
-    pub fn remove_endpoint(&mut self, server: &str, group: Option<&GroupKey>) {
+    /// a plain service. Returns whether it had one.
+    pub fn remove_endpoint(&mut self, server: &str, group: Option<&GroupKey>) -> bool {
         let endpoint = self.states.get(server).map(|state| &state.endpoint);
         if endpoint.is_some_and(|endpoint| endpoint.group.as_ref() == group)
             && let Some(removed) = self.remove(server)
         {
             self.update_outlook(&flow_of(&removed.endpoint));
+            return true;
         }
+        false
     }
 
     fn remove(&mut self, server: &str) -> Option<EndpointState> {
