Plan groups by the demand of the fleet

Cause: the owner of the groups derived the share of each model from the requests of its own callers. With 80 to 90 processes this is a sample of about one in a hundred requests.

Change: pass::flows answers with the demand of a flow at all processes where others report it, and EndpointPool::fleet_demands converts it into work and into the number of groups that it requires. form::demand derives the shares from the work of the fleet. A model that no other process reports (no group, or an older build) keeps its proportion to the others in the process's own sample.

--- a/crates/form/src/lib.rs
+++ b/crates/form/src/lib.rs
@@ -11,10 +11,12 @@
 //!   requests.
 //! - [`server_table`]: the reports of all servers, and the groups that they show, kept up to date.
 //! - [`compose`]: which groups to form from the free servers of a fabric domain.
+//! - [`demand`]: the share of each model in the work that callers request.
 //! - [`load_limiter`]: a rate limit on loads from the weight store.
 //! - [`owner`]: the owner's state and its orders.
 
 pub mod compose;
+pub mod demand;
 pub mod load_limiter;
 pub mod observed_groups;
 pub mod owner;
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use form::demand;
+use form::demand::WORK_DECAY_TIME;
 use form::prelude::*;
 use form::server_table::ChangedGroup;
 use parking_lot::Mutex;
@@ -30,12 +32,6 @@
 /// How long this process reports to others that a server is leaving.
 const LEAVING_REPORT_TTL: Duration = Duration::from_secs(10);
 
-/// Time constant of the exponential decay of recent work.
-const WORK_DECAY_TIME: Duration = Duration::from_secs(8);
-/// Recent work, in seconds of servers, from which the demand by model follows recent work alone;
-/// with less, it is mixed with the configured shares.
-const FULL_CONFIDENCE_WORK_S: f64 = 20.0;
-
 /// The state that the services of a process share.
 pub struct SharedState {
     /// What the process knows.
@@ -377,20 +373,17 @@
         *self.work.entry(generation.model.clone()).or_default() += group * model.group_size as f64;
     }
 
-    /// Returns each model's share of the demand: recent work, mixed with the configured shares while
-    /// there was little of it.
-    pub fn demand(&self, engine: &EngineSpec) -> BTreeMap<ModelId, f64> {
-        let recent: f64 = self.work.values().sum();
-        let configured: f64 = engine.models.iter().map(|model| model.initial_demand_share).sum();
-        let confidence = (recent / FULL_CONFIDENCE_WORK_S).min(1.0);
-        let share = |model: &ModelSpec| {
-            let work = self.work.get(&model.name).copied().unwrap_or(0.0);
-            let measured = if recent > 0.0 { work / recent } else { 0.0 };
-            confidence * measured
-                + (1.0 - confidence) * model.initial_demand_share
-                    / configured.max(f64::MIN_POSITIVE)
-        };
-        engine.models.iter().map(|model| (model.name.clone(), share(model))).collect()
+    /// Returns each model's share of the demand of `service`: that of the fleet where other processes
+    /// report it, and else the recent work of this process.
+    pub fn demand(
+        &self,
+        service: &ServiceId,
+        engine: &EngineSpec,
+        now: Mono,
+    ) -> BTreeMap<ModelId, f64> {
+        let fleet = self.endpoints.fleet_demands(service, now).into_iter();
+        let fleet = fleet.map(|demand| (demand.model, demand.work)).collect();
+        demand::shares(engine, &self.work, &fleet)
     }
 }
 
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -137,7 +137,8 @@
         for spec in local.routes.services() {
             let Some(engine) = &spec.engine else { continue };
             let owner = owner_of(&mut self.owners.1, &spec.name, fencing_token, now);
-            let (demand, stalled) = (local.demand(engine), local.endpoints.stalled_servers(now));
+            let (demand, stalled) =
+                (local.demand(&spec.name, engine, now), local.endpoints.stalled_servers(now));
             let observed = ObservedState {
                 service: &spec.name,
                 servers: local.reports().servers(),
--- a/crates/pass/src/endpoints/fleet_loads.rs
+++ b/crates/pass/src/endpoints/fleet_loads.rs
@@ -14,6 +14,7 @@
 use crate::arrivals::Flow;
 use crate::arrivals::Level;
 use crate::engine_time::RequestSize;
+use crate::engine_time::capacity_per_second;
 use crate::flows::FlowOutlook;
 use crate::load::Load;
 use crate::paths::Reach;
@@ -22,6 +23,17 @@
 /// Arrivals a second up to which a process doesn't report the demand of a flow.
 const MIN_REPORTED_RATE: f64 = 0.01;
 
+/// The demand for a model at all processes.
+#[data]
+pub struct ModelFleetDemand {
+    /// The model.
+    pub model: ModelId,
+    /// Work that callers request in a second, in seconds of servers.
+    pub work: f64,
+    /// Number of groups that serve the arriving requests without letting them wait for each other.
+    pub required_groups: f64,
+}
+
 impl EndpointPool {
     /// Returns the load from this process at each endpoint that has any, with the demand of each flow at
     /// one of its endpoints.
@@ -48,6 +60,33 @@
         loads.filter(|(_, load)| *load != Load::default()).collect()
     }
 
+    /// Returns the demand for each model of `service` at all processes; models for which no other
+    /// process reports any are left out.
+    pub fn fleet_demands(&self, service: &ServiceId, now: Mono) -> Vec<ModelFleetDemand> {
+        let Some(engine) = self.engine(service) else { return Vec::new() };
+        let models = engine.models.iter();
+        models.filter_map(|model| self.fleet_demand(service, engine, model, now)).collect()
+    }
+
+    fn fleet_demand(
+        &self,
+        service: &ServiceId,
+        engine: &EngineSpec,
+        model: &ModelSpec,
+        now: Mono,
+    ) -> Option<ModelFleetDemand> {
+        let flow = (service.clone(), Some(model.name.clone()));
+        let demand = self.flows.reported_demand(&flow, now)?;
+        let capacity = capacity_per_second(engine, Some(model), demand.mean_size()?);
+        let required_groups = demand.arrivals_per_second / capacity;
+        let (read, write) = engine.token_seconds();
+        let group_time =
+            demand.prompt_tokens_per_second * read + demand.output_tokens_per_second * write;
+        let work = group_time * model.time_factor * model.group_size as f64;
+        let is_valid = required_groups.is_finite() && work.is_finite() && work >= 0.0;
+        is_valid.then(|| ModelFleetDemand { model: model.name.clone(), work, required_groups })
+    }
+
     /// Returns the servers that are stalled for this process or for all processes together.
     pub fn stalled_servers(&self, now: Mono) -> BTreeSet<ServerId> {
         let stalled = self.states.iter().filter(|(_, state)| state.is_stalled(now));
--- a/crates/pass/src/flows.rs
+++ b/crates/pass/src/flows.rs
@@ -114,6 +114,12 @@
         }
     }
 
+    /// Returns the demand of a flow at all processes, if the others report any.
+    pub(crate) fn reported_demand(&self, flow: &Flow, now: Mono) -> Option<Demand> {
+        let state = self.state(&flow.0, flow.1.as_deref())?;
+        Some(state.remote?.combined_with(state.rates.demand(now)))
+    }
+
     /// Sets what is expected of a flow until the next report.
     pub(crate) fn set_outlook(&mut self, flow: &Flow, outlook: FlowOutlook) {
         self.state_mut(flow).outlook = outlook;
