Weigh overload in the value of one more group

Cause: the value of a group followed shares of work alone, so a model that rejected requests got no group from one whose groups were nearly empty.

Change: form::utility computes the marginal utility of one more group from the groups that a model requires for its arrivals. While no model is overloaded it is the value used so far; otherwise a convex penalty of the unserved share is added for all models. A model counts as overloaded by its mean load, above 1.1 until below 0.9 of what its groups can take. compose and rebalance use it.

--- a/crates/form/src/compose.rs
+++ b/crates/form/src/compose.rs
@@ -1,9 +1,8 @@
 //! Which groups to form from the free servers of a fabric domain.
 //!
 //! All groups of a domain are chosen together, since a good first group may leave too few servers
-//! for any other. The value of a group follows proportional fairness: the demand for its model
-//! times the logarithm of the growth of the model's supply, so that a model without any group goes
-//! first and no model starves. This value is discounted by the time until the group could serve.
+//! for any other. The value of a group is its marginal [`utility`](crate::utility), by which a model
+//! without any group goes first and no model starves. This value is discounted by the time until the group could serve.
 //! The domains are planned in turn, each against the supply of all the others, until no choice
 //! changes any more. The members of a group are the servers that are ready soonest and, among
 //! these, can serve the fewest other models.
@@ -19,6 +18,7 @@
 use crate::server::ServerId;
 use crate::spec::EngineSpec;
 use crate::spec::ModelSpec;
+use crate::utility::marginal_utility;
 
 /// Time to join when the model's weights are already loaded in the server's accelerators.
 pub const LOADED_JOIN_TIME: Duration = Duration::from_millis(200);
@@ -26,8 +26,6 @@
 const READY_TIME_HORIZON: Duration = Duration::from_secs(40);
 /// Minimum share of its value that a group keeps, however long it takes to be ready.
 const MIN_DISCOUNT: f64 = 0.05;
-/// Factor used in place of the logarithm of the growth for the first group of a model.
-const FIRST_GROUP_GROWTH: f64 = 4.0;
 
 /// Maximum number of rounds over all fabric domains; after them the plan is taken as it is.
 const MAX_ROUNDS: usize = 6;
@@ -91,20 +89,19 @@
     pub demand: f64,
     /// Groups of this model that serve or are being formed.
     pub supply: f64,
+    /// Groups at which its requests meet their target; `None` if no model is overloaded.
+    pub required: Option<f64>,
 }
 
 impl ModelDemand {
     /// Returns the value of one more group.
     pub fn marginal_gain(&self) -> f64 {
-        if self.supply < 1.0 {
-            return self.demand * FIRST_GROUP_GROWTH;
-        }
-        self.demand * ((self.supply + 1.0) / self.supply).ln()
+        marginal_utility(self.demand, self.supply, self.required)
     }
 
     /// Returns the value lost with one group less.
     pub fn marginal_loss(&self) -> f64 {
-        let left = ModelDemand { demand: self.demand, supply: self.supply - 1.0 };
+        let left = ModelDemand { supply: self.supply - 1.0, ..self.clone() };
         left.marginal_gain()
     }
 }
--- a/crates/form/src/lib.rs
+++ b/crates/form/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`observed_groups`]: the groups reconstructed from the reports, and which of them take
 //!   requests.
 //! - [`server_table`]: the reports of all servers, and the groups that they show, kept up to date.
+//! - [`utility`]: the marginal utility of one more group of a model.
 //! - [`compose`]: which groups to form from the free servers of a fabric domain.
 //! - [`demand`]: the share of each model in the work that callers request.
 //! - [`load_limiter`]: a rate limit on loads from the weight store.
@@ -23,6 +24,7 @@
 pub mod server;
 pub mod server_table;
 pub mod spec;
+pub mod utility;
 
 /// The common types of this crate.
 pub mod prelude {
--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -42,6 +42,7 @@
 use crate::server::ServerId;
 use crate::server_table::MissingServer;
 use crate::spec::EngineSpec;
+use crate::utility::Requirement;
 
 use forming::FormingGroups;
 use rebalance::FabricEvaluation;
@@ -155,6 +156,8 @@
     pub engine: &'a EngineSpec,
     /// Share of each model in the total work that callers request.
     pub demand: &'a BTreeMap<ModelId, f64>,
+    /// Groups of each model at which the requests of all callers meet their target, where reported.
+    pub required_groups: &'a BTreeMap<ModelId, f64>,
     /// Heads of groups that are stalled for all their requests.
     pub stalled_heads: &'a BTreeSet<ServerId>,
     /// Whether no request has arrived yet, so that loads are fast and not counted by the platform.
@@ -220,6 +223,8 @@
     rebalances: BTreeMap<FabricId, Rebalance>,
     /// The last evaluation of each fabric domain for a rebalance.
     evaluations: BTreeMap<FabricId, FabricEvaluation>,
+    /// The groups that each model requires, where reported.
+    requirements: BTreeMap<ModelId, Requirement>,
     /// When a group was first ordered to close.
     closed_at: BTreeMap<GroupKey, Mono>,
     /// Models that are being staged, and the timeout of each staging.
@@ -256,6 +261,7 @@
             retiring_groups: BTreeSet::new(),
             rebalances: BTreeMap::new(),
             evaluations: BTreeMap::new(),
+            requirements: BTreeMap::new(),
             closed_at: BTreeMap::new(),
             staging: BTreeMap::new(),
             last_arrival: now,
@@ -275,6 +281,7 @@
     /// Returns the orders that the observed state requires.
     pub fn decide(&mut self, observed: &ObservedState<'_>) -> Vec<Command> {
         self.update_memory(observed);
+        self.update_requirements(observed);
         let mut commands = Vec::new();
         self.advance_forming(observed, &mut commands);
         self.maintain_groups(observed, &mut commands);
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -28,6 +28,7 @@
 use crate::server::Phase;
 use crate::server::Server;
 use crate::server::ServerState;
+use crate::utility::Requirement;
 
 /// How long the head of a group must have left orders unanswered, while its report is missing,
 /// before it counts as gone for good.
@@ -119,15 +120,40 @@
             let models = self.rebalances.values().flat_map(|m| &m.planned_models);
             models.filter(|planned| **planned == index).count()
         };
+        let is_overloaded = self.is_overloaded();
+        let required = |model: &str| {
+            let known = self.requirements.get(model).filter(|_| is_overloaded);
+            known.map(Requirement::required_groups)
+        };
         let models = observed.engine.models.iter().enumerate();
         models
             .map(|(index, model)| ModelDemand {
                 demand: observed.demand.get(&model.name).copied().unwrap_or(0.0),
                 supply: (supply(&model.name) + planned(index)) as f64,
+                required: required(&model.name),
             })
             .collect()
     }
 
+    /// Returns whether any model is overloaded.
+    pub(super) fn is_overloaded(&self) -> bool {
+        self.requirements.values().any(Requirement::is_overloaded)
+    }
+
+    /// Updates the groups that each model requires from what is reported.
+    pub(super) fn update_requirements(&mut self, observed: &ObservedState<'_>) {
+        let now = observed.now;
+        self.requirements.retain(|_, requirement| requirement.is_current(now));
+        let demands = self.model_demands(observed);
+        for (model, demand) in observed.engine.models.iter().zip(demands) {
+            let Some(required) = observed.required_groups.get(&model.name) else { continue };
+            self.requirements
+                .entry(model.name.clone())
+                .or_insert_with(|| Requirement::new(*required, now))
+                .observe(*required, demand.supply, now);
+        }
+    }
+
     pub(super) fn free_by_fabric(
         &self,
         observed: &ObservedState<'_>,
--- a/crates/form/tests/fleet/mod.rs
+++ b/crates/form/tests/fleet/mod.rs
@@ -56,6 +56,8 @@
     pub(crate) has_callers: bool,
     /// Performance figures of the engines.
     pub(crate) spec: EngineSpec,
+    /// The groups that each model requires, as reported.
+    pub(crate) required_groups: BTreeMap<ModelId, f64>,
     /// Current time.
     pub(crate) now: Mono,
     /// Violations of an invariant.
@@ -80,6 +82,7 @@
             missing: BTreeMap::new(),
             has_callers: true,
             spec: spec(),
+            required_groups: BTreeMap::new(),
             now: Duration::from_secs(1),
             violations: Vec::new(),
             delayed_percent: 0,
@@ -164,6 +167,7 @@
             groups: &groups,
             engine: &self.spec,
             demand: &demand,
+            required_groups: &self.required_groups,
             stalled_heads: &self.stalled_heads(),
             before_traffic: self.before_traffic,
             now: self.now,
--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -108,6 +108,40 @@
     assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
 }
 
+/// One model rejected requests while groups of the other, with the larger share of the work, were
+/// nearly empty.
+#[test]
+fn an_overloaded_model_gets_a_group_of_one_with_spare_capacity() {
+    let mut fleet = Fleet::new(48);
+    fleet.spread(4);
+    let mut owner = Owner::new(1, fleet.now);
+    fleet.run(&mut owner, 8 * SECOND);
+    fleet.begin_traffic();
+    for engine in fleet.engines.values_mut() {
+        engine.server.staged_models = vec!["large".into(), "small".into()];
+    }
+    let (large, small) = (fleet.serving_model("large"), fleet.serving_model("small"));
+    fleet.required_groups = [("large".into(), 1.0), ("small".into(), small as f64 + 3.0)].into();
+    fleet.run(&mut owner, 60 * SECOND);
+    assert!(fleet.serving_model("small") > small, "{large} large and {small} small groups before");
+    assert!(fleet.serving_model("large") >= 1);
+    assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
+}
+
+/// With spare capacity everywhere, reports of the load moved groups.
+#[test]
+fn without_overload_groups_are_planned_by_shares_of_work() {
+    let mut fleet = Fleet::new(48);
+    fleet.spread(4);
+    let mut owner = Owner::new(1, fleet.now);
+    fleet.run(&mut owner, 8 * SECOND);
+    fleet.begin_traffic();
+    let before = (fleet.serving_model("large"), fleet.serving_model("small"));
+    fleet.required_groups = [("large".into(), 1.0), ("small".into(), 0.9)].into();
+    fleet.run(&mut owner, 30 * SECOND);
+    assert_eq!((fleet.serving_model("large"), fleet.serving_model("small")), before);
+}
+
 #[test]
 fn a_lost_member_is_replaced_by_a_warm_spare() {
     let (mut fleet, mut owner) = formed_fleet(9);
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -16,6 +16,7 @@
 use pass::dispatch::Decision;
 use pass::dispatch::PendingRequest;
 use pass::dispatch::Ticket;
+use pass::endpoints::ModelFleetDemand;
 use pass::helpers::Helpers;
 use pass::load::Load;
 use pass::prelude::*;
@@ -373,16 +374,14 @@
         *self.work.entry(generation.model.clone()).or_default() += group * model.group_size as f64;
     }
 
-    /// Returns each model's share of the demand of `service`: that of the fleet where other processes
-    /// report it, and else the recent work of this process.
+    /// Returns each model's share of the demand: that of the `fleet` where other processes report
+    /// it, and else the recent work of this process.
     pub fn demand(
         &self,
-        service: &ServiceId,
         engine: &EngineSpec,
-        now: Mono,
+        fleet: &[ModelFleetDemand],
     ) -> BTreeMap<ModelId, f64> {
-        let fleet = self.endpoints.fleet_demands(service, now).into_iter();
-        let fleet = fleet.map(|demand| (demand.model, demand.work)).collect();
+        let fleet = fleet.iter().map(|demand| (demand.model.clone(), demand.work)).collect();
         demand::shares(engine, &self.work, &fleet)
     }
 }
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -137,8 +137,11 @@
         for spec in local.routes.services() {
             let Some(engine) = &spec.engine else { continue };
             let owner = owner_of(&mut self.owners.1, &spec.name, fencing_token, now);
-            let (demand, stalled) =
-                (local.demand(&spec.name, engine, now), local.endpoints.stalled_servers(now));
+            let fleet = local.endpoints.fleet_demands(&spec.name, now);
+            let demand = local.demand(engine, &fleet);
+            let required_groups =
+                fleet.into_iter().map(|demand| (demand.model, demand.required_groups)).collect();
+            let stalled = local.endpoints.stalled_servers(now);
             let observed = ObservedState {
                 service: &spec.name,
                 servers: local.reports().servers(),
@@ -146,6 +149,7 @@
                 groups: local.reports().groups(&spec.name).unwrap_or(&no_groups),
                 engine,
                 demand: &demand,
+                required_groups: &required_groups,
                 stalled_heads: &stalled,
                 before_traffic: self.settings.first_start && local.requests == 0,
                 now,
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -27,6 +27,7 @@
 use form::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
+pub use self::fleet_loads::ModelFleetDemand;
 use crate::arrivals::Flow;
 use crate::availability::Pauses;
 use crate::config::ServiceSpec;
