Stage cold servers although others answer no order

Cause: a staging order to a server that had to wait after a failed order was not sent, but it took the permit for a load from the weight store. As this happened at every decision, the servers after it got no permits and stayed without any model. A cold server also got the model of which a group was completed soonest, whatever it was worth.

Change: staging considers only servers that accept an order now, and takes a permit only for an order that is sent. After the first request a cold server gets the model with the highest value of one more group, relative to the loads that its fabric domain still needs for it.

--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -379,7 +379,7 @@
         order: Order,
         commands: &mut Vec<Command>,
     ) -> bool {
-        if self.has_order_in_flight(server) || self.retry_at.contains_key(server) {
+        if !self.accepts_orders(server) {
             return false;
         }
         self.next_order += 1;
@@ -400,6 +400,12 @@
         self.busy.contains(server)
     }
 
+    /// Returns whether `server` may get an order now: none is in flight, and it need not wait after a
+    /// failed one.
+    fn accepts_orders(&self, server: &str) -> bool {
+        !self.has_order_in_flight(server) && !self.retry_at.contains_key(server)
+    }
+
     fn next_epoch(&mut self, groups: &ObservedGroups) -> Generation {
         self.next_group += 1;
         let own = (self.fencing_token << EPOCH_COUNT_BITS) + self.next_group;
--- a/crates/form/src/owner/stage.rs
+++ b/crates/form/src/owner/stage.rs
@@ -14,6 +14,7 @@
 use super::ObservedState;
 use super::Order;
 use super::Owner;
+use crate::compose::ModelDemand;
 use crate::observed_groups::ObservedGroups;
 use crate::server::Server;
 use crate::server::ServerState;
@@ -107,7 +108,7 @@
         let mut idle: Vec<&Server> = free
             .iter()
             .copied()
-            .filter(|s| !holds(s) && staging(s).is_none() && !self.has_order_in_flight(&s.id))
+            .filter(|s| !holds(s) && staging(s).is_none() && self.accepts_orders(&s.id))
             .collect();
         idle.sort_by_key(|server| !is_cold(server));
         let first = *idle.first()?;
@@ -118,7 +119,7 @@
     /// others.
     fn may_stage(&self, server: &Server, max_loads: usize, observed: &ObservedState<'_>) -> bool {
         (self.staging.len() < max_loads || observed.before_traffic)
-            && !self.has_order_in_flight(&server.id)
+            && self.accepts_orders(&server.id)
             && !self.staging.contains_key(&server.instance_id())
             && !self.is_in_forming(&server.id)
     }
@@ -130,6 +131,10 @@
         observed: &ObservedState<'_>,
         commands: &mut Vec<Command>,
     ) -> bool {
+        // The permit must not be taken for an order that isn't sent.
+        if !self.accepts_orders(&server.id) {
+            return false;
+        }
         if !observed.before_traffic
             && !self.load_limiter.try_take(observed.engine.max_loads_per_second, observed.now)
         {
@@ -144,8 +149,10 @@
         ordered
     }
 
-    /// Returns the model of which a cold server completes a group soonest with the `free` servers of
-    /// its fabric domain; among equals, the one that most groups nearby serve.
+    /// Returns the model that is worth most on a cold server: by the value of one more group, relative
+    /// to the loads that the `free` servers of its fabric domain still need for it. Before the first
+    /// request, it is the model of which the server completes a group soonest. Among equals, it is
+    /// the one that most groups nearby serve.
     fn most_needed<'a>(
         &self,
         server: &Server,
@@ -166,7 +173,19 @@
             model.group_size - (ready % model.group_size.max(1))
         };
         let models = observed.engine.models.iter();
-        models.min_by_key(|model| (missing(model), Reverse(served.servers(fabric, &model.name))))
+        let nearby_groups = |model: &ModelSpec| served.servers(fabric, &model.name);
+        if observed.before_traffic {
+            return models.min_by_key(|model| (missing(model), Reverse(nearby_groups(model))));
+        }
+        let demands = self.model_demands(observed);
+        let value = |model: &ModelSpec, demand: &ModelDemand| {
+            demand.marginal_gain() / missing(model).max(1) as f64
+        };
+        let valued = models.zip(&demands).map(|(model, demand)| (value(model, demand), model));
+        let best = valued.max_by(|a, b| {
+            a.0.total_cmp(&b.0).then_with(|| nearby_groups(a.1).cmp(&nearby_groups(b.1)))
+        });
+        best.map(|(_, model)| model)
     }
 }
 
--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -142,6 +142,25 @@
     assert_eq!((fleet.serving_model("large"), fleet.serving_model("small")), before);
 }
 
+/// Returns how many servers that run have no model, neither loaded nor staged.
+fn without_model(fleet: &Fleet) -> usize {
+    let running = fleet.engines.values().filter(|engine| engine.alive).map(|e| &e.server);
+    running.filter(|server| server.model.is_none() && server.staged_models.is_empty()).count()
+}
+
+/// An order that could not be sent took the permit for a load from the weight store at every
+/// decision, so that the servers after one that answers no order stayed without a model.
+#[test]
+fn a_server_that_answers_no_order_does_not_keep_others_from_being_staged() {
+    let (mut fleet, mut owner) = formed_fleet(9);
+    for i in 0..5 {
+        fleet.add(&format!("a{i}"));
+    }
+    fleet.engines.get_mut("a0").expect("an engine").reachable = false;
+    fleet.run(&mut owner, 20 * SECOND);
+    assert_eq!(without_model(&fleet), 1, "all but the unreachable one are staged");
+}
+
 #[test]
 fn a_lost_member_is_replaced_by_a_warm_spare() {
     let (mut fleet, mut owner) = formed_fleet(9);
