--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -140,6 +140,13 @@
         self.requirements.values().any(Requirement::is_overloaded)
     }
 
+    /// Returns the models whose groups have been observed against the demand, whether each is
+    /// overloaded, and the mean number of groups that it requires.
+    pub fn model_loads(&self) -> impl Iterator<Item = (&ModelId, bool, f64)> {
+        let loads = self.requirements.iter();
+        loads.map(|(model, load)| (model, load.is_overloaded(), load.required_groups()))
+    }
+
     /// Updates the groups that each model requires from what is reported.
     pub(super) fn update_requirements(&mut self, observed: &ObservedState<'_>) {
         let now = observed.now;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -50,6 +50,8 @@
     pub taken_over: IntCounter,
     /// Whether this process can't reach any backend server.
     pub cut_off: IntGauge,
+    /// Models that are overloaded, at the owner of the groups; 0 at other processes.
+    pub overloaded_models: IntGauge,
     /// Requests that wait for an endpoint.
     pub waiting: IntGauge,
     /// Backend servers with a current report.
@@ -134,6 +136,10 @@
                 "Requests that another process handed over to this one.",
             ),
             cut_off: gauge("samphire_cut_off", "Whether no backend server can be reached."),
+            overloaded_models: gauge(
+                "samphire_overloaded_models",
+                "Models whose groups can't take the requests of all callers.",
+            ),
             responses,
             response_seconds,
             first_event_ratio,
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -4,6 +4,7 @@
 //! wrote the lock's key is the fencing token of its orders. Only hubs compete for the lock, since
 //! they watch the store. What to order is decided in [`form`].
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use base::prelude::*;
@@ -22,6 +23,7 @@
 use crate::lease_lock::HeldLock;
 use crate::lease_lock::LockSpec;
 use crate::local_state::SharedState;
+use crate::metrics::Metrics;
 use crate::names;
 use crate::settings::Settings;
 
@@ -51,6 +53,9 @@
     /// The state of each service's groups, and the fencing token under which it was built.
     owners: (u64, Vec<(ServiceId, Owner)>),
     results: mpsc::Sender<OrderResult>,
+    metrics: Metrics,
+    /// The models that were overloaded at the last decision pass.
+    overloaded: BTreeSet<(ServiceId, ModelId)>,
 }
 
 struct OrderResult {
@@ -87,8 +92,18 @@
     let locking =
         tokio::spawn(lease_lock::run(cx.clone(), store, spec, is_free, resign.clone(), tx));
     let owners = (0, Vec::new());
-    let mut service =
-        Ownership { cx: cx.clone(), integration, shared, settings, lock, resign, owners, results };
+    let mut service = Ownership {
+        cx: cx.clone(),
+        integration,
+        shared,
+        settings,
+        lock,
+        resign,
+        owners,
+        results,
+        metrics: cx.registry().lookup(names::PROCESS)?,
+        overloaded: BTreeSet::new(),
+    };
     let mut decide = cx.every(DECIDE_PERIOD);
     cx.ready();
     let shared = service.shared.clone();
@@ -119,7 +134,11 @@
 
     /// Runs a decision pass for each service with groups, and sends the resulting orders.
     fn decide(&mut self) {
-        let Some(fencing_token) = self.fencing_token() else { return };
+        let Some(fencing_token) = self.fencing_token() else {
+            self.overloaded.clear();
+            self.metrics.overloaded_models.set(0);
+            return;
+        };
         let reach = self.shared.local.lock().endpoints.paths.reach();
         match reach {
             Reach::Open => {}
@@ -158,11 +177,42 @@
             commands.extend(decided.into_iter().map(|command| (spec.name.clone(), command)));
         }
         drop(local);
+        self.report_overload();
         for (service, command) in commands {
             self.send_order(service, fencing_token, command);
         }
     }
 
+    /// Logs the models that became overloaded or are no longer, and sets the metric.
+    fn report_overload(&mut self) {
+        for (service, owner) in &self.owners.1 {
+            for (model, is_overloaded, required_groups) in owner.model_loads() {
+                let key = (service.clone(), model.clone());
+                if is_overloaded == self.overloaded.contains(&key) {
+                    continue;
+                }
+                let state = if is_overloaded { "overloaded" } else { "ended" };
+                decision_log::write(&Record::Overload { service, model, state, required_groups });
+                match is_overloaded {
+                    true => self.overloaded.insert(key),
+                    false => self.overloaded.remove(&key),
+                };
+            }
+        }
+        let owners = &self.owners.1;
+        self.overloaded.retain(|(service, model)| {
+            let owner = owners.iter().find(|(name, _)| name == service);
+            let is_known = owner
+                .is_some_and(|(_, owner)| owner.model_loads().any(|(known, ..)| known == model));
+            if !is_known {
+                let (state, required_groups) = ("unknown", 0.0);
+                decision_log::write(&Record::Overload { service, model, state, required_groups });
+            }
+            is_known
+        });
+        self.metrics.overloaded_models.set(self.overloaded.len() as i64);
+    }
+
     fn send_order(&self, service: ServiceId, revision: u64, command: Command) {
         let (what, group, epoch) = describe(&command.order);
         let server = &command.server;
