--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -108,6 +108,115 @@
     assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
 }
 
+/// One model rejected requests while groups of the other, with the larger share of the work, were
+/// nearly empty.
+#[test]
+fn an_overloaded_model_gets_a_group_of_one_with_spare_capacity() {
+    let mut fleet = Fleet::new(48);
+    fleet.spread(4);
+    let mut owner = Owner::new(1, fleet.now);
+    fleet.run(&mut owner, 8 * SECOND);
+    fleet.begin_traffic();
+    for engine in fleet.engines.values_mut() {
+        engine.server.staged_models = vec!["large".into(), "small".into()];
+    }
+    let (large, small) = (fleet.serving_model("large"), fleet.serving_model("small"));
+    fleet.required_groups = [("large".into(), 1.0), ("small".into(), small as f64 + 3.0)].into();
+    fleet.run(&mut owner, 60 * SECOND);
+    assert!(fleet.serving_model("small") > small, "{large} large and {small} small groups before");
+    assert!(fleet.serving_model("large") >= 1);
+    assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
+}
+
+/// A large model stayed overloaded in a fabric domain where neither the groups of one model nor the
+/// free servers had as many servers as its group needs.
+#[test]
+fn groups_of_two_models_become_one_of_an_overloaded_third() {
+    let mut fleet = Fleet::new(7);
+    let mut third = fleet.spec.models[0].clone();
+    (third.name, third.group_size, third.initial_demand_share) = ("third".into(), 7, 0.0);
+    fleet.spec.models.push(third);
+    let mut owner = Owner::new(1, fleet.now);
+    fleet.run(&mut owner, 8 * SECOND);
+    fleet.begin_traffic();
+    assert_eq!((fleet.serving_model("large"), fleet.serving_model("small")), (1, 1));
+    for engine in fleet.engines.values_mut() {
+        engine.server.staged_models = vec!["large".into(), "small".into(), "third".into()];
+    }
+    fleet.spec.models[0].initial_demand_share = 0.02;
+    fleet.spec.models[1].initial_demand_share = 0.02;
+    fleet.spec.models[2].initial_demand_share = 0.96;
+    let required = [("large", 0.1), ("small", 0.1), ("third", 2.0)];
+    fleet.required_groups = required.map(|(model, groups)| (model.into(), groups)).into();
+    fleet.run(&mut owner, 20 * SECOND);
+    assert_eq!(fleet.serving_model("third"), 1);
+    assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
+}
+
+/// The 27 servers of a fabric domain kept serving two groups of 6 of a model with spare capacity, while
+/// the model with groups of 12 rejected requests.
+#[test]
+fn two_small_groups_become_a_large_one_of_an_overloaded_model() {
+    let mut fleet = Fleet::new(27);
+    (fleet.spec.models[0].group_size, fleet.spec.models[1].group_size) = (12, 6);
+    (fleet.spec.models[0].initial_demand_share, fleet.spec.models[1].initial_demand_share) =
+        (0.4, 0.6);
+    let mut owner = Owner::new(1, fleet.now);
+    fleet.run(&mut owner, 8 * SECOND);
+    fleet.begin_traffic();
+    assert_eq!((fleet.serving_model("large"), fleet.serving_model("small")), (1, 2));
+    for engine in fleet.engines.values_mut() {
+        engine.server.staged_models = vec!["large".into(), "small".into()];
+    }
+    fleet.required_groups = [("large".into(), 2.0), ("small".into(), 0.5)].into();
+    fleet.run(&mut owner, 20 * SECOND);
+    let served = (fleet.serving_model("large"), fleet.serving_model("small"));
+    assert!(served.0 == 1 && served.1 >= 1, "no model loses its last group: {served:?}");
+    // With a second domain that serves the small model, this one can give up both groups.
+    for i in 0..6 {
+        fleet.add(&format!("n{i}"));
+        let added = &mut fleet.engines.get_mut(&*format!("n{i}")).expect("an engine").server;
+        added.fabric = Some("g".into());
+        added.staged_models = vec!["small".into()];
+    }
+    fleet.run(&mut owner, 20 * SECOND);
+    assert_eq!((fleet.serving_model("large"), fleet.serving_model("small")), (2, 1));
+    assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
+}
+
+/// With spare capacity everywhere, reports of the load moved groups.
+#[test]
+fn without_overload_groups_are_planned_by_shares_of_work() {
+    let mut fleet = Fleet::new(48);
+    fleet.spread(4);
+    let mut owner = Owner::new(1, fleet.now);
+    fleet.run(&mut owner, 8 * SECOND);
+    fleet.begin_traffic();
+    let before = (fleet.serving_model("large"), fleet.serving_model("small"));
+    fleet.required_groups = [("large".into(), 1.0), ("small".into(), 0.9)].into();
+    fleet.run(&mut owner, 30 * SECOND);
+    assert_eq!((fleet.serving_model("large"), fleet.serving_model("small")), before);
+}
+
+/// Returns how many servers that run have no model, neither loaded nor staged.
+fn without_model(fleet: &Fleet) -> usize {
+    let running = fleet.engines.values().filter(|engine| engine.alive).map(|e| &e.server);
+    running.filter(|server| server.model.is_none() && server.staged_models.is_empty()).count()
+}
+
+/// An order that could not be sent took the permit for a load from the weight store at every
+/// decision, so that the servers after one that answers no order stayed without a model.
+#[test]
+fn a_server_that_answers_no_order_does_not_keep_others_from_being_staged() {
+    let (mut fleet, mut owner) = formed_fleet(9);
+    for i in 0..5 {
+        fleet.add(&format!("a{i}"));
+    }
+    fleet.engines.get_mut("a0").expect("an engine").reachable = false;
+    fleet.run(&mut owner, 20 * SECOND);
+    assert_eq!(without_model(&fleet), 1, "all but the unreachable one are staged");
+}
+
 #[test]
 fn a_lost_member_is_replaced_by_a_warm_spare() {
     let (mut fleet, mut owner) = formed_fleet(9);
