Admit requests by priority, by the fleet's demand of each

Under overload every process admitted the same share of each priority, since only the queue of a single process was ordered by priority.

Reported demand now has the rates of high-priority and of low-priority arrivals; the rest, and the arrivals of older builds, count as of the middle priority, so a flow of priority 1 reports no additional bytes. A queued request that is not late keeps lower priorities of its flow from being sent.

Tests of front and platform were not run for this commit.

--- a/crates/pass/src/arrivals.rs
+++ b/crates/pass/src/arrivals.rs
@@ -8,8 +8,14 @@
 //! makes the assumption hold. If the endpoints can't take as many requests as arrive, each process
 //! sends the same part of its own.
 
+use std::cmp::Ordering;
+
 use base::prelude::*;
 
+use crate::admission::Arrivals;
+use crate::admission::MIDDLE_PRIORITY;
+use crate::admission::Shares;
+use crate::admission::class;
 use crate::engine_time::RequestSize;
 
 /// Time constant of the exponential decay of counted events.
@@ -23,6 +29,10 @@
 const LEVELLING_INTERVALS: f64 = 2.0;
 /// Share of the slots that is filled; the rest makes up for loads that are known late.
 const MAX_FILL: f64 = 0.9;
+/// Resolution of reported rates by priority, in requests a second; it keeps reports short.
+const RATE_STEP: f64 = 1.0 / 64.0;
+/// Sum of what rounding adds to or takes from reported rates, relative to the arrivals.
+const MAX_ROUNDING: f64 = 0.02;
 /// Steps of the bisection for the common level, enough for a thousandth of a request.
 const BISECTION_STEPS: usize = 24;
 
@@ -55,6 +65,12 @@
         self.decayed(now) / (DECAY_TIME.as_secs_f64() * observed)
     }
 
+    /// Returns the weight of the events in a second, if they are some of `all` events.
+    fn share_of(&self, all: &EventRate, now: Mono) -> f64 {
+        let share = self.decayed(now) / all.decayed(now).max(f64::MIN_POSITIVE);
+        all.per_second(now) * share.min(1.0)
+    }
+
     fn decayed(&self, now: Mono) -> f64 {
         let passed = now.saturating_sub(self.counted_at).as_secs_f64();
         self.sum * (-passed / DECAY_TIME.as_secs_f64()).exp()
@@ -66,6 +82,9 @@
 pub struct FlowRates {
     /// Requests that arrive.
     arrivals: EventRate,
+    /// Those of a higher and of a lower priority than the middle one.
+    urgent: EventRate,
+    low: EventRate,
     /// Prompt tokens of these requests.
     prompt_tokens: EventRate,
     /// Output tokens that they are expected to take.
@@ -76,8 +95,13 @@
 
 impl FlowRates {
     /// Records that a request has arrived.
-    pub fn request_arrived(&mut self, size: RequestSize, now: Mono) {
+    pub fn request_arrived(&mut self, size: RequestSize, priority: u8, now: Mono) {
         self.arrivals.record(1.0, now);
+        match class(priority).cmp(&MIDDLE_PRIORITY) {
+            Ordering::Less => self.urgent.record(1.0, now),
+            Ordering::Equal => {}
+            Ordering::Greater => self.low.record(1.0, now),
+        }
         self.prompt_tokens.record(size.prompt_tokens, now);
         self.output_tokens.record(size.output_tokens, now);
     }
@@ -94,6 +118,8 @@
             prompt_tokens_per_second: self.prompt_tokens.per_second(now),
             output_tokens_per_second: self.output_tokens.per_second(now),
             sends_per_second: self.sends.per_second(now),
+            urgent_per_second: self.urgent.share_of(&self.arrivals, now),
+            low_per_second: self.low.share_of(&self.arrivals, now),
         }
     }
 }
@@ -110,6 +136,26 @@
     pub output_tokens_per_second: f64,
     /// Requests that are sent to an endpoint.
     pub sends_per_second: f64,
+    /// Requests of the highest priority that arrive.
+    #[serde(
+        rename = "urgent",
+        default,
+        skip_serializing_if = "is_zero",
+        serialize_with = "rounded"
+    )]
+    pub urgent_per_second: f64,
+    /// Requests of a lower priority than the middle one that arrive. All others are of the middle one,
+    /// as are those of older builds.
+    #[serde(rename = "low", default, skip_serializing_if = "is_zero", serialize_with = "rounded")]
+    pub low_per_second: f64,
+}
+
+fn is_zero(rate: &f64) -> bool {
+    *rate < RATE_STEP / 2.0
+}
+
+fn rounded<S: serde::Serializer>(rate: &f64, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_f64((rate / RATE_STEP).round() * RATE_STEP)
 }
 
 impl Demand {
@@ -122,6 +168,8 @@
             output_tokens_per_second: self.output_tokens_per_second
                 + other.output_tokens_per_second,
             sends_per_second: self.sends_per_second + other.sends_per_second,
+            urgent_per_second: self.urgent_per_second + other.urgent_per_second,
+            low_per_second: self.low_per_second + other.low_per_second,
         }
     }
 
@@ -132,9 +180,20 @@
             prompt_tokens_per_second: self.prompt_tokens_per_second * processes,
             output_tokens_per_second: self.output_tokens_per_second * processes,
             sends_per_second: self.sends_per_second * processes,
+            urgent_per_second: self.urgent_per_second * processes,
+            low_per_second: self.low_per_second * processes,
         }
     }
 
+    /// Returns the arrivals by priority.
+    pub fn arrivals_by_priority(&self) -> Arrivals {
+        let (urgent, low) = (self.urgent_per_second, self.low_per_second);
+        let middle = self.arrivals_per_second - urgent - low;
+        // Rates are rounded when they are reported.
+        let is_rounding = middle < RATE_STEP.max(self.arrivals_per_second * MAX_ROUNDING);
+        [urgent, if is_rounding { 0.0 } else { middle }, low]
+    }
+
     /// Returns the mean size of a request, if any has arrived.
     pub fn mean_size(&self) -> Option<RequestSize> {
         let mean = RequestSize {
@@ -180,6 +239,8 @@
     pub drifts: Vec<Drift>,
     /// The share of the arriving requests that the endpoints can take.
     pub admitted: f64,
+    /// The same by priority.
+    pub shares: Shares,
 }
 
 /// Returns what `processes` are expected to send to the endpoints of a flow whose loads they get at
@@ -205,7 +266,8 @@
         }
     };
     let drifts = levels.iter().zip(new).map(drift).collect();
-    Outlook { drifts, admitted: (sent / wanted).min(1.0) }
+    let admitted = (sent / wanted).min(1.0);
+    Outlook { drifts, admitted, shares: Shares::divide(admitted, demand.arrivals_by_priority()) }
 }
 
 /// Returns how many of the next `arrivals` requests, in a time of `seconds`, each endpoint gets if they
--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -150,6 +150,9 @@
         order.sort_unstable();
         for (.., ticket) in order {
             let decision = decide(&self.waiting[&ticket], endpoints, now);
+            if matches!(decision, Decision::Send(_)) && self.has_more_urgent(ticket, now) {
+                continue;
+            }
             if decision != Decision::Wait {
                 let pending = self.waiting.remove(&ticket)?;
                 return Some((ticket, pending.requirements.prompt_tokens, decision));
@@ -158,6 +161,20 @@
         None
     }
 
+    /// Returns whether a request that is more urgent than that of `ticket` waits for the same groups and
+    /// is not late. What gets free is left to it.
+    fn has_more_urgent(&self, ticket: Ticket, now: Mono) -> bool {
+        let pending = &self.waiting[&ticket];
+        let is_same_flow = |other: &PendingRequest| {
+            other.requirements.service == pending.requirements.service
+                && other.requirements.model == pending.requirements.model
+        };
+        pending.requirements.model.is_some()
+            && self.waiting.values().any(|other| {
+                other.priority < pending.priority && is_same_flow(other) && !is_late(other, now)
+            })
+    }
+
     /// Removes a request whose caller has disconnected.
     pub fn cancel(&mut self, ticket: Ticket) {
         self.waiting.remove(&ticket);
@@ -234,7 +251,8 @@
         return Decision::Send(choice);
     }
     // A request that has waited long is sent or refused, whatever the others do.
-    if !endpoints.admits(&pending.requirements, pending.arrived_at) && waited < max_wait(pending) {
+    let is_admitted = endpoints.admits(&pending.requirements, pending.priority, pending.arrived_at);
+    if !is_admitted && waited < max_wait(pending) {
         return Decision::Wait;
     }
     let Some(choice) = endpoints.choose(&pending.requirements, now) else {
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -382,7 +382,12 @@
     }
 
     /// Records that a request has arrived.
-    pub fn request_arrived(&mut self, requirements: &EndpointRequirements, now: Mono) {
+    pub fn request_arrived(
+        &mut self,
+        requirements: &EndpointRequirements,
+        priority: u8,
+        now: Mono,
+    ) {
         let EndpointRequirements { service, model, .. } = requirements;
         // Callers may name any model, and claim any size.
         let (Some(engine), Some(model)) = (self.engine(service), model) else { return };
@@ -394,14 +399,19 @@
             prompt_tokens: counted(requirements.prompt_tokens, engine.mean_prompt_tokens),
             output_tokens: counted(requirements.output_tokens, engine.mean_output_tokens),
         };
-        self.flows.request_arrived(&(service.clone(), Some(model.clone())), size, now);
+        self.flows.request_arrived(&(service.clone(), Some(model.clone())), size, priority, now);
     }
 
     /// Returns whether a request may be sent before the next report. If the endpoints can't take all
-    /// that arrive, each process sends the same share of its own.
-    pub fn admits(&self, requirements: &EndpointRequirements, arrived_at: Mono) -> bool {
+    /// that arrive, each process sends the same share of its own of each priority.
+    pub fn admits(
+        &self,
+        requirements: &EndpointRequirements,
+        priority: u8,
+        arrived_at: Mono,
+    ) -> bool {
         let is_repeated = !requirements.excluded.is_empty();
-        is_repeated || self.flows.admits(self.flow_outlook(requirements), arrived_at)
+        is_repeated || self.flows.admits(self.flow_outlook(requirements), priority, arrived_at)
     }
 
     /// Returns whether the endpoints can take all requests that arrive until the next report.
--- a/crates/pass/src/endpoints/fleet_loads.rs
+++ b/crates/pass/src/endpoints/fleet_loads.rs
@@ -121,7 +121,11 @@
                 state.drift = drift;
             }
         }
-        let outlook = FlowOutlook { admitted: outlook.admitted, mean_size: Some(mean_size) };
+        let outlook = FlowOutlook {
+            admitted: outlook.admitted,
+            shares: outlook.shares,
+            mean_size: Some(mean_size),
+        };
         self.flows.set_outlook(flow, outlook);
     }
 }
--- a/crates/pass/src/flows.rs
+++ b/crates/pass/src/flows.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::Shares;
 use crate::arrivals::Demand;
 use crate::arrivals::Flow;
 use crate::arrivals::FlowRates;
@@ -28,13 +29,15 @@
 pub(crate) struct FlowOutlook {
     /// The share of the arriving requests that the endpoints can take.
     pub(crate) admitted: f64,
+    /// The same by priority.
+    pub(crate) shares: Shares,
     /// The mean size of a request.
     pub(crate) mean_size: Option<RequestSize>,
 }
 
 impl Default for FlowOutlook {
     fn default() -> Self {
-        FlowOutlook { admitted: 1.0, mean_size: None }
+        FlowOutlook { admitted: 1.0, shares: Shares::default(), mean_size: None }
     }
 }
 
@@ -51,8 +54,14 @@
 
 impl Flows {
     /// Records that a request has arrived.
-    pub(crate) fn request_arrived(&mut self, flow: &Flow, size: RequestSize, now: Mono) {
-        self.state_mut(flow).rates.request_arrived(size, now);
+    pub(crate) fn request_arrived(
+        &mut self,
+        flow: &Flow,
+        size: RequestSize,
+        priority: u8,
+        now: Mono,
+    ) {
+        self.state_mut(flow).rates.request_arrived(size, priority, now);
     }
 
     /// Records that a request is sent to an endpoint.
@@ -116,7 +125,8 @@
 
     /// Sets what is expected of a flow until the next report.
     pub(crate) fn set_outlook(&mut self, flow: &Flow, outlook: FlowOutlook) {
-        self.state_mut(flow).outlook = outlook;
+        let last = &mut self.state_mut(flow).outlook;
+        *last = FlowOutlook { shares: outlook.shares.smoothed(last.shares), ..outlook };
     }
 
     /// Returns what is expected of a flow until the next report.
@@ -124,17 +134,18 @@
         self.state(service, model).map_or(FlowOutlook::default(), |state| state.outlook)
     }
 
-    /// Returns whether a request that arrived at `arrived_at` belongs to the share of a flow that is
-    /// sent until the next report. The answer doesn't change until then.
-    pub(crate) fn admits(&self, outlook: FlowOutlook, arrived_at: Mono) -> bool {
-        if outlook.admitted >= 1.0 {
+    /// Returns whether a request that arrived at `arrived_at` belongs to the share of its flow and
+    /// priority that is sent until the next report. The answer doesn't change until then.
+    pub(crate) fn admits(&self, outlook: FlowOutlook, priority: u8, arrived_at: Mono) -> bool {
+        let share = outlook.shares.of(priority);
+        if share >= 1.0 {
             return true;
         }
         let mut bytes = [0; 24];
         bytes[..16].copy_from_slice(&arrived_at.as_nanos().to_be_bytes());
         bytes[16..].copy_from_slice(&self.reports.to_be_bytes());
         let draw = xxh3_64(&bytes) as f64 / u64::MAX as f64;
-        draw < outlook.admitted
+        draw < share
     }
 
     fn state(&self, service: &str, model: Option<&str>) -> Option<&FlowState> {
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -2,6 +2,7 @@
 //! back byte by byte.
 //!
 //! - [`config`]: the configuration by operators: routes, services, workspaces, limits.
+//! - [`admission`]: how capacity is divided among priorities.
 //! - [`routes`]: the table that finds the route and workspace of a request.
 //! - [`header_names`]: the names of the headers that callers and backend servers use.
 //! - [`request`]: the metadata in the headers of a request.
@@ -21,6 +22,7 @@
 //! - [`engine_time`]: a model of the time that a replica group takes to the first event.
 //! - [`events`]: splits a stream into complete events.
 
+pub mod admission;
 pub mod arrivals;
 pub mod availability;
 pub mod budget;
--- a/crates/pass/tests/arrivals.rs
+++ b/crates/pass/tests/arrivals.rs
@@ -25,6 +25,7 @@
         prompt_tokens_per_second: 1_000.0 * per_second,
         output_tokens_per_second: 100.0 * per_second,
         sends_per_second: per_second,
+        ..Demand::default()
     }
 }
 
@@ -103,6 +104,7 @@
             prompt_tokens_per_second: 0.0,
             output_tokens_per_second: 0.0,
             sends_per_second: sends,
+            ..Demand::default()
         };
         let outlook = outlook(&levels, demand, processes, Duration::from_millis(interval_ms));
         prop_assert!((0.0..=1.0).contains(&outlook.admitted));
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -112,7 +112,7 @@
             pending.requirements.prompt_tokens = u64::MAX;
             pending.requirements.output_tokens = u64::MAX;
         }
-        endpoints.request_arrived(&pending.requirements, now);
+        endpoints.request_arrived(&pending.requirements, pending.priority, now);
     }
     let now = start + millis(2_000);
     endpoints.set_remote_loads(&[], 8, now);
@@ -467,3 +467,24 @@
     let (_, load) = endpoints.local_loads(later)[0].clone();
     assert_eq!((load.requests, load.ms_waiting, load.ms_since_data), (2, None, None));
 }
+
+// Guards against a low-priority request that takes the slot for which a more urgent one waits.
+#[test]
+fn what_gets_free_is_left_to_a_more_urgent_request_until_it_is_late() {
+    let mut endpoints = endpoints(&["a"]);
+    let mut dispatch = DispatchQueue::default();
+    let now = millis(1_000);
+    for _ in 0..4 {
+        endpoints.request_sent(&endpoint("a"), 0, now);
+        endpoints.data_received(&endpoint("a"), now);
+    }
+    let (_, low) = dispatch.submit(pending(2, now), &endpoints, now);
+    let mut urgent = pending(1, now);
+    urgent.latency_target = millis(100);
+    urgent.requirements.prompt_tokens = 6_000;
+    dispatch.submit(urgent, &endpoints, now);
+    endpoints.request_ended(&endpoint("a"));
+    assert_eq!(dispatch.poll(&endpoints, now + millis(50)), None);
+    let sent = dispatch.poll(&endpoints, now + millis(110)).expect("a decision");
+    assert_eq!((Some(sent.0), matches!(sent.2, Decision::Send(_))), (low, true));
+}
--- a/crates/pass/tests/fleet/mod.rs
+++ b/crates/pass/tests/fleet/mod.rs
@@ -239,7 +239,7 @@
         };
         let process = &mut self.processes[index];
 
-        process.endpoints.request_arrived(&pending.requirements, now);
+        process.endpoints.request_arrived(&pending.requirements, pending.priority, now);
         let (decision, ticket) = process.dispatch.submit(pending, &process.endpoints, now);
         match ticket {
             Some(ticket) => {
