Spread the retries of rejected callers and reject hopeless requests at once

All callers rejected for lack of capacity got 400 ms and retried together, and a request whose share was used up waited up to 2.5 targets for a rejection.

Retry-After of busy rejections is now drawn per request from the time at which capacity is expected: the rejected arrivals of 400 ms, by priority, at the rate that endpoints take, from 200 ms on, over at least 400 ms, within 0.3 of the time left. In flows with several priorities a request is rejected at once if its share is used up and the reports that it needs on average until it is admitted exceed its target, or if no endpoint responds before its deadline. Flows of a single priority wait as before.

--- a/crates/pass/src/arrivals.rs
+++ b/crates/pass/src/arrivals.rs
@@ -14,6 +14,7 @@
 
 use crate::admission::Arrivals;
 use crate::admission::MIDDLE_PRIORITY;
+use crate::admission::RetryTimes;
 use crate::admission::Shares;
 use crate::admission::class;
 use crate::engine_time::RequestSize;
@@ -241,6 +242,8 @@
     pub admitted: f64,
     /// The same by priority.
     pub shares: Shares,
+    /// When callers retry that are rejected since the endpoints are busy.
+    pub retry_times: RetryTimes,
 }
 
 /// Returns what `processes` are expected to send to the endpoints of a flow whose loads they get at
@@ -267,7 +270,10 @@
     };
     let drifts = levels.iter().zip(new).map(drift).collect();
     let admitted = (sent / wanted).min(1.0);
-    Outlook { drifts, admitted, shares: Shares::divide(admitted, demand.arrivals_by_priority()) }
+    let arrivals = demand.arrivals_by_priority();
+    let shares = Shares::divide(admitted, arrivals);
+    let retry_times = RetryTimes::after_overload(admitted, arrivals, shares);
+    Outlook { drifts, admitted, shares, retry_times }
 }
 
 /// Returns how many of the next `arrivals` requests, in a time of `seconds`, each endpoint gets if they
--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -38,8 +38,6 @@
 const MAX_WAIT_TARGETS: f64 = 2.5;
 /// Maximum wait for an endpoint, relative to the time from arrival to the deadline.
 const MAX_WAIT_DEADLINE_RATIO: f64 = 0.2;
-/// Retry-after time when all endpoints are busy.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Retry-after time when there is no endpoint.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 /// Retry-after time when no endpoint can be reached from here.
@@ -253,7 +251,7 @@
     // A request that has waited long is sent or refused, whatever the others do.
     let is_admitted = endpoints.admits(&pending.requirements, pending.priority, pending.arrived_at);
     if !is_admitted && waited < max_wait(pending) {
-        return Decision::Wait;
+        return wait_for_share(pending, endpoints, now);
     }
     let Some(choice) = endpoints.choose(&pending.requirements, now) else {
         let model = pending.requirements.model.as_deref();
@@ -273,9 +271,25 @@
     if is_on_time(&choice) || spare {
         return Decision::Send(choice);
     }
+    let has_priorities =
+        endpoints.time_to_admission(&pending.requirements, pending.priority).is_some();
+    if has_priorities && now + choice.expected_time > pending.deadline {
+        return refuse_busy(pending, endpoints, now);
+    }
     wait_or_leave(pending, endpoints, now)
 }
 
+/// Decides on a request that doesn't belong to the admitted share of its flow and priority. It waits
+/// for the next report if it can then be expected to be sent in time.
+fn wait_for_share(pending: &PendingRequest, endpoints: &EndpointPool, now: Mono) -> Decision {
+    match endpoints.time_to_admission(&pending.requirements, pending.priority) {
+        Some(wait) if now + wait > pending.arrived_at + pending.latency_target => {
+            refuse_busy(pending, endpoints, now)
+        }
+        _ => Decision::Wait,
+    }
+}
+
 /// Decides on a request that no endpoint can accept now.
 fn wait_or_leave(pending: &PendingRequest, endpoints: &EndpointPool, now: Mono) -> Decision {
     if endpoints.has_unreachable(&pending.requirements) {
@@ -285,7 +299,18 @@
     if now.saturating_sub(pending.arrived_at) < max_wait(pending) {
         return Decision::Wait;
     }
-    refuse(pending, BUSY_RETRY_AFTER, Refusal::Busy, now)
+    refuse_busy(pending, endpoints, now)
+}
+
+/// Refuses a request since all endpoints are busy.
+fn refuse_busy(pending: &PendingRequest, endpoints: &EndpointPool, now: Mono) -> Decision {
+    let longest = pending.deadline.saturating_sub(now).mul_f64(MAX_RETRY_AFTER_RATIO);
+    let mut bytes = [0; 32];
+    bytes[..16].copy_from_slice(&pending.arrived_at.as_nanos().to_be_bytes());
+    bytes[16..].copy_from_slice(&now.as_nanos().to_be_bytes());
+    let draw = stable(&bytes) as f64 / u64::MAX as f64;
+    let times = endpoints.retry_times(&pending.requirements);
+    refuse(pending, times.retry_after(pending.priority, longest, draw), Refusal::Busy, now)
 }
 
 /// Decides on a request that this process can't send to an endpoint that others may reach.
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -27,6 +27,7 @@
 use form::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::RetryTimes;
 use crate::arrivals::Flow;
 use crate::availability::Pauses;
 use crate::config::ServiceSpec;
@@ -56,6 +57,8 @@
 const MANY_PROCESSES: f64 = 40.0;
 /// Size up to which a request counts for the mean of its flow, relative to the usual size.
 const MAX_SIZE_RATIO: f64 = 8.0;
+/// Most reports until a request is admitted that are assumed.
+const MAX_REPORTS_TO_ADMISSION: f64 = 1e3;
 /// Age of what is known of a server's limit from which on a request is sent to learn whether it
 /// still holds.
 const MAX_LIMIT_AGE: Duration = Duration::from_secs(2);
@@ -419,6 +422,24 @@
         self.flow_outlook(requirements).admitted >= 1.0
     }
 
+    /// Returns when callers whose requests are rejected since the endpoints are busy are to retry.
+    pub fn retry_times(&self, requirements: &EndpointRequirements) -> RetryTimes {
+        self.flow_outlook(requirements).retry_times
+    }
+
+    /// Returns about how long a request whose share is used up waits until it is admitted; `None` if
+    /// all requests of its flow have the same share.
+    pub fn time_to_admission(
+        &self,
+        requirements: &EndpointRequirements,
+        priority: u8,
+    ) -> Option<Duration> {
+        let shares = self.flow_outlook(requirements).shares;
+        // Each report gives it another chance.
+        let reports = (1.0 / shares.of(priority)).min(MAX_REPORTS_TO_ADMISSION);
+        shares.differ().then(|| self.flows.report_interval().mul_f64(reports))
+    }
+
     fn flow_outlook(&self, requirements: &EndpointRequirements) -> FlowOutlook {
         self.flows.outlook(&requirements.service, requirements.model.as_deref())
     }
--- a/crates/pass/src/endpoints/fleet_loads.rs
+++ b/crates/pass/src/endpoints/fleet_loads.rs
@@ -124,6 +124,7 @@
         let outlook = FlowOutlook {
             admitted: outlook.admitted,
             shares: outlook.shares,
+            retry_times: outlook.retry_times,
             mean_size: Some(mean_size),
         };
         self.flows.set_outlook(flow, outlook);
--- a/crates/pass/src/flows.rs
+++ b/crates/pass/src/flows.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::RetryTimes;
 use crate::admission::Shares;
 use crate::arrivals::Demand;
 use crate::arrivals::Flow;
@@ -31,13 +32,20 @@
     pub(crate) admitted: f64,
     /// The same by priority.
     pub(crate) shares: Shares,
+    /// When callers retry that are rejected since the endpoints are busy.
+    pub(crate) retry_times: RetryTimes,
     /// The mean size of a request.
     pub(crate) mean_size: Option<RequestSize>,
 }
 
 impl Default for FlowOutlook {
     fn default() -> Self {
-        FlowOutlook { admitted: 1.0, shares: Shares::default(), mean_size: None }
+        FlowOutlook {
+            admitted: 1.0,
+            shares: Shares::default(),
+            retry_times: RetryTimes::default(),
+            mean_size: None,
+        }
     }
 }
 
--- a/crates/pass/tests/admission.rs
+++ b/crates/pass/tests/admission.rs
@@ -1,6 +1,7 @@
 //! How capacity is divided among priorities.
 
 use base::prelude::*;
+use pass::admission::RetryTimes;
 use pass::admission::Shares;
 use pass::arrivals::Demand;
 use pass::arrivals::FlowRates;
@@ -81,3 +82,22 @@
         prop_assert!(shares.of(0) >= shares.of(1) && shares.of(1) >= shares.of(2));
     }
 }
+
+// Guards against rejected callers that all retry at the same time, and against a lower priority that
+// retries before a higher one.
+#[test]
+fn retries_are_spread_by_priority_within_the_time_left() {
+    let arrivals = [40.0, 40.0, 40.0];
+    let times = RetryTimes::after_overload(0.3, arrivals, Shares::divide(0.3, arrivals));
+    let longest = Duration::from_secs(3);
+    let spread = |priority| [0.0, 0.5, 1.0].map(|draw| times.retry_after(priority, longest, draw));
+    for priority in 0..3 {
+        let [first, _, last] = spread(priority);
+        assert!(first >= Duration::from_millis(200), "{first:?}");
+        assert!(last - first >= Duration::from_millis(400) && last <= longest);
+    }
+    assert!(spread(0)[1] < spread(1)[1] && spread(1)[1] < spread(2)[1]);
+    let short = Duration::from_millis(150);
+    let [first, _, last] = [0.0, 0.5, 1.0].map(|draw| times.retry_after(2, short, draw));
+    assert!(first <= short / 2 && last == short, "{first:?} to {last:?}");
+}
--- a/crates/pass/tests/fleet/mod.rs
+++ b/crates/pass/tests/fleet/mod.rs
@@ -50,6 +50,8 @@
     pub(crate) latency_target: Duration,
     /// When each group opens; it stays open.
     pub(crate) opens_at: Vec<Duration>,
+    /// The priorities of the requests, in turn.
+    pub(crate) priorities: Vec<u8>,
     /// For how long requests arrive.
     pub(crate) length: Duration,
 }
@@ -61,6 +63,8 @@
     pub(crate) arrived_at: Mono,
     /// Time to its first event; `None` if it was refused.
     pub(crate) first_event_after: Option<Duration>,
+    /// Its priority.
+    pub(crate) priority: u8,
     prompt_tokens: u64,
     events: u32,
     endpoint: Option<Endpoint>,
@@ -82,6 +86,13 @@
         share_in_time(&counted, target)
     }
 
+    /// Returns the same share of the requests of one priority.
+    pub(crate) fn share_of_priority_in_time(&self, priority: u8, target: Duration) -> f64 {
+        let is_counted = |request: &&Request| request.priority == priority;
+        let counted: Vec<&Request> = self.requests.iter().filter(is_counted).collect();
+        share_in_time(&counted, target)
+    }
+
     /// Returns the share of the requests that arrived at `from` or later whose first event came
     /// within `target`.
     pub(crate) fn share_in_time(&self, from: Duration, target: Duration) -> f64 {
@@ -216,9 +227,11 @@
             (self.scenario.prompt_tokens as f64 * (0.2 + 1.6 * self.random())) as u64;
         let events = 1 + (2.0 * self.random() * f64::from(self.scenario.events - 1)) as u32;
         let number = self.requests.len();
+        let priority = self.scenario.priorities[number % self.scenario.priorities.len()];
         self.requests.push(Request {
             arrived_at: now,
             first_event_after: None,
+            priority,
             prompt_tokens,
             events,
             endpoint: None,
@@ -234,7 +247,7 @@
             arrived_at: now,
             latency_target: self.scenario.latency_target,
             deadline: now + DEADLINE,
-            priority: 1,
+            priority,
             may_hand_over: false,
         };
         let process = &mut self.processes[index];
--- a/crates/pass/tests/stale_loads.rs
+++ b/crates/pass/tests/stale_loads.rs
@@ -30,6 +30,7 @@
         events: 16,
         latency_target: TARGET,
         opens_at,
+        priorities: vec![1],
         length: Duration::from_secs(12),
     }
 }
@@ -90,3 +91,33 @@
         assert!(share >= TARGET_SHARE, "seed {seed}: only {share:.3} in time");
     }
 }
+
+// Guards against decisions that differ from those of older builds, which report no priorities, where
+// all requests have the same one: only those of the middle priority are reported as by these builds.
+#[test]
+fn requests_of_a_single_priority_are_decided_on_as_without_priorities() {
+    let served = |priority| {
+        let load =
+            Scenario { priorities: vec![priority], ..scenario(70.0, vec![Duration::ZERO; 4]) };
+        play(&load, 1).requests.iter().map(|r| r.first_event_after).collect::<Vec<_>>()
+    };
+    let middle = served(1);
+    assert!(middle.iter().any(Option::is_none), "there is overload");
+    assert_eq!(served(0), middle);
+    assert_eq!(served(2), middle);
+}
+
+// Guards against a lower priority that is served better than a higher one under overload, and against
+// one that is starved.
+#[test]
+fn under_overload_priorities_are_served_in_order_and_none_is_starved() {
+    let load = Scenario { priorities: vec![0, 1, 2], ..scenario(100.0, vec![Duration::ZERO; 4]) };
+    for seed in 1..=SEEDS {
+        let outcome = play(&load, seed);
+        let shares = [0, 1, 2].map(|p| outcome.share_of_priority_in_time(p, TARGET));
+        let all = outcome.share_in_time(Duration::ZERO, TARGET);
+        println!("seed {seed}: {shares:.3?}, all {all:.3}");
+        assert!(shares[0] > shares[1] && shares[1] > shares[2], "seed {seed}: {shares:?}");
+        assert!(shares[2] >= all / 4.0, "seed {seed}: {shares:?}, all {all:.3}");
+    }
+}
