Divide admitted requests among workspaces by max-min fair shares

Under overload a workspace got capacity in proportion to its arrivals, so one with many requests, or with many retries, took what the others wanted.

Each process now divides the admitted share of a flow and priority among the workspaces of its own arrivals (pass::fair_share): a quarter of the mean share for each, the rest evenly, what one doesn't use to the others. Counts by workspace are not reported to other processes. A single workspace gets exactly the share of its priority.

Tests of front and platform were not run for this commit.

--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -348,7 +348,7 @@
 
     fn submit(&mut self, pending: PendingRequest, now: Mono) -> (Decision, Option<Ticket>) {
         let tokens = pending.requirements.prompt_tokens;
-        self.endpoints.request_arrived(&pending.requirements, pending.priority, now);
+        self.endpoints.request_arrived(&pending.requirements, pending.class(), now);
         let (decision, ticket) = self.dispatch.submit(pending, &self.endpoints, now);
         if ticket.is_none() {
             self.count_started(&decision, tokens, now);
--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -220,6 +220,7 @@
             latency_target: self.routed.route.latency_target,
             deadline: self.deadline,
             priority: self.routed.priority,
+            workspace: self.routed.workspace.clone(),
             may_hand_over: self.origin == Origin::Caller,
         }
     }
--- a/crates/front/tests/waiting_requests.rs
+++ b/crates/front/tests/waiting_requests.rs
@@ -48,6 +48,7 @@
         latency_target: Duration::from_millis(200),
         deadline: Duration::from_secs(5),
         priority: 1,
+        workspace: None,
         may_hand_over: false,
     }
 }
--- a/crates/pass/src/admission.rs
+++ b/crates/pass/src/admission.rs
@@ -16,7 +16,7 @@
 /// The priority of arrivals that a process reports without one, as older builds do.
 pub const MIDDLE_PRIORITY: usize = 1;
 /// Smallest share of the arrivals of one priority that is admitted, relative to the mean share.
-const MIN_RELATIVE_SHARE: f64 = 0.25;
+pub(crate) const MIN_RELATIVE_SHARE: f64 = 0.25;
 
 /// Earliest retry-after time when all endpoints are busy.
 const MIN_BUSY_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -29,6 +29,16 @@
 /// Arrivals a second, by priority.
 pub type Arrivals = [f64; PRIORITIES];
 
+/// Whose request it is, as far as admission depends on it.
+#[data]
+#[derive(Copy)]
+pub struct RequestClass<'a> {
+    /// Priority; 0 is the most urgent.
+    pub priority: u8,
+    /// The workspace of the caller, if it has one.
+    pub workspace: Option<&'a str>,
+}
+
 /// The share of the arriving requests that is admitted, by priority.
 #[data]
 #[derive(Copy)]
@@ -76,6 +86,11 @@
         self.0[class(priority)]
     }
 
+    /// Returns the shares in the order of priorities.
+    pub fn iter(&self) -> impl Iterator<Item = f64> {
+        self.0.into_iter()
+    }
+
     /// Returns whether the priorities have different shares.
     pub fn differ(&self) -> bool {
         self.0.iter().any(|share| *share != self.0[0])
--- a/crates/pass/src/arrivals.rs
+++ b/crates/pass/src/arrivals.rs
@@ -72,7 +72,8 @@
         all.per_second(now) * share.min(1.0)
     }
 
-    fn decayed(&self, now: Mono) -> f64 {
+    /// Returns the sum of the events' weights, decayed exponentially.
+    pub(crate) fn decayed(&self, now: Mono) -> f64 {
         let passed = now.saturating_sub(self.counted_at).as_secs_f64();
         self.sum * (-passed / DECAY_TIME.as_secs_f64()).exp()
     }
--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -15,6 +15,7 @@
 use base::hash::stable;
 use base::prelude::*;
 
+use crate::admission::RequestClass;
 use crate::endpoints::EndpointChoice;
 use crate::endpoints::EndpointPool;
 use crate::endpoints::EndpointRequirements;
@@ -56,10 +57,19 @@
     pub deadline: Mono,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// The workspace of the caller, if it has one.
+    pub workspace: Option<Box<str>>,
     /// Whether another process may take the request over. One that was handed over already stays.
     pub may_hand_over: bool,
 }
 
+impl PendingRequest {
+    /// Returns whose request it is.
+    pub fn class(&self) -> RequestClass<'_> {
+        RequestClass { priority: self.priority, workspace: self.workspace.as_deref() }
+    }
+}
+
 /// What is done with a request.
 #[data]
 pub enum Decision {
@@ -249,7 +259,7 @@
         return Decision::Send(choice);
     }
     // A request that has waited long is sent or refused, whatever the others do.
-    let is_admitted = endpoints.admits(&pending.requirements, pending.priority, pending.arrived_at);
+    let is_admitted = endpoints.admits(&pending.requirements, pending.class(), pending.arrived_at);
     if !is_admitted && waited < max_wait(pending) {
         return wait_for_share(pending, endpoints, now);
     }
@@ -272,7 +282,7 @@
         return Decision::Send(choice);
     }
     let has_priorities =
-        endpoints.time_to_admission(&pending.requirements, pending.priority).is_some();
+        endpoints.time_to_admission(&pending.requirements, pending.class()).is_some();
     if has_priorities && now + choice.expected_time > pending.deadline {
         return refuse_busy(pending, endpoints, now);
     }
@@ -282,7 +292,7 @@
 /// Decides on a request that doesn't belong to the admitted share of its flow and priority. It waits
 /// for the next report if it can then be expected to be sent in time.
 fn wait_for_share(pending: &PendingRequest, endpoints: &EndpointPool, now: Mono) -> Decision {
-    match endpoints.time_to_admission(&pending.requirements, pending.priority) {
+    match endpoints.time_to_admission(&pending.requirements, pending.class()) {
         Some(wait) if now + wait > pending.arrived_at + pending.latency_target => {
             refuse_busy(pending, endpoints, now)
         }
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -27,6 +27,7 @@
 use form::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::RequestClass;
 use crate::admission::RetryTimes;
 use crate::arrivals::Flow;
 use crate::availability::Pauses;
@@ -388,7 +389,7 @@
     pub fn request_arrived(
         &mut self,
         requirements: &EndpointRequirements,
-        priority: u8,
+        class: RequestClass<'_>,
         now: Mono,
     ) {
         let EndpointRequirements { service, model, .. } = requirements;
@@ -402,7 +403,7 @@
             prompt_tokens: counted(requirements.prompt_tokens, engine.mean_prompt_tokens),
             output_tokens: counted(requirements.output_tokens, engine.mean_output_tokens),
         };
-        self.flows.request_arrived(&(service.clone(), Some(model.clone())), size, priority, now);
+        self.flows.request_arrived(&(service.clone(), Some(model.clone())), size, class, now);
     }
 
     /// Returns whether a request may be sent before the next report. If the endpoints can't take all
@@ -410,11 +411,11 @@
     pub fn admits(
         &self,
         requirements: &EndpointRequirements,
-        priority: u8,
+        class: RequestClass<'_>,
         arrived_at: Mono,
     ) -> bool {
         let is_repeated = !requirements.excluded.is_empty();
-        is_repeated || self.flows.admits(self.flow_outlook(requirements), priority, arrived_at)
+        is_repeated || self.flows.admits(self.admitted_share(requirements, class), arrived_at)
     }
 
     /// Returns whether the endpoints can take all requests that arrive until the next report.
@@ -432,12 +433,23 @@
     pub fn time_to_admission(
         &self,
         requirements: &EndpointRequirements,
-        priority: u8,
+        class: RequestClass<'_>,
     ) -> Option<Duration> {
         let shares = self.flow_outlook(requirements).shares;
+        let share = self.admitted_share(requirements, class);
         // Each report gives it another chance.
-        let reports = (1.0 / shares.of(priority)).min(MAX_REPORTS_TO_ADMISSION);
-        shares.differ().then(|| self.flows.report_interval().mul_f64(reports))
+        let reports = (1.0 / share).min(MAX_REPORTS_TO_ADMISSION);
+        let differ = shares.differ() || share != shares.of(class.priority);
+        differ.then(|| self.flows.report_interval().mul_f64(reports))
+    }
+
+    /// Returns the share of the requests of a priority and workspace that is admitted.
+    pub fn admitted_share(
+        &self,
+        requirements: &EndpointRequirements,
+        class: RequestClass<'_>,
+    ) -> f64 {
+        self.flows.share(&requirements.service, requirements.model.as_deref(), class)
     }
 
     fn flow_outlook(&self, requirements: &EndpointRequirements) -> FlowOutlook {
--- a/crates/pass/src/flows.rs
+++ b/crates/pass/src/flows.rs
@@ -5,12 +5,14 @@
 use base::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::RequestClass;
 use crate::admission::RetryTimes;
 use crate::admission::Shares;
 use crate::arrivals::Demand;
 use crate::arrivals::Flow;
 use crate::arrivals::FlowRates;
 use crate::engine_time::RequestSize;
+use crate::fair_share::WorkspaceRates;
 
 /// Longest time between two reports that is assumed.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -20,6 +22,7 @@
 struct FlowState {
     flow: Flow,
     rates: FlowRates,
+    workspaces: WorkspaceRates,
     /// The demand at the other processes, if they report any.
     remote: Option<Demand>,
     outlook: FlowOutlook,
@@ -66,10 +69,12 @@
         &mut self,
         flow: &Flow,
         size: RequestSize,
-        priority: u8,
+        class: RequestClass<'_>,
         now: Mono,
     ) {
-        self.state_mut(flow).rates.request_arrived(size, priority, now);
+        let state = self.state_mut(flow);
+        state.rates.request_arrived(size, class.priority, now);
+        state.workspaces.request_arrived(class, now);
     }
 
     /// Records that a request is sent to an endpoint.
@@ -133,8 +138,11 @@
 
     /// Sets what is expected of a flow until the next report.
     pub(crate) fn set_outlook(&mut self, flow: &Flow, outlook: FlowOutlook) {
-        let last = &mut self.state_mut(flow).outlook;
-        *last = FlowOutlook { shares: outlook.shares.smoothed(last.shares), ..outlook };
+        let reported_at = self.reported_at;
+        let state = self.state_mut(flow);
+        let shares = outlook.shares.smoothed(state.outlook.shares);
+        state.outlook = FlowOutlook { shares, ..outlook };
+        state.workspaces.divide(&shares, reported_at);
     }
 
     /// Returns what is expected of a flow until the next report.
@@ -142,10 +150,15 @@
         self.state(service, model).map_or(FlowOutlook::default(), |state| state.outlook)
     }
 
-    /// Returns whether a request that arrived at `arrived_at` belongs to the share of its flow and
-    /// priority that is sent until the next report. The answer doesn't change until then.
-    pub(crate) fn admits(&self, outlook: FlowOutlook, priority: u8, arrived_at: Mono) -> bool {
-        let share = outlook.shares.of(priority);
+    /// Returns the admitted share of requests of a priority and workspace.
+    pub(crate) fn share(&self, service: &str, model: Option<&str>, class: RequestClass<'_>) -> f64 {
+        let Some(state) = self.state(service, model) else { return 1.0 };
+        let of_workspace = state.workspaces.share(class);
+        of_workspace.unwrap_or_else(|| state.outlook.shares.of(class.priority))
+    }
+
+    /// Returns whether a request that arrived at `arrived_at` belongs to the `share` of its kind that is sent until the next report. The answer doesn't change until then.
+    pub(crate) fn admits(&self, share: f64, arrived_at: Mono) -> bool {
         if share >= 1.0 {
             return true;
         }
@@ -169,6 +182,7 @@
                 self.states.push(FlowState {
                     flow: flow.clone(),
                     rates: FlowRates::default(),
+                    workspaces: WorkspaceRates::default(),
                     remote: None,
                     outlook: FlowOutlook::default(),
                 });
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`config`]: the configuration by operators: routes, services, workspaces, limits.
 //! - [`admission`]: how capacity is divided among priorities.
+//! - [`fair_share`]: how capacity is divided among workspaces.
 //! - [`routes`]: the table that finds the route and workspace of a request.
 //! - [`header_names`]: the names of the headers that callers and backend servers use.
 //! - [`request`]: the metadata in the headers of a request.
@@ -32,6 +33,7 @@
 pub mod endpoints;
 pub mod engine_time;
 pub mod events;
+pub mod fair_share;
 mod flows;
 pub mod header_names;
 pub mod helpers;
--- a/crates/pass/tests/admission.rs
+++ b/crates/pass/tests/admission.rs
@@ -6,6 +6,7 @@
 use pass::arrivals::Demand;
 use pass::arrivals::FlowRates;
 use pass::engine_time::RequestSize;
+use pass::fair_share::fair_shares;
 use proptest::prelude::*;
 
 // Guards against the same share for all priorities, by which a low one takes capacity from a high one.
@@ -101,3 +102,15 @@
     let [first, _, last] = [0.0, 0.5, 1.0].map(|draw| times.retry_after(2, short, draw));
     assert!(first <= short / 2 && last == short, "{first:?} to {last:?}");
 }
+
+// Guards against shares by which a large workspace takes what small ones want, or that waste capacity.
+#[test]
+fn capacity_is_divided_evenly_and_unused_parts_go_to_those_that_want_more() {
+    let arrivals = [60.0, 10.0, 10.0, 20.0];
+    let shares = fair_shares(0.5, &arrivals);
+    assert!(shares[1] == 1.0 && shares[2] == 1.0 && shares[0] < shares[3], "{shares:?}");
+    let sent: f64 = shares.iter().zip(arrivals).map(|(share, arrivals)| share * arrivals).sum();
+    assert!((sent - 50.0).abs() < 1e-9, "{sent}");
+    assert!(shares[0] >= 0.125, "{shares:?}");
+    assert_eq!(fair_shares(0.37, &[5.0]), [0.37]);
+}
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -79,6 +79,7 @@
         latency_target: millis(300),
         deadline: arrived_at + Duration::from_secs(8),
         priority,
+        workspace: None,
         may_hand_over: false,
     }
 }
@@ -112,7 +113,7 @@
             pending.requirements.prompt_tokens = u64::MAX;
             pending.requirements.output_tokens = u64::MAX;
         }
-        endpoints.request_arrived(&pending.requirements, pending.priority, now);
+        endpoints.request_arrived(&pending.requirements, pending.class(), now);
     }
     let now = start + millis(2_000);
     endpoints.set_remote_loads(&[], 8, now);
--- a/crates/pass/tests/fleet/mod.rs
+++ b/crates/pass/tests/fleet/mod.rs
@@ -52,6 +52,8 @@
     pub(crate) opens_at: Vec<Duration>,
     /// The priorities of the requests, in turn.
     pub(crate) priorities: Vec<u8>,
+    /// The workspaces of the requests, in turn.
+    pub(crate) workspaces: Vec<usize>,
     /// For how long requests arrive.
     pub(crate) length: Duration,
 }
@@ -63,6 +65,8 @@
     pub(crate) arrived_at: Mono,
     /// Time to its first event; `None` if it was refused.
     pub(crate) first_event_after: Option<Duration>,
+    /// Its workspace.
+    pub(crate) workspace: usize,
     /// Its priority.
     pub(crate) priority: u8,
     prompt_tokens: u64,
@@ -86,6 +90,13 @@
         share_in_time(&counted, target)
     }
 
+    /// Returns the same share of the requests of one workspace.
+    pub(crate) fn share_of_workspace_in_time(&self, workspace: usize, target: Duration) -> f64 {
+        let is_counted = |request: &&Request| request.workspace == workspace;
+        let counted: Vec<&Request> = self.requests.iter().filter(is_counted).collect();
+        share_in_time(&counted, target)
+    }
+
     /// Returns the same share of the requests of one priority.
     pub(crate) fn share_of_priority_in_time(&self, priority: u8, target: Duration) -> f64 {
         let is_counted = |request: &&Request| request.priority == priority;
@@ -227,10 +238,12 @@
             (self.scenario.prompt_tokens as f64 * (0.2 + 1.6 * self.random())) as u64;
         let events = 1 + (2.0 * self.random() * f64::from(self.scenario.events - 1)) as u32;
         let number = self.requests.len();
+        let workspace = self.scenario.workspaces[number % self.scenario.workspaces.len()];
         let priority = self.scenario.priorities[number % self.scenario.priorities.len()];
         self.requests.push(Request {
             arrived_at: now,
             first_event_after: None,
+            workspace,
             priority,
             prompt_tokens,
             events,
@@ -248,11 +261,12 @@
             latency_target: self.scenario.latency_target,
             deadline: now + DEADLINE,
             priority,
+            workspace: Some(format!("w{workspace}").into()),
             may_hand_over: false,
         };
         let process = &mut self.processes[index];
 
-        process.endpoints.request_arrived(&pending.requirements, pending.priority, now);
+        process.endpoints.request_arrived(&pending.requirements, pending.class(), now);
         let (decision, ticket) = process.dispatch.submit(pending, &process.endpoints, now);
         match ticket {
             Some(ticket) => {
--- a/crates/pass/tests/stale_loads.rs
+++ b/crates/pass/tests/stale_loads.rs
@@ -31,6 +31,7 @@
         latency_target: TARGET,
         opens_at,
         priorities: vec![1],
+        workspaces: vec![0],
         length: Duration::from_secs(12),
     }
 }
@@ -121,3 +122,20 @@
         assert!(shares[2] >= all / 4.0, "seed {seed}: {shares:?}, all {all:.3}");
     }
 }
+
+// Guards against a large workspace that takes the capacity of the others under overload, and against
+// one that is starved.
+#[test]
+fn under_overload_small_workspaces_are_served_better_than_a_large_one() {
+    let workspaces = vec![0, 0, 0, 0, 0, 0, 1, 2, 3];
+    let load = Scenario { processes: 6, workspaces, ..scenario(100.0, vec![Duration::ZERO; 4]) };
+    for seed in 1..=SEEDS {
+        let outcome = play(&load, seed);
+        let [large, small @ ..] =
+            [0, 1, 2, 3].map(|workspace| outcome.share_of_workspace_in_time(workspace, TARGET));
+        let all = outcome.share_in_time(Duration::ZERO, TARGET);
+        println!("seed {seed}: {large:.3} {small:.3?}, all {all:.3}");
+        assert!(small.iter().all(|share| *share > large * 1.2), "seed {seed}: {large} {small:?}");
+        assert!(large >= all / 4.0, "seed {seed}: {large} of {all}");
+    }
+}
