--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -27,6 +27,9 @@
         reason: &'a str,
         waited_ms: u64,
         waiting: usize,
+        priority: u8,
+        /// The share of such requests that was admitted.
+        admitted: f64,
         retry_after_ms: u64,
         #[serde(skip_serializing_if = "Option::is_none")]
         because: Option<PartRefusalRecord<'a>>,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -2,7 +2,10 @@
 
 use base::prelude::*;
 use http::StatusCode;
+use pass::admission::Shares;
+use pass::arrivals::Flow;
 use prometheus::Encoder;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
@@ -50,6 +53,8 @@
     pub taken_over: IntCounter,
     /// Whether this process can't reach any backend server.
     pub cut_off: IntGauge,
+    /// The admitted share of the requests of a flow, by priority.
+    admitted_share: GaugeVec,
     /// Requests that wait for an endpoint.
     pub waiting: IntGauge,
     /// Backend servers with a current report.
@@ -86,9 +91,14 @@
         let ratio = HistogramOpts::new("samphire_first_event_forecast_ratio", help)
             .buckets(RATIO_BUCKETS.to_vec());
         let first_event_ratio = Histogram::with_opts(ratio).expect("the name is valid");
+        let help = "The share of the arriving requests that is admitted.";
+        let admitted = Opts::new("samphire_admitted_share", help);
+        let admitted_share =
+            GaugeVec::new(admitted, &["service", "model", "priority"]).expect("the name is valid");
         for collector in [
             Box::new(responses.clone()) as Box<dyn prometheus::core::Collector>,
             Box::new(response_seconds.clone()),
+            Box::new(admitted_share.clone()),
             Box::new(first_event_ratio.clone()),
             Box::new(loop_delay_seconds.clone()),
         ] {
@@ -138,6 +148,7 @@
             response_seconds,
             first_event_ratio,
             loop_delay_seconds,
+            admitted_share,
             waiting: gauge("samphire_waiting_requests", "Requests that wait for a place."),
             servers: gauge("samphire_known_servers", "Backend servers that report."),
             version: gauge("samphire_config_version", "The configuration in force."),
@@ -165,6 +176,18 @@
         }
     }
 
+    /// Sets the admitted shares of all flows, by priority; flows that are not listed have none.
+    pub fn set_admitted_shares<'a>(&self, shares: impl Iterator<Item = (&'a Flow, &'a Shares)>) {
+        self.admitted_share.reset();
+        for ((service, model), shares) in shares {
+            let model = model.as_deref().unwrap_or_default();
+            for (priority, share) in shares.iter().enumerate() {
+                let labels = [service, model, &priority.to_string()];
+                self.admitted_share.with_label_values(&labels).set(share);
+            }
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut buf = Vec::new();
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -78,6 +78,7 @@
     let local = shared.local.lock();
     let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
     metrics.waiting.set(gauge(local.dispatch.len()));
+    metrics.set_admitted_shares(local.endpoints.admitted_shares());
     metrics.servers.set(gauge(local.reports().servers().len()));
     metrics.store_up.set(i64::from(local.store_up));
     metrics.version.set(i64::try_from(local.routes.version()).unwrap_or(i64::MAX));
--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -241,7 +241,12 @@
             response.extensions_mut().insert(Declined);
             return response;
         }
-        let waiting = self.state.shared.local.lock().dispatch.len();
+        let pending = self.pending_request(&[], self.arrived);
+        let (waiting, admitted) = {
+            let local = self.state.shared.local.lock();
+            let share = local.endpoints.admitted_share(&pending.requirements, pending.class());
+            (local.dispatch.len(), share)
+        };
         decision_log::write(&Record::Refused {
             request: &self.id,
             service: &self.routed.service.name,
@@ -249,6 +254,8 @@
             reason: &format!("{reason:?}"),
             waited_ms: decision_log::millis(self.now().saturating_sub(self.arrived)),
             waiting,
+            priority: pending.priority,
+            admitted,
             retry_after_ms: decision_log::millis(retry_after),
             because,
         });
--- /dev/null
+++ b/crates/front/tests/metrics.rs
@@ -0,0 +1,18 @@
+//! The metrics of a process.
+
+use front::metrics::Metrics;
+use pass::admission::Shares;
+
+// Guards against shares of flows that are gone, and against a gauge that hides the priority.
+#[test]
+fn admitted_shares_are_shown_by_flow_and_priority() {
+    let metrics = Metrics::new();
+    let flow = ("assistant".into(), Some("large".into()));
+    let shares = Shares::divide(0.5, [10.0, 0.0, 10.0]);
+    metrics.set_admitted_shares([(&flow, &shares)].into_iter());
+    let text = metrics.text();
+    let line = r#"samphire_admitted_share{model="large",priority="0",service="assistant"} "#;
+    assert!(text.contains(line) && text.contains(r#"priority="2""#), "{text}");
+    metrics.set_admitted_shares(std::iter::empty());
+    assert!(!metrics.text().contains("samphire_admitted_share{"));
+}
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -29,6 +29,7 @@
 
 use crate::admission::RequestClass;
 use crate::admission::RetryTimes;
+use crate::admission::Shares;
 use crate::arrivals::Flow;
 use crate::availability::Pauses;
 use crate::config::ServiceSpec;
@@ -452,6 +453,11 @@
         self.flows.share(&requirements.service, requirements.model.as_deref(), class)
     }
 
+    /// Returns the admitted shares of each flow by priority.
+    pub fn admitted_shares(&self) -> impl Iterator<Item = (&Flow, &Shares)> {
+        self.flows.shares()
+    }
+
     fn flow_outlook(&self, requirements: &EndpointRequirements) -> FlowOutlook {
         self.flows.outlook(&requirements.service, requirements.model.as_deref())
     }
--- a/crates/pass/src/flows.rs
+++ b/crates/pass/src/flows.rs
@@ -150,6 +150,11 @@
         self.state(service, model).map_or(FlowOutlook::default(), |state| state.outlook)
     }
 
+    /// Returns the admitted shares of each flow by priority.
+    pub(crate) fn shares(&self) -> impl Iterator<Item = (&Flow, &Shares)> {
+        self.states.iter().map(|state| (&state.flow, &state.outlook.shares))
+    }
+
     /// Returns the admitted share of requests of a priority and workspace.
     pub(crate) fn share(&self, service: &str, model: Option<&str>, class: RequestClass<'_>) -> f64 {
         let Some(state) = self.state(service, model) else { return 1.0 };
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use pass::arrivals::Demand;
 use pass::dispatch::Decision;
 use pass::dispatch::DispatchQueue;
 use pass::dispatch::PendingRequest;
@@ -489,3 +490,38 @@
     let sent = dispatch.poll(&endpoints, now + millis(110)).expect("a decision");
     assert_eq!((Some(sent.0), matches!(sent.2, Decision::Send(_))), (low, true));
 }
+
+/// Returns the decisions on a request of each priority at a full endpoint, while 100 requests a second
+/// arrive over the fleet, of them so many of the highest and of the lowest priority.
+fn decisions_under_overload(urgent: f64, low: f64) -> [Decision; 3] {
+    let mut endpoints = endpoints(&["a"]);
+    let mut now = millis(1_000);
+    let demand = Demand {
+        arrivals_per_second: 100.0,
+        prompt_tokens_per_second: 100_000.0,
+        output_tokens_per_second: 10_000.0,
+        sends_per_second: 20.0,
+        urgent_per_second: urgent,
+        low_per_second: low,
+    };
+    let load = Load { requests: 4, demand: Some(demand), ..Load::default() };
+    for _ in 0..8 {
+        now += millis(300);
+        endpoints.set_remote_loads(&[("a".into(), load)], 80, now);
+    }
+    [0, 1, 2]
+        .map(|priority| DispatchQueue::default().submit(pending(priority, now), &endpoints, now).0)
+}
+
+// Guards against low-priority requests that wait for capacity that higher ones take, and against such
+// rejections where there is a single priority.
+#[test]
+fn a_request_whose_share_is_used_up_is_refused_at_once_only_beside_other_priorities() {
+    let [urgent, _, low] = decisions_under_overload(1.0, 99.0);
+    assert_eq!(urgent, Decision::Wait);
+    assert!(matches!(low, Decision::Refuse { reason: Refusal::Busy, .. }), "{low:?}");
+    for (urgent, low) in [(0.0, 0.0), (100.0, 0.0), (0.0, 100.0)] {
+        let decisions = decisions_under_overload(urgent, low);
+        assert_eq!(decisions, [Decision::Wait, Decision::Wait, Decision::Wait]);
+    }
+}
