--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -2,7 +2,10 @@
 
 use base::prelude::*;
 use http::StatusCode;
+use pass::admission::Shares;
+use pass::arrivals::Flow;
 use prometheus::Encoder;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
@@ -52,6 +55,8 @@
     pub cut_off: IntGauge,
     /// Models that are overloaded, at the owner of the groups; 0 at other processes.
     pub overloaded_models: IntGauge,
+    /// The admitted share of the requests of a flow, by priority.
+    admitted_share: GaugeVec,
     /// Requests that wait for an endpoint.
     pub waiting: IntGauge,
     /// Failure domains that operators evacuate.
@@ -94,9 +99,14 @@
         let ratio = HistogramOpts::new("samphire_first_event_forecast_ratio", help)
             .buckets(RATIO_BUCKETS.to_vec());
         let first_event_ratio = Histogram::with_opts(ratio).expect("the name is valid");
+        let help = "The share of the arriving requests that is admitted.";
+        let admitted = Opts::new("samphire_admitted_share", help);
+        let admitted_share =
+            GaugeVec::new(admitted, &["service", "model", "priority"]).expect("the name is valid");
         for collector in [
             Box::new(responses.clone()) as Box<dyn prometheus::core::Collector>,
             Box::new(response_seconds.clone()),
+            Box::new(admitted_share.clone()),
             Box::new(first_event_ratio.clone()),
             Box::new(loop_delay_seconds.clone()),
         ] {
@@ -150,6 +160,7 @@
             response_seconds,
             first_event_ratio,
             loop_delay_seconds,
+            admitted_share,
             waiting: gauge("samphire_waiting_requests", "Requests that wait for a place."),
             evacuating_domains: gauge(
                 "samphire_evacuating_domains",
@@ -186,6 +197,18 @@
         }
     }
 
+    /// Sets the admitted shares of all flows, by priority; flows that are not listed have none.
+    pub fn set_admitted_shares<'a>(&self, shares: impl Iterator<Item = (&'a Flow, &'a Shares)>) {
+        self.admitted_share.reset();
+        for ((service, model), shares) in shares {
+            let model = model.as_deref().unwrap_or_default();
+            for (priority, share) in shares.iter().enumerate() {
+                let labels = [service, model, &priority.to_string()];
+                self.admitted_share.with_label_values(&labels).set(share);
+            }
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut buf = Vec::new();
--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -15,6 +15,7 @@
 use base::hash::stable;
 use base::prelude::*;
 
+use crate::admission::RequestClass;
 use crate::endpoints::EndpointChoice;
 use crate::endpoints::EndpointPool;
 use crate::endpoints::EndpointRequirements;
@@ -38,8 +39,6 @@
 const MAX_WAIT_TARGETS: f64 = 2.5;
 /// Maximum wait for an endpoint, relative to the time from arrival to the deadline.
 const MAX_WAIT_DEADLINE_RATIO: f64 = 0.2;
-/// Retry-after time when all endpoints are busy.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Retry-after time when there is no endpoint.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 /// Retry-after time when no endpoint can be reached from here.
@@ -58,10 +57,19 @@
     pub deadline: Mono,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// The workspace of the caller, if it has one.
+    pub workspace: Option<Box<str>>,
     /// Whether another process may take the request over. One that was handed over already stays.
     pub may_hand_over: bool,
 }
 
+impl PendingRequest {
+    /// Returns whose request it is.
+    pub fn class(&self) -> RequestClass<'_> {
+        RequestClass { priority: self.priority, workspace: self.workspace.as_deref() }
+    }
+}
+
 /// What is done with a request.
 #[data]
 pub enum Decision {
@@ -150,6 +158,9 @@
         order.sort_unstable();
         for (.., ticket) in order {
             let decision = decide(&self.waiting[&ticket], endpoints, now);
+            if matches!(decision, Decision::Send(_)) && self.has_more_urgent(ticket, now) {
+                continue;
+            }
             if decision != Decision::Wait {
                 let pending = self.waiting.remove(&ticket)?;
                 return Some((ticket, pending.requirements.prompt_tokens, decision));
@@ -158,6 +169,20 @@
         None
     }
 
+    /// Returns whether a request that is more urgent than that of `ticket` waits for the same groups and
+    /// is not late. What gets free is left to it.
+    fn has_more_urgent(&self, ticket: Ticket, now: Mono) -> bool {
+        let pending = &self.waiting[&ticket];
+        let is_same_flow = |other: &PendingRequest| {
+            other.requirements.service == pending.requirements.service
+                && other.requirements.model == pending.requirements.model
+        };
+        pending.requirements.model.is_some()
+            && self.waiting.values().any(|other| {
+                other.priority < pending.priority && is_same_flow(other) && !is_late(other, now)
+            })
+    }
+
     /// Removes a request whose caller has disconnected.
     pub fn cancel(&mut self, ticket: Ticket) {
         self.waiting.remove(&ticket);
@@ -237,8 +262,9 @@
         return Decision::Send(choice);
     }
     // A request that has waited long is sent or refused, whatever the others do.
-    if !endpoints.admits(&pending.requirements, pending.arrived_at) && waited < max_wait(pending) {
-        return Decision::Wait;
+    let is_admitted = endpoints.admits(&pending.requirements, pending.class(), pending.arrived_at);
+    if !is_admitted && waited < max_wait(pending) {
+        return wait_for_share(pending, endpoints, now);
     }
     let Some(choice) = endpoints.choose(&pending.requirements, now) else {
         let model = pending.requirements.model.as_deref();
@@ -260,9 +286,25 @@
     if is_on_time(&choice) || takes_late {
         return Decision::Send(choice);
     }
+    let has_priorities =
+        endpoints.time_to_admission(&pending.requirements, pending.class()).is_some();
+    if has_priorities && now + choice.expected_time > pending.deadline {
+        return refuse_busy(pending, endpoints, now);
+    }
     wait_or_leave(pending, endpoints, now)
 }
 
+/// Decides on a request that doesn't belong to the admitted share of its flow and priority. It waits
+/// for the next report if it can then be expected to be sent in time.
+fn wait_for_share(pending: &PendingRequest, endpoints: &EndpointPool, now: Mono) -> Decision {
+    match endpoints.time_to_admission(&pending.requirements, pending.class()) {
+        Some(wait) if now + wait > pending.arrived_at + pending.latency_target => {
+            refuse_busy(pending, endpoints, now)
+        }
+        _ => Decision::Wait,
+    }
+}
+
 /// Decides on a request that no endpoint can accept now.
 fn wait_or_leave(pending: &PendingRequest, endpoints: &EndpointPool, now: Mono) -> Decision {
     if endpoints.has_unreachable(&pending.requirements) {
@@ -272,7 +314,18 @@
     if now.saturating_sub(pending.arrived_at) < max_wait(pending) {
         return Decision::Wait;
     }
-    refuse(pending, BUSY_RETRY_AFTER, Refusal::Busy, now)
+    refuse_busy(pending, endpoints, now)
+}
+
+/// Refuses a request since all endpoints are busy.
+fn refuse_busy(pending: &PendingRequest, endpoints: &EndpointPool, now: Mono) -> Decision {
+    let longest = pending.deadline.saturating_sub(now).mul_f64(MAX_RETRY_AFTER_RATIO);
+    let mut bytes = [0; 32];
+    bytes[..16].copy_from_slice(&pending.arrived_at.as_nanos().to_be_bytes());
+    bytes[16..].copy_from_slice(&now.as_nanos().to_be_bytes());
+    let draw = stable(&bytes) as f64 / u64::MAX as f64;
+    let times = endpoints.retry_times(&pending.requirements);
+    refuse(pending, times.retry_after(pending.priority, longest, draw), Refusal::Busy, now)
 }
 
 /// Decides on a request that this process can't send to an endpoint that others may reach.
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -28,6 +28,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 pub use self::fleet_loads::ModelFleetDemand;
+use crate::admission::RequestClass;
+use crate::admission::RetryTimes;
+use crate::admission::Shares;
 use crate::arrivals::Flow;
 use crate::availability::Pauses;
 use crate::config::ServiceSpec;
@@ -62,6 +65,8 @@
 const MANY_PROCESSES: f64 = 40.0;
 /// Size up to which a request counts for the mean of its flow, relative to the usual size.
 const MAX_SIZE_RATIO: f64 = 8.0;
+/// Most reports until a request is admitted that are assumed.
+const MAX_REPORTS_TO_ADMISSION: f64 = 1e3;
 /// Age of what is known of a server's limit from which on a request is sent to learn whether it
 /// still holds.
 const MAX_LIMIT_AGE: Duration = Duration::from_secs(2);
@@ -473,7 +478,12 @@
     }
 
     /// Records that a request has arrived.
-    pub fn request_arrived(&mut self, requirements: &EndpointRequirements, now: Mono) {
+    pub fn request_arrived(
+        &mut self,
+        requirements: &EndpointRequirements,
+        class: RequestClass<'_>,
+        now: Mono,
+    ) {
         let EndpointRequirements { service, model, .. } = requirements;
         // Callers may name any model, and claim any size.
         let (Some(engine), Some(model)) = (self.engine(service), model) else { return };
@@ -485,15 +495,20 @@
             prompt_tokens: counted(requirements.prompt_tokens, engine.mean_prompt_tokens),
             output_tokens: counted(requirements.output_tokens, engine.mean_output_tokens),
         };
-        self.flows.request_arrived(&(service.clone(), Some(model.clone())), size, now);
+        self.flows.request_arrived(&(service.clone(), Some(model.clone())), size, class, now);
     }
 
     /// Returns whether a request may be sent before the next report. If the endpoints can't take all
-    /// that arrive, each process sends the same share of its own.
-    pub fn admits(&self, requirements: &EndpointRequirements, arrived_at: Mono) -> bool {
+    /// that arrive, each process sends the same share of its own of each priority.
+    pub fn admits(
+        &self,
+        requirements: &EndpointRequirements,
+        class: RequestClass<'_>,
+        arrived_at: Mono,
+    ) -> bool {
         let is_repeated = !requirements.excluded.is_empty();
         is_repeated
-            || self.flows.admits(self.flow_outlook(requirements), arrived_at)
+            || self.flows.admits(self.admitted_share(requirements, class), arrived_at)
             || self.is_being_evacuated(requirements)
     }
 
@@ -502,6 +517,40 @@
         self.flow_outlook(requirements).admitted >= 1.0
     }
 
+    /// Returns when callers whose requests are rejected since the endpoints are busy are to retry.
+    pub fn retry_times(&self, requirements: &EndpointRequirements) -> RetryTimes {
+        self.flow_outlook(requirements).retry_times
+    }
+
+    /// Returns about how long a request whose share is used up waits until it is admitted; `None` if
+    /// all requests of its flow have the same share.
+    pub fn time_to_admission(
+        &self,
+        requirements: &EndpointRequirements,
+        class: RequestClass<'_>,
+    ) -> Option<Duration> {
+        let shares = self.flow_outlook(requirements).shares;
+        let share = self.admitted_share(requirements, class);
+        // Each report gives it another chance.
+        let reports = (1.0 / share).min(MAX_REPORTS_TO_ADMISSION);
+        let differ = shares.differ() || share != shares.of(class.priority);
+        differ.then(|| self.flows.report_interval().mul_f64(reports))
+    }
+
+    /// Returns the share of the requests of a priority and workspace that is admitted.
+    pub fn admitted_share(
+        &self,
+        requirements: &EndpointRequirements,
+        class: RequestClass<'_>,
+    ) -> f64 {
+        self.flows.share(&requirements.service, requirements.model.as_deref(), class)
+    }
+
+    /// Returns the admitted shares of each flow by priority.
+    pub fn admitted_shares(&self) -> impl Iterator<Item = (&Flow, &Shares)> {
+        self.flows.shares()
+    }
+
     fn flow_outlook(&self, requirements: &EndpointRequirements) -> FlowOutlook {
         self.flows.outlook(&requirements.service, requirements.model.as_deref())
     }
--- a/crates/pass/src/endpoints/fleet_loads.rs
+++ b/crates/pass/src/endpoints/fleet_loads.rs
@@ -168,7 +168,12 @@
                 state.drift = drift;
             }
         }
-        let outlook = FlowOutlook { admitted: outlook.admitted, mean_size: Some(mean_size) };
+        let outlook = FlowOutlook {
+            admitted: outlook.admitted,
+            shares: outlook.shares,
+            retry_times: outlook.retry_times,
+            mean_size: Some(mean_size),
+        };
         self.flows.set_outlook(flow, outlook);
     }
 }
--- a/crates/pass/src/flows.rs
+++ b/crates/pass/src/flows.rs
@@ -5,10 +5,14 @@
 use base::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::RequestClass;
+use crate::admission::RetryTimes;
+use crate::admission::Shares;
 use crate::arrivals::Demand;
 use crate::arrivals::Flow;
 use crate::arrivals::FlowRates;
 use crate::engine_time::RequestSize;
+use crate::fair_share::WorkspaceRates;
 use crate::fixed_time::FixedTime;
 
 /// Longest time between two reports that is assumed.
@@ -19,6 +23,7 @@
 struct FlowState {
     flow: Flow,
     rates: FlowRates,
+    workspaces: WorkspaceRates,
     /// The demand at the other processes, if they report any.
     remote: Option<Demand>,
     outlook: FlowOutlook,
@@ -30,13 +35,22 @@
 pub(crate) struct FlowOutlook {
     /// The share of the arriving requests that the endpoints can take.
     pub(crate) admitted: f64,
+    /// The same by priority.
+    pub(crate) shares: Shares,
+    /// When callers retry that are rejected since the endpoints are busy.
+    pub(crate) retry_times: RetryTimes,
     /// The mean size of a request.
     pub(crate) mean_size: Option<RequestSize>,
 }
 
 impl Default for FlowOutlook {
     fn default() -> Self {
-        FlowOutlook { admitted: 1.0, mean_size: None }
+        FlowOutlook {
+            admitted: 1.0,
+            shares: Shares::default(),
+            retry_times: RetryTimes::default(),
+            mean_size: None,
+        }
     }
 }
 
@@ -53,8 +67,16 @@
 
 impl Flows {
     /// Records that a request has arrived.
-    pub(crate) fn request_arrived(&mut self, flow: &Flow, size: RequestSize, now: Mono) {
-        self.state_mut(flow).rates.request_arrived(size, now);
+    pub(crate) fn request_arrived(
+        &mut self,
+        flow: &Flow,
+        size: RequestSize,
+        class: RequestClass<'_>,
+        now: Mono,
+    ) {
+        let state = self.state_mut(flow);
+        state.rates.request_arrived(size, class.priority, now);
+        state.workspaces.request_arrived(class, now);
     }
 
     /// Records that a request is sent to an endpoint.
@@ -141,7 +163,11 @@
 
     /// Sets what is expected of a flow until the next report.
     pub(crate) fn set_outlook(&mut self, flow: &Flow, outlook: FlowOutlook) {
-        self.state_mut(flow).outlook = outlook;
+        let reported_at = self.reported_at;
+        let state = self.state_mut(flow);
+        let shares = outlook.shares.smoothed(state.outlook.shares);
+        state.outlook = FlowOutlook { shares, ..outlook };
+        state.workspaces.divide(&shares, reported_at);
     }
 
     /// Returns what is expected of a flow until the next report.
@@ -149,17 +175,28 @@
         self.state(service, model).map_or(FlowOutlook::default(), |state| state.outlook)
     }
 
-    /// Returns whether a request that arrived at `arrived_at` belongs to the share of a flow that is
-    /// sent until the next report. The answer doesn't change until then.
-    pub(crate) fn admits(&self, outlook: FlowOutlook, arrived_at: Mono) -> bool {
-        if outlook.admitted >= 1.0 {
+    /// Returns the admitted shares of each flow by priority.
+    pub(crate) fn shares(&self) -> impl Iterator<Item = (&Flow, &Shares)> {
+        self.states.iter().map(|state| (&state.flow, &state.outlook.shares))
+    }
+
+    /// Returns the admitted share of requests of a priority and workspace.
+    pub(crate) fn share(&self, service: &str, model: Option<&str>, class: RequestClass<'_>) -> f64 {
+        let Some(state) = self.state(service, model) else { return 1.0 };
+        let of_workspace = state.workspaces.share(class);
+        of_workspace.unwrap_or_else(|| state.outlook.shares.of(class.priority))
+    }
+
+    /// Returns whether a request that arrived at `arrived_at` belongs to the `share` of its kind that is sent until the next report. The answer doesn't change until then.
+    pub(crate) fn admits(&self, share: f64, arrived_at: Mono) -> bool {
+        if share >= 1.0 {
             return true;
         }
         let mut bytes = [0; 24];
         bytes[..16].copy_from_slice(&arrived_at.as_nanos().to_be_bytes());
         bytes[16..].copy_from_slice(&self.reports.to_be_bytes());
         let draw = xxh3_64(&bytes) as f64 / u64::MAX as f64;
-        draw < outlook.admitted
+        draw < share
     }
 
     fn state(&self, service: &str, model: Option<&str>) -> Option<&FlowState> {
@@ -175,6 +212,7 @@
                 self.states.push(FlowState {
                     flow: flow.clone(),
                     rates: FlowRates::default(),
+                    workspaces: WorkspaceRates::default(),
                     remote: None,
                     outlook: FlowOutlook::default(),
                     fixed_time: FixedTime::default(),
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -2,6 +2,8 @@
 //! back byte by byte.
 //!
 //! - [`config`]: the configuration by operators: routes, services, workspaces, limits.
+//! - [`admission`]: how capacity is divided among priorities.
+//! - [`fair_share`]: how capacity is divided among workspaces.
 //! - [`routes`]: the table that finds the route and workspace of a request.
 //! - [`header_names`]: the names of the headers that callers and backend servers use.
 //! - [`request`]: the metadata in the headers of a request.
@@ -24,6 +26,7 @@
 //! - [`fixed_time`]: the part of that time that doesn't depend on load.
 //! - [`events`]: splits a stream into complete events.
 
+pub mod admission;
 pub mod arrivals;
 pub mod availability;
 pub mod budget;
@@ -34,6 +37,7 @@
 pub mod engine_time;
 pub mod evacuation;
 pub mod events;
+pub mod fair_share;
 pub mod fixed_time;
 mod flows;
 pub mod header_names;
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use pass::arrivals::Demand;
 use pass::dispatch::Decision;
 use pass::dispatch::DispatchQueue;
 use pass::dispatch::PendingRequest;
@@ -84,6 +85,7 @@
         latency_target: millis(300),
         deadline: arrived_at + Duration::from_secs(8),
         priority,
+        workspace: None,
         may_hand_over: false,
     }
 }
@@ -117,7 +119,7 @@
             pending.requirements.prompt_tokens = u64::MAX;
             pending.requirements.output_tokens = u64::MAX;
         }
-        endpoints.request_arrived(&pending.requirements, now);
+        endpoints.request_arrived(&pending.requirements, pending.class(), now);
     }
     let now = start + millis(2_000);
     endpoints.set_remote_loads(&[], 8, now);
@@ -484,7 +486,9 @@
     let mut endpoints = endpoints(&["a", "b"]);
     let start = millis(1_000);
     for number in 0..400 {
-        endpoints.request_arrived(&pending(1, start).requirements, start + millis(number * 5));
+        let pending = pending(1, start);
+        let at = start + millis(number * 5);
+        endpoints.request_arrived(&pending.requirements, pending.class(), at);
     }
     let now = start + millis(2_000);
     endpoints.evacuations.request("a", 5, None, now);
@@ -523,3 +527,59 @@
     }
     assert_eq!((endpoints.requests_in("a"), endpoints.requests_in("other")), (0, 3));
 }
+
+// Guards against a low-priority request that takes the slot for which a more urgent one waits.
+#[test]
+fn what_gets_free_is_left_to_a_more_urgent_request_until_it_is_late() {
+    let mut endpoints = endpoints(&["a"]);
+    let mut dispatch = DispatchQueue::default();
+    let now = millis(1_000);
+    for _ in 0..4 {
+        endpoints.request_sent(&endpoint("a"), 0, now);
+        endpoints.data_received(&endpoint("a"), now);
+    }
+    let (_, low) = dispatch.submit(pending(2, now), &endpoints, now);
+    let mut urgent = pending(1, now);
+    urgent.latency_target = millis(100);
+    urgent.requirements.prompt_tokens = 6_000;
+    dispatch.submit(urgent, &endpoints, now);
+    endpoints.request_ended(&endpoint("a"));
+    assert_eq!(dispatch.poll(&endpoints, now + millis(50)), None);
+    let sent = dispatch.poll(&endpoints, now + millis(110)).expect("a decision");
+    assert_eq!((Some(sent.0), matches!(sent.2, Decision::Send(_))), (low, true));
+}
+
+/// Returns the decisions on a request of each priority at a full endpoint, while 100 requests a second
+/// arrive over the fleet, of them so many of the highest and of the lowest priority.
+fn decisions_under_overload(urgent: f64, low: f64) -> [Decision; 3] {
+    let mut endpoints = endpoints(&["a"]);
+    let mut now = millis(1_000);
+    let demand = Demand {
+        arrivals_per_second: 100.0,
+        prompt_tokens_per_second: 100_000.0,
+        output_tokens_per_second: 10_000.0,
+        sends_per_second: 20.0,
+        urgent_per_second: urgent,
+        low_per_second: low,
+    };
+    let load = Load { requests: 4, demand: Some(demand), ..Load::default() };
+    for _ in 0..8 {
+        now += millis(300);
+        endpoints.set_remote_loads(&[("a".into(), load)], 80, now);
+    }
+    [0, 1, 2]
+        .map(|priority| DispatchQueue::default().submit(pending(priority, now), &endpoints, now).0)
+}
+
+// Guards against low-priority requests that wait for capacity that higher ones take, and against such
+// rejections where there is a single priority.
+#[test]
+fn a_request_whose_share_is_used_up_is_refused_at_once_only_beside_other_priorities() {
+    let [urgent, _, low] = decisions_under_overload(1.0, 99.0);
+    assert_eq!(urgent, Decision::Wait);
+    assert!(matches!(low, Decision::Refuse { reason: Refusal::Busy, .. }), "{low:?}");
+    for (urgent, low) in [(0.0, 0.0), (100.0, 0.0), (0.0, 100.0)] {
+        let decisions = decisions_under_overload(urgent, low);
+        assert_eq!(decisions, [Decision::Wait, Decision::Wait, Decision::Wait]);
+    }
+}
--- a/crates/pass/tests/fleet_demands.rs
+++ b/crates/pass/tests/fleet_demands.rs
@@ -4,9 +4,13 @@
 
 use base::prelude::*;
 use form::prelude::*;
+use pass::admission::RequestClass;
 use pass::endpoints::EndpointRequirements;
 use pass::prelude::*;
 
+/// Whose requests arrive.
+const CLASS: RequestClass<'static> = RequestClass { priority: 1, workspace: None };
+
 const SERVICE: &str = "assistant";
 const MODEL: &str = "large";
 
@@ -41,7 +45,7 @@
     let engine = Some(engine());
     let name: ServiceId = SERVICE.into();
     let mut endpoints = EndpointPool::with_seed(1);
-    let spec = ServiceSpec { name: name.clone(), max_connections: 9, engine };
+    let spec = ServiceSpec { name: name.clone(), max_connections: 9, engine, warm_up: None };
     endpoints.set_services([Arc::new(spec)]);
     endpoints.set_endpoints(vec![Endpoint {
         server: "head".into(),
@@ -65,7 +69,7 @@
         excluded: Vec::new(),
     };
     for _ in 0..requests {
-        endpoints.request_arrived(&requirements, now);
+        endpoints.request_arrived(&requirements, CLASS, now);
     }
 }
 
