--- a/crates/form/src/owner/rebalance.rs
+++ b/crates/form/src/owner/rebalance.rs
@@ -3,8 +3,8 @@
 //! Failures hit models unevenly, and a free server can only join a group of a model that it holds.
 //! When a large group loses one member, the servers left over might only form small groups,
 //! although one more server of the fabric domain would restore the large group. So before free
-//! servers form groups, each domain is evaluated as a whole: some groups of one model, or of
-//! several while a model is overloaded, are retired if their members, together with the free servers, can form groups whose value clearly exceeds
+//! servers form groups, each domain is evaluated as a whole: some groups of one model are retired
+//! if their members, together with the free servers, can form groups whose value clearly exceeds
 //! that of the retired groups plus what the free servers could form alone. Until the retired groups
 //! have finished their requests, the free servers of the domain are held back.
 //!
@@ -168,61 +168,33 @@
     observed: &ObservedState<'_>,
 ) -> Vec<RebalanceOption> {
     let alone = compose::best_group_set(observed.engine, demands, free, StoreLoads::Forbidden).gain;
-    let donors: Vec<Vec<&Group>> =
-        observed.engine.models.iter().map(|model| donors(groups, &model.name, observed)).collect();
-    let available: Vec<usize> = donors.iter().map(Vec::len).collect();
-    let is_overloaded = demands.iter().any(|demand| demand.required.is_some());
-    let counts = donor_counts(&available, is_overloaded).into_iter();
-    counts
-        .filter_map(|counts| {
-            let mut left = demands.to_vec();
-            let mut candidates = free.to_vec();
-            let mut retired = Vec::new();
-            let mut loss = 0.0;
-            for (index, count) in counts.into_iter().enumerate() {
-                for group in &donors[index][..count] {
-                    loss += left[index].marginal_loss();
-                    left[index].supply -= 1.0;
-                    let members = group.members.values();
-                    candidates
-                        .extend(members.map(|id| super::free::candidate(&observed.servers[id])));
-                    retired.push(group.key());
-                }
-            }
+    let mut found = Vec::new();
+    for (index, model) in observed.engine.models.iter().enumerate() {
+        let mut donors: Vec<(usize, &Group)> = groups
+            .iter()
+            .filter(|group| group.model.as_ref() == Some(&model.name))
+            .map(|group| (single_model_members(group, model.name.as_ref(), observed), *group))
+            .collect();
+        donors.sort_by_key(|(single_model, _)| *single_model);
+        let mut left = demands.to_vec();
+        let mut candidates = free.to_vec();
+        let mut retired = Vec::new();
+        let mut loss = 0.0;
+        for (_, group) in donors.into_iter().take(MAX_RETIRED_GROUPS) {
+            loss += left[index].marginal_loss();
+            left[index].supply -= 1.0;
+            candidates.extend(
+                group.members.values().map(|id| super::free::candidate(&observed.servers[id])),
+            );
+            retired.push(group.key());
             let set =
                 compose::best_group_set(observed.engine, &left, &candidates, StoreLoads::Forbidden);
             let gain = set.gain - alone - loss;
-            let is_worthwhile = gain > (loss + alone) * REBALANCE_COST;
-            is_worthwhile.then_some(RebalanceOption { retired, set, gain })
-        })
-        .collect()
-}
-
-/// Returns the groups of `model` in the order in which they are retired.
-fn donors<'a>(groups: &[&'a Group], model: &str, observed: &ObservedState<'_>) -> Vec<&'a Group> {
-    let of_model = groups.iter().copied().filter(|group| group.model.as_deref() == Some(model));
-    let mut donors: Vec<&Group> = of_model.collect();
-    donors.sort_by_key(|group| single_model_members(group, model, observed));
-    donors
-}
-
-/// Returns how many groups of each model may be retired together, given how many there are: those of
-/// one model, and `mixed` ones if allowed.
-fn donor_counts(available: &[usize], mixed: bool) -> Vec<Vec<usize>> {
-    let mut found = vec![Vec::new()];
-    for most in available {
-        let longer = |counts: &Vec<usize>| {
-            let taken: usize = counts.iter().sum();
-            let most = match mixed || taken == 0 {
-                true => (*most).min(MAX_RETIRED_GROUPS - taken),
-                false => 0,
-            };
-            let counts = counts.clone();
-            (0..=most).map(move |count| [&counts[..], &[count]].concat())
-        };
-        found = found.iter().flat_map(longer).collect();
+            if gain > (loss + alone) * REBALANCE_COST {
+                found.push(RebalanceOption { retired: retired.clone(), set, gain });
+            }
+        }
     }
-    found.retain(|counts| counts.iter().any(|count| *count > 0));
     found
 }
 
