--- a/crates/form/src/compose.rs
+++ b/crates/form/src/compose.rs
@@ -2,8 +2,8 @@
 //!
 //! All groups of a domain are chosen together, since a good first group may leave too few servers
 //! for any other. The value of a group is its marginal [`utility`](crate::utility), by which a model
-//! without any group goes first and no model starves. This value is discounted by the time until the group could serve.
-//! The domains are planned in turn, each against the supply of all the others, until no choice
+//! without any group goes first and no model starves. This value is discounted by the time until the
+//! group could serve. The domains are planned in turn, each against the supply of all the others, until no choice
 //! changes any more. The members of a group are the servers that are ready soonest and, among
 //! these, can serve the fewest other models.
 //!
--- a/crates/form/src/owner/forming.rs
+++ b/crates/form/src/owner/forming.rs
@@ -2,10 +2,10 @@
 //!
 //! First every member is ordered to join, and accepted joins are polled until all members have
 //! joined; then the head is ordered to open. Forming is given up if a member drains, is evacuated,
-//! restarts, goes missing or becomes unresponsive, if a connection for an order is refused, if the head leaves an
-//! order to join unanswered, or when the deadline has passed. A group that is given up before it
-//! was ordered to open counts as released, so that its members are free at once; otherwise its head
-//! must leave it first.
+//! restarts, goes missing or becomes unresponsive, if a connection for an order is refused, if the
+//! head leaves an order to join unanswered, or when the deadline has passed. A group that is given up
+//! before it was ordered to open counts as released, so that its members are free at once; otherwise
+//! its head must leave it first.
 
 use std::collections::BTreeMap;
 
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -1,12 +1,11 @@
 //! Which servers are free, and the groups that are formed from them.
 //!
-//! A ready server is free if no order to it is in flight, it is in no group that is being formed, its
-//! failure domain is not being evacuated,
-//! it has not failed a probe lately, and the head of the group that it was last in can no longer
-//! serve that group. The last report may predate the last join, so the owner's own memory of that
-//! join takes precedence. The groups to form are planned by [`compose`](crate::compose). Before the
-//! first request, groups are formed only once servers have stopped arriving, and the servers left
-//! over are warmed up as spares.
+//! A ready server is free if no order to it is in flight, it is in no group that is being formed,
+//! its failure domain is not being evacuated, it has not failed a probe lately, and the head of the
+//! group that it was last in can no longer serve that group. The last report may predate the last
+//! join, so the owner's own memory of that join takes precedence. The groups to form are planned by
+//! [`compose`](crate::compose). Before the first request, groups are formed only once servers have
+//! stopped arriving, and the servers left over are warmed up as spares.
 
 use std::collections::BTreeMap;
 
--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -151,8 +151,8 @@
     Evacuation { domain: &'a str, state: &'a str, revision: Revision },
     /// A report was ignored because a later one had been seen.
     Outdated { server: &'a str, born_ms: u64, orders: u64 },
-    /// A model of a service became overloaded, is no longer, or its demand is no longer reported; `required_groups` is the mean number of
-    /// groups at which its requests meet their target.
+    /// A model of a service became overloaded, is no longer, or its demand is no longer reported.
+    /// `required_groups` is the mean number of groups at which its requests meet their target.
     Overload { service: &'a str, model: &'a str, state: &'a str, required_groups: f64 },
     /// An order was sent.
     Ordered { server: &'a str, order: u64, what: &'a str, group: &'a str, epoch: u64 },
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -4,6 +4,7 @@
 //! wrote the lock's key is the fencing token of its orders. Only hubs compete for the lock, since
 //! they watch the store. What to order is decided in [`form`].
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -191,33 +192,29 @@
         }
     }
 
-    /// Logs the models that became overloaded or are no longer, and sets the metric.
+    /// Logs the models that became overloaded, are no longer, or have no reported demand any more, and
+    /// sets the metric.
     fn report_overload(&mut self) {
+        let mut known = BTreeMap::new();
         for (service, owner) in &self.owners.1 {
-            for (model, is_overloaded, required_groups) in owner.model_loads() {
-                let key = (service.clone(), model.clone());
-                if is_overloaded == self.overloaded.contains(&key) {
-                    continue;
-                }
-                let state = if is_overloaded { "overloaded" } else { "ended" };
-                decision_log::write(&Record::Overload { service, model, state, required_groups });
-                match is_overloaded {
-                    true => self.overloaded.insert(key),
-                    false => self.overloaded.remove(&key),
-                };
+            for (model, is_overloaded, groups) in owner.model_loads() {
+                known.insert((service.clone(), model.clone()), (is_overloaded, groups));
             }
         }
-        let owners = &self.owners.1;
-        self.overloaded.retain(|(service, model)| {
-            let owner = owners.iter().find(|(name, _)| name == service);
-            let is_known = owner
-                .is_some_and(|(_, owner)| owner.model_loads().any(|(known, ..)| known == model));
-            if !is_known {
-                let (state, required_groups) = ("unknown", 0.0);
-                decision_log::write(&Record::Overload { service, model, state, required_groups });
-            }
-            is_known
-        });
+        let is_overloaded =
+            |(_, (is_overloaded, _)): &(&(ServiceId, ModelId), &(bool, f64))| *is_overloaded;
+        let overloaded: BTreeSet<(ServiceId, ModelId)> =
+            known.iter().filter(is_overloaded).map(|(key, _)| key.clone()).collect();
+        for key in overloaded.symmetric_difference(&self.overloaded) {
+            let (state, required_groups) = match known.get(key) {
+                Some((true, groups)) => ("overloaded", *groups),
+                Some((false, groups)) => ("ended", *groups),
+                None => ("unknown", 0.0),
+            };
+            let (service, model) = (&*key.0, &*key.1);
+            decision_log::write(&Record::Overload { service, model, state, required_groups });
+        }
+        self.overloaded = overloaded;
         self.metrics.overloaded_models.set(self.overloaded.len() as i64);
     }
 
--- a/crates/front/src/peers/hub.rs
+++ b/crates/front/src/peers/hub.rs
@@ -26,8 +26,8 @@
 use crate::serve::TAKE_OVER_PATH;
 use crate::serve::TakeOver;
 
-/// Time that a hub needs for each exchange. The interval of each process grows with the number of
-/// processes that share the hub.
+/// Time between two exchanges of a hub with any of its processes. The interval of each process is
+/// this times the number of processes that share the hub, so that a hub's work doesn't grow with them.
 const HUB_TIME_PER_EXCHANGE: Duration = Duration::from_millis(4);
 /// Largest accepted exchange message.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
--- a/crates/pass/src/arrivals.rs
+++ b/crates/pass/src/arrivals.rs
@@ -66,7 +66,8 @@
         self.decayed(now) / (DECAY_TIME.as_secs_f64() * observed)
     }
 
-    /// Returns the weight of the events in a second, if they are some of `all` events.
+    /// Returns the weight of the events in a second, for events that are part of `all`: the rate of
+    /// `all` times their share in it, so that the rates of the parts add up.
     fn share_of(&self, all: &EventRate, now: Mono) -> f64 {
         let share = self.decayed(now) / all.decayed(now).max(f64::MIN_POSITIVE);
         all.per_second(now) * share.min(1.0)
@@ -84,8 +85,9 @@
 pub struct FlowRates {
     /// Requests that arrive.
     arrivals: EventRate,
-    /// Those of a higher and of a lower priority than the middle one.
+    /// Arrivals of a higher priority than [`MIDDLE_PRIORITY`].
     urgent: EventRate,
+    /// Arrivals of a lower priority than [`MIDDLE_PRIORITY`].
     low: EventRate,
     /// Prompt tokens of these requests.
     prompt_tokens: EventRate,
--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -170,7 +170,7 @@
     }
 
     /// Returns whether a request that is more urgent than that of `ticket` waits for the same groups and
-    /// is not late. What gets free is left to it.
+    /// is not late. Capacity that becomes free is reserved for it.
     fn has_more_urgent(&self, ticket: Ticket, now: Mono) -> bool {
         let pending = &self.waiting[&ticket];
         let is_same_flow = |other: &PendingRequest| {
--- a/crates/pass/src/endpoints/admission.rs
+++ b/crates/pass/src/endpoints/admission.rs
@@ -13,7 +13,7 @@
 
 /// Size up to which a request counts for the mean of its flow, relative to the usual size.
 const MAX_SIZE_RATIO: f64 = 8.0;
-/// Most reports until a request is admitted that are assumed.
+/// Upper bound on the number of reports for which a request is expected to wait.
 const MAX_REPORTS_TO_ADMISSION: f64 = 1e3;
 
 impl EndpointPool {
@@ -71,7 +71,7 @@
     ) -> Option<Duration> {
         let shares = self.flow_outlook(requirements).shares;
         let share = self.admitted_share(requirements, class);
-        // Each report gives it another chance.
+        // A request is drawn anew at each report, so it waits for 1 / share reports on average.
         let reports = (1.0 / share).min(MAX_REPORTS_TO_ADMISSION);
         let differ = shares.differ() || share != shares.of(class.priority);
         differ.then(|| self.flows.report_interval().mul_f64(reports))
--- a/crates/pass/src/fixed_time.rs
+++ b/crates/pass/src/fixed_time.rs
@@ -1,7 +1,7 @@
 //! The part of the time to the first event that doesn't depend on the load of a group.
 //!
 //! An engine takes some time for each request besides reading prompts and writing answers, and so does
-//! the way there and back. No message names that time, so it is learnt for each flow: it is what the
+//! the network. No message names that time, so it is learned for each flow: it is what the
 //! first events take beyond the time that the load explains. Loads are known late, and some groups are
 //! slow, so the time is a low quantile of the recent samples.
 
--- a/crates/pass/src/flows.rs
+++ b/crates/pass/src/flows.rs
@@ -187,7 +187,8 @@
         of_workspace.unwrap_or_else(|| state.outlook.shares.of(class.priority))
     }
 
-    /// Returns whether a request that arrived at `arrived_at` belongs to the `share` of its kind that is sent until the next report. The answer doesn't change until then.
+    /// Returns whether a request that arrived at `arrived_at` belongs to the `share` of its kind that
+    /// is sent until the next report. The answer doesn't change until then.
     pub(crate) fn admits(&self, share: f64, arrived_at: Mono) -> bool {
         if share >= 1.0 {
             return true;
--- a/crates/pass/src/warm_up.rs
+++ b/crates/pass/src/warm_up.rs
@@ -8,12 +8,11 @@
 //! process begins with a part of a permit that follows from a hash of the process and the server
 //! instance, so that the times of the permits are independent and uniform.
 //!
-//! Invariant: `n` processes that know of each other send a server at most `per_second * over + slack`
-//! requests in any one second, but with a probability of [`EXCESS_PROBABILITY`]. In a time `t`, a
-//! process has `x` or one more permits, where `x` is the whole part of its rate times
-//! `t + PERMIT_TTL`, and the one more with the probability of the rest. So the count of the fleet is
-//! `n * x` plus a binomial variable, and [`used_rate`] is the largest rate up to `per_second` for
-//! which that bound holds.
+//! Invariant: the probability that `n` processes that know of each other send a server more than
+//! `per_second * over + slack` requests in one second is at most [`EXCESS_PROBABILITY`]. In a time
+//! `t`, each process has `floor(m)` permits and, with probability `fract(m)`, one more, where `m` is
+//! its rate times `t + PERMIT_TTL`. So the count of the fleet is `n * floor(m)` plus a binomial
+//! variable, and [`used_rate`] is the largest rate up to `per_second` for which that bound holds.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
