--- a/crates/pass/src/evacuation.rs
+++ b/crates/pass/src/evacuation.rs
@@ -2,7 +2,7 @@
 //!
 //! Each process decides on its own, from the rows of the store that it has. Algorithm: a domain has a
 //! share of new requests. Once a process learns of an evacuation, the share falls linearly to zero
-//! within [`STOP_RATIO`] of the bound if the rows were fresh, and at once otherwise. Once it learns that the
+//! within `STOP_RATIO` of the bound if the rows were fresh, and at once otherwise. Once it learns that the
 //! evacuation was canceled, the share rises linearly within [`RETURN_TIME`]. Each change starts
 //! from the share of that moment, so that an evacuation can be canceled and requested again at any time.
 //!
