Review: the wrong part of a prompt is refused, and sound requests with it

Cause: of the parts that share the crashes of servers, the deepest one is refused, which need not be the one at fault; then nothing can clear it.

--- a/review/stand/deployment.rs
+++ b/review/stand/deployment.rs
@@ -1,7 +1,6 @@
 //! The small deployment of the cases: one plain service with three servers, two routes and one key.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::net::Message;
@@ -20,14 +19,12 @@
 
 pub const GRACE: f64 = 8.0;
 pub const CONFIG_TIME: f64 = 2.0;
-pub const DRAIN_TIME: Duration = Duration::from_secs(2);
 
 /// Starts `count` servers, which answer with `run`, and an entry process; `None` if it doesn't get ready.
 pub fn start(world: &mut World, count: usize, run: &Run) -> Option<(Vec<Server>, usize)> {
     world.store.put("op/config", CONFIG);
-    let start = |i| {
-        Server::start(&world.store, &world.record, "desk", &format!("i-desk{i}"), run.clone())
-    };
+    let start =
+        |i| Server::start(&world.store, &world.record, "desk", &format!("i-desk{i}"), run.clone());
     let servers: Vec<Server> = (0..count).map(start).collect();
     let entry = world.start_entry("a");
     if !world.wait_until_ready(entry) {
@@ -61,11 +58,3 @@
     world.record.write(&format!("the client of {id} got {status}"));
     status
 }
-
-/// Returns a run that takes `work` and succeeds.
-pub fn sound(work: Duration) -> Run {
-    Arc::new(move |server, request, stream| {
-        std::thread::sleep(work);
-        server.succeed(request, stream, b"confirmed")
-    })
-}
--- a/review/stand/long_answer.rs
+++ b/review/stand/long_answer.rs
@@ -13,24 +13,21 @@
 const LONG_BYTES: usize = 240 << 10;
 const SHORT_BYTES: usize = 96 << 10;
 const CLIENTS: usize = 6;
-/// SIGHUP.
-const HUP: i32 = 1;
 
 pub fn play(world: &mut World) -> Verdict {
     let bytes = if world.trouble { LONG_BYTES } else { SHORT_BYTES };
     let long: Arc<Vec<u8>> = Arc::new((0..bytes).map(|i| b'a' + (i % 23) as u8).collect());
     let expected = long.clone();
-    let run: world::Run = Arc::new(move |server, request, stream| {
-        match request.path().ends_with("/list") {
+    let run: world::Run =
+        Arc::new(move |server, request, stream| match request.path().ends_with("/list") {
             true => server.succeed(request, stream, &long),
             false => server.succeed(request, stream, b"confirmed"),
-        }
-    });
+        });
     let Some((servers, entry)) = deployment::start(world, 3, &run) else {
         return Verdict::NotRun("the entry process isn't ready".into());
     };
     let address = world.entry(entry).callers;
-    world.signal(entry, HUP, "SIGHUP");
+    world.signal(entry, world::HUP, "SIGHUP");
     let hup_at = world.record.now();
     std::thread::sleep(Duration::from_millis(200));
     let mut incomplete = 0;
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -4,8 +4,9 @@
 //! processes go to a temporary folder, the record to FOLDER. Exits with 1 if the rule was broken, 0 if it
 //! held, 2 if the case could not run.
 
-mod alien_entry;
+mod deadly_part;
 mod deployment;
+mod engine;
 mod extra_answer;
 mod long_answer;
 mod net;
@@ -42,7 +43,7 @@
         "long-answer" => long_answer::play(&mut world),
         "run-then-503" => run_then_503::play(&mut world),
         "slow-reader" => slow_reader::play(&mut world),
-        "alien-entry" => alien_entry::play(&mut world),
+        "deadly-part" => deadly_part::play(&mut world),
         "extra-answer" => extra_answer::play(&mut world),
         _ => Verdict::NotRun("no such case".into()),
     };
--- a/review/stand/net.rs
+++ b/review/stand/net.rs
@@ -21,10 +21,6 @@
         self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.line.split(' ').next().unwrap_or("")
-    }
-
     pub fn target(&self) -> &str {
         self.line.split(' ').nth(1).unwrap_or("")
     }
@@ -115,20 +111,26 @@
 
 /// Ends what [`serve`] serves: closes the listener and all its connections.
 #[derive(Clone, Default)]
-pub struct End(Arc<Mutex<(bool, Vec<TcpStream>)>>);
+pub struct End(Arc<Mutex<Ending>>);
+
+#[derive(Default)]
+struct Ending {
+    is_due: bool,
+    is_closed: bool,
+    streams: Vec<TcpStream>,
+}
 
 impl End {
     pub fn end(&self, address: SocketAddr) {
-        let streams = {
-            let mut state = self.0.lock().unwrap();
-            state.0 = true;
-            std::mem::take(&mut state.1)
-        };
-        for stream in streams {
+        self.0.lock().unwrap().is_due = true;
+        // Wakes the listener, which then closes; a crash closes it with the connections.
+        let _ = TcpStream::connect(address);
+        while !self.0.lock().unwrap().is_closed {
+            std::thread::sleep(std::time::Duration::from_micros(200));
+        }
+        for stream in std::mem::take(&mut self.0.lock().unwrap().streams) {
             let _ = stream.shutdown(Shutdown::Both);
         }
-        // Wakes the listener, which then closes.
-        let _ = TcpStream::connect(address);
     }
 }
 
@@ -137,18 +139,20 @@
     let end = End::default();
     let ending = end.clone();
     std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        while let Ok((stream, _)) = listener.accept() {
             let mut state = ending.0.lock().unwrap();
-            if state.0 {
-                return;
+            if state.is_due {
+                break;
             }
-            state.1.extend(stream.try_clone());
+            state.streams.extend(stream.try_clone());
             drop(state);
             let handler = handler.clone();
             std::thread::spawn(move || {
                 let _ = serve_connection(stream, handler);
             });
         }
+        drop(listener);
+        ending.0.lock().unwrap().is_closed = true;
     });
     end
 }
@@ -207,7 +211,7 @@
 #[derive(Clone, Debug)]
 pub enum Json {
     Null,
-    Bool(bool),
+    Bool,
     Number(f64),
     Text(String),
     List(Vec<Json>),
@@ -315,11 +319,11 @@
         }
         b't' => {
             *at += 4;
-            Some(Json::Bool(true))
+            Some(Json::Bool)
         }
         b'f' => {
             *at += 5;
-            Some(Json::Bool(false))
+            Some(Json::Bool)
         }
         b'n' => {
             *at += 4;
--- a/review/stand/run_then_503.rs
+++ b/review/stand/run_then_503.rs
@@ -56,7 +56,9 @@
         std::thread::sleep(Duration::from_millis(40));
     }
     match broken.len() {
-        0 => Verdict::Held(format!("{REQUESTS} unsafe requests, none of them refused after it ran")),
+        0 => {
+            Verdict::Held(format!("{REQUESTS} unsafe requests, none of them refused after it ran"))
+        }
         count => Verdict::Broken(format!(
             "REFUSED: {count} of {REQUESTS} unsafe requests have run and were answered 503 or 429 \
              ({}); {repeated} were carried out again when their clients repeated them",
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -35,8 +35,7 @@
     pub fn start() -> Store {
         let (listener, address) = net::listener();
         let state = State { rev: 10, next_lease: 1_000, ..State::default() };
-        let store =
-            Store { state: Arc::new(Mutex::new(state)), changed: Arc::default(), address };
+        let store = Store { state: Arc::new(Mutex::new(state)), changed: Arc::default(), address };
         let served = store.clone();
         net::serve(listener, Arc::new(move |request, stream| served.answer(&request, stream)));
         store
@@ -54,12 +53,6 @@
         self.changed.notify_all();
     }
 
-    /// Returns the value of a key.
-    pub fn get(&self, key: &str) -> Option<String> {
-        let state = self.state.lock().unwrap();
-        state.items.get(key).map(|item| String::from_utf8_lossy(&item.value).into_owned())
-    }
-
     fn answer(&self, request: &Message, stream: &mut TcpStream) -> bool {
         self.state.lock().unwrap().expire();
         let (status, body) = match request.path() {
@@ -193,7 +186,8 @@
     }
 
     fn events(&self, prefix: &str, after: u64) -> Vec<String> {
-        let changes = self.log.iter().filter(|(rev, key, _)| *rev > after && key.starts_with(prefix));
+        let changes =
+            self.log.iter().filter(|(rev, key, _)| *rev > after && key.starts_with(prefix));
         let shown = changes.map(|(rev, key, value)| match value {
             Some(value) => format!(
                 "{{\"key\":\"{key}\",\"value\":\"{}\",\"rev\":{rev},\"created\":{rev},\"lease\":0}}",
--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -5,6 +5,7 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::FromRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -13,16 +14,16 @@
 use crate::net::{self, Handler, Message};
 use crate::store::Store;
 
-pub const KILL: i32 = 9;
+pub const HUP: i32 = 1;
+const KILL: u64 = 9;
 pub const TERM: i32 = 15;
-pub const CONT: i32 = 18;
-pub const STOP: i32 = 19;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
     fn connect(fd: i32, address: *const u8, len: u32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
 /// What was sent, answered and run, with the time since the start of the case.
@@ -62,8 +63,6 @@
 pub struct Entry {
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
-    settings: PathBuf,
-    name: String,
     child: Child,
 }
 
@@ -89,29 +88,26 @@
         let path = self.folder.join(format!("settings-{at}.json"));
         std::fs::write(&path, settings).expect("settings can be written");
         let child = self.spawn(&path, &name);
-        self.entries.push(Entry { callers, readiness, settings: path, name, child });
+        self.entries.push(Entry { callers, readiness, child });
         at
     }
 
     fn spawn(&self, settings: &PathBuf, name: &str) -> Child {
         let path = self.folder.join(format!("{name}.log"));
         let log = File::options().create(true).append(true).open(path).expect("a log");
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        command
             .env("SAMPHIREPORT_NODE_FILE", settings)
             .stdin(Stdio::null())
             .stderr(log.try_clone().expect("a log"))
-            .stdout(log)
-            .spawn();
-        child.expect("the platform program starts")
-    }
-
-    /// Starts an entry process again that has ended or was killed.
-    pub fn restart_entry(&mut self, at: usize) {
-        let child = self.spawn(&self.entries[at].settings.clone(), &self.entries[at].name.clone());
-        let mut old = std::mem::replace(&mut self.entries[at].child, child);
-        let _ = old.kill();
-        let _ = old.wait();
-        self.record.write(&format!("entry process {at} is started again"));
+            .stdout(log);
+        // The process ends with the script, however that ends (PR_SET_PDEATHSIG).
+        let ends_with_script = || match unsafe { prctl(1, KILL) } {
+            0 => Ok(()),
+            _ => Err(std::io::Error::last_os_error()),
+        };
+        unsafe { command.pre_exec(ends_with_script) };
+        command.spawn().expect("the platform program starts")
     }
 
     pub fn entry(&self, at: usize) -> &Entry {
@@ -123,11 +119,6 @@
         unsafe { kill(self.entries[at].child.id() as i32, signal) };
     }
 
-    /// Returns whether an entry process has ended.
-    pub fn has_ended(&mut self, at: usize) -> bool {
-        self.entries[at].child.try_wait().is_ok_and(|status| status.is_some())
-    }
-
     /// Waits until an entry process is ready and serves a request; returns whether it does.
     pub fn wait_until_ready(&self, at: usize) -> bool {
         let until = Instant::now() + Duration::from_secs(20);
@@ -222,16 +213,8 @@
     pub service: String,
     pub born: u64,
     pub record: Recorder,
-    state: Arc<Mutex<ServerState>>,
-    end: net::End,
-}
-
-#[derive(Default)]
-struct ServerState {
     /// How often each request has run.
-    runs: HashMap<String, u32>,
-    is_leaving: bool,
-    reports: bool,
+    runs: Arc<Mutex<HashMap<String, u32>>>,
 }
 
 impl Server {
@@ -239,14 +222,13 @@
     pub fn start(store: &Store, record: &Recorder, service: &str, id: &str, run: Run) -> Server {
         let (listener, address) = net::listener();
         let since = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970");
-        let mut server = Server {
-            end: net::End::default(),
+        let server = Server {
             id: id.into(),
             address,
             service: service.into(),
             born: since.as_millis() as u64,
             record: record.clone(),
-            state: Arc::new(Mutex::new(ServerState { reports: true, ..Default::default() })),
+            runs: Arc::default(),
         };
         let (served, reporting, store) = (server.clone(), server.clone(), store.clone());
         let handler: Handler = Arc::new(move |request, stream| {
@@ -260,30 +242,26 @@
                 return net::respond(stream, "200 OK", &headers, b"").is_ok();
             }
             let id = request.header("x-samphireport-attempt-id").unwrap_or("").to_owned();
-            *served.state.lock().unwrap().runs.entry(id.clone()).or_default() += 1;
+            *served.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
             served.record.write(&format!("{} runs {id}", served.id));
             run(&served, &request, stream)
         });
-        server.end = net::serve(listener, handler);
+        net::serve(listener, handler);
         std::thread::spawn(move || loop {
-            if reporting.state.lock().unwrap().reports {
-                reporting.report(&store);
-            }
+            reporting.report(&store);
             std::thread::sleep(Duration::from_millis(1_200));
         });
         server
     }
 
     /// Writes its entry.
-    pub fn report(&self, store: &Store) {
-        let is_leaving = self.state.lock().unwrap().is_leaving;
-        let state = if is_leaving { "draining" } else { "ready" };
+    fn report(&self, store: &Store) {
         let Server { id, address, service, born, .. } = self;
         store.put(
             &format!("servers/{id}"),
             &format!(
                 "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"a\",\
-                 \"version\":\"1\",\"slots\":6,\"state\":\"{state}\",\"warmup_left_ms\":0,\
+                 \"version\":\"1\",\"slots\":6,\"state\":\"ready\",\"warmup_left_ms\":0,\
                  \"sequence\":0,\"born\":{born}}}"
             ),
         );
@@ -301,21 +279,6 @@
     }
 
     pub fn runs(&self) -> HashMap<String, u32> {
-        self.state.lock().unwrap().runs.clone()
-    }
-
-    /// Ends the server with all that it is running.
-    pub fn end(&self) {
-        self.record.write(&format!("{} ends", self.id));
-        self.set_reports(false);
-        self.end.end(self.address);
-    }
-
-    pub fn set_leaving(&self) {
-        self.state.lock().unwrap().is_leaving = true;
-    }
-
-    pub fn set_reports(&self, reports: bool) {
-        self.state.lock().unwrap().reports = reports;
+        self.runs.lock().unwrap().clone()
     }
 }
