Review: an entry with missing fields moves a server to another service

Cause: the decoder of servers' entries has defaults for fields that every entry has, so an entry that names no server to use is taken for a valid one.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod engine;
 mod extra_answer;
+mod incomplete_entry;
 mod long_answer;
 mod net;
 mod run_then_503;
@@ -44,6 +45,7 @@
         "run-then-503" => run_then_503::play(&mut world),
         "slow-reader" => slow_reader::play(&mut world),
         "deadly-part" => deadly_part::play(&mut world),
+        "incomplete-entry" => incomplete_entry::play(&mut world),
         "extra-answer" => extra_answer::play(&mut world),
         _ => Verdict::NotRun("no such case".into()),
     };
