--- a/review/stand/deadly_part.rs
+++ b/review/stand/deadly_part.rs
@@ -14,8 +14,8 @@
 const DEADLY: &str = "dead0002:60";
 const DOCUMENT: &str = "dddd0003:300";
 /// Time between two sound requests.
-const SOUND_PAUSE: Duration = Duration::from_millis(1_000);
-/// Time between the two requests of a second that have the part that crashes servers.
+const SOUND_PAUSE: Duration = Duration::from_millis(1_300);
+/// Time between the two requests, after each sound one, that have the part that crashes servers.
 const DEADLY_PAUSE: Duration = Duration::from_millis(350);
 /// Sound requests before any other, and beside those that crash servers.
 const SOUND_BEFORE: usize = 25;
