--- a/review/stand/extra_answer.rs
+++ b/review/stand/extra_answer.rs
@@ -12,7 +12,10 @@
 
 const SECONDS: u64 = 40;
 const CLIENTS: usize = 4;
-/// One of so many answers is followed by additional bytes: a share of 0.03, as the site names.
+/// The trouble comes in spells of 5 s, as long as the site names, every 10 s.
+const SPELL: f64 = 5.0;
+const SPELL_EVERY: f64 = 10.0;
+/// One of so many answers is followed by additional bytes then: a share of 0.03, as the site names.
 const ONE_OF: usize = 34;
 /// What a server of the platform says when it turns a request away, as `fleetbench wire` prints it.
 const EXTRA: &[u8] =
@@ -21,6 +24,7 @@
 pub fn play(world: &mut World) -> Verdict {
     let trouble = world.trouble;
     let answers = AtomicUsize::new(0);
+    let started = Instant::now();
     // The connections on which additional bytes are still to come.
     let pending: Mutex<HashSet<SocketAddr>> = Mutex::default();
     let run: world::Run = Arc::new(move |server, request, stream| {
@@ -40,6 +44,7 @@
         // One server of three is in trouble.
         let is_extra = trouble
             && server.id == "i-desk1"
+            && started.elapsed().as_secs_f64() % SPELL_EVERY < SPELL
             && answers.fetch_add(1, Ordering::Relaxed) % ONE_OF == ONE_OF - 1;
         if is_extra {
             pending.lock().unwrap().insert(peer);
