Log and count silent servers, the stage of a stop, and why responses were broken off

Now: `silent` when a stream's server counts as silent, and why; `silent_ms` and `stopping_ms` in `broken_off`; `stopping` with the number of responses in flight when a stopping process closes its listener and when its time is up; responses that are still open then are aborted, with a line, 20 ms before the process goes on to end. Metrics: samphire_silences_total by reason, samphire_broken_off_total by cause. No other decision changes.

--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -65,6 +65,16 @@
         after_ms: u64,
         retries_left: f64,
     },
+    /// A server has sent nothing for an attempt for longer than expected; `events` had come before, and
+    /// `because` says what made it count as silent.
+    Silent {
+        request: &'a str,
+        attempt: u32,
+        server: &'a str,
+        events: u64,
+        because: &'a str,
+        silent_ms: u64,
+    },
     /// A backend server ended while it may have been running a request: the connection broke, and a
     /// new one was refused.
     ServerEnded {
@@ -127,8 +137,18 @@
     },
     /// A request ended with an error response that this process generated.
     Failed { request: &'a str, status: u16, reason: &'a str, after_ms: u64 },
-    /// A request's response was aborted after a part of it had been sent.
-    BrokenOff { request: &'a str, server: &'a str, problem: &'a str, events: u64, after_ms: u64 },
+    /// A request's response was aborted after a part of it had been sent. `silent_ms` is the time since
+    /// the server's last data, and `stopping_ms` that since the process was asked to stop, if it was.
+    BrokenOff {
+        request: &'a str,
+        server: &'a str,
+        problem: &'a str,
+        events: u64,
+        after_ms: u64,
+        silent_ms: u64,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        stopping_ms: Option<u64>,
+    },
     /// The caller disconnected before the end of the response. `server` is empty if the request had
     /// not been sent to a backend server.
     CallerGone { request: &'a str, server: &'a str, after_ms: u64 },
@@ -167,6 +187,9 @@
     ExchangeFailed { hub: SocketAddr, problem: &'a str, after_ms: u64 },
     /// The process ran its tasks late.
     RanLate { by_ms: u64 },
+    /// The process stops: it accepts no new connections any more (`closed`), or the time for open
+    /// requests is up (`time is up`). `in_flight` responses have not been sent completely.
+    Stopping { state: &'a str, in_flight: usize, stopping_ms: u64 },
     /// The process starts or stops.
     Process { node: &'a str, state: &'a str, detail: &'a str },
 }
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -35,6 +35,10 @@
     response_seconds: HistogramVec,
     /// Observed time to the first event of a stream, relative to its forecast.
     first_event_ratio: Histogram,
+    /// Attempts during which their server fell silent, by what made it count as silent.
+    silences: IntCounterVec,
+    /// Responses that were aborted after a part of them had been sent, by cause.
+    broken_off: IntCounterVec,
     /// How late the process runs its tasks.
     pub loop_delay_seconds: Histogram,
     /// Bytes of the responses to other processes' exchanges.
@@ -91,6 +95,10 @@
         let seconds =
             HistogramOpts::new("samphire_answer_seconds", help).buckets(TIME_BUCKETS_S.to_vec());
         let response_seconds = HistogramVec::new(seconds, &["class"]).expect("the name is valid");
+        let silences = Opts::new("samphire_silences_total", "Attempts whose server fell silent.");
+        let silences = IntCounterVec::new(silences, &["because"]).expect("the name is valid");
+        let broken_off = Opts::new("samphire_broken_off_total", "Answers that were broken off.");
+        let broken_off = IntCounterVec::new(broken_off, &["cause"]).expect("the name is valid");
         let help = "Seconds by which the process ran its tasks late.";
         let delay = HistogramOpts::new("samphire_loop_delay_seconds", help)
             .buckets(DELAY_BUCKETS_S.to_vec());
@@ -107,6 +115,8 @@
             Box::new(responses.clone()) as Box<dyn prometheus::core::Collector>,
             Box::new(response_seconds.clone()),
             Box::new(admitted_share.clone()),
+            Box::new(silences.clone()),
+            Box::new(broken_off.clone()),
             Box::new(first_event_ratio.clone()),
             Box::new(loop_delay_seconds.clone()),
         ] {
@@ -159,6 +169,8 @@
             responses,
             response_seconds,
             first_event_ratio,
+            silences,
+            broken_off,
             loop_delay_seconds,
             admitted_share,
             waiting: gauge("samphire_waiting_requests", "Requests that wait for a place."),
@@ -197,6 +209,16 @@
         }
     }
 
+    /// Counts an attempt during which its server fell silent.
+    pub fn record_silence(&self, because: &str) {
+        self.silences.with_label_values(&[because]).inc();
+    }
+
+    /// Counts a response that was aborted after a part of it had been sent.
+    pub fn record_broken_off(&self, cause: &str) {
+        self.broken_off.with_label_values(&[cause]).inc();
+    }
+
     /// Sets the admitted shares of all flows, by priority; flows that are not listed have none.
     pub fn set_admitted_shares<'a>(&self, shares: impl Iterator<Item = (&'a Flow, &'a Shares)>) {
         self.admitted_share.reset();
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -10,6 +10,7 @@
 //! - `stream`: forwards a stream event by event, and resumes it at another backend server where that
 //!   is allowed.
 //! - `server_end`: finds out whether a backend server ended while it ran a request.
+//! - `stop`: how far a stop of the process has got.
 //! - `reservation`: what a request holds while it waits or runs.
 //! - `responses`: the responses that this process generates itself.
 //!
@@ -25,6 +26,7 @@
 mod reservation;
 mod responses;
 mod server_end;
+mod stop;
 mod stream;
 
 use std::sync::Arc;
@@ -61,6 +63,7 @@
 use hand_over::Origin;
 pub(crate) use hand_over::TAKE_OVER_PATH;
 pub(crate) use hand_over::TakeOver;
+use stop::StopState;
 
 /// Maximum open connections of callers.
 const MAX_CONNECTIONS: usize = 2_000;
@@ -77,6 +80,8 @@
 
 /// Fraction of the stop timeout in which open requests may finish.
 const DRAIN_FRACTION: f64 = 0.6;
+/// How long a process that ends with open requests takes to abort their responses.
+const ABORT_TIME: Duration = Duration::from_millis(20);
 
 /// Returns the service that serves callers.
 pub fn service() -> Service {
@@ -95,6 +100,8 @@
     opinions: PeerOpinions,
     /// The requests that this process has taken over from others.
     taken_over: Drain,
+    /// How far a stop of the process has got.
+    stop: StopState,
     metrics: Metrics,
 }
 
@@ -134,6 +141,7 @@
         }),
         opinions: cx.registry().lookup(names::PEERS)?,
         taken_over: Drain::default(),
+        stop: StopState::default(),
         metrics: cx.registry().lookup(names::PROCESS)?,
     });
     let listener = TcpListener::bind(settings.callers).await;
@@ -146,7 +154,7 @@
         let state = state.clone();
         Arc::new(move |request| handle(state.clone(), request).boxed())
     };
-    let serving = serve(listener, limits(), handler, drain, stop.clone());
+    let serving = serve(listener, limits(), handler, drain.clone(), stop.clone());
     cx.registry().register(names::SERVE, TakeOver(state.clone()));
     cx.ready();
     let serving = async {
@@ -156,10 +164,15 @@
     };
     let stopping = async {
         cx.process_stopping().await;
+        state.stop.requested(cx.now());
         // The load balancer opens connections here until it notices that the process isn't ready.
         tokio::time::sleep(lame_duck(settings.stop)).await;
         stop.cancel();
+        state.log_stop("closed", &drain);
         tokio::time::sleep(settings.stop.mul_f64(DRAIN_FRACTION)).await;
+        state.log_stop("time is up", &drain);
+        state.stop.time_is_up();
+        tokio::time::sleep(ABORT_TIME).await;
     };
     let ended = tokio::select! {
         ended = serving => ended,
@@ -169,6 +182,17 @@
     ended.map_err(|problem| ServiceError::new(settings.callers.to_string(), problem))
 }
 
+impl State {
+    /// Logs how far the stop of the process has got.
+    fn log_stop(&self, state: &str, drain: &Drain) {
+        decision_log::write(&Record::Stopping {
+            state,
+            in_flight: drain.count() + self.taken_over.count(),
+            stopping_ms: self.stop.elapsed(self.cx.now()).map_or(0, decision_log::millis),
+        });
+    }
+}
+
 fn limits() -> ServerLimits {
     let limits = Limits::default();
     ServerLimits {
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -39,6 +39,30 @@
 /// How often a stream that waits for an event checks whether its endpoint is stalled.
 const STALL_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
+/// Why a response is aborted after a part of it has been sent.
+#[derive(Debug, Display)]
+enum BreakOff {
+    /// {0}
+    // Its source ended, and no other server took it.
+    Interrupted(Interruption),
+    /// the request's deadline passed
+    Deadline,
+    /// the time to stop was up
+    Stop,
+}
+
+impl BreakOff {
+    /// Returns the cause as a label of metrics.
+    fn cause(&self) -> &'static str {
+        match self {
+            BreakOff::Interrupted(Interruption::Broken(_)) => "broken",
+            BreakOff::Interrupted(Interruption::Stalled(_)) => "silent",
+            BreakOff::Deadline => "deadline",
+            BreakOff::Stop => "stop",
+        }
+    }
+}
+
 /// The source of a stream's events: a backend server's response.
 pub(super) struct Source {
     from: Body,
@@ -154,7 +178,10 @@
             let chunk = tokio::select! {
                 () = tx.closed() => return,
                 () = tokio::time::sleep(left) => {
-                    return tx.abort("the request's deadline passed").await;
+                    return tx.abort(&BreakOff::Deadline.to_string()).await;
+                }
+                () = active.state.stop.out_of_time() => {
+                    return tx.abort(&BreakOff::Stop.to_string()).await;
                 }
                 chunk = body::next_chunk(&mut from) => chunk,
             };
@@ -221,10 +248,11 @@
         loop {
             let next = tokio::select! {
                 () = self.tx.closed() => return self.log_caller_gone(),
+                () = self.active.state.stop.out_of_time() => return self.abort(BreakOff::Stop).await,
                 next = self.next(&mut source) => next,
             };
             if self.active.now() >= self.active.deadline {
-                return self.abort("the request's deadline passed").await;
+                return self.abort(BreakOff::Deadline).await;
             }
             let interruption = match next {
                 Some(Ok(event)) => {
@@ -235,11 +263,14 @@
                 }
                 Some(Err(End::Complete)) => return self.log_completed(),
                 Some(Err(End::Broken(problem))) => Interruption::Broken(problem),
-                None => Interruption::Stalled("the stream stalled"),
+                None => {
+                    self.log_silence();
+                    Interruption::Stalled("the stream stalled")
+                }
             };
             match self.resume(&interruption).await {
                 Some(resumed) => source = resumed,
-                None => return self.abort(&interruption.to_string()).await,
+                None => return self.abort(BreakOff::Interrupted(interruption)).await,
             }
         }
     }
@@ -346,13 +377,35 @@
         }
     }
 
-    async fn abort(&self, problem: &str) {
+    fn log_silence(&self) {
+        let silent_for = self.active.now().saturating_sub(self.last_at);
+        let because = match silent_for >= self.event_timeout() {
+            true => "no event in time",
+            false => "no progress of the server on any request, or no path to it",
+        };
+        self.active.state.metrics.record_silence(because);
+        decision_log::write(&Record::Silent {
+            request: &self.active.id,
+            attempt: self.attempts,
+            server: self.server(),
+            events: self.events,
+            because,
+            silent_ms: decision_log::millis(silent_for),
+        });
+    }
+
+    async fn abort(&self, why: BreakOff) {
+        let problem = &why.to_string();
+        let now = self.active.now();
+        self.active.state.metrics.record_broken_off(why.cause());
         decision_log::write(&Record::BrokenOff {
             request: &self.active.id,
             server: self.server(),
             problem,
             events: self.events,
-            after_ms: decision_log::millis(self.active.now().saturating_sub(self.active.arrived)),
+            after_ms: decision_log::millis(now.saturating_sub(self.active.arrived)),
+            silent_ms: decision_log::millis(now.saturating_sub(self.last_at)),
+            stopping_ms: self.active.state.stop.elapsed(now).map(decision_log::millis),
         });
         self.tx.abort(problem).await;
     }
