Serve: a server's silence no longer ends an attempt

Cause: an attempt was ended by a timeout (0.45 s without data for all requests of a server, three event gap targets for a stream, four latency targets for its first event, two for a call) before anything had replaced it: the relay dropped its source and only then looked for another server, with a place in the queue that was refused when it was full.

The class: an attempt that may still succeed is ended before a replacement is there. So silence ends nothing any more. front::serve::race runs attempts side by side: while a server is silent, another attempt is made if a server is free now and the retry budget allows it, and the first one to go on counts; the queue is used once where the server has probably been lost (no progress on any request, or no path to any). Without a free server the first attempt is waited for until the deadline. The same for a head, a body, the first event and the events of a stream (front::serve::relay, resumption, split from stream). A stream whose resumption is turned away as not run asks another server. Attempts that have begun are counted in one place for the whole request, so that a route's max_attempts holds over all of them. An error of a server is held back while another attempt may succeed.

Ruled out: a longer timeout (it only moves the bound, and delays what a lost server costs).

--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -120,6 +120,12 @@
     ServerLeaving { request: &'a str, server: &'a str, born_ms: u64 },
     /// The warm-up of a server has begun or ended; `per_second` is the rate that it takes meanwhile.
     WarmUp { server: &'a str, state: &'a str, left_ms: u64, per_second: Option<RequestRate> },
+    /// A server that had been silent goes on with a stream.
+    HeardAgain { request: &'a str, attempt: u32, server: &'a str, silent_ms: u64 },
+    /// An attempt was ended since another one has gone on.
+    Superseded { request: &'a str, attempt: u32, server: &'a str },
+    /// A stream is asked for at another backend server, from the event after the last one on.
+    Resuming { request: &'a str, attempt: u32, server: &'a str, after_event: &'a str },
     /// A stream continues at another backend server.
     Resumed { request: &'a str, server: &'a str, after_event: &'a str },
     /// A request got its complete response. `expected_ms` is the forecast of its last attempt, and
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -148,6 +148,11 @@
         Err(WaitingRequest { shared: self.clone(), ticket, prompt_tokens, rx })
     }
 
+    /// Decides on another attempt of a request that is being served: it doesn't wait in the queue.
+    pub fn decide_at_once(&self, pending: &PendingRequest, now: Mono) -> Decision {
+        self.local.lock().decide_at_once(pending, now)
+    }
+
     /// Wakes those that wait for crash reports, after this process recorded a change.
     pub fn notify_of_crash_report(&self) {
         self.crash_recorded.notify_one();
@@ -463,6 +468,13 @@
         (decision, ticket)
     }
 
+    fn decide_at_once(&mut self, pending: &PendingRequest, now: Mono) -> Decision {
+        self.update_evacuations(now);
+        let decision = self.dispatch.decide_at_once(pending, &self.endpoints, now);
+        self.count_started(&decision, pending.requirements.prompt_tokens, now);
+        decision
+    }
+
     fn count_started(&mut self, decision: &Decision, tokens: u64, now: Mono) {
         if let Decision::Send(choice) = decision {
             self.endpoints.request_sent(&choice.endpoint, tokens, now);
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -4,11 +4,15 @@
 //! attempt that fails is repeated at another endpoint if the route and the retry budget allow it.
 //!
 //! - `attempts`: the attempts of one request, until one gives the final response.
+//! - `race`: attempts that run side by side.
+//! - `silence`: when a server counts as silent for an attempt.
 //! - `attempt`: one attempt of a request.
 //! - `carrier`: what carries an attempt, a connection of this process or another process.
 //! - `hand_over`: handing a request over to another process, and taking one over.
-//! - `stream`: forwards a stream event by event, and resumes it at another backend server where that
-//!   is allowed.
+//! - `stream`: the events of a response, and long responses that have none.
+//! - `relay`: forwards a stream event by event, and resumes it at another backend server where that is
+//!   allowed.
+//! - `resumption`: an attempt to go on with a stream at another backend server.
 //! - `server_end`: finds out whether a backend server ended while it ran a request.
 //! - `stop`: how far a stop of the process has got.
 //! - `reservation`: what a request holds while it waits or runs.
@@ -23,9 +27,13 @@
 mod attempts;
 mod carrier;
 mod hand_over;
+mod race;
+mod relay;
 mod reservation;
 mod responses;
+mod resumption;
 mod server_end;
+mod silence;
 mod stop;
 mod stream;
 
@@ -60,6 +68,7 @@
 use crate::run::lame_duck;
 use crate::settings::Settings;
 
+use attempts::AttemptCount;
 use hand_over::Origin;
 pub(crate) use hand_over::TAKE_OVER_PATH;
 pub(crate) use hand_over::TakeOver;
@@ -121,7 +130,9 @@
     arrived: Mono,
     /// The earlier of the caller's deadline and the route's timeout.
     deadline: Mono,
-    /// The backend server that the current attempt was sent to.
+    /// How many attempts have begun.
+    attempts: Mutex<AttemptCount>,
+    /// The backend server that the last attempt was sent to.
     current_server: Mutex<Option<ServerId>>,
 }
 
@@ -253,6 +264,10 @@
     let deadline = now + metadata.deadline.min(routed.route.timeout);
     let fingerprint = outgoing.fingerprint(routed.workspace.as_deref().unwrap_or_default());
     let parts = tracked_parts(&routed, &metadata);
+    let attempts = match &origin {
+        Origin::Caller => AttemptCount::default(),
+        Origin::Process(progress) => AttemptCount::after(progress.tries.may_have_run),
+    };
     let active = Arc::new(ActiveRequest {
         state: state.clone(),
         id,
@@ -264,6 +279,7 @@
         origin,
         arrived,
         deadline,
+        attempts: Mutex::new(attempts),
         current_server: Mutex::default(),
     });
     let departure = DepartureGuard::new(active.clone());
--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -15,6 +15,7 @@
 use pass::server_notice::ServerNotice;
 use route::prelude::Fingerprint;
 use route::request::body_fingerprint;
+use tokio::sync::watch;
 use volo_http::body::Body;
 use web::body;
 use web::body::BodyError;
@@ -24,9 +25,16 @@
 use super::ServerId;
 use super::attempts::Tries;
 use super::carrier::Carrier;
-use super::hand_over::HandOver;
+use super::relay::Relay;
 use super::reservation::Reservation;
+use super::silence;
+use super::silence::CHECK_PERIOD;
+use super::silence::Silence;
+use super::silence::SilenceReceiver;
+use super::silence::Stage;
 use super::stream;
+use super::stream::End;
+use super::stream::Source;
 use crate::decision_log;
 use crate::decision_log::Record;
 
@@ -35,15 +43,6 @@
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 128 << 10;
 /// Longest idle time of a connection that is reused for a request that may run at most once.
 pub(super) const MAX_IDLE_AT_MOST_ONCE: Duration = Duration::from_millis(500);
-/// How long an idempotent call to a plain service may take before it is retried elsewhere, as a
-/// multiple of the route's latency target.
-const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
-/// Lower bound of the timeout of an attempt.
-const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// How often an attempt that waits for a response checks whether its server can still be reached.
-const LOST_CHECK_PERIOD: Duration = Duration::from_millis(100);
-
 /// Headers that apply to one connection only and are not forwarded.
 const CONNECTION_HEADERS: [HeaderName; 7] = [
     header::CONNECTION,
@@ -117,20 +116,37 @@
 }
 
 /// One attempt of a request.
-pub(crate) struct Attempt<'a> {
+pub(crate) struct Attempt {
     /// The request.
-    pub(crate) active: &'a Arc<ActiveRequest>,
+    pub(super) active: Arc<ActiveRequest>,
     /// What carries it.
-    pub(crate) carrier: Carrier,
+    pub(super) carrier: Carrier,
     /// Its number, from 1.
-    pub(crate) number: u32,
-    /// The attempts before it.
-    pub(crate) tries: &'a Tries,
+    pub(super) number: u32,
+    /// The other attempts, whether they have ended or not.
+    pub(super) tries: Tries,
+    /// Where it says that its server is silent.
+    silence: watch::Sender<Option<Silence>>,
 }
 
-impl Attempt<'_> {
+impl Attempt {
+    pub(super) fn new(
+        active: Arc<ActiveRequest>,
+        carrier: Carrier,
+        number: u32,
+        tries: Tries,
+    ) -> Self {
+        let (silence, _) = watch::channel(None);
+        Attempt { active, carrier, number, tries, silence }
+    }
+
+    /// Returns where the attempt says that its server is silent.
+    pub(super) fn silence(&self) -> SilenceReceiver {
+        self.silence.subscribe()
+    }
+
     /// Runs the attempt until its response can be returned to the caller.
-    pub(crate) async fn run(mut self) -> Result<Response, FailedAttempt> {
+    pub(super) async fn run(mut self) -> Result<Response, FailedAttempt> {
         let response = self.send(None).await?;
         if self.active.routed.route.is_streaming && response.status().is_success() {
             return self.start_stream(response).await;
@@ -140,67 +156,54 @@
 
     /// Sends the request and waits for the head of the response. A resumed stream continues after
     /// the event with id `after`.
-    pub(crate) async fn send(&mut self, after: Option<&str>) -> Result<Response, FailedAttempt> {
-        let sent = match &self.carrier {
-            Carrier::Server(reservation) => self.send_to_server(reservation, after).await,
-            Carrier::Process(hand_over) => self.hand_over(hand_over, after).await,
-        };
+    pub(super) async fn send(&mut self, after: Option<&str>) -> Result<Response, FailedAttempt> {
+        let sent = self.watched(Stage::Head, self.sent(after)).await;
         match sent {
-            Some(Ok(response)) => self.accept(response),
-            Some(Err(PoolError::NotSent { problem, .. })) => {
+            Ok(response) => self.accept(response),
+            Err(PoolError::NotSent { problem, .. }) => {
                 self.record_unreached();
                 Err(self.fail(AttemptOutcome::NotSent, 0, &problem))
             }
-            Some(Err(PoolError::Incomplete { problem, .. })) => {
-                self.carrier.check_end(self.active).await;
+            Err(PoolError::Incomplete { problem, .. }) => {
+                self.carrier.check_end(&self.active).await;
                 Err(self.fail(AttemptOutcome::Unknown, 0, &problem))
             }
-            None => Err(self.fail(AttemptOutcome::Unknown, 0, "response timed out")),
         }
     }
 
-    /// Returns `None` if no response begins in time, or the server can't be reached any more.
-    async fn send_to_server(
-        &self,
-        reservation: &Reservation,
-        after: Option<&str>,
-    ) -> Option<Result<Response, PoolError>> {
-        let request = build(self.active, reservation.endpoint(), after);
+    async fn sent(&self, after: Option<&str>) -> Result<Response, PoolError> {
+        let reservation = match &self.carrier {
+            Carrier::Server(reservation) => reservation,
+            Carrier::Process(hand_over) => {
+                return hand_over.send(&self.active, self.number, &self.tries, after).await;
+            }
+        };
+        let request = build(&self.active, reservation.endpoint(), after);
         let reuse = match self.active.routed.route.execution_policy {
             ExecutionPolicy::AtMostOnce => Reuse::IdleAtMost(MAX_IDLE_AT_MOST_ONCE),
             ExecutionPolicy::Idempotent | ExecutionPolicy::Resumable => Reuse::Any,
         };
-        let pool = &self.active.state.pool;
-        let mut sending = std::pin::pin!(pool.send(reservation.endpoint().address, request, reuse));
-        let timeout = self.timeout();
+        self.active.state.pool.send(reservation.endpoint().address, request, reuse).await
+    }
+
+    /// Waits for `next`, which the server sends, and says so if the server is silent for too long.
+    pub(super) async fn watched<T>(&self, stage: Stage, next: impl Future<Output = T>) -> T {
+        let mut next = std::pin::pin!(next);
+        let since = self.active.now();
         loop {
-            let left = timeout.saturating_sub(reservation.age());
-            let slice = left.min(LOST_CHECK_PERIOD);
-            if let Ok(sent) = tokio::time::timeout(slice, &mut sending).await {
-                return Some(sent);
-            }
-            let age = reservation.age();
-            if age >= timeout || (self.may_be_made_elsewhere() && reservation.is_cut_off(age)) {
-                return None;
+            if let Ok(next) = tokio::time::timeout(CHECK_PERIOD, &mut next).await {
+                return next;
             }
+            self.check_silence(stage, self.active.now().saturating_sub(since));
         }
     }
 
-    /// Returns `None` if no response begins in time.
-    async fn hand_over(
-        &self,
-        hand_over: &HandOver,
-        after: Option<&str>,
-    ) -> Option<Result<Response, PoolError>> {
-        let sending = hand_over.send(self.active, self.number, self.tries, after);
-        tokio::time::timeout(self.timeout(), sending).await.ok()
-    }
-
-    /// Returns whether the request may be sent again although this attempt may have run.
-    fn may_be_made_elsewhere(&self) -> bool {
-        let route = &self.active.routed.route;
-        self.number < route.max_attempts
-            && AttemptOutcome::Unknown.may_retry(route.execution_policy)
+    fn check_silence(&self, stage: Stage, silent_for: Duration) {
+        let Some(usual) = silence::usual_time(&self.active.routed.route, stage) else { return };
+        let Some(silence) = self.carrier.silence(stage, silent_for, usual) else { return };
+        if self.silence.send_replace(Some(silence)).is_none() {
+            self.active.record_silence(&self.carrier, self.number, 0, silence, silent_for);
+        }
     }
 
     /// Records that no connection could be made.
@@ -214,7 +217,7 @@
     /// was to try.
     fn accept(&mut self, response: Response) -> Result<Response, FailedAttempt> {
         let Carrier::Server(reservation) = &self.carrier else { return Ok(response) };
-        let active = self.active;
+        let active = &self.active;
         let (status, headers) = (response.status(), response.headers());
         let id = active.metadata.attempt_id.as_deref();
         let server = &reservation.endpoint().server;
@@ -282,75 +285,26 @@
         decision_log::write(&Record::ServerPause { request, server, for_ms });
     }
 
-    /// Returns how long the backend server may take to begin its response.
-    fn timeout(&self) -> Duration {
-        let left = self.active.deadline.saturating_sub(self.active.now());
-        match &self.carrier {
-            Carrier::Server(_) => self.server_timeout(),
-            // The other process may try two servers, one after the other.
-            Carrier::Process(_) => (self.server_timeout() * 2).min(left),
-        }
-    }
-
-    fn server_timeout(&self) -> Duration {
-        let left = self.active.deadline.saturating_sub(self.active.now());
-        let route = &self.active.routed.route;
-        let last = self.number >= route.max_attempts;
-        match route.execution_policy {
-            ExecutionPolicy::Idempotent if !last => (route.latency_target * ATTEMPT_TIMEOUT_FACTOR)
-                .clamp(MIN_ATTEMPT_TIMEOUT, left.max(MIN_ATTEMPT_TIMEOUT)),
-            ExecutionPolicy::Resumable if !last => {
-                stream::first_event_timeout(self.active).min(left)
-            }
-            _ => left,
-        }
-    }
-
     /// Ends the attempt without a response to forward, and logs why.
-    pub(crate) fn fail(
-        &mut self,
+    pub(super) fn fail(
+        &self,
         outcome: AttemptOutcome,
         status: u16,
         problem: &str,
     ) -> FailedAttempt {
-        self.carrier.record_failure(outcome);
-        let active = self.active;
-        let retries_left = {
-            let mut local = active.state.shared.local.lock();
-            let processes = local.processes();
-            local.retries.remaining(&active.routed.service.name, processes, active.now())
-        };
-        decision_log::write(&Record::AttemptFailed {
-            request: &active.id,
-            fingerprint: active.fingerprint,
-            attempt: self.number,
-            server: self.carrier.name(),
-            verdict: &format!("{outcome:?}"),
-            status,
-            problem,
-            after_ms: decision_log::millis(self.carrier.age(active.now())),
-            retries_left,
-        });
-        FailedAttempt { server: self.carrier.server().cloned(), outcome }
+        self.active.fail_attempt(&self.carrier, self.number, outcome, status, problem)
     }
 
     /// Forwards a response that is no stream of events.
-    async fn relay_response(mut self, response: Response) -> Result<Response, FailedAttempt> {
+    async fn relay_response(self, response: Response) -> Result<Response, FailedAttempt> {
         let (mut parts, mut from) = response.into_parts();
         let reading = super::read_up_to(&mut from, MAX_BUFFERED_RESPONSE_BYTES);
-        let (bytes, is_whole) = match tokio::time::timeout(self.timeout(), reading).await {
-            Ok(Ok(read)) => read,
-            Err(_) => {
-                let status = parts.status.as_u16();
-                return Err(self.fail(AttemptOutcome::Unknown, status, "the body takes too long"));
-            }
-            Ok(Err(error)) => {
-                self.carrier.check_end(self.active).await;
-                return Err(self.fail(
-                    AttemptOutcome::Unknown,
-                    parts.status.as_u16(),
-                    &error.to_string(),
-                ));
+        let (bytes, is_whole) = match self.watched(Stage::Body, reading).await {
+            Ok(read) => read,
+            Err(error) => {
+                self.carrier.check_end(&self.active).await;
+                let (status, problem) = (parts.status.as_u16(), error.to_string());
+                return Err(self.fail(AttemptOutcome::Unknown, status, &problem));
             }
         };
         strip_connection_headers(&mut parts.headers);
@@ -382,27 +336,73 @@
         let (mut parts, from) = response.into_parts();
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
-        let timeout = self.timeout();
-        match stream::first_event(self.active, &self.carrier, from, timeout).await {
-            Ok((event, source)) => {
+        let mut source = Source::new(from);
+        let problem = match self.watched(Stage::Body, source.next()).await {
+            Ok(event) => {
                 self.carrier.record_first_event(self.active.now());
-                let body = stream::relay_events(
-                    self.active.clone(),
-                    self.carrier,
-                    self.number,
-                    event,
-                    source,
-                );
-                Ok(Response::from_parts(parts, body))
+                return Ok(Response::from_parts(parts, Relay::start(self, event, source)));
             }
-            Err(interruption) => {
-                if matches!(interruption, stream::Interruption::Broken(_)) {
-                    self.carrier.check_end(self.active).await;
-                }
-                let problem = interruption.to_string();
-                Err(self.fail(AttemptOutcome::Unknown, parts.status.as_u16(), &problem))
+            Err(End::Complete) => "the response ended without an event".into(),
+            Err(End::Broken(problem)) => {
+                self.carrier.check_end(&self.active).await;
+                problem
             }
-        }
+        };
+        Err(self.fail(AttemptOutcome::Unknown, parts.status.as_u16(), &problem))
+    }
+}
+
+impl ActiveRequest {
+    /// Records that a server is silent for an attempt, after `events` events.
+    pub(super) fn record_silence(
+        &self,
+        carrier: &Carrier,
+        number: u32,
+        events: u64,
+        silence: Silence,
+        silent_for: Duration,
+    ) {
+        // It gets fewer requests until it goes on.
+        carrier.record_failure(AttemptOutcome::Unknown);
+        let because = &silence.to_string();
+        self.state.metrics.record_silence(because);
+        decision_log::write(&Record::Silent {
+            request: &self.id,
+            attempt: number,
+            server: carrier.name(),
+            events,
+            because,
+            silent_ms: decision_log::millis(silent_for),
+        });
+    }
+
+    /// Records that an attempt ended without a response to forward, and logs why.
+    pub(super) fn fail_attempt(
+        &self,
+        carrier: &Carrier,
+        number: u32,
+        outcome: AttemptOutcome,
+        status: u16,
+        problem: &str,
+    ) -> FailedAttempt {
+        carrier.record_failure(outcome);
+        let retries_left = {
+            let mut local = self.state.shared.local.lock();
+            let processes = local.processes();
+            local.retries.remaining(&self.routed.service.name, processes, self.now())
+        };
+        decision_log::write(&Record::AttemptFailed {
+            request: &self.id,
+            fingerprint: self.fingerprint,
+            attempt: number,
+            server: carrier.name(),
+            verdict: &format!("{outcome:?}"),
+            status,
+            problem,
+            after_ms: decision_log::millis(carrier.age(self.now())),
+            retries_left,
+        });
+        FailedAttempt { server: carrier.server().cloned(), outcome }
     }
 }
 
--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -21,8 +21,10 @@
 use super::hand_over::HandOver;
 use super::hand_over::Origin;
 use super::log_failed;
+use super::race::Race;
 use super::reservation::Reservation;
 use super::responses;
+use super::silence::SilenceReceiver;
 use crate::clock::wall_millis;
 use crate::decision_log;
 use crate::decision_log::PartRefusalRecord;
@@ -30,15 +32,25 @@
 
 /// Number of processes that may decline a request before that counts as an attempt.
 const MAX_DECLINED: u32 = 2;
+/// Number of attempts beyond those of its route that a request may take if some have not run.
+const MAX_NOT_RUN: u32 = 2;
 /// Retry-After of requests that no other process can take over.
 const NO_HELPER_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Why a request is not sent.
+enum NotSent {
+    /// It is refused.
+    Refused { retry_after: Duration, reason: Refusal },
+    /// Nothing was decided.
+    Undecided,
+}
+
 /// Returns whether a response declines a request that another process handed over.
 fn is_declined(response: &Response) -> bool {
     response.extensions().get::<Declined>().is_some()
 }
 
-/// The attempts of a request so far.
+/// The attempts of a request that have ended.
 #[data]
 #[derive(Default)]
 pub(crate) struct Tries {
@@ -51,7 +63,7 @@
 }
 
 impl Tries {
-    fn add(&mut self, failed: &FailedAttempt) {
+    pub(super) fn add(&mut self, failed: &FailedAttempt) {
         self.servers.extend(failed.server.clone());
         if failed.outcome != AttemptOutcome::NotSent {
             self.reached.extend(failed.server.clone());
@@ -60,57 +72,224 @@
             self.may_have_run += 1;
         }
     }
+
+    /// Returns these, with those that still run at the servers `running`; `may_have_run` counts them all.
+    pub(super) fn with_running<'a>(
+        &self,
+        running: impl Iterator<Item = &'a ServerId>,
+        may_have_run: u32,
+    ) -> Tries {
+        let mut tries = Tries { may_have_run, ..self.clone() };
+        for server in running {
+            tries.servers.push(server.clone());
+            tries.reached.push(server.clone());
+        }
+        tries
+    }
 }
 
-impl ActiveRequest {
-    /// Serves the request to its final response.
-    pub(super) async fn serve(self: Arc<Self>) -> Response {
-        self.count_request();
-        let mut tries = match &self.origin {
+/// How many attempts of a request have begun, wherever it was served.
+#[data]
+#[derive(Copy, Default)]
+pub(super) struct AttemptCount {
+    /// Attempts that have begun.
+    begun: u32,
+    /// Attempts that have run or may run.
+    may_run: u32,
+    /// Processes that declined the request.
+    declined: u32,
+}
+
+impl AttemptCount {
+    /// Returns the count of a request with `may_have_run` attempts at another process.
+    pub(super) fn after(may_have_run: u32) -> Self {
+        AttemptCount { begun: may_have_run, may_run: may_have_run, declined: 0 }
+    }
+
+    /// Counts an attempt that begins; returns its number, from 1.
+    fn begin(&mut self) -> u32 {
+        self.begun += 1;
+        self.may_run += 1;
+        self.begun
+    }
+
+    fn fail(&mut self, failed: &FailedAttempt) {
+        if failed.outcome.is_not_run() {
+            self.may_run = self.may_run.saturating_sub(1);
+        }
+        if failed.was_declined() && self.declined < MAX_DECLINED {
+            self.declined += 1;
+            self.begun = self.begun.saturating_sub(1);
+        }
+    }
+
+    /// Returns whether one more attempt may begin on a route with `max_attempts`.
+    fn allows_another(self, max_attempts: u32) -> bool {
+        self.may_run < max_attempts && self.begun < max_attempts + MAX_NOT_RUN
+    }
+}
+
+/// The serving of a request by one attempt after the other, and by several at a time while servers are
+/// silent.
+struct Attempts {
+    active: Arc<ActiveRequest>,
+    tries: Tries,
+    race: Race<Response>,
+    /// The last attempt that may have run. Once there is one, no response may promise that the request
+    /// has not run.
+    may_have_run: Option<FailedAttempt>,
+    /// The error of a server, while another attempt may still succeed.
+    error_response: Option<Response>,
+}
+
+impl Attempts {
+    fn new(active: Arc<ActiveRequest>) -> Self {
+        let tries = match &active.origin {
             Origin::Caller => Tries::default(),
             Origin::Process(progress) => progress.tries.clone(),
         };
-        let earlier = tries.may_have_run;
-        let (mut attempts, mut declined) = (earlier, 0);
-        // The last attempt that may have run. Once there is one, no response may promise that the
-        // request has not run.
-        let mut may_have_run = (earlier > 0).then_some(FailedAttempt::ELSEWHERE);
-        loop {
-            let carrier = match self.wait_for_carrier(&tries.servers, self.arrived).await {
-                Ok(carrier) => carrier,
-                Err(refused) if is_declined(&refused) && tries.may_have_run == earlier => {
-                    return refused;
-                }
-                Err(refused) => {
-                    return may_have_run.as_ref().map_or(refused, |failed| self.fail(failed));
-                }
-            };
-            attempts += 1;
-            self.log_sent(attempts, &carrier);
-            let attempt = Attempt { active: &self, carrier, number: attempts, tries: &tries };
-            let failed = match attempt.run().await {
-                Ok(response) => return response,
-                Err(failed) => failed,
-            };
-            *self.current_server.lock() = None;
-            tries.add(&failed);
-            if failed.was_declined() && declined < MAX_DECLINED {
-                declined += 1;
-                attempts -= 1;
+        let may_have_run = (tries.may_have_run > 0).then_some(FailedAttempt::ELSEWHERE);
+        Attempts { active, tries, race: Race::default(), may_have_run, error_response: None }
+    }
+
+    /// Begins the only attempt, once there is a carrier for it. Without one, returns the final response.
+    async fn begin_first(&mut self) -> Result<(), Response> {
+        let waiting = self.active.wait_for_carrier(&self.tries.servers, self.active.arrived);
+        let refused = match waiting.await {
+            Ok(carrier) => {
+                self.begin(carrier);
+                return Ok(());
             }
-            let is_last = !self.may_retry(&failed, attempts);
-            if failed.outcome.is_not_run() && is_last {
-                return self.fail(may_have_run.as_ref().unwrap_or(&failed));
+            Err(refused) => refused,
+        };
+        if is_declined(&refused) && self.tries.may_have_run == self.active.runs_elsewhere() {
+            return Err(refused);
+        }
+        Err(self.may_have_run.as_ref().map_or(refused, |failed| self.active.fail(failed)))
+    }
+
+    fn begin(&mut self, carrier: Carrier) {
+        let active = self.active.clone();
+        let tries = self.tries.with_running(self.race.servers(), active.may_run());
+        let number = active.begin_attempt();
+        active.log_sent(number, &carrier);
+        self.race.begin(Attempt::new(active, carrier, number, tries), Attempt::run);
+    }
+
+    /// Returns the outcome of the next attempt that counts, and begins others while servers are silent.
+    async fn next_end(&mut self) -> Result<Response, FailedAttempt> {
+        loop {
+            let running = self.race.servers();
+            let tried: Vec<ServerId> = self.tries.servers.iter().chain(running).cloned().collect();
+            let another = another_carrier(&self.active, self.race.newest_silence(), &tried);
+            tokio::select! {
+                ended = self.race.next() => match ended {
+                    Ok(response) if is_error(&response) && !self.race.is_empty() => {
+                        self.error_response = Some(response);
+                    }
+                    ended => return ended,
+                },
+                carrier = another => self.begin(carrier),
             }
-            if is_last {
-                return self.fail(&failed);
+        }
+    }
+
+    /// Takes a failed attempt into account; returns the final response if nothing may follow.
+    fn fail(&mut self, failed: FailedAttempt) -> Option<Response> {
+        self.active.count_failure(&failed);
+        self.tries.add(&failed);
+        let is_not_run = failed.outcome.is_not_run();
+        if !self.race.is_empty() {
+            self.may_have_run = Some(failed).filter(|_| !is_not_run).or(self.may_have_run.take());
+            return None;
+        }
+        *self.active.current_server.lock() = None;
+        if let Some(response) = self.error_response.take() {
+            return Some(response);
+        }
+        let is_last = !self.active.may_retry(&failed);
+        if is_last && is_not_run {
+            return Some(self.active.fail(self.may_have_run.as_ref().unwrap_or(&failed)));
+        }
+        if is_last {
+            return Some(self.active.fail(&failed));
+        }
+        if !is_not_run {
+            self.may_have_run = Some(failed);
+        }
+        None
+    }
+}
+
+/// Returns whether a response is the error of a server.
+fn is_error(response: &Response) -> bool {
+    response.status().is_server_error()
+}
+
+/// Waits for the carrier of one more attempt beside those that run; see [`ActiveRequest::another_carrier`].
+async fn another_carrier(
+    active: &ActiveRequest,
+    silence: Option<SilenceReceiver>,
+    tried: &[ServerId],
+) -> Carrier {
+    match silence {
+        Some(silence) if active.may_add_attempt() => active.another_carrier(silence, tried).await,
+        _ => std::future::pending().await,
+    }
+}
+
+impl ActiveRequest {
+    /// Serves the request to its final response.
+    pub(super) async fn serve(self: Arc<Self>) -> Response {
+        self.count_request();
+        let mut attempts = Attempts::new(self);
+        loop {
+            if attempts.race.is_empty()
+                && let Err(refused) = attempts.begin_first().await
+            {
+                return refused;
             }
-            if !failed.outcome.is_not_run() {
-                may_have_run = Some(failed);
+            let response = match attempts.next_end().await {
+                Ok(response) => Some(response),
+                Err(failed) => attempts.fail(failed),
+            };
+            if let Some(response) = response {
+                attempts.race.end(&attempts.active.id);
+                return response;
             }
         }
     }
 
+    /// Returns the number of attempts that may have run at another process.
+    fn runs_elsewhere(&self) -> u32 {
+        match &self.origin {
+            Origin::Caller => 0,
+            Origin::Process(progress) => progress.tries.may_have_run,
+        }
+    }
+
+    /// Returns the number of attempts that have run or may run.
+    pub(super) fn may_run(&self) -> u32 {
+        self.attempts.lock().may_run
+    }
+
+    /// Counts an attempt that begins; returns its number.
+    pub(super) fn begin_attempt(&self) -> u32 {
+        self.attempts.lock().begin()
+    }
+
+    /// Counts a failed attempt.
+    pub(super) fn count_failure(&self, failed: &FailedAttempt) {
+        self.attempts.lock().fail(failed);
+    }
+
+    /// Returns whether another attempt may begin though earlier ones may run or have run.
+    pub(super) fn may_add_attempt(&self) -> bool {
+        let route = &self.routed.route;
+        AttemptOutcome::Unknown.may_retry(route.execution_policy)
+            && self.attempts.lock().allows_another(route.max_attempts)
+    }
+
     /// Returns the response to a request whose last attempt was `failed`.
     fn fail(&self, failed: &FailedAttempt) -> Response {
         let response = responses::failed(failed);
@@ -131,23 +310,62 @@
         }
     }
 
-    pub(super) fn may_retry(&self, failed: &FailedAttempt, attempts: u32) -> bool {
+    /// Returns whether another attempt may follow the failed one, and takes it from the retry budget.
+    pub(super) fn may_retry(&self, failed: &FailedAttempt) -> bool {
         let route = &self.routed.route;
         if !failed.outcome.may_retry(route.execution_policy) {
             return false;
         }
-        if attempts >= route.max_attempts.max(1) && !failed.outcome.is_not_run() {
+        let begun = self.attempts.lock().begun;
+        if begun >= route.max_attempts.max(1) && !failed.outcome.is_not_run() {
             return false;
         }
-        if attempts >= route.max_attempts + 2 || self.now() >= self.deadline {
+        if begun >= route.max_attempts + MAX_NOT_RUN || self.now() >= self.deadline {
             return false;
         }
-        let mut local = self.state.shared.local.lock();
-        let processes = local.processes();
         // An attempt that was never sent put no load on the backend server, so it takes nothing
         // from the retry budget.
-        failed.outcome == AttemptOutcome::NotSent
-            || local.retries.try_take(&self.routed.service.name, processes, self.now())
+        failed.outcome == AttemptOutcome::NotSent || self.take_retry()
+    }
+
+    /// Takes a retry from the budget; returns false if none is left.
+    fn take_retry(&self) -> bool {
+        let mut local = self.state.shared.local.lock();
+        let processes = local.processes();
+        local.retries.try_take(&self.routed.service.name, processes, self.now())
+    }
+
+    /// Returns a carrier for one more attempt beside those at the servers `tried`, if one is free now and
+    /// the retry budget allows it.
+    pub(super) fn free_carrier(&self, tried: &[ServerId]) -> Option<Carrier> {
+        if !self.has_retry() || self.is_quarantined() {
+            return None;
+        }
+        let pending = self.pending_request(tried, self.now());
+        let decision = self.state.shared.decide_at_once(&pending, self.now());
+        self.carrier_of(decision).ok().filter(|_| self.take_retry())
+    }
+
+    /// Does what [`ActiveRequest::free_carrier`] does, but waits in the queue until one is free.
+    pub(super) async fn queued_carrier(&self, tried: &[ServerId]) -> Option<Carrier> {
+        if !self.has_retry() || self.is_quarantined() {
+            return None;
+        }
+        let decision = self.decision(self.pending_request(tried, self.now())).await;
+        self.carrier_of(decision).ok().filter(|_| self.take_retry())
+    }
+
+    fn has_retry(&self) -> bool {
+        let mut local = self.state.shared.local.lock();
+        let processes = local.processes();
+        local.retries.remaining(&self.routed.service.name, processes, self.now()) >= 1.0
+    }
+
+    async fn decision(&self, pending: PendingRequest) -> Decision {
+        match self.state.shared.submit(pending, self.now()) {
+            Ok(decision) => decision,
+            Err(waiting) => waiting.decision().await,
+        }
     }
 
     /// Waits for an endpoint, or for another process that takes the request over; `tried` are the servers
@@ -160,28 +378,42 @@
         if let Some(refused) = self.refuse_if_quarantined() {
             return Err(refused);
         }
-        let pending = self.pending_request(tried, since);
-        let decision = match self.state.shared.submit(pending, self.now()) {
-            Ok(decision) => decision,
-            Err(waiting) => waiting.decision().await,
-        };
+        let decision = self.decision(self.pending_request(tried, since)).await;
+        let carrier = self.carrier_of(decision).map_err(|not_sent| match not_sent {
+            NotSent::Refused { retry_after, reason } => self.refuse(retry_after, reason),
+            NotSent::Undecided => responses::refused(UNCONFIGURED_RETRY_AFTER),
+        })?;
+        match (&carrier, self.refuse_if_quarantined()) {
+            (Carrier::Server(_), Some(refused)) => Err(refused),
+            _ => Ok(carrier),
+        }
+    }
+
+    /// Returns what carries the request, as it was decided.
+    fn carrier_of(&self, decision: Decision) -> Result<Carrier, NotSent> {
         match decision {
-            Decision::Send(choice) => {
-                let reservation = Reservation::new(self, choice);
-                match self.refuse_if_quarantined() {
-                    None => Ok(Carrier::Server(Box::new(reservation))),
-                    Some(refused) => Err(refused),
-                }
-            }
+            Decision::Send(choice) => Ok(Carrier::Server(Box::new(Reservation::new(self, choice)))),
             Decision::HandOver => match HandOver::choose(&self.state) {
                 Some(hand_over) => Ok(Carrier::Process(hand_over)),
-                None => Err(self.refuse(NO_HELPER_RETRY_AFTER, Refusal::CutOff)),
+                None => Err(NotSent::Refused {
+                    retry_after: NO_HELPER_RETRY_AFTER,
+                    reason: Refusal::CutOff,
+                }),
             },
-            Decision::Refuse { retry_after, reason } => Err(self.refuse(retry_after, reason)),
-            Decision::Wait => Err(responses::refused(UNCONFIGURED_RETRY_AFTER)),
+            Decision::Refuse { retry_after, reason } => {
+                Err(NotSent::Refused { retry_after, reason })
+            }
+            Decision::Wait => Err(NotSent::Undecided),
         }
     }
 
+    /// Returns whether the request, or a part of its prompt, crashed the servers that ran it.
+    fn is_quarantined(&self) -> bool {
+        let local = self.state.shared.local.lock();
+        local.crash_reports.refused_for(self.fingerprint, wall_millis()).is_some()
+            || local.crash_reports.part_refusal(&self.parts, wall_millis()).is_some()
+    }
+
     /// Returns a refusal if the request crashed the servers that ran it.
     fn refuse_if_quarantined(&self) -> Option<Response> {
         let (refused_for, part) = {
--- a/crates/front/src/serve/carrier.rs
+++ b/crates/front/src/serve/carrier.rs
@@ -9,6 +9,8 @@
 use super::hand_over::HandOver;
 use super::reservation::Reservation;
 use super::server_end;
+use super::silence::Silence;
+use super::silence::Stage;
 
 /// What carries an attempt.
 pub(crate) enum Carrier {
@@ -98,15 +100,30 @@
         }
     }
 
-    /// Returns whether an attempt that has got nothing for the time `silent_for` should be made elsewhere:
-    /// its endpoint makes no progress on any request, or this process can't reach it any more.
-    pub(crate) fn is_lost(&self, silent_for: Duration) -> bool {
-        match self {
-            Carrier::Server(reservation) => {
-                reservation.is_stalled() || reservation.is_cut_off(silent_for)
+    /// Returns why the server counts as silent for an attempt that has got nothing for the time
+    /// `silent_for`, if it does; `usual` is the longest time that it usually takes.
+    pub(super) fn silence(
+        &self,
+        stage: Stage,
+        silent_for: Duration,
+        usual: Duration,
+    ) -> Option<Silence> {
+        let reservation = match self {
+            Carrier::Server(reservation) => reservation,
+            // The other process may try two servers, one after the other.
+            Carrier::Process(_) if stage == Stage::Head => {
+                return (silent_for >= usual * 2).then_some(Silence::Late);
             }
-            Carrier::Process(_) => false,
+            Carrier::Process(_) => return (silent_for >= usual).then_some(Silence::Late),
+        };
+        if reservation.is_cut_off(silent_for) {
+            return Some(Silence::CutOff);
+        }
+        let is_late = silent_for >= usual;
+        if (is_late || stage != Stage::Head) && reservation.is_stalled() {
+            return Some(Silence::Stalled);
         }
+        is_late.then_some(Silence::Late)
     }
 
     /// Finds out whether the backend server ended, after its connection broke.
--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -123,8 +123,7 @@
     ) -> (Decision, Option<Ticket>) {
         // Requests that wait for the same endpoints go first, unless they are less urgent.
         let is_ahead = |other: &&PendingRequest| {
-            other.requirements.service == pending.requirements.service
-                && other.requirements.model == pending.requirements.model
+            is_same_flow(other, &pending)
                 && other.priority <= pending.priority
                 && !is_late(other, now)
         };
@@ -143,6 +142,22 @@
         }
     }
 
+    /// Decides on another attempt of a request that is being served. It doesn't wait, and takes nothing
+    /// that other requests of its flow wait for.
+    pub fn decide_at_once(
+        &self,
+        pending: &PendingRequest,
+        endpoints: &EndpointPool,
+        now: Mono,
+    ) -> Decision {
+        let has_waiting = self.waiting.values().any(|other| is_same_flow(other, pending));
+        let decision = decide(pending, endpoints, now);
+        match decision {
+            Decision::Send(_) if has_waiting => Decision::Wait,
+            decision => decision,
+        }
+    }
+
     /// Decides on the first request in order that need not wait any longer; also returns the number
     /// of its prompt tokens.
     ///
@@ -173,13 +188,11 @@
     /// is not late. Capacity that becomes free is reserved for it.
     fn has_more_urgent(&self, ticket: Ticket, now: Mono) -> bool {
         let pending = &self.waiting[&ticket];
-        let is_same_flow = |other: &PendingRequest| {
-            other.requirements.service == pending.requirements.service
-                && other.requirements.model == pending.requirements.model
-        };
         pending.requirements.model.is_some()
             && self.waiting.values().any(|other| {
-                other.priority < pending.priority && is_same_flow(other) && !is_late(other, now)
+                other.priority < pending.priority
+                    && is_same_flow(other, pending)
+                    && !is_late(other, now)
             })
     }
 
@@ -199,6 +212,12 @@
     }
 }
 
+/// Returns whether two requests need the same service and model.
+fn is_same_flow(one: &PendingRequest, other: &PendingRequest) -> bool {
+    one.requirements.service == other.requirements.service
+        && one.requirements.model == other.requirements.model
+}
+
 fn is_late(pending: &PendingRequest, now: Mono) -> bool {
     now >= pending.arrived_at + pending.latency_target
 }
