Check whether a response and its events go on with a stream that has broken off

Cause: the relay of a stream takes any success of the next server for the rest of the stream, whatever its status, media type and ids; and any bytes up to a blank line for an event.

The protocol adds a field of its own as the first line only. The head of a response always fails this, also inside an event; text in a value, or a head without headers that continues a value, can't be told.

--- a/crates/pass/src/events.rs
+++ b/crates/pass/src/events.rs
@@ -1,12 +1,27 @@
 //! Splits a stream of chunks into complete events, so that no part of a truncated event is passed
 //! on.
 
+use base::prelude::*;
 use bytes::Bytes;
 use bytes::BytesMut;
 
 /// Maximum size of an incomplete event; a stream with a larger one is considered malformed.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// The fields of events. Clients ignore others, and servers send others only in the first line.
+const FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+
+/// What a block of lines that ends with a blank one is.
+#[key]
+pub enum EventKind {
+    /// An event.
+    Event,
+    /// Comments or blank lines only.
+    Comment,
+    /// No event, or one that other bytes are mixed with, for example the head of a response.
+    Malformed,
+}
+
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -16,6 +31,39 @@
     pub id: Option<Box<str>>,
 }
 
+impl Event {
+    /// Returns what the bytes are.
+    pub fn kind(&self) -> EventKind {
+        let names = || fields(&self.bytes).map(|(name, _)| name);
+        let is_known = |name: &[u8]| FIELDS.contains(&name);
+        if names().next().is_none() {
+            return EventKind::Comment;
+        }
+        let ids = names().filter(|name| *name == b"id").count();
+        match names().any(is_known) && names().skip(1).all(is_known) && ids <= 1 {
+            true => EventKind::Event,
+            false => EventKind::Malformed,
+        }
+    }
+
+    /// Returns the value of the first field `name`.
+    pub fn field(&self, name: &[u8]) -> Option<&[u8]> {
+        fields(&self.bytes).find(|(n, _)| *n == name).map(|(_, value)| value)
+    }
+}
+
+/// Returns the names and values of the fields of an event, without comments.
+fn fields(bytes: &[u8]) -> impl Iterator<Item = (&[u8], &[u8])> {
+    let lines = bytes.split(|byte| *byte == b'\n');
+    let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    lines.filter(|line| !line.is_empty() && !line.starts_with(b":")).map(|line| {
+        let colon = line.iter().position(|byte| *byte == b':');
+        let (name, value) = line.split_at(colon.unwrap_or(line.len()));
+        let value = value.strip_prefix(b":").unwrap_or_default();
+        (name, value.strip_prefix(b" ").unwrap_or(value))
+    })
+}
+
 /// Splits chunks into events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`engine_time`]: a model of the time that a replica group takes to the first event.
 //! - [`fixed_time`]: the part of that time that doesn't depend on load.
 //! - [`events`]: splits a stream into complete events.
+//! - [`resumption`]: whether a response goes on with a stream that has broken off.
 
 pub mod admission;
 pub mod arrivals;
@@ -46,6 +47,7 @@
 pub mod outcome;
 pub mod paths;
 pub mod request;
+pub mod resumption;
 pub mod routes;
 pub mod server_limit;
 pub mod server_notice;
@@ -71,5 +73,7 @@
     pub use crate::paths::Reach;
     pub use crate::request::GenerationRequest;
     pub use crate::request::RequestMetadata;
+    pub use crate::resumption::StreamHead;
+    pub use crate::resumption::StreamPosition;
     pub use crate::routes::RouteTable;
 }
--- a/crates/pass/tests/events.rs
+++ b/crates/pass/tests/events.rs
@@ -1,5 +1,7 @@
 //! Streams are split into complete events, wherever their chunks end.
 
+use pass::events::Event;
+use pass::events::EventKind;
 use pass::events::EventSplitter;
 use proptest::prelude::*;
 
@@ -73,3 +75,36 @@
         assert!(pushed <= LARGEST_EVENT_BYTES, "{pushed} bytes without an event");
     }
 }
+
+fn kind(text: &str) -> EventKind {
+    Event { bytes: text.to_owned().into(), id: None }.kind()
+}
+
+// Guards against another response in the body of a stream being taken for an event.
+#[test]
+fn bytes_that_are_no_event_are_told_apart() {
+    for text in [
+        "id: 1\ndata: a\n\n",
+        "data\n\n",
+        "\nid: 1\n\n",
+        ": note\nevent: piece\r\ndata: a\r\nretry: 5\r\n\r\n",
+        "version: 2\nid: 1\ndata: a\n\n",
+        "id: 1\ndata: HTTP/1.1 503 Service Unavailable\n\n",
+    ] {
+        assert_eq!(kind(text), EventKind::Event, "{text:?}");
+    }
+    for text in ["\n\n", "\r\n\r\n", ": note\n\n", ":\n: more\n\n"] {
+        assert_eq!(kind(text), EventKind::Comment, "{text:?}");
+    }
+    for text in [
+        "HTTP/1.1 503 Service Unavailable\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRetry-After: 1\r\nretry-after: 1\r\n\r\n",
+        "id: 3\ndaHTTP/1.1 503 Service Unavailable\r\n\r\n",
+        "id: 3\ndata: aHTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+        "{\"problem\": \"x\"}\n\n",
+        "<html>\n</html>\n\n",
+        "id: 3\nid: 4\ndata: a\n\n",
+    ] {
+        assert_eq!(kind(text), EventKind::Malformed, "{text:?}");
+    }
+}
