Resumed streams: only what certainly goes on with the stream reaches the caller

Cause: a resumption counted as soon as its status was a success: a signed 202, 206, 204 or JSON answer was split at blank lines and passed on, an empty one completed the stream, and events were passed on whatever their ids; blocks without any field of an event, such as the head of a response that a server wrote into its body, counted as events at the first server too.

A resumption without an event doesn't complete a stream. A stream is resumed only after an event that names its place. Malformed blocks break a source off.

One thing is given up: where the first server had sent its last event and broke off before the end, an empty resumption no longer completes the stream, since nothing tells it from an error; the caller resumes it.

--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -336,11 +336,12 @@
         let (mut parts, from) = response.into_parts();
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
+        let head = StreamHead::of(&parts.headers);
         let mut source = Source::new(from);
         let problem = match self.watched(Stage::Body, source.next()).await {
             Ok(event) => {
                 self.carrier.record_first_event(self.active.now());
-                return Ok(Response::from_parts(parts, Relay::start(self, event, source)));
+                return Ok(Response::from_parts(parts, Relay::start(self, head, event, source)));
             }
             Err(End::Complete) => "the response ended without an event".into(),
             Err(End::Broken(problem)) => {
--- a/crates/front/src/serve/relay.rs
+++ b/crates/front/src/serve/relay.rs
@@ -28,6 +28,8 @@
 use super::attempts::Tries;
 use super::carrier::Carrier;
 use super::race::Race;
+use super::resumption;
+use super::resumption::Expected;
 use super::resumption::Resumption;
 use super::resumption::resume;
 use super::silence;
@@ -49,6 +51,10 @@
     number: u32,
     /// The source of the current attempt; `None` once it has broken off.
     source: Option<Source>,
+    /// Whether the source resumes the stream, so that its events must follow those before.
+    is_resumed: bool,
+    /// What must hold of a response that goes on with the stream.
+    expected: Expected,
     /// Why the source broke off.
     problem: Box<str>,
     /// Why the server of the source counts as silent, if it does.
@@ -66,8 +72,6 @@
 
 /// What has been forwarded of a stream.
 struct Forwarded {
-    /// The id of the last event that had one; a resumed stream continues after it.
-    last_id: Option<Box<str>>,
     events: u64,
     first_at: Mono,
     last_at: Mono,
@@ -94,7 +98,7 @@
 
 impl Relay {
     /// Returns a body to which the stream of an attempt is forwarded, from its first event on.
-    pub(super) fn start(attempt: Attempt, first: Event, source: Source) -> Body {
+    pub(super) fn start(attempt: Attempt, head: StreamHead, first: Event, source: Source) -> Body {
         let (tx, body) = body::stream(());
         let Attempt { active, carrier, number, .. } = attempt;
         let now = active.now();
@@ -104,6 +108,8 @@
             carrier,
             number,
             source: Some(source),
+            is_resumed: false,
+            expected: Expected { head, position: StreamPosition::default() },
             problem: Box::default(),
             silence: None,
             has_waited: false,
@@ -150,10 +156,7 @@
                 }
                 Step::Ended(End::Complete) => return Outcome::Complete,
                 Step::Ended(End::Broken(problem)) => self.break_off(problem).await,
-                Step::Resumed(Ok(resumption)) => match self.go_on(resumption) {
-                    Some(event) => next = Some(event),
-                    None => return Outcome::Complete,
-                },
+                Step::Resumed(Ok(resumption)) => next = Some(self.go_on(resumption)),
                 Step::Resumed(Err(failed)) => self.fail(&failed),
                 Step::Carrier(Some(carrier)) => self.begin(carrier),
                 Step::Carrier(None) => {}
@@ -167,9 +170,12 @@
 
     /// Waits until something happens to the stream.
     async fn step(&mut self) -> Step {
+        let position = self.is_resumed.then_some(&self.expected.position);
         let step = tokio::select! {
             biased;
-            next = next_event(&mut self.source) => next.map_or_else(Step::Ended, Step::Event),
+            next = next_event(&mut self.source, position) => {
+                next.map_or_else(Step::Ended, Step::Event)
+            }
             resumed = self.race.next() => Step::Resumed(resumed),
             carrier = next_carrier(&mut self.waiting) => Step::Carrier(carrier),
             () = tokio::time::sleep(CHECK_PERIOD) => Step::Pause,
@@ -188,7 +194,8 @@
     /// Sends an event to the caller; returns false if the caller has disconnected.
     async fn forward(&mut self, event: Event) -> bool {
         self.carrier.record_progress();
-        self.forwarded.add(&event, self.active.now());
+        self.expected.position.advance(&event);
+        self.forwarded.add(self.active.now());
         self.tx.send(event.bytes).await
     }
 
@@ -238,8 +245,8 @@
         self.tries.add(failed);
     }
 
-    /// Goes on with a resumed stream; returns its next event, or `None` if it is complete.
-    fn go_on(&mut self, resumption: Resumption) -> Option<Event> {
+    /// Goes on with a resumed stream; returns its next event.
+    fn go_on(&mut self, resumption: Resumption) -> Event {
         if self.source.is_some() {
             let outcome = AttemptOutcome::Unknown;
             let problem = "another server went on first";
@@ -251,10 +258,11 @@
         self.carrier = resumption.carrier;
         self.number = resumption.number;
         self.source = Some(resumption.source);
+        self.is_resumed = true;
         decision_log::write(&Record::Resumed {
             request: &self.active.id,
             server: self.carrier.name(),
-            after_event: self.forwarded.last_id.as_deref().unwrap_or_default(),
+            after_event: self.expected.position.resume_after().unwrap_or_default(),
         });
         resumption.next
     }
@@ -295,7 +303,7 @@
     /// Returns whether another server may be asked for the rest of the stream.
     fn may_resume(&self) -> bool {
         self.active.routed.route.execution_policy == ExecutionPolicy::Resumable
-            && self.forwarded.last_id.is_some()
+            && self.expected.position.resume_after().is_some()
             && self.active.may_add_attempt()
     }
 
@@ -306,13 +314,14 @@
 
     /// Asks another server for the rest of the stream.
     fn begin(&mut self, carrier: Carrier) {
-        let Some(last_id) = self.forwarded.last_id.clone() else { return };
+        let Some(after) = self.expected.position.resume_after() else { return };
+        let (after, expected) = (after.into(), self.expected.clone());
         let active = self.active.clone();
         let running: Vec<ServerId> = self.running().cloned().collect();
         let tries = self.tries.with_running(running.iter(), active.may_run());
         let number = active.begin_attempt();
         let attempt = Attempt::new(active, carrier, number, tries);
-        self.race.begin(attempt, |attempt| resume(attempt, last_id));
+        self.race.begin(attempt, |attempt| resume(attempt, after, expected));
     }
 
     /// Returns the servers of the attempts that run.
@@ -370,32 +379,28 @@
 
 impl Forwarded {
     fn new(now: Mono) -> Self {
-        Forwarded {
-            last_id: None,
-            events: 0,
-            first_at: now,
-            last_at: now,
-            longest_gap: Duration::ZERO,
-        }
+        Forwarded { events: 0, first_at: now, last_at: now, longest_gap: Duration::ZERO }
     }
 
-    fn add(&mut self, event: &Event, now: Mono) {
+    fn add(&mut self, now: Mono) {
         if self.events > 0 {
             self.longest_gap = self.longest_gap.max(now.saturating_sub(self.last_at));
         }
         self.last_at = now;
         self.events += 1;
-        if event.id.is_some() {
-            self.last_id.clone_from(&event.id);
-        }
     }
 }
 
-/// Returns the next event of a source; never resolves without one.
-async fn next_event(source: &mut Option<Source>) -> Result<Event, End> {
-    match source {
-        Some(source) => source.next().await,
-        None => std::future::pending().await,
+/// Returns the next event of a source, which must go on after `position` if it resumes the stream; never
+/// resolves without a source.
+async fn next_event(
+    source: &mut Option<Source>,
+    position: Option<&StreamPosition>,
+) -> Result<Event, End> {
+    match (source, position) {
+        (Some(source), Some(position)) => resumption::next_event(source, position).await,
+        (Some(source), None) => source.next().await,
+        (None, _) => std::future::pending().await,
     }
 }
 
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -6,6 +6,7 @@
 use displaydoc::Display;
 use http::StatusCode;
 use pass::events::Event;
+use pass::events::EventKind;
 use pass::prelude::*;
 use volo_http::body::Body;
 use web::body;
@@ -60,7 +61,10 @@
     pub(super) async fn next(&mut self) -> Result<Event, End> {
         loop {
             if let Some(event) = self.events.next_event() {
-                return Ok(event);
+                return match event.kind() {
+                    EventKind::Event | EventKind::Comment => Ok(event),
+                    EventKind::Malformed => Err(End::Broken("bytes that are no event".into())),
+                };
             }
             match body::next_chunk(&mut self.from).await {
                 Some(Ok(chunk)) => {
