Relay: a reader that is slow doesn't make its server count as silent

The time without an event counted from when the last one had come, though the relay waits for the next one only once the caller has taken it. With the change that begins another attempt beside a silent server, a caller that reads slowly would have led to attempts that nobody needs. It counts now from when the caller has taken the last event.

--- a/crates/front/src/serve/relay.rs
+++ b/crates/front/src/serve/relay.rs
@@ -57,6 +57,8 @@
     expected: Expected,
     /// Why the source broke off.
     problem: Box<str>,
+    /// Since when the next event is waited for: the caller has taken the one before.
+    waiting_since: Mono,
     /// Why the server of the source counts as silent, if it does.
     silence: Option<Silence>,
     /// Whether the stream has waited in the queue for another server, since the source fell silent.
@@ -111,6 +113,7 @@
             is_resumed: false,
             expected: Expected { head, position: StreamPosition::default() },
             problem: Box::default(),
+            waiting_since: now,
             silence: None,
             has_waited: false,
             tries: Tries::default(),
@@ -196,7 +199,9 @@
         self.carrier.record_progress();
         self.expected.position.advance(&event);
         self.forwarded.add(self.active.now());
-        self.tx.send(event.bytes).await
+        let is_taken = self.tx.send(event.bytes).await;
+        self.waiting_since = self.active.now();
+        is_taken
     }
 
     /// Records that the source has given an event: if it was silent, no other one is needed any more.
@@ -297,7 +302,7 @@
     }
 
     fn silent_for(&self) -> Duration {
-        self.active.now().saturating_sub(self.forwarded.last_at)
+        self.active.now().saturating_sub(self.waiting_since)
     }
 
     /// Returns whether another server may be asked for the rest of the stream.
--- a/crates/pass/tests/dispatch.rs
+++ b/crates/pass/tests/dispatch.rs
@@ -583,3 +583,25 @@
         assert_eq!(decisions, [Decision::Wait, Decision::Wait, Decision::Wait]);
     }
 }
+
+// Guards against other attempts of slow requests taking the places that new requests wait for.
+#[test]
+fn another_attempt_takes_a_place_only_if_no_other_request_waits_for_it() {
+    let now = millis(1_000);
+    let mut endpoints = endpoints(&["a"]);
+    let mut queue = DispatchQueue::default();
+    let another = pending(1, now);
+    assert!(matches!(queue.decide_at_once(&another, &endpoints, now), Decision::Send(_)));
+    for _ in 0..4 {
+        endpoints.request_sent(&endpoint("a"), 1_000, now);
+    }
+    let full = queue.decide_at_once(&another, &endpoints, now);
+    assert!(!matches!(full, Decision::Send(_)), "no place is free: {full:?}");
+    let (decision, ticket) = queue.submit(pending(1, now), &endpoints, now);
+    assert_eq!((decision, ticket.is_some()), (Decision::Wait, true));
+    endpoints.request_ended(&endpoint("a"));
+    endpoints.prefill_done(&endpoint("a"), 4_000);
+    assert_eq!(queue.decide_at_once(&another, &endpoints, now), Decision::Wait);
+    let next = queue.poll(&endpoints, now).expect("the waiting request gets the place");
+    assert!(matches!(next.2, Decision::Send(_)));
+}
