Review: a harness of real processes that looks for requests lost around planned work

Two entry processes in two failure domains, twelve model servers in six groups, five plain servers, thirty clients with stream after stream (24 on kept connections) and six with plain requests. The clients check each answer: whole, each event once and in order, ended properly, and they leave only after 2 s of silence. One process gets SIGTERM and is killed 8 s later. Each request without a complete answer is judged by the rule LOST and goes into the record with the servers' and the client's times and the process's own log lines. Existing cases check what they did before; `Engine::start_with` lets a case write the answers of a model server.

--- a/review/stand/engine.rs
+++ b/review/stand/engine.rs
@@ -1,4 +1,5 @@
-//! A model server: it joins groups on order, and its head answers with a stream of events.
+//! A model server: it joins groups on order, and its head answers with a stream of events, or as its case
+//! says.
 
 use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
@@ -17,6 +18,9 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 const EVENTS: usize = 5;
 
+/// How the head of a group answers a request: returns false to break the connection off.
+pub type Run = Arc<dyn Fn(&Engine, &Message, &mut TcpStream) -> bool + Send + Sync>;
+
 #[derive(Clone)]
 struct Membership {
     group: String,
@@ -53,6 +57,20 @@
 impl Engine {
     /// Starts a server that a request with the part `deadly` in its prompt crashes.
     pub fn start(store: &Store, record: &Recorder, id: &str, domain: &str, deadly: &str) -> Engine {
+        let deadly = deadly.to_owned();
+        let run: Run =
+            Arc::new(move |engine, request, stream| engine.run(request, stream, &deadly));
+        Engine::start_with(store, record, id, domain, run)
+    }
+
+    /// Starts a server whose answers `run` writes.
+    pub fn start_with(
+        store: &Store,
+        record: &Recorder,
+        id: &str,
+        domain: &str,
+        run: Run,
+    ) -> Engine {
         let (listener, address) = net::listener();
         let since = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970");
         let engine = Engine {
@@ -65,9 +83,9 @@
             state: Arc::default(),
             end: Arc::default(),
         };
-        let (served, reporting, deadly) = (engine.clone(), engine.clone(), deadly.to_owned());
+        let (served, reporting) = (engine.clone(), engine.clone());
         let handler: Handler =
-            Arc::new(move |request, stream| served.answer(&request, stream, &deadly));
+            Arc::new(move |request, stream| served.answer(&request, stream, &run));
         *engine.end.lock().unwrap() = net::serve(listener, handler);
         std::thread::spawn(move || {
             while reporting.report() {
@@ -108,7 +126,7 @@
         true
     }
 
-    fn answer(&self, request: &Message, stream: &mut TcpStream, deadly: &str) -> bool {
+    fn answer(&self, request: &Message, stream: &mut TcpStream, run: &Run) -> bool {
         let expected = request.header("x-samphireport-expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
             return net::respond(stream, "421 Misdirected Request", &[], b"").is_ok();
@@ -121,6 +139,10 @@
         if !is_head {
             return net::respond(stream, "421 Misdirected Request", &[], b"").is_ok();
         }
+        run(self, request, stream)
+    }
+
+    fn run(&self, request: &Message, stream: &mut TcpStream, deadly: &str) -> bool {
         let id = request.header("x-samphireport-attempt-id").unwrap_or("").to_owned();
         let prompt = request.header("x-samphireport-prompt-prefix").unwrap_or("");
         std::thread::sleep(FIRST_TOKEN_TIME);
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -11,6 +11,7 @@
 mod incomplete_entry;
 mod long_answer;
 mod net;
+mod planned_work;
 mod run_then_503;
 mod slow_reader;
 mod store;
@@ -47,7 +48,8 @@
         "deadly-part" => deadly_part::play(&mut world),
         "incomplete-entry" => incomplete_entry::play(&mut world),
         "extra-answer" => extra_answer::play(&mut world),
-        _ => Verdict::NotRun("no such case".into()),
+        name => planned_work::play(&mut world, name)
+            .unwrap_or_else(|| Verdict::NotRun("no such case".into())),
     };
     drop(world);
     if std::env::var_os("KEEP").is_none() {
--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -15,7 +15,7 @@
 use crate::store::Store;
 
 pub const HUP: i32 = 1;
-const KILL: u64 = 9;
+pub const KILL: i32 = 9;
 pub const TERM: i32 = 15;
 
 extern "C" {
@@ -63,6 +63,7 @@
 pub struct Entry {
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub log: PathBuf,
     child: Child,
 }
 
@@ -88,7 +89,8 @@
         let path = self.folder.join(format!("settings-{at}.json"));
         std::fs::write(&path, settings).expect("settings can be written");
         let child = self.spawn(&path, &name);
-        self.entries.push(Entry { callers, readiness, child });
+        let log = self.folder.join(format!("{name}.log"));
+        self.entries.push(Entry { callers, readiness, log, child });
         at
     }
 
@@ -102,7 +104,7 @@
             .stderr(log.try_clone().expect("a log"))
             .stdout(log);
         // The process ends with the script, however that ends (PR_SET_PDEATHSIG).
-        let ends_with_script = || match unsafe { prctl(1, KILL) } {
+        let ends_with_script = || match unsafe { prctl(1, KILL as u64) } {
             0 => Ok(()),
             _ => Err(std::io::Error::last_os_error()),
         };
