Review: lost requests with slow clients, SIGHUP, series of configurations and a quota of processor time

Not done: hand-over to a process that is stopped, which the rule counts only for the process that took the request from its client; three processes; stops of several processes that overlap.

--- a/review/stand/planned_work.rs
+++ b/review/stand/planned_work.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::world::{World, HUP, KILL, TERM};
+use crate::world::{Quota, World, HUP, KILL, TERM};
 use crate::Verdict;
 use plan::{Act, Plan};
 use servers::Servers;
@@ -26,6 +26,9 @@
 /// Time after SIGTERM at which a process is killed, in seconds.
 const GRACE_S: f64 = 8.0;
 const ENTRIES: usize = 2;
+/// How processes with a quota of processor time run.
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+const QUOTA_SHARE: f64 = 0.25;
 
 /// Plays the case `name`, or returns `None` if it isn't one of these.
 pub fn play(world: &mut World, name: &str) -> Option<Verdict> {
@@ -48,6 +51,8 @@
     }
     std::thread::sleep(Duration::from_millis(1_500));
     let addresses = entries.iter().map(|at| world.entry(*at).callers).collect();
+    let processes = entries.iter().map(|at| world.process_id(*at)).collect();
+    let quota = plan.has_quota.then(|| Quota::start(processes, QUOTA_PERIOD, QUOTA_SHARE));
     let crowd = clients::Crowd::start(&plan, addresses, &world.record);
     let started = world.record.now();
     servers.begin(started);
@@ -74,6 +79,7 @@
     let left = started + plan.duration_s - world.record.now();
     std::thread::sleep(Duration::from_secs_f64(left.max(0.0)));
     let outcomes = crowd.end();
+    drop(quota);
     let logs = entries.iter().map(|at| world.entry(*at).log.clone()).collect();
     judge::judge(&world.record, &outcomes, &servers.journal(), &times, logs)
 }
--- a/review/stand/planned_work/plan.rs
+++ b/review/stand/planned_work/plan.rs
@@ -58,6 +58,8 @@
     /// Clients that read large plain answers slowly, and those that send bodies slowly.
     pub slow_readers: u64,
     pub slow_senders: u64,
+    /// Whether the processes run only for a quarter of each tenth of a second, at its start.
+    pub has_quota: bool,
 }
 
 fn variable(name: &str, usual: u64) -> u64 {
@@ -81,6 +83,7 @@
             plain: 6,
             slow_readers: 0,
             slow_senders: 0,
+            has_quota: false,
         };
         let plan = match name {
             "stop-plain" => stop,
@@ -103,6 +106,39 @@
                 plain: 20,
                 ..stop
             },
+            "stop-kept-quota" => Plan {
+                think_ms: (0, 2),
+                length_ms: (20, 600),
+                kept: 40,
+                new: 0,
+                plain: 20,
+                has_quota: true,
+                ..stop
+            },
+            "stop-idle-quota" => Plan {
+                think_ms: (0, 3_000),
+                length_ms: (20, 200),
+                kept: 240,
+                new: 0,
+                has_quota: true,
+                ..stop
+            },
+            "stop-late-quota" => Plan {
+                think_ms: (0, 1),
+                length_ms: (2_000, 5_500),
+                kept: 44,
+                new: 0,
+                has_quota: true,
+                ..stop
+            },
+            "stop-new-quota" => Plan { kept: 6, new: 24, plain: 20, has_quota: true, ..stop },
+            "hup-quota" => Plan {
+                acts: (0..8)
+                    .map(|i| (3.0 + f64::from(i) * 0.7, Act::Hup(i as usize % 2)))
+                    .collect(),
+                has_quota: true,
+                ..stop
+            },
             "stop-slow-clients" => {
                 Plan { slow_readers: 12, slow_senders: 12, kept: 6, new: 2, ..stop }
             }
--- a/review/stand/planned_work/servers.rs
+++ b/review/stand/planned_work/servers.rs
@@ -17,6 +17,9 @@
 /// Servers fall silent one after the other, so many seconds apart.
 const SILENCES_APART_S: f64 = 0.5;
 
+/// Bytes of a chunk of a plain answer; longer answers are sent in chunks.
+const CHUNK: usize = 64 << 10;
+
 /// A run of a request at a server. Times are in seconds of the record.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -154,8 +157,10 @@
         let script = Script::parse(&request.body);
         let run = self.begin(id, &server.id);
         std::thread::sleep(Duration::from_millis(script.pause_ms));
-        let body = vec![b'a'; script.bytes];
-        let end = server.succeed(request, stream, &body);
+        let end = match script.bytes > CHUNK {
+            true => send_chunked(&server.id, id, script.bytes, stream).is_ok(),
+            false => server.succeed(request, stream, &vec![b'a'; script.bytes]),
+        };
         let now = self.record.now();
         self.update(id, run, |run| {
             run.last_write = now;
@@ -194,3 +199,23 @@
         }
     }
 }
+
+fn send_chunked(
+    server: &str,
+    id: &str,
+    length: usize,
+    stream: &mut TcpStream,
+) -> std::io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Samphireport-Attempt-Id: {id}\r\n\
+         X-Samphireport-Response-Signature: sig.{server}.{id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes())?;
+    let mut left = length;
+    while left > 0 {
+        let size = left.min(CHUNK);
+        stream.write_all(format!("{size:x}\r\n{}\r\n", "a".repeat(size)).as_bytes())?;
+        left -= size;
+    }
+    stream.write_all(b"0\r\n\r\n")
+}
--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -8,6 +8,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -17,6 +18,8 @@
 pub const HUP: i32 = 1;
 pub const KILL: i32 = 9;
 pub const TERM: i32 = 15;
+const CONT: i32 = 18;
+const STOP: i32 = 19;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -121,6 +124,11 @@
         unsafe { kill(self.entries[at].child.id() as i32, signal) };
     }
 
+    /// Returns the id of an entry process.
+    pub fn process_id(&self, at: usize) -> i32 {
+        self.entries[at].child.id() as i32
+    }
+
     /// Waits until an entry process is ready and serves a request; returns whether it does.
     pub fn wait_until_ready(&self, at: usize) -> bool {
         let until = Instant::now() + Duration::from_secs(20);
@@ -144,6 +152,42 @@
     }
 }
 
+/// Lets processes run only at the start of each period, as a quota of processor time does, until the
+/// returned value is dropped.
+pub struct Quota(Arc<AtomicBool>, Option<std::thread::JoinHandle<()>>);
+
+impl Quota {
+    /// `processes` must be children of this process that haven't been waited for.
+    pub fn start(processes: Vec<i32>, period: Duration, share: f64) -> Quota {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let over = is_over.clone();
+        let send = move |signal| {
+            for process in &processes {
+                unsafe { kill(*process, signal) };
+            }
+        };
+        let thread = std::thread::spawn(move || {
+            while !over.load(Ordering::Relaxed) {
+                send(CONT);
+                std::thread::sleep(period.mul_f64(share));
+                send(STOP);
+                std::thread::sleep(period.mul_f64(1.0 - share));
+            }
+            send(CONT);
+        });
+        Quota(is_over, Some(thread))
+    }
+}
+
+impl Drop for Quota {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.1.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
 /// Sends one request on a connection of its own, and reads the answer.
 pub fn exchange(
     address: SocketAddr,
