--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -8,6 +8,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -15,8 +16,10 @@
 use crate::store::Store;
 
 pub const HUP: i32 = 1;
-const KILL: u64 = 9;
+pub const KILL: i32 = 9;
 pub const TERM: i32 = 15;
+const CONT: i32 = 18;
+const STOP: i32 = 19;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -63,6 +66,7 @@
 pub struct Entry {
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub log: PathBuf,
     child: Child,
 }
 
@@ -88,7 +92,8 @@
         let path = self.folder.join(format!("settings-{at}.json"));
         std::fs::write(&path, settings).expect("settings can be written");
         let child = self.spawn(&path, &name);
-        self.entries.push(Entry { callers, readiness, child });
+        let log = self.folder.join(format!("{name}.log"));
+        self.entries.push(Entry { callers, readiness, log, child });
         at
     }
 
@@ -102,7 +107,7 @@
             .stderr(log.try_clone().expect("a log"))
             .stdout(log);
         // The process ends with the script, however that ends (PR_SET_PDEATHSIG).
-        let ends_with_script = || match unsafe { prctl(1, KILL) } {
+        let ends_with_script = || match unsafe { prctl(1, KILL as u64) } {
             0 => Ok(()),
             _ => Err(std::io::Error::last_os_error()),
         };
@@ -119,6 +124,11 @@
         unsafe { kill(self.entries[at].child.id() as i32, signal) };
     }
 
+    /// Returns the id of an entry process.
+    pub fn process_id(&self, at: usize) -> i32 {
+        self.entries[at].child.id() as i32
+    }
+
     /// Waits until an entry process is ready and serves a request; returns whether it does.
     pub fn wait_until_ready(&self, at: usize) -> bool {
         let until = Instant::now() + Duration::from_secs(20);
@@ -142,6 +152,42 @@
     }
 }
 
+/// Lets processes run only at the start of each period, as a quota of processor time does, until the
+/// returned value is dropped.
+pub struct Quota(Arc<AtomicBool>, Option<std::thread::JoinHandle<()>>);
+
+impl Quota {
+    /// `processes` must be children of this process that haven't been waited for.
+    pub fn start(processes: Vec<i32>, period: Duration, share: f64) -> Quota {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let over = is_over.clone();
+        let send = move |signal| {
+            for process in &processes {
+                unsafe { kill(*process, signal) };
+            }
+        };
+        let thread = std::thread::spawn(move || {
+            while !over.load(Ordering::Relaxed) {
+                send(CONT);
+                std::thread::sleep(period.mul_f64(share));
+                send(STOP);
+                std::thread::sleep(period.mul_f64(1.0 - share));
+            }
+            send(CONT);
+        });
+        Quota(is_over, Some(thread))
+    }
+}
+
+impl Drop for Quota {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.1.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
 /// Sends one request on a connection of its own, and reads the answer.
 pub fn exchange(
     address: SocketAddr,
