A response is in flight until the kernel has its last byte

Cause: a response counted as sent once the HTTP library had read its last bytes from the body. From 2.5 s after SIGTERM on, and after the idle timeout, the connection counted as idle and its socket was shut down through a second handle; what the library still held was lost. The stop didn't wait for it either.

Ruled out: to poll the second handle for POLLOUT at two checks in a row. The socket is writable for a moment after each acknowledgement, before the library's task has run, so two checks of a loaded process can both meet such a moment. The library's own graceful shutdown: it comes only after the hooks of all connections, with a sleep of 2 s, and can't be asked of one connection.

Change: connections are driven with hyper, which volo-http's server uses too, on a stream of our own. hyper flushes its stream only when it has nothing left to write, so the first flush after the last bytes of a response were read shows exactly that the kernel has them; only then does the response leave `Drain`, and the connection become idle. A connection is closed by hyper, after the response that it is writing, and no longer by a shutdown from outside. Our side then ends the stream and discards for up to 1 s what still comes, until the peer closes as well: to close with unread bytes would reset the connection and could destroy bytes on their way. A peer that takes no byte of a complete response for four idle timeouts is closed; so the slot of a dead reader is freed.

Of the same class, by the same change: the idle timeout and the stop no longer cut off a request whose headers are arriving (the header timeout bounds it), nor a new connection within 0.5 s.

--- /dev/null
+++ b/crates/web/src/connection.rs
@@ -0,0 +1,244 @@
+//! One connection of a listener: its stream, and what is known of its use.
+//!
+//! The HTTP library counts a response as sent once it has read its last bytes, which may be long
+//! before a slow reader has let it write them. It flushes the stream whenever it has nothing left to
+//! write, so [`TrackedStream`] takes a response for sent at the first flush after its last bytes were
+//! read. The kernel has all bytes then.
+//!
+//! Invariant: a connection whose response is being served or read by its peer doesn't expire.
+
+use std::io;
+use std::io::IoSlice;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWrite;
+use tokio::io::AsyncWriteExt;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::server::InFlightGuard;
+
+/// How long a closing connection waits for its peer to close as well.
+const LINGER: Duration = Duration::from_secs(1);
+/// How long a stop lets a new connection send the first byte of its request.
+const FIRST_BYTE_GRACE: Duration = Duration::from_millis(500);
+/// Bytes that are read at a time, and dropped, from a closing connection.
+const DISCARD_BUFFER_BYTES: usize = 4 << 10;
+
+/// Whether a connection must close.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Closing {
+    /// It stays open.
+    No,
+    /// As soon as it is idle.
+    WhenIdle,
+    /// At once.
+    Now,
+}
+
+/// Bounds on the time that a connection may be without a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Timeouts {
+    /// Of the headers of a request, from its first byte or, for the first request, from the connection's
+    /// start.
+    pub(crate) header: Duration,
+    /// Between a response and the first byte of the next request.
+    pub(crate) idle: Duration,
+    /// Between two writes of a response that has been read completely.
+    pub(crate) write: Duration,
+}
+
+/// What a connection is doing.
+#[derive(Debug)]
+enum Use {
+    /// It was opened at `since`, and nothing was received yet.
+    Opened { since: Instant },
+    /// Nothing was received of the next request since `since`.
+    Idle { since: Instant },
+    /// The headers of a request have been arriving since `since`.
+    Receiving { since: Instant },
+    /// A request is being served.
+    Busy,
+    /// A response has been read completely but not yet sent. Bytes were last written at `since`.
+    Sending { since: Instant, _in_flight: InFlightGuard },
+}
+
+/// The use of one connection, shared by its stream, its requests and the table of connections.
+pub(crate) struct Activity {
+    current: Mutex<Use>,
+    closing: watch::Sender<Closing>,
+}
+
+impl Activity {
+    /// Returns the activity of a connection that was opened at `now`.
+    pub(crate) fn new(now: Instant) -> Arc<Self> {
+        Arc::new(Activity {
+            current: Mutex::new(Use::Opened { since: now }),
+            closing: watch::Sender::new(Closing::No),
+        })
+    }
+
+    /// Records that the headers of a request have arrived.
+    pub(crate) fn request_began(&self) {
+        *self.current.lock() = Use::Busy;
+    }
+
+    /// Records that the last bytes of a response have been read; `in_flight` ends when they are sent.
+    pub(crate) fn response_read(&self, in_flight: InFlightGuard) {
+        in_flight.response_read();
+        *self.current.lock() = Use::Sending { since: Instant::now(), _in_flight: in_flight };
+    }
+
+    /// Records that the kernel has all bytes that were written so far.
+    fn flushed(&self) {
+        let mut current = self.current.lock();
+        if matches!(&*current, Use::Sending { .. }) {
+            *current = Use::Idle { since: Instant::now() };
+        }
+    }
+
+    /// Records that the kernel has taken some bytes.
+    fn written(&self) {
+        if let Use::Sending { since, .. } = &mut *self.current.lock() {
+            *since = Instant::now();
+        }
+    }
+
+    /// Records that bytes were received.
+    fn received(&self) {
+        let mut current = self.current.lock();
+        match &*current {
+            Use::Opened { since } => *current = Use::Receiving { since: *since },
+            Use::Idle { .. } => *current = Use::Receiving { since: Instant::now() },
+            Use::Receiving { .. } | Use::Busy | Use::Sending { .. } => {}
+        }
+    }
+
+    /// Closes the connection if it has been without a request for too long at `now`.
+    pub(crate) fn expire(&self, now: Instant, timeouts: Timeouts) {
+        let has_passed = |since: &Instant, limit| now.saturating_duration_since(*since) >= limit;
+        let closing = match &*self.current.lock() {
+            Use::Opened { since } | Use::Receiving { since } => {
+                has_passed(since, timeouts.header).then_some(Closing::Now)
+            }
+            Use::Idle { since } => has_passed(since, timeouts.idle).then_some(Closing::WhenIdle),
+            Use::Sending { since, .. } => has_passed(since, timeouts.write).then_some(Closing::Now),
+            Use::Busy => None,
+        };
+        if let Some(closing) = closing {
+            self.close(closing);
+        }
+    }
+
+    /// Closes the connection once it is idle. One whose request is arriving at `now` gets its response.
+    pub(crate) fn close_when_idle(&self, now: Instant) {
+        let is_arriving = match &*self.current.lock() {
+            Use::Opened { since } => now.saturating_duration_since(*since) < FIRST_BYTE_GRACE,
+            Use::Receiving { .. } => true,
+            Use::Idle { .. } | Use::Busy | Use::Sending { .. } => false,
+        };
+        if !is_arriving {
+            self.close(Closing::WhenIdle);
+        }
+    }
+
+    fn close(&self, closing: Closing) {
+        self.closing.send_if_modified(|current| {
+            let is_sooner = closing > *current;
+            *current = closing.max(*current);
+            is_sooner
+        });
+    }
+
+    /// Resolves when the connection must close in another way than `known`, and returns it.
+    pub(crate) async fn closing(&self, known: Closing) -> Closing {
+        let mut rx = self.closing.subscribe();
+        // This can't fail: the sender lives as long as `self`.
+        rx.wait_for(|closing| *closing != known).await.map_or(known, |closing| *closing)
+    }
+}
+
+/// The stream of a connection, which records its use.
+pub(crate) struct TrackedStream {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+}
+
+impl TrackedStream {
+    pub(crate) fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
+        TrackedStream { stream, activity }
+    }
+
+    /// Ends the stream, and waits a short while until the peer ends it as well.
+    ///
+    /// Closing it with unread bytes would reset the connection, and the peer might lose bytes that are
+    /// still on their way.
+    pub(crate) async fn linger(mut self) {
+        // The peer may have closed it already.
+        let _ = self.stream.shutdown().await;
+        let mut buf = [0; DISCARD_BUFFER_BYTES];
+        let discard = async { while let Ok(1..) = self.stream.read(&mut buf).await {} };
+        let _ = tokio::time::timeout(LINGER, discard).await;
+    }
+}
+
+impl AsyncRead for TrackedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if buf.filled().len() > before {
+            self.activity.received();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for TrackedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        self.activity.written();
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
+        self.activity.written();
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.activity.flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! - [`server`]: [`serve`](server::serve) runs a handler until it is stopped; a stop lets all responses
 //!   finish.
-//! - [`listen`]: [`BoundedIncoming`](listen::BoundedIncoming) bounds the number of open connections
-//!   and the time that they may be idle.
+//! - `listen`: bounds the number of open connections and the time that they may be idle.
+//! - `connection`: the stream of a connection, and what it is doing.
 //! - [`client`]: [`Client`](client::Client), whose errors tell whether a request was sent.
 //! - [`pool`]: [`Pool`](pool::Pool), pooled connections for a proxy that must know whether a request was
 //!   sent.
@@ -21,7 +21,8 @@
 
 pub mod body;
 pub mod client;
-pub mod listen;
+mod connection;
+mod listen;
 pub mod pool;
 pub mod reply;
 pub mod server;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -1,38 +1,43 @@
 //! Runs a handler on a listener with a graceful stop: no response is cut off.
 //!
-//! `volo-http` ends by itself on SIGTERM, SIGINT or SIGHUP, and then waits about 30 s before it
-//! drops the responses that are still being streamed. [`serve`] delays that from a shutdown hook
-//! until `drain` reports that the last response has been sent, so the library's limit never takes
-//! effect. The hook also waits until the service kernel asks the service to stop, so that a listener
-//! stays open while services that depend on it still run.
+//! `volo-http` has the types of requests and bodies, but its server neither tells when a response has
+//! been written nor lets its connections be closed one by one. Connections are therefore driven with
+//! `hyper`, on streams that record their use; see [`connection`](crate::connection).
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
-use volo::context::Context;
-use volo::net::Address;
 use volo_http::body::Body;
-use volo_http::context::ServerContext;
-use volo_http::server::Server;
 
 use crate::body;
-use crate::listen::BoundedIncoming;
+use crate::connection::Activity;
+use crate::connection::Closing;
+use crate::connection::Timeouts;
+use crate::connection::TrackedStream;
 use crate::listen::Connections;
+use crate::listen::OpenConnection;
 use crate::reply;
 use crate::reply::Request;
 use crate::reply::Response;
 
-/// Time for connections to flush their last response when the stop came without a signal.
-const FLUSH_GRACE: Duration = Duration::from_millis(200);
+/// Time for which a peer may read nothing of a complete response, in idle timeouts. The kernel takes
+/// bytes in large steps from a slow reader.
+const WRITE_TIMEOUT_FACTOR: u32 = 4;
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
@@ -67,11 +72,12 @@
 #[derive(Clone, Debug)]
 pub struct Drain {
     open: Arc<watch::Sender<usize>>,
+    unsent: Arc<AtomicUsize>,
 }
 
 impl Default for Drain {
     fn default() -> Self {
-        Drain { open: Arc::new(watch::Sender::new(0)) }
+        Drain { open: Arc::new(watch::Sender::new(0)), unsent: Arc::default() }
     }
 }
 
@@ -79,13 +85,28 @@
 #[derive(Debug)]
 pub struct InFlightGuard {
     drain: Drain,
+    is_read: AtomicBool,
+}
+
+impl InFlightGuard {
+    /// Records that the whole response has been read, and only has to be sent.
+    pub(crate) fn response_read(&self) {
+        if !self.is_read.swap(true, Ordering::Relaxed) {
+            self.drain.unsent.fetch_add(1, Ordering::Relaxed);
+        }
+    }
 }
 
 impl Drain {
     /// Counts a new response, until the returned guard is dropped.
     pub fn begin(&self) -> InFlightGuard {
         self.open.send_modify(|open| *open += 1);
-        InFlightGuard { drain: self.clone() }
+        InFlightGuard { drain: self.clone(), is_read: AtomicBool::new(false) }
+    }
+
+    /// Returns how many responses in flight are complete but haven't been written yet.
+    pub fn unsent(&self) -> usize {
+        self.unsent.load(Ordering::Relaxed)
     }
 
     /// Returns the number of responses in flight.
@@ -103,59 +124,46 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
+        if *self.is_read.get_mut() {
+            self.drain.unsent.fetch_sub(1, Ordering::Relaxed);
+        }
         self.drain.open.send_modify(|open| *open -= 1);
     }
 }
 
-#[derive(Clone)]
-struct HandlerService {
+/// Serves the requests of one connection.
+struct Service {
     handler: Handler,
-    connections: Connections,
     drain: Drain,
     max_header_bytes: usize,
+    peer: SocketAddr,
+    activity: Arc<Activity>,
 }
 
-/// Marks a connection as busy until the response has been sent or dropped.
+/// Marks a connection as busy until the response has been read for sending, or dropped.
 struct RequestGuard {
-    connections: Connections,
-    peer: Option<SocketAddr>,
+    activity: Arc<Activity>,
     /// Whether the whole response has been read for sending.
     is_complete: bool,
-    _in_flight: InFlightGuard,
+    in_flight: Option<InFlightGuard>,
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let Some(peer) = self.peer else { return };
-        self.connections.request_ended(peer);
-        if !self.is_complete {
-            self.connections.close(peer);
-        }
+        // The library ends the connection of an incomplete response.
+        let Some(in_flight) = self.in_flight.take_if(|_| self.is_complete) else { return };
+        self.activity.response_read(in_flight);
     }
 }
 
-impl volo::Service<ServerContext, volo_http::request::Request> for HandlerService {
-    type Response = Response;
-    type Error = Infallible;
-
-    async fn call(
-        &self,
-        cx: &mut ServerContext,
-        req: volo_http::request::Request,
-    ) -> Result<Response, Infallible> {
-        let peer = match cx.rpc_info().caller().address() {
-            Some(Address::Ip(peer)) => Some(peer),
-            _ => None,
-        };
-        if let Some(peer) = peer {
-            self.connections.request_began(peer);
-        }
+impl Service {
+    async fn respond(&self, req: http::Request<Incoming>) -> Response {
+        self.activity.request_began();
         let guard = RequestGuard {
-            connections: self.connections.clone(),
-            peer,
+            activity: self.activity.clone(),
             // The body of a response to HEAD is never read.
             is_complete: req.method() == http::Method::HEAD,
-            _in_flight: self.drain.begin(),
+            in_flight: Some(self.drain.begin()),
         };
         let (parts, body) = req.into_parts();
         let header_bytes: usize =
@@ -164,33 +172,35 @@
             let problem = format!("the headers are larger than {} bytes", self.max_header_bytes);
             let status = http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
             let refused = reply::text(status, problem);
-            return Ok(refused.map(|sent| hold(sent, guard)));
+            return refused.map(|sent| hold(sent, guard));
         }
         let request = Request {
             method: parts.method,
             path: parts.uri.path().into(),
             query: parts.uri.query().unwrap_or("").into(),
             headers: parts.headers,
-            body,
-            peer,
+            body: Body::from_incoming(body),
+            peer: Some(self.peer),
         };
         let response = (self.handler)(request).await;
-        Ok(response.map(|sent| hold(sent, guard)))
+        response.map(|sent| hold(sent, guard))
     }
 }
 
-/// Returns `sent`, holding `guard` until it has been sent or dropped.
+/// Returns `sent`, holding `guard` until it has been read for sending or dropped.
 fn hold(sent: Body, guard: RequestGuard) -> Body {
     body::guarded(sent, guard, |guard| guard.is_complete = true)
 }
 
-/// Serves `listener` with `handler` until `stop` is cancelled and `drain` is idle.
+/// Serves `listener` with `handler` until `stop` is cancelled and all responses have been sent.
 ///
-/// New connections are accepted until `stop`.
+/// New connections are accepted until `stop`. Responses count in `drain` until the kernel has their last
+/// byte. Dropping the future doesn't close the listener: requests are served until `stop`, or until the
+/// process ends.
 ///
 /// # Errors
 ///
-/// The server's error, as text, if it ended by itself.
+/// The problem, as text, if the server panicked.
 pub async fn serve(
     listener: TcpListener,
     limits: ServerLimits,
@@ -198,41 +208,65 @@
     drain: Drain,
     stop: CancellationToken,
 ) -> Result<(), Box<str>> {
-    let connections =
-        Connections::new(limits.max_connections, limits.header_timeout, limits.idle_timeout);
-    let service = HandlerService {
-        handler,
-        connections: connections.clone(),
-        drain: drain.clone(),
-        max_header_bytes: limits.max_header_bytes,
-    };
-    let incoming = BoundedIncoming::new(listener, connections, stop.clone());
-    let signalled = Arc::new(AtomicBool::new(false));
-    let hook = {
-        let (stop, drain, signalled) = (stop.clone(), drain.clone(), signalled.clone());
-        move || {
-            signalled.store(true, Ordering::Relaxed);
-            drained(stop, drain).boxed()
-        }
+    let timeouts = Timeouts {
+        header: limits.header_timeout,
+        idle: limits.idle_timeout,
+        write: limits.idle_timeout * WRITE_TIMEOUT_FACTOR,
     };
-    let mut server = Server::new(service).register_shutdown_hook(hook);
-    server.http1_config().set_max_headers(MAX_HEADERS);
-    let drained_without_signal = async {
-        drained(stop, drain).await;
-        if signalled.load(Ordering::Relaxed) {
-            // The library closes idle connections and returns by itself.
-            std::future::pending::<()>().await;
+    let connections = Connections::new(limits.max_connections, timeouts);
+    tokio::spawn(connections.clone().sweep(stop.clone()));
+    let start = {
+        let (connections, drain) = (connections.clone(), drain.clone());
+        async move {
+            for id in 0.. {
+                let (stream, connection) = tokio::select! {
+                    accepted = connections.accept(&listener, id) => accepted,
+                    () = stop.cancelled() => return,
+                };
+                let service = Arc::new(Service {
+                    handler: handler.clone(),
+                    drain: drain.clone(),
+                    max_header_bytes: limits.max_header_bytes,
+                    peer: connection.peer,
+                    activity: connection.activity.clone(),
+                });
+                tokio::spawn(run_connection(stream, connection, service));
+            }
         }
-        tokio::time::sleep(FLUSH_GRACE).await;
     };
-    tokio::select! {
-        ended = server.run(incoming) => ended.map_err(|error| error.to_string().into()),
-        () = drained_without_signal => Ok(()),
-    }
+    tokio::spawn(start).await.map_err(|error| Box::from(error.to_string()))?;
+    drain.idle().await;
+    connections.all_closed().await;
+    Ok(())
 }
 
-/// Resolves when the service must stop and its last response has been sent.
-async fn drained(stop: CancellationToken, drain: Drain) {
-    stop.cancelled().await;
-    drain.idle().await;
+/// Serves one connection until it ends or must close.
+async fn run_connection(stream: TrackedStream, open: OpenConnection, service: Arc<Service>) {
+    let service = service_fn(move |req| {
+        let service = service.clone();
+        async move { Ok::<_, Infallible>(service.respond(req).await) }.boxed()
+    });
+    let mut connection = http1::Builder::new()
+        .max_headers(MAX_HEADERS)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut closing = Closing::No;
+    loop {
+        tokio::select! {
+            // A request that has arrived is read before the connection may close.
+            biased;
+            ended = &mut connection => {
+                if let Err(error) = ended {
+                    log::debug!("a connection from {} ended: {error}", open.peer);
+                }
+                break;
+            }
+            changed = open.activity.closing(closing) => closing = changed,
+        }
+        match closing {
+            Closing::No => {}
+            Closing::WhenIdle => Pin::new(&mut connection).graceful_shutdown(),
+            Closing::Now => return,
+        }
+    }
+    connection.into_parts().io.into_inner().linger().await;
 }
