Use the time of a stop: open responses may finish until 0.3 s before its end

What callers saw: responses that were still open 7.3 s after SIGTERM were cut off (2.5 s until the listener closes, and 0.6 of 8 s after that), though the process has 8 s.

Cause: the time for open responses was a fraction of the stop counted from the closing of the listener. Ruled out: that the services which stop after the one for callers need the rest; a process with an open request ended 22 ms after its time for responses was up, 20 ms of which it waits for the aborted responses (a trial: debug build, stand-in of the store, once).

Change: it ends at a named margin before the end of the stop, 0.3 s, and at most a sixteenth of a shorter one. platform/tests/stop.rs, a response 7.5 s after the request to stop: before, "the process had ended before the response came"; now it arrives.

--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -78,8 +78,6 @@
 /// Retry-After of requests that come before this process has a configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Fraction of the stop timeout in which open requests may finish.
-const DRAIN_FRACTION: f64 = 0.6;
 /// How long a process that ends with open requests takes to abort their responses.
 const ABORT_TIME: Duration = Duration::from_millis(20);
 
@@ -141,7 +139,7 @@
         }),
         opinions: cx.registry().lookup(names::PEERS)?,
         taken_over: Drain::default(),
-        stop: StopState::default(),
+        stop: StopState::new(settings.stop),
         metrics: cx.registry().lookup(names::PROCESS)?,
     });
     let listener = TcpListener::bind(settings.callers).await;
@@ -169,7 +167,7 @@
         tokio::time::sleep(lame_duck(settings.stop)).await;
         stop.cancel();
         state.log_stop("closed", &drain);
-        tokio::time::sleep(settings.stop.mul_f64(DRAIN_FRACTION)).await;
+        tokio::time::sleep(state.stop.time_left(cx.now())).await;
         state.log_stop("time is up", &drain);
         state.stop.time_is_up();
         tokio::time::sleep(ABORT_TIME).await;
--- a/crates/front/src/serve/stop.rs
+++ b/crates/front/src/serve/stop.rs
@@ -5,14 +5,31 @@
 use base::prelude::*;
 use tokio_util::sync::CancellationToken;
 
+/// Time that a process needs to end once its time for open requests is up.
+const END_MARGIN: Duration = Duration::from_millis(300);
+/// The part of the stop timeout that the margin may take.
+const MAX_MARGIN_FRACTION: f64 = 1.0 / 16.0;
+
 /// How far a stop of the process has got.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct StopState {
+    /// Time from the request to stop until responses in flight are aborted.
+    finish_time: Duration,
     requested_at: OnceLock<Mono>,
     time_is_up: CancellationToken,
 }
 
 impl StopState {
+    /// Returns the state of a process that has `timeout` to stop.
+    pub(super) fn new(timeout: Duration) -> Self {
+        let margin = END_MARGIN.min(timeout.mul_f64(MAX_MARGIN_FRACTION));
+        StopState {
+            finish_time: timeout - margin,
+            requested_at: OnceLock::new(),
+            time_is_up: CancellationToken::new(),
+        }
+    }
+
     /// Records that the process was asked to stop.
     pub(super) fn requested(&self, now: Mono) {
         // Only the first request counts.
@@ -24,6 +41,16 @@
         self.requested_at.get().map(|at| now.saturating_sub(*at))
     }
 
+    /// Returns until when responses may finish, if the process was asked to stop.
+    fn finish_by(&self) -> Option<Mono> {
+        self.requested_at.get().map(|at| *at + self.finish_time)
+    }
+
+    /// Returns how long responses may still finish; nothing unless the process was asked to stop.
+    pub(super) fn time_left(&self, now: Mono) -> Duration {
+        self.finish_by().map_or(Duration::ZERO, |end| end.saturating_sub(now))
+    }
+
     /// Ends the responses that are still in flight.
     pub(super) fn time_is_up(&self) {
         self.time_is_up.cancel();
