Refuse a request that comes late in a stop unless it ends in time

What callers saw: a request that arrived on an open connection after the listener had closed (from 2.5 s after SIGTERM on) was taken and, if it ran for long, cut off as the process ended.

Cause: nothing compared a request's time with what was left of the stop. Ruled out: kept connections that are idle; they close with the listener. What is left are requests whose head or body was still arriving then, and connections that were accepted right before.

Change: from then on a request whose deadline (the earlier of the caller's and the route's) lies after the time until which responses may finish is refused at once with the 503 that promises that it has not run, a Retry-After of 50 ms and Connection: close; others are served. It is logged as `failed` with its reason. platform/tests/stop.rs, a deadline of 20 s, 3.2 s after the request to stop: before, 200 from a fast server; now 503, not run. One with 1 s is served, before and now.

--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -77,6 +77,8 @@
 const DISPATCH_PERIOD: Duration = Duration::from_millis(20);
 /// Retry-After of requests that come before this process has a configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry-After of requests that a stopping process can't finish; other processes can take them.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// How long a process that ends with open requests takes to abort their responses.
 const ABORT_TIME: Duration = Duration::from_millis(20);
@@ -166,6 +168,7 @@
         // The load balancer opens connections here until it notices that the process isn't ready.
         tokio::time::sleep(lame_duck(settings.stop)).await;
         stop.cancel();
+        state.stop.listener_closed();
         state.log_stop("closed", &drain);
         tokio::time::sleep(state.stop.time_left(cx.now())).await;
         state.log_stop("time is up", &drain);
@@ -249,6 +252,12 @@
         }
     };
     let deadline = now + metadata.deadline.min(routed.route.timeout);
+    if !state.stop.can_finish(deadline) {
+        let response = responses::refused(STOPPING_RETRY_AFTER);
+        let waited = state.cx.now().saturating_sub(arrived);
+        log_failed(&id, &response, "its deadline is after the end of the stop", waited);
+        return response;
+    }
     let fingerprint = outgoing.fingerprint(routed.workspace.as_deref().unwrap_or_default());
     let parts = tracked_parts(&routed, &metadata);
     let active = Arc::new(ActiveRequest {
--- a/crates/front/src/serve/stop.rs
+++ b/crates/front/src/serve/stop.rs
@@ -1,6 +1,8 @@
 //! How far a stop of the process has got.
 
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use base::prelude::*;
 use tokio_util::sync::CancellationToken;
@@ -16,6 +18,7 @@
     /// Time from the request to stop until responses in flight are aborted.
     finish_time: Duration,
     requested_at: OnceLock<Mono>,
+    has_closed: AtomicBool,
     time_is_up: CancellationToken,
 }
 
@@ -26,6 +29,7 @@
         StopState {
             finish_time: timeout - margin,
             requested_at: OnceLock::new(),
+            has_closed: AtomicBool::new(false),
             time_is_up: CancellationToken::new(),
         }
     }
@@ -41,6 +45,11 @@
         self.requested_at.get().map(|at| now.saturating_sub(*at))
     }
 
+    /// Records that the process accepts no new connections any more.
+    pub(super) fn listener_closed(&self) {
+        self.has_closed.store(true, Ordering::Relaxed);
+    }
+
     /// Returns until when responses may finish, if the process was asked to stop.
     fn finish_by(&self) -> Option<Mono> {
         self.requested_at.get().map(|at| *at + self.finish_time)
@@ -51,6 +60,15 @@
         self.finish_by().map_or(Duration::ZERO, |end| end.saturating_sub(now))
     }
 
+    /// Returns whether a request that arrives now and may take until `deadline` gets its whole response.
+    ///
+    /// Until the listener has closed, callers may not know of the stop, and requests are served if they
+    /// can be.
+    pub(super) fn can_finish(&self, deadline: Mono) -> bool {
+        !self.has_closed.load(Ordering::Relaxed)
+            || self.finish_by().is_none_or(|end| deadline <= end)
+    }
+
     /// Ends the responses that are still in flight.
     pub(super) fn time_is_up(&self) {
         self.time_is_up.cancel();
