Log how many responses a stop leaves complete but unsent

`stopping` in the decision log told how many responses were in flight when a stopping process closed its listener and when its time was up, but not which of them only waited for their callers to read. The field `unsent` counts them, one number a line and two lines a stop. Ruled out: a line for each connection, which nothing bounds. crates/web/tests/slow_reader.rs checks the number (1 while the caller doesn't read, 0 after its connection was closed); it didn't exist before.

--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -188,8 +188,9 @@
     /// The process ran its tasks late.
     RanLate { by_ms: u64 },
     /// The process stops: it accepts no new connections any more (`closed`), or the time for open
-    /// requests is up (`time is up`). `in_flight` responses have not been sent completely.
-    Stopping { state: &'a str, in_flight: usize, stopping_ms: u64 },
+    /// requests is up (`time is up`). `in_flight` responses have not been sent completely; `unsent` of
+    /// them are complete, but their callers haven't read enough yet.
+    Stopping { state: &'a str, in_flight: usize, unsent: usize, stopping_ms: u64 },
     /// The process starts or stops.
     Process { node: &'a str, state: &'a str, detail: &'a str },
 }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -189,6 +189,7 @@
         decision_log::write(&Record::Stopping {
             state,
             in_flight: drain.count() + self.taken_over.count(),
+            unsent: drain.unsent(),
             stopping_ms: self.stop.elapsed(self.cx.now()).map_or(0, decision_log::millis),
         });
     }
--- a/crates/web/tests/slow_reader.rs
+++ b/crates/web/tests/slow_reader.rs
@@ -73,6 +73,7 @@
     tokio::time::sleep(Duration::from_millis(400)).await;
     assert!(!server.serving.is_finished(), "the server ended with bytes unsent");
     assert_eq!(server.drain.count(), 1, "a response with bytes unsent counts as in flight");
+    assert_eq!(server.drain.unsent(), 1, "it is complete but not sent");
     assert!(read_rest(&mut caller).await >= RESPONSE_BYTES, "the response was cut off");
     let ended = tokio::time::timeout(TIMEOUT, server.serving).await;
     assert!(ended.expect("the server ends").expect("it ran").is_ok());
@@ -97,6 +98,7 @@
     assert_eq!(server.drain.count(), 1);
     let ended = tokio::time::timeout(TIMEOUT, server.drain.idle()).await;
     assert!(ended.is_ok(), "the response is still in flight");
+    assert_eq!(server.drain.unsent(), 0);
 }
 
 // Guards against a reset that destroys bytes on their way, as the caller had sent bytes that were never
