--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -86,9 +86,9 @@
 const DISPATCH_PERIOD: Duration = Duration::from_millis(20);
 /// Retry-After of requests that come before this process has a configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry-After of requests that a stopping process can't finish; other processes can take them.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Fraction of the stop timeout in which open requests may finish.
-const DRAIN_FRACTION: f64 = 0.6;
 /// How long a process that ends with open requests takes to abort their responses.
 const ABORT_TIME: Duration = Duration::from_millis(20);
 
@@ -152,7 +152,7 @@
         }),
         opinions: cx.registry().lookup(names::PEERS)?,
         taken_over: Drain::default(),
-        stop: StopState::default(),
+        stop: StopState::new(settings.stop),
         metrics: cx.registry().lookup(names::PROCESS)?,
     });
     let listener = TcpListener::bind(settings.callers).await;
@@ -179,8 +179,9 @@
         // The load balancer opens connections here until it notices that the process isn't ready.
         tokio::time::sleep(lame_duck(settings.stop)).await;
         stop.cancel();
+        state.stop.listener_closed();
         state.log_stop("closed", &drain);
-        tokio::time::sleep(settings.stop.mul_f64(DRAIN_FRACTION)).await;
+        tokio::time::sleep(state.stop.time_left(cx.now())).await;
         state.log_stop("time is up", &drain);
         state.stop.time_is_up();
         tokio::time::sleep(ABORT_TIME).await;
@@ -199,6 +200,7 @@
         decision_log::write(&Record::Stopping {
             state,
             in_flight: drain.count() + self.taken_over.count(),
+            unsent: drain.unsent(),
             stopping_ms: self.stop.elapsed(self.cx.now()).map_or(0, decision_log::millis),
         });
     }
@@ -262,6 +264,12 @@
         }
     };
     let deadline = now + metadata.deadline.min(routed.route.timeout);
+    if !state.stop.can_finish(deadline) {
+        let response = responses::refused(STOPPING_RETRY_AFTER);
+        let waited = state.cx.now().saturating_sub(arrived);
+        log_failed(&id, &response, "its deadline is after the end of the stop", waited);
+        return response;
+    }
     let fingerprint = outgoing.fingerprint(routed.workspace.as_deref().unwrap_or_default());
     let parts = tracked_parts(&routed, &metadata);
     let attempts = match &origin {
