Web: the end of a response doesn't depend on how its body is read; samphired keeps running on SIGHUP

The guard no longer tells complete from incomplete: the library ends the connection of a response that is dropped early, and a response is in flight until the kernel has its last byte. web::body::guarded loses its callback. samphired: volo's server swallowed SIGHUP; since it is gone, the daemon handles it itself (the settings are read at the next start, as before).

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -70,8 +70,12 @@
     use tokio::signal::unix::signal;
     let mut term = signal(SignalKind::terminate()).expect("SIGTERM can be handled");
     let mut int = signal(SignalKind::interrupt()).expect("SIGINT can be handled");
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+    let mut hup = signal(SignalKind::hangup()).expect("SIGHUP can be handled");
+    loop {
+        tokio::select! {
+            _ = term.recv() => return,
+            _ = int.recv() => return,
+            _ = hup.recv() => log::info!("SIGHUP changes nothing: settings apply at the next start"),
+        }
     }
 }
--- a/crates/front/src/serve/hand_over.rs
+++ b/crates/front/src/serve/hand_over.rs
@@ -224,7 +224,7 @@
         }
         // Only this process itself may decline.
         response.headers_mut().remove(&DECLINED);
-        response.map(|sent| body::guarded(sent, in_flight, |_| {}))
+        response.map(|sent| body::guarded(sent, in_flight))
     }
 
     fn reason_to_decline(&self, progress: &Progress) -> Option<&'static str> {
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -122,27 +122,14 @@
     (BodySender { tx }, Body::from_stream(GuardedStream { rx, _guard: () }))
 }
 
-/// Returns `body`, holding `guard` until it has been sent or dropped. `on_end` is called once the whole body
-/// has been read.
-pub fn guarded<G: Send + Sync + Unpin + 'static>(body: Body, guard: G, on_end: fn(&mut G)) -> Body {
-    let mut guarded = GuardedBody { body, guard, on_end };
-    guarded.note_end();
-    Body::from_body(guarded)
+/// Returns `body`, holding `guard` until it has been sent or dropped.
+pub fn guarded<G: Send + Sync + Unpin + 'static>(body: Body, guard: G) -> Body {
+    Body::from_body(GuardedBody { body, _guard: guard })
 }
 
 struct GuardedBody<G> {
     body: Body,
-    guard: G,
-    on_end: fn(&mut G),
-}
-
-impl<G> GuardedBody<G> {
-    /// A body of known length may end without being asked once more.
-    fn note_end(&mut self) {
-        if http_body::Body::is_end_stream(&self.body) {
-            (self.on_end)(&mut self.guard);
-        }
-    }
+    _guard: G,
 }
 
 impl<G: Unpin> http_body::Body for GuardedBody<G> {
@@ -153,14 +140,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        let this = &mut *self;
-        let polled = Pin::new(&mut this.body).poll_frame(cx);
-        match &polled {
-            Poll::Ready(None) => (this.on_end)(&mut this.guard),
-            Poll::Ready(Some(Ok(_))) => this.note_end(),
-            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
-        }
-        polled
+        Pin::new(&mut self.body).poll_frame(cx)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -140,31 +140,26 @@
     activity: Arc<Activity>,
 }
 
-/// Marks a connection as busy until the response has been read for sending, or dropped.
+/// Marks a connection as busy until the response has been read for sending, or dropped. The library ends
+/// the connection of a response that is dropped before its end.
 struct RequestGuard {
     activity: Arc<Activity>,
-    /// Whether the whole response has been read for sending.
-    is_complete: bool,
     in_flight: Option<InFlightGuard>,
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        // The library ends the connection of an incomplete response.
-        let Some(in_flight) = self.in_flight.take_if(|_| self.is_complete) else { return };
-        self.activity.response_read(in_flight);
+        if let Some(in_flight) = self.in_flight.take() {
+            self.activity.response_read(in_flight);
+        }
     }
 }
 
 impl Service {
     async fn respond(&self, req: http::Request<Incoming>) -> Response {
         self.activity.request_began();
-        let guard = RequestGuard {
-            activity: self.activity.clone(),
-            // The body of a response to HEAD is never read.
-            is_complete: req.method() == http::Method::HEAD,
-            in_flight: Some(self.drain.begin()),
-        };
+        let guard =
+            RequestGuard { activity: self.activity.clone(), in_flight: Some(self.drain.begin()) };
         let (parts, body) = req.into_parts();
         let header_bytes: usize =
             parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
@@ -189,7 +184,7 @@
 
 /// Returns `sent`, holding `guard` until it has been read for sending or dropped.
 fn hold(sent: Body, guard: RequestGuard) -> Body {
-    body::guarded(sent, guard, |guard| guard.is_complete = true)
+    body::guarded(sent, guard)
 }
 
 /// Serves `listener` with `handler` until `stop` is cancelled and all responses have been sent.
