An entry with an epoch of no owner doesn't stop the owner of the groups

An entry of a server may name any epoch up to 2^64 - 1. The owner gives out epochs above all that it sees: with the largest one the addition overflows, which ends a debug build, and wraps to 0 in a release build; with a smaller one all later epochs follow it, and servers that have seen these refuse every later owner. Ruled out: a lower bound in the decoder alone. An entry at the bound would make the owner's next epoch one that the decoder refuses, so no group would be seen any more. Change: epochs are below form::server::EPOCH_LIMIT (2^53); the owner doesn't exceed those in its upper half, which no owner gives out, since its own start from a revision of the store. Test, before: owner.rs:428 'attempt to add with overflow'; for the epoch 2^60 'the owner gave out Some'.

--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -37,6 +37,7 @@
 use crate::observed_groups::Group;
 use crate::observed_groups::GroupKey;
 use crate::observed_groups::ObservedGroups;
+use crate::server::EPOCH_LIMIT;
 use crate::server::InstanceId;
 use crate::server::Server;
 use crate::server::ServerId;
@@ -51,6 +52,9 @@
 
 /// Low bits of an epoch that count the groups of one owner; the fencing token takes the bits above.
 const EPOCH_COUNT_BITS: u32 = 16;
+/// Reported epochs from here on were given out by no owner. Exceeding them would leave no room below
+/// [`EPOCH_LIMIT`].
+const MAX_RELIED_EPOCH: Generation = EPOCH_LIMIT / 2;
 /// Maximum age of a report before it goes missing: until this has passed, a new owner can't tell
 /// whether a server that looks free has joined a group that lacks a member.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(4);
@@ -424,7 +428,8 @@
     fn next_epoch(&mut self, groups: &ObservedGroups) -> Generation {
         self.next_group += 1;
         let own = (self.fencing_token << EPOCH_COUNT_BITS) + self.next_group;
-        let seen = groups.by_key.keys().map(|(_, epoch)| *epoch).max().unwrap_or(0);
+        let epochs = groups.by_key.keys().map(|(_, epoch)| *epoch);
+        let seen = epochs.filter(|epoch| *epoch < MAX_RELIED_EPOCH).max().unwrap_or(0);
         own.max(seen + 1)
     }
 
--- a/crates/form/src/server.rs
+++ b/crates/form/src/server.rs
@@ -4,6 +4,10 @@
 
 use base::prelude::*;
 
+/// Epochs of groups are below this; those that owners give out, from revisions of the store, are far
+/// below.
+pub const EPOCH_LIMIT: Generation = 1 << 53;
+
 /// Id of a backend server. A restarted server may keep its id; see [`InstanceId`].
 pub type ServerId = Box<str>;
 
--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -528,3 +528,29 @@
     assert_eq!((fleet.serving_model("large"), fleet.serving_model("small")), (2, 1));
     assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
 }
+
+// Guards against an owner that ends, or whose groups no server accepts any more, because one entry of a
+// server names an epoch that no owner has given out.
+#[test]
+fn an_epoch_of_no_owner_stops_no_owner() {
+    for epoch in [u64::MAX, u64::MAX - 1, 1 << 60] {
+        let mut fleet = Fleet::new(9);
+        let membership =
+            Membership { group: "odd".into(), epoch, rank: 1, phase: Phase::Joining };
+        let odd = Server {
+            id: "odd".into(),
+            state: ServerState::Draining,
+            fabric: None,
+            membership: Some(membership),
+            ..fleet.engines["e0"].server.clone()
+        };
+        fleet.servers.insert("odd".into(), odd);
+        let mut owner = Owner::new(1, fleet.now);
+        fleet.run(&mut owner, 8 * SECOND);
+        fleet.begin_traffic();
+        assert_eq!(fleet.serving(), 2, "epoch {epoch}");
+        let groups = fleet.engines.values().filter_map(|e| e.server.membership.as_ref());
+        let highest = groups.map(|membership| membership.epoch).max();
+        assert!(highest < Some(1 << 20), "epoch {epoch}: the owner gave out {highest:?}");
+    }
+}
