An entry of a server is accepted only whole, and an odd one replaces nothing

Another writer had written the entry of a server with `version`, `warmup_left_ms` and `sequence` missing and another service. Of the same cause: a removed entry that was written again so brought the server back (DRAIN), and an entry that can't be read took a sound server out. Cause: platform::server::decode didn't read `version` and had defaults for most fields; nothing bounded numbers; an entry that couldn't be decoded counted as the removal of the server's own. Ruled out: - to drop the server whose entry was overwritten: it is sound, its next heartbeat follows within 1.2 s, and a head that is dropped takes its group along; - to keep it without end: the writer's entry may stay after the server has gone. So the last report holds for 2 s (form::server_table::OVERWRITTEN_TTL), more than a heartbeat, and no more than the shortest drain_ms. A report that conflicts with the last one (a service that isn't configured, no fabric domain at a model service, no start time, another service for the same instance) is left out. A finding is logged once for each key and content, also those on entries of hubs, which were logged at each exchange.

--- a/crates/form/src/server.rs
+++ b/crates/form/src/server.rs
@@ -1,4 +1,6 @@
-//! The report of a backend server.
+//! The report of a backend server, and its bounds.
+//!
+//! A report may come from another writer than the server. One that breaks a bound names no server to use.
 
 use std::net::SocketAddr;
 
@@ -8,6 +10,19 @@
 /// below.
 pub const EPOCH_LIMIT: Generation = 1 << 53;
 
+/// Most requests that a server can run concurrently.
+pub const MAX_SLOTS: usize = 1 << 16;
+/// Longest warm-up that is plausible.
+pub const MAX_WARM_UP: Duration = Duration::from_secs(3_600);
+/// Start times are below this, in Unix milliseconds; it is in the year 2109.
+const START_TIME_LIMIT_MS: u64 = 1 << 42;
+/// Numbers of accepted orders are below this.
+const ORDERS_LIMIT: u64 = 1 << 53;
+/// Ranks of members are below this.
+const RANK_LIMIT: usize = 1 << 16;
+/// Longest id or name, in bytes.
+const MAX_NAME_BYTES: usize = 200;
+
 /// Id of a backend server. A restarted server may keep its id; see [`InstanceId`].
 pub type ServerId = Box<str>;
 
@@ -87,6 +102,61 @@
 }
 
 impl Server {
+    /// Returns every value that is out of its bounds, with its path.
+    pub fn verify(&self) -> Findings {
+        let mut findings = Findings::default();
+        // The id goes into a header of requests.
+        let is_id = |byte: u8| byte.is_ascii_graphic() && byte != b'/';
+        let is_valid_id =
+            (1..=MAX_NAME_BYTES).contains(&self.id.len()) && self.id.bytes().all(is_id);
+        findings.check(is_valid_id, "$.id", || {
+            format!("allowed are 1 to {MAX_NAME_BYTES} visible ASCII characters without a slash")
+        });
+        let ip = self.address.ip();
+        let is_destination = !ip.is_unspecified() && !ip.is_multicast() && self.address.port() != 0;
+        findings.check(is_destination, "$.address", || {
+            format!("found {}; no server listens there", self.address)
+        });
+        let mut check_name = |name: &str, place: &str| {
+            findings.check((1..=MAX_NAME_BYTES).contains(&name.len()), place, || {
+                format!("found {} bytes; allowed are 1 to {MAX_NAME_BYTES}", name.len())
+            });
+        };
+        check_name(&self.service, "$.service");
+        check_name(&self.failure_domain, "$.failure_domain");
+        if let Some(fabric) = &self.fabric {
+            check_name(fabric, "$.fabric");
+        }
+        for model in self.model.iter().chain(&self.staged_models) {
+            check_name(model, "$.models");
+        }
+        if let Some(membership) = &self.membership {
+            check_name(&membership.group, "$.membership.group");
+        }
+        self.verify_numbers(&mut findings);
+        findings
+    }
+
+    fn verify_numbers(&self, findings: &mut Findings) {
+        findings.check((1..=MAX_SLOTS).contains(&self.slots), "$.slots", || {
+            format!("found {}; allowed is 1 to {MAX_SLOTS}", self.slots)
+        });
+        findings.check(self.warmup_remaining <= MAX_WARM_UP, "$.warmup_remaining", || {
+            format!("found {:?}; allowed is up to {MAX_WARM_UP:?}", self.warmup_remaining)
+        });
+        let mut check_limit = |value: u64, limit: u64, place: &str| {
+            findings.check(value < limit, place, || {
+                format!("found {value}; allowed is a number below {limit}")
+            });
+        };
+        check_limit(self.started_at_ms, START_TIME_LIMIT_MS, "$.started_at_ms");
+        check_limit(self.accepted_orders, ORDERS_LIMIT, "$.accepted_orders");
+        if let Some(membership) = &self.membership {
+            check_limit(membership.epoch, EPOCH_LIMIT, "$.membership.epoch");
+            check_limit(membership.rank as u64, RANK_LIMIT as u64, "$.membership.rank");
+        }
+    }
+
     /// Returns the instance that made this report.
     pub fn instance_id(&self) -> InstanceId {
         (self.id.clone(), self.started_at_ms)
--- a/crates/form/src/server_table.rs
+++ b/crates/form/src/server_table.rs
@@ -7,6 +7,10 @@
 //! A server may say by other ways than its report that it is leaving. Its instance then counts as
 //! draining for good, whatever its reports say.
 //!
+//! An entry that can't be used may stand in the store in place of a server's report. It says nothing of the
+//! server, whose last report holds until it writes another, its entry is removed, or it has had the time
+//! to write one.
+//!
 //! Invariant: [`ServerTable::groups`] equals [`ObservedGroups::from_reports`] over the same reports.
 
 use std::collections::BTreeMap;
@@ -23,6 +27,10 @@
 /// How long a server whose report is missing is remembered.
 const MISSING_TTL: Duration = Duration::from_secs(60);
 
+/// How long a server's last report holds while an unusable entry stands in its place. A server writes its
+/// report more often than this, and may be used for at least this long after it said that it leaves.
+pub const OVERWRITTEN_TTL: Duration = Duration::from_secs(2);
+
 /// A server whose report has expired.
 #[data]
 pub struct MissingServer {
@@ -59,6 +67,8 @@
     groups: BTreeMap<ServiceId, ServiceGroups>,
     /// The start time of the last instance of each server that is known to be leaving.
     leaving: BTreeMap<ServerId, u64>,
+    /// The servers with a current report in whose place an unusable entry stands, and since when.
+    overwritten: BTreeMap<ServerId, Mono>,
 }
 
 impl ServerTable {
@@ -79,14 +89,23 @@
 
     /// Returns whether a later report of the same server was seen, be it current or missing.
     pub fn is_outdated(&self, server: &Server) -> bool {
-        let missing = self.missing.get(&server.id).map(|missing| &missing.server);
-        let last = self.servers.get(&server.id).or(missing);
-        last.is_some_and(|last| server.is_older_than(last))
+        self.last_report(&server.id).is_some_and(|last| server.is_older_than(last))
+    }
+
+    /// Returns the last report of a server, be it current or missing.
+    pub fn last_report(&self, id: &str) -> Option<&Server> {
+        let missing = self.missing.get(id).map(|missing| &missing.server);
+        self.servers.get(id).or(missing)
     }
 
     /// Records a current report, and returns the groups that it changes; `None` if the report says
     /// nothing new.
-    pub fn report(&mut self, mut server: Server) -> Option<Vec<ChangedGroup>> {
+    pub fn report(&mut self, server: Server) -> Option<Vec<ChangedGroup>> {
+        self.overwritten.remove(&server.id);
+        self.apply(server)
+    }
+
+    fn apply(&mut self, mut server: Server) -> Option<Vec<ChangedGroup>> {
         match self.leaving.get(&server.id) {
             Some(started_at_ms) if *started_at_ms == server.started_at_ms => {
                 server.state = ServerState::Draining;
@@ -121,13 +140,28 @@
         self.leaving.insert(id.into(), started_at_ms);
         let server = self.servers.get(id).filter(|server| server.started_at_ms == started_at_ms);
         let server = server.cloned();
-        Some(server.and_then(|server| self.report(server)).unwrap_or_default())
+        Some(server.and_then(|server| self.apply(server)).unwrap_or_default())
+    }
+
+    /// Records that an unusable entry stands in place of a server's report.
+    pub fn report_overwritten(&mut self, id: &str, now: Mono) {
+        if self.servers.contains_key(id) {
+            self.overwritten.entry(id.into()).or_insert(now);
+        }
+    }
+
+    /// Returns the servers whose last reports don't hold any more, since unusable entries have stood in
+    /// their places for too long.
+    pub fn overwritten_for_long(&self, now: Mono) -> Vec<ServerId> {
+        let due = self.overwritten.iter().filter(|(_, since)| now >= **since + OVERWRITTEN_TTL);
+        due.map(|(id, _)| id.clone()).collect()
     }
 
     /// Records that a server's report is missing, and returns the groups that this changes; `None`
     /// if the server had no current report.
     pub fn report_missing(&mut self, id: &str, now: Mono) -> Option<Vec<ChangedGroup>> {
         let server = self.servers.remove(id)?;
+        self.overwritten.remove(id);
         let mut affected = self.expire(now);
         self.missing.insert(id.into(), MissingServer { server: server.clone(), since: now });
         affected.push(server);
--- a/crates/form/tests/owner.rs
+++ b/crates/form/tests/owner.rs
@@ -535,8 +535,7 @@
 fn an_epoch_of_no_owner_stops_no_owner() {
     for epoch in [u64::MAX, u64::MAX - 1, 1 << 60] {
         let mut fleet = Fleet::new(9);
-        let membership =
-            Membership { group: "odd".into(), epoch, rank: 1, phase: Phase::Joining };
+        let membership = Membership { group: "odd".into(), epoch, rank: 1, phase: Phase::Joining };
         let odd = Server {
             id: "odd".into(),
             state: ServerState::Draining,
--- a/crates/form/tests/server_table.rs
+++ b/crates/form/tests/server_table.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use form::prelude::*;
+use form::server_table::OVERWRITTEN_TTL;
 use proptest::prelude::*;
 
 const SERVICE: &str = "assistant";
@@ -146,3 +147,27 @@
     assert_eq!(table.set_leaving("s0", 1), None, "no news of the instance that reports now");
     assert_eq!(state(&table), ServerState::Ready, "an earlier instance had left");
 }
+
+// Guards against an unusable entry of another writer that replaces what a server said, or keeps or brings
+// back one that has left.
+#[test]
+fn an_overwritten_report_holds_for_a_while() {
+    let mut table = ServerTable::default();
+    let at = |millis: u64| Duration::from_millis(millis);
+    let ttl = OVERWRITTEN_TTL.as_millis() as u64;
+    table.report(server("s1", 0, None));
+    table.report_overwritten("s1", at(0));
+    table.report_overwritten("s1", at(ttl - 1));
+    assert!(table.servers().contains_key("s1"), "the last report holds");
+    assert!(table.overwritten_for_long(at(ttl - 1)).is_empty());
+    assert_eq!(table.overwritten_for_long(at(ttl)), ["s1".into()], "since the first entry");
+    // That it leaves is no report.
+    table.set_leaving("s1", 1);
+    assert_eq!(table.overwritten_for_long(at(ttl)), ["s1".into()]);
+    table.report(server("s1", 0, None));
+    assert!(table.overwritten_for_long(at(2 * ttl)).is_empty(), "it reported again");
+    table.report_missing("s1", at(ttl));
+    table.report_overwritten("s1", at(ttl));
+    assert!(!table.servers().contains_key("s1"), "an entry brings no server back");
+    assert!(table.overwritten_for_long(at(3 * ttl)).is_empty());
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`run`](run()): starts all services from validated settings and an [`integration`].
 //! - [`settings`]: the settings with their defaults and bounds.
 //! - [`integration`]: what a deployment provides: store, decoders, order sender, header names.
+//! - [`left_out`]: logs each unusable entry of the store once.
 //! - [`local_state`]: what this process knows of the system, shared by its services.
 //! - [`row_cache`]: cached rows of the store, with numbered changes.
 //! - [`store_sync`]: keeps the local state up to date by watching the store while needed.
@@ -28,6 +29,7 @@
 mod evacuations;
 pub mod integration;
 mod lease_lock;
+pub mod left_out;
 pub mod load_reports;
 pub mod local_state;
 pub mod logging;
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -27,6 +27,7 @@
 use crate::crash_reports::CrashReports;
 use crate::decision_log;
 use crate::decision_log::Record;
+use crate::left_out::LeftOut;
 use crate::load_reports::LoadReports;
 use crate::load_reports::Loads;
 use crate::row_cache::RowCache;
@@ -58,6 +59,8 @@
     reports: ServerTable,
     /// The rows of the store from which the rest is derived.
     pub row_cache: RowCache,
+    /// The entries of the store that were left out.
+    pub left_out: LeftOut,
     /// The loads that other processes reported.
     pub load_reports: LoadReports,
     /// Whether this process is the hub of its failure domain.
@@ -104,6 +107,7 @@
             routes: Arc::default(),
             reports: ServerTable::default(),
             row_cache: RowCache::default(),
+            left_out: LeftOut::default(),
             load_reports: LoadReports::default(),
             is_hub: false,
             is_owner: false,
@@ -223,6 +227,11 @@
     /// Applies a server's report, unless a later one was seen.
     pub fn set_server(&mut self, server: Server, now: Mono) {
         let id = server.id.clone();
+        let findings = self.conflicts(&server);
+        if !findings.is_empty() {
+            self.left_out.log(&id, findings.to_string().as_bytes(), &findings);
+            return self.set_unusable(&id, now);
+        }
         if self.reports.is_outdated(&server) {
             decision_log::write(&Record::Outdated {
                 server: &id,
@@ -245,6 +254,47 @@
         }
     }
 
+    /// Returns what shows that another writer made the report `server`: it would replace that of a server
+    /// that can be used by one that can't, lacks the start time that the server reports, or moves an
+    /// instance to another service.
+    fn conflicts(&self, server: &Server) -> Findings {
+        let is_usable = |server: &Server| {
+            let spec = self.routes.service(&server.service);
+            spec.is_some_and(|spec| spec.engine.is_none() || server.fabric.is_some())
+        };
+        let mut findings = Findings::default();
+        let last = self.reports.last_report(&server.id);
+        findings.check(is_usable(server) || !last.is_some_and(is_usable), "$.service", || {
+            format!("found {:?}, which isn't configured or needs a fabric domain", server.service)
+        });
+        let has_start = |server: &Server| server.started_at_ms > 0;
+        findings.check(
+            has_start(server) || !last.is_some_and(has_start),
+            "$.started_at_ms",
+            || "missing; the server's last report has it".to_owned(),
+        );
+        let current = self.reports.servers().get(&server.id);
+        let current = current.filter(|current| current.instance_id() == server.instance_id());
+        findings.check(
+            current.is_none_or(|current| current.service == server.service),
+            "$.service",
+            || format!("found {:?}; the server's instance is of another service", server.service),
+        );
+        findings
+    }
+
+    /// Records that an entry that names no server to use stands in place of a server's report.
+    pub fn set_unusable(&mut self, id: &str, now: Mono) {
+        self.reports.report_overwritten(id, now);
+    }
+
+    /// Drops the servers in whose place unusable entries have stood for too long.
+    pub fn expire_overwritten(&mut self, now: Mono) {
+        for id in self.reports.overwritten_for_long(now) {
+            self.remove_server(&id, now);
+        }
+    }
+
     /// Returns whether this process logs each server of which it learns something new. Others log only
     /// those whose endpoint changes, so that the fleet's log doesn't grow with processes times servers.
     fn logs_all_servers(&self) -> bool {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -45,6 +45,7 @@
 use crate::lease_lock::LockSpec;
 use crate::lease_lock::LockState;
 use crate::load_reports::Loads;
+use crate::local_state::LocalState;
 use crate::local_state::SharedState;
 use crate::metrics::Metrics;
 use crate::names;
@@ -304,12 +305,17 @@
     let own =
         format!("{}{HUB_PREFIX}{}", state.integration.keys.own, state.settings.failure_domain);
     let prefix = format!("{}{HUB_PREFIX}", state.integration.keys.own);
-    let local = state.shared.local.lock();
+    let mut local = state.shared.local.lock();
+    let LocalState { row_cache, left_out, .. } = &mut *local;
     let mut hubs: Vec<(bool, SocketAddr)> = Vec::new();
-    for (key, value) in local.row_cache.with_prefix(&prefix) {
+    for (key, value) in row_cache.with_prefix(&prefix) {
         match serde_json::from_slice::<PeerEntry>(&value.value) {
             Ok(entry) => hubs.push((key != own, entry.address)),
-            Err(error) => log::warn!("could not decode the entry of hub `{key}`: {error}"),
+            Err(error) => {
+                let mut findings = Findings::default();
+                findings.add("$", error.to_string());
+                left_out.log(key, &value.value, &findings);
+            }
         }
     }
     hubs.sort();
--- a/crates/front/src/store_sync.rs
+++ b/crates/front/src/store_sync.rs
@@ -87,6 +87,7 @@
         let now = self.cx.now();
         let (is_hub, age, pause, hubs_tried) = {
             let mut local = self.shared.local.lock();
+            local.expire_overwritten(now);
             if self.is_synced {
                 local.row_cache.mark_current(now);
             }
@@ -226,15 +227,15 @@
     value: Option<&Versioned>,
     now: Mono,
 ) {
-    let decoded = value.map(|value| integration.decoder.decode_server(id, &value.value));
+    let Some(value) = value else { return shared.local.lock().remove_server(id, now) };
+    let decoded = integration.decoder.decode_server(id, &value.value);
     let mut local = shared.local.lock();
     match decoded {
-        Some(Ok(server)) => local.set_server(server, now),
-        Some(Err(findings)) => {
-            decision_log::write(&Record::LeftOut { key: id, findings: &findings });
-            local.remove_server(id, now);
+        Ok(server) => local.set_server(server, now),
+        Err(findings) => {
+            local.left_out.log(id, &value.value, &findings);
+            local.set_unusable(id, now);
         }
-        None => local.remove_server(id, now),
     }
 }
 
@@ -259,26 +260,21 @@
     if findings.is_empty() {
         return local.request_evacuation(domain, value.mod_revision, now);
     }
-    decision_log::write(&Record::LeftOut { key, findings: &findings });
+    local.left_out.log(key, &value.value, &findings);
 }
 
 fn apply_config_row(integration: &Integration, shared: &SharedState, value: &Versioned) {
-    match integration.decoder.decode_config(&value.value) {
+    let key = &integration.keys.config;
+    let decoded = integration.decoder.decode_config(&value.value);
+    let mut local = shared.local.lock();
+    match decoded {
         Ok(config) => {
             let findings = config.verify();
             if !findings.is_empty() {
-                decision_log::write(&Record::LeftOut {
-                    key: &integration.keys.config,
-                    findings: &findings,
-                });
+                local.left_out.log(key, &value.value, &findings);
             }
-            shared.local.lock().set_config(config);
-        }
-        Err(findings) => {
-            decision_log::write(&Record::LeftOut {
-                key: &integration.keys.config,
-                findings: &findings,
-            });
+            local.set_config(config);
         }
+        Err(findings) => local.left_out.log(key, &value.value, &findings),
     }
 }
--- a/crates/front/tests/server_records.rs
+++ b/crates/front/tests/server_records.rs
@@ -115,3 +115,34 @@
     member.started_at_ms = 2;
     assert_eq!(report(&shared, &member), 1, "another instance");
 }
+
+// Guards against a report of another writer that moves a server to a service that isn't configured, or an
+// instance from one service to another.
+#[test]
+fn a_foreign_service_replaces_no_report() {
+    let shared = shared_state();
+    let specs = ["desk", "shop"].map(|name| ServiceSpec {
+        name: name.into(),
+        max_connections: 9,
+        engine: None,
+        warm_up: None,
+    });
+    let config = RoutingConfig { version: 2, services: specs.into(), ..RoutingConfig::default() };
+    shared.local.lock().set_config(config);
+    let service = || shared.local.lock().reports().servers()["d0"].service.clone();
+    let own = server("d0", "desk");
+    report(&shared, &own);
+    for foreign in ["none", "shop"] {
+        assert_eq!(report(&shared, &server("d0", foreign)), 0);
+        assert_eq!(&*service(), "desk", "{foreign}");
+    }
+    let without_start = Server { started_at_ms: 0, ..server("d0", "desk") };
+    assert_eq!(report(&shared, &without_start), 0);
+    assert_eq!(shared.local.lock().reports().servers()["d0"].started_at_ms, 1);
+    let restarted = Server { started_at_ms: 2, ..server("d0", "none") };
+    report(&shared, &restarted);
+    assert_eq!(&*service(), "desk", "a service that isn't configured");
+    let restarted = Server { started_at_ms: 2, ..server("d0", "shop") };
+    report(&shared, &restarted);
+    assert_eq!(&*service(), "shop", "a new instance may be of another service");
+}
--- a/crates/pass/src/warm_up.rs
+++ b/crates/pass/src/warm_up.rs
@@ -21,6 +21,7 @@
 use base::hash::stable;
 use base::prelude::*;
 use form::prelude::*;
+use form::server::MAX_WARM_UP;
 
 use crate::config::ServiceSpec;
 use crate::endpoint::Endpoint;
@@ -48,7 +49,7 @@
 /// expected time alone.
 const INITIAL_SLOWDOWN: f64 = 1.5;
 /// Longest warm-up that is plausible.
-pub const MAX_DURATION: Duration = Duration::from_secs(3_600);
+pub const MAX_DURATION: Duration = MAX_WARM_UP;
 /// Highest plausible rate.
 const MAX_RATE: RequestRate = 1e6;
 /// Steps of the bisection for the used rate, enough for a thousandth of it.
