An entry that isn't UTF-8 names no server behind a hub either

What callers saw: 500 and 502 from a process that gets its rows from a hub, where the hub itself answered 200. An entry of another writer with a byte that isn't UTF-8 names no server at a process that reads the store. Cause: a hub passes rows on as text and replaced such bytes by U+FFFD, so the entry could be read behind it. Ruled out: to leave the row out. Other processes would take it for deleted, or ask for it again. Change: a value that isn't UTF-8 is passed on as an empty one, which no decoder accepts. A hub of an earlier build still passes it on changed during an upgrade.

--- a/crates/front/src/peers/messages.rs
+++ b/crates/front/src/peers/messages.rs
@@ -72,8 +72,8 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Row {
     pub(super) key: Box<str>,
-    /// The revision that wrote the value, and its text; `None` if the key was deleted. Every
-    /// decodable value is UTF-8; a value that is not loses nothing by the lossy conversion.
+    /// The revision that wrote the value, and its text; `None` if the key was deleted. A value that isn't
+    /// UTF-8 is sent as an empty one: no decoder accepts either.
     pub(super) value: Option<(u64, Box<str>)>,
     /// A revision of the store that includes the change.
     pub(super) revision: u64,
@@ -88,7 +88,7 @@
 
 impl From<RowChange> for Row {
     fn from(change: RowChange) -> Self {
-        let text = |value: &Versioned| String::from_utf8_lossy(&value.value).into();
+        let text = |value: &Versioned| std::str::from_utf8(&value.value).unwrap_or_default().into();
         let value = change.value.map(|value| (value.mod_revision, text(&value)));
         Row { key: change.key, value, revision: change.revision }
     }
