--- a/crates/web/tests/serve.rs
+++ b/crates/web/tests/serve.rs
@@ -126,3 +126,53 @@
     assert_eq!(reader.next_line(), Some(web::sse::Line::Comment("note".into())));
     assert_eq!(reader.next_line(), None);
 }
+
+/// Length of a response that is longer than what the library writes at a time.
+const LONG_RESPONSE_BYTES: usize = 1 << 20;
+/// Length of its chunks.
+const CHUNK_BYTES: usize = 8 << 10;
+
+/// Answers with a response of known length, chunk by chunk.
+fn long_response(_: Request) -> Response {
+    let (tx, stream) = body::stream_of_large_chunks();
+    tokio::spawn(async move {
+        for _ in 0..LONG_RESPONSE_BYTES / CHUNK_BYTES {
+            tx.send(vec![b'x'; CHUNK_BYTES]).await;
+        }
+    });
+    let mut response = reply::with_type(StatusCode::OK, "text/plain", stream);
+    let length = http::HeaderValue::from(LONG_RESPONSE_BYTES);
+    response.headers_mut().insert(http::header::CONTENT_LENGTH, length);
+    response
+}
+
+// Guards against streamed responses with a length being cut off, since the library doesn't read their end.
+#[tokio::test]
+async fn a_long_response_with_a_length_arrives_whole_and_its_connection_is_kept() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let handler: Handler = Arc::new(|req| async { long_response(req) }.boxed());
+    let (drain, stop) = (Drain::default(), CancellationToken::new());
+    let serving = tokio::spawn(serve(
+        listener,
+        ServerLimits::default(),
+        handler,
+        drain.clone(),
+        stop.clone(),
+    ));
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    for _ in 0..3 {
+        stream.write_all(b"GET /long HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        let mut received = Vec::new();
+        while !received.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+            received.push(stream.read_u8().await.unwrap());
+        }
+        let mut response = vec![0; LONG_RESPONSE_BYTES];
+        let read = tokio::time::timeout(TIMEOUT, stream.read_exact(&mut response)).await;
+        read.expect("in time").expect("the whole response");
+    }
+    stop.cancel();
+    drop(stream);
+    tokio::time::timeout(TIMEOUT, serving).await.expect("in time").unwrap().unwrap();
+    assert_eq!(drain.count(), 0);
+}
