A retry is refused only if so many attempts may have run

Callers saw 502 for a request whose server was lost, though a retry was left and another server had room: an attempt beside the lost one had been turned away, and counted as if it had run. Change: a retry after an attempt that may have run is bounded by the attempts that may have run, as other attempts beside silent servers are; those that have begun keep their own bound. Test, before: 502 where 200 of the third server is due, in 4 of 4 runs.

--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -316,8 +316,8 @@
         if !failed.outcome.may_retry(route.execution_policy) {
             return false;
         }
-        let begun = self.attempts.lock().begun;
-        if begun >= route.max_attempts.max(1) && !failed.outcome.is_not_run() {
+        let AttemptCount { begun, may_run, .. } = *self.attempts.lock();
+        if may_run >= route.max_attempts.max(1) && !failed.outcome.is_not_run() {
             return false;
         }
         if begun >= route.max_attempts + MAX_NOT_RUN || self.now() >= self.deadline {
