Don't pass on a server's status that promises "not run" unless the server says so

What callers saw: 503, 429 or 408 with a server's signature for a request that the server had run.

Cause: AttemptOutcome::classify made a 5xx without X-Samphireport-Not-Executed Failed and a 429 or 408 without it Answered. Attempt::accept passed on Answered always and Failed where no retry may follow, without a look at what the status promises to callers.

Only for unsafe requests: the promise is the same for all kinds, so it holds for all. Unknown instead of Failed: the response bears the request's id, so its limit and its leaving still count.

Change: pass::outcome::promises_not_run names the statuses (408, 421, 429, 503). One of them without the mark is Failed, and is never passed on: the request is repeated where its policy allows, else it ends as our own 502 without the server's signature. 500 and 504 of a server are passed on as before. An attempt that may have run already kept later refusals from the caller (attempts.rs, also over a hand-over; by reading).

--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -11,6 +11,7 @@
 use http::Method;
 use http::StatusCode;
 use http::header;
+use pass::outcome::promises_not_run;
 use pass::prelude::*;
 use pass::server_notice::ServerNotice;
 use route::prelude::Fingerprint;
@@ -225,19 +226,20 @@
         self.record_notice(reservation, outcome, &notice, &findings);
         match outcome {
             AttemptOutcome::Answered => Ok(response),
-            // The backend server's own error response is forwarded if no retry may follow.
-            AttemptOutcome::Failed
-                if !AttemptOutcome::Failed.may_retry(active.routed.route.execution_policy) =>
-            {
-                Ok(response)
-            }
-            AttemptOutcome::Failed if self.number >= active.routed.route.max_attempts => {
-                Ok(response)
-            }
+            AttemptOutcome::Failed if self.may_forward_failure(status) => Ok(response),
             outcome => Err(self.fail(outcome, status.as_u16(), "")),
         }
     }
 
+    /// Returns whether the backend server's own error response is forwarded: no retry may follow, and its
+    /// status doesn't promise that the request, which ran, has not run.
+    fn may_forward_failure(&self, status: StatusCode) -> bool {
+        let route = &self.active.routed.route;
+        let is_last = !AttemptOutcome::Failed.may_retry(route.execution_policy)
+            || self.number >= route.max_attempts;
+        is_last && !promises_not_run(status)
+    }
+
     /// Records what a response says of its server, unless it may come from another one.
     ///
     /// A response to a request that ran and that names no limit says that there is none. Of a response to
--- a/crates/pass/src/outcome.rs
+++ b/crates/pass/src/outcome.rs
@@ -31,6 +31,18 @@
     Failed,
 }
 
+/// Returns whether callers take `status` for the promise that their request has not run and never
+/// will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 impl AttemptOutcome {
     /// Classifies the status and headers of a response by `server` to the attempt `attempt`.
     pub fn classify(
@@ -60,7 +72,10 @@
         if headers.contains_key(http::header::CONTENT_ENCODING) && status.is_success() {
             return AttemptOutcome::Unknown;
         }
-        if status.is_server_error() { AttemptOutcome::Failed } else { AttemptOutcome::Answered }
+        if status.is_server_error() || promises_not_run(status) {
+            return AttemptOutcome::Failed;
+        }
+        AttemptOutcome::Answered
     }
 
     /// Returns whether the request was certainly not run.
--- a/crates/pass/tests/outcome.rs
+++ b/crates/pass/tests/outcome.rs
@@ -4,6 +4,7 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::StatusCode;
+use pass::outcome::promises_not_run;
 use pass::prelude::*;
 
 fn classify(status: u16, headers: &[(&HeaderName, &str)]) -> AttemptOutcome {
@@ -46,6 +47,24 @@
     );
 }
 
+// Guards against a status that promises callers "not run" being passed on although its server doesn't
+// say so.
+#[test]
+fn a_status_that_promises_not_run_without_the_mark_is_a_failure() {
+    let d = HeaderNames::default();
+    for status in [408, 429, 503] {
+        let own = [(&d.attempt_id, "a-1"), (&d.signature, "s")];
+        assert_eq!(classify(status, &own), AttemptOutcome::Failed, "{status}");
+        assert!(promises_not_run(StatusCode::from_u16(status).expect("a status")), "{status}");
+        let marked = [own[0], (&d.not_run, "1")];
+        assert_eq!(classify(status, &marked), AttemptOutcome::Full, "{status}");
+    }
+    for status in [200, 400, 404, 500, 502, 504] {
+        let status = StatusCode::from_u16(status).expect("a status");
+        assert!(!promises_not_run(status), "{status}");
+    }
+}
+
 #[test]
 fn a_request_that_may_have_run_is_retried_only_if_its_policy_allows() {
     for outcome in [AttemptOutcome::Unknown, AttemptOutcome::Failed] {
