Take a response for an attempt's only if nothing else can be meant

What callers saw: a server sent its refusal once more ("503, X-Samphireport-Not-Executed", without an id) on a kept connection, just as the next request arrived there. A 404, a 500 or a 101 sent so was passed on to the caller of the next request as its answer (MIXED).

Cause: AttemptOutcome::classify rejected a response with another id, but trusted one without any on a connection that had carried requests before, where nothing shows which request it belongs to.

What comes after the request has been written can't be told apart by time.

Change: Pool::send marks the response to the first request of a connection (FirstOnConnection, in its extensions; absent means reused). classify takes the SentAttempt: its id, its server and the use of its connection. A response is the attempt's own if each id in it is the attempt's, or if it has none and its connection carried no other request. All others are Unknown: the attempt may have run, its connection is closed, and no caller gets a status that promises "not run". A 1xx is never an answer.

--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -217,16 +217,23 @@
         let Carrier::Server(reservation) = &self.carrier else { return Ok(response) };
         let active = self.active;
         let (status, headers) = (response.status(), response.headers());
-        let id = active.metadata.attempt_id.as_deref();
-        let server = &reservation.endpoint().server;
+        let is_first = response.extensions().get::<FirstOnConnection>().is_some();
+        let sent = SentAttempt {
+            id: active.metadata.attempt_id.as_deref(),
+            server: &reservation.endpoint().server,
+            connection: if is_first { ConnectionUse::First } else { ConnectionUse::Reused },
+        };
         let header_names = &active.state.integration.header_names;
-        let outcome = AttemptOutcome::classify(status, headers, id, server, header_names);
+        let outcome = AttemptOutcome::classify(status, headers, &sent, header_names);
         let mut findings = Findings::default();
         let notice = ServerNotice::read(status, headers, header_names, &mut findings);
         self.record_notice(reservation, outcome, &notice, &findings);
         match outcome {
             AttemptOutcome::Answered => Ok(response),
             AttemptOutcome::Failed if self.may_forward_failure(status) => Ok(response),
+            AttemptOutcome::Unknown => {
+                Err(self.fail(outcome, status.as_u16(), "no valid answer to this request"))
+            }
             outcome => Err(self.fail(outcome, status.as_u16(), "")),
         }
     }
@@ -242,8 +249,8 @@
 
     /// Records what a response says of its server, unless it may come from another one.
     ///
-    /// A response to a request that ran and that names no limit says that there is none. Of a response to
-    /// an earlier request only the pause counts: it says for how long the server wants nothing.
+    /// A response to a request that ran and that names no limit says that there is none. Of a response that
+    /// may be to an earlier request only the pause counts: it says for how long the server wants nothing.
     fn record_notice(
         &self,
         reservation: &Reservation,
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -68,6 +68,8 @@
     pub use crate::header_names::HeaderNames;
     pub use crate::load::Load;
     pub use crate::outcome::AttemptOutcome;
+    pub use crate::outcome::ConnectionUse;
+    pub use crate::outcome::SentAttempt;
     pub use crate::paths::Reach;
     pub use crate::request::GenerationRequest;
     pub use crate::request::RequestMetadata;
--- a/crates/pass/src/outcome.rs
+++ b/crates/pass/src/outcome.rs
@@ -3,6 +3,11 @@
 //! What matters is whether a request was certainly *not run* or the outcome is *unknown*. Only a
 //! request that was not run, or that may be executed more than once, is sent to another backend
 //! server; and only for one that was not run does the caller get a status that promises so.
+//!
+//! Invariants:
+//! - A response counts only if it certainly answers this attempt: it echoes the id of the request, or
+//!   it has no id and its connection never carried another request. Other bytes belong to nobody.
+//! - A status that promises "not run" to callers doesn't show that the request has not run.
 
 use base::prelude::*;
 use http::HeaderMap;
@@ -43,18 +48,68 @@
     )
 }
 
+/// What the connection carried on which a response came.
+#[key]
+pub enum ConnectionUse {
+    /// The request of the attempt, and no other before it.
+    First,
+    /// Other requests before it, or it isn't known.
+    Reused,
+}
+
+/// What a response says of the request that it answers.
+#[key]
+enum Echo {
+    /// The id of the request.
+    Own,
+    /// Another id.
+    Other,
+    /// No id.
+    Missing,
+}
+
+/// An attempt that was sent to a backend server, as far as a response must fit it.
+#[data]
+pub struct SentAttempt<'a> {
+    /// The id of the request, if it has one.
+    pub id: Option<&'a str>,
+    /// The backend server.
+    pub server: &'a str,
+    /// The connection that it was sent on.
+    pub connection: ConnectionUse,
+}
+
+impl SentAttempt<'_> {
+    fn echo(&self, headers: &HeaderMap, header_names: &HeaderNames) -> Echo {
+        let own = self.id.map(str::as_bytes);
+        let mut echoed = headers.get_all(&header_names.attempt_id).iter().peekable();
+        if echoed.peek().is_none() {
+            return Echo::Missing;
+        }
+        match echoed.all(|id| Some(id.as_bytes()) == own) {
+            true => Echo::Own,
+            false => Echo::Other,
+        }
+    }
+}
+
 impl AttemptOutcome {
-    /// Classifies the status and headers of a response by `server` to the attempt `attempt`.
+    /// Classifies the status and headers of a response to an attempt.
     pub fn classify(
         status: StatusCode,
         headers: &HeaderMap,
-        attempt: Option<&str>,
-        server: &str,
+        sent: &SentAttempt<'_>,
         header_names: &HeaderNames,
     ) -> Self {
-        let echoed = headers.get(&header_names.attempt_id).and_then(|value| value.to_str().ok());
-        if echoed.is_some() && echoed != attempt {
-            // A late response to an earlier request on the same connection.
+        let echo = sent.echo(headers, header_names);
+        match (echo, sent.connection) {
+            (Echo::Own, _) | (Echo::Missing, ConnectionUse::First) => {}
+            // It may be a late response to an earlier request.
+            (Echo::Other, _) | (Echo::Missing, ConnectionUse::Reused) => {
+                return AttemptOutcome::Unknown;
+            }
+        }
+        if status.is_informational() {
             return AttemptOutcome::Unknown;
         }
         if status == StatusCode::MISDIRECTED_REQUEST {
@@ -62,11 +117,11 @@
         }
         if headers.contains_key(&header_names.not_run) {
             let fault = headers.get(&header_names.fault_server);
-            let is_other = fault.is_some_and(|fault| fault.as_bytes() != server.as_bytes());
+            let is_other = fault.is_some_and(|fault| fault.as_bytes() != sent.server.as_bytes());
             return if is_other { AttemptOutcome::Broken } else { AttemptOutcome::Full };
         }
         let signed = headers.contains_key(&header_names.signature);
-        if status.is_success() && !(signed && echoed.is_some()) {
+        if status.is_success() && !(signed && echo == Echo::Own) {
             return AttemptOutcome::Unknown;
         }
         if headers.contains_key(http::header::CONTENT_ENCODING) && status.is_success() {
--- a/crates/pass/tests/outcome.rs
+++ b/crates/pass/tests/outcome.rs
@@ -8,12 +8,21 @@
 use pass::prelude::*;
 
 fn classify(status: u16, headers: &[(&HeaderName, &str)]) -> AttemptOutcome {
+    classify_on(ConnectionUse::First, status, headers)
+}
+
+fn classify_on(
+    connection: ConnectionUse,
+    status: u16,
+    headers: &[(&HeaderName, &str)],
+) -> AttemptOutcome {
     let mut map = HeaderMap::new();
     for (name, value) in headers {
-        map.insert((*name).clone(), HeaderValue::from_str(value).expect("a value"));
+        map.append((*name).clone(), HeaderValue::from_str(value).expect("a value"));
     }
     let status = StatusCode::from_u16(status).expect("a status");
-    AttemptOutcome::classify(status, &map, Some("a-1"), "s-1", &HeaderNames::default())
+    let sent = SentAttempt { id: Some("a-1"), server: "s-1", connection };
+    AttemptOutcome::classify(status, &map, &sent, &HeaderNames::default())
 }
 
 #[test]
@@ -87,3 +96,41 @@
     assert_eq!(classify(503, &[refused, (&d.fault_server, "s-1")]), AttemptOutcome::Full);
     assert_eq!(classify(503, &[refused, (&d.fault_server, "s-2")]), AttemptOutcome::Broken);
 }
+
+// Guards against bytes on a reused connection, which may belong to an earlier request, being taken for the
+// answer to this one, whatever their status.
+#[test]
+fn a_response_without_id_on_a_reused_connection_says_nothing() {
+    let d = HeaderNames::default();
+    for status in [101, 200, 204, 302, 400, 404, 408, 421, 429, 500, 503] {
+        for headers in [&[][..], &[(&d.not_run, "1")], &[(&d.signature, "s")]] {
+            let outcome = classify_on(ConnectionUse::Reused, status, headers);
+            assert_eq!(outcome, AttemptOutcome::Unknown, "{status}, {headers:?}");
+        }
+    }
+    let (own, mark) = ((&d.attempt_id, "a-1"), (&d.not_run, "1"));
+    assert_eq!(classify_on(ConnectionUse::Reused, 503, &[own, mark]), AttemptOutcome::Full);
+    assert_eq!(classify_on(ConnectionUse::Reused, 421, &[own]), AttemptOutcome::Misdirected);
+    assert_eq!(classify(503, &[mark]), AttemptOutcome::Full);
+}
+
+// Guards against a response that names this request and another one being taken for its answer.
+#[test]
+fn a_response_with_another_id_says_nothing() {
+    let d = HeaderNames::default();
+    let (own, other, mark) = ((&d.attempt_id, "a-1"), (&d.attempt_id, "a-2"), (&d.not_run, "1"));
+    for connection in [ConnectionUse::First, ConnectionUse::Reused] {
+        for headers in [[other, mark, mark], [own, other, mark], [other, own, mark]] {
+            let outcome = classify_on(connection, 503, &headers);
+            assert_eq!(outcome, AttemptOutcome::Unknown, "{headers:?}");
+        }
+    }
+}
+
+// Guards against an interim response, such as a switch of protocols, being passed on as an answer.
+#[test]
+fn an_interim_response_is_no_answer() {
+    let d = HeaderNames::default();
+    let own = [(&d.attempt_id, "a-1"), (&d.signature, "s")];
+    assert_eq!(classify(101, &own), AttemptOutcome::Unknown);
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -33,6 +33,7 @@
     pub use crate::body::BodySender;
     pub use crate::client::Client;
     pub use crate::client::ClientError;
+    pub use crate::pool::FirstOnConnection;
     pub use crate::pool::Pool;
     pub use crate::pool::PoolError;
     pub use crate::pool::PoolSettings;
--- a/crates/web/src/pool.rs
+++ b/crates/web/src/pool.rs
@@ -9,6 +9,9 @@
 //!   response.
 //! - A connection on which bytes arrive while no request is in flight is discarded.
 //! - [`PoolError::NotSent`] is only returned if no byte of the request was sent.
+//! - A response to the first request of a connection carries [`FirstOnConnection`]. Another one may
+//!   consist of bytes that the peer sent late after an earlier response: what was already there when
+//!   the request is written is discarded with its connection, what comes later isn't.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -78,6 +81,11 @@
     Never,
 }
 
+/// Marks a response (in its extensions) whose connection carried no request before: it can't belong
+/// to another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FirstOnConnection;
+
 /// What a connection attempt shows of an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Probe {
@@ -180,7 +188,10 @@
         }
         let mut sender = self.connect(address).await?;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.return_after_body(address, sender, response)),
+            Ok(mut response) => {
+                response.extensions_mut().insert(FirstOnConnection);
+                Ok(self.return_after_body(address, sender, response))
+            }
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(not_sent(address, error.error(), false)),
                 None => Err(incomplete(address, error.error())),
--- a/crates/web/tests/pool.rs
+++ b/crates/web/tests/pool.rs
@@ -128,3 +128,99 @@
     let error = send(&pool(), address, Reuse::Any).await.expect_err("no response");
     assert!(matches!(error, PoolError::Incomplete { .. }), "{error}");
 }
+
+/// A refusal that a server sends without being asked.
+const EXTRA: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
+/// Sends a request; returns the status, and whether its response is the first of its connection.
+async fn send_for_head(pool: &Pool, address: SocketAddr) -> (u16, bool) {
+    let response = pool.send(address, request(), Reuse::Any).await.expect("a response");
+    let is_first = response.extensions().get::<FirstOnConnection>().is_some();
+    let status = response.status().as_u16();
+    body::read(response.into_body(), 1024).await.expect("a body");
+    (status, is_first)
+}
+
+// Guards against a response on a reused connection that looks as if it could only belong to its request.
+#[tokio::test]
+async fn only_the_first_response_of_a_connection_is_marked_as_such() {
+    let late = [EXTRA, RESPONSE].concat().leak();
+    let address = serve_bytes(vec![vec![RESPONSE, late], vec![RESPONSE]]).await;
+    let pool = pool();
+    assert_eq!(send_for_head(&pool, address).await, (200, true));
+    // The additional bytes come after this request was sent, so it gets them.
+    assert_eq!(send_for_head(&pool, address).await, (503, false));
+    assert_eq!(send_for_head(&pool, address).await, (200, true), "the connection is discarded");
+}
+
+/// Bytes that are no part of a response and may follow it.
+const ADDITIONAL: [(&str, &[u8]); 5] = [
+    ("a response", EXTRA),
+    ("an interim response", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    ("a switch of protocols", b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\n\r\n"),
+    ("a part of a head", b"HTTP/1.1 200 OK\r\nContent-"),
+    ("an empty line", b"\r\n"),
+];
+
+// Guards against bytes behind a complete response being taken for the start of the next one, however the
+// body's end is told.
+#[tokio::test]
+async fn bytes_behind_a_response_end_its_connection() {
+    let chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+    let trailers =
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: b\r\n\r\n";
+    let empty = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for (name, extra) in ADDITIONAL {
+        for response in [RESPONSE, chunked, trailers, empty] {
+            let spoiled = [response, extra].concat().leak();
+            let address = serve_bytes(vec![vec![spoiled, RESPONSE], vec![RESPONSE]]).await;
+            let pool = pool();
+            assert_eq!(send_for_head(&pool, address).await, (200, true), "{name}");
+            assert_eq!(send_for_head(&pool, address).await, (200, true), "{name}");
+        }
+    }
+}
+
+// Guards against the same while the connection and its user run on several threads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn bytes_behind_a_response_end_its_connection_on_several_threads() {
+    for round in 0..200 {
+        let spoiled = [RESPONSE, EXTRA].concat().leak();
+        let address = serve_bytes(vec![vec![spoiled, RESPONSE], vec![RESPONSE]]).await;
+        let pool = pool();
+        assert_eq!(send_for_head(&pool, address).await, (200, true), "round {round}");
+        assert_eq!(send_for_head(&pool, address).await, (200, true), "round {round}");
+    }
+}
+
+// Guards against bytes that come while no request is in flight being taken for the answer to the next one.
+#[tokio::test]
+async fn bytes_on_an_idle_connection_end_it() {
+    for (name, extra) in ADDITIONAL {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut buf = [0; 4096];
+                let _ = stream.read(&mut buf).await;
+                stream.write_all(RESPONSE).await.expect("sent");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                let _ = stream.write_all(extra).await;
+            }
+        });
+        let pool = pool();
+        assert_eq!(send_for_head(&pool, address).await, (200, true), "{name}");
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        assert_eq!(send_for_head(&pool, address).await, (200, true), "{name}");
+    }
+}
+
+// Guards against a connection that switched to another protocol being used for the next request.
+#[tokio::test]
+async fn a_connection_that_switched_protocols_is_not_reused() {
+    let switch = b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\n";
+    let address = serve_bytes(vec![vec![switch, RESPONSE], vec![RESPONSE]]).await;
+    let pool = pool();
+    assert_eq!(send_for_head(&pool, address).await, (101, true));
+    assert_eq!(send_for_head(&pool, address).await, (200, true));
+}
