--- a/crates/web/src/pool.rs
+++ b/crates/web/src/pool.rs
@@ -10,8 +10,8 @@
 //! - A connection on which bytes arrive while no request is in flight is discarded.
 //! - [`PoolError::NotSent`] is only returned if no byte of the request was sent.
 //! - A response to the first request of a connection carries [`FirstOnConnection`]. Another one may
-//!   consist of bytes that the peer sent late after an earlier response: what was already there when
-//!   the request is written is discarded with its connection, what comes later isn't.
+//!   consist of bytes that the peer sent late after an earlier response: a connection is discarded for
+//!   such bytes only if they were noticed before the request is written.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
