What the review of the fix found: lost servers, hand-overs, and slots held for slow readers

A long plain response logs and counts its abort. - Attempts in a race have ids of their own: the number of an attempt may come twice after a hand-over that was declined. - A server that was silent before its head counts anew for what follows; a declined hand-over keeps what is known of the last server; requests that wait are looked for before an endpoint is evaluated.

--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -193,6 +193,7 @@
         let since = self.active.now();
         loop {
             if let Ok(next) = tokio::time::timeout(CHECK_PERIOD, &mut next).await {
+                self.silence.send_replace(None);
                 return next;
             }
             self.check_silence(stage, self.active.now().saturating_sub(since));
@@ -372,7 +373,7 @@
         silence: Silence,
         silent_for: Duration,
     ) {
-        // It gets fewer requests until it goes on.
+        // It gets no new requests for a while.
         carrier.record_failure(AttemptOutcome::Unknown);
         let because = &silence.to_string();
         self.state.metrics.record_silence(because);
--- a/crates/front/src/serve/carrier.rs
+++ b/crates/front/src/serve/carrier.rs
@@ -110,11 +110,8 @@
     ) -> Option<Silence> {
         let reservation = match self {
             Carrier::Server(reservation) => reservation,
-            // The other process may try two servers, one after the other.
-            Carrier::Process(_) if stage == Stage::Head => {
-                return (silent_for >= usual * 2).then_some(Silence::Late);
-            }
-            Carrier::Process(_) => return (silent_for >= usual).then_some(Silence::Late),
+            // The other process notices the silence of its server first, and makes another attempt.
+            Carrier::Process(_) => return (silent_for >= usual * 2).then_some(Silence::Late),
         };
         if reservation.is_cut_off(silent_for) {
             return Some(Silence::CutOff);
@@ -123,7 +120,10 @@
         if (is_late || stage != Stage::Head) && reservation.is_stalled() {
             return Some(Silence::Stalled);
         }
-        is_late.then_some(Silence::Late)
+        match is_late && !reservation.is_current() {
+            true => Some(Silence::Gone),
+            false => is_late.then_some(Silence::Late),
+        }
     }
 
     /// Finds out whether the backend server ended, after its connection broke.
--- a/crates/front/src/serve/race.rs
+++ b/crates/front/src/serve/race.rs
@@ -26,13 +26,19 @@
 
 /// Attempts that run side by side, and yield a `T` if they succeed.
 pub(super) struct Race<T> {
-    /// The number and the outcome of each.
-    running: FuturesUnordered<BoxFuture<'static, (u32, Outcome<T>)>>,
+    /// The id and the outcome of each.
+    running: FuturesUnordered<BoxFuture<'static, (RunnerId, Outcome<T>)>>,
     /// What is known of them, the one that began last at the end.
     runners: Vec<Runner>,
+    next_id: RunnerId,
 }
 
+/// Identifies an attempt in its race. The numbers of attempts aren't unique, as one that another process
+/// declined doesn't count.
+type RunnerId = u64;
+
 struct Runner {
+    id: RunnerId,
     number: u32,
     name: Box<str>,
     server: Option<ServerId>,
@@ -41,7 +47,7 @@
 
 impl<T> Default for Race<T> {
     fn default() -> Self {
-        Race { running: FuturesUnordered::new(), runners: Vec::new() }
+        Race { running: FuturesUnordered::new(), runners: Vec::new(), next_id: 0 }
     }
 }
 
@@ -51,14 +57,16 @@
     where
         F: Future<Output = Outcome<T>> + Send + 'static,
     {
-        let number = attempt.number;
+        let id = self.next_id;
+        self.next_id += 1;
         self.runners.push(Runner {
-            number,
+            id,
+            number: attempt.number,
             name: attempt.carrier.name().into(),
             server: attempt.carrier.server().cloned(),
             silence: attempt.silence(),
         });
-        self.running.push(run(attempt).map(move |outcome| (number, outcome)).boxed());
+        self.running.push(run(attempt).map(move |outcome| (id, outcome)).boxed());
     }
 
     pub(super) fn is_empty(&self) -> bool {
@@ -72,10 +80,10 @@
 
     /// Returns the outcome of the next attempt that ends; never resolves if none runs.
     pub(super) async fn next(&mut self) -> Outcome<T> {
-        let Some((number, outcome)) = self.running.next().await else {
+        let Some((id, outcome)) = self.running.next().await else {
             return std::future::pending().await;
         };
-        self.runners.retain(|runner| runner.number != number);
+        self.runners.retain(|runner| runner.id != id);
         outcome
     }
 
--- a/crates/front/src/serve/relay.rs
+++ b/crates/front/src/serve/relay.rs
@@ -246,7 +246,10 @@
     }
 
     fn set_last(&mut self, failed: &FailedAttempt) {
-        self.tries = Tries::default();
+        // A process that declined the stream has asked no server.
+        if failed.server.is_some() {
+            self.tries = Tries::default();
+        }
         self.tries.add(failed);
     }
 
@@ -340,20 +343,12 @@
         self.tries.servers.iter().chain(self.running()).cloned().collect()
     }
 
-    async fn abort(&mut self, why: BreakOff) {
-        let now = self.active.now();
-        let problem = &why.to_string();
-        self.active.state.metrics.record_broken_off(why.cause());
-        decision_log::write(&Record::BrokenOff {
-            request: &self.active.id,
-            server: self.carrier.name(),
-            problem,
-            events: self.forwarded.events,
-            after_ms: decision_log::millis(now.saturating_sub(self.active.arrived)),
-            silent_ms: decision_log::millis(self.silent_for()),
-            stopping_ms: self.active.state.stop.elapsed(now).map(decision_log::millis),
-        });
-        self.tx.abort(problem).await;
+    async fn abort(self, why: BreakOff) {
+        let (server, events) = (self.carrier.name(), self.forwarded.events);
+        self.active.record_broken_off(&why, server, events, self.silent_for());
+        // The caller may take long to read what was sent before; the server need not wait for that.
+        let Relay { tx, .. } = self;
+        tx.abort(&why.to_string()).await;
     }
 
     fn log_completed(&self) {
--- a/crates/front/src/serve/reservation.rs
+++ b/crates/front/src/serve/reservation.rs
@@ -129,6 +129,11 @@
         self.state.shared.local.lock().endpoints.is_stalled(self.endpoint(), now)
     }
 
+    /// Returns whether the endpoint gets requests: its server still reports itself in the same role.
+    pub(crate) fn is_current(&self) -> bool {
+        self.state.shared.local.lock().endpoints.contains(self.endpoint())
+    }
+
     /// Returns whether this process can't reach servers any more and the connection has been silent for so
     /// long that it is lost as well.
     pub(crate) fn is_cut_off(&self, silent_for: Duration) -> bool {
--- a/crates/front/src/serve/silence.rs
+++ b/crates/front/src/serve/silence.rs
@@ -32,6 +32,8 @@
     Late,
     /// the server makes no progress on any request
     Stalled,
+    /// nothing came within the usual time, and the server doesn't report itself any more
+    Gone,
     /// this process reaches no server
     CutOff,
 }
@@ -41,7 +43,7 @@
     pub(super) fn is_loss(self) -> bool {
         match self {
             Silence::Late => false,
-            Silence::Stalled | Silence::CutOff => true,
+            Silence::Stalled | Silence::Gone | Silence::CutOff => true,
         }
     }
 }
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use base::prelude::*;
 use bytes::Bytes;
 use displaydoc::Display;
 use http::StatusCode;
@@ -10,9 +11,12 @@
 use pass::prelude::*;
 use volo_http::body::Body;
 use web::body;
+use web::body::BodySender;
 
 use super::ActiveRequest;
 use super::carrier::Carrier;
+use crate::decision_log;
+use crate::decision_log::Record;
 
 /// Why a response is aborted after a part of it has been sent.
 #[derive(Debug, Display)]
@@ -82,6 +86,29 @@
     }
 }
 
+impl ActiveRequest {
+    /// Records that the response is aborted, after `events` events and `silent_for` without data.
+    pub(super) fn record_broken_off(
+        &self,
+        why: &BreakOff,
+        server: &str,
+        events: u64,
+        silent_for: Duration,
+    ) {
+        let now = self.now();
+        self.state.metrics.record_broken_off(why.cause());
+        decision_log::write(&Record::BrokenOff {
+            request: &self.id,
+            server,
+            problem: &why.to_string(),
+            events,
+            after_ms: decision_log::millis(now.saturating_sub(self.arrived)),
+            silent_ms: decision_log::millis(silent_for),
+            stopping_ms: self.state.stop.elapsed(now).map(decision_log::millis),
+        });
+    }
+}
+
 /// Forwards the rest of a long response that is no stream of events; `first` has been read already.
 pub(super) fn relay_rest(
     active: Arc<ActiveRequest>,
@@ -96,31 +123,45 @@
         if !tx.send(first).await {
             return;
         }
-        loop {
-            let left = active.deadline.saturating_sub(active.now());
-            let chunk = tokio::select! {
-                () = tx.closed() => return,
-                () = tokio::time::sleep(left) => {
-                    return tx.abort(&BreakOff::Deadline.to_string()).await;
-                }
-                () = active.state.stop.out_of_time() => {
-                    return tx.abort(&BreakOff::Stop.to_string()).await;
-                }
-                chunk = body::next_chunk(&mut from) => chunk,
-            };
-            match chunk {
-                Some(Ok(chunk)) => {
-                    if !tx.send(chunk).await {
-                        return;
-                    }
-                }
-                Some(Err(error)) => {
-                    tx.abort(&error.to_string()).await;
-                    return carrier.check_end(&active).await;
+        let left = active.deadline.saturating_sub(active.now());
+        let why = tokio::select! {
+            () = tx.closed() => return,
+            why = relay_chunks(&active, status, &mut from, &carrier, &tx) => why,
+            () = active.state.stop.out_of_time() => Some(BreakOff::Stop),
+            () = tokio::time::sleep(left) => Some(BreakOff::Deadline),
+        };
+        let Some(why) = why else { return };
+        active.record_broken_off(&why, carrier.name(), 0, Duration::ZERO);
+        // The caller may take long to read what was sent before; the server need not wait for that.
+        drop((from, carrier));
+        tx.abort(&why.to_string()).await;
+    });
+    body
+}
+
+/// Forwards the chunks of a body; returns why it broke off, if it did.
+async fn relay_chunks(
+    active: &ActiveRequest,
+    status: StatusCode,
+    from: &mut Body,
+    carrier: &Carrier,
+    tx: &BodySender,
+) -> Option<BreakOff> {
+    loop {
+        match body::next_chunk(from).await {
+            Some(Ok(chunk)) => {
+                if !tx.send(chunk).await {
+                    return None;
                 }
-                None => return carrier.record_response(status),
+            }
+            Some(Err(error)) => {
+                carrier.check_end(active).await;
+                return Some(BreakOff::Broken(error.to_string().into()));
+            }
+            None => {
+                carrier.record_response(status);
+                return None;
             }
         }
-    });
-    body
+    }
 }
--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -150,11 +150,12 @@
         endpoints: &EndpointPool,
         now: Mono,
     ) -> Decision {
-        let has_waiting = self.waiting.values().any(|other| is_same_flow(other, pending));
-        let decision = decide(pending, endpoints, now);
-        match decision {
-            Decision::Send(_) if has_waiting => Decision::Wait,
-            decision => decision,
+        if let Some(decision) = decide_unreached(pending, endpoints, now) {
+            return decision;
+        }
+        match self.waiting.values().any(|other| is_same_flow(other, pending)) {
+            true => Decision::Wait,
+            false => decide_reached(pending, endpoints, now),
         }
     }
 
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -387,6 +387,12 @@
         state.is_some_and(|state| state.is_stalled(now))
     }
 
+    /// Returns whether `endpoint` is one of those that may get requests.
+    pub fn contains(&self, endpoint: &Endpoint) -> bool {
+        let state = self.states.get(&endpoint.server);
+        state.is_some_and(|state| is_same_endpoint(&state.endpoint, endpoint))
+    }
+
     /// Records that a prompt has been prefilled at `endpoint`.
     pub fn prefill_done(&mut self, endpoint: &Endpoint, prompt_tokens: u64) {
         if let Some(state) = self.state(endpoint) {
