--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -5,6 +5,7 @@
 //!
 //! - `attempts`: the attempts of one request, until one gives the final response.
 //! - `race`: attempts that run side by side.
+//! - `choice`: chooses what carries an attempt.
 //! - `silence`: when a server counts as silent for an attempt.
 //! - `attempt`: one attempt of a request.
 //! - `carrier`: what carries an attempt, a connection of this process or another process.
@@ -26,6 +27,7 @@
 mod attempt;
 mod attempts;
 mod carrier;
+mod choice;
 mod hand_over;
 mod race;
 mod relay;
--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -3,47 +3,26 @@
 use std::sync::Arc;
 
 use base::prelude::*;
-use pass::dispatch::Decision;
-use pass::dispatch::PendingRequest;
-use pass::dispatch::Refusal;
-use pass::endpoints::EndpointRequirements;
 use pass::prelude::*;
-use route::prompt_parts::PartRefusal;
 use web::prelude::*;
 
 use super::ActiveRequest;
 use super::ServerId;
-use super::UNCONFIGURED_RETRY_AFTER;
 use super::attempt::Attempt;
 use super::attempt::FailedAttempt;
 use super::carrier::Carrier;
 use super::hand_over::Declined;
-use super::hand_over::HandOver;
 use super::hand_over::Origin;
 use super::log_failed;
 use super::race::Race;
-use super::reservation::Reservation;
 use super::responses;
-use super::silence::SilenceReceiver;
-use crate::clock::wall_millis;
 use crate::decision_log;
-use crate::decision_log::PartRefusalRecord;
 use crate::decision_log::Record;
 
 /// Number of processes that may decline a request before that counts as an attempt.
 const MAX_DECLINED: u32 = 2;
 /// Number of attempts beyond those of its route that a request may take if some have not run.
 const MAX_NOT_RUN: u32 = 2;
-/// Retry-After of requests that no other process can take over.
-const NO_HELPER_RETRY_AFTER: Duration = Duration::from_millis(400);
-
-/// Why a request is not sent.
-enum NotSent {
-    /// It is refused.
-    Refused { retry_after: Duration, reason: Refusal },
-    /// Nothing was decided.
-    Undecided,
-}
 
 /// Returns whether a response declines a request that another process handed over.
 fn is_declined(response: &Response) -> bool {
@@ -137,7 +116,7 @@
     race: Race<Response>,
     /// The last attempt that may have run. Once there is one, no response may promise that the request
     /// has not run.
-    may_have_run: Option<FailedAttempt>,
+    last_unknown: Option<FailedAttempt>,
     /// The error of a server, while another attempt may still succeed.
     error_response: Option<Response>,
 }
@@ -148,8 +127,8 @@
             Origin::Caller => Tries::default(),
             Origin::Process(progress) => progress.tries.clone(),
         };
-        let may_have_run = (tries.may_have_run > 0).then_some(FailedAttempt::ELSEWHERE);
-        Attempts { active, tries, race: Race::default(), may_have_run, error_response: None }
+        let last_unknown = (tries.may_have_run > 0).then_some(FailedAttempt::ELSEWHERE);
+        Attempts { active, tries, race: Race::default(), last_unknown, error_response: None }
     }
 
     /// Begins the only attempt, once there is a carrier for it. Without one, returns the final response.
@@ -165,7 +144,7 @@
         if is_declined(&refused) && self.tries.may_have_run == self.active.runs_elsewhere() {
             return Err(refused);
         }
-        Err(self.may_have_run.as_ref().map_or(refused, |failed| self.active.fail(failed)))
+        Err(self.last_unknown.as_ref().map_or(refused, |failed| self.active.fail(failed)))
     }
 
     fn begin(&mut self, carrier: Carrier) {
@@ -181,7 +160,7 @@
         loop {
             let running = self.race.servers();
             let tried: Vec<ServerId> = self.tries.servers.iter().chain(running).cloned().collect();
-            let another = another_carrier(&self.active, self.race.newest_silence(), &tried);
+            let another = self.active.another_carrier(self.race.newest_silence(), &tried);
             tokio::select! {
                 ended = self.race.next() => match ended {
                     Ok(response) if is_error(&response) && !self.race.is_empty() => {
@@ -200,7 +179,7 @@
         self.tries.add(&failed);
         let is_not_run = failed.outcome.is_not_run();
         if !self.race.is_empty() {
-            self.may_have_run = Some(failed).filter(|_| !is_not_run).or(self.may_have_run.take());
+            self.last_unknown = Some(failed).filter(|_| !is_not_run).or(self.last_unknown.take());
             return None;
         }
         *self.active.current_server.lock() = None;
@@ -209,13 +188,13 @@
         }
         let is_last = !self.active.may_retry(&failed);
         if is_last && is_not_run {
-            return Some(self.active.fail(self.may_have_run.as_ref().unwrap_or(&failed)));
+            return Some(self.active.fail(self.last_unknown.as_ref().unwrap_or(&failed)));
         }
         if is_last {
             return Some(self.active.fail(&failed));
         }
         if !is_not_run {
-            self.may_have_run = Some(failed);
+            self.last_unknown = Some(failed);
         }
         None
     }
@@ -226,18 +205,6 @@
     response.status().is_server_error()
 }
 
-/// Waits for the carrier of one more attempt beside those that run; see [`ActiveRequest::another_carrier`].
-async fn another_carrier(
-    active: &ActiveRequest,
-    silence: Option<SilenceReceiver>,
-    tried: &[ServerId],
-) -> Carrier {
-    match silence {
-        Some(silence) if active.may_add_attempt() => active.another_carrier(silence, tried).await,
-        _ => std::future::pending().await,
-    }
-}
-
 impl ActiveRequest {
     /// Serves the request to its final response.
     pub(super) async fn serve(self: Arc<Self>) -> Response {
@@ -328,172 +295,6 @@
         failed.outcome == AttemptOutcome::NotSent || self.take_retry()
     }
 
-    /// Takes a retry from the budget; returns false if none is left.
-    fn take_retry(&self) -> bool {
-        let mut local = self.state.shared.local.lock();
-        let processes = local.processes();
-        local.retries.try_take(&self.routed.service.name, processes, self.now())
-    }
-
-    /// Returns a carrier for one more attempt beside those at the servers `tried`, if one is free now and
-    /// the retry budget allows it.
-    pub(super) fn free_carrier(&self, tried: &[ServerId]) -> Option<Carrier> {
-        if !self.has_retry() || self.is_quarantined() {
-            return None;
-        }
-        let pending = self.pending_request(tried, self.now());
-        let decision = self.state.shared.decide_at_once(&pending, self.now());
-        self.carrier_of(decision).ok().filter(|_| self.take_retry())
-    }
-
-    /// Does what [`ActiveRequest::free_carrier`] does, but waits in the queue until one is free.
-    pub(super) async fn queued_carrier(&self, tried: &[ServerId]) -> Option<Carrier> {
-        if !self.has_retry() || self.is_quarantined() {
-            return None;
-        }
-        let decision = self.decision(self.pending_request(tried, self.now())).await;
-        self.carrier_of(decision).ok().filter(|_| self.take_retry())
-    }
-
-    fn has_retry(&self) -> bool {
-        let mut local = self.state.shared.local.lock();
-        let processes = local.processes();
-        local.retries.remaining(&self.routed.service.name, processes, self.now()) >= 1.0
-    }
-
-    async fn decision(&self, pending: PendingRequest) -> Decision {
-        match self.state.shared.submit(pending, self.now()) {
-            Ok(decision) => decision,
-            Err(waiting) => waiting.decision().await,
-        }
-    }
-
-    /// Waits for an endpoint, or for another process that takes the request over; `tried` are the servers
-    /// of earlier attempts, and `since` is the time from which the wait counts.
-    pub(super) async fn wait_for_carrier(
-        &self,
-        tried: &[ServerId],
-        since: Mono,
-    ) -> Result<Carrier, Response> {
-        if let Some(refused) = self.refuse_if_quarantined() {
-            return Err(refused);
-        }
-        let decision = self.decision(self.pending_request(tried, since)).await;
-        let carrier = self.carrier_of(decision).map_err(|not_sent| match not_sent {
-            NotSent::Refused { retry_after, reason } => self.refuse(retry_after, reason),
-            NotSent::Undecided => responses::refused(UNCONFIGURED_RETRY_AFTER),
-        })?;
-        match (&carrier, self.refuse_if_quarantined()) {
-            (Carrier::Server(_), Some(refused)) => Err(refused),
-            _ => Ok(carrier),
-        }
-    }
-
-    /// Returns what carries the request, as it was decided.
-    fn carrier_of(&self, decision: Decision) -> Result<Carrier, NotSent> {
-        match decision {
-            Decision::Send(choice) => Ok(Carrier::Server(Box::new(Reservation::new(self, choice)))),
-            Decision::HandOver => match HandOver::choose(&self.state) {
-                Some(hand_over) => Ok(Carrier::Process(hand_over)),
-                None => Err(NotSent::Refused {
-                    retry_after: NO_HELPER_RETRY_AFTER,
-                    reason: Refusal::CutOff,
-                }),
-            },
-            Decision::Refuse { retry_after, reason } => {
-                Err(NotSent::Refused { retry_after, reason })
-            }
-            Decision::Wait => Err(NotSent::Undecided),
-        }
-    }
-
-    /// Returns whether the request, or a part of its prompt, crashed the servers that ran it.
-    fn is_quarantined(&self) -> bool {
-        let local = self.state.shared.local.lock();
-        local.crash_reports.refused_for(self.fingerprint, wall_millis()).is_some()
-            || local.crash_reports.part_refusal(&self.parts, wall_millis()).is_some()
-    }
-
-    /// Returns a refusal if the request crashed the servers that ran it.
-    fn refuse_if_quarantined(&self) -> Option<Response> {
-        let (refused_for, part) = {
-            let local = self.state.shared.local.lock();
-            let refused_for = local.crash_reports.refused_for(self.fingerprint, wall_millis());
-            (refused_for, local.crash_reports.part_refusal(&self.parts, wall_millis()))
-        };
-        if let Some((refusal, left)) = part {
-            let because = self.because_of_part(&refusal);
-            return Some(self.refuse_because(left, Refusal::Quarantined, Some(because)));
-        }
-        refused_for.map(|left| self.refuse(left, Refusal::Quarantined))
-    }
-
-    /// Returns what the log says of a part for which the request is refused.
-    fn because_of_part<'a>(&'a self, refusal: &'a PartRefusal) -> PartRefusalRecord<'a> {
-        let ids = self.parts.keys.iter().zip(&self.metadata.shared_parts);
-        let id = ids.filter(|(key, _)| **key == refusal.part).map(|(_, id)| &**id).next();
-        PartRefusalRecord {
-            part_id: id.unwrap_or_default(),
-            part: refusal.part,
-            crashes: refusal.crashes.iter().map(|c| (&*c.group, c.at.millis)).collect(),
-        }
-    }
-
-    fn pending_request(&self, tried: &[ServerId], since: Mono) -> PendingRequest {
-        PendingRequest {
-            requirements: EndpointRequirements {
-                service: self.routed.service.name.clone(),
-                model: self.model(),
-                prompt_tokens: self.prompt_tokens(),
-                output_tokens: self.output_tokens(),
-                excluded: tried.to_vec(),
-            },
-            arrived_at: since,
-            latency_target: self.routed.route.latency_target,
-            deadline: self.deadline,
-            priority: self.routed.priority,
-            workspace: self.routed.workspace.clone(),
-            may_hand_over: self.origin == Origin::Caller,
-        }
-    }
-
-    fn refuse(&self, retry_after: Duration, reason: Refusal) -> Response {
-        self.refuse_because(retry_after, reason, None)
-    }
-
-    fn refuse_because(
-        &self,
-        retry_after: Duration,
-        reason: Refusal,
-        because: Option<PartRefusalRecord<'_>>,
-    ) -> Response {
-        let mut response = responses::refused(retry_after);
-        if reason == Refusal::CutOff && self.origin != Origin::Caller {
-            // The process that wanted to hand it over asks another one.
-            response.extensions_mut().insert(Declined);
-            return response;
-        }
-        let pending = self.pending_request(&[], self.arrived);
-        let (waiting, admitted) = {
-            let local = self.state.shared.local.lock();
-            let share = local.endpoints.admitted_share(&pending.requirements, pending.class());
-            (local.dispatch.len(), share)
-        };
-        decision_log::write(&Record::Refused {
-            request: &self.id,
-            service: &self.routed.service.name,
-            model: self.model().as_deref().unwrap_or_default(),
-            reason: &format!("{reason:?}"),
-            waited_ms: decision_log::millis(self.now().saturating_sub(self.arrived)),
-            waiting,
-            priority: pending.priority,
-            admitted,
-            retry_after_ms: decision_log::millis(retry_after),
-            because,
-        });
-        response
-    }
-
     fn log_sent(&self, attempt: u32, carrier: &Carrier) {
         // A hand-over has a record of its own.
         let Carrier::Server(reservation) = carrier else { return };
--- a/crates/front/src/serve/race.rs
+++ b/crates/front/src/serve/race.rs
@@ -10,13 +10,9 @@
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 
-use super::ActiveRequest;
 use super::ServerId;
 use super::attempt::Attempt;
 use super::attempt::FailedAttempt;
-use super::carrier::Carrier;
-use super::silence::CHECK_PERIOD;
-use super::silence::Silence;
 use super::silence::SilenceReceiver;
 use crate::decision_log;
 use crate::decision_log::Record;
@@ -106,37 +102,3 @@
         }
     }
 }
-
-/// Resolves when an attempt says that its server is silent; never, if it ends before.
-pub(super) async fn silent(mut silence: SilenceReceiver) -> Silence {
-    match silence.wait_for(Option::is_some).await.ok().and_then(|silence| *silence) {
-        Some(silence) => silence,
-        None => std::future::pending().await,
-    }
-}
-
-impl ActiveRequest {
-    /// Waits until the attempt of `silence` has a silent server and another one can take the request.
-    ///
-    /// Only what is free now is taken from others that wait; but if the server has probably been lost, the
-    /// request waits its turn once.
-    pub(super) async fn another_carrier(
-        &self,
-        silence: SilenceReceiver,
-        tried: &[ServerId],
-    ) -> Carrier {
-        let mut has_waited = false;
-        loop {
-            let is_loss = silent(silence.clone()).await.is_loss();
-            let carrier = match is_loss && !has_waited {
-                true => self.queued_carrier(tried).await,
-                false => self.free_carrier(tried),
-            };
-            has_waited |= is_loss;
-            match carrier {
-                Some(carrier) => return carrier,
-                None => tokio::time::sleep(CHECK_PERIOD).await,
-            }
-        }
-    }
-}
