--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -2,7 +2,7 @@
 //!
 //! `volo-http` has the types of requests and bodies, but its server neither tells when a response has
 //! been written nor lets its connections be closed one by one. Connections are therefore driven with
-//! `hyper`, on streams that record their use; see [`connection`](crate::connection).
+//! `hyper`, on streams that record their use (`connection`).
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
