--- a/crates/lab/tests/proofs.rs
+++ b/crates/lab/tests/proofs.rs
@@ -11,7 +11,11 @@
     for name in page.split('`').skip(1).step_by(2) {
         let Some((file, test)) = name.split_once(' ') else { continue };
         let Some((package, file)) = file.split_once("::") else { continue };
-        let path = root.join(format!("crates/{package}/tests/{file}.rs"));
+        let folder = match package {
+            "platform" => root.join(package),
+            _ => root.join("crates").join(package),
+        };
+        let path = folder.join(format!("tests/{file}.rs"));
         let text = std::fs::read_to_string(&path).unwrap_or_default();
         checked += 1;
         if !text.contains(&format!("fn {test}(")) {
