A request whose route's service can't be read is refused as not run, not answered 404

Seen by callers: 404 for requests that every configuration allows, which they don't repeat (DENIED), when a configuration has a figure of another type in a service (engine.chunk "2048"): the service is left out, and its routes looked like unknown ones. Found while looking where else a configuration that can't be used acts.

Cause: RouteError had one case for 'no route' and 'the route's service isn't declared'. Change: a case of its own, answered 503 with Retry-After, logged as `unrouted` with that status.

--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -86,7 +86,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time between two decisions on waiting requests when nothing else triggers one.
 const DISPATCH_PERIOD: Duration = Duration::from_millis(20);
-/// Retry-After of requests that come before this process has a configuration.
+/// Retry-After of requests that come before this process has a configuration, or while it has none of their
+/// service.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry-After of requests that a stopping process can't finish; other processes can take them.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -337,6 +338,7 @@
         let response = match problem {
             RouteError::Unknown => responses::not_found(),
             RouteError::Unauthorized => responses::unauthorized(),
+            RouteError::NoService => responses::refused(UNCONFIGURED_RETRY_AFTER),
         };
         decision_log::write(&Record::Unrouted {
             request: id,
--- a/crates/pass/src/routes.rs
+++ b/crates/pass/src/routes.rs
@@ -33,6 +33,8 @@
     Unknown,
     /// Its API key is missing or belongs to no workspace.
     Unauthorized,
+    /// Its route exists, but the service that it leads to isn't declared, or its declaration can't be read.
+    NoService,
 }
 
 /// Where a request is routed.
@@ -114,7 +116,7 @@
     ) -> Result<RouteMatch, RouteError> {
         let route = self.route(host, path).ok_or(RouteError::Unknown)?;
         let caller = self.caller(route, key)?;
-        let service = self.target(route, draw).ok_or(RouteError::Unknown)?;
+        let service = self.target(route, draw).ok_or(RouteError::NoService)?;
         let own_priority = caller.and_then(|caller| caller.priority);
         Ok(RouteMatch {
             route: route.clone(),
--- a/crates/pass/tests/routes.rs
+++ b/crates/pass/tests/routes.rs
@@ -77,6 +77,16 @@
     assert!(table.find("clubs.example", "/draws/rules/", None, b"").is_ok());
 }
 
+// Guards against 404 or 401 for requests that a configuration allows, but whose service it doesn't declare.
+#[test]
+fn a_route_to_an_undeclared_service_is_no_unknown_route() {
+    let mut config = config();
+    config.services.retain(|service| &*service.name != "desk");
+    let table = RouteTable::from(config);
+    let found = table.find("clubs.example", "/other", Some("key-1"), b"").map(|_| ());
+    assert_eq!(found, Err(RouteError::NoService));
+}
+
 #[test]
 fn weighted_targets_are_picked_stably_and_in_proportion() {
     let table = RouteTable::from(config());
