--- a/crates/pass/src/dispatch.rs
+++ b/crates/pass/src/dispatch.rs
@@ -271,8 +271,8 @@
     let refuse = |pause, reason| refuse(pending, pause, reason, now);
     let typical_target = pending.latency_target.mul_f64(typical_time_ratio(pending));
     let is_lightly_loaded = |choice: &EndpointChoice| {
-        waited + choice.expected_time - choice.fixed_time <= pending.latency_target
-            && choice.typical_time - choice.fixed_time <= typical_target
+        waited + choice.expected_load_time() <= pending.latency_target
+            && choice.typical_time.saturating_sub(choice.fixed_time) <= typical_target
     };
     let is_on_time = |choice: &EndpointChoice| {
         waited + choice.expected_time <= pending.latency_target && is_lightly_loaded(choice)
@@ -298,7 +298,7 @@
         }
         return wait_or_leave(pending, endpoints, now);
     };
-    let load_time = choice.expected_time - choice.fixed_time;
+    let load_time = choice.expected_load_time();
     let has_spare = choice.utilization < MAX_LATE_UTILIZATION
         && load_time < pending.latency_target.mul_f64(MAX_LATE_TIME_RATIO);
     let takes_late =
--- a/crates/pass/src/endpoints.rs
+++ b/crates/pass/src/endpoints.rs
@@ -82,6 +82,13 @@
     pub load_age: Option<Duration>,
 }
 
+impl EndpointChoice {
+    /// Returns the part of the expected time that depends on load.
+    pub fn expected_load_time(&self) -> Duration {
+        self.expected_time.saturating_sub(self.fixed_time)
+    }
+}
+
 /// All endpoints, by service.
 #[derive(Debug, Default)]
 pub struct EndpointPool {
--- a/crates/pass/src/endpoints/choice.rs
+++ b/crates/pass/src/endpoints/choice.rs
@@ -91,7 +91,7 @@
     /// Records that the first event of a stream came after the time `seen`.
     pub fn first_event_seen(&mut self, choice: &EndpointChoice, seen: Duration, now: Mono) {
         if choice.endpoint.group.is_some() {
-            let explained = choice.expected_time.saturating_sub(choice.fixed_time);
+            let explained = choice.expected_load_time();
             self.flows.first_event_seen(&flow_of(&choice.endpoint), seen, explained, now);
         }
     }
