The test of events in any order is clean under the linter

Names of a test's cases only: a variant that ended with its enum's name, and a copy that was cloned.

--- a/crates/pass/tests/any_order.rs
+++ b/crates/pass/tests/any_order.rs
@@ -27,7 +27,7 @@
     Submit { service: usize, model: usize, tokens: u64, target_ms: u64, excluded: usize },
     Dispatch,
     Cancel,
-    FirstEvent { took_ms: u64 },
+    Started { took_ms: u64 },
     Data,
     End { outcome: u8 },
     Loads { requests: u32, tokens: u64, processes: usize, rate: f64, quiet_ms: Option<u64> },
@@ -64,7 +64,7 @@
         ),
         Just(Event::Dispatch),
         Just(Event::Cancel),
-        (0..60_000_u64).prop_map(|took_ms| Event::FirstEvent { took_ms }),
+        (0..60_000_u64).prop_map(|took_ms| Event::Started { took_ms }),
         Just(Event::Data),
         any::<u8>().prop_map(|outcome| Event::End { outcome }),
         (0..500_u32, 0..1_u64 << 34, 0..200_usize, rate(), proptest::option::of(0..5_000_u64))
@@ -222,7 +222,7 @@
                     name: name.into(),
                     max_connections: 9,
                     engine,
-                    warm_up: Some(warm_up.clone()),
+                    warm_up: Some(warm_up),
                 };
                 let specs = [spec(SERVICES[0], engine), spec(SERVICES[1], None)];
                 self.endpoints.set_services(specs.map(Arc::new));
@@ -248,7 +248,7 @@
             Event::Cancel => {
                 self.tickets.pop().into_iter().for_each(|ticket| self.queue.cancel(ticket));
             }
-            Event::FirstEvent { took_ms } => {
+            Event::Started { took_ms } => {
                 let Some((choice, tokens)) = self.running.last().cloned() else { return };
                 self.endpoints.first_event_seen(&choice, Duration::from_millis(took_ms), now);
                 self.endpoints.prefill_done(&choice.endpoint, tokens);
