A log that can't grow doesn't end the process and its requests

Seen by callers: all answers of a process end in the same moment, without a complete one (LOST), and connections to it are refused. When its log, a file, reached the limit on the size of files, the kernel ended the process with SIGXFSZ (25), whose default action is that. Hubs write most lines, so they come first, then all others, at about the same time; configurations in series write lines in all of them. A process that is started again with the same log ends at its first line.

Cause: the signal was never handled. Class: what a process does on the side ends what it is for. Change: kernel::signals handles SIGXFSZ before anything is written; the write then fails like one to a full disk, which the log's writer takes already.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`Registry`](registry::Registry): typed mailboxes, published states and handles, looked up by
 //!   service name.
 //! - [`Timer`](timer::Timer): periodic and one-shot ticks that services subscribe to.
+//! - [`signals`]: signals of the operating system that must not end the process.
 //! - [`Recorder`](recorder::Recorder): the bounded ring buffer of the process's events.
 //!
 //! ```
@@ -32,6 +33,7 @@
 pub mod recorder;
 pub mod registry;
 pub mod service;
+pub mod signals;
 pub mod timer;
 
 /// The common types of this crate.
