samphired goes on when its log can't be written

When that is a file that can't grow, the kernel ended it with SIGXFSZ; with the signal handled, the logging library reported the failed write on standard error, which failed as well, and panicked in whichever task had logged ('backup_logging'). A closed pipe or a full disk did the same without the signal.

Change: the signal is handled before anything is written, and lines go to standard error by a function of our own that ignores a failed write.

--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,5 +1,9 @@
 //! Logging as JSON lines on standard error, with a level for each target.
+//!
+//! A line that can't be written is lost. The library's own output would report that on standard error as well,
+//! and panic when that fails.
 
+use std::io::Write;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -37,13 +41,18 @@
             out.finish(format_args!("{text}"));
         })
         .level(filter(settings.log.level))
-        .chain(std::io::stderr());
+        .chain(fern::Output::call(write_line));
     for (target, level) in &settings.log.targets {
         dispatch = dispatch.level_for(target.to_string(), filter(*level));
     }
     dispatch.apply()
 }
 
+fn write_line(record: &log::Record<'_>) {
+    // A failure of the log output can't be logged.
+    let _ = std::io::stderr().write_all(format!("{}\n", record.args()).as_bytes());
+}
+
 fn filter(level: LogLevel) -> LevelFilter {
     match level {
         LogLevel::Off => LevelFilter::Off,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -55,18 +55,24 @@
 }
 
 fn run(settings: Settings) -> ExitCode {
-    if let Err(error) = daemon::logging::set_up(&settings) {
-        eprintln!("logging: {error}");
-        return ExitCode::from(EXIT_ERROR);
-    }
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => {
-            log::error!("cannot start the async runtime: {error}");
+            eprintln!("cannot start the async runtime: {error}");
             return ExitCode::from(EXIT_ERROR);
         }
     };
+    let entered = runtime.enter();
+    if let Err(error) = kernel::signals::survive_file_size_limit() {
+        eprintln!("signals: {error}");
+        return ExitCode::from(EXIT_ERROR);
+    }
+    drop(entered);
+    if let Err(error) = daemon::logging::set_up(&settings) {
+        eprintln!("logging: {error}");
+        return ExitCode::from(EXIT_ERROR);
+    }
     match runtime.block_on(daemon::run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/lab/tests/procs/mod.rs
+++ b/crates/lab/tests/procs/mod.rs
@@ -84,6 +84,11 @@
         found.unwrap_or_else(|| panic!("nothing named {name} listens")).1
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> i32 {
+        i32::try_from(self.child.id()).expect("process ids are positive")
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
