--- a/review/stand/planned_work.rs
+++ b/review/stand/planned_work.rs
@@ -7,9 +7,11 @@
 //! - `script`: what a client asks a server to play, sent as the body of its request.
 //! - `servers`: the servers, and a journal of what they have run.
 //! - `clients`: the clients, which check each answer.
+//! - `fleet`: cases with many processes, which are started again when they end.
 //! - `judge`: which requests are lost, and for which cause.
 
 mod clients;
+mod fleet;
 mod judge;
 mod plan;
 mod script;
@@ -32,6 +34,9 @@
 
 /// Plays the case `name`, or returns `None` if it isn't one of these.
 pub fn play(world: &mut World, name: &str) -> Option<Verdict> {
+    if name.starts_with("fleet:") {
+        return fleet::play(world, name);
+    }
     let plan = Arc::new(Plan::of(name)?);
     Some(play_plan(world, plan))
 }
@@ -67,7 +72,7 @@
                 crowd.stops(*entry, at);
                 world.signal(*entry, TERM, "SIGTERM");
             }
-            Act::Kill(entry) => world.signal(*entry, KILL, "SIGKILL"),
+            Act::Kill(entry) | Act::Crash(entry) => world.signal(*entry, KILL, "SIGKILL"),
             Act::Hup(entry) => world.signal(*entry, HUP, "SIGHUP"),
             Act::Configure(version) => {
                 world.record.write(&format!("configuration {version} is written"));
--- a/review/stand/planned_work/clients.rs
+++ b/review/stand/planned_work/clients.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -72,6 +72,8 @@
     record: Recorder,
     stopped: Mutex<Vec<Option<f64>>>,
     is_over: AtomicBool,
+    /// How many connections couldn't be made.
+    refused: AtomicU64,
     outcomes: Mutex<Vec<Outcome>>,
 }
 
@@ -83,6 +85,7 @@
             addresses,
             record: record.clone(),
             is_over: AtomicBool::new(false),
+            refused: AtomicU64::new(0),
             outcomes: Mutex::default(),
         });
         let kinds = [
@@ -105,6 +108,25 @@
         self.shared.stopped.lock().unwrap()[entry] = Some(at);
     }
 
+    /// New connections come to a process again.
+    pub fn returns(&self, entry: usize) {
+        self.shared.stopped.lock().unwrap()[entry] = None;
+    }
+
+    /// New connections come to a process again once it must have been started anew.
+    pub fn returns_after_stop(&self, entry: usize) {
+        let shared = self.shared.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_secs_f64(super::GRACE_S + ROTATION_LAG_S));
+            shared.stopped.lock().unwrap()[entry] = None;
+        });
+    }
+
+    /// Returns how many connections couldn't be made.
+    pub fn refused(&self) -> u64 {
+        self.shared.refused.load(Ordering::Relaxed)
+    }
+
     /// Lets all clients finish.
     pub fn end(self) -> Vec<Outcome> {
         self.shared.is_over.store(true, Ordering::Relaxed);
@@ -217,12 +239,16 @@
         let open: Vec<usize> = (0..stopped.len())
             .filter(|at| stopped[*at].is_none_or(|stopped| now < stopped + ROTATION_LAG_S))
             .collect();
+        let open = if open.is_empty() { (0..stopped.len()).collect() } else { open };
         let entry = open[self.numbers.next() as usize % open.len()];
         let address = self.shared.addresses[entry];
         let stream = match self.kind {
             Kind::SlowReader => crate::world::connect_narrow(address),
             _ => TcpStream::connect_timeout(&address, Duration::from_secs(1)),
         };
+        if stream.is_err() {
+            self.shared.refused.fetch_add(1, Ordering::Relaxed);
+        }
         let stream = stream.ok()?;
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(PATIENCE)).ok()?;
@@ -238,15 +264,21 @@
     ) -> std::io::Result<()> {
         let mut body = script.to_text().into_bytes();
         let is_slow = self.kind == Kind::SlowSender;
+        let is_stream = path.starts_with("/letters/");
+        let in_chunks =
+            self.shared.plan.has_chunks && is_stream && self.numbers.next().is_multiple_of(2);
         if is_slow {
             body.resize(200_000, b' ');
         }
         let mut head = format!(
             "POST {path} HTTP/1.1\r\nHost: club.example\r\nAuthorization: Bearer key-1\r\n\
-             X-Samphireport-Attempt-Id: {id}\r\nX-Samphireport-Deadline-Ms: 8000\r\nContent-Length: {}\r\n",
-            body.len()
+             X-Samphireport-Attempt-Id: {id}\r\nX-Samphireport-Deadline-Ms: 8000\r\n{}\r\n",
+            match in_chunks {
+                true => "Transfer-Encoding: chunked".to_owned(),
+                false => format!("Content-Length: {}", body.len()),
+            }
         );
-        if path.starts_with("/letters/") {
+        if is_stream {
             let own_part = self.numbers.next() & 0xff_ffff;
             head.push_str(&format!(
                 "X-Samphireport-Model: {MODEL}\r\nX-Samphireport-Token-Count: 420,30\r\n\
@@ -258,6 +290,10 @@
         let stream = connection.reader.get_mut();
         if !is_slow {
             let mut bytes = head.into_bytes();
+            if in_chunks {
+                bytes.extend(format!("{:x}\r\n", body.len()).into_bytes());
+                body.extend(b"\r\n0\r\n\r\n");
+            }
             bytes.extend(body);
             return stream.write_all(&bytes);
         }
--- a/review/stand/planned_work/judge.rs
+++ b/review/stand/planned_work/judge.rs
@@ -85,7 +85,9 @@
 fn stopped_at(outcome: &Outcome, times: &[(f64, Act)]) -> Option<f64> {
     let stops =
         times.iter().filter(|(_, act)| matches!(act, Act::Stop(at) if *at == outcome.entry));
-    stops.map(|(at, _)| *at).next()
+    let before: Vec<f64> = stops.map(|(at, _)| *at).collect();
+    // A process that is started again may be stopped again.
+    before.iter().rfind(|at| **at <= outcome.ended).or(before.first()).copied()
 }
 
 fn classify(outcome: &Outcome, runs: &[Run], times: &[(f64, Act)]) -> Class {
@@ -97,7 +99,7 @@
             *entry == outcome.entry && outcome.sent < at + CONFIG_S && outcome.ended > *at
         }
         Act::Configure(_) => (*at..at + CONFIG_S + 1.0).contains(&outcome.ended),
-        Act::Kill(_) => false,
+        Act::Kill(_) | Act::Crash(_) => false,
     });
     if runs.is_empty() && outcome.ended - outcome.sent <= LOSS_SLACK_S {
         return Class::Crossed;
--- a/review/stand/planned_work/plan.rs
+++ b/review/stand/planned_work/plan.rs
@@ -14,6 +14,8 @@
     Hup(usize),
     /// A new configuration.
     Configure(u64),
+    /// SIGKILL to an entry process, which no plan announces.
+    Crash(usize),
 }
 
 /// Which requests the servers turn away as full.
@@ -58,11 +60,13 @@
     /// Clients that read large plain answers slowly, and those that send bodies slowly.
     pub slow_readers: u64,
     pub slow_senders: u64,
+    /// Whether every second body of a stream's request is sent in chunks.
+    pub has_chunks: bool,
     /// Whether the processes run only for a quarter of each tenth of a second, at its start.
     pub has_quota: bool,
 }
 
-fn variable(name: &str, usual: u64) -> u64 {
+pub fn variable(name: &str, usual: u64) -> u64 {
     std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(usual)
 }
 
@@ -83,6 +87,7 @@
             plain: 6,
             slow_readers: 0,
             slow_senders: 0,
+            has_chunks: false,
             has_quota: false,
         };
         let plan = match name {
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -53,6 +53,13 @@
         self.changed.notify_all();
     }
 
+    /// Returns the keys that contain `part`, with their values.
+    pub fn rows(&self, part: &str) -> Vec<(String, Vec<u8>)> {
+        let state = self.state.lock().unwrap();
+        let rows = state.items.iter().filter(|(key, _)| key.contains(part));
+        rows.map(|(key, item)| (key.clone(), item.value.clone())).collect()
+    }
+
     fn answer(&self, request: &Message, stream: &mut TcpStream) -> bool {
         self.state.lock().unwrap().expire();
         let (status, body) = match request.path() {
--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -18,8 +18,8 @@
 pub const HUP: i32 = 1;
 pub const KILL: i32 = 9;
 pub const TERM: i32 = 15;
-const CONT: i32 = 18;
-const STOP: i32 = 19;
+pub const CONT: i32 = 18;
+pub const STOP: i32 = 19;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -57,8 +57,9 @@
     pub record: Recorder,
     pub store: Store,
     pub trouble: bool,
-    program: PathBuf,
-    folder: PathBuf,
+    pub program: PathBuf,
+    /// Where the settings and logs of the processes are.
+    pub folder: PathBuf,
     entries: Vec<Entry>,
 }
 
@@ -70,6 +71,40 @@
     child: Child,
 }
 
+/// The settings of an entry process, as `deploy/settings.json.tmpl` gives them.
+pub struct Settings<'a> {
+    pub name: &'a str,
+    pub domain: &'a str,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub peers: SocketAddr,
+    pub metrics: SocketAddr,
+    pub store: SocketAddr,
+    pub first_start: bool,
+    pub cores: f64,
+    pub link_mbps: f64,
+}
+
+impl Settings<'_> {
+    pub fn to_text(&self) -> String {
+        let Settings { name, domain, callers, readiness, peers, metrics, store, .. } = self;
+        let Settings { first_start, cores, link_mbps, .. } = self;
+        format!(
+            "{{\"node\":\"{name}\",\"failure_domain\":\"{domain}\",\"callers\":\"{callers}\",\
+             \"readiness\":\"{readiness}\",\"peers\":\"{peers}\",\"metrics\":\"{metrics}\",\
+             \"store\":\"{store}\",\"first_start\":{first_start},\"fencing\":true,\
+             \"retries\":{{\"ratio\":0.2,\"slack\":130,\"window_ms\":10000}},\
+             \"cores\":{cores:?},\"link_mbps\":{link_mbps:?},\"stop_ms\":8000,\
+             \"shortest_lease_ms\":1000}}\n"
+        )
+    }
+}
+
+/// Sends a signal to a process that this one has started and not yet waited for.
+pub fn send_signal(process: i32, signal: i32) {
+    unsafe { kill(process, signal) };
+}
+
 impl World {
     pub fn new(program: PathBuf, folder: PathBuf, record: Recorder, trouble: bool) -> Self {
         World { record, store: Store::start(), trouble, program, folder, entries: Vec::new() }
@@ -81,16 +116,21 @@
         let (callers, readiness) = (net::free_address(), net::free_address());
         let (peers, metrics) = (net::free_address(), net::free_address());
         let name = format!("front-{zone}-{at}");
-        let settings = format!(
-            "{{\"node\":\"{name}\",\"failure_domain\":\"{zone}\",\"callers\":\"{callers}\",\
-             \"readiness\":\"{readiness}\",\"peers\":\"{peers}\",\"metrics\":\"{metrics}\",\
-             \"store\":\"{}\",\"first_start\":true,\"fencing\":true,\
-             \"retries\":{{\"ratio\":0.2,\"slack\":130,\"window_ms\":10000}},\
-             \"cores\":0.25,\"link_mbps\":1000.0,\"stop_ms\":8000,\"shortest_lease_ms\":1000}}\n",
-            self.store.address
-        );
+        let store = self.store.address;
+        let settings = Settings {
+            name: &name,
+            domain: zone,
+            callers,
+            readiness,
+            peers,
+            metrics,
+            store,
+            first_start: true,
+            cores: 0.25,
+            link_mbps: 1_000.0,
+        };
         let path = self.folder.join(format!("settings-{at}.json"));
-        std::fs::write(&path, settings).expect("settings can be written");
+        std::fs::write(&path, settings.to_text()).expect("settings can be written");
         let child = self.spawn(&path, &name);
         let log = self.folder.join(format!("{name}.log"));
         self.entries.push(Entry { callers, readiness, log, child });
