--- a/review/stand/planned_work/fleet.rs
+++ b/review/stand/planned_work/fleet.rs
@@ -47,10 +47,10 @@
 impl<'a> Fleet<'a> {
     fn start(world: &'a World, scenario: Scenario) -> Result<Self, String> {
         world.record.write(&format!("{scenario:?}"));
-        world.store.put("op/config", &configuration::text(7, &scenario));
+        world.store.put("op/config", &configuration::text(configuration::FIRST_VERSION, &scenario));
         let servers = Servers::start(world, &scenario.plan);
         let all = scenario.entries + scenario.spares;
-        let new = |at| Arc::new(Process::new(world, at, DOMAINS[at % 3], &scenario.limits));
+        let new = |at| Arc::new(Process::new(world, at, DOMAINS[at % scenario.domains], &scenario.limits));
         let processes: Vec<Arc<Process>> = (0..all).map(new).collect();
         processes[..scenario.entries].iter().for_each(Process::run);
         let fleet = Fleet { world, scenario, servers, processes };
--- a/review/stand/planned_work/fleet/configuration.rs
+++ b/review/stand/planned_work/fleet/configuration.rs
@@ -5,9 +5,15 @@
 use super::super::plan;
 use super::scenario::Scenario;
 
+/// The configuration that is in force when the traffic begins.
+pub const FIRST_VERSION: u64 = 7;
+
 /// Returns the configuration of a version.
 pub fn text(version: u64, scenario: &Scenario) -> String {
     let mut text = plan::config(version, &scenario.plan);
+    if version == FIRST_VERSION {
+        return add_routes(version, scenario, &text);
+    }
     if scenario.changes_engines {
         text = change_engines(version, &text);
     }
--- a/review/stand/planned_work/fleet/process.rs
+++ b/review/stand/planned_work/fleet/process.rs
@@ -21,6 +21,8 @@
 const RESTARTED_AFTER: Duration = Duration::from_millis(700);
 /// Resource number of the limit on open descriptors (RLIMIT_NOFILE).
 const DESCRIPTORS: i32 = 7;
+/// Resource number of the limit on the address space (RLIMIT_AS).
+const ADDRESS_SPACE: i32 = 9;
 /// Last lines of the log and the error output that are recorded when a process ends by itself.
 const SHOWN_LINES: usize = 6;
 /// Most bytes of a recorded line.
@@ -40,6 +42,8 @@
     pub descriptors: u64,
     /// No limit if 0.
     pub memory_mb: u64,
+    /// The limit on the address space; none if 0.
+    pub address_space_mb: u64,
 }
 
 /// Processor time: the share of each period in which a process runs.
@@ -148,12 +152,16 @@
             .stdout(open(&self.log))
             .stderr(open(&self.errors));
         let descriptors = [self.limits.descriptors; 2];
+        let address_space = [self.limits.address_space_mb << 20; 2];
         let prepare = move || {
             // The process ends with the thread that watches it (PR_SET_PDEATHSIG).
             let mut failed = unsafe { prctl(1, KILL as u64) };
             if descriptors[0] > 0 {
                 failed |= unsafe { setrlimit(DESCRIPTORS, &descriptors) };
             }
+            if address_space[0] > 0 {
+                failed |= unsafe { setrlimit(ADDRESS_SPACE, &address_space) };
+            }
             match failed {
                 0 => Ok(()),
                 _ => Err(std::io::Error::last_os_error()),
@@ -212,6 +220,12 @@
         }
     }
 
+    /// Returns the lines of the error output, such as those of panics.
+    pub fn error_lines(&self) -> Vec<String> {
+        let text = std::fs::read(&self.errors).unwrap_or_default();
+        String::from_utf8_lossy(&text).lines().map(str::to_owned).collect()
+    }
+
     /// Sends a signal that doesn't end the process, or one that ends it at once.
     pub fn signal(&self, signal: i32, name: &str) {
         self.record.write(&format!("{} gets {name}", self.name));
--- a/review/stand/planned_work/fleet/report.rs
+++ b/review/stand/planned_work/fleet/report.rs
@@ -8,6 +8,9 @@
 use super::process::Process;
 use crate::world::Recorder;
 
+/// Most lines of error output that are recorded.
+const SHOWN_ERRORS: usize = 40;
+
 pub fn write(
     record: &Recorder,
     outcomes: &[Outcome],
@@ -28,12 +31,15 @@
         let ends = process.own_ends.lock().unwrap().len();
         record.write(&format!("{}: peak {peak_kb} KB, {ends} ends by itself", process.name));
     }
+    let errors: Vec<String> = processes.iter().flat_map(|process| process.error_lines()).collect();
+    errors.iter().take(SHOWN_ERRORS).for_each(|line| record.write(&format!("error output: {line}")));
     let peak = processes.iter().map(|process| process.peak_kb.load(Ordering::Relaxed)).max();
     let ends: usize =
         processes.iter().map(|process| process.own_ends.lock().unwrap().len()).sum();
     let text = format!(
-        "{} processes; {refused} connections refused; {ends} ends of processes by themselves; highest peak {} KB",
+        "{} processes; {refused} connections refused; {ends} ends of processes by themselves; {} lines of error output; highest peak {} KB",
         processes.len(),
+        errors.len(),
         peak.unwrap_or(0)
     );
     record.write(&text);
--- a/review/stand/planned_work/fleet/scenario.rs
+++ b/review/stand/planned_work/fleet/scenario.rs
@@ -5,8 +5,8 @@
 //! `replace` (hubs are stopped, and others come at new addresses), `kill-hubs`, `roll` (all processes
 //! are stopped in turn), `herd` (all are killed at once), `hup`.
 //!
-//! Variables: ENTRIES, STREAMS, NEW, PLAIN, SLOW_READERS, SLOW_SENDERS, CHUNKS, SLOTS, SECONDS, CORES_PERCENT,
-//! LINK_MBPS, FDS, MEMORY_MB, QUOTA_PERCENT, QUOTA_MS, QUOTA_SPREAD, CONFIG_MS, ROUTES, ROUTE_BYTES,
+//! Variables: ENTRIES, DOMAINS, STREAMS, NEW, PLAIN, SLOW_READERS, SLOW_SENDERS, CHUNKS, SLOTS, FIRST_EVENT_MS, SECONDS, CORES_PERCENT,
+//! LINK_MBPS, FDS, MEMORY_MB, ADDRESS_SPACE_MB, QUOTA_PERCENT, QUOTA_MS, QUOTA_SPREAD, CONFIG_MS, ROUTES, ROUTE_BYTES,
 //! STEP_MS, SEED, SILENT (0 never, 1 events, 2 heads, 3 servers), SILENCE_MS.
 
 use std::time::Duration;
@@ -39,6 +39,8 @@
 pub struct Scenario {
     pub plan: Plan,
     pub entries: usize,
+    /// Failure domains, 3 at most.
+    pub domains: usize,
     /// Processes that are started only when they replace another one.
     pub spares: usize,
     pub limits: Limits,
@@ -59,12 +61,14 @@
         let entries = variable("ENTRIES", 6) as usize;
         let plan = plan();
         let mut scenario = Scenario {
+            domains: variable("DOMAINS", 3).clamp(1, 3) as usize,
             spares: 0,
             limits: Limits {
                 cores: variable("CORES_PERCENT", 25) as f64 / 100.0,
                 link_mbps: variable("LINK_MBPS", 1_000) as f64,
                 descriptors: variable("FDS", 0),
                 memory_mb: variable("MEMORY_MB", 0),
+                address_space_mb: variable("ADDRESS_SPACE_MB", 0),
             },
             quota: quota(),
             steps: Vec::new(),
@@ -142,6 +146,7 @@
         plain: variable("PLAIN", 20),
         slow_readers: variable("SLOW_READERS", 0),
         slow_senders: variable("SLOW_SENDERS", 0),
+        first_event_ms: variable("FIRST_EVENT_MS", 40),
         has_chunks: variable("CHUNKS", 1) > 0,
         ..base
     }
--- a/review/stand/planned_work/plan.rs
+++ b/review/stand/planned_work/plan.rs
@@ -60,6 +60,8 @@
     /// Clients that read large plain answers slowly, and those that send bodies slowly.
     pub slow_readers: u64,
     pub slow_senders: u64,
+    /// How long servers take until the first event, without silences.
+    pub first_event_ms: u64,
     /// Whether every second body of a stream's request is sent in chunks.
     pub has_chunks: bool,
     /// Whether the processes run only for a quarter of each tenth of a second, at its start.
@@ -87,6 +89,7 @@
             plain: 6,
             slow_readers: 0,
             slow_senders: 0,
+            first_event_ms: 40,
             has_chunks: false,
             has_quota: false,
         };
--- a/review/stand/planned_work/servers.rs
+++ b/review/stand/planned_work/servers.rs
@@ -13,7 +13,6 @@
 use crate::world::{Recorder, Server, World};
 
 const ENGINES: usize = 12;
-const FIRST_TOKEN_TIME: Duration = Duration::from_millis(40);
 /// Servers fall silent one after the other, so many seconds apart.
 const SILENCES_APART_S: f64 = 0.5;
 
@@ -109,7 +108,7 @@
             let headers = [("X-Samphireport-Attempt-Id", id), ("X-Samphireport-Not-Executed", "1")];
             return net::respond(stream, "503 Service Unavailable", &headers, b"").is_ok();
         }
-        std::thread::sleep(FIRST_TOKEN_TIME);
+        std::thread::sleep(Duration::from_millis(self.plan.first_event_ms));
         let run = self.begin(id, server);
         let end = self.play_stream(number, server, id, after, script, stream, run);
         self.update(id, run, |run| run.end = if end.is_ok() { "whole" } else { "connection gone" });
