--- a/review/stand/net.rs
+++ b/review/stand/net.rs
@@ -193,14 +193,20 @@
     (listener, address)
 }
 
+/// Blocks of ports, of which a case uses one, and the ports of a block.
+const PORT_BLOCKS: u32 = 120;
+const PORTS_IN_BLOCK: u32 = 150;
+
 /// Returns an address on which nothing listens.
 pub fn free_address() -> SocketAddr {
     use std::sync::atomic::{AtomicU32, Ordering};
     static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        // Below the range from which the system takes the ports of connections.
-        let number = std::process::id().wrapping_mul(97) + NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = 12_000 + (number % 18_000) as u16;
+        // Below the range from which the system takes the ports of connections. Cases that run at the same
+        // time, whose process ids are near each other, have blocks of ports of their own.
+        let block = std::process::id() % PORT_BLOCKS * PORTS_IN_BLOCK;
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_IN_BLOCK;
+        let port = 12_000 + (block + number) as u16;
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
             return listener.local_addr().expect("an address");
         }
--- a/review/stand/planned_work/fleet.rs
+++ b/review/stand/planned_work/fleet.rs
@@ -27,6 +27,8 @@
 
 /// Failure domains of the processes.
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Failure domains of processes that reach no server.
+const CUT_OFF_DOMAINS: [&str; 3] = ["x", "y", "z"];
 const START_TIME: Duration = Duration::from_secs(40);
 /// Time after which the process that replaces a stopped one is started, in milliseconds.
 const REPLACED_AFTER: Duration = Duration::from_millis(700);
@@ -50,7 +52,16 @@
         world.store.put("op/config", &configuration::text(configuration::FIRST_VERSION, &scenario));
         let servers = Servers::start(world, &scenario.plan);
         let all = scenario.entries + scenario.spares;
-        let new = |at| Arc::new(Process::new(world, at, DOMAINS[at % scenario.domains], &scenario.limits));
+        let cut_off = world.store.start_view(without_paths);
+        let new = |at: usize| {
+            let is_cut_off = (scenario.entries - scenario.cut_off..scenario.entries).contains(&at);
+            let (domain, store) = match is_cut_off {
+                // As the hub of its own failure domain it gets no rows from others.
+                true => (CUT_OFF_DOMAINS[at % 3], cut_off),
+                false => (DOMAINS[at % scenario.domains], world.store.address),
+            };
+            Arc::new(Process::new(world, at, domain, store, &scenario.limits))
+        };
         let processes: Vec<Arc<Process>> = (0..all).map(new).collect();
         processes[..scenario.entries].iter().for_each(Process::run);
         let fleet = Fleet { world, scenario, servers, processes };
@@ -169,6 +180,16 @@
     }
 }
 
+/// Returns an entry of a server with an address on which nothing listens; other values as they are.
+fn without_paths(value: String) -> String {
+    const ADDRESS: &str = "\"address\":\"127.0.0.1:";
+    let Some(from) = value.find(ADDRESS).filter(|_| value.contains("\"warmup_left_ms\"")) else {
+        return value;
+    };
+    let rest = value[from + ADDRESS.len()..].trim_start_matches(|c: char| c.is_ascii_digit());
+    format!("{}{ADDRESS}1{rest}", &value[..from])
+}
+
 fn sleep_until(at: f64, now: impl Fn() -> f64) {
     std::thread::sleep(Duration::from_secs_f64((at - now()).max(0.0)));
 }
--- a/review/stand/planned_work/fleet/process.rs
+++ b/review/stand/planned_work/fleet/process.rs
@@ -88,7 +88,13 @@
 }
 
 impl Process {
-    pub fn new(world: &World, at: usize, domain: &str, limits: &Limits) -> Self {
+    pub fn new(
+        world: &World,
+        at: usize,
+        domain: &str,
+        store: SocketAddr,
+        limits: &Limits,
+    ) -> Self {
         let name = format!("front-{domain}-{at}");
         let file = |suffix| world.folder.join(format!("{name}{suffix}"));
         Process {
@@ -96,7 +102,7 @@
             readiness: net::free_address(),
             peers: net::free_address(),
             metrics: net::free_address(),
-            store: world.store.address,
+            store,
             domain: domain.into(),
             log: file(".log"),
             errors: file(".err"),
--- a/review/stand/planned_work/fleet/scenario.rs
+++ b/review/stand/planned_work/fleet/scenario.rs
@@ -5,7 +5,7 @@
 //! `replace` (hubs are stopped, and others come at new addresses), `kill-hubs`, `roll` (all processes
 //! are stopped in turn), `herd` (all are killed at once), `hup`.
 //!
-//! Variables: ENTRIES, DOMAINS, STREAMS, NEW, PLAIN, SLOW_READERS, SLOW_SENDERS, CHUNKS, SLOTS, FIRST_EVENT_MS, SECONDS, CORES_PERCENT,
+//! Variables: ENTRIES, DOMAINS, CUT_OFF, STREAMS, NEW, PLAIN, SLOW_READERS, SLOW_SENDERS, CHUNKS, SLOTS, FIRST_EVENT_MS, SECONDS, CORES_PERCENT,
 //! LINK_MBPS, FDS, MEMORY_MB, ADDRESS_SPACE_MB, QUOTA_PERCENT, QUOTA_MS, QUOTA_SPREAD, CONFIG_MS, ROUTES, ROUTE_BYTES,
 //! STEP_MS, SEED, SILENT (0 never, 1 events, 2 heads, 3 servers), SILENCE_MS.
 
@@ -41,6 +41,8 @@
     pub entries: usize,
     /// Failure domains, 3 at most.
     pub domains: usize,
+    /// How many of the last processes reach no server.
+    pub cut_off: usize,
     /// Processes that are started only when they replace another one.
     pub spares: usize,
     pub limits: Limits,
@@ -62,6 +64,7 @@
         let plan = plan();
         let mut scenario = Scenario {
             domains: variable("DOMAINS", 3).clamp(1, 3) as usize,
+            cut_off: (variable("CUT_OFF", 0) as usize).min(entries),
             spares: 0,
             limits: Limits {
                 cores: variable("CORES_PERCENT", 25) as f64 / 100.0,
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -37,10 +37,26 @@
         let state = State { rev: 10, next_lease: 1_000, ..State::default() };
         let store = Store { state: Arc::new(Mutex::new(state)), changed: Arc::default(), address };
         let served = store.clone();
-        net::serve(listener, Arc::new(move |request, stream| served.answer(&request, stream)));
+        let answer = move |request: Message, stream: &mut TcpStream| {
+            let (status, body) = served.response(&request);
+            respond(stream, status, &body)
+        };
+        net::serve(listener, Arc::new(answer));
         store
     }
 
+    /// Serves the store once more, with `change` applied to all values; returns the address.
+    pub fn start_view(&self, change: fn(String) -> String) -> SocketAddr {
+        let (listener, address) = net::listener();
+        let served = self.clone();
+        let answer = move |request: Message, stream: &mut TcpStream| {
+            let (status, body) = served.response(&request);
+            respond(stream, status, &change_values(&body, change))
+        };
+        net::serve(listener, Arc::new(answer));
+        address
+    }
+
     /// Writes a key, as the operator and the servers do.
     pub fn put(&self, key: &str, value: &str) {
         self.state.lock().unwrap().write(key, Some((value.as_bytes().to_vec(), 0)));
@@ -60,16 +76,14 @@
         rows.map(|(key, item)| (key.clone(), item.value.clone())).collect()
     }
 
-    fn answer(&self, request: &Message, stream: &mut TcpStream) -> bool {
+    fn response(&self, request: &Message) -> (&'static str, String) {
         self.state.lock().unwrap().expire();
-        let (status, body) = match request.path() {
+        match request.path() {
             "/kv-key" => self.read_key(request),
             "/kv-range" => self.read_range(request),
             "/kv-watch" => self.watch(request),
             _ => self.write(request),
-        };
-        let headers = [("Content-Type", "application/json")];
-        net::respond(stream, status, &headers, body.as_bytes()).is_ok()
+        }
     }
 
     fn read_key(&self, request: &Message) -> (&'static str, String) {
@@ -223,6 +237,24 @@
     }
 }
 
+fn respond(stream: &mut TcpStream, status: &str, body: &str) -> bool {
+    let headers = [("Content-Type", "application/json")];
+    net::respond(stream, status, &headers, body.as_bytes()).is_ok()
+}
+
+/// Applies `change` to all values in the body of a response.
+fn change_values(body: &str, change: fn(String) -> String) -> String {
+    const FIELD: &str = "\"value\":\"";
+    let mut parts = body.split(FIELD);
+    let mut out = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        let (value, rest) = part.split_once('"').unwrap_or((part, ""));
+        let value = change(String::from_utf8_lossy(&net::decode(value)).into_owned());
+        out.push_str(&format!("{FIELD}{}\"{rest}", net::encode(value.as_bytes())));
+    }
+    out
+}
+
 fn show(key: &str, item: &Item, store_revision: Option<u64>) -> String {
     let Item { value, rev, created, lease } = item;
     let value = net::encode(value);
