--- a/review/stand/planned_work/fleet.rs
+++ b/review/stand/planned_work/fleet.rs
@@ -152,6 +152,11 @@
                 self.processes[*at].signal(KILL, "SIGKILL");
                 times.push((now, Act::Crash(*at)));
             }
+            Step::Lapse => {
+                record.write("the entries of all servers lapse");
+                let rows = self.world.store.rows("servers/");
+                rows.iter().for_each(|(key, _)| self.world.store.delete(key));
+            }
             Step::Hup(at) => {
                 self.processes[*at].signal(HUP, "SIGHUP");
                 times.push((now, Act::Hup(*at)));
--- a/review/stand/planned_work/fleet/process.rs
+++ b/review/stand/planned_work/fleet/process.rs
@@ -23,6 +23,8 @@
 const DESCRIPTORS: i32 = 7;
 /// Resource number of the limit on the address space (RLIMIT_AS).
 const ADDRESS_SPACE: i32 = 9;
+/// Resource number of the limit on the size of written files (RLIMIT_FSIZE).
+const FILE_SIZE: i32 = 1;
 /// Last lines of the log and the error output that are recorded when a process ends by itself.
 const SHOWN_LINES: usize = 6;
 /// Most bytes of a recorded line.
@@ -44,6 +46,8 @@
     pub memory_mb: u64,
     /// The limit on the address space; none if 0.
     pub address_space_mb: u64,
+    /// The limit on the size of the log; none if 0.
+    pub log_kb: u64,
 }
 
 /// Processor time: the share of each period in which a process runs.
@@ -77,6 +81,7 @@
     record: Recorder,
     running: Mutex<Running>,
     is_over: AtomicBool,
+    starts: AtomicU64,
 }
 
 #[derive(Default)]
@@ -115,6 +120,7 @@
             record: world.record.clone(),
             running: Mutex::default(),
             is_over: AtomicBool::new(false),
+            starts: AtomicU64::new(0),
             name,
         }
     }
@@ -150,6 +156,11 @@
             link_mbps: self.limits.link_mbps,
         };
         std::fs::write(&self.settings, settings.to_text()).expect("settings can be written");
+        if self.limits.log_kb > 0 {
+            // Its limit holds for the log of each start.
+            let starts = self.starts.fetch_add(1, Ordering::Relaxed);
+            let _ = std::fs::rename(&self.log, self.log.with_extension(format!("{starts}.log")));
+        }
         let open = |path| File::options().create(true).append(true).open(path).expect("a log");
         let mut command = Command::new(&self.program);
         command
@@ -157,16 +168,16 @@
             .stdin(Stdio::null())
             .stdout(open(&self.log))
             .stderr(open(&self.errors));
-        let descriptors = [self.limits.descriptors; 2];
-        let address_space = [self.limits.address_space_mb << 20; 2];
+        let limits = [
+            (DESCRIPTORS, [self.limits.descriptors; 2]),
+            (ADDRESS_SPACE, [self.limits.address_space_mb << 20; 2]),
+            (FILE_SIZE, [self.limits.log_kb << 10; 2]),
+        ];
         let prepare = move || {
             // The process ends with the thread that watches it (PR_SET_PDEATHSIG).
             let mut failed = unsafe { prctl(1, KILL as u64) };
-            if descriptors[0] > 0 {
-                failed |= unsafe { setrlimit(DESCRIPTORS, &descriptors) };
-            }
-            if address_space[0] > 0 {
-                failed |= unsafe { setrlimit(ADDRESS_SPACE, &address_space) };
+            for (resource, limit) in limits.iter().filter(|(_, limit)| limit[0] > 0) {
+                failed |= unsafe { setrlimit(*resource, limit) };
             }
             match failed {
                 0 => Ok(()),
--- a/review/stand/planned_work/fleet/scenario.rs
+++ b/review/stand/planned_work/fleet/scenario.rs
@@ -3,10 +3,10 @@
 //! Parts: `quiet`, `configure`, `engine` and `routes` (configurations that change the engines' figures, or take
 //! routes and services away), `hubs` (the hubs are stopped one after the other), `hubs-at-once`,
 //! `replace` (hubs are stopped, and others come at new addresses), `kill-hubs`, `roll` (all processes
-//! are stopped in turn), `herd` (all are killed at once), `hup`.
+//! are stopped in turn), `herd` (all are killed at once), `hup`, `lapse` (the entries of all servers).
 //!
 //! Variables: ENTRIES, DOMAINS, CUT_OFF, STREAMS, NEW, PLAIN, SLOW_READERS, SLOW_SENDERS, CHUNKS, SLOTS, FIRST_EVENT_MS, SECONDS, CORES_PERCENT,
-//! LINK_MBPS, FDS, MEMORY_MB, ADDRESS_SPACE_MB, QUOTA_PERCENT, QUOTA_MS, QUOTA_SPREAD, CONFIG_MS, ROUTES, ROUTE_BYTES,
+//! LINK_MBPS, FDS, MEMORY_MB, ADDRESS_SPACE_MB, LOG_KB, QUOTA_PERCENT, QUOTA_MS, QUOTA_SPREAD, CONFIG_MS, ROUTES, ROUTE_BYTES,
 //! STEP_MS, SEED, SILENT (0 never, 1 events, 2 heads, 3 servers), SILENCE_MS.
 
 use std::time::Duration;
@@ -32,6 +32,8 @@
     KillHub(usize),
     Crash(usize),
     Hup(usize),
+    /// The entries of all servers lapse; the servers write them again.
+    Lapse,
 }
 
 /// A case.
@@ -71,6 +73,7 @@
                 link_mbps: variable("LINK_MBPS", 1_000) as f64,
                 descriptors: variable("FDS", 0),
                 memory_mb: variable("MEMORY_MB", 0),
+                log_kb: variable("LOG_KB", 0),
                 address_space_mb: variable("ADDRESS_SPACE_MB", 0),
             },
             quota: quota(),
@@ -122,6 +125,7 @@
                 let crashes = (0..self.entries).map(|at| (FIRST_STEP_S, Step::Crash(at)));
                 self.steps.extend(crashes);
             }
+            "lapse" => self.steps.extend(each(6, &|_| Step::Lapse)),
             "hup" => {
                 let entries = self.entries;
                 self.steps.extend(each(8, &|i| Step::Hup(i % entries)));
