--- a/review/stand/planned_work/fleet.rs
+++ b/review/stand/planned_work/fleet.rs
@@ -179,8 +179,7 @@
         let rows = self.world.store.rows("hub/");
         let (_, value) = rows.iter().find(|(key, _)| key.ends_with(&format!("hub/{domain}")))?;
         let value = String::from_utf8_lossy(value).into_owned();
-        let is_named =
-            |process: &Arc<Process>| value.contains(&format!("\"{}\"", process.peers));
+        let is_named = |process: &Arc<Process>| value.contains(&format!("\"{}\"", process.peers));
         self.processes.iter().position(is_named)
     }
 }
--- a/review/stand/planned_work/fleet/process.rs
+++ b/review/stand/planned_work/fleet/process.rs
@@ -93,13 +93,7 @@
 }
 
 impl Process {
-    pub fn new(
-        world: &World,
-        at: usize,
-        domain: &str,
-        store: SocketAddr,
-        limits: &Limits,
-    ) -> Self {
+    pub fn new(world: &World, at: usize, domain: &str, store: SocketAddr, limits: &Limits) -> Self {
         let name = format!("front-{domain}-{at}");
         let file = |suffix| world.folder.join(format!("{name}{suffix}"));
         Process {
@@ -225,7 +219,8 @@
         self.own_ends.lock().unwrap().push(self.record.now());
         let (code, signal) = (status.code(), status.signal());
         let name = &self.name;
-        self.record.write(&format!("{name} ended by itself: exit code {code:?}, signal {signal:?}"));
+        self.record
+            .write(&format!("{name} ended by itself: exit code {code:?}, signal {signal:?}"));
         for path in [&self.log, &self.errors] {
             let text = std::fs::read(path).unwrap_or_default();
             let text = String::from_utf8_lossy(&text).into_owned();
--- a/review/stand/planned_work/fleet/report.rs
+++ b/review/stand/planned_work/fleet/report.rs
@@ -32,10 +32,12 @@
         record.write(&format!("{}: peak {peak_kb} KB, {ends} ends by itself", process.name));
     }
     let errors: Vec<String> = processes.iter().flat_map(|process| process.error_lines()).collect();
-    errors.iter().take(SHOWN_ERRORS).for_each(|line| record.write(&format!("error output: {line}")));
+    errors
+        .iter()
+        .take(SHOWN_ERRORS)
+        .for_each(|line| record.write(&format!("error output: {line}")));
     let peak = processes.iter().map(|process| process.peak_kb.load(Ordering::Relaxed)).max();
-    let ends: usize =
-        processes.iter().map(|process| process.own_ends.lock().unwrap().len()).sum();
+    let ends: usize = processes.iter().map(|process| process.own_ends.lock().unwrap().len()).sum();
     let text = format!(
         "{} processes; {refused} connections refused; {ends} ends of processes by themselves; {} lines of error output; highest peak {} KB",
         processes.len(),
--- a/review/stand/planned_work/fleet/scenario.rs
+++ b/review/stand/planned_work/fleet/scenario.rs
@@ -105,8 +105,7 @@
                 self.changes_routes |= part == "routes";
                 let pause = variable("CONFIG_MS", 350) as f64 / 1e3;
                 let count = ((last - FIRST_STEP_S) / pause) as u64;
-                let configure =
-                    |i| (FIRST_STEP_S + i as f64 * pause, Step::Configure(8 + 3 * i));
+                let configure = |i| (FIRST_STEP_S + i as f64 * pause, Step::Configure(8 + 3 * i));
                 self.steps.extend((0..count).map(configure));
             }
             "hubs" => self.steps.extend(each(6, &|i| Step::StopHub(i % 3))),
