Records that tell how a process ended, why a caller's connection was lost, and what the process lacks

No logic is changed here.

- `process`: `stopping` with the signal, and `stop` with the signal, or with the service that ended early and why.
- `panic`: one line for each panic of any thread (thread, place, message).
- `connection_lost`, `samphire_lost_connections_total`: a caller's connection ended while a request on it had no complete answer; request id, cause (peer closed, reset, body aborted, header or write timeout, panic, process ended), the error, whether only the sending was left.
- Errors of connections keep all their causes: `not sent: sending request error to addr X` hid whether the other side refused or this one had no descriptor.
The pool names the kind first (refused, no descriptor, no port, reset).
- `limit`, once a second at most, when no connection can be accepted; before, a warning every 50 ms.
- `in_force` says how large the configuration is and how long decoding and applying it took; `ran_late` comes once a second at most, with the number and the sum of the delays.
- Gauges: open descriptors and their limit, resident memory and its peak, callers' connections, requests in flight, tasks.

By hand, the program with 40 descriptors and 45 connections: three `limit` lines in 2.5 s, `process stopping` and `process stop` with SIGTERM as the last record, exit code 0.

--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -158,8 +158,8 @@
     /// The caller disconnected before the end of the response. `server` is empty if the request had
     /// not been sent to a backend server.
     CallerGone { request: &'a str, server: &'a str, after_ms: u64 },
-    /// A new configuration took effect.
-    InForce { version: Revision, routes: usize },
+    /// A new configuration took effect; it has `bytes` in the store, and applying it took `took_ms`.
+    InForce { version: Revision, routes: usize, bytes: usize, took_ms: u64 },
     /// A value of the store, or what a server says of itself, or invalid parts of it, were ignored.
     LeftOut { key: &'a str, findings: &'a Findings },
     /// The known state of a backend server changed.
@@ -191,13 +191,28 @@
     Dependency { name: &'a str, state: &'a str, problem: &'a str },
     /// An exchange with a hub failed.
     ExchangeFailed { hub: SocketAddr, problem: &'a str, after_ms: u64 },
-    /// The process ran its tasks late.
-    RanLate { by_ms: u64 },
+    /// The process ran its tasks late: `times` times since the last such line, by `by_ms` at most and by
+    /// `total_ms` together.
+    RanLate { by_ms: u64, times: u32, total_ms: u64 },
+    /// A caller's connection ended while a request on it had no complete response. `request` is empty if
+    /// its headers had not arrived; `unsent` means that the whole response had been made.
+    ConnectionLost {
+        request: &'a str,
+        peer: SocketAddr,
+        cause: &'a str,
+        problem: &'a str,
+        unsent: bool,
+        after_ms: u64,
+    },
+    /// The process has reached a limit of the operating system; `limit` is how many descriptors it may have.
+    Limit { name: &'a str, state: &'a str, limit: u64, problem: &'a str },
+    /// A thread panicked.
+    Panic { thread: &'a str, place: &'a str, message: &'a str },
     /// The process stops: it accepts no new connections any more (`closed`), or the time for open
     /// requests is up (`time is up`). `in_flight` responses have not been sent completely; `unsent` of
     /// them are complete, but their callers haven't read enough yet.
     Stopping { state: &'a str, in_flight: usize, unsent: usize, stopping_ms: u64 },
-    /// The process starts or stops.
+    /// The process starts, begins to stop, or has stopped; `detail` says why.
     Process { node: &'a str, state: &'a str, detail: &'a str },
 }
 
@@ -215,8 +230,12 @@
 
 /// Writes a record to the log.
 pub(crate) fn write(record: &Record<'_>) {
+    let level = match record {
+        Record::Panic { .. } => log::Level::Error,
+        _ => log::Level::Info,
+    };
     match serde_json::to_string(record) {
-        Ok(text) => log::info!(target: "decision", "{text}"),
+        Ok(text) => log::log!(target: "decision", level, "{text}"),
         Err(error) => log::error!("could not serialize a record of the decision log: {error}"),
     }
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -19,11 +19,14 @@
 //! - `evacuations`: shows operators the evacuations that this process knows.
 //! - [`serve`]: forwards requests: routing, admission, attempts, streams.
 //! - [`ready`]: readiness and metrics endpoints.
+//! - `connections`: records of callers' connections.
+//! - `resources`: what the process uses of descriptors and memory.
 //! - [`logging`]: non-blocking log output.
 //! - [`loop_delay`]: measures how late the process runs its tasks.
 
 pub mod change_log;
 pub mod clock;
+mod connections;
 pub mod crash_reports;
 mod decision_log;
 mod evacuations;
@@ -39,6 +42,7 @@
 pub mod owner;
 pub mod peers;
 pub mod ready;
+mod resources;
 pub mod row_cache;
 pub mod run;
 pub mod serve;
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -212,16 +212,15 @@
         }
     }
 
-    /// Makes `config` the current configuration, if its version is newer.
-    pub fn set_config(&mut self, config: RoutingConfig) {
+    /// Makes `config` the current configuration, if its version is newer; returns whether it was.
+    pub fn set_config(&mut self, config: RoutingConfig) -> bool {
         if config.version <= self.routes.version() {
-            return;
+            return false;
         }
-        let (version, routes) = (config.version, config.routes.len());
         self.routes = Arc::new(RouteTable::from(config));
         self.endpoints.set_services(self.routes.services().cloned());
         self.refresh_endpoints();
-        decision_log::write(&Record::InForce { version, routes });
+        true
     }
 
     /// Returns the reports of all servers, and their groups.
--- a/crates/front/src/loop_delay.rs
+++ b/crates/front/src/loop_delay.rs
@@ -18,6 +18,17 @@
 /// Delay from which on it is logged.
 const LOGGED_DELAY: Duration = Duration::from_millis(200);
 
+/// Shortest time between two lines.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The delays since the last line.
+#[derive(Debug, Default)]
+struct Unlogged {
+    longest: Duration,
+    total: Duration,
+    times: u32,
+}
+
 /// Returns the service that measures the delay.
 pub fn service() -> Service {
     Service::new(names::LOOP_DELAY, &[], run)
@@ -29,6 +40,8 @@
     cx.ready();
     ticks.tick().await;
     let mut last = cx.now();
+    let mut unlogged = Unlogged::default();
+    let mut next_line = Mono::ZERO;
     loop {
         tokio::select! {
             () = cx.stopping() => return Ok(()),
@@ -39,7 +52,18 @@
         last = now;
         metrics.loop_delay_seconds.observe(delay.as_secs_f64());
         if delay >= LOGGED_DELAY {
-            decision_log::write(&Record::RanLate { by_ms: decision_log::millis(delay) });
+            unlogged.longest = unlogged.longest.max(delay);
+            unlogged.total += delay;
+            unlogged.times += 1;
+        }
+        if unlogged.times > 0 && now >= next_line {
+            next_line = now + LOG_INTERVAL;
+            let Unlogged { longest, total, times } = std::mem::take(&mut unlogged);
+            decision_log::write(&Record::RanLate {
+                by_ms: decision_log::millis(longest),
+                times,
+                total_ms: decision_log::millis(total),
+            });
         }
     }
 }
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -39,6 +39,8 @@
     silences: IntCounterVec,
     /// Responses that were aborted after a part of them had been sent, by cause.
     broken_off: IntCounterVec,
+    /// Callers' connections that ended while a request on them had no complete response, by cause.
+    lost_connections: IntCounterVec,
     /// How late the process runs its tasks.
     pub loop_delay_seconds: Histogram,
     /// Bytes of the responses to other processes' exchanges.
@@ -77,6 +79,20 @@
     pub store_up: IntGauge,
     /// Log lines that were dropped.
     pub dropped_lines: IntGauge,
+    /// Open connections of callers.
+    pub caller_connections: IntGauge,
+    /// Callers' requests whose responses haven't been sent.
+    requests_in_flight: IntGauge,
+    /// Tasks of the runtime.
+    pub tasks: IntGauge,
+    /// Open descriptors.
+    pub open_descriptors: IntGauge,
+    /// How many descriptors the process may have.
+    pub descriptor_limit: IntGauge,
+    /// Resident memory.
+    pub resident_bytes: IntGauge,
+    /// The most resident memory so far.
+    pub peak_resident_bytes: IntGauge,
 }
 
 impl Default for Metrics {
@@ -99,6 +115,11 @@
         let silences = IntCounterVec::new(silences, &["because"]).expect("the name is valid");
         let broken_off = Opts::new("samphire_broken_off_total", "Answers that were broken off.");
         let broken_off = IntCounterVec::new(broken_off, &["cause"]).expect("the name is valid");
+        let lost = Opts::new(
+            "samphire_lost_connections_total",
+            "Connections that ended while a request on them had no complete answer.",
+        );
+        let lost_connections = IntCounterVec::new(lost, &["cause"]).expect("the name is valid");
         let help = "Seconds by which the process ran its tasks late.";
         let delay = HistogramOpts::new("samphire_loop_delay_seconds", help)
             .buckets(DELAY_BUCKETS_S.to_vec());
@@ -117,6 +138,7 @@
             Box::new(admitted_share.clone()),
             Box::new(silences.clone()),
             Box::new(broken_off.clone()),
+            Box::new(lost_connections.clone()),
             Box::new(first_event_ratio.clone()),
             Box::new(loop_delay_seconds.clone()),
         ] {
@@ -171,6 +193,7 @@
             first_event_ratio,
             silences,
             broken_off,
+            lost_connections,
             loop_delay_seconds,
             admitted_share,
             waiting: gauge("samphire_waiting_requests", "Requests that wait for a place."),
@@ -187,6 +210,25 @@
             version: gauge("samphire_config_version", "The configuration in force."),
             store_up: gauge("samphire_store_up", "Whether the key-value service answers."),
             dropped_lines: gauge("samphire_dropped_log_lines", "Log lines that were dropped."),
+            caller_connections: gauge(
+                "samphire_caller_connections",
+                "Open connections of callers.",
+            ),
+            requests_in_flight: gauge(
+                "samphire_requests_in_flight",
+                "Requests whose answers haven't been sent.",
+            ),
+            tasks: gauge("samphire_tasks", "Tasks of the runtime."),
+            open_descriptors: gauge("samphire_open_descriptors", "Open descriptors."),
+            descriptor_limit: gauge(
+                "samphire_descriptor_limit",
+                "Descriptors that the process may have.",
+            ),
+            resident_bytes: gauge("samphire_resident_bytes", "Resident memory in bytes."),
+            peak_resident_bytes: gauge(
+                "samphire_peak_resident_bytes",
+                "The most resident memory so far, in bytes.",
+            ),
             registry,
         }
     }
@@ -219,6 +261,16 @@
         self.broken_off.with_label_values(&[cause]).inc();
     }
 
+    /// Sets the number of callers' requests whose responses haven't been sent.
+    pub fn set_requests_in_flight(&self, count: usize) {
+        self.requests_in_flight.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a caller's connection that ended while a request on it had no complete response.
+    pub fn record_lost_connection(&self, cause: &str) {
+        self.lost_connections.with_label_values(&[cause]).inc();
+    }
+
     /// Sets the admitted shares of all flows, by priority; flows that are not listed have none.
     pub fn set_admitted_shares<'a>(&self, shares: impl Iterator<Item = (&'a Flow, &'a Shares)>) {
         self.admitted_share.reset();
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -18,6 +18,7 @@
 use crate::logging;
 use crate::metrics::Metrics;
 use crate::names;
+use crate::resources;
 use crate::settings::Settings;
 
 /// Maximum open connections of a listener.
@@ -56,7 +57,12 @@
     let context = cx.clone();
     let handler = Arc::new(move |request: Request| {
         let response = match &*request.path {
-            "/metrics" => current(&shared, &metrics, context.now()),
+            "/metrics" => {
+                // The listener for callers may not have started yet.
+                let drain = context.registry().lookup::<Drain>(names::SERVE);
+                metrics.set_requests_in_flight(drain.map_or(0, |drain| drain.count()));
+                current(&shared, &metrics, context.now())
+            }
             "/evacuations" => evacuations::respond(&shared, context.now()),
             _ => reply::empty(StatusCode::NOT_FOUND),
         };
@@ -91,6 +97,7 @@
     metrics.requests_in_evacuated_domains.set(i64::from(requests));
     metrics.store_up.set(i64::from(local.store_up));
     metrics.version.set(i64::try_from(local.routes.version()).unwrap_or(i64::MAX));
+    resources::update(metrics);
     metrics.dropped_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
     reply::text(StatusCode::OK, metrics.text())
 }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts all services of a pass-through process.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 
 use base::prelude::*;
 use kernel::prelude::*;
@@ -65,25 +66,36 @@
     decision_log::write(&Record::Process { node: &node, state: "start", detail: "" });
     let kernel = kernel(settings, integration);
     let stop = kernel.stop_handle();
-    let signals = tokio::spawn(async move {
-        wait_for_signal(reload).await;
-        log::info!("received a signal to stop; finishing open requests");
-        stop.cancel();
-    });
+    let received = Arc::new(OnceLock::new());
+    let signals = {
+        let (node, received) = (node.clone(), received.clone());
+        tokio::spawn(async move {
+            let name = wait_for_signal(reload).await;
+            decision_log::write(&Record::Process { node: &node, state: "stopping", detail: name });
+            // This is the only signal that is waited for.
+            let _ = received.set(name);
+            stop.cancel();
+        })
+    };
     let ended = kernel.run().await;
     signals.abort();
-    decision_log::write(&Record::Process { node: &node, state: "stop", detail: "" });
+    let detail = match &ended {
+        Ok(()) => received.get().copied().unwrap_or("asked to stop").to_owned(),
+        Err(error) => error.to_string(),
+    };
+    decision_log::write(&Record::Process { node: &node, state: "stop", detail: &detail });
     ended
 }
 
-async fn wait_for_signal(reload: impl Fn()) {
+/// Resolves on a signal to stop, and returns its name.
+async fn wait_for_signal(reload: impl Fn()) -> &'static str {
     let mut term = signal(SignalKind::terminate()).expect("SIGTERM can be handled");
     let mut int = signal(SignalKind::interrupt()).expect("SIGINT can be handled");
     let mut hup = signal(SignalKind::hangup()).expect("SIGHUP can be handled");
     loop {
         tokio::select! {
-            _ = term.recv() => return,
-            _ = int.recv() => return,
+            _ = term.recv() => return "SIGTERM",
+            _ = int.recv() => return "SIGINT",
             _ = hup.recv() => reload(),
         }
     }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -59,6 +59,7 @@
 use web::body::BodyError;
 use web::prelude::*;
 
+use crate::connections;
 use crate::crash_reports::TrackedParts;
 use crate::decision_log;
 use crate::decision_log::Record;
@@ -167,8 +168,11 @@
         let state = state.clone();
         Arc::new(move |request| handle(state.clone(), request).boxed())
     };
-    let serving = serve(listener, limits(), handler, drain.clone(), stop.clone());
+    let observer = connections::observer(&state.integration.header_names, &state.metrics);
+    let serving =
+        serve_observed(listener, limits(), handler, drain.clone(), stop.clone(), Some(observer));
     cx.registry().register(names::SERVE, TakeOver(state.clone()));
+    cx.registry().register(names::SERVE, drain.clone());
     cx.ready();
     let serving = async {
         let ended = serving.await;
--- a/crates/front/src/store_sync.rs
+++ b/crates/front/src/store_sync.rs
@@ -5,6 +5,7 @@
 //! with the number of failure domains instead of the number of processes.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use base::prelude::*;
 use kernel::prelude::*;
@@ -265,6 +266,7 @@
 
 fn apply_config_row(integration: &Integration, shared: &SharedState, value: &Versioned) {
     let key = &integration.keys.config;
+    let began = Instant::now();
     let decoded = integration.decoder.decode_config(&value.value);
     let mut local = shared.local.lock();
     match decoded {
@@ -273,7 +275,15 @@
             if !findings.is_empty() {
                 local.left_out.log(key, &value.value, &findings);
             }
-            local.set_config(config);
+            let (version, routes) = (config.version, config.routes.len());
+            if local.set_config(config) {
+                decision_log::write(&Record::InForce {
+                    version,
+                    routes,
+                    bytes: value.value.len(),
+                    took_ms: decision_log::millis(began.elapsed()),
+                });
+            }
         }
         Err(findings) => local.left_out.log(key, &value.value, &findings),
     }
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -15,6 +15,8 @@
 use volo_http::body::Body;
 use volo_http::error::BoxError;
 
+use crate::causes::with_causes;
+
 /// Chunks that a streamed body buffers before its writer waits.
 const STREAM_DEPTH_CHUNKS: usize = 64;
 /// Large chunks that a streamed body buffers before its writer waits.
@@ -77,7 +79,7 @@
     loop {
         let frame = match body.frame().await? {
             Ok(frame) => frame,
-            Err(error) => return Some(Err(BodyError::Incomplete(error.to_string().into()))),
+            Err(error) => return Some(Err(BodyError::Incomplete(with_causes(&*error)))),
         };
         if let Ok(data) = frame.into_data() {
             return Some(Ok(data));
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -21,6 +21,7 @@
 use volo_http::error::client::ErrorKind;
 
 use crate::body;
+use crate::causes::with_causes;
 use crate::reply::Response;
 
 /// Time for which an idle connection is kept for reuse.
@@ -120,10 +121,10 @@
         match tokio::time::timeout(timeout, sent).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if was_not_sent(&error) => {
-                Err(ClientError::NotSent { address, problem: error.to_string().into() })
+                Err(ClientError::NotSent { address, problem: with_causes(&error) })
             }
             Ok(Err(error)) => {
-                Err(ClientError::Incomplete { address, problem: error.to_string().into() })
+                Err(ClientError::Incomplete { address, problem: with_causes(&error) })
             }
             Err(_) => {
                 let problem = format!("no response within {timeout:?}").into();
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -73,9 +73,31 @@
     Sending { since: Instant, _in_flight: InFlightGuard },
 }
 
+/// The request that came last on a connection.
+#[derive(Clone, Debug, Default)]
+struct LastRequest {
+    id: Box<str>,
+    since: Option<Instant>,
+}
+
+/// How far a request had got when its connection ended.
+#[derive(Clone, Debug)]
+pub(crate) struct OpenRequest {
+    /// Its id; empty if it has none, or its headers had not arrived.
+    pub(crate) id: Box<str>,
+    /// Time since its headers had arrived.
+    pub(crate) after: Duration,
+    /// Whether its headers were still arriving.
+    pub(crate) is_arriving: bool,
+    /// Whether the whole response had been read, and only had to be sent.
+    pub(crate) is_unsent: bool,
+}
+
 /// The use of one connection, shared by its stream, its requests and the table of connections.
 pub(crate) struct Activity {
     current: Mutex<Use>,
+    /// The request that came last.
+    last_request: Mutex<LastRequest>,
     closing: watch::Sender<Closing>,
 }
 
@@ -84,15 +106,33 @@
     pub(crate) fn new(now: Instant) -> Arc<Self> {
         Arc::new(Activity {
             current: Mutex::new(Use::Opened { since: now }),
+            last_request: Mutex::default(),
             closing: watch::Sender::new(Closing::No),
         })
     }
 
-    /// Records that the headers of a request have arrived.
-    pub(crate) fn request_began(&self) {
+    /// Records that the headers of the request `id` have arrived.
+    pub(crate) fn request_began(&self, id: Box<str>) {
+        *self.last_request.lock() = LastRequest { id, since: Some(Instant::now()) };
         *self.current.lock() = Use::Busy;
     }
 
+    /// Returns the request that has no complete response yet, if there is one.
+    pub(crate) fn open_request(&self) -> Option<OpenRequest> {
+        let (is_arriving, is_unsent) = match &*self.current.lock() {
+            Use::Opened { .. } | Use::Idle { .. } => return None,
+            Use::Receiving { .. } => (true, false),
+            Use::Busy => (false, false),
+            Use::Sending { .. } => (false, true),
+        };
+        let last = match is_arriving {
+            true => LastRequest::default(),
+            false => self.last_request.lock().clone(),
+        };
+        let after = last.since.map_or(Duration::ZERO, |since| since.elapsed());
+        Some(OpenRequest { id: last.id, after, is_arriving, is_unsent })
+    }
+
     /// Records that the last bytes of a response have been read; `in_flight` ends when they are sent.
     pub(crate) fn response_read(&self, in_flight: InFlightGuard) {
         in_flight.response_read();
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -9,6 +9,8 @@
 //! - [`pool`]: [`Pool`](pool::Pool), pooled connections for a proxy that must know whether a request was
 //!   sent.
 //! - [`reply`]: [`Request`](reply::Request), [`Response`](reply::Response) and their builders.
+//! - [`observer`]: what the owner of a listener learns of its connections.
+//! - [`causes`]: the causes of errors, as text and as a closed set.
 //! - [`body`]: reading bodies with a size limit, and writing streamed ones.
 //! - [`sse`]: writing and reading server-sent events.
 //!
@@ -20,9 +22,11 @@
 //! ```
 
 pub mod body;
+pub mod causes;
 pub mod client;
 mod connection;
 mod listen;
+pub mod observer;
 pub mod pool;
 pub mod reply;
 pub mod server;
@@ -34,6 +38,9 @@
     pub use crate::body::BodySender;
     pub use crate::client::Client;
     pub use crate::client::ClientError;
+    pub use crate::observer::ConnectionEvent;
+    pub use crate::observer::LostConnection;
+    pub use crate::observer::Observer;
     pub use crate::pool::FirstOnConnection;
     pub use crate::pool::Pool;
     pub use crate::pool::PoolError;
@@ -45,4 +52,5 @@
     pub use crate::server::Drain;
     pub use crate::server::ServerLimits;
     pub use crate::server::serve;
+    pub use crate::server::serve_observed;
 }
--- a/crates/web/src/listen.rs
+++ b/crates/web/src/listen.rs
@@ -22,6 +22,8 @@
 use crate::connection::Activity;
 use crate::connection::Timeouts;
 use crate::connection::TrackedStream;
+use crate::observer::ConnectionEvent;
+use crate::observer::Observer;
 
 /// Interval between sweeps.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
@@ -40,6 +42,7 @@
     count: watch::Sender<usize>,
     max: usize,
     timeouts: Timeouts,
+    observer: Option<Observer>,
 }
 
 /// One open connection; dropping it makes room for another one.
@@ -61,8 +64,8 @@
 
 impl Connections {
     /// Creates the empty table of a listener. At most `max` connections are open.
-    pub(crate) fn new(max: usize, timeouts: Timeouts) -> Self {
-        Connections { open: Arc::default(), count: watch::Sender::new(0), max, timeouts }
+    pub(crate) fn new(max: usize, timeouts: Timeouts, observer: Option<Observer>) -> Self {
+        Connections { open: Arc::default(), count: watch::Sender::new(0), max, timeouts, observer }
     }
 
     /// Accepts the next connection, once there is room for it.
@@ -76,7 +79,12 @@
             match accept_one(listener).await {
                 Ok((stream, peer)) => return self.add(id, stream, peer),
                 Err(error) => {
-                    log::warn!("cannot accept a connection: {error}");
+                    match &self.observer {
+                        Some(observer) => {
+                            (observer.report)(ConnectionEvent::AcceptFailed(&error));
+                        }
+                        None => log::warn!("cannot accept a connection: {error}"),
+                    }
                     tokio::time::sleep(ACCEPT_RETRY).await;
                 }
             }
--- a/crates/web/src/pool.rs
+++ b/crates/web/src/pool.rs
@@ -33,6 +33,8 @@
 use tokio::net::TcpStream;
 use volo_http::body::Body;
 
+use crate::causes::IoCause;
+use crate::causes::with_causes;
 use crate::reply::Response;
 
 /// Most idle connections per address.
@@ -182,7 +184,7 @@
                 Err(mut error) => match error.take_message() {
                     // The connection had been closed already; nothing was sent on it.
                     Some(unsent) => request = unsent,
-                    None => return Err(incomplete(address, error.error())),
+                    None => return Err(incomplete(address, &with_causes(error.error()))),
                 },
             }
         }
@@ -193,8 +195,8 @@
                 Ok(self.return_after_body(address, sender, response))
             }
             Err(mut error) => match error.take_message() {
-                Some(_) => Err(not_sent(address, error.error(), false)),
-                None => Err(incomplete(address, error.error())),
+                Some(_) => Err(not_sent(address, &with_causes(error.error()), false)),
+                None => Err(incomplete(address, &with_causes(error.error()))),
             },
         }
     }
@@ -205,9 +207,10 @@
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => {
                 let refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
-                return Err(not_sent(address, &error, refused));
+                let problem = format!("{}: {error}", IoCause::from(&error));
+                return Err(not_sent(address, &problem, refused));
             }
-            Err(_) => return Err(not_sent(address, &"connection attempt timed out", false)),
+            Err(_) => return Err(not_sent(address, &"timed out: no connection in time", false)),
         };
         // Failures are ignored: without these options the connection works as well, but sends small
         // packets later and notices a dead peer later.
@@ -216,7 +219,8 @@
         let mut builder = http1::Builder::new();
         builder.max_headers(MAX_HEADERS).max_buf_size(READ_BUFFER_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|error| not_sent(address, &error, false))?;
+        let (sender, connection) =
+            handshake.map_err(|error| not_sent(address, &with_causes(&error), false))?;
         tokio::spawn(async move {
             // Errors are reported to the request that is in flight on the connection.
             let _ = connection.await;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -31,6 +31,11 @@
 use crate::connection::TrackedStream;
 use crate::listen::Connections;
 use crate::listen::OpenConnection;
+use crate::observer;
+use crate::observer::ConnectionEvent;
+use crate::observer::LostCause;
+use crate::observer::LostConnection;
+use crate::observer::Observer;
 use crate::reply;
 use crate::reply::Request;
 use crate::reply::Response;
@@ -138,6 +143,7 @@
     max_header_bytes: usize,
     peer: SocketAddr,
     activity: Arc<Activity>,
+    observer: Option<Observer>,
 }
 
 /// Marks a connection as busy until the response has been read for sending, or dropped. The library ends
@@ -157,7 +163,8 @@
 
 impl Service {
     async fn respond(&self, req: http::Request<Incoming>) -> Response {
-        self.activity.request_began();
+        let id = self.observer.as_ref().map(|observer| observer.id_of(req.headers()));
+        self.activity.request_began(id.unwrap_or_default());
         let guard =
             RequestGuard { activity: self.activity.clone(), in_flight: Some(self.drain.begin()) };
         let (parts, body) = req.into_parts();
@@ -202,13 +209,29 @@
     handler: Handler,
     drain: Drain,
     stop: CancellationToken,
+) -> Result<(), Box<str>> {
+    serve_observed(listener, limits, handler, drain, stop, None).await
+}
+
+/// Does what [`serve`] does, and tells `observer` what happens to the connections.
+///
+/// # Errors
+///
+/// As for [`serve`].
+pub async fn serve_observed(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: Handler,
+    drain: Drain,
+    stop: CancellationToken,
+    observer: Option<Observer>,
 ) -> Result<(), Box<str>> {
     let timeouts = Timeouts {
         header: limits.header_timeout,
         idle: limits.idle_timeout,
         write: limits.idle_timeout * WRITE_TIMEOUT_FACTOR,
     };
-    let connections = Connections::new(limits.max_connections, timeouts);
+    let connections = Connections::new(limits.max_connections, timeouts, observer.clone());
     tokio::spawn(connections.clone().sweep(stop.clone()));
     let start = {
         let (connections, drain) = (connections.clone(), drain.clone());
@@ -224,6 +247,7 @@
                     max_header_bytes: limits.max_header_bytes,
                     peer: connection.peer,
                     activity: connection.activity.clone(),
+                    observer: observer.clone(),
                 });
                 tokio::spawn(run_connection(stream, connection, service));
             }
@@ -235,8 +259,68 @@
     Ok(())
 }
 
+/// Tells the observer how a connection ended, when it is dropped.
+struct LossGuard {
+    peer: SocketAddr,
+    activity: Arc<Activity>,
+    observer: Option<Observer>,
+    cause: LostCause,
+    problem: Box<str>,
+}
+
+impl LossGuard {
+    fn new(peer: SocketAddr, activity: Arc<Activity>, observer: Option<Observer>) -> Self {
+        if let Some(observer) = &observer {
+            (observer.report)(ConnectionEvent::Opened);
+        }
+        LossGuard { peer, activity, observer, cause: LostCause::ProcessEnded, problem: "".into() }
+    }
+
+    /// Records that the connection ended by itself.
+    fn ended(&mut self, ended: Result<(), hyper::Error>) {
+        self.cause = LostCause::Other;
+        if let Err(error) = ended {
+            self.cause = LostCause::from(&error);
+            self.problem = observer::problem(&error);
+        }
+    }
+
+    /// Records that the connection is closed since a time is over.
+    fn timed_out(mut self) {
+        let is_arriving = self.activity.open_request().is_some_and(|open| open.is_arriving);
+        self.cause = match is_arriving {
+            true => LostCause::HeaderTimeout,
+            false => LostCause::WriteTimeout,
+        };
+    }
+}
+
+impl Drop for LossGuard {
+    fn drop(&mut self) {
+        let Some(observer) = &self.observer else { return };
+        if std::thread::panicking() {
+            self.cause = LostCause::Panicked;
+        }
+        let open = self.activity.open_request();
+        // A request whose headers had not arrived was not taken, unless it was given up here.
+        let open = open.filter(|open| !open.is_arriving || self.cause == LostCause::HeaderTimeout);
+        if let Some(open) = open {
+            (observer.report)(ConnectionEvent::Lost(&LostConnection {
+                peer: self.peer,
+                request: open.id,
+                cause: self.cause,
+                problem: std::mem::take(&mut self.problem),
+                is_unsent: open.is_unsent,
+                after: open.after,
+            }));
+        }
+        (observer.report)(ConnectionEvent::Closed);
+    }
+}
+
 /// Serves one connection until it ends or must close.
 async fn run_connection(stream: TrackedStream, open: OpenConnection, service: Arc<Service>) {
+    let (activity, observer) = (open.activity.clone(), service.observer.clone());
     let service = service_fn(move |req| {
         let service = service.clone();
         async move { Ok::<_, Infallible>(service.respond(req).await) }.boxed()
@@ -244,15 +328,14 @@
     let mut connection = http1::Builder::new()
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
+    let mut loss = LossGuard::new(open.peer, activity, observer);
     let mut closing = Closing::No;
     loop {
         tokio::select! {
             // A request that has arrived is read before the connection may close.
             biased;
             ended = &mut connection => {
-                if let Err(error) = ended {
-                    log::debug!("a connection from {} ended: {error}", open.peer);
-                }
+                loss.ended(ended);
                 break;
             }
             changed = open.activity.closing(closing) => closing = changed,
@@ -260,8 +343,9 @@
         match closing {
             Closing::No => {}
             Closing::WhenIdle => Pin::new(&mut connection).graceful_shutdown(),
-            Closing::Now => return,
+            Closing::Now => return loss.timed_out(),
         }
     }
+    drop(loss);
     connection.into_parts().io.into_inner().linger().await;
 }
