A streamed answer is complete only when its writer says so

Cause: a streamed body ended as complete as soon as its `BodySender` was dropped. The task that writes it drops it in a panic as well, and when it is cancelled.

Change: `BodySender::finish` is the only end of a complete body; without it, dropping the senders aborts the body. The users of streamed bodies in all crates were looked through: the two relays of `front`, the watch and the answers of `daemon`, the engine of `lab`, and the test doubles. An answer of `daemon` whose executor is gone without an end is now aborted, too.

--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -318,7 +318,9 @@
                 tx.send(format!("id: {seq}\ndata: {chunk}\n\n")).await
             }
             Output::End(outcome) => {
-                tx.send(self.end(&outcome)).await;
+                if tx.send(self.end(&outcome)).await {
+                    tx.clone().finish();
+                }
                 false
             }
         }
--- a/crates/daemon/src/operator/watch.rs
+++ b/crates/daemon/src/operator/watch.rs
@@ -31,6 +31,7 @@
             // client continues at another process.
             () = stop.process_stopping() => {}
         }
+        tx.finish();
     });
     reply::with_type(StatusCode::OK, "application/json", body)
 }
--- a/crates/front/src/serve/relay.rs
+++ b/crates/front/src/serve/relay.rs
@@ -137,7 +137,10 @@
         };
         self.race.end(&active.id);
         match outcome {
-            Outcome::Complete => self.log_completed(),
+            Outcome::Complete => {
+                self.log_completed();
+                tx.finish();
+            }
             Outcome::CallerGone => self.log_caller_gone(),
             Outcome::Aborted(why) => self.abort(why).await,
         }
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -130,7 +130,7 @@
             () = active.state.stop.out_of_time() => Some(BreakOff::Stop),
             () = tokio::time::sleep(left) => Some(BreakOff::Deadline),
         };
-        let Some(why) = why else { return };
+        let Some(why) = why else { return tx.finish() };
         active.record_broken_off(&why, carrier.name(), 0, Duration::ZERO);
         // The caller may take long to read what was sent before; the server need not wait for that.
         drop((from, carrier));
--- a/crates/lab/src/engine/server.rs
+++ b/crates/lab/src/engine/server.rs
@@ -230,7 +230,7 @@
                 };
                 let attempt = self.attempt.request.attempt;
                 self.send(&Item::End(End { attempt, count, finish })).await;
-                return;
+                return self.tx.clone().finish();
             }
             if progress.changed().await.is_err() {
                 return;
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -1,8 +1,12 @@
 //! Reading bodies with a size limit, and writing streamed ones.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +26,9 @@
 /// Large chunks that a streamed body buffers before its writer waits.
 const LARGE_CHUNK_STREAM_DEPTH: usize = 2;
 
+/// The problem of a body whose writer ended without saying that it is complete.
+const WRITER_ENDED: &str = "the writer of the body ended early";
+
 /// Why a body could not be read.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum BodyError {
@@ -87,10 +94,12 @@
     }
 }
 
-/// Writes a streamed body. Dropping it ends the body.
+/// Writes a streamed body. The body is complete only after [`BodySender::finish`]; dropping its senders
+/// before that aborts it, as the task that writes it may have panicked or been cancelled.
 #[derive(Clone, Debug)]
 pub struct BodySender {
     tx: mpsc::Sender<Result<Frame<Bytes>, BoxError>>,
+    is_finished: Arc<AtomicBool>,
 }
 
 impl BodySender {
@@ -99,6 +108,11 @@
         self.tx.send(Ok(Frame::data(chunk.into()))).await.is_ok()
     }
 
+    /// Ends the body as complete. The reader sees its end once all senders have been dropped.
+    pub fn finish(self) {
+        self.is_finished.store(true, Ordering::Release);
+    }
+
     /// Aborts the body, so that the reader sees an error instead of a regular end.
     pub async fn abort(&self, problem: &str) {
         // If the reader has been dropped already, there is nothing left to abort.
@@ -114,14 +128,19 @@
 /// Returns a streamed body and its writer. `guard` is dropped together with the body, that is, when
 /// the body has been sent completely or given up.
 pub fn stream<G: Send + Sync + Unpin + 'static>(guard: G) -> (BodySender, Body) {
-    let (tx, rx) = mpsc::channel(STREAM_DEPTH_CHUNKS);
-    (BodySender { tx }, Body::from_stream(GuardedStream { rx, _guard: guard }))
+    stream_of_depth(STREAM_DEPTH_CHUNKS, guard)
 }
 
 /// Returns a streamed body and its writer, for chunks that may be as large as a read buffer.
 pub fn stream_of_large_chunks() -> (BodySender, Body) {
-    let (tx, rx) = mpsc::channel(LARGE_CHUNK_STREAM_DEPTH);
-    (BodySender { tx }, Body::from_stream(GuardedStream { rx, _guard: () }))
+    stream_of_depth(LARGE_CHUNK_STREAM_DEPTH, ())
+}
+
+fn stream_of_depth<G: Send + Sync + Unpin + 'static>(depth: usize, guard: G) -> (BodySender, Body) {
+    let (tx, rx) = mpsc::channel(depth);
+    let is_finished = Arc::new(AtomicBool::new(false));
+    let stream = GuardedStream { rx, is_finished: is_finished.clone(), _guard: guard };
+    (BodySender { tx, is_finished }, Body::from_stream(stream))
 }
 
 /// Returns `body`, holding `guard` until it has been sent or dropped.
@@ -156,6 +175,7 @@
 
 struct GuardedStream<G> {
     rx: mpsc::Receiver<Result<Frame<Bytes>, BoxError>>,
+    is_finished: Arc<AtomicBool>,
     _guard: G,
 }
 
@@ -163,6 +183,11 @@
     type Item = Result<Frame<Bytes>, BoxError>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.rx.poll_recv(cx)
+        let item = ready!(self.rx.poll_recv(cx));
+        // The next poll returns the end, whichever it was.
+        if item.is_none() && !self.is_finished.swap(true, Ordering::AcqRel) {
+            return Poll::Ready(Some(Err(WRITER_ENDED.into())));
+        }
+        Poll::Ready(item)
     }
 }
--- a/crates/web/tests/serve.rs
+++ b/crates/web/tests/serve.rs
@@ -28,6 +28,7 @@
                     tx.send("first ").await;
                     gate.cancelled().await;
                     tx.send("second").await;
+                    tx.finish();
                 });
                 return reply::with_type(StatusCode::OK, "text/plain", stream);
             }
@@ -139,6 +140,7 @@
         for _ in 0..LONG_RESPONSE_BYTES / CHUNK_BYTES {
             tx.send(vec![b'x'; CHUNK_BYTES]).await;
         }
+        tx.finish();
     });
     let mut response = reply::with_type(StatusCode::OK, "text/plain", stream);
     let length = http::HeaderValue::from(LONG_RESPONSE_BYTES);
