A request whose handler panics is answered

Cause: the handler runs in the task of its connection, so its panic ended the connection.

Change: `web::server` catches the panic, answers 500 (the request may have had effects) with `Connection: close`, and tells the listener's observer, which writes a `failed` line with the request's id.

--- a/crates/front/src/connections.rs
+++ b/crates/front/src/connections.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use base::prelude::*;
+use http::StatusCode;
 use parking_lot::Mutex;
 use pass::prelude::*;
 use web::causes::IoCause;
@@ -27,6 +28,14 @@
         ConnectionEvent::Opened => metrics.caller_connections.inc(),
         ConnectionEvent::Closed => metrics.caller_connections.dec(),
         ConnectionEvent::Lost(lost) => record_lost(&metrics, lost),
+        ConnectionEvent::HandlerPanicked { request, after } => {
+            decision_log::write(&Record::Failed {
+                request,
+                status: StatusCode::INTERNAL_SERVER_ERROR.as_u16(),
+                reason: "its handler panicked",
+                after_ms: decision_log::millis(after),
+            });
+        }
         ConnectionEvent::AcceptFailed(error) => {
             if is_due(&last_limit_record) {
                 record_accept_failure(error);
--- a/crates/web/src/observer.rs
+++ b/crates/web/src/observer.rs
@@ -82,6 +82,13 @@
     Closed,
     /// One ended while a request on it had no complete response.
     Lost(&'a LostConnection),
+    /// The handler of a request panicked.
+    HandlerPanicked {
+        /// The request's id; empty if it has none.
+        request: &'a str,
+        /// Time since its headers had arrived.
+        after: Duration,
+    },
     /// None could be accepted.
     AcceptFailed(&'a io::Error),
 }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -6,6 +6,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -184,9 +185,27 @@
             body: Body::from_incoming(body),
             peer: Some(self.peer),
         };
-        let response = (self.handler)(request).await;
+        let handling = async { (self.handler)(request).await };
+        let handled = AssertUnwindSafe(handling).catch_unwind().await;
+        // The panic hook has the payload.
+        let response = handled.unwrap_or_else(|_| self.after_panic());
         response.map(|sent| hold(sent, guard))
     }
+
+    /// Returns the response to a request whose handler panicked. The request may have had effects, and the
+    /// connection is closed with the response.
+    fn after_panic(&self) -> Response {
+        let open = self.activity.open_request();
+        if let (Some(observer), Some(open)) = (&self.observer, open) {
+            let (request, after) = (&*open.id, open.after);
+            (observer.report)(ConnectionEvent::HandlerPanicked { request, after });
+        }
+        let status = http::StatusCode::INTERNAL_SERVER_ERROR;
+        let mut response = reply::text(status, "the request could not be handled");
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(http::header::CONNECTION, close);
+        response
+    }
 }
 
 /// Returns `sent`, holding `guard` until it has been read for sending or dropped.
