A panic in a background task stops the process as one in a service does

What callers would see: a process that goes on with routes and servers that it no longer updates (rules CONFIG, DRAIN), or that never again sends waiting requests.

Cause: the kernel watches services, but not the tasks that they start. A panic in one was seen by nobody: the exchange with the hubs, crash reports, checks of paths, the hub's and the owner's lock, orders, the dispatch of waiting requests, the timer. After one in the mirror of the store the rows count as current for ever, by reading.

Change: `Context::spawn` runs a background task of a service and reports its panic to the kernel, which stops the process with `task T of service S panicked`, as it does when a service ends early; the service itself is stopped in its turn. `front` starts all its background tasks with it, the kernel its timer. The tasks of single answers are left out: a request that makes one panic must not stop the process, and its answer is aborted. The kernel says at once why it stops.

--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -94,8 +94,8 @@
         }
     };
     let store = integration.store.clone();
-    let locking =
-        tokio::spawn(lease_lock::run(cx.clone(), store, spec, lock_state, resign.clone(), tx));
+    let locking = lease_lock::run(cx.clone(), store, spec, lock_state, resign.clone(), tx);
+    let locking = cx.spawn("ownership lock", locking);
     let owners = (0, Vec::new());
     let mut service = Ownership {
         cx: cx.clone(),
@@ -224,7 +224,7 @@
         decision_log::write(&Record::Ordered { server, order: command.id, what, group, epoch });
         let (sender, results) = (self.integration.order_sender.clone(), self.results.clone());
         let cx = self.cx.clone();
-        tokio::spawn(async move {
+        self.cx.spawn("order", async move {
             let sent = cx.now();
             let reply = sender.send(&command).await;
             let after = cx.now().saturating_sub(sent);
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -181,10 +181,10 @@
     let stop = CancellationToken::new();
     let limits = ServerLimits { max_header_bytes: MAX_HEADER_BYTES, ..ServerLimits::default() };
     let serving = serve(listener, limits, handler, Drain::default(), stop.clone());
-    let hub_lock = tokio::spawn(run_hub_lock(state.clone(), address));
-    let sending_crashes = tokio::spawn(crashes::send_recorded(state.clone()));
-    let checking = tokio::spawn(reach::run(state.clone()));
-    let exchanging = tokio::spawn(exchange_periodically(state));
+    let hub_lock = cx.spawn("hub lock", run_hub_lock(state.clone(), address));
+    let sending_crashes = cx.spawn("crash reports", crashes::send_recorded(state.clone()));
+    let checking = cx.spawn("paths to servers", reach::run(state.clone()));
+    let exchanging = cx.spawn("exchange with hubs", exchange_periodically(state));
     cx.ready();
     let ended = tokio::select! {
         ended = serving => {
@@ -342,7 +342,8 @@
             domain_processes: Some(processes),
             have: None,
         };
-        tokio::spawn(report_to_hub(state.clone(), address, request, !is_fresh));
+        let reporting = report_to_hub(state.clone(), address, request, !is_fresh);
+        state.cx.spawn("report to a hub", reporting);
     }
     update_fleet_loads(state);
 }
--- a/crates/front/src/peers/crashes.rs
+++ b/crates/front/src/peers/crashes.rs
@@ -80,7 +80,7 @@
             std::mem::replace(&mut progress.entry(address).or_default().is_waiting, true)
         };
         if !was_waiting {
-            tokio::spawn(wait_repeatedly(state.clone(), address));
+            state.cx.spawn("crash reports of a hub", wait_repeatedly(state.clone(), address));
         }
     }
 }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -163,7 +163,7 @@
         listener.map_err(|error| ServiceError::new(settings.callers.to_string(), error))?;
     let stop = CancellationToken::new();
     let drain = Drain::default();
-    let dispatch_queued = tokio::spawn(dispatch_queued_periodically(state.clone()));
+    let dispatch_queued = cx.spawn("dispatch", dispatch_queued_periodically(state.clone()));
     let handler = {
         let state = state.clone();
         Arc::new(move |request| handle(state.clone(), request).boxed())
--- a/crates/front/src/store_sync.rs
+++ b/crates/front/src/store_sync.rs
@@ -135,7 +135,7 @@
         self.is_hub_mirror = is_hub;
         let pause = max_retry_pause(is_hub, processes);
         let mirror = kv::mirror::run(self.integration.store.clone(), prefixes, known, pause, tx);
-        self.mirror = Some(tokio::spawn(mirror));
+        self.mirror = Some(self.cx.spawn("mirror of the store", mirror));
         self.rx = rx;
         decision_log::write(&Record::Dependency { name: "store", state: "followed", problem: "" });
     }
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -4,7 +4,11 @@
 //! or when a service ends early or panics. The services are then stopped one at a time in the
 //! reverse of their start order, each after those that depend on it have ended. A service that
 //! ended early is reported by name.
+//!
+//! A panic in a background task of a service ([`Context::spawn`]) stops the process as well: its
+//! service would go on without it. The service is stopped in its turn, so that it can finish what it does.
 
+use std::any::Any;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Instant;
@@ -12,6 +16,7 @@
 use base::prelude::*;
 use displaydoc::Display;
 use tokio::sync::Notify;
+use tokio::sync::mpsc;
 use tokio::task::JoinError;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -22,11 +27,16 @@
 use crate::service::Service;
 use crate::service::ServiceError;
 use crate::service::ServiceName;
+use crate::service::TaskName;
+use crate::service::supervised;
 use crate::timer::Timer;
 
 /// Capacity of the timeline's ring buffer, in events.
 const RECORDER_CAPACITY_EVENTS: usize = 16_384;
 
+/// The name of the kernel itself in its errors.
+const KERNEL: ServiceName = "kernel";
+
 /// Why the kernel stopped, if not on request.
 #[derive(Debug, Display)]
 pub enum KernelError {
@@ -51,6 +61,15 @@
         /// The panic's message.
         message: Box<str>,
     },
+    /// task `{task}` of service `{service}` panicked: {message}
+    TaskPanicked {
+        /// The service.
+        service: ServiceName,
+        /// Its task.
+        task: TaskName,
+        /// The panic's message.
+        message: Box<str>,
+    },
 }
 
 impl std::error::Error for KernelError {}
@@ -108,43 +127,59 @@
     pub async fn run(mut self) -> Result<(), KernelError> {
         let services =
             topological_order(std::mem::take(&mut self.services)).map_err(KernelError::Order)?;
-        let timer = Timer::start();
+        let (timer, ticking) = Timer::new();
         let started = Instant::now();
         self.recorder.record(Event::Started { boot: self.boot });
+        let (tx, mut failed_tasks) = mpsc::unbounded_channel();
+        tokio::spawn(supervised(KERNEL, "timer", tx.clone(), ticking));
         let mut running: Vec<RunningService> = Vec::new();
         let mut first_error = None;
         for service in services {
-            let cx = self.context(&timer, started);
+            let cx = self.context(service.name, &timer, started, &tx);
             running.push(spawn(service, &cx));
             tokio::select! {
                 () = cx.ready.notified() => {}
                 () = self.stop_all.cancelled() => break,
-                error = first_ended(&mut running) => {
-                    first_error = Some(error);
-                    break;
-                }
+                error = first_ended(&mut running) => first_error = Some(error),
+                error = failed_tasks.recv() => first_error = error,
+            }
+            if first_error.is_some() {
+                break;
             }
         }
         if first_error.is_none() {
             first_error = tokio::select! {
                 () = self.stop_all.cancelled() => None,
                 error = first_ended(&mut running) => Some(error),
+                error = failed_tasks.recv() => error,
             };
         }
         // On a stop request a service may end at once, and its end may be observed before the
         // request itself. Such a service did not end early.
         let stopping = self.stop_all.is_cancelled();
         first_error.take_if(|error| stopping && matches!(error, KernelError::Ended { .. }));
+        if let Some(error) = &first_error {
+            log::error!("{error}; the process stops");
+        }
         self.stop_all.cancel();
         let stop_error = stop_in_reverse(running).await;
-        match first_error.or(stop_error) {
+        let task_error = failed_tasks.try_recv().ok();
+        match first_error.or(stop_error).or(task_error) {
             Some(error) => Err(error),
             None => Ok(()),
         }
     }
 
-    fn context(&self, timer: &Timer, started: Instant) -> Context {
+    fn context(
+        &self,
+        service: ServiceName,
+        timer: &Timer,
+        started: Instant,
+        failed_tasks: &mpsc::UnboundedSender<KernelError>,
+    ) -> Context {
         Context {
+            service,
+            failed_tasks: failed_tasks.clone(),
             node: self.node.clone(),
             boot: self.boot,
             started,
@@ -193,16 +228,19 @@
 }
 
 fn panic_message(error: JoinError) -> Box<str> {
-    let Ok(payload) = error.try_into_panic() else { return "the task was cancelled".into() };
-    match payload.downcast::<String>() {
-        Ok(message) => (*message).into(),
-        Err(payload) => match payload.downcast::<&'static str>() {
-            Ok(message) => (*message).into(),
-            Err(_) => "no message".into(),
-        },
+    match error.try_into_panic() {
+        Ok(payload) => payload_message(&*payload),
+        Err(_) => "the task was cancelled".into(),
     }
 }
 
+/// Returns the message of a panic with this payload.
+pub(crate) fn payload_message(payload: &(dyn Any + Send)) -> Box<str> {
+    let text = payload.downcast_ref::<&'static str>().copied();
+    let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+    text.unwrap_or("no message").into()
+}
+
 /// Stops the services, last to first, and returns the first error among them.
 async fn stop_in_reverse(running: Vec<RunningService>) -> Option<KernelError> {
     let mut first = None;
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -45,6 +45,7 @@
     pub use crate::service::Service;
     pub use crate::service::ServiceError;
     pub use crate::service::ServiceName;
+    pub use crate::service::TaskName;
     pub use crate::timer::Ticks;
     pub use crate::timer::Timer;
 }
--- a/crates/kernel/src/service.rs
+++ b/crates/kernel/src/service.rs
@@ -1,6 +1,8 @@
 //! Services and the context that they run in.
 
 use std::future::Future;
+use std::panic::AssertUnwindSafe;
+use std::panic::resume_unwind;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -12,8 +14,11 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use crate::kernel::KernelError;
+use crate::kernel::payload_message;
 use crate::recorder::Recorder;
 use crate::registry::NotRegistered;
 use crate::registry::Registry;
@@ -23,6 +28,9 @@
 /// Name of a service, unique in its process.
 pub type ServiceName = &'static str;
 
+/// Name of a background task of a service.
+pub type TaskName = &'static str;
+
 /// Why a service ended early.
 #[derive(Debug, Display)]
 pub enum ServiceError {
@@ -85,6 +93,8 @@
 /// What the kernel gives to a running service. Clones share the same context.
 #[derive(Clone)]
 pub struct Context {
+    pub(crate) service: ServiceName,
+    pub(crate) failed_tasks: mpsc::UnboundedSender<KernelError>,
     pub(crate) node: NodeId,
     pub(crate) boot: BootId,
     pub(crate) started: Instant,
@@ -137,6 +147,16 @@
         self.stop_all.is_cancelled()
     }
 
+    /// Runs a background task of this service. If it panics, the process stops as it does when a service
+    /// ends early; this service is stopped in its turn.
+    pub fn spawn<F>(&self, task: TaskName, future: F) -> JoinHandle<F::Output>
+    where
+        F: Future + Send + 'static,
+        F::Output: Send + 'static,
+    {
+        tokio::spawn(supervised(self.service, task, self.failed_tasks.clone(), future))
+    }
+
     /// Asks the whole process to stop.
     pub fn stop_process(&self) {
         self.stop_all.cancel();
@@ -201,3 +221,21 @@
         self.registry.subscribe(service)
     }
 }
+
+/// Runs a task of `service`, and reports it to `failed_tasks` if it panics.
+pub(crate) async fn supervised<F: Future>(
+    service: ServiceName,
+    task: TaskName,
+    failed_tasks: mpsc::UnboundedSender<KernelError>,
+    future: F,
+) -> F::Output {
+    match AssertUnwindSafe(future).catch_unwind().await {
+        Ok(output) => output,
+        Err(payload) => {
+            let message = payload_message(&*payload);
+            // The receiver is gone only once the process has stopped.
+            let _ = failed_tasks.send(KernelError::TaskPanicked { service, task, message });
+            resume_unwind(payload)
+        }
+    }
+}
--- a/crates/kernel/src/timer.rs
+++ b/crates/kernel/src/timer.rs
@@ -43,9 +43,15 @@
 impl Timer {
     /// Starts the timer service on the current runtime; it ends when all handles are dropped.
     pub fn start() -> Self {
+        let (timer, running) = Timer::new();
+        tokio::spawn(running);
+        timer
+    }
+
+    /// Returns a timer service and the future that runs it until all handles are dropped.
+    pub(crate) fn new() -> (Self, impl Future<Output = ()> + Send + 'static) {
         let (tx, rx) = mpsc::unbounded_channel();
-        tokio::spawn(run(rx));
-        Timer { tx }
+        (Timer { tx }, run(rx))
     }
 
     /// Subscribes to a tick every `period`, which must not be zero; the first comes after one
--- a/crates/kernel/tests/kernel.rs
+++ b/crates/kernel/tests/kernel.rs
@@ -122,3 +122,25 @@
     assert_eq!(kept.iter().map(|event| event.number).collect::<Vec<_>>(), [1, 2]);
     assert!(kept[0].at < kept[1].at);
 }
+
+// Guards against a service that goes on without its background task, which panicked unseen.
+#[tokio::test]
+async fn a_panic_in_a_background_task_stops_the_process_and_its_service_ends_cleanly() {
+    let steps = Steps::default();
+    let mut kernel = Kernel::new("n".into());
+    kernel.add(service("a", &[], "a up", "a down", &steps));
+    let ended = steps.clone();
+    kernel.add(Service::new("b", &["a"], |cx| async move {
+        cx.ready();
+        cx.spawn("reading", async { panic!("index {} is past the end", 7) });
+        cx.process_stopping().await;
+        ended.lock().push("b finishes");
+        cx.stopping().await;
+        Ok(())
+    }));
+    let running = tokio::time::timeout(std::time::Duration::from_secs(10), kernel.run());
+    let error = running.await.expect("the process stops").unwrap_err();
+    let expected = "task `reading` of service `b` panicked: index 7 is past the end";
+    assert_eq!(error.to_string(), expected);
+    assert_eq!(*steps.lock(), ["a up", "b finishes", "a down"]);
+}
