A panic in a reload doesn't keep the process from stopping

What callers would see: at the next planned stop all open answers of the process cut off (rule LOST), since SIGTERM does nothing and SIGKILL follows.

Cause: SIGHUP, SIGTERM and SIGINT are handled by one task, which also validates the settings. A panic there ended it, and the process ignored all signals from then on.

No settings file that makes a reload panic is known.

Change: the panic is caught, and the current settings are kept.

--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -1,5 +1,7 @@
 //! Starts all services of a pass-through process.
 
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
 use std::sync::Arc;
 use std::sync::OnceLock;
 
@@ -96,7 +98,12 @@
         tokio::select! {
             _ = term.recv() => return "SIGTERM",
             _ = int.recv() => return "SIGINT",
-            _ = hup.recv() => reload(),
+            _ = hup.recv() => {
+                // Without this task the process would ignore signals to stop.
+                if catch_unwind(AssertUnwindSafe(&reload)).is_err() {
+                    log::error!("reload: it panicked; keeping the current settings");
+                }
+            }
         }
     }
 }
