--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -59,6 +59,7 @@
 use web::body::BodyError;
 use web::prelude::*;
 
+use crate::connections;
 use crate::crash_reports::TrackedParts;
 use crate::decision_log;
 use crate::decision_log::Record;
@@ -163,13 +164,16 @@
         listener.map_err(|error| ServiceError::new(settings.callers.to_string(), error))?;
     let stop = CancellationToken::new();
     let drain = Drain::default();
-    let dispatch_queued = tokio::spawn(dispatch_queued_periodically(state.clone()));
+    let dispatch_queued = cx.spawn("dispatch", dispatch_queued_periodically(state.clone()));
     let handler = {
         let state = state.clone();
         Arc::new(move |request| handle(state.clone(), request).boxed())
     };
-    let serving = serve(listener, limits(), handler, drain.clone(), stop.clone());
+    let observer = connections::observer(&state.integration.header_names, &state.metrics);
+    let serving =
+        serve_observed(listener, limits(), handler, drain.clone(), stop.clone(), Some(observer));
     cx.registry().register(names::SERVE, TakeOver(state.clone()));
+    cx.registry().register(names::SERVE, drain.clone());
     cx.ready();
     let serving = async {
         let ended = serving.await;
