A response of HTTP 1.0 is passed on in version 1.1, with one length

Here it happened when a server answered with the version 1.0 and then broke off, by a close or a reset: in streams after the first event, and in answers beyond the 128 KiB that are held back. A server that cuts its head or its body, in version 1.1, never had this effect.

Cause: the version of the server's connection went into the caller's response. The HTTP library sends a body of unknown length in version 1.0 without chunks, up to the end of the connection, so that an abort looked like the proper end. In the same way a header `Content-Length: 12, 12` was passed on as it was.

Change: both clients of crates/web return responses of version 1.1 with one length; so samphired's calls to applications, which had the same cause, are mended with it.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -21,6 +21,7 @@
 use volo_http::error::client::ErrorKind;
 
 use crate::body;
+use crate::framing::without_framing;
 use crate::reply::Response;
 
 /// Time for which an idle connection is kept for reuse.
@@ -105,7 +106,8 @@
         Client { inner, connect_timeout }
     }
 
-    /// Sends `call` and returns the response as soon as its headers have arrived, within `timeout`.
+    /// Sends `call` and returns the response as soon as its headers have arrived, within `timeout`. It says
+    /// nothing of how its connection delimited it, but for its length.
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -118,7 +120,7 @@
         let opt = CallOpt::new().with_timeout(timeout.max(self.connect_timeout));
         let sent = builder.body(Body::from(call.body)).with_callopt(opt).send();
         match tokio::time::timeout(timeout, sent).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => Ok(without_framing(response)),
             Ok(Err(error)) if was_not_sent(&error) => {
                 Err(ClientError::NotSent { address, problem: error.to_string().into() })
             }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,6 +5,7 @@
 //!   finish.
 //! - `listen`: bounds the number of open connections and the time that they may be idle.
 //! - `connection`: the stream of a connection, and what it is doing.
+//! - `framing`: what a response says of how its connection delimited it.
 //! - [`client`]: [`Client`](client::Client), whose errors tell whether a request was sent.
 //! - [`pool`]: [`Pool`](pool::Pool), pooled connections for a proxy that must know whether a request was
 //!   sent.
@@ -22,6 +23,7 @@
 pub mod body;
 pub mod client;
 mod connection;
+mod framing;
 mod listen;
 pub mod pool;
 pub mod reply;
--- a/crates/web/src/pool.rs
+++ b/crates/web/src/pool.rs
@@ -7,6 +7,7 @@
 //! Invariants:
 //! - A connection carries one request at a time and returns to the pool only after a complete
 //!   response.
+//! - A response says nothing of how its connection delimited it, but for its length.
 //! - A connection on which bytes arrive while no request is in flight is discarded.
 //! - [`PoolError::NotSent`] is only returned if no byte of the request was sent.
 //! - A response to the first request of a connection carries [`FirstOnConnection`]. Another one may
@@ -33,6 +34,7 @@
 use tokio::net::TcpStream;
 use volo_http::body::Body;
 
+use crate::framing::without_framing;
 use crate::reply::Response;
 
 /// Most idle connections per address.
@@ -253,6 +255,7 @@
         response: http::Response<Incoming>,
     ) -> Response {
         let keep_alive = KeepAlive::of(response.headers());
+        let response = without_framing(response);
         let checked_out = CheckedOut { pool: self.clone(), address, sender, keep_alive };
         response.map(|body| Body::from_body(TrackedBody { body, checked_out: Some(checked_out) }))
     }
