A request that waits as its process stops is refused once it can't finish

Cause: whether a request can finish before the end of the stop was looked at only when it arrived.

Change: as the listener closes, a request of which nothing may have run leaves the queue, refused as not run, if its deadline is after the end of the stop; the same rule holds for one that comes back to the queue later. One that may have run is tried to the end, since its caller can't be told to come back.

--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -7,6 +7,7 @@
 use web::prelude::*;
 
 use super::ActiveRequest;
+use super::STOPPING_RETRY_AFTER;
 use super::ServerId;
 use super::attempt::Attempt;
 use super::attempt::FailedAttempt;
@@ -134,7 +135,14 @@
     /// Begins the only attempt, once there is a carrier for it. Without one, returns the final response.
     async fn begin_first(&mut self) -> Result<(), Response> {
         let waiting = self.active.wait_for_carrier(&self.tries.servers, self.active.arrived);
-        let refused = match waiting.await {
+        // What may have run is tried to the end: its caller can't be told to come back.
+        let may_leave = self.last_unknown.is_none();
+        let waited = tokio::select! {
+            biased;
+            () = self.active.must_leave(), if may_leave => Err(self.active.leave()),
+            waited = waiting => waited,
+        };
+        let refused = match waited {
             Ok(carrier) => {
                 self.begin(carrier);
                 return Ok(());
@@ -227,6 +235,18 @@
         }
     }
 
+    /// Resolves when the process stops and the request, which may take until its deadline, can't finish
+    /// here.
+    async fn must_leave(&self) {
+        self.state.stop.closed_too_early(self.deadline).await;
+    }
+
+    /// Returns the response to a request that must go to another process.
+    fn leave(&self) -> Response {
+        let response = responses::refused(STOPPING_RETRY_AFTER);
+        self.end(response, "its deadline is after the end of the stop")
+    }
+
     /// Returns the number of attempts that may have run at another process.
     fn runs_elsewhere(&self) -> u32 {
         match &self.origin {
--- a/crates/front/src/serve/stop.rs
+++ b/crates/front/src/serve/stop.rs
@@ -1,8 +1,6 @@
 //! How far a stop of the process has got.
 
 use std::sync::OnceLock;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 
 use base::prelude::*;
 use tokio_util::sync::CancellationToken;
@@ -22,7 +20,7 @@
     /// Time that a process with requests in progress takes to tell their callers of its end.
     answer_time: Duration,
     requested_at: OnceLock<Mono>,
-    has_closed: AtomicBool,
+    closed: CancellationToken,
     time_is_up: CancellationToken,
 }
 
@@ -34,7 +32,7 @@
             finish_time: timeout - margin,
             answer_time: margin.mul_f64(ANSWER_FRACTION),
             requested_at: OnceLock::new(),
-            has_closed: AtomicBool::new(false),
+            closed: CancellationToken::new(),
             time_is_up: CancellationToken::new(),
         }
     }
@@ -52,7 +50,7 @@
 
     /// Records that the process accepts no new connections any more.
     pub(super) fn listener_closed(&self) {
-        self.has_closed.store(true, Ordering::Relaxed);
+        self.closed.cancel();
     }
 
     /// Returns until when responses may finish, if the process was asked to stop.
@@ -70,8 +68,16 @@
     /// Until the listener has closed, callers may not know of the stop, and requests are served if they
     /// can be.
     pub(super) fn can_finish(&self, deadline: Mono) -> bool {
-        !self.has_closed.load(Ordering::Relaxed)
-            || self.finish_by().is_none_or(|end| deadline <= end)
+        !self.closed.is_cancelled() || self.finish_by().is_none_or(|end| deadline <= end)
+    }
+
+    /// Resolves when the process has closed its listener, if a request that may take until `deadline`
+    /// can't finish; else never.
+    pub(super) async fn closed_too_early(&self, deadline: Mono) {
+        self.closed.cancelled().await;
+        if self.can_finish(deadline) {
+            std::future::pending().await
+        }
     }
 
     /// Ends the requests that are still in progress, and their responses.
