--- a/crates/front/src/serve/stop.rs
+++ b/crates/front/src/serve/stop.rs
@@ -1,8 +1,6 @@
 //! How far a stop of the process has got.
 
 use std::sync::OnceLock;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 
 use base::prelude::*;
 use tokio_util::sync::CancellationToken;
@@ -11,14 +9,18 @@
 const END_MARGIN: Duration = Duration::from_millis(300);
 /// The part of the stop timeout that the margin may take.
 const MAX_MARGIN_FRACTION: f64 = 1.0 / 16.0;
+/// The part of the margin in which requests that are still in progress are answered.
+const ANSWER_FRACTION: f64 = 0.5;
 
 /// How far a stop of the process has got.
 #[derive(Debug)]
 pub(super) struct StopState {
     /// Time from the request to stop until responses in flight are aborted.
     finish_time: Duration,
+    /// Time that a process with requests in progress takes to tell their callers of its end.
+    answer_time: Duration,
     requested_at: OnceLock<Mono>,
-    has_closed: AtomicBool,
+    closed: CancellationToken,
     time_is_up: CancellationToken,
 }
 
@@ -28,8 +30,9 @@
         let margin = END_MARGIN.min(timeout.mul_f64(MAX_MARGIN_FRACTION));
         StopState {
             finish_time: timeout - margin,
+            answer_time: margin.mul_f64(ANSWER_FRACTION),
             requested_at: OnceLock::new(),
-            has_closed: AtomicBool::new(false),
+            closed: CancellationToken::new(),
             time_is_up: CancellationToken::new(),
         }
     }
@@ -47,7 +50,7 @@
 
     /// Records that the process accepts no new connections any more.
     pub(super) fn listener_closed(&self) {
-        self.has_closed.store(true, Ordering::Relaxed);
+        self.closed.cancel();
     }
 
     /// Returns until when responses may finish, if the process was asked to stop.
@@ -65,16 +68,29 @@
     /// Until the listener has closed, callers may not know of the stop, and requests are served if they
     /// can be.
     pub(super) fn can_finish(&self, deadline: Mono) -> bool {
-        !self.has_closed.load(Ordering::Relaxed)
-            || self.finish_by().is_none_or(|end| deadline <= end)
+        !self.closed.is_cancelled() || self.finish_by().is_none_or(|end| deadline <= end)
     }
 
-    /// Ends the responses that are still in flight.
+    /// Resolves when the process has closed its listener, if a request that may take until `deadline`
+    /// can't finish; else never.
+    pub(super) async fn closed_too_early(&self, deadline: Mono) {
+        self.closed.cancelled().await;
+        if self.can_finish(deadline) {
+            std::future::pending().await
+        }
+    }
+
+    /// Ends the requests that are still in progress, and their responses.
     pub(super) fn time_is_up(&self) {
         self.time_is_up.cancel();
     }
 
-    /// Resolves when responses that are still in flight must end.
+    /// Returns how long the process waits from then on until their callers have been told.
+    pub(super) fn answer_time(&self) -> Duration {
+        self.answer_time
+    }
+
+    /// Resolves when requests that are still in progress must end.
     pub(super) async fn out_of_time(&self) {
         self.time_is_up.cancelled().await;
     }
