A process's own lack is no failure of a server

What callers saw: a process that had no file descriptor for a moment refused requests, and went on to refuse them after it had descriptors again.

Cause: each failed connection counted as the server's failure or a cut path, whatever the error was. A timeout of a connection attempt also passed while the process itself stood still.

Change: PoolError::NotSent says why (NotSentCause), and only causes other than the process's own lack are evidence about the address. A probe that could not be tried counts neither as reached nor as tried in a check of paths. The timeouts of connection attempts and probes count only time in which the process ran (web::running_time).

--- a/crates/front/src/peers/reach.rs
+++ b/crates/front/src/peers/reach.rs
@@ -65,8 +65,8 @@
 async fn check_if_due(state: &State, progress: &mut Progress) {
     while let Some(check) = due_check(state) {
         let targets = targets(state, check);
-        let reached = connect_to(state, &targets).await;
-        let has_failed = reached == 0 && !targets.is_empty();
+        let Checked { reached, tried } = connect_to(state, &targets).await;
+        let has_failed = reached == 0 && tried > 0;
         if check == Check::Idle && has_failed {
             state.shared.local.lock().endpoints.paths.suspect(state.cx.now());
             continue;
@@ -75,7 +75,7 @@
             // So that no request is refused for lack of helpers as soon as the cut is known.
             refresh_helpers(state, progress).await;
         }
-        end_check(state, progress, reached, targets.len());
+        end_check(state, progress, reached, tried);
     }
 }
 
@@ -115,30 +115,51 @@
     }
 }
 
+/// What connecting to some servers has shown.
+struct Checked {
+    /// Servers that accept the connection.
+    reached: usize,
+    /// Servers to which this process could try to connect.
+    tried: usize,
+}
+
+/// Connects to servers; returns what that shows of each.
+async fn probe_all(targets: &[CheckTarget]) -> Vec<Probe> {
+    join_all(targets.iter().map(|target| probe(target.address, CONNECT_TIMEOUT))).await
+}
+
 /// Returns the servers that accept a connection.
 pub(super) async fn accepting(targets: &[CheckTarget]) -> Vec<ServerId> {
-    let probing = targets.iter().map(|target| probe(target.address, CONNECT_TIMEOUT));
-    let probes = join_all(probing).await;
+    let probes = probe_all(targets).await;
     let probed = targets.iter().zip(probes).filter(|(_, probe)| *probe == Probe::Accepted);
     probed.map(|(target, _)| target.server.clone()).collect()
 }
 
-/// Connects to servers and records what that shows of the paths; returns how many accept the connection.
-async fn connect_to(state: &State, targets: &[CheckTarget]) -> usize {
-    let reached = accepting(targets).await;
+/// Connects to servers and records what that shows of the paths.
+async fn connect_to(state: &State, targets: &[CheckTarget]) -> Checked {
+    let probes = probe_all(targets).await;
     let now = state.cx.now();
     let endpoints = &mut state.shared.local.lock().endpoints;
-    for CheckTarget { server, started_at_ms, .. } in targets {
-        if !reached.contains(server) {
-            endpoints.paths.record_failure(server, *started_at_ms, now);
-            continue;
+    let mut checked = Checked { reached: 0, tried: 0 };
+    for (CheckTarget { server, started_at_ms, .. }, probe) in targets.iter().zip(probes) {
+        match probe {
+            Probe::NotTried => continue,
+            Probe::Refused | Probe::NoAnswer => {
+                checked.tried += 1;
+                endpoints.paths.record_failure(server, *started_at_ms, now);
+                continue;
+            }
+            Probe::Accepted => {
+                checked.tried += 1;
+                checked.reached += 1;
+            }
         }
         if endpoints.paths.is_unreachable(server, *started_at_ms) {
             decision_log::write(&Record::Path { server, state: "reached" });
         }
         endpoints.connected(server, now);
     }
-    reached.len()
+    checked
 }
 
 fn end_check(state: &State, progress: &mut Progress, reached: usize, tried: usize) {
--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -161,6 +161,9 @@
         let sent = self.watched(Stage::Head, self.sent(after)).await;
         match sent {
             Ok(response) => self.accept(response),
+            Err(PoolError::NotSent { problem, cause, .. }) if !cause.is_evidence() => {
+                Err(self.fail(AttemptOutcome::NotTried, 0, &problem))
+            }
             Err(PoolError::NotSent { problem, .. }) => {
                 self.record_unreached();
                 Err(self.fail(AttemptOutcome::NotSent, 0, &problem))
@@ -266,7 +269,9 @@
             AttemptOutcome::Answered | AttemptOutcome::Failed => true,
             AttemptOutcome::Full | AttemptOutcome::Broken => false,
             AttemptOutcome::Unknown => return self.record_pause(reservation, notice),
-            AttemptOutcome::NotSent | AttemptOutcome::Misdirected => return,
+            AttemptOutcome::NotSent | AttemptOutcome::NotTried | AttemptOutcome::Misdirected => {
+                return;
+            }
         };
         let (request, server) = (&*self.active.id, &*reservation.endpoint().server);
         let per_second = notice.limit;
--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -44,7 +44,7 @@
 impl Tries {
     pub(super) fn add(&mut self, failed: &FailedAttempt) {
         self.servers.extend(failed.server.clone());
-        if failed.outcome != AttemptOutcome::NotSent {
+        if !matches!(failed.outcome, AttemptOutcome::NotSent | AttemptOutcome::NotTried) {
             self.reached.extend(failed.server.clone());
         }
         if !failed.outcome.is_not_run() {
--- a/crates/front/src/serve/carrier.rs
+++ b/crates/front/src/serve/carrier.rs
@@ -96,6 +96,7 @@
     pub(crate) fn record_failure(&self, outcome: AttemptOutcome) {
         match self {
             Carrier::Server(reservation) => reservation.record_failure(outcome),
+            Carrier::Process(_) if outcome == AttemptOutcome::NotTried => {}
             Carrier::Process(hand_over) => hand_over.record_failure(),
         }
     }
--- a/crates/front/src/serve/hand_over.rs
+++ b/crates/front/src/serve/hand_over.rs
@@ -141,7 +141,8 @@
             Some(reason) => {
                 let reason = String::from_utf8_lossy(reason.as_bytes());
                 let problem = format!("declined: {reason}").into();
-                Err(PoolError::NotSent { address: self.helper, problem, refused: false })
+                let cause = NotSentCause::Declined;
+                Err(PoolError::NotSent { address: self.helper, problem, cause })
             }
         }
     }
--- a/crates/front/src/serve/reservation.rs
+++ b/crates/front/src/serve/reservation.rs
@@ -195,7 +195,7 @@
         let now = self.state.cx.now();
         let mut local = self.state.shared.local.lock();
         match outcome {
-            AttemptOutcome::Answered | AttemptOutcome::Failed => {}
+            AttemptOutcome::Answered | AttemptOutcome::Failed | AttemptOutcome::NotTried => {}
             AttemptOutcome::Full => local.endpoints.reported_full(self.endpoint(), now),
             AttemptOutcome::Broken => local.endpoints.reported_stalled(self.endpoint(), now),
             AttemptOutcome::NotSent | AttemptOutcome::Misdirected | AttemptOutcome::Unknown => {
--- a/crates/front/src/serve/server_end.rs
+++ b/crates/front/src/serve/server_end.rs
@@ -33,7 +33,7 @@
         return;
     }
     match probe(endpoint.address, PROBE_TIMEOUT).await {
-        Probe::Accepted => return,
+        Probe::Accepted | Probe::NotTried => return,
         Probe::NoAnswer => return active.state.shared.connect_failed(endpoint, active.now()),
         Probe::Refused => active.state.shared.connect_failed(endpoint, active.now()),
     }
--- a/crates/pass/src/outcome.rs
+++ b/crates/pass/src/outcome.rs
@@ -23,6 +23,8 @@
     Answered,
     /// Not run: no connection was established.
     NotSent,
+    /// Not run: this process had no means to make a connection, which shows nothing of the backend server.
+    NotTried,
     /// Not run: the backend server has no capacity, or the deadline had passed.
     Full,
     /// Not run: the group is stalled because of another member.
@@ -138,6 +140,7 @@
         matches!(
             self,
             AttemptOutcome::NotSent
+                | AttemptOutcome::NotTried
                 | AttemptOutcome::Full
                 | AttemptOutcome::Broken
                 | AttemptOutcome::Misdirected
@@ -147,7 +150,8 @@
     /// Returns whether the request may be sent to another backend server.
     pub fn may_retry(self, repeat: ExecutionPolicy) -> bool {
         match self {
-            AttemptOutcome::Answered => false,
+            // Another connection can't be made either.
+            AttemptOutcome::Answered | AttemptOutcome::NotTried => false,
             AttemptOutcome::NotSent
             | AttemptOutcome::Full
             | AttemptOutcome::Broken
--- a/crates/pass/tests/outcome.rs
+++ b/crates/pass/tests/outcome.rs
@@ -88,6 +88,13 @@
     }
 }
 
+// Guards against requests that go round all servers while this process can't make a connection to any.
+#[test]
+fn a_request_for_which_no_connection_could_be_tried_is_refused_at_once() {
+    assert!(AttemptOutcome::NotTried.is_not_run());
+    assert!(!AttemptOutcome::NotTried.may_retry(ExecutionPolicy::Idempotent));
+}
+
 #[test]
 fn a_refusal_because_of_another_server_means_a_stalled_group() {
     let d = HeaderNames::default();
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -6,6 +6,8 @@
 //! - `listen`: bounds the number of open connections and the time that they may be idle.
 //! - `connection`: the stream of a connection, and what it is doing.
 //! - [`client`]: [`Client`](client::Client), whose errors tell whether a request was sent.
+//! - [`not_sent`]: why a request was not sent, and whether that shows anything of its server.
+//! - [`running_time`]: timeouts that count only the time during which the process ran.
 //! - [`pool`]: [`Pool`](pool::Pool), pooled connections for a proxy that must know whether a request was
 //!   sent.
 //! - [`reply`]: [`Request`](reply::Request), [`Response`](reply::Response) and their builders.
@@ -23,8 +25,10 @@
 pub mod client;
 mod connection;
 mod listen;
+pub mod not_sent;
 pub mod pool;
 pub mod reply;
+pub mod running_time;
 pub mod server;
 pub mod sse;
 
@@ -34,6 +38,7 @@
     pub use crate::body::BodySender;
     pub use crate::client::Client;
     pub use crate::client::ClientError;
+    pub use crate::not_sent::NotSentCause;
     pub use crate::pool::FirstOnConnection;
     pub use crate::pool::Pool;
     pub use crate::pool::PoolError;
--- a/crates/web/src/pool.rs
+++ b/crates/web/src/pool.rs
@@ -33,7 +33,9 @@
 use tokio::net::TcpStream;
 use volo_http::body::Body;
 
+use crate::not_sent::NotSentCause;
 use crate::reply::Response;
+use crate::running_time;
 
 /// Most idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
@@ -56,8 +58,8 @@
         address: SocketAddr,
         /// Why it was not sent.
         problem: Box<str>,
-        /// Whether the connection was refused, that is, nothing listens at the address.
-        refused: bool,
+        /// What that shows.
+        cause: NotSentCause,
     },
     /// {address}: no complete response: {problem}
     Incomplete {
@@ -95,14 +97,20 @@
     Refused,
     /// Neither in time.
     NoAnswer,
+    /// Nothing: this process had no means to try.
+    NotTried,
 }
 
 /// Connects to `address`, and closes the connection at once if that succeeds within `timeout`.
 pub async fn probe(address: SocketAddr, timeout: Duration) -> Probe {
-    match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Probe::Accepted,
-        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Probe::Refused,
-        Ok(Err(_)) | Err(_) => Probe::NoAnswer,
+    let Some(connected) = running_time::within(timeout, TcpStream::connect(address)).await else {
+        return Probe::NoAnswer;
+    };
+    match connected.map_err(|error| NotSentCause::of(&error)) {
+        Ok(_) => Probe::Accepted,
+        Err(NotSentCause::Refused) => Probe::Refused,
+        Err(cause) if !cause.is_evidence() => Probe::NotTried,
+        Err(_) => Probe::NoAnswer,
     }
 }
 
@@ -193,22 +201,14 @@
                 Ok(self.return_after_body(address, sender, response))
             }
             Err(mut error) => match error.take_message() {
-                Some(_) => Err(not_sent(address, error.error(), false)),
+                Some(_) => Err(not_sent(address, error.error(), NotSentCause::Closed)),
                 None => Err(incomplete(address, error.error())),
             },
         }
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, PoolError> {
-        let connecting = TcpStream::connect(address);
-        let stream = match tokio::time::timeout(self.settings.connect_timeout, connecting).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => {
-                let refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
-                return Err(not_sent(address, &error, refused));
-            }
-            Err(_) => return Err(not_sent(address, &"connection attempt timed out", false)),
-        };
+        let stream = self.open(address).await?;
         // Failures are ignored: without these options the connection works as well, but sends small
         // packets later and notices a dead peer later.
         let _ = stream.set_nodelay(true);
@@ -216,7 +216,8 @@
         let mut builder = http1::Builder::new();
         builder.max_headers(MAX_HEADERS).max_buf_size(READ_BUFFER_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|error| not_sent(address, &error, false))?;
+        let (sender, connection) =
+            handshake.map_err(|error| not_sent(address, &error, NotSentCause::Closed))?;
         tokio::spawn(async move {
             // Errors are reported to the request that is in flight on the connection.
             let _ = connection.await;
@@ -224,6 +225,15 @@
         Ok(sender)
     }
 
+    async fn open(&self, address: SocketAddr) -> Result<TcpStream, PoolError> {
+        let connecting = TcpStream::connect(address);
+        match running_time::within(self.settings.connect_timeout, connecting).await {
+            Some(Ok(stream)) => Ok(stream),
+            Some(Err(error)) => Err(not_sent(address, &error, NotSentCause::of(&error))),
+            None => Err(not_sent(address, &"connection attempt timed out", NotSentCause::TimedOut)),
+        }
+    }
+
     fn check_out(&self, address: SocketAddr, reuse: Reuse) -> Option<SendRequest<Full<Bytes>>> {
         let now = Instant::now();
         let mut idle = self.idle.lock();
@@ -277,8 +287,8 @@
     }
 }
 
-fn not_sent(address: SocketAddr, problem: &dyn ToString, refused: bool) -> PoolError {
-    PoolError::NotSent { address, problem: problem.to_string().into(), refused }
+fn not_sent(address: SocketAddr, problem: &dyn ToString, cause: NotSentCause) -> PoolError {
+    PoolError::NotSent { address, problem: problem.to_string().into(), cause }
 }
 
 fn incomplete(address: SocketAddr, problem: &dyn ToString) -> PoolError {
--- a/crates/web/tests/pool.rs
+++ b/crates/web/tests/pool.rs
@@ -57,7 +57,7 @@
     let address = listener.local_addr().expect("an address");
     drop(listener);
     let error = send(&pool(), address, Reuse::Any).await.expect_err("refused");
-    assert!(matches!(error, PoolError::NotSent { refused: true, .. }), "{error}");
+    assert!(matches!(error, PoolError::NotSent { cause: NotSentCause::Refused, .. }), "{error}");
 }
 
 #[tokio::test]
