Listen with room for more connections that wait to be accepted

What callers saw: when many connect at once, or the process is late to accept, some connections are made only after a second, which is as long as callers wait.

Cause: tokio's TcpListener::bind lets 128 connections wait. The system drops the first packet of any other, and the peer sends it again after a second.

Change: callers, peers, readiness and metrics listen with a queue of 4,096, or what the system allows.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -33,7 +33,6 @@
 use futures::FutureExt;
 use kernel::prelude::*;
 use parking_lot::Mutex;
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -167,7 +166,7 @@
     });
     let opinions = PeerOpinions { state: state.clone(), recent: Arc::default() };
     cx.registry().register(names::PEERS, opinions);
-    let listener = TcpListener::bind(settings.peers).await;
+    let listener = bind(settings.peers);
     let listener =
         listener.map_err(|error| ServiceError::new(settings.peers.to_string(), error))?;
     let address = listener.local_addr().map_err(|error| ServiceError::new("peers", error))?;
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -8,7 +8,6 @@
 use futures::FutureExt;
 use http::StatusCode;
 use kernel::prelude::*;
-use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use web::prelude::*;
 use web::server::Handler;
@@ -66,7 +65,7 @@
 }
 
 async fn listen(cx: Context, address: SocketAddr, handler: Handler) -> Result<(), ServiceError> {
-    let listener = TcpListener::bind(address).await;
+    let listener = bind(address);
     let listener = listener.map_err(|error| ServiceError::new(address.to_string(), error))?;
     let limits = ServerLimits { max_connections: MAX_CONNECTIONS, ..ServerLimits::default() };
     let serving = serve(listener, limits, handler, Drain::default(), CancellationToken::new());
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -53,7 +53,6 @@
 use route::prelude::Fingerprint;
 use route::prompt_parts::part_key;
 use route::prompt_parts::source;
-use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use web::body;
 use web::body::BodyError;
@@ -157,7 +156,7 @@
         stop: StopState::new(settings.stop),
         metrics: cx.registry().lookup(names::PROCESS)?,
     });
-    let listener = TcpListener::bind(settings.callers).await;
+    let listener = bind(settings.callers);
     let listener =
         listener.map_err(|error| ServiceError::new(settings.callers.to_string(), error))?;
     let stop = CancellationToken::new();
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -49,5 +49,6 @@
     pub use crate::reply::Response;
     pub use crate::server::Drain;
     pub use crate::server::ServerLimits;
+    pub use crate::server::bind;
     pub use crate::server::serve;
 }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -5,6 +5,7 @@
 //! `hyper`, on streams that record their use (`connection`).
 
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -20,6 +21,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use volo_http::body::Body;
@@ -38,6 +40,8 @@
 /// Time for which a peer may read nothing of a complete response, in idle timeouts. The kernel takes
 /// bytes in large steps from a slow reader.
 const WRITE_TIMEOUT_FACTOR: u32 = 4;
+/// Most connections that wait to be accepted; the system may set a lower bound.
+const MAX_UNACCEPTED: u32 = 4_096;
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
@@ -235,6 +239,23 @@
     Ok(())
 }
 
+/// Listens on `address`, with room for many connections that wait to be accepted.
+///
+/// Without room, the system drops the first packet of a connection, which is sent again after a second.
+///
+/// # Errors
+///
+/// Those of the system's calls.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(MAX_UNACCEPTED)
+}
+
 /// Serves one connection until it ends or must close.
 async fn run_connection(stream: TrackedStream, open: OpenConnection, service: Arc<Service>) {
     let service = service_fn(move |req| {
