--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -7,6 +7,8 @@
 //! - `connection`: the stream of a connection, and what it is doing.
 //! - `framing`: what a response says of how its connection delimited it.
 //! - [`client`]: [`Client`](client::Client), whose errors tell whether a request was sent.
+//! - [`not_sent`]: why a request was not sent, and whether that shows anything of its server.
+//! - [`running_time`]: timeouts that count only the time during which the process ran.
 //! - [`pool`]: [`Pool`](pool::Pool), pooled connections for a proxy that must know whether a request was
 //!   sent.
 //! - [`reply`]: [`Request`](reply::Request), [`Response`](reply::Response) and their builders.
@@ -28,9 +30,11 @@
 mod connection;
 mod framing;
 mod listen;
+pub mod not_sent;
 pub mod observer;
 pub mod pool;
 pub mod reply;
+pub mod running_time;
 pub mod server;
 pub mod sse;
 
@@ -40,6 +44,7 @@
     pub use crate::body::BodySender;
     pub use crate::client::Client;
     pub use crate::client::ClientError;
+    pub use crate::not_sent::NotSentCause;
     pub use crate::observer::ConnectionEvent;
     pub use crate::observer::LostConnection;
     pub use crate::observer::Observer;
@@ -53,6 +58,7 @@
     pub use crate::reply::Response;
     pub use crate::server::Drain;
     pub use crate::server::ServerLimits;
+    pub use crate::server::bind;
     pub use crate::server::serve;
     pub use crate::server::serve_observed;
 }
