A stop answers requests that had arrived before the process read them

Seen by callers: a connection that ends without an answer as a process stops, although the request had been sent 0.3 to 0.9 s before (LOST, in planned work).

Cause: a process that runs late takes its own delay for that of its callers. The runtime learns of what has arrived only when it asks the kernel; until then a kept connection whose next request waits looks idle, and the library closes it, and connections that wait to be accepted are reset with the listener.

Change: before a connection is closed as idle, the kernel is asked whether bytes wait on it, and they are read first; when the listener closes, the connections that wait already are accepted.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -9,6 +9,8 @@
 
 use std::io;
 use std::io::IoSlice;
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::Context;
@@ -18,6 +20,7 @@
 use std::time::Instant;
 
 use parking_lot::Mutex;
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
@@ -192,6 +195,11 @@
         }
     }
 
+    /// Returns whether nothing was read of a next request.
+    pub(crate) fn is_idle(&self) -> bool {
+        matches!(&*self.current.lock(), Use::Opened { .. } | Use::Idle { .. })
+    }
+
     fn close(&self, closing: Closing) {
         self.closing.send_if_modified(|current| {
             let is_sooner = closing > *current;
@@ -208,15 +216,32 @@
     }
 }
 
+/// Looks at what has arrived on a connection and hasn't been read.
+pub(crate) struct UnreadBytes(Arc<TcpStream>);
+
+impl UnreadBytes {
+    /// Returns whether there are any, as the system knows now. The runtime of a process that runs late learns
+    /// of them later.
+    pub(crate) fn has_any(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        matches!(SockRef::from(&*self.0).peek(&mut byte), Ok(1..))
+    }
+}
+
 /// The stream of a connection, which records its use.
 pub(crate) struct TrackedStream {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     activity: Arc<Activity>,
 }
 
 impl TrackedStream {
     pub(crate) fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
-        TrackedStream { stream, activity }
+        TrackedStream { stream: Arc::new(stream), activity }
+    }
+
+    /// Returns a look at the bytes that haven't been read of this stream.
+    pub(crate) fn unread_bytes(&self) -> UnreadBytes {
+        UnreadBytes(self.stream.clone())
     }
 
     /// Ends the stream, and waits a short while until the peer ends it as well.
@@ -225,60 +250,81 @@
     /// still on their way.
     pub(crate) async fn linger(mut self) {
         // The peer may have closed it already.
-        let _ = self.stream.shutdown().await;
+        let _ = self.shutdown().await;
         let mut buf = [0; DISCARD_BUFFER_BYTES];
-        let discard = async { while let Ok(1..) = self.stream.read(&mut buf).await {} };
+        let discard = async { while let Ok(1..) = self.read(&mut buf).await {} };
         let _ = tokio::time::timeout(LINGER, discard).await;
     }
+
+    /// Writes with `write` once the stream is writable.
+    fn poll_write_with(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match write(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => {
+                    let written = written?;
+                    self.activity.written();
+                    return Poll::Ready(Ok(written));
+                }
+            }
+        }
+    }
 }
 
 impl AsyncRead for TrackedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        if buf.filled().len() > before {
-            self.activity.received();
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read_buf(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                read => {
+                    if read? > 0 {
+                        self.activity.received();
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+            }
         }
-        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for TrackedStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
-        self.activity.written();
-        Poll::Ready(Ok(written))
+        self.poll_write_with(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
-        self.activity.written();
-        Poll::Ready(Ok(written))
+        self.poll_write_with(cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The kernel has what was written.
         self.activity.flushed();
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
--- a/crates/web/src/listen.rs
+++ b/crates/web/src/listen.rs
@@ -10,6 +10,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +24,7 @@
 use crate::connection::Activity;
 use crate::connection::Timeouts;
 use crate::connection::TrackedStream;
+use crate::connection::UnreadBytes;
 use crate::observer::ConnectionEvent;
 use crate::observer::Observer;
 
@@ -40,6 +43,7 @@
 pub(crate) struct Connections {
     open: Arc<Mutex<HashMap<ConnectionId, Arc<Activity>>>>,
     count: watch::Sender<usize>,
+    next_id: Arc<AtomicU64>,
     max: usize,
     timeouts: Timeouts,
     observer: Option<Observer>,
@@ -51,10 +55,18 @@
     pub(crate) peer: SocketAddr,
     /// Its use.
     pub(crate) activity: Arc<Activity>,
+    unread: UnreadBytes,
     id: ConnectionId,
     connections: Connections,
 }
 
+impl OpenConnection {
+    /// Returns whether a request has arrived of which nothing was read yet.
+    pub(crate) fn has_unread_request(&self) -> bool {
+        self.activity.is_idle() && self.unread.has_any()
+    }
+}
+
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.connections.open.lock().remove(&self.id);
@@ -65,19 +77,22 @@
 impl Connections {
     /// Creates the empty table of a listener. At most `max` connections are open.
     pub(crate) fn new(max: usize, timeouts: Timeouts, observer: Option<Observer>) -> Self {
-        Connections { open: Arc::default(), count: watch::Sender::new(0), max, timeouts, observer }
+        Connections {
+            open: Arc::default(),
+            count: watch::Sender::new(0),
+            next_id: Arc::default(),
+            max,
+            timeouts,
+            observer,
+        }
     }
 
     /// Accepts the next connection, once there is room for it.
-    pub(crate) async fn accept(
-        &self,
-        listener: &TcpListener,
-        id: ConnectionId,
-    ) -> (TrackedStream, OpenConnection) {
+    pub(crate) async fn accept(&self, listener: &TcpListener) -> (TrackedStream, OpenConnection) {
         self.wait_until(|count| count < self.max).await;
         loop {
             match accept_one(listener).await {
-                Ok((stream, peer)) => return self.add(id, stream, peer),
+                Ok((stream, peer)) => return self.add(stream, peer),
                 Err(error) => {
                     match &self.observer {
                         Some(observer) => {
@@ -91,17 +106,33 @@
         }
     }
 
-    fn add(
+    /// Closes the listener, and returns the connections that had waited to be accepted, as far as there is
+    /// room. Closing it resets the others.
+    pub(crate) fn accept_waiting(
         &self,
-        id: ConnectionId,
-        stream: TcpStream,
-        peer: SocketAddr,
-    ) -> (TrackedStream, OpenConnection) {
+        listener: TcpListener,
+    ) -> Vec<(TrackedStream, OpenConnection)> {
+        let mut accepted = Vec::new();
+        // The runtime of a process that runs late doesn't know yet that connections wait.
+        let Ok(listener) = listener.into_std() else { return accepted };
+        while *self.count.borrow() < self.max {
+            let Ok((stream, peer)) = listener.accept() else { break };
+            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+            // Without this option, small packets are sent later.
+            let stream = stream.inspect(|stream| drop(stream.set_nodelay(true)));
+            accepted.extend(stream.map(|stream| self.add(stream, peer)));
+        }
+        accepted
+    }
+
+    fn add(&self, stream: TcpStream, peer: SocketAddr) -> (TrackedStream, OpenConnection) {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let activity = Activity::new(Instant::now());
         self.open.lock().insert(id, activity.clone());
         self.count.send_modify(|count| *count += 1);
         let stream = TrackedStream::new(stream, activity.clone());
-        (stream, OpenConnection { peer, activity, id, connections: self.clone() })
+        let unread = stream.unread_bytes();
+        (stream, OpenConnection { peer, activity, unread, id, connections: self.clone() })
     }
 
     async fn wait_until(&self, is_met: impl Fn(usize) -> bool) {
@@ -115,13 +146,13 @@
         self.wait_until(|count| count == 0).await;
     }
 
-    /// Closes connections that are idle for too long, and, once `stop` is cancelled, all idle ones until
-    /// none is open.
-    pub(crate) async fn sweep(self, stop: CancellationToken) {
+    /// Closes connections that are idle for too long, and, once `closed` is cancelled and no more are
+    /// accepted, all idle ones until none is open.
+    pub(crate) async fn sweep(self, closed: CancellationToken) {
         let mut period = tokio::time::interval(SWEEP_PERIOD);
         loop {
             tokio::select! {
-                () = stop.cancelled() => break,
+                () = closed.cancelled() => break,
                 _ = period.tick() => self.expire(),
             }
         }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -48,6 +48,8 @@
 const WRITE_TIMEOUT_FACTOR: u32 = 4;
 /// Most connections that wait to be accepted; the system may set a lower bound.
 const MAX_UNACCEPTED: u32 = 4_096;
+/// Time in which a request that has arrived is read.
+const UNREAD_TIME: Duration = Duration::from_millis(10);
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
@@ -219,7 +221,7 @@
 
 /// Serves `listener` with `handler` until `stop` is cancelled and all responses have been sent.
 ///
-/// New connections are accepted until `stop`. Responses count in `drain` until the kernel has their last
+/// New connections are accepted until `stop`, those that wait then included. Responses count in `drain` until the kernel has their last
 /// byte. Dropping the future doesn't close the listener: requests are served until `stop`, or until the
 /// process ends.
 ///
@@ -255,15 +257,13 @@
         write: limits.idle_timeout * WRITE_TIMEOUT_FACTOR,
     };
     let connections = Connections::new(limits.max_connections, timeouts, observer.clone());
-    tokio::spawn(connections.clone().sweep(stop.clone()));
+    let closed = CancellationToken::new();
+    tokio::spawn(connections.clone().sweep(closed.clone()));
     let start = {
         let (connections, drain) = (connections.clone(), drain.clone());
         async move {
-            for id in 0.. {
-                let (stream, connection) = tokio::select! {
-                    accepted = connections.accept(&listener, id) => accepted,
-                    () = stop.cancelled() => return,
-                };
+            let _closed = closed.drop_guard();
+            let run = |(stream, connection): (TrackedStream, OpenConnection)| {
                 let service = Arc::new(Service {
                     handler: handler.clone(),
                     drain: drain.clone(),
@@ -273,7 +273,14 @@
                     observer: observer.clone(),
                 });
                 tokio::spawn(run_connection(stream, connection, service));
+            };
+            loop {
+                tokio::select! {
+                    accepted = connections.accept(&listener) => run(accepted),
+                    () = stop.cancelled() => break,
+                }
             }
+            connections.accept_waiting(listener).into_iter().for_each(run);
         }
     };
     tokio::spawn(start).await.map_err(|error| Box::from(error.to_string()))?;
@@ -382,6 +389,15 @@
         }
         match closing {
             Closing::No => {}
+            // The library would take the connection for idle and close it.
+            Closing::WhenIdle if open.has_unread_request() => {
+                let reading = tokio::time::timeout(UNREAD_TIME, &mut connection);
+                if let Ok(ended) = reading.await {
+                    loss.ended(ended);
+                    break;
+                }
+                closing = Closing::No;
+            }
             Closing::WhenIdle => Pin::new(&mut connection).graceful_shutdown(),
             Closing::Now => return loss.timed_out(),
         }
