A process that stops sends all that it has for callers of other processes

What callers saw (by a test, LOST): a long answer that another process served ended up to 0.4 MB before its end, as that process stopped, though it had seconds left.

Cause: an answer to a request that was handed over counted as done once the HTTP library had read its last chunk, which may be long before the kernel has it; the process then ended.

Change: a handler can say in its response where else it counts until it has been sent; answers of taken over requests do.

No other part of the crates begins such counts.

--- a/crates/front/src/serve/hand_over.rs
+++ b/crates/front/src/serve/hand_over.rs
@@ -20,7 +20,6 @@
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
-use web::body;
 use web::prelude::*;
 
 use super::ActiveRequest;
@@ -224,7 +223,8 @@
         }
         // Only this process itself may decline.
         response.headers_mut().remove(&DECLINED);
-        response.map(|sent| body::guarded(sent, in_flight))
+        response.extensions_mut().insert(AlsoInFlight::from(in_flight));
+        response
     }
 
     fn reason_to_decline(&self, progress: &Progress) -> Option<&'static str> {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -44,6 +44,7 @@
     pub use crate::reply;
     pub use crate::reply::Request;
     pub use crate::reply::Response;
+    pub use crate::server::AlsoInFlight;
     pub use crate::server::Drain;
     pub use crate::server::ServerLimits;
     pub use crate::server::serve;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -86,6 +86,17 @@
 pub struct InFlightGuard {
     drain: Drain,
     is_read: AtomicBool,
+    also: Option<AlsoInFlight>,
+}
+
+/// In the extensions of a handler's response: where else the response counts until it has been sent.
+#[derive(Clone, Debug)]
+pub struct AlsoInFlight(Arc<InFlightGuard>);
+
+impl From<InFlightGuard> for AlsoInFlight {
+    fn from(guard: InFlightGuard) -> Self {
+        AlsoInFlight(Arc::new(guard))
+    }
 }
 
 impl InFlightGuard {
@@ -94,6 +105,9 @@
         if !self.is_read.swap(true, Ordering::Relaxed) {
             self.drain.unsent.fetch_add(1, Ordering::Relaxed);
         }
+        if let Some(AlsoInFlight(other)) = &self.also {
+            other.response_read();
+        }
     }
 }
 
@@ -101,7 +115,7 @@
     /// Counts a new response, until the returned guard is dropped.
     pub fn begin(&self) -> InFlightGuard {
         self.open.send_modify(|open| *open += 1);
-        InFlightGuard { drain: self.clone(), is_read: AtomicBool::new(false) }
+        InFlightGuard { drain: self.clone(), is_read: AtomicBool::new(false), also: None }
     }
 
     /// Returns how many responses in flight are complete but haven't been written yet.
@@ -158,7 +172,7 @@
 impl Service {
     async fn respond(&self, req: http::Request<Incoming>) -> Response {
         self.activity.request_began();
-        let guard =
+        let mut guard =
             RequestGuard { activity: self.activity.clone(), in_flight: Some(self.drain.begin()) };
         let (parts, body) = req.into_parts();
         let header_bytes: usize =
@@ -177,7 +191,10 @@
             body: Body::from_incoming(body),
             peer: Some(self.peer),
         };
-        let response = (self.handler)(request).await;
+        let mut response = (self.handler)(request).await;
+        if let Some(in_flight) = &mut guard.in_flight {
+            in_flight.also = response.extensions_mut().remove();
+        }
         response.map(|sent| hold(sent, guard))
     }
 }
