Divide the descriptors of a process, and let idle connections make room

What callers saw: with `ulimit -n 60` a process answered nearly every request 503 or not at all; one limit took callers, servers, other processes, the store and readiness down together.

Cause: callers could open 2,000 connections, other processes 8,192, and nothing bounded those to servers, whatever the process may open. At its bound a listener left new callers unread while others kept connections without a request. A listener without descriptors logged a line every 50 ms.

A pool is bounded, and closes its longest idle connection before it refuses a request as not sent; connections for hand-overs count in it. A listener at its bound closes connections without a request, the longest idle first, never one with a request, and accepts a few more connections to refuse their requests at once (503, Retry-After, Connection: close). Errors of accepting are logged at most every 5 s. The `descriptors` line at the start says what the shares are.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -124,6 +124,7 @@
         header_timeout: caller.header_timeout,
         idle_timeout: caller.idle_timeout,
         max_connections: caller.max_connections,
+        max_surplus: 0,
     }
 }
 
--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -158,6 +158,8 @@
     /// The caller disconnected before the end of the response. `server` is empty if the request had
     /// not been sent to a backend server.
     CallerGone { request: &'a str, server: &'a str, after_ms: u64 },
+    /// How many file descriptors the process may open, and how many connections each use may have.
+    Descriptors { limit: usize, callers: usize, servers: usize, peers: usize },
     /// A new configuration took effect.
     InForce { version: Revision, routes: usize },
     /// A value of the store, or what a server says of itself, or invalid parts of it, were ignored.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`run`](run()): starts all services from validated settings and an [`integration`].
 //! - [`settings`]: the settings with their defaults and bounds.
+//! - [`descriptors`]: divides the file descriptors of the process among their uses.
 //! - [`integration`]: what a deployment provides: store, decoders, order sender, header names.
 //! - [`left_out`]: logs each unusable entry of the store once.
 //! - [`local_state`]: what this process knows of the system, shared by its services.
@@ -26,6 +27,7 @@
 pub mod clock;
 pub mod crash_reports;
 mod decision_log;
+pub mod descriptors;
 mod evacuations;
 pub mod integration;
 mod lease_lock;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -38,6 +38,7 @@
 use tokio_util::sync::CancellationToken;
 use web::prelude::*;
 
+use crate::descriptors::DescriptorShares;
 use crate::integration::Integration;
 use crate::integration::PeerEntry;
 use crate::lease_lock;
@@ -178,7 +179,12 @@
         })
     };
     let stop = CancellationToken::new();
-    let limits = ServerLimits { max_header_bytes: MAX_HEADER_BYTES, ..ServerLimits::default() };
+    let shares: DescriptorShares = cx.registry().lookup(names::PROCESS)?;
+    let limits = ServerLimits {
+        max_header_bytes: MAX_HEADER_BYTES,
+        max_connections: shares.peers,
+        ..ServerLimits::default()
+    };
     let serving = serve(listener, limits, handler, Drain::default(), stop.clone());
     let hub_lock = tokio::spawn(run_hub_lock(state.clone(), address));
     let sending_crashes = tokio::spawn(crashes::send_recorded(state.clone()));
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -12,6 +12,7 @@
 use web::prelude::*;
 use web::server::Handler;
 
+use crate::descriptors::DescriptorShares;
 use crate::evacuations;
 use crate::local_state::SharedState;
 use crate::logging;
@@ -19,9 +20,6 @@
 use crate::names;
 use crate::settings::Settings;
 
-/// Maximum open connections of a listener.
-const MAX_CONNECTIONS: usize = 64;
-
 /// Returns the service that answers readiness checks.
 ///
 /// A process is ready once it has a configuration, until it starts to stop.
@@ -40,7 +38,8 @@
     let context = cx.clone();
     let handler =
         Arc::new(move |request| respond(context.clone(), shared.clone(), request).boxed());
-    listen(cx, settings.readiness, handler).await
+    let shares: DescriptorShares = cx.registry().lookup(names::PROCESS)?;
+    listen(cx, settings.readiness, shares.readiness, handler).await
 }
 
 async fn run_metrics(cx: Context) -> Result<(), ServiceError> {
@@ -61,13 +60,19 @@
         };
         futures::future::ready(response).boxed()
     });
-    listen(cx, address, handler).await
+    let shares: DescriptorShares = cx.registry().lookup(names::PROCESS)?;
+    listen(cx, address, shares.metrics, handler).await
 }
 
-async fn listen(cx: Context, address: SocketAddr, handler: Handler) -> Result<(), ServiceError> {
+async fn listen(
+    cx: Context,
+    address: SocketAddr,
+    max_connections: usize,
+    handler: Handler,
+) -> Result<(), ServiceError> {
     let listener = bind(address);
     let listener = listener.map_err(|error| ServiceError::new(address.to_string(), error))?;
-    let limits = ServerLimits { max_connections: MAX_CONNECTIONS, ..ServerLimits::default() };
+    let limits = ServerLimits { max_connections, ..ServerLimits::default() };
     let serving = serve(listener, limits, handler, Drain::default(), CancellationToken::new());
     cx.ready();
     tokio::select! {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -9,6 +9,8 @@
 
 use crate::decision_log;
 use crate::decision_log::Record;
+use crate::descriptors;
+use crate::descriptors::DescriptorShares;
 use crate::integration::Integration;
 use crate::local_state::SharedState;
 use crate::loop_delay;
@@ -37,6 +39,7 @@
     }
     registry.register(names::PROCESS, Arc::new(shared));
     registry.register(names::PROCESS, Metrics::new());
+    registry.register(names::PROCESS, shares(&settings));
     registry.register(names::PROCESS, integration);
     registry.register(names::PROCESS, settings);
     kernel.add(store_sync::service());
@@ -49,6 +52,15 @@
     kernel
 }
 
+/// Divides the descriptors of the process, and logs how.
+fn shares(settings: &Settings) -> DescriptorShares {
+    let limit = descriptors::limit(settings.max_descriptors);
+    let shares = DescriptorShares::of(limit);
+    let DescriptorShares { callers, servers, peers, .. } = shares;
+    decision_log::write(&Record::Descriptors { limit, callers, servers, peers });
+    shares
+}
+
 /// Runs a process until SIGTERM or SIGINT, or until a service ends early.
 ///
 /// SIGHUP calls `reload`, which validates the settings file again.
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -61,6 +61,7 @@
 use crate::crash_reports::TrackedParts;
 use crate::decision_log;
 use crate::decision_log::Record;
+use crate::descriptors::DescriptorShares;
 use crate::integration::Integration;
 use crate::local_state::SharedState;
 use crate::metrics::Metrics;
@@ -75,8 +76,10 @@
 pub(crate) use hand_over::TakeOver;
 use stop::StopState;
 
-/// Maximum open connections of callers.
-const MAX_CONNECTIONS: usize = 2_000;
+/// One of so many connections of callers is opened only to refuse a request.
+const SURPLUS_PART: usize = 8;
+/// Retry-After of requests on such connections.
+const SURPLUS_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Timeout of connecting to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of connecting to another process.
@@ -139,18 +142,16 @@
 
 async fn run(cx: Context) -> Result<(), ServiceError> {
     let settings: Arc<Settings> = cx.registry().lookup(names::PROCESS)?;
+    let shares: DescriptorShares = cx.registry().lookup(names::PROCESS)?;
+    let pool_settings =
+        PoolSettings { connect_timeout: CONNECT_TIMEOUT, idle_timeout: IDLE_TIMEOUT };
+    let pool = Pool::bounded(pool_settings, shares.servers);
     let state = Arc::new(State {
         cx: cx.clone(),
         integration: cx.registry().lookup(names::PROCESS)?,
         shared: cx.registry().lookup(names::PROCESS)?,
-        pool: Pool::new(PoolSettings {
-            connect_timeout: CONNECT_TIMEOUT,
-            idle_timeout: IDLE_TIMEOUT,
-        }),
-        peers: Pool::new(PoolSettings {
-            connect_timeout: PEER_CONNECT_TIMEOUT,
-            idle_timeout: IDLE_TIMEOUT,
-        }),
+        peers: pool.with_connect_timeout(PEER_CONNECT_TIMEOUT),
+        pool,
         opinions: cx.registry().lookup(names::PEERS)?,
         taken_over: Drain::default(),
         stop: StopState::new(settings.stop),
@@ -166,7 +167,7 @@
         let state = state.clone();
         Arc::new(move |request| handle(state.clone(), request).boxed())
     };
-    let serving = serve(listener, limits(), handler, drain.clone(), stop.clone());
+    let serving = serve(listener, limits(shares), handler, drain.clone(), stop.clone());
     cx.registry().register(names::SERVE, TakeOver(state.clone()));
     cx.ready();
     let serving = async {
@@ -207,13 +208,15 @@
     }
 }
 
-fn limits() -> ServerLimits {
+fn limits(shares: DescriptorShares) -> ServerLimits {
+    let max_surplus = (shares.callers / SURPLUS_PART).max(1);
     let limits = Limits::default();
     ServerLimits {
         max_header_bytes: limits.max_header_bytes * 2,
         header_timeout: limits.header_timeout,
         idle_timeout: limits.idle_timeout,
-        max_connections: MAX_CONNECTIONS,
+        max_connections: shares.callers - max_surplus,
+        max_surplus,
     }
 }
 
@@ -234,7 +237,11 @@
 
 async fn handle(state: Arc<State>, request: Request) -> Response {
     let started = Instant::now();
-    let mut response = respond(&state, request, Origin::Caller).await;
+    let mut response = if request.is_surplus {
+        refuse_surplus(&state, &request)
+    } else {
+        respond(&state, request, Origin::Caller).await
+    };
     if state.cx.is_process_stopping() {
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(http::header::CONNECTION, close);
@@ -243,6 +250,14 @@
     response
 }
 
+/// Refuses a request since the process has as many connections as it serves.
+fn refuse_surplus(state: &State, request: &Request) -> Response {
+    let id = request.header(state.integration.header_names.attempt_id.as_str());
+    let response = responses::refused(SURPLUS_RETRY_AFTER);
+    log_failed(id.unwrap_or_default(), &response, "all connections are in use", Duration::ZERO);
+    response
+}
+
 async fn respond(state: &Arc<State>, request: Request, origin: Origin) -> Response {
     let now = state.cx.now();
     let arrived = match &origin {
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -45,6 +45,8 @@
     pub cores: f64,
     /// What the link of the VM carries, in bytes a second.
     pub link_bytes_per_second: f64,
+    /// Most file descriptors that the process may open, whatever the operating system allows.
+    pub max_descriptors: usize,
     /// The shortest lease that the store grants.
     pub shortest_lease: Duration,
     /// Time from the store's acknowledgement of an evacuation until no new request may reach the
@@ -96,6 +98,7 @@
         stop: fields.millis("stop_ms", 8_000, 100..=MAX_MILLIS),
         cores: fields.number("cores", 1.0, 0.0..=4096.0),
         link_bytes_per_second: fields.number("link_mbps", 1_000.0, 0.1..=1e6) * BYTES_PER_MEGABIT,
+        max_descriptors: fields.size("max_descriptors", u64::MAX, 0..=u64::MAX),
         evacuation: fields.optional_millis("evacuation_ms", 1..=MAX_MILLIS),
         shortest_lease: fields.millis("shortest_lease_ms", 1_000, 1..=MAX_MILLIS),
     };
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -32,6 +32,10 @@
 const LINGER: Duration = Duration::from_secs(1);
 /// How long a stop lets a new connection send the first byte of its request.
 const FIRST_BYTE_GRACE: Duration = Duration::from_millis(500);
+/// How long a listener without room lets a connection send the first byte of its next request.
+const SCARCE_FIRST_BYTE_GRACE: Duration = Duration::from_millis(20);
+/// How long a closing connection waits for its peer before it may be cut to make room.
+const MIN_LINGER: Duration = Duration::from_millis(50);
 /// Bytes that are read at a time, and dropped, from a closing connection.
 const DISCARD_BUFFER_BYTES: usize = 4 << 10;
 
@@ -71,6 +75,17 @@
     Busy,
     /// A response has been read completely but not yet sent. Bytes were last written at `since`.
     Sending { since: Instant, _in_flight: InFlightGuard },
+    /// It was closed at `since`, and waits for its peer to do the same.
+    Lingering { since: Instant },
+}
+
+/// Which connections a listener without room closes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Dispensable {
+    /// It has been closed already, at the given time.
+    Lingering(Instant),
+    /// It has had no request since the given time.
+    Idle(Instant),
 }
 
 /// The use of one connection, shared by its stream, its requests and the table of connections.
@@ -120,10 +135,56 @@
         match &*current {
             Use::Opened { since } => *current = Use::Receiving { since: *since },
             Use::Idle { .. } => *current = Use::Receiving { since: Instant::now() },
-            Use::Receiving { .. } | Use::Busy | Use::Sending { .. } => {}
+            Use::Receiving { .. } | Use::Busy | Use::Sending { .. } | Use::Lingering { .. } => {}
         }
     }
 
+    /// Records that the connection is closed, and only waits for its peer. Returns how long it should, at most:
+    /// not at all if no sent byte can still be on its way.
+    pub(crate) fn begin_linger(&self) -> Duration {
+        let now = Instant::now();
+        let mut current = self.current.lock();
+        let has_read_all = match &*current {
+            Use::Opened { .. } => true,
+            Use::Idle { since } => now.saturating_duration_since(*since) >= LINGER,
+            Use::Receiving { .. } | Use::Busy | Use::Sending { .. } | Use::Lingering { .. } => {
+                false
+            }
+        };
+        *current = Use::Lingering { since: now };
+        if has_read_all { Duration::ZERO } else { LINGER }
+    }
+
+    /// Returns whether a listener may close the connection at `now` to make room, and since when. One with a
+    /// request, or part of one, is never closed.
+    pub(crate) fn dispensable(&self, now: Instant) -> Option<Dispensable> {
+        let age = |since: &Instant| now.saturating_duration_since(*since);
+        match &*self.current.lock() {
+            Use::Lingering { since } if age(since) >= MIN_LINGER => {
+                Some(Dispensable::Lingering(*since))
+            }
+            Use::Opened { since } | Use::Idle { since }
+                if age(since) >= SCARCE_FIRST_BYTE_GRACE =>
+            {
+                Some(Dispensable::Idle(*since))
+            }
+            Use::Lingering { .. }
+            | Use::Opened { .. }
+            | Use::Idle { .. }
+            | Use::Receiving { .. }
+            | Use::Busy
+            | Use::Sending { .. } => None,
+        }
+    }
+
+    /// Closes a connection that is `dispensable`.
+    pub(crate) fn dispense_with(&self, dispensable: Dispensable) {
+        self.close(match dispensable {
+            Dispensable::Lingering(_) => Closing::Now,
+            Dispensable::Idle(_) => Closing::WhenIdle,
+        });
+    }
+
     /// Closes the connection if it has been without a request for too long at `now`.
     pub(crate) fn expire(&self, now: Instant, timeouts: Timeouts) {
         let has_passed = |since: &Instant, limit| now.saturating_duration_since(*since) >= limit;
@@ -133,7 +194,7 @@
             }
             Use::Idle { since } => has_passed(since, timeouts.idle).then_some(Closing::WhenIdle),
             Use::Sending { since, .. } => has_passed(since, timeouts.write).then_some(Closing::Now),
-            Use::Busy => None,
+            Use::Busy | Use::Lingering { .. } => None,
         };
         if let Some(closing) = closing {
             self.close(closing);
@@ -145,7 +206,7 @@
         let is_arriving = match &*self.current.lock() {
             Use::Opened { since } => now.saturating_duration_since(*since) < FIRST_BYTE_GRACE,
             Use::Receiving { .. } => true,
-            Use::Idle { .. } | Use::Busy | Use::Sending { .. } => false,
+            Use::Idle { .. } | Use::Busy | Use::Sending { .. } | Use::Lingering { .. } => false,
         };
         if !is_arriving {
             self.close(Closing::WhenIdle);
@@ -160,6 +221,13 @@
         });
     }
 
+    /// Resolves when the connection must be cut.
+    async fn cut(&self) {
+        let mut rx = self.closing.subscribe();
+        // This can't fail: the sender lives as long as `self`.
+        let _ = rx.wait_for(|closing| *closing == Closing::Now).await;
+    }
+
     /// Resolves when the connection must close in another way than `known`, and returns it.
     pub(crate) async fn closing(&self, known: Closing) -> Closing {
         let mut rx = self.closing.subscribe();
@@ -186,9 +254,13 @@
     pub(crate) async fn linger(mut self) {
         // The peer may have closed it already.
         let _ = self.stream.shutdown().await;
+        let time = self.activity.begin_linger();
         let mut buf = [0; DISCARD_BUFFER_BYTES];
         let discard = async { while let Ok(1..) = self.stream.read(&mut buf).await {} };
-        let _ = tokio::time::timeout(LINGER, discard).await;
+        tokio::select! {
+            _ = tokio::time::timeout(time, discard) => {}
+            () = self.activity.cut() => {}
+        }
     }
 }
 
--- a/crates/web/src/listen.rs
+++ b/crates/web/src/listen.rs
@@ -1,10 +1,16 @@
 //! A listener that bounds the number of open connections and the time that they may be idle.
 //!
-//! At the bound, new connections wait in the operating system's accept queue. A periodic sweep closes
-//! connections that have had no request in flight for too long.
+//! At the bound, connections without a request are closed to make room, the longest idle ones first. If all
+//! have requests, some more connections are accepted, and their requests marked
+//! ([`Request::is_surplus`](crate::reply::Request::is_surplus)) so that the handler refuses them at once.
+//! Beyond these, new connections wait in the operating system's accept queue.
+//!
+//! A periodic sweep closes connections that have had no request in flight for too long.
 //!
 //! Once the listener stops, connections without a request in flight are closed soon: a caller
 //! that keeps one open would otherwise send its next request just as the process ends.
+//!
+//! Invariant: a connection with a request on it is not closed to make room.
 
 use std::collections::HashMap;
 use std::io;
@@ -20,6 +26,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::connection::Activity;
+use crate::connection::Dispensable;
 use crate::connection::Timeouts;
 use crate::connection::TrackedStream;
 
@@ -30,16 +37,48 @@
 /// Time until the next try if no connection can be accepted.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
+/// Time between two looks for room while there is none.
+const ROOM_PERIOD: Duration = Duration::from_millis(10);
+/// How often a request on a surplus connection looks for room before it is refused.
+const SURPLUS_LOOKS: usize = 3;
+/// Shortest time between two log lines on connections that can't be accepted.
+const ERROR_LOG_PERIOD: Duration = Duration::from_secs(5);
+
 /// The number of a connection of one listener.
 type ConnectionId = u64;
 
+/// Bounds on the number of open connections.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    /// Most connections whose requests are served.
+    pub(crate) served: usize,
+    /// Most connections beyond these.
+    pub(crate) surplus: usize,
+}
+
+/// How many connections are open.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Counts {
+    /// Connections that may carry requests.
+    open: usize,
+    /// Connections that are closed and wait for their peers.
+    lingering: usize,
+}
+
+impl Counts {
+    fn total(self) -> usize {
+        self.open + self.lingering
+    }
+}
+
 /// The open connections of one listener. Clones share them.
 #[derive(Clone)]
 pub(crate) struct Connections {
     open: Arc<Mutex<HashMap<ConnectionId, Arc<Activity>>>>,
-    count: watch::Sender<usize>,
-    max: usize,
+    counts: watch::Sender<Counts>,
+    bounds: Bounds,
     timeouts: Timeouts,
+    errors: Arc<Mutex<ErrorLog>>,
 }
 
 /// One open connection; dropping it makes room for another one.
@@ -49,20 +88,72 @@
     /// Its use.
     pub(crate) activity: Arc<Activity>,
     id: ConnectionId,
+    is_surplus: bool,
+    is_lingering: bool,
     connections: Connections,
 }
 
+impl OpenConnection {
+    /// Records that the connection is closed and only waits for its peer.
+    pub(crate) fn begin_linger(&mut self) {
+        self.is_lingering = true;
+        self.connections.counts.send_modify(|counts| {
+            counts.open -= 1;
+            counts.lingering += 1;
+        });
+    }
+
+    /// Returns how to find out whether its requests are beyond what is served.
+    pub(crate) fn surplus(&self) -> Surplus {
+        Surplus { is_surplus: self.is_surplus, connections: self.connections.clone() }
+    }
+}
+
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.connections.open.lock().remove(&self.id);
-        self.connections.count.send_modify(|count| *count -= 1);
+        self.connections.counts.send_modify(|counts| match self.is_lingering {
+            true => counts.lingering -= 1,
+            false => counts.open -= 1,
+        });
+    }
+}
+
+/// Tells whether the requests of a connection are beyond what is served.
+pub(crate) struct Surplus {
+    is_surplus: bool,
+    connections: Connections,
+}
+
+impl Surplus {
+    /// Returns whether a request that comes now is. It isn't if others make room.
+    pub(crate) async fn is_now(&self) -> bool {
+        if !self.is_surplus {
+            return false;
+        }
+        let (connections, served) = (&self.connections, self.connections.bounds.served);
+        for _ in 0..SURPLUS_LOOKS {
+            let excess = connections.counts.borrow().open.saturating_sub(served);
+            connections.dispense(excess, 0);
+            let room = connections.wait_until(|counts| counts.open <= served);
+            if tokio::time::timeout(ROOM_PERIOD, room).await.is_ok() {
+                return false;
+            }
+        }
+        true
     }
 }
 
 impl Connections {
-    /// Creates the empty table of a listener. At most `max` connections are open.
-    pub(crate) fn new(max: usize, timeouts: Timeouts) -> Self {
-        Connections { open: Arc::default(), count: watch::Sender::new(0), max, timeouts }
+    /// Creates the empty table of a listener.
+    pub(crate) fn new(bounds: Bounds, timeouts: Timeouts) -> Self {
+        Connections {
+            open: Arc::default(),
+            counts: watch::Sender::new(Counts::default()),
+            bounds,
+            timeouts,
+            errors: Arc::default(),
+        }
     }
 
     /// Accepts the next connection, once there is room for it.
@@ -71,12 +162,12 @@
         listener: &TcpListener,
         id: ConnectionId,
     ) -> (TrackedStream, OpenConnection) {
-        self.wait_until(|count| count < self.max).await;
         loop {
-            match accept_one(listener).await {
+            self.room().await;
+            match listener.accept().await {
                 Ok((stream, peer)) => return self.add(id, stream, peer),
                 Err(error) => {
-                    log::warn!("cannot accept a connection: {error}");
+                    self.errors.lock().note(&error, Instant::now());
                     tokio::time::sleep(ACCEPT_RETRY).await;
                 }
             }
@@ -89,22 +180,69 @@
         stream: TcpStream,
         peer: SocketAddr,
     ) -> (TrackedStream, OpenConnection) {
+        // Without the option the connection works as well, but sends small packets later.
+        let _ = stream.set_nodelay(true);
         let activity = Activity::new(Instant::now());
         self.open.lock().insert(id, activity.clone());
-        self.count.send_modify(|count| *count += 1);
+        self.counts.send_modify(|counts| counts.open += 1);
+        let is_surplus = self.counts.borrow().open > self.bounds.served;
         let stream = TrackedStream::new(stream, activity.clone());
-        (stream, OpenConnection { peer, activity, id, connections: self.clone() })
+        let connections = self.clone();
+        let open =
+            OpenConnection { peer, activity, id, is_surplus, is_lingering: false, connections };
+        (stream, open)
+    }
+
+    /// Resolves when there is room for one more connection, and makes room for it.
+    async fn room(&self) {
+        let most = self.bounds.served + self.bounds.surplus;
+        loop {
+            let counts = *self.counts.borrow();
+            self.dispense(
+                (counts.open + 1).saturating_sub(self.bounds.served),
+                (counts.total() + 1).saturating_sub(most),
+            );
+            let room = self.wait_until(|counts| counts.total() < most);
+            if tokio::time::timeout(ROOM_PERIOD, room).await.is_ok() {
+                return;
+            }
+        }
     }
 
-    async fn wait_until(&self, is_met: impl Fn(usize) -> bool) {
-        let mut rx = self.count.subscribe();
+    /// Closes up to `idle` connections without a request, and cuts up to `lingering` that are closed.
+    fn dispense(&self, idle: usize, lingering: usize) {
+        if idle == 0 && lingering == 0 {
+            return;
+        }
+        let now = Instant::now();
+        let mut found: Vec<(Dispensable, Arc<Activity>)> = {
+            let open = self.open.lock();
+            let found = open.values().filter_map(|a| Some((a.dispensable(now)?, a.clone())));
+            found.collect()
+        };
+        found.sort_by_key(|(dispensable, _)| *dispensable);
+        let (mut idle, mut lingering) = (idle, lingering);
+        for (dispensable, activity) in found {
+            let left = match dispensable {
+                Dispensable::Lingering(_) => &mut lingering,
+                Dispensable::Idle(_) => &mut idle,
+            };
+            if *left > 0 {
+                *left -= 1;
+                activity.dispense_with(dispensable);
+            }
+        }
+    }
+
+    async fn wait_until(&self, is_met: impl Fn(Counts) -> bool) {
+        let mut rx = self.counts.subscribe();
         // This can't fail: the sender lives as long as `self`.
-        let _ = rx.wait_for(|count| is_met(*count)).await;
+        let _ = rx.wait_for(|counts| is_met(*counts)).await;
     }
 
     /// Resolves when no connection is open.
     pub(crate) async fn all_closed(&self) {
-        self.wait_until(|count| count == 0).await;
+        self.wait_until(|counts| counts.total() == 0).await;
     }
 
     /// Closes connections that are idle for too long, and, once `stop` is cancelled, all idle ones until
@@ -117,7 +255,7 @@
                 _ = period.tick() => self.expire(),
             }
         }
-        while *self.count.borrow() > 0 {
+        while self.counts.borrow().total() > 0 {
             self.expire();
             let now = Instant::now();
             self.open.lock().values().for_each(|activity| activity.close_when_idle(now));
@@ -131,8 +269,22 @@
     }
 }
 
-async fn accept_one(listener: &TcpListener) -> io::Result<(TcpStream, SocketAddr)> {
-    let (stream, peer) = listener.accept().await?;
-    stream.set_nodelay(true)?;
-    Ok((stream, peer))
+/// Logs connections that can't be accepted, but not each of them.
+#[derive(Default)]
+struct ErrorLog {
+    logged_at: Option<Instant>,
+    /// Errors since then that weren't logged.
+    left_out: u64,
+}
+
+impl ErrorLog {
+    fn note(&mut self, error: &io::Error, now: Instant) {
+        let is_due = self.logged_at.is_none_or(|at| now >= at + ERROR_LOG_PERIOD);
+        if !is_due {
+            self.left_out += 1;
+            return;
+        }
+        log::warn!("cannot accept a connection: {error}; {} more before", self.left_out);
+        *self = ErrorLog { logged_at: Some(now), left_out: 0 };
+    }
 }
--- a/crates/web/src/not_sent.rs
+++ b/crates/web/src/not_sent.rs
@@ -44,7 +44,7 @@
 }
 
 /// Returns whether `error` shows a lack of this process or its VM, and nothing of the other side.
-pub fn is_local(error: &io::Error) -> bool {
+fn is_local(error: &io::Error) -> bool {
     let errno = Errno::from_io_error(error);
     errno.is_some_and(|errno| LOCAL_ERRORS.contains(&errno))
 }
--- a/crates/web/src/pool.rs
+++ b/crates/web/src/pool.rs
@@ -9,6 +9,8 @@
 //!   response.
 //! - A connection on which bytes arrive while no request is in flight is discarded.
 //! - [`PoolError::NotSent`] is only returned if no byte of the request was sent.
+//! - At most a given number of connections is open. For a new one beyond it, the connection that has been
+//!   idle for longest is closed; if none is idle, the request isn't sent.
 //! - A response to the first request of a connection carries [`FirstOnConnection`]. Another one may
 //!   consist of bytes that the peer sent late after an earlier response: a connection is discarded for
 //!   such bytes only if they were noticed before the request is written.
@@ -31,6 +33,8 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use volo_http::body::Body;
 
 use crate::not_sent::NotSentCause;
@@ -46,6 +50,8 @@
 const MAX_HEADERS: usize = 100;
 /// Size of the read buffer of a connection in bytes, and with it of the largest head of a response.
 const READ_BUFFER_BYTES: usize = 64 << 10;
+/// How long a new connection waits until the idle one that makes room for it is closed.
+const CLOSING_TIME: Duration = Duration::from_millis(50);
 /// Longest time for which an idle connection is kept because of a `Keep-Alive` header.
 const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
 
@@ -72,6 +78,13 @@
 
 impl std::error::Error for PoolError {}
 
+impl PoolError {
+    /// Returns whether it shows a lack of this process, and nothing of the address.
+    pub fn is_local(&self) -> bool {
+        matches!(self, PoolError::NotSent { cause, .. } if !cause.is_evidence())
+    }
+}
+
 /// Which pooled connections a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
@@ -139,13 +152,31 @@
 pub struct Pool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     last_sweep: Arc<Mutex<Instant>>,
+    /// Connections that may still be opened.
+    free: Arc<Semaphore>,
     settings: PoolSettings,
 }
 
 impl Pool {
-    /// Creates an empty pool.
+    /// Creates an empty pool without a bound on its connections.
     pub fn new(settings: PoolSettings) -> Self {
-        Pool { idle: Arc::default(), last_sweep: Arc::new(Mutex::new(Instant::now())), settings }
+        Pool::bounded(settings, Semaphore::MAX_PERMITS)
+    }
+
+    /// Creates an empty pool of at most `max_connections`.
+    pub fn bounded(settings: PoolSettings, max_connections: usize) -> Self {
+        Pool {
+            idle: Arc::default(),
+            last_sweep: Arc::new(Mutex::new(Instant::now())),
+            free: Arc::new(Semaphore::new(max_connections.min(Semaphore::MAX_PERMITS))),
+            settings,
+        }
+    }
+
+    /// Returns the same pool, whose bound and connections it shares, for peers with another timeout of
+    /// connection attempts.
+    pub fn with_connect_timeout(&self, connect_timeout: Duration) -> Self {
+        Pool { settings: PoolSettings { connect_timeout, ..self.settings }, ..self.clone() }
     }
 
     /// Returns the number of addresses that have idle connections in the pool.
@@ -208,7 +239,13 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, PoolError> {
-        let stream = self.open(address).await?;
+        let permit = self.permit(address).await?;
+        let mut opened = self.open(address).await;
+        if opened.as_ref().is_err_and(PoolError::is_local) && self.close_longest_idle() {
+            tokio::time::sleep(CLOSING_TIME).await;
+            opened = self.open(address).await;
+        }
+        let stream = opened?;
         // Failures are ignored: without these options the connection works as well, but sends small
         // packets later and notices a dead peer later.
         let _ = stream.set_nodelay(true);
@@ -221,10 +258,41 @@
         tokio::spawn(async move {
             // Errors are reported to the request that is in flight on the connection.
             let _ = connection.await;
+            drop(permit);
         });
         Ok(sender)
     }
 
+    /// Waits for the permit to open a connection.
+    async fn permit(&self, address: SocketAddr) -> Result<OwnedSemaphorePermit, PoolError> {
+        if let Ok(permit) = self.free.clone().try_acquire_owned() {
+            return Ok(permit);
+        }
+        let is_room_made = self.close_longest_idle();
+        let acquiring = tokio::time::timeout(CLOSING_TIME, self.free.clone().acquire_owned());
+        match is_room_made.then_some(acquiring) {
+            Some(acquiring) => acquiring.await.ok().and_then(Result::ok),
+            None => None,
+        }
+        .ok_or_else(|| {
+            not_sent(address, &"all connections are in use", NotSentCause::LocalResource)
+        })
+    }
+
+    /// Closes the connection that has been idle for longest; returns whether there was one.
+    fn close_longest_idle(&self) -> bool {
+        let mut idle = self.idle.lock();
+        // Connections are added at the end, so the first ones have been idle for longest.
+        let oldest = idle.iter().filter_map(|(address, all)| Some((all.first()?.since, *address)));
+        let Some((_, address)) = oldest.min() else { return false };
+        let Some(connections) = idle.get_mut(&address) else { return false };
+        connections.remove(0);
+        if connections.is_empty() {
+            idle.remove(&address);
+        }
+        true
+    }
+
     async fn open(&self, address: SocketAddr) -> Result<TcpStream, PoolError> {
         let connecting = TcpStream::connect(address);
         match running_time::within(self.settings.connect_timeout, connecting).await {
--- a/crates/web/src/reply.rs
+++ b/crates/web/src/reply.rs
@@ -27,6 +27,8 @@
     pub body: Body,
     /// Address of the peer, if the connection has an IP address.
     pub peer: Option<SocketAddr>,
+    /// Whether the listener has more connections than it serves, so that the request must be refused.
+    pub is_surplus: bool,
 }
 
 impl Request {
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -31,8 +31,10 @@
 use crate::connection::Closing;
 use crate::connection::Timeouts;
 use crate::connection::TrackedStream;
+use crate::listen::Bounds;
 use crate::listen::Connections;
 use crate::listen::OpenConnection;
+use crate::listen::Surplus;
 use crate::reply;
 use crate::reply::Request;
 use crate::reply::Response;
@@ -57,8 +59,10 @@
     pub header_timeout: Duration,
     /// Time for which a connection may be idle between requests.
     pub idle_timeout: Duration,
-    /// Most open connections.
+    /// Most open connections whose requests are served.
     pub max_connections: usize,
+    /// Most connections beyond these. Their requests are marked, so that the handler refuses them.
+    pub max_surplus: usize,
 }
 
 impl Default for ServerLimits {
@@ -68,6 +72,7 @@
             header_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(75),
             max_connections: 8_192,
+            max_surplus: 0,
         }
     }
 }
@@ -142,6 +147,7 @@
     max_header_bytes: usize,
     peer: SocketAddr,
     activity: Arc<Activity>,
+    surplus: Surplus,
 }
 
 /// Marks a connection as busy until the response has been read for sending, or dropped. The library ends
@@ -173,6 +179,7 @@
             let refused = reply::text(status, problem);
             return refused.map(|sent| hold(sent, guard));
         }
+        let is_surplus = self.surplus.is_now().await;
         let request = Request {
             method: parts.method,
             path: parts.uri.path().into(),
@@ -180,8 +187,13 @@
             headers: parts.headers,
             body: Body::from_incoming(body),
             peer: Some(self.peer),
+            is_surplus,
         };
-        let response = (self.handler)(request).await;
+        let mut response = (self.handler)(request).await;
+        if is_surplus {
+            let close = http::HeaderValue::from_static("close");
+            response.headers_mut().insert(http::header::CONNECTION, close);
+        }
         response.map(|sent| hold(sent, guard))
     }
 }
@@ -212,7 +224,8 @@
         idle: limits.idle_timeout,
         write: limits.idle_timeout * WRITE_TIMEOUT_FACTOR,
     };
-    let connections = Connections::new(limits.max_connections, timeouts);
+    let bounds = Bounds { served: limits.max_connections, surplus: limits.max_surplus };
+    let connections = Connections::new(bounds, timeouts);
     tokio::spawn(connections.clone().sweep(stop.clone()));
     let start = {
         let (connections, drain) = (connections.clone(), drain.clone());
@@ -228,6 +241,7 @@
                     max_header_bytes: limits.max_header_bytes,
                     peer: connection.peer,
                     activity: connection.activity.clone(),
+                    surplus: connection.surplus(),
                 });
                 tokio::spawn(run_connection(stream, connection, service));
             }
@@ -257,7 +271,7 @@
 }
 
 /// Serves one connection until it ends or must close.
-async fn run_connection(stream: TrackedStream, open: OpenConnection, service: Arc<Service>) {
+async fn run_connection(stream: TrackedStream, mut open: OpenConnection, service: Arc<Service>) {
     let service = service_fn(move |req| {
         let service = service.clone();
         async move { Ok::<_, Infallible>(service.respond(req).await) }.boxed()
@@ -284,5 +298,6 @@
             Closing::Now => return,
         }
     }
+    open.begin_linger();
     connection.into_parts().io.into_inner().linger().await;
 }
--- a/crates/web/tests/pool.rs
+++ b/crates/web/tests/pool.rs
@@ -232,3 +232,55 @@
     assert_eq!(send_for_head(&pool, address).await, (101, true));
     assert_eq!(send_for_head(&pool, address).await, (200, true));
 }
+
+/// Serves connections until the test ends, one response for each request.
+async fn serve_all() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buf = [0; 4096];
+                while stream.read(&mut buf).await.is_ok_and(|count| count > 0) {
+                    stream.write_all(RESPONSE).await.expect("sent");
+                }
+            });
+        }
+    });
+    address
+}
+
+// Guards against idle connections to some servers that leave none for requests to others.
+#[tokio::test]
+async fn a_full_pool_closes_the_connection_that_was_idle_for_longest() {
+    let second = Duration::from_secs(1);
+    let settings = PoolSettings { connect_timeout: second, idle_timeout: second * 10 };
+    let pool = Pool::bounded(settings, 2);
+    let (a, b, c) = (serve_all().await, serve_all().await, serve_all().await);
+    for address in [a, b, c] {
+        assert_eq!(send(&pool, address, Reuse::Any).await, Ok("ok".into()));
+    }
+    assert_eq!(pool.idle_addresses(), 2);
+    for (address, is_reused) in [(b, true), (c, true), (a, false)] {
+        let response = pool.send(address, request(), Reuse::Any).await.expect("a response");
+        assert_eq!(response.extensions().get::<FirstOnConnection>().is_none(), is_reused);
+        body::read(response.into_body(), 1024).await.expect("a body");
+    }
+}
+
+// Guards against a pool without room that waits, or that takes its own bound for a failure of the server.
+#[tokio::test]
+async fn a_full_pool_without_idle_connections_refuses_at_once_and_blames_nobody() {
+    let second = Duration::from_secs(1);
+    let settings = PoolSettings { connect_timeout: second, idle_timeout: second * 10 };
+    let pool = Pool::bounded(settings, 1);
+    let peers = pool.with_connect_timeout(second * 2);
+    let address = serve_all().await;
+    let used = pool.send(address, request(), Reuse::Any).await.expect("a response");
+    for pool in [&pool, &peers] {
+        let error = send(pool, address, Reuse::Any).await.expect_err("no room");
+        assert!(error.is_local(), "{error}");
+    }
+    body::read(used.into_body(), 1024).await.expect("a body");
+    assert_eq!(send(&peers, address, Reuse::Any).await, Ok("ok".into()));
+}
