Give callers, servers and other processes a third of the descriptors each

A hub keeps one or two connections from each process of its failure domain, so a fifth (706 of 4,200 before) would be short in a large domain, and a hub that closes idle connections of its processes makes their next call fail. By arithmetic, each of the three gets 1,177 of 4,200 descriptors now.

--- a/crates/front/src/descriptors.rs
+++ b/crates/front/src/descriptors.rs
@@ -47,15 +47,16 @@
 impl DescriptorShares {
     /// Divides `limit` descriptors.
     ///
-    /// Callers get two fifths of what the small uses leave: a connection of a caller needs at most about one
-    /// to a server. Other processes get a fifth, since each of them keeps one or two connections to a hub.
+    /// Callers, servers and other processes get a third each of what the small uses leave: a connection of a
+    /// caller needs about one to a server at most, and each process of a failure domain keeps one or two to its
+    /// hub.
     pub fn of(limit: usize) -> Self {
         let limit = limit.clamp(MIN_DESCRIPTORS, MAX_DESCRIPTORS);
         let reserve = FIXED + limit / RESERVE_PART;
         let small = (limit / 32).clamp(MIN_SHARE, MAX_SMALL_LISTENER);
         let left = limit - reserve - small * 2;
-        let callers = (left / 5 * 2).min(MAX_CALLERS);
-        let peers = left / 5;
+        let callers = (left / 3).min(MAX_CALLERS);
+        let peers = left / 3;
         let servers = left - callers - peers;
         DescriptorShares { callers, servers, peers, readiness: small, metrics: small }
     }
