--- a/crates/web/src/not_sent.rs
+++ b/crates/web/src/not_sent.rs
@@ -41,8 +41,3 @@
         self != NotSentCause::LocalResource
     }
 }
-
-/// Returns whether `error` shows a lack of this process or its VM, and nothing of the other side.
-pub fn is_local(error: &io::Error) -> bool {
-    NotSentCause::of(error) == NotSentCause::LocalResource
-}
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -32,8 +32,10 @@
 use crate::connection::Closing;
 use crate::connection::Timeouts;
 use crate::connection::TrackedStream;
+use crate::listen::Bounds;
 use crate::listen::Connections;
 use crate::listen::OpenConnection;
+use crate::listen::Surplus;
 use crate::observer;
 use crate::observer::ConnectionEvent;
 use crate::observer::LostCause;
@@ -65,8 +67,10 @@
     pub header_timeout: Duration,
     /// Time for which a connection may be idle between requests.
     pub idle_timeout: Duration,
-    /// Most open connections.
+    /// Most open connections whose requests are served.
     pub max_connections: usize,
+    /// Most connections beyond these. Their requests are marked, so that the handler refuses them.
+    pub max_surplus: usize,
 }
 
 impl Default for ServerLimits {
@@ -76,6 +80,7 @@
             header_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(75),
             max_connections: 8_192,
+            max_surplus: 0,
         }
     }
 }
@@ -165,6 +170,7 @@
     peer: SocketAddr,
     activity: Arc<Activity>,
     observer: Option<Observer>,
+    surplus: Surplus,
 }
 
 /// Marks a connection as busy until the response has been read for sending, or dropped. The library ends
@@ -197,6 +203,7 @@
             let refused = reply::text(status, problem);
             return refused.map(|sent| hold(sent, guard));
         }
+        let is_surplus = self.surplus.is_now().await;
         let request = Request {
             method: parts.method,
             path: parts.uri.path().into(),
@@ -204,6 +211,7 @@
             headers: parts.headers,
             body: Body::from_incoming(body),
             peer: Some(self.peer),
+            is_surplus,
         };
         let handling = async { (self.handler)(request).await };
         let handled = AssertUnwindSafe(handling).catch_unwind().await;
@@ -212,6 +220,10 @@
         if let Some(in_flight) = &mut guard.in_flight {
             in_flight.also = response.extensions_mut().remove();
         }
+        if is_surplus {
+            let close = http::HeaderValue::from_static("close");
+            response.headers_mut().insert(http::header::CONNECTION, close);
+        }
         response.map(|sent| hold(sent, guard))
     }
 
@@ -273,7 +285,8 @@
         idle: limits.idle_timeout,
         write: limits.idle_timeout * WRITE_TIMEOUT_FACTOR,
     };
-    let connections = Connections::new(limits.max_connections, timeouts, observer.clone());
+    let bounds = Bounds { served: limits.max_connections, surplus: limits.max_surplus };
+    let connections = Connections::new(bounds, timeouts, observer.clone());
     let closed = CancellationToken::new();
     tokio::spawn(connections.clone().sweep(closed.clone()));
     let start = {
@@ -288,6 +301,7 @@
                     peer: connection.peer,
                     activity: connection.activity.clone(),
                     observer: observer.clone(),
+                    surplus: connection.surplus(),
                 });
                 tokio::spawn(run_connection(stream, connection, service));
             };
@@ -383,7 +397,7 @@
 }
 
 /// Serves one connection until it ends or must close.
-async fn run_connection(stream: TrackedStream, open: OpenConnection, service: Arc<Service>) {
+async fn run_connection(stream: TrackedStream, mut open: OpenConnection, service: Arc<Service>) {
     let (activity, observer) = (open.activity.clone(), service.observer.clone());
     let service = service_fn(move |req| {
         let service = service.clone();
@@ -420,5 +434,6 @@
         }
     }
     drop(loss);
+    open.begin_linger();
     connection.into_parts().io.into_inner().linger().await;
 }
