Review: a case that measures what an entry process holds in memory

Nothing in the harness showed the memory of a process. `stand memory` starts a process for each load and reads VmRSS and VmHWM of it.

The smallest machines of the users give a process 160 MB.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -10,6 +10,7 @@
 mod extra_answer;
 mod incomplete_entry;
 mod long_answer;
+mod memory;
 mod net;
 mod planned_work;
 mod run_then_503;
@@ -47,6 +48,7 @@
         "slow-reader" => slow_reader::play(&mut world),
         "deadly-part" => deadly_part::play(&mut world),
         "incomplete-entry" => incomplete_entry::play(&mut world),
+        "memory" => memory::play(&mut world),
         "extra-answer" => extra_answer::play(&mut world),
         name => planned_work::play(&mut world, name)
             .unwrap_or_else(|| Verdict::NotRun("no such case".into())),
--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -57,6 +57,8 @@
     pub record: Recorder,
     pub store: Store,
     pub trouble: bool,
+    /// Further settings of the entry processes, each with a comma after it.
+    pub more_settings: String,
     program: PathBuf,
     folder: PathBuf,
     entries: Vec<Entry>,
@@ -66,13 +68,15 @@
 pub struct Entry {
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub peers: SocketAddr,
     pub log: PathBuf,
     child: Child,
 }
 
 impl World {
     pub fn new(program: PathBuf, folder: PathBuf, record: Recorder, trouble: bool) -> Self {
-        World { record, store: Store::start(), trouble, program, folder, entries: Vec::new() }
+        let (store, more_settings) = (Store::start(), String::new());
+        World { record, store, trouble, more_settings, program, folder, entries: Vec::new() }
     }
 
     /// Starts an entry process in a zone; `deploy/settings.json.tmpl` gives the settings.
@@ -86,14 +90,14 @@
              \"readiness\":\"{readiness}\",\"peers\":\"{peers}\",\"metrics\":\"{metrics}\",\
              \"store\":\"{}\",\"first_start\":true,\"fencing\":true,\
              \"retries\":{{\"ratio\":0.2,\"slack\":130,\"window_ms\":10000}},\
-             \"cores\":0.25,\"link_mbps\":1000.0,\"stop_ms\":8000,\"shortest_lease_ms\":1000}}\n",
-            self.store.address
+             \"cores\":0.25,\"link_mbps\":1000.0,{}\"stop_ms\":8000,\"shortest_lease_ms\":1000}}\n",
+            self.store.address, self.more_settings
         );
         let path = self.folder.join(format!("settings-{at}.json"));
         std::fs::write(&path, settings).expect("settings can be written");
         let child = self.spawn(&path, &name);
         let log = self.folder.join(format!("{name}.log"));
-        self.entries.push(Entry { callers, readiness, log, child });
+        self.entries.push(Entry { callers, readiness, peers, log, child });
         at
     }
 
