A budget for the bodies and messages that a process holds

Callers saw: with the memory of a small VM (160 MB), a process is killed when some tens of long bodies come at once, and all its streams and requests are lost in the same moment. Change: `web::memory`, a budget of bytes with holders. The body of a request takes its announced length, or what arrives of it; what doesn't fit is refused with 503 and Retry-After, and has not run. Large bodies leave a quarter to small ones, and a holder (workspace, address of a peer) leaves some to the others. Responses that are read before they are passed on take from it too, and are passed on at once if it is empty. A body that isn't whole by the request's deadline gets 408, a message after 5 s. New setting `memory_mb`, from the limits of the VM.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod local_state;
 pub mod logging;
 pub mod loop_delay;
+mod memory;
 pub mod metrics;
 pub mod names;
 pub mod owner;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -47,6 +47,7 @@
 use crate::load_reports::Loads;
 use crate::local_state::LocalState;
 use crate::local_state::SharedState;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::names;
 use crate::row_cache::RowChange;
@@ -91,6 +92,8 @@
     shared: Arc<SharedState>,
     client: Client,
     metrics: Metrics,
+    /// What messages may hold.
+    memory: Memory,
     /// By hub: the id of its row cache, and the last change received from it.
     known: Mutex<HashMap<SocketAddr, (BootId, u64)>>,
     /// The hubs from which this hub is getting rows.
@@ -159,6 +162,7 @@
         shared: cx.registry().lookup(names::PROCESS)?,
         client: Client::pooled(EXCHANGE_TIMEOUT),
         metrics: cx.registry().lookup(names::PROCESS)?,
+        memory: cx.registry().lookup(names::PROCESS)?,
         known: Mutex::default(),
         getting_rows_from: Mutex::default(),
         bulk_limiter: Mutex::new(BulkLimiter::new(settings.link_bytes_per_second)),
--- a/crates/front/src/peers/hub.rs
+++ b/crates/front/src/peers/hub.rs
@@ -29,33 +29,37 @@
 /// Time between two exchanges of a hub with any of its processes. The interval of each process is
 /// this times the number of processes that share the hub, so that a hub's work doesn't grow with them.
 const HUB_TIME_PER_EXCHANGE: Duration = Duration::from_millis(4);
+/// How long another process may take to send a message.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Largest accepted exchange message.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
 /// Answers a request of another process.
 pub(super) async fn respond(state: &State, request: Request) -> Response {
+    let peer = request.peer.map_or_else(String::new, |peer| peer.ip().to_string());
+    let grant = || state.memory.messages.grant(&peer);
     match (&request.method, &*request.path) {
-        (&Method::POST, "/exchange") => match read(request).await {
+        (&Method::POST, "/exchange") => match read(request, grant()).await {
             Ok(exchange) => match exchange_response(state, exchange) {
-                Some(response) => json_response(state, &response),
-                None => reply::text(StatusCode::SERVICE_UNAVAILABLE, "the link is busy"),
+                Some(response) => json_response(state, grant(), &response),
+                None => busy(),
             },
             Err(refused) => *refused,
         },
-        (&Method::POST, "/rows") => match read(request).await {
-            Ok(asked) => json_response(state, &rows_response(state, &asked)),
+        (&Method::POST, "/rows") => match read(request, grant()).await {
+            Ok(asked) => json_response(state, grant(), &rows_response(state, &asked)),
             Err(refused) => *refused,
         },
-        (&Method::POST, "/crashes") => match read(request).await {
-            Ok(asked) => json_response(state, &crashes::respond(state, asked).await),
+        (&Method::POST, "/crashes") => match read(request, grant()).await {
+            Ok(asked) => json_response(state, grant(), &crashes::respond(state, asked).await),
             Err(refused) => *refused,
         },
-        (&Method::POST, "/helpers") => match read(request).await {
-            Ok(asked) => json_response(state, &helpers::respond(state, asked)),
+        (&Method::POST, "/helpers") => match read(request, grant()).await {
+            Ok(asked) => json_response(state, grant(), &helpers::respond(state, asked)),
             Err(refused) => *refused,
         },
-        (&Method::POST, "/paths") => match read(request).await {
-            Ok(asked) => json_response(state, &helpers::respond_paths(state, asked).await),
+        (&Method::POST, "/paths") => match read(request, grant()).await {
+            Ok(asked) => json_response(state, grant(), &helpers::respond_paths(state, asked).await),
             Err(refused) => *refused,
         },
         (&Method::POST, TAKE_OVER_PATH) => take_over(state, request).await,
@@ -72,22 +76,33 @@
 }
 
 /// Reads a JSON message; returns the response that refuses it if that fails.
-async fn read<M: DeserializeOwned>(request: Request) -> Result<M, Box<Response>> {
-    let refused = |problem: String| Box::new(reply::text(StatusCode::BAD_REQUEST, problem));
-    let bytes = body::read(request.body, MAX_MESSAGE_BYTES).await;
-    let bytes = bytes.map_err(|error| refused(error.to_string()))?;
-    serde_json::from_slice(&bytes).map_err(|error| refused(error.to_string()))
+async fn read<M: DeserializeOwned>(request: Request, grant: Grant) -> Result<M, Box<Response>> {
+    let refused = |status, problem: String| Box::new(reply::text(status, problem));
+    let reading = body::read_granted(request.body, MAX_MESSAGE_BYTES, grant);
+    let bytes = match tokio::time::timeout(MESSAGE_TIMEOUT, reading).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(GrantedBodyError::OutOfMemory)) => return Err(Box::new(busy())),
+        Ok(Err(error)) => return Err(refused(StatusCode::BAD_REQUEST, error.to_string())),
+        Err(_) => return Err(refused(StatusCode::REQUEST_TIMEOUT, "the body is late".into())),
+    };
+    let message = serde_json::from_slice(&bytes);
+    message.map_err(|error| refused(StatusCode::BAD_REQUEST, error.to_string()))
 }
 
-/// Returns a response with a JSON message, and counts its bytes.
-fn json_response<M: Serialize>(state: &State, message: &M) -> Response {
-    match serde_json::to_vec(message) {
-        Ok(body) => {
-            state.metrics.exchange_bytes.inc_by(body.len() as u64);
-            reply::with_type(StatusCode::OK, "application/json", body)
-        }
-        Err(error) => reply::text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
-    }
+/// Returns the response to a message that this process can't answer now.
+fn busy() -> Response {
+    reply::text(StatusCode::SERVICE_UNAVAILABLE, "the process is busy")
+}
+
+/// Returns a response with a JSON message, and counts its bytes; they are taken with `grant`.
+fn json_response<M: Serialize>(state: &State, grant: Grant, message: &M) -> Response {
+    let json = match serde_json::to_vec(message) {
+        Ok(json) => json,
+        Err(error) => return reply::text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    };
+    let Ok(body) = grant.cover(json) else { return busy() };
+    state.metrics.exchange_bytes.inc_by(body.len() as u64);
+    reply::with_type(StatusCode::OK, "application/json", body)
 }
 
 /// Returns the response to an exchange; `None` if it asks for the whole row cache and the link can't
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -12,6 +12,7 @@
 use crate::integration::Integration;
 use crate::local_state::SharedState;
 use crate::loop_delay;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::names;
 use crate::owner;
@@ -37,6 +38,7 @@
     }
     registry.register(names::PROCESS, Arc::new(shared));
     registry.register(names::PROCESS, Metrics::new());
+    registry.register(names::PROCESS, Memory::from(&*settings));
     registry.register(names::PROCESS, integration);
     registry.register(names::PROCESS, settings);
     kernel.add(store_sync::service());
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -64,6 +64,7 @@
 use crate::decision_log::Record;
 use crate::integration::Integration;
 use crate::local_state::SharedState;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::names;
 use crate::peers::PeerOpinions;
@@ -114,6 +115,8 @@
     /// How far a stop of the process has got.
     stop: StopState,
     metrics: Metrics,
+    /// What requests and responses may hold.
+    memory: Memory,
 }
 
 /// A request that is being served.
@@ -156,6 +159,7 @@
         taken_over: Drain::default(),
         stop: StopState::new(settings.stop),
         metrics: cx.registry().lookup(names::PROCESS)?,
+        memory: cx.registry().lookup(names::PROCESS)?,
     });
     let listener = TcpListener::bind(settings.callers).await;
     let listener =
@@ -257,15 +261,23 @@
         Err(response) => return *response,
     };
     let limit = state.shared.local.lock().routes.limits().max_body_bytes;
-    let outgoing = match attempt::OutgoingRequest::read(request, limit).await {
-        Ok(outgoing) => outgoing,
-        Err(error) => {
+    let grant = state.memory.bodies.grant(routed.workspace.as_deref().unwrap_or_default());
+    let time = metadata.deadline.min(routed.route.timeout);
+    let read = attempt::OutgoingRequest::read(request, limit, grant);
+    let outgoing = match tokio::time::timeout(time, read).await {
+        Ok(Ok(outgoing)) => outgoing,
+        Ok(Err(error)) => {
             let response = responses::bad_body(&error);
             log_failed(&id, &response, &error.to_string(), state.cx.now().saturating_sub(arrived));
             return response;
         }
+        Err(_) => {
+            let response = responses::late_body();
+            log_failed(&id, &response, "the body was not whole by the deadline", time);
+            return response;
+        }
     };
-    let deadline = now + metadata.deadline.min(routed.route.timeout);
+    let deadline = now + time;
     if !state.stop.can_finish(deadline) {
         let response = responses::refused(STOPPING_RETRY_AFTER);
         let waited = state.cx.now().saturating_sub(arrived);
@@ -415,19 +427,32 @@
 /// The id of a backend server.
 type ServerId = form::server::ServerId;
 
-/// Reads a body up to `limit` bytes; returns the bytes, and whether they are the whole body.
+/// What was read of a body.
+enum ReadBody {
+    /// All of it.
+    Whole(Bytes),
+    /// Its first bytes, in parts.
+    Start(Vec<Bytes>),
+}
+
+/// Reads a body up to `limit` bytes.
 ///
-/// If the body is longer, the bytes may exceed `limit` by less than one chunk.
+/// The bytes are taken with `grant`. If there is no memory for a chunk, or if the bytes exceed `limit`, that
+/// chunk is the last one.
 async fn read_up_to(
     response_body: &mut volo_http::body::Body,
     limit: usize,
-) -> Result<(Bytes, bool), BodyError> {
-    let mut buf = bytes::BytesMut::new();
+    grant: Grant,
+) -> Result<ReadBody, BodyError> {
+    let mut buf = Buffer::new(grant);
     while let Some(chunk) = body::next_chunk(response_body).await {
-        buf.extend_from_slice(&chunk?);
+        let chunk = chunk?;
+        if buf.push(&chunk).is_err() {
+            return Ok(ReadBody::Start(vec![buf.freeze(), chunk]));
+        }
         if buf.len() > limit {
-            return Ok((buf.freeze(), false));
+            return Ok(ReadBody::Start(vec![buf.freeze()]));
         }
     }
-    Ok((buf.freeze(), true))
+    Ok(ReadBody::Whole(buf.freeze()))
 }
--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -19,10 +19,10 @@
 use tokio::sync::watch;
 use volo_http::body::Body;
 use web::body;
-use web::body::BodyError;
 use web::prelude::*;
 
 use super::ActiveRequest;
+use super::ReadBody;
 use super::ServerId;
 use super::attempts::Tries;
 use super::carrier::Carrier;
@@ -64,15 +64,20 @@
 }
 
 impl OutgoingRequest {
-    /// Reads a caller's request with its whole body, which may have up to `limit` bytes.
-    pub(crate) async fn read(request: Request, limit: usize) -> Result<Self, BodyError> {
+    /// Reads a caller's request with its whole body, which may have up to `limit` bytes and takes them with
+    /// `grant`.
+    pub(crate) async fn read(
+        request: Request,
+        limit: usize,
+        grant: Grant,
+    ) -> Result<Self, GrantedBodyError> {
         let target = match &*request.query {
             "" => request.path.clone(),
             query => format!("{}?{query}", request.path).into(),
         };
         let mut headers = request.headers;
         strip_connection_headers(&mut headers);
-        let body = body::read(request.body, limit).await?;
+        let body = body::read_granted(request.body, limit, grant).await?;
         Ok(OutgoingRequest { method: request.method, target, headers, body })
     }
 
@@ -308,8 +313,10 @@
     /// Forwards a response that is no stream of events.
     async fn relay_response(self, response: Response) -> Result<Response, FailedAttempt> {
         let (mut parts, mut from) = response.into_parts();
-        let reading = super::read_up_to(&mut from, MAX_BUFFERED_RESPONSE_BYTES);
-        let (bytes, is_whole) = match self.watched(Stage::Body, reading).await {
+        let workspace = self.active.routed.workspace.as_deref().unwrap_or_default();
+        let grant = self.active.state.memory.bodies.grant(workspace);
+        let reading = super::read_up_to(&mut from, MAX_BUFFERED_RESPONSE_BYTES, grant);
+        let read = match self.watched(Stage::Body, reading).await {
             Ok(read) => read,
             Err(error) => {
                 self.carrier.check_end(&self.active).await;
@@ -318,13 +325,18 @@
             }
         };
         strip_connection_headers(&mut parts.headers);
-        if is_whole {
-            self.carrier.record_response(parts.status);
-            self.log_answered(parts.status);
-            return Ok(Response::from_parts(parts, Body::from(bytes)));
-        }
-        let rest = stream::relay_rest(self.active.clone(), parts.status, bytes, from, self.carrier);
-        Ok(Response::from_parts(parts, rest))
+        let body = match read {
+            ReadBody::Whole(bytes) => {
+                self.carrier.record_response(parts.status);
+                self.log_answered(parts.status);
+                Body::from(bytes)
+            }
+            ReadBody::Start(first) => {
+                let active = self.active.clone();
+                stream::relay_rest(active, parts.status, first, from, self.carrier)
+            }
+        };
+        Ok(Response::from_parts(parts, body))
     }
 
     fn log_answered(&self, status: StatusCode) {
--- a/crates/front/src/serve/responses.rs
+++ b/crates/front/src/serve/responses.rs
@@ -16,6 +16,8 @@
 
 /// Retry-After of a request whose attempts all ended without being run.
 const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Retry-After of a request for whose body there is no memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Returns the response to a request that was refused and has not run.
 pub(super) fn refused(retry_after: Duration) -> Response {
@@ -27,6 +29,11 @@
     response
 }
 
+/// Returns the response to a request whose body was not whole by its deadline.
+pub(super) fn late_body() -> Response {
+    problem(StatusCode::REQUEST_TIMEOUT, "not run; the body was not whole by the deadline")
+}
+
 /// Returns the response to a request that no route matches.
 pub(super) fn not_found() -> Response {
     problem(StatusCode::NOT_FOUND, "no route fits this host and path")
@@ -38,11 +45,13 @@
 }
 
 /// Returns the response to a request whose body can't be read.
-pub(super) fn bad_body(error: &BodyError) -> Response {
-    match error {
-        BodyError::TooLarge { .. } => problem(StatusCode::PAYLOAD_TOO_LARGE, &error.to_string()),
-        BodyError::Incomplete(_) => problem(StatusCode::BAD_REQUEST, &error.to_string()),
-    }
+pub(super) fn bad_body(error: &GrantedBodyError) -> Response {
+    let status = match error {
+        GrantedBodyError::OutOfMemory => return refused(NO_MEMORY_RETRY_AFTER),
+        GrantedBodyError::Body(BodyError::TooLarge { .. }) => StatusCode::PAYLOAD_TOO_LARGE,
+        GrantedBodyError::Body(BodyError::Incomplete(_)) => StatusCode::BAD_REQUEST,
+    };
+    problem(status, &error.to_string())
 }
 
 /// Returns the response to a request whose deadline passed; it may have run.
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -109,19 +109,21 @@
     }
 }
 
-/// Forwards the rest of a long response that is no stream of events; `first` has been read already.
+/// Forwards the rest of a long response that is no stream of events; `first` has been read already, in parts.
 pub(super) fn relay_rest(
     active: Arc<ActiveRequest>,
     status: StatusCode,
-    first: Bytes,
+    first: Vec<Bytes>,
     mut from: Body,
     carrier: Carrier,
 ) -> Body {
     let (tx, body) = body::stream_of_large_chunks();
     tokio::spawn(async move {
         let carrier = carrier;
-        if !tx.send(first).await {
-            return;
+        for part in first {
+            if !tx.send(part).await {
+                return;
+            }
         }
         let left = active.deadline.saturating_sub(active.now());
         let why = tokio::select! {
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -11,6 +11,8 @@
 /// Upper bound of all durations in the settings.
 const MAX_MILLIS: u64 = 10 * 60 * 1_000;
 
+/// Bytes in a megabyte.
+const BYTES_PER_MEGABYTE: f64 = (1 << 20) as f64;
 /// Bytes in a megabit.
 const BYTES_PER_MEGABIT: f64 = 1e6 / 8.0;
 
@@ -45,6 +47,8 @@
     pub cores: f64,
     /// What the link of the VM carries, in bytes a second.
     pub link_bytes_per_second: f64,
+    /// Memory that the process may hold, in bytes.
+    pub memory_bytes: f64,
     /// The shortest lease that the store grants.
     pub shortest_lease: Duration,
     /// Time from the store's acknowledgement of an evacuation until no new request may reach the
@@ -96,6 +100,7 @@
         stop: fields.millis("stop_ms", 8_000, 100..=MAX_MILLIS),
         cores: fields.number("cores", 1.0, 0.0..=4096.0),
         link_bytes_per_second: fields.number("link_mbps", 1_000.0, 0.1..=1e6) * BYTES_PER_MEGABIT,
+        memory_bytes: fields.number("memory_mb", 160.0, 1.0..=1e6) * BYTES_PER_MEGABYTE,
         evacuation: fields.optional_millis("evacuation_ms", 1..=MAX_MILLIS),
         shortest_lease: fields.millis("shortest_lease_ms", 1_000, 1..=MAX_MILLIS),
     };
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -15,6 +15,10 @@
 use volo_http::body::Body;
 use volo_http::error::BoxError;
 
+use crate::memory::Buffer;
+use crate::memory::Grant;
+use crate::memory::OutOfMemory;
+
 /// Chunks that a streamed body buffers before its writer waits.
 const STREAM_DEPTH_CHUNKS: usize = 64;
 /// Large chunks that a streamed body buffers before its writer waits.
@@ -34,6 +38,29 @@
 
 impl std::error::Error for BodyError {}
 
+/// Why a body could not be read within a budget.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum GrantedBodyError {
+    /// {0}
+    Body(BodyError),
+    /// there is no memory for the body now
+    OutOfMemory,
+}
+
+impl std::error::Error for GrantedBodyError {}
+
+impl From<BodyError> for GrantedBodyError {
+    fn from(error: BodyError) -> Self {
+        GrantedBodyError::Body(error)
+    }
+}
+
+impl From<OutOfMemory> for GrantedBodyError {
+    fn from(_: OutOfMemory) -> Self {
+        GrantedBodyError::OutOfMemory
+    }
+}
+
 /// Reads a complete body of at most `limit` bytes.
 pub async fn read(mut body: Body, limit: usize) -> Result<Bytes, BodyError> {
     let mut buf = BytesMut::new();
@@ -47,6 +74,35 @@
     Ok(buf.freeze())
 }
 
+/// Reads a complete body of at most `limit` bytes, which are taken with `grant`.
+///
+/// A body that says its length is refused before any of it is read if it is too large, or if there is no memory
+/// for it. One that doesn't takes memory as it arrives.
+///
+/// # Errors
+///
+/// [`BodyError::TooLarge`] beyond `limit`; [`BodyError::Incomplete`] if the body breaks off;
+/// [`GrantedBodyError::OutOfMemory`] if the budget doesn't have the bytes.
+pub async fn read_granted(
+    mut body: Body,
+    limit: usize,
+    grant: Grant,
+) -> Result<Bytes, GrantedBodyError> {
+    let mut buf = Buffer::new(grant);
+    if let Some(length) = http_body::Body::size_hint(&body).exact() {
+        let length = usize::try_from(length).ok().filter(|length| *length <= limit);
+        buf.reserve(length.ok_or(BodyError::TooLarge { limit })?)?;
+    }
+    while let Some(chunk) = next_chunk(&mut body).await {
+        let chunk = chunk?;
+        if buf.len() + chunk.len() > limit {
+            return Err(BodyError::TooLarge { limit }.into());
+        }
+        buf.push(&chunk)?;
+    }
+    Ok(buf.freeze())
+}
+
 /// Reads a complete body of at most `limit` bytes, waiting at most `timeout` for each chunk.
 ///
 /// # Errors
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`pool`]: [`Pool`](pool::Pool), pooled connections for a proxy that must know whether a request was
 //!   sent.
 //! - [`reply`]: [`Request`](reply::Request), [`Response`](reply::Response) and their builders.
+//! - [`memory`]: a budget of the bytes that a process holds in bodies.
 //! - [`body`]: reading bodies with a size limit, and writing streamed ones.
 //! - [`sse`]: writing and reading server-sent events.
 //!
@@ -23,6 +24,7 @@
 pub mod client;
 mod connection;
 mod listen;
+pub mod memory;
 pub mod pool;
 pub mod reply;
 pub mod server;
@@ -32,8 +34,13 @@
 pub mod prelude {
     pub use crate::body::BodyError;
     pub use crate::body::BodySender;
+    pub use crate::body::GrantedBodyError;
     pub use crate::client::Client;
     pub use crate::client::ClientError;
+    pub use crate::memory::Buffer;
+    pub use crate::memory::ByteBudget;
+    pub use crate::memory::Grant;
+    pub use crate::memory::OutOfMemory;
     pub use crate::pool::FirstOnConnection;
     pub use crate::pool::Pool;
     pub use crate::pool::PoolError;
--- /dev/null
+++ b/crates/web/tests/memory.rs
@@ -0,0 +1,111 @@
+//! Tests of the budget of bytes in bodies.
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use volo_http::body::Body;
+use web::body;
+use web::memory::SMALL_GRANT_BYTES;
+use web::prelude::*;
+
+const CAPACITY: usize = 4 << 20;
+const LARGE: usize = 256 << 10;
+
+/// Takes grants of `bytes` for `holder` until the budget has no more.
+fn take_all(budget: &ByteBudget, holder: &str, bytes: usize) -> Vec<Grant> {
+    let take = || {
+        let mut grant = budget.grant(holder);
+        grant.grow(bytes).ok().map(|()| grant)
+    };
+    std::iter::from_fn(take).collect()
+}
+
+// Guards against large bodies that leave no memory for small ones.
+#[test]
+fn large_grants_leave_a_part_for_small_ones() {
+    let budget = ByteBudget::new(CAPACITY);
+    let holders: Vec<String> = (0..100).map(|number| format!("w{number}")).collect();
+    let large: Vec<_> = holders.iter().flat_map(|w| take_all(&budget, w, LARGE)).collect();
+    assert!(!large.is_empty());
+    let small = take_all(&budget, "small", SMALL_GRANT_BYTES);
+    assert!(small.len() * SMALL_GRANT_BYTES >= CAPACITY / 4, "{} small grants", small.len());
+}
+
+// Guards against one holder that keeps all others out.
+#[test]
+fn a_holder_of_large_grants_leaves_some_for_another_one() {
+    let budget = ByteBudget::new(CAPACITY);
+    let first = take_all(&budget, "first", LARGE);
+    let second = take_all(&budget, "second", LARGE);
+    assert!(first.len() >= 6, "{} grants", first.len());
+    assert!(!second.is_empty());
+    drop(first);
+    assert!(take_all(&budget, "second", LARGE).len() >= 4);
+}
+
+// Guards against bytes that count as held for ever, or as free while someone still reads them.
+#[test]
+fn bytes_are_given_back_with_their_last_reference() {
+    let budget = ByteBudget::new(CAPACITY);
+    let mut buf = Buffer::new(budget.grant("w"));
+    buf.push(&[1; 5_000]).expect("there is memory");
+    let bytes = buf.freeze();
+    assert!(budget.granted() >= 5_000);
+    let part = bytes.slice(4_999..);
+    drop(bytes);
+    assert!(budget.granted() >= 5_000);
+    drop(part);
+    assert_eq!(budget.granted(), 0);
+}
+
+// Guards against a buffer that loses what it holds when there is no memory for more.
+#[test]
+fn a_chunk_that_doesnt_fit_leaves_the_buffer_as_it_is() {
+    let budget = ByteBudget::new(10_000);
+    let mut buf = Buffer::new(budget.grant("w"));
+    buf.push(&[1; 6_000]).expect("there is memory");
+    assert_eq!(buf.push(&[2; 6_000]), Err(OutOfMemory));
+    buf.push(&[3; 4_000]).expect("there is memory for this");
+    let bytes = buf.freeze();
+    assert_eq!((bytes.len(), bytes[5_999], bytes[6_000]), (10_000, 1, 3));
+}
+
+// Guards against reading a body for which there is no memory, or that is too large.
+#[tokio::test]
+async fn a_body_that_says_its_length_is_refused_before_it_is_read() {
+    let budget = ByteBudget::new(1_000);
+    let body = Body::from(Bytes::from(vec![0; 2_000]));
+    let read = body::read_granted(body, 4_000, budget.grant("w")).await;
+    assert_eq!(read, Err(GrantedBodyError::OutOfMemory));
+    let body = Body::from(Bytes::from(vec![0; 2_000]));
+    let read = body::read_granted(body, 500, budget.grant("w")).await;
+    assert_eq!(read, Err(BodyError::TooLarge { limit: 500 }.into()));
+    let body = Body::from(Bytes::from(vec![7; 900]));
+    let read = body::read_granted(body, 4_000, budget.grant("w")).await;
+    assert_eq!(read, Ok(Bytes::from(vec![7; 900])));
+}
+
+proptest! {
+    // Guards against grants beyond the budget, and against bytes that are not given back.
+    #[test]
+    fn grants_never_exceed_the_budget(steps in proptest::collection::vec(
+        (0_usize..5, 0_usize..500_000, any::<bool>()), 1..60,
+    )) {
+        let budget = ByteBudget::new(CAPACITY);
+        let mut grants: Vec<(Grant, usize)> = Vec::new();
+        for (holder, bytes, is_dropped) in steps {
+            if is_dropped && !grants.is_empty() {
+                grants.swap_remove(bytes % grants.len());
+            } else {
+                let mut grant = budget.grant(&holder.to_string());
+                if grant.grow(bytes).is_ok() {
+                    grants.push((grant, bytes));
+                }
+            }
+            let held: usize = grants.iter().map(|(_, bytes)| bytes).sum();
+            prop_assert_eq!(budget.granted(), held);
+            prop_assert!(held <= CAPACITY);
+        }
+        drop(grants);
+        prop_assert_eq!(budget.granted(), 0);
+    }
+}
