Web: the queue of a streamed body is bounded in bytes

Callers saw: clients that read streams with long events slowly make a process grow until it is killed, and with it all other streams. Cause: a streamed body held up to 64 chunks that its reader had not taken, of any size (an event has up to 256 KB). Change: a chunk takes room (128 KiB a body) from when it is queued until its last byte has been written; a larger one waits until all before it have been. The writer waits, so its server does; nothing is cut.

--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -1,6 +1,7 @@
 //! Reading bodies with a size limit, and writing streamed ones.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use futures::Stream;
 use http_body::Frame;
 use http_body_util::BodyExt;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use volo_http::body::Body;
 use volo_http::error::BoxError;
@@ -19,6 +22,9 @@
 use crate::memory::Grant;
 use crate::memory::OutOfMemory;
 
+/// Bytes of a streamed body that its reader has not sent yet before its writer waits. A larger chunk waits
+/// until all before it have been sent.
+const STREAM_ROOM_BYTES: usize = 128 << 10;
 /// Chunks that a streamed body buffers before its writer waits.
 const STREAM_DEPTH_CHUNKS: usize = 64;
 /// Large chunks that a streamed body buffers before its writer waits.
@@ -145,12 +151,26 @@
 #[derive(Clone, Debug)]
 pub struct BodySender {
     tx: mpsc::Sender<Result<Frame<Bytes>, BoxError>>,
+    room: Arc<Semaphore>,
 }
 
 impl BodySender {
-    /// Sends a chunk. Returns `false` if the reader has been dropped.
+    /// Sends a chunk, once there is room for it. Returns `false` if the reader has been dropped.
     pub async fn send(&self, chunk: impl Into<Bytes>) -> bool {
-        self.tx.send(Ok(Frame::data(chunk.into()))).await.is_ok()
+        let chunk = chunk.into();
+        let Some(room) = self.room_for(chunk.len()).await else { return false };
+        let chunk = Bytes::from_owner(QueuedChunk { chunk, _room: room });
+        self.tx.send(Ok(Frame::data(chunk))).await.is_ok()
+    }
+
+    /// Waits for room for a chunk of so many bytes; `None` if the reader has been dropped.
+    async fn room_for(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        let bytes = u32::try_from(bytes.min(STREAM_ROOM_BYTES)).ok()?;
+        tokio::select! {
+            biased;
+            room = self.room.clone().acquire_many_owned(bytes) => room.ok(),
+            () = self.tx.closed() => None,
+        }
     }
 
     /// Aborts the body, so that the reader sees an error instead of a regular end.
@@ -165,17 +185,33 @@
     }
 }
 
+/// A chunk, and the room that it takes until its last byte has been sent.
+struct QueuedChunk {
+    chunk: Bytes,
+    _room: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for QueuedChunk {
+    fn as_ref(&self) -> &[u8] {
+        &self.chunk
+    }
+}
+
 /// Returns a streamed body and its writer. `guard` is dropped together with the body, that is, when
 /// the body has been sent completely or given up.
 pub fn stream<G: Send + Sync + Unpin + 'static>(guard: G) -> (BodySender, Body) {
     let (tx, rx) = mpsc::channel(STREAM_DEPTH_CHUNKS);
-    (BodySender { tx }, Body::from_stream(GuardedStream { rx, _guard: guard }))
+    (BodySender { tx, room: stream_room() }, Body::from_stream(GuardedStream { rx, _guard: guard }))
 }
 
 /// Returns a streamed body and its writer, for chunks that may be as large as a read buffer.
 pub fn stream_of_large_chunks() -> (BodySender, Body) {
     let (tx, rx) = mpsc::channel(LARGE_CHUNK_STREAM_DEPTH);
-    (BodySender { tx }, Body::from_stream(GuardedStream { rx, _guard: () }))
+    (BodySender { tx, room: stream_room() }, Body::from_stream(GuardedStream { rx, _guard: () }))
+}
+
+fn stream_room() -> Arc<Semaphore> {
+    Arc::new(Semaphore::new(STREAM_ROOM_BYTES))
 }
 
 /// Returns `body`, holding `guard` until it has been sent or dropped.
--- a/crates/web/tests/memory.rs
+++ b/crates/web/tests/memory.rs
@@ -1,5 +1,7 @@
 //! Tests of the budget of bytes in bodies.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use proptest::prelude::*;
 use volo_http::body::Body;
@@ -84,6 +86,22 @@
     assert_eq!(read, Ok(Bytes::from(vec![7; 900])));
 }
 
+// Guards against a reader that takes nothing and makes its writer hold a queue of large chunks.
+#[tokio::test]
+async fn a_writer_of_large_chunks_waits_for_its_reader() {
+    let (tx, mut body) = body::stream(());
+    let chunk = Bytes::from(vec![0; LARGE]);
+    assert!(tx.send(chunk.clone()).await);
+    let waits = tokio::time::timeout(Duration::from_millis(50), tx.send(chunk.clone())).await;
+    assert!(waits.is_err(), "a second large chunk is queued");
+    let first = body::next_chunk(&mut body).await.expect("a chunk").expect("no problem");
+    assert_eq!(first.len(), LARGE);
+    drop(first);
+    assert!(tx.send(chunk.clone()).await);
+    drop(body);
+    assert!(!tx.send(chunk).await, "the reader has been dropped");
+}
+
 proptest! {
     // Guards against grants beyond the budget, and against bytes that are not given back.
     #[test]
