Web: the read buffer of a connection is as large as a head may be

Callers saw: some hundred connections that send long heads without an end make a process grow until it is killed. Cause: the library buffers up to 400 KB of a head before it refuses it; the limit of headers is checked after that. Change: the buffer of a connection holds the limit of the headers and 8 KB.

--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -38,6 +38,8 @@
 /// Time for which a peer may read nothing of a complete response, in idle timeouts. The kernel takes
 /// bytes in large steps from a slow reader.
 const WRITE_TIMEOUT_FACTOR: u32 = 4;
+/// Bytes of a head beyond the names and values of its headers.
+const REQUEST_LINE_BYTES: usize = 8 << 10;
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
@@ -237,12 +239,14 @@
 
 /// Serves one connection until it ends or must close.
 async fn run_connection(stream: TrackedStream, open: OpenConnection, service: Arc<Service>) {
+    let max_buf_bytes = service.max_header_bytes + REQUEST_LINE_BYTES;
     let service = service_fn(move |req| {
         let service = service.clone();
         async move { Ok::<_, Infallible>(service.respond(req).await) }.boxed()
     });
     let mut connection = http1::Builder::new()
         .max_headers(MAX_HEADERS)
+        .max_buf_size(max_buf_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let mut closing = Closing::No;
     loop {
