Web: a connection that is closing keeps no read buffer

Callers saw: connections that were refused for long heads still took memory for a second each, while the process waited for their peers to close them. Cause: the parts of the connection lived until the wait had ended.

--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -267,5 +267,7 @@
             Closing::Now => return,
         }
     }
-    connection.into_parts().io.into_inner().linger().await;
+    // The read buffer is dropped first.
+    let stream = connection.into_parts().io.into_inner();
+    stream.linger().await;
 }
