Hub: rows are copied only if they are sent

Callers saw nothing of this by itself: a hub that is asked for a large configuration by many processes copied its text for each before the limiter said that the link can't take it. Change: the limiter decides on the cached rows, whose values are shared; the text of those that are sent is copied.

--- a/crates/front/src/peers/hub.rs
+++ b/crates/front/src/peers/hub.rs
@@ -164,21 +164,21 @@
 
 /// Returns which of `rows` are sent now, and whether these are all. If the link can't take all of
 /// them, the first small ones are sent, so that a large row doesn't hold them back.
-fn limit_rows(state: &State, rows: Vec<RowChange>) -> (Vec<Row>, bool) {
-    let mut rows: Vec<Row> = rows.into_iter().map(Row::from).collect();
+fn limit_rows(state: &State, mut rows: Vec<RowChange>) -> (Vec<Row>, bool) {
     let mut limiter = state.bulk_limiter.lock();
     let now = state.cx.now();
-    if limiter.try_send(rows.iter().map(Row::size).sum(), now) {
-        return (rows, true);
+    let is_complete = limiter.try_send(rows.iter().map(RowChange::size).sum(), now);
+    if !is_complete {
+        let mut bytes = 0;
+        rows.retain(|row| {
+            let fits = bytes + row.size() <= SMALL_BYTES;
+            bytes += if fits { row.size() } else { 0 };
+            fits
+        });
+        limiter.try_send(bytes, now);
     }
-    let mut bytes = 0;
-    rows.retain(|row| {
-        let fits = bytes + row.size() <= SMALL_BYTES;
-        bytes += if fits { row.size() } else { 0 };
-        fits
-    });
-    limiter.try_send(bytes, now);
-    (rows, false)
+    // Only what is sent is copied.
+    (rows.into_iter().map(Row::from).collect(), is_complete)
 }
 
 /// Returns the time between two exchanges of each of a hub's `clients`.
--- a/crates/front/src/peers/messages.rs
+++ b/crates/front/src/peers/messages.rs
@@ -79,13 +79,6 @@
     pub(super) revision: u64,
 }
 
-impl Row {
-    /// Returns roughly how many bytes the row takes in a message.
-    pub(super) fn size(&self) -> usize {
-        self.key.len() + self.value.as_ref().map_or(0, |(_, text)| text.len())
-    }
-}
-
 impl From<RowChange> for Row {
     fn from(change: RowChange) -> Self {
         let text = |value: &Versioned| std::str::from_utf8(&value.value).unwrap_or_default().into();
--- a/crates/front/src/row_cache.rs
+++ b/crates/front/src/row_cache.rs
@@ -33,6 +33,13 @@
     pub revision: u64,
 }
 
+impl RowChange {
+    /// Returns roughly how many bytes the change takes in a message.
+    pub fn size(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, |value| value.value.len())
+    }
+}
+
 /// The cached rows of one process.
 #[derive(Debug)]
 pub struct RowCache {
