A slow reader of a long response borrows memory that nobody needs

Callers saw, with the byte bound of a body's queue: servers are held longer by callers that read slowly, so others are refused as Busy. Change: a long response may hold 1 MB more while less than half of what large bodies may take is in use.

--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -118,6 +118,8 @@
     carrier: Carrier,
 ) -> Body {
     let (tx, body) = body::stream_of_large_chunks();
+    let workspace = active.routed.workspace.as_deref().unwrap_or_default();
+    let tx = tx.with_lender(active.state.memory.bodies.clone(), workspace);
     tokio::spawn(async move {
         let carrier = carrier;
         for part in first {
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -19,7 +19,9 @@
 use volo_http::error::BoxError;
 
 use crate::memory::Buffer;
+use crate::memory::ByteBudget;
 use crate::memory::Grant;
+use crate::memory::Holder;
 use crate::memory::OutOfMemory;
 
 /// Bytes of a streamed body that its reader has not sent yet before its writer waits. A larger chunk waits
@@ -28,7 +30,9 @@
 /// Chunks that a streamed body buffers before its writer waits.
 const STREAM_DEPTH_CHUNKS: usize = 64;
 /// Large chunks that a streamed body buffers before its writer waits.
-const LARGE_CHUNK_STREAM_DEPTH: usize = 2;
+const LARGE_CHUNK_STREAM_DEPTH: usize = 32;
+/// Most bytes that a streamed body borrows beyond its room.
+const MAX_LENT_BYTES: usize = 1 << 20;
 
 /// Why a body could not be read.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
@@ -152,6 +156,31 @@
 pub struct BodySender {
     tx: mpsc::Sender<Result<Frame<Bytes>, BoxError>>,
     room: Arc<Semaphore>,
+    lender: Option<Lender>,
+}
+
+/// Where a body borrows room.
+#[derive(Clone, Debug)]
+struct Lender {
+    budget: ByteBudget,
+    holder: Holder,
+    /// What it may still borrow, in bytes.
+    left: Arc<Semaphore>,
+}
+
+/// Room for a chunk. Dropping it makes room for another one.
+enum Room {
+    Own { _permit: OwnedSemaphorePermit },
+    Lent { _permit: OwnedSemaphorePermit, _grant: Grant },
+}
+
+impl Lender {
+    fn lend(&self, bytes: usize) -> Option<Room> {
+        let permits = u32::try_from(bytes).ok()?;
+        let permit = self.left.clone().try_acquire_many_owned(permits).ok()?;
+        let grant = self.budget.lend(&self.holder, bytes)?;
+        Some(Room::Lent { _permit: permit, _grant: grant })
+    }
 }
 
 impl BodySender {
@@ -163,12 +192,28 @@
         self.tx.send(Ok(Frame::data(chunk))).await.is_ok()
     }
 
+    /// Lets the body hold more than its room, for `holder`, while `budget` can lend it. Its writer is done
+    /// sooner if its reader is slow.
+    pub fn with_lender(self, budget: ByteBudget, holder: &str) -> Self {
+        let left = Arc::new(Semaphore::new(MAX_LENT_BYTES));
+        let lender = Lender { budget, holder: holder.into(), left };
+        BodySender { lender: Some(lender), ..self }
+    }
+
     /// Waits for room for a chunk of so many bytes; `None` if the reader has been dropped.
-    async fn room_for(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
-        let bytes = u32::try_from(bytes.min(STREAM_ROOM_BYTES)).ok()?;
+    async fn room_for(&self, bytes: usize) -> Option<Room> {
+        let permits = u32::try_from(bytes.min(STREAM_ROOM_BYTES)).ok()?;
+        if let Ok(permit) = self.room.clone().try_acquire_many_owned(permits) {
+            return Some(Room::Own { _permit: permit });
+        }
+        if let Some(lent) = self.lender.as_ref().and_then(|lender| lender.lend(bytes)) {
+            return Some(lent);
+        }
         tokio::select! {
             biased;
-            room = self.room.clone().acquire_many_owned(bytes) => room.ok(),
+            permit = self.room.clone().acquire_many_owned(permits) => {
+                permit.ok().map(|permit| Room::Own { _permit: permit })
+            }
             () = self.tx.closed() => None,
         }
     }
@@ -188,7 +233,7 @@
 /// A chunk, and the room that it takes until its last byte has been sent.
 struct QueuedChunk {
     chunk: Bytes,
-    _room: OwnedSemaphorePermit,
+    _room: Room,
 }
 
 impl AsRef<[u8]> for QueuedChunk {
@@ -201,13 +246,19 @@
 /// the body has been sent completely or given up.
 pub fn stream<G: Send + Sync + Unpin + 'static>(guard: G) -> (BodySender, Body) {
     let (tx, rx) = mpsc::channel(STREAM_DEPTH_CHUNKS);
-    (BodySender { tx, room: stream_room() }, Body::from_stream(GuardedStream { rx, _guard: guard }))
+    (
+        BodySender { tx, room: stream_room(), lender: None },
+        Body::from_stream(GuardedStream { rx, _guard: guard }),
+    )
 }
 
 /// Returns a streamed body and its writer, for chunks that may be as large as a read buffer.
 pub fn stream_of_large_chunks() -> (BodySender, Body) {
     let (tx, rx) = mpsc::channel(LARGE_CHUNK_STREAM_DEPTH);
-    (BodySender { tx, room: stream_room() }, Body::from_stream(GuardedStream { rx, _guard: () }))
+    (
+        BodySender { tx, room: stream_room(), lender: None },
+        Body::from_stream(GuardedStream { rx, _guard: () }),
+    )
 }
 
 fn stream_room() -> Arc<Semaphore> {
--- a/crates/web/src/memory.rs
+++ b/crates/web/src/memory.rs
@@ -3,7 +3,8 @@
 //! Algorithm: whoever stores bytes takes them from the budget first, under the name of a holder, and gives them
 //! back once the last reference to them has been dropped. Nobody waits for bytes: what doesn't fit is
 //! refused, and its peer may come back. Grants up to [`SMALL_GRANT_BYTES`] may use the whole budget, larger ones
-//! all but a part of it, and of that part each holder at most twice what it leaves free.
+//! all but a part of it, and of that part each holder at most twice what it leaves free. Half of that part may
+//! be lent to those who could do without.
 //!
 //! Invariants:
 //! - The bytes that are granted never exceed the budget.
@@ -21,6 +22,8 @@
 pub const SMALL_GRANT_BYTES: usize = 64 << 10;
 /// Share of the budget that large grants can't use.
 const RESERVED_SHARE: f64 = 0.25;
+/// Share of the bytes for large grants up to which some are lent.
+const LENT_SHARE: f64 = 0.5;
 /// Most bytes of a holder with a large grant, relative to those that remain for large grants.
 const MAX_HELD_PER_FREE: usize = 2;
 /// Smallest capacity of a buffer that is not empty.
@@ -66,9 +69,37 @@
     pub fn grant(&self, holder: &str) -> Grant {
         Grant { budget: self.clone(), holder: holder.into(), bytes: 0 }
     }
+
+    /// Returns a grant of `bytes` to a holder that could do without; `None` if others may need them.
+    pub fn lend(&self, holder: &str, bytes: usize) -> Option<Grant> {
+        let mut granted = self.0.granted.lock();
+        let total = granted.total.saturating_add(bytes);
+        if total > (self.0.for_large() as f64 * LENT_SHARE) as usize {
+            return None;
+        }
+        granted.add(holder, bytes);
+        Some(Grant { budget: self.clone(), holder: holder.into(), bytes })
+    }
+}
+
+impl Granted {
+    fn add(&mut self, holder: &str, bytes: usize) {
+        self.total += bytes;
+        match self.by_holder.get_mut(holder) {
+            Some(held) => *held += bytes,
+            None => {
+                self.by_holder.insert(holder.into(), bytes);
+            }
+        }
+    }
 }
 
 impl Shared {
+    /// Returns how many bytes large grants may use.
+    fn for_large(&self) -> usize {
+        self.capacity - (self.capacity as f64 * RESERVED_SHARE) as usize
+    }
+
     /// Grants `more` bytes to a grant of `holder` that has `bytes`.
     fn take(&self, holder: &str, bytes: usize, more: usize) -> Result<(), OutOfMemory> {
         let mut granted = self.granted.lock();
@@ -77,21 +108,14 @@
         let fits = match bytes.saturating_add(more) <= SMALL_GRANT_BYTES {
             true => total <= self.capacity,
             false => {
-                let for_large = self.capacity - (self.capacity as f64 * RESERVED_SHARE) as usize;
-                let free = for_large.checked_sub(total);
+                let free = self.for_large().checked_sub(total);
                 free.is_some_and(|free| held <= free.saturating_mul(MAX_HELD_PER_FREE))
             }
         };
         if !fits {
             return Err(OutOfMemory);
         }
-        granted.total = total;
-        match granted.by_holder.get_mut(holder) {
-            Some(bytes) => *bytes = held,
-            None => {
-                granted.by_holder.insert(holder.into(), held);
-            }
-        }
+        granted.add(holder, more);
         Ok(())
     }
 
--- a/crates/web/tests/memory.rs
+++ b/crates/web/tests/memory.rs
@@ -102,6 +102,33 @@
     assert!(!tx.send(chunk).await, "the reader has been dropped");
 }
 
+// Guards against a slow reader that keeps its writer waiting while there is memory, and against one that
+// takes memory that others need.
+#[tokio::test]
+async fn a_slow_reader_borrows_only_memory_that_nobody_needs() {
+    const CHUNK: usize = 60 << 10;
+    let sent = async |budget: &ByteBudget| {
+        let (tx, body) = body::stream_of_large_chunks();
+        let tx = tx.with_lender(budget.clone(), "w");
+        let mut chunks = 0;
+        let sending = async {
+            while tx.send(vec![0; CHUNK]).await {
+                chunks += 1;
+            }
+        };
+        let _ = tokio::time::timeout(Duration::from_millis(50), sending).await;
+        drop(body);
+        chunks
+    };
+    let budget = ByteBudget::new(CAPACITY);
+    let ample = sent(&budget).await;
+    assert!((17..=20).contains(&ample), "{ample} chunks beside an empty budget");
+    assert_eq!(budget.granted(), 0);
+    let others = take_all(&budget, "others", LARGE);
+    assert_eq!(sent(&budget).await, 2);
+    drop(others);
+}
+
 proptest! {
     // Guards against grants beyond the budget, and against bytes that are not given back.
     #[test]
