--- a/review/stand/memory.rs
+++ b/review/stand/memory.rs
@@ -39,16 +39,19 @@
 type Held = Vec<Box<dyn std::any::Any + Send>>;
 type Load = fn(&World, usize) -> Held;
 
-const LOADS: [(&str, Load); 9] = [
+const LOADS: [(&str, Load); 12] = [
     ("rest", |_, _| Vec::new()),
     ("200 connections", |world, entry| connections(world, entry, 200, 0)),
     ("2000 connections", |world, entry| connections(world, entry, 2_000, 0)),
     ("2000 unfinished heads", |world, entry| connections(world, entry, 2_000, 14 << 10)),
+    ("2000 long heads", |world, entry| connections(world, entry, 2_000, 380 << 10)),
     ("unfinished bodies", unfinished_bodies),
+    ("unfinished chunks", unfinished_chunks),
     ("answers not read", |world, entry| answers(world, entry, "answer")),
     ("streams not read", |world, entry| answers(world, entry, "stream")),
     ("unfinished messages", unfinished_messages),
     ("configurations", configurations),
+    ("configurations at once", configurations_at_once),
 ];
 
 pub fn play(world: &mut World) -> Verdict {
@@ -193,6 +196,28 @@
     unfinished(world.entry(entry).callers, "POST /orders/1", BODY_BYTES, &world.record)
 }
 
+/// Writes requests whose bodies say no length, and whose last chunk is missing.
+fn unfinished_chunks(world: &World, entry: usize) -> Held {
+    let address = world.entry(entry).callers;
+    let client = move |client| {
+        let mut stream = TcpStream::connect(address).expect("a connection");
+        stream.set_write_timeout(Some(Duration::from_secs(5))).expect("a socket");
+        let id = format!("chunk{client:011x}");
+        let mut bytes = b"POST /orders/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n".to_vec();
+        for (name, value) in deployment::headers(&id, "20000") {
+            bytes.extend(format!("{name}: {value}\r\n").bytes());
+        }
+        bytes.extend(format!("\r\n{:x}\r\n", BODY_BYTES - 1).bytes());
+        bytes.resize(bytes.len() + BODY_BYTES - 1, b'a');
+        // The process may refuse it and close the connection.
+        let _ = stream.write_all(&bytes);
+        stream
+    };
+    let clients: Vec<_> = (0..CLIENTS).map(|i| std::thread::spawn(move || client(i))).collect();
+    let held = clients.into_iter().filter_map(|client| client.join().ok());
+    held.map(|stream| -> Box<dyn std::any::Any + Send> { Box::new(stream) }).collect()
+}
+
 fn unfinished_messages(world: &World, entry: usize) -> Held {
     unfinished(world.entry(entry).peers, "POST /exchange", MESSAGE_BYTES, &world.record)
 }
@@ -233,6 +258,13 @@
     Vec::new()
 }
 
+/// Writes configurations faster than the entry process reads them.
+fn configurations_at_once(world: &World, _: usize) -> Held {
+    let texts: Vec<String> = (0..CONFIGS).map(|i| config(100 + i, CONFIG_ROUTES)).collect();
+    texts.iter().for_each(|text| world.store.put("op/config", text));
+    Vec::new()
+}
+
 /// Asks a hub for its changes as another process does, and returns the bytes that came.
 fn follow(address: SocketAddr, number: usize, is_over: &AtomicBool) -> usize {
     let mut known: Option<(u64, u64)> = None;
