--- a/review/stand/memory.rs
+++ b/review/stand/memory.rs
@@ -60,7 +60,7 @@
     let is_chosen =
         |name: &str| chosen.as_ref().is_none_or(|chosen| chosen.split(',').any(|c| c == name));
     if variable("MEMORY_SETTING").as_deref() != Some("0") {
-        world.more_settings = format!("\"memory_mb\":{limit},");
+        world.memory_mb = Some(limit);
     }
     world.store.put("op/config", &config(1, 0));
     let run: world::Run = Arc::new(run);
