--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -11,6 +11,8 @@
 /// Upper bound of all durations in the settings.
 const MAX_MILLIS: u64 = 10 * 60 * 1_000;
 
+/// Bytes in a megabyte.
+const BYTES_PER_MEGABYTE: f64 = (1 << 20) as f64;
 /// Bytes in a megabit.
 const BYTES_PER_MEGABIT: f64 = 1e6 / 8.0;
 
@@ -47,6 +49,8 @@
     pub link_bytes_per_second: f64,
     /// Most file descriptors that the process may open, whatever the operating system allows.
     pub max_descriptors: usize,
+    /// Memory that the process may hold, in bytes.
+    pub memory_bytes: f64,
     /// The shortest lease that the store grants.
     pub shortest_lease: Duration,
     /// Time from the store's acknowledgement of an evacuation until no new request may reach the
@@ -99,6 +103,7 @@
         cores: fields.number("cores", 1.0, 0.0..=4096.0),
         link_bytes_per_second: fields.number("link_mbps", 1_000.0, 0.1..=1e6) * BYTES_PER_MEGABIT,
         max_descriptors: fields.size("max_descriptors", u64::MAX, 0..=u64::MAX),
+        memory_bytes: fields.number("memory_mb", 160.0, 1.0..=1e6) * BYTES_PER_MEGABYTE,
         evacuation: fields.optional_millis("evacuation_ms", 1..=MAX_MILLIS),
         shortest_lease: fields.millis("shortest_lease_ms", 1_000, 1..=MAX_MILLIS),
     };
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -15,16 +15,28 @@
 use futures::Stream;
 use http_body::Frame;
 use http_body_util::BodyExt;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use volo_http::body::Body;
 use volo_http::error::BoxError;
 
 use crate::causes::with_causes;
+use crate::memory::Buffer;
+use crate::memory::ByteBudget;
+use crate::memory::Grant;
+use crate::memory::Holder;
+use crate::memory::OutOfMemory;
 
+/// Bytes of a streamed body that its reader has not sent yet before its writer waits. A larger chunk waits
+/// until all before it have been sent.
+const STREAM_ROOM_BYTES: usize = 128 << 10;
 /// Chunks that a streamed body buffers before its writer waits.
 const STREAM_DEPTH_CHUNKS: usize = 64;
 /// Large chunks that a streamed body buffers before its writer waits.
-const LARGE_CHUNK_STREAM_DEPTH: usize = 2;
+const LARGE_CHUNK_STREAM_DEPTH: usize = 32;
+/// Most bytes that a streamed body borrows beyond its room.
+const MAX_LENT_BYTES: usize = 1 << 20;
 
 /// The problem of a body whose writer ended without saying that it is complete.
 const WRITER_ENDED: &str = "the writer of the body ended early";
@@ -43,6 +55,29 @@
 
 impl std::error::Error for BodyError {}
 
+/// Why a body could not be read within a budget.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum GrantedBodyError {
+    /// {0}
+    Body(BodyError),
+    /// there is no memory for the body now
+    OutOfMemory,
+}
+
+impl std::error::Error for GrantedBodyError {}
+
+impl From<BodyError> for GrantedBodyError {
+    fn from(error: BodyError) -> Self {
+        GrantedBodyError::Body(error)
+    }
+}
+
+impl From<OutOfMemory> for GrantedBodyError {
+    fn from(_: OutOfMemory) -> Self {
+        GrantedBodyError::OutOfMemory
+    }
+}
+
 /// Reads a complete body of at most `limit` bytes.
 pub async fn read(mut body: Body, limit: usize) -> Result<Bytes, BodyError> {
     let mut buf = BytesMut::new();
@@ -56,6 +91,35 @@
     Ok(buf.freeze())
 }
 
+/// Reads a complete body of at most `limit` bytes, which are taken with `grant`.
+///
+/// A body that says its length is refused before any of it is read if it is too large, or if there is no memory
+/// for it. One that doesn't takes memory as it arrives.
+///
+/// # Errors
+///
+/// [`BodyError::TooLarge`] beyond `limit`; [`BodyError::Incomplete`] if the body breaks off;
+/// [`GrantedBodyError::OutOfMemory`] if the budget doesn't have the bytes.
+pub async fn read_granted(
+    mut body: Body,
+    limit: usize,
+    grant: Grant,
+) -> Result<Bytes, GrantedBodyError> {
+    let mut buf = Buffer::new(grant);
+    if let Some(length) = http_body::Body::size_hint(&body).exact() {
+        let length = usize::try_from(length).ok().filter(|length| *length <= limit);
+        buf.reserve(length.ok_or(BodyError::TooLarge { limit })?)?;
+    }
+    while let Some(chunk) = next_chunk(&mut body).await {
+        let chunk = chunk?;
+        if buf.len() + chunk.len() > limit {
+            return Err(BodyError::TooLarge { limit }.into());
+        }
+        buf.push(&chunk)?;
+    }
+    Ok(buf.freeze())
+}
+
 /// Reads a complete body of at most `limit` bytes, waiting at most `timeout` for each chunk.
 ///
 /// # Errors
@@ -100,12 +164,67 @@
 pub struct BodySender {
     tx: mpsc::Sender<Result<Frame<Bytes>, BoxError>>,
     is_finished: Arc<AtomicBool>,
+    room: Arc<Semaphore>,
+    lender: Option<Lender>,
+}
+
+/// Where a body borrows room.
+#[derive(Clone, Debug)]
+struct Lender {
+    budget: ByteBudget,
+    holder: Holder,
+    /// What it may still borrow, in bytes.
+    left: Arc<Semaphore>,
+}
+
+/// Room for a chunk. Dropping it makes room for another one.
+enum Room {
+    Own { _permit: OwnedSemaphorePermit },
+    Lent { _permit: OwnedSemaphorePermit, _grant: Grant },
+}
+
+impl Lender {
+    fn lend(&self, bytes: usize) -> Option<Room> {
+        let permits = u32::try_from(bytes).ok()?;
+        let permit = self.left.clone().try_acquire_many_owned(permits).ok()?;
+        let grant = self.budget.lend(&self.holder, bytes)?;
+        Some(Room::Lent { _permit: permit, _grant: grant })
+    }
 }
 
 impl BodySender {
-    /// Sends a chunk. Returns `false` if the reader has been dropped.
+    /// Sends a chunk, once there is room for it. Returns `false` if the reader has been dropped.
     pub async fn send(&self, chunk: impl Into<Bytes>) -> bool {
-        self.tx.send(Ok(Frame::data(chunk.into()))).await.is_ok()
+        let chunk = chunk.into();
+        let Some(room) = self.room_for(chunk.len()).await else { return false };
+        let chunk = Bytes::from_owner(QueuedChunk { chunk, _room: room });
+        self.tx.send(Ok(Frame::data(chunk))).await.is_ok()
+    }
+
+    /// Lets the body hold more than its room, for `holder`, while `budget` can lend it. Its writer is done
+    /// sooner if its reader is slow.
+    pub fn with_lender(self, budget: ByteBudget, holder: &str) -> Self {
+        let left = Arc::new(Semaphore::new(MAX_LENT_BYTES));
+        let lender = Lender { budget, holder: holder.into(), left };
+        BodySender { lender: Some(lender), ..self }
+    }
+
+    /// Waits for room for a chunk of so many bytes; `None` if the reader has been dropped.
+    async fn room_for(&self, bytes: usize) -> Option<Room> {
+        let permits = u32::try_from(bytes.min(STREAM_ROOM_BYTES)).ok()?;
+        if let Ok(permit) = self.room.clone().try_acquire_many_owned(permits) {
+            return Some(Room::Own { _permit: permit });
+        }
+        if let Some(lent) = self.lender.as_ref().and_then(|lender| lender.lend(bytes)) {
+            return Some(lent);
+        }
+        tokio::select! {
+            biased;
+            permit = self.room.clone().acquire_many_owned(permits) => {
+                permit.ok().map(|permit| Room::Own { _permit: permit })
+            }
+            () = self.tx.closed() => None,
+        }
     }
 
     /// Ends the body as complete. The reader sees its end once all senders have been dropped.
@@ -125,6 +244,18 @@
     }
 }
 
+/// A chunk, and the room that it takes until its last byte has been sent.
+struct QueuedChunk {
+    chunk: Bytes,
+    _room: Room,
+}
+
+impl AsRef<[u8]> for QueuedChunk {
+    fn as_ref(&self) -> &[u8] {
+        &self.chunk
+    }
+}
+
 /// Returns a streamed body and its writer. `guard` is dropped together with the body, that is, when
 /// the body has been sent completely or given up.
 pub fn stream<G: Send + Sync + Unpin + 'static>(guard: G) -> (BodySender, Body) {
@@ -140,7 +271,8 @@
     let (tx, rx) = mpsc::channel(depth);
     let is_finished = Arc::new(AtomicBool::new(false));
     let stream = GuardedStream { rx, is_finished: is_finished.clone(), _guard: guard };
-    (BodySender { tx, is_finished }, Body::from_stream(stream))
+    let room = Arc::new(Semaphore::new(STREAM_ROOM_BYTES));
+    (BodySender { tx, is_finished, room, lender: None }, Body::from_stream(stream))
 }
 
 /// Returns `body`, holding `guard` until it has been sent or dropped.
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`reply`]: [`Request`](reply::Request), [`Response`](reply::Response) and their builders.
 //! - [`observer`]: what the owner of a listener learns of its connections.
 //! - [`causes`]: the causes of errors, as text and as a closed set.
+//! - [`memory`]: a budget of the bytes that a process holds in bodies.
 //! - [`body`]: reading bodies with a size limit, and writing streamed ones.
 //! - [`sse`]: writing and reading server-sent events.
 //!
@@ -30,6 +31,7 @@
 mod connection;
 mod framing;
 mod listen;
+pub mod memory;
 pub mod not_sent;
 pub mod observer;
 pub mod pool;
@@ -42,8 +44,13 @@
 pub mod prelude {
     pub use crate::body::BodyError;
     pub use crate::body::BodySender;
+    pub use crate::body::GrantedBodyError;
     pub use crate::client::Client;
     pub use crate::client::ClientError;
+    pub use crate::memory::Buffer;
+    pub use crate::memory::ByteBudget;
+    pub use crate::memory::Grant;
+    pub use crate::memory::OutOfMemory;
     pub use crate::not_sent::NotSentCause;
     pub use crate::observer::ConnectionEvent;
     pub use crate::observer::LostConnection;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -52,6 +52,8 @@
 const MAX_UNACCEPTED: u32 = 4_096;
 /// Time in which a request that has arrived is read.
 const UNREAD_TIME: Duration = Duration::from_millis(10);
+/// Bytes of a head beyond the names and values of its headers.
+const REQUEST_LINE_BYTES: usize = 8 << 10;
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
@@ -399,12 +401,14 @@
 /// Serves one connection until it ends or must close.
 async fn run_connection(stream: TrackedStream, mut open: OpenConnection, service: Arc<Service>) {
     let (activity, observer) = (open.activity.clone(), service.observer.clone());
+    let max_buf_bytes = service.max_header_bytes + REQUEST_LINE_BYTES;
     let service = service_fn(move |req| {
         let service = service.clone();
         async move { Ok::<_, Infallible>(service.respond(req).await) }.boxed()
     });
     let mut connection = http1::Builder::new()
         .max_headers(MAX_HEADERS)
+        .max_buf_size(max_buf_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let mut loss = LossGuard::new(open.peer, activity, observer);
     let mut closing = Closing::No;
@@ -435,5 +439,7 @@
     }
     drop(loss);
     open.begin_linger();
-    connection.into_parts().io.into_inner().linger().await;
+    // The read buffer is dropped first.
+    let stream = connection.into_parts().io.into_inner();
+    stream.linger().await;
 }
--- a/review/stand/planned_work/fleet/process.rs
+++ b/review/stand/planned_work/fleet/process.rs
@@ -148,6 +148,7 @@
             first_start,
             cores: self.limits.cores,
             link_mbps: self.limits.link_mbps,
+            memory_mb: None,
         };
         std::fs::write(&self.settings, settings.to_text()).expect("settings can be written");
         if self.limits.log_kb > 0 {
--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -57,6 +57,8 @@
     pub record: Recorder,
     pub store: Store,
     pub trouble: bool,
+    /// What entry processes may hold in memory, if their settings say it.
+    pub memory_mb: Option<f64>,
     pub program: PathBuf,
     /// Where the settings and logs of the processes are.
     pub folder: PathBuf,
@@ -67,6 +69,7 @@
 pub struct Entry {
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub peers: SocketAddr,
     pub log: PathBuf,
     child: Child,
 }
@@ -83,18 +86,21 @@
     pub first_start: bool,
     pub cores: f64,
     pub link_mbps: f64,
+    /// For programs that know it.
+    pub memory_mb: Option<f64>,
 }
 
 impl Settings<'_> {
     pub fn to_text(&self) -> String {
         let Settings { name, domain, callers, readiness, peers, metrics, store, .. } = self;
         let Settings { first_start, cores, link_mbps, .. } = self;
+        let memory = self.memory_mb.map(|mb| format!("\"memory_mb\":{mb:?},")).unwrap_or_default();
         format!(
             "{{\"node\":\"{name}\",\"failure_domain\":\"{domain}\",\"callers\":\"{callers}\",\
              \"readiness\":\"{readiness}\",\"peers\":\"{peers}\",\"metrics\":\"{metrics}\",\
              \"store\":\"{store}\",\"first_start\":{first_start},\"fencing\":true,\
              \"retries\":{{\"ratio\":0.2,\"slack\":130,\"window_ms\":10000}},\
-             \"cores\":{cores:?},\"link_mbps\":{link_mbps:?},\"stop_ms\":8000,\
+             \"cores\":{cores:?},\"link_mbps\":{link_mbps:?},{memory}\"stop_ms\":8000,\
              \"shortest_lease_ms\":1000}}\n"
         )
     }
@@ -107,7 +113,8 @@
 
 impl World {
     pub fn new(program: PathBuf, folder: PathBuf, record: Recorder, trouble: bool) -> Self {
-        World { record, store: Store::start(), trouble, program, folder, entries: Vec::new() }
+        let (store, entries) = (Store::start(), Vec::new());
+        World { record, store, trouble, memory_mb: None, program, folder, entries }
     }
 
     /// Starts an entry process in a zone; `deploy/settings.json.tmpl` gives the settings.
@@ -128,12 +135,13 @@
             first_start: true,
             cores: 0.25,
             link_mbps: 1_000.0,
+            memory_mb: self.memory_mb,
         };
         let path = self.folder.join(format!("settings-{at}.json"));
         std::fs::write(&path, settings.to_text()).expect("settings can be written");
         let child = self.spawn(&path, &name);
         let log = self.folder.join(format!("{name}.log"));
-        self.entries.push(Entry { callers, readiness, log, child });
+        self.entries.push(Entry { callers, readiness, peers, log, child });
         at
     }
 
