--- a/crates/front/tests/descriptors.rs
+++ b/crates/front/tests/descriptors.rs
@@ -3,6 +3,8 @@
 use front::descriptors::DescriptorShares;
 use front::descriptors::MIN_DESCRIPTORS;
 use front::descriptors::MIN_SHARE;
+use front::descriptors::limit;
+use front::settings::Settings;
 use proptest::prelude::*;
 
 /// Descriptors that a process needs without any connection.
@@ -40,3 +42,16 @@
     let shares = DescriptorShares::of(usize::MAX);
     assert!(shares.callers <= 2_000 && shares.readiness <= 64, "{shares:?}");
 }
+
+// Guards against a deployment's limit that isn't taken, and against settings without one that are refused.
+#[test]
+fn the_limit_of_the_settings_holds_if_there_is_one() {
+    let set = |text: &str| {
+        let settings = format!(r#"{{"node": "n", "failure_domain": "a"{text}}}"#);
+        Settings::try_from(settings.as_str()).expect("valid settings").max_descriptors
+    };
+    assert_eq!(set(r#", "max_descriptors": 4200"#), 4_200);
+    assert_eq!(set(""), usize::MAX);
+    assert_eq!(limit(MIN_DESCRIPTORS), MIN_DESCRIPTORS);
+    assert_eq!(limit(usize::MAX), limit(usize::MAX - 1));
+}
