A request beyond all connections is refused at once

What callers saw: with 75 requests at once on a process with 60 descriptors, some waited for 1.68 s until they were refused (callers leave after 1 s).

Cause: a request on a surplus connection looked for room for 30 ms, also while no connection was without a request, and the surplus of so small a process is one connection.

Change: it looks for room only while some connection has no request.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -177,6 +177,11 @@
         }
     }
 
+    /// Returns whether nothing has come of a request, so that the connection may soon make room.
+    pub(crate) fn is_without_request(&self) -> bool {
+        matches!(&*self.current.lock(), Use::Opened { .. } | Use::Idle { .. })
+    }
+
     /// Closes a connection that is `dispensable`.
     pub(crate) fn dispense_with(&self, dispensable: Dispensable) {
         self.close(match dispensable {
--- a/crates/web/src/listen.rs
+++ b/crates/web/src/listen.rs
@@ -126,13 +126,16 @@
 }
 
 impl Surplus {
-    /// Returns whether a request that comes now is. It isn't if others make room.
+    /// Returns whether a request that comes now is. It isn't if others make room soon.
     pub(crate) async fn is_now(&self) -> bool {
         if !self.is_surplus {
             return false;
         }
         let (connections, served) = (&self.connections, self.connections.bounds.served);
         for _ in 0..SURPLUS_LOOKS {
+            if !connections.may_make_room() {
+                break;
+            }
             let excess = connections.counts.borrow().open.saturating_sub(served);
             connections.dispense(excess, 0);
             let room = connections.wait_until(|counts| counts.open <= served);
@@ -140,7 +143,7 @@
                 return false;
             }
         }
-        true
+        connections.counts.borrow().open > served
     }
 }
 
@@ -209,6 +212,12 @@
         }
     }
 
+    /// Returns whether some connection has no request, or there is room already.
+    fn may_make_room(&self) -> bool {
+        self.counts.borrow().open <= self.bounds.served
+            || self.open.lock().values().any(|activity| activity.is_without_request())
+    }
+
     /// Closes up to `idle` connections without a request, and cuts up to `lingering` that are closed.
     fn dispense(&self, idle: usize, lingering: usize) {
         if idle == 0 && lingering == 0 {
