--- a/crates/front/src/serve/hand_over.rs
+++ b/crates/front/src/serve/hand_over.rs
@@ -20,13 +20,16 @@
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
+use pass::outcome::promises_not_run;
 use web::prelude::*;
 
 use super::ActiveRequest;
 use super::State;
+use super::attempt::FailedAttempt;
 use super::attempt::MAX_IDLE_AT_MOST_ONCE;
 use super::attempt::set;
 use super::attempts::Tries;
+use super::responses;
 use crate::decision_log;
 use crate::decision_log::Record;
 
@@ -218,10 +221,14 @@
             waited_ms: decision_log::millis(progress.waited),
         });
         let in_flight = state.taken_over.begin();
+        let may_have_run = progress.tries.may_have_run > 0;
         let mut response = super::respond(state, request, Origin::Process(progress)).await;
         if response.extensions().get::<Declined>().is_some() {
             return decline(&id, &from, "no server can be reached");
         }
+        if may_have_run && promises_not_run(response.status()) {
+            response = responses::failed(&FailedAttempt::ELSEWHERE);
+        }
         // Only this process itself may decline.
         response.headers_mut().remove(&DECLINED);
         response.extensions_mut().insert(AlsoInFlight::from(in_flight));
