A connection on which a request is arriving isn't closed, however late it was read

Found by the review, by reading: a stop that reads the first part of a head within its 10 ms closed the connection in the next pass, since the library takes it for idle until the head is whole; and a connection whose time for the head ran out while the process stood still was dropped even if the request had been read, or waited, by then. Change: before a connection closes, whether as idle or at once, what has arrived is read; one that is serving a request stays.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -261,9 +261,22 @@
         }
     }
 
-    /// Returns whether nothing was read of a next request.
-    pub(crate) fn is_idle(&self) -> bool {
-        matches!(&*self.current.lock(), Use::Opened { .. } | Use::Idle { .. })
+    /// Returns whether a request is arriving; `has_unread` says whether bytes wait to be read.
+    pub(crate) fn is_arriving(&self, has_unread: bool) -> bool {
+        match &*self.current.lock() {
+            Use::Opened { .. } | Use::Idle { .. } => has_unread,
+            Use::Receiving { .. } => true,
+            Use::Busy | Use::Sending { .. } | Use::Lingering { .. } => false,
+        }
+    }
+
+    /// Takes back that the connection must close, if a request is being served on it. Returns whether one is.
+    pub(crate) fn keep_if_busy(&self) -> bool {
+        let is_busy = matches!(&*self.current.lock(), Use::Busy);
+        if is_busy {
+            self.closing.send_replace(Closing::No);
+        }
+        is_busy
     }
 
     fn close(&self, closing: Closing) {
--- a/crates/web/src/listen.rs
+++ b/crates/web/src/listen.rs
@@ -102,9 +102,14 @@
 }
 
 impl OpenConnection {
-    /// Returns whether a request has arrived of which nothing was read yet.
+    /// Returns whether a part of a request has arrived, whether it was read or not.
+    pub(crate) fn has_arriving_request(&self) -> bool {
+        self.activity.is_arriving(self.unread.has_any())
+    }
+
+    /// Returns whether a part of a request has arrived that wasn't read yet.
     pub(crate) fn has_unread_request(&self) -> bool {
-        self.activity.is_idle() && self.unread.has_any()
+        self.unread.has_any() && self.activity.is_arriving(true)
     }
 
     /// Records that the connection is closed and only waits for its peer.
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -252,9 +252,9 @@
 
 /// Serves `listener` with `handler` until `stop` is cancelled and all responses have been sent.
 ///
-/// New connections are accepted until `stop`, those that wait then included. Responses count in `drain` until the kernel has their last
-/// byte. Dropping the future doesn't close the listener: requests are served until `stop`, or until the
-/// process ends.
+/// New connections are accepted until `stop`, those that wait then included. Responses count in `drain` until
+/// the kernel has their last byte. Dropping the future doesn't close the listener: requests are served until
+/// `stop`, or until the process ends.
 ///
 /// # Errors
 ///
@@ -422,17 +422,23 @@
             }
             changed = open.activity.closing(closing) => closing = changed,
         }
-        match closing {
-            Closing::No => {}
+        let must_read = match closing {
+            Closing::No => false,
             // The library would take the connection for idle and close it.
-            Closing::WhenIdle if open.has_unread_request() => {
-                let reading = tokio::time::timeout(UNREAD_TIME, &mut connection);
-                if let Ok(ended) = reading.await {
-                    loss.ended(ended);
-                    break;
-                }
-                closing = Closing::No;
+            Closing::WhenIdle => open.has_arriving_request(),
+            // What has arrived in time was perhaps not read in time.
+            Closing::Now => open.activity.keep_if_busy() || open.has_unread_request(),
+        };
+        if must_read {
+            if let Ok(ended) = tokio::time::timeout(UNREAD_TIME, &mut connection).await {
+                loss.ended(ended);
+                break;
             }
+            closing = Closing::No;
+            continue;
+        }
+        match closing {
+            Closing::No => {}
             Closing::WhenIdle => Pin::new(&mut connection).graceful_shutdown(),
             Closing::Now => return loss.timed_out(),
         }
--- a/crates/web/tests/late_stop.rs
+++ b/crates/web/tests/late_stop.rs
@@ -92,3 +92,30 @@
     let response = caller.join().expect("the caller ran");
     assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
 }
+
+// Guards against a stop that closes a connection on which a part of a request's head has arrived (rule LOST).
+#[tokio::test]
+async fn a_request_whose_head_arrives_in_two_parts_around_a_stop_is_answered() {
+    let stop = CancellationToken::new();
+    let (address, serving) = start(stop.clone()).await;
+    let (tx, rx) = mpsc::channel();
+    let caller = std::thread::spawn(move || {
+        let mut stream = connect(address);
+        stream.write_all(REQUEST).expect("sent");
+        assert!(read(&mut stream).starts_with("HTTP/1.1 200"));
+        tx.send(()).expect("the test goes on");
+        std::thread::sleep(SENT_AFTER);
+        let (first, rest) = REQUEST.split_at(REQUEST.len() / 2);
+        stream.write_all(first).expect("sent");
+        std::thread::sleep(LATE);
+        stream.write_all(rest).expect("sent");
+        read(&mut stream)
+    });
+    while rx.try_recv().is_err() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    run_late(&stop);
+    serving.await.expect("it ran").expect("no problem");
+    let response = caller.join().expect("the caller ran");
+    assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+}
