--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -170,6 +170,8 @@
             let tried: Vec<ServerId> = self.tries.servers.iter().chain(running).cloned().collect();
             let another = self.active.another_carrier(self.race.newest_silence(), &tried);
             tokio::select! {
+                // A response that has come needs no other attempt.
+                biased;
                 ended = self.race.next() => match ended {
                     Ok(response) if is_error(&response) && !self.race.is_empty() => {
                         self.error_response = Some(response);
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -129,6 +129,7 @@
         }
         let left = active.deadline.saturating_sub(active.now());
         let why = tokio::select! {
+            biased;
             () = tx.closed() => return,
             why = relay_chunks(&active, status, &mut from, &carrier, &tx) => why,
             () = active.state.stop.out_of_time() => Some(BreakOff::Stop),
