A panic over one answer of a hub or a server doesn't stop the process

Reports and orders are single calls: their panic is logged and costs this call; lasting tasks stay supervised. No test: nothing is known to panic there.

--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -224,7 +224,8 @@
         decision_log::write(&Record::Ordered { server, order: command.id, what, group, epoch });
         let (sender, results) = (self.integration.order_sender.clone(), self.results.clone());
         let cx = self.cx.clone();
-        self.cx.spawn("order", async move {
+        // A panic over what one server answers leaves its order unanswered.
+        tokio::spawn(async move {
             let sent = cx.now();
             let reply = sender.send(&command).await;
             let after = cx.now().saturating_sub(sent);
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -352,7 +352,8 @@
             have: None,
         };
         let reporting = report_to_hub(state.clone(), address, request, !is_fresh);
-        state.cx.spawn("report to a hub", reporting);
+        // A panic over what one hub answers costs this report only; the next one follows soon.
+        tokio::spawn(reporting);
     }
     update_fleet_loads(state);
 }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -329,6 +329,8 @@
     let departure = DepartureGuard::new(active.clone());
     let left = deadline.saturating_sub(state.cx.now());
     let response = tokio::select! {
+        // A process that runs late passes a ready response on, even if the deadline has passed meanwhile.
+        biased;
         response = active.clone().serve() => response,
         () = tokio::time::sleep(left) => {
             active.end(responses::timed_out(), "the request's deadline passed")
