Retry: a log line and metrics say what each process sent, out of what, as one of how many

Callers saw nothing of this. The log showed retries_left at failed attempts only, so the sum of the fleet's retries, the allowance that each process used and the number of processes that it believed in couldn't be told. Each decision on an attempt beyond the first now writes a line retry (allowed or denied) with the process's requests and retries in the window, its allowance and the processes it knows; samphire_retries_total and samphire_known_processes show the same as metrics. RetryBudget::account gives these figures in place of remaining; no decision changes.

--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -65,6 +65,18 @@
         after_ms: u64,
         retries_left: f64,
     },
+    /// The retry budget allowed or denied an attempt beyond the first of a request. Within the window,
+    /// this process has got so many `requests` for the service and `sent` so many retries out of
+    /// those `allowed`, as one of so many `processes`.
+    Retry {
+        request: &'a str,
+        service: &'a str,
+        state: &'a str,
+        requests: u32,
+        sent: u32,
+        allowed: f64,
+        processes: usize,
+    },
     /// A server has sent nothing for an attempt for longer than expected; `events` had come before, and
     /// `because` says what made it count as silent.
     Silent {
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -37,6 +37,8 @@
     first_event_ratio: Histogram,
     /// Attempts during which their server fell silent, by what made it count as silent.
     silences: IntCounterVec,
+    /// Attempts beyond the first of their request that the retry budget allowed or denied, by service.
+    retries: IntCounterVec,
     /// Responses that were aborted after a part of them had been sent, by cause.
     broken_off: IntCounterVec,
     /// Callers' connections that ended while a request on them had no complete response, by cause.
@@ -69,6 +71,8 @@
     pub evacuating_domains: IntGauge,
     /// Requests of this process in progress in these domains.
     pub requests_in_evacuated_domains: IntGauge,
+    /// Processes that are alive, as far as this one knows.
+    pub processes: IntGauge,
     /// Backend servers with a current report.
     pub servers: IntGauge,
     /// Backend servers in warm-up.
@@ -113,6 +117,10 @@
         let response_seconds = HistogramVec::new(seconds, &["class"]).expect("the name is valid");
         let silences = Opts::new("samphire_silences_total", "Attempts whose server fell silent.");
         let silences = IntCounterVec::new(silences, &["because"]).expect("the name is valid");
+        let help = "Attempts beyond the first that the retry budget allowed or denied.";
+        let retries = Opts::new("samphire_retries_total", help);
+        let retries =
+            IntCounterVec::new(retries, &["service", "state"]).expect("the name is valid");
         let broken_off = Opts::new("samphire_broken_off_total", "Answers that were broken off.");
         let broken_off = IntCounterVec::new(broken_off, &["cause"]).expect("the name is valid");
         let lost = Opts::new(
@@ -137,6 +145,7 @@
             Box::new(response_seconds.clone()),
             Box::new(admitted_share.clone()),
             Box::new(silences.clone()),
+            Box::new(retries.clone()),
             Box::new(broken_off.clone()),
             Box::new(lost_connections.clone()),
             Box::new(first_event_ratio.clone()),
@@ -192,6 +201,7 @@
             response_seconds,
             first_event_ratio,
             silences,
+            retries,
             broken_off,
             lost_connections,
             loop_delay_seconds,
@@ -205,6 +215,7 @@
                 "samphire_requests_in_evacuated_domains",
                 "Requests in progress in failure domains that are being evacuated.",
             ),
+            processes: gauge("samphire_known_processes", "Processes that are alive."),
             servers: gauge("samphire_known_servers", "Backend servers that report."),
             servers_in_warm_up: gauge("samphire_servers_in_warm_up", "Backend servers in warm-up."),
             version: gauge("samphire_config_version", "The configuration in force."),
@@ -256,6 +267,12 @@
         self.silences.with_label_values(&[because]).inc();
     }
 
+    /// Counts an attempt beyond the first of its request that the retry budget allowed or denied.
+    pub fn record_retry(&self, service: &str, is_allowed: bool) {
+        let state = if is_allowed { "allowed" } else { "denied" };
+        self.retries.with_label_values(&[service, state]).inc();
+    }
+
     /// Counts a response that was aborted after a part of it had been sent.
     pub fn record_broken_off(&self, cause: &str) {
         self.broken_off.with_label_values(&[cause]).inc();
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -93,6 +93,7 @@
     let gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
     metrics.waiting.set(gauge(local.dispatch.len()));
     metrics.set_admitted_shares(local.endpoints.admitted_shares());
+    metrics.processes.set(gauge(local.processes()));
     metrics.servers.set(gauge(local.reports().servers().len()));
     metrics.servers_in_warm_up.set(gauge(local.endpoints.warm_ups.len(now)));
     let evacuating = || local.endpoints.evacuations.evacuating();
--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -417,7 +417,7 @@
         let retries_left = {
             let mut local = self.state.shared.local.lock();
             let processes = local.processes();
-            local.retries.remaining(&self.routed.service.name, processes, self.now())
+            local.retries.account(&self.routed.service.name, processes, self.now()).left()
         };
         decision_log::write(&Record::AttemptFailed {
             request: &self.id,
--- a/crates/front/src/serve/choice.rs
+++ b/crates/front/src/serve/choice.rs
@@ -1,6 +1,7 @@
 //! Chooses what carries an attempt: an endpoint, or another process.
 
 use base::prelude::*;
+use pass::budget::RetryAccount;
 use pass::dispatch::Decision;
 use pass::dispatch::PendingRequest;
 use pass::dispatch::Refusal;
@@ -75,9 +76,25 @@
 
     /// Takes a retry from the budget; returns false if none is left.
     pub(super) fn take_retry(&self) -> bool {
-        let mut local = self.state.shared.local.lock();
-        let processes = local.processes();
-        local.retries.try_take(&self.routed.service.name, processes, self.now())
+        let (service, now) = (&*self.routed.service.name, self.now());
+        let (is_allowed, account, processes) = {
+            let mut local = self.state.shared.local.lock();
+            let processes = local.processes();
+            let is_allowed = local.retries.try_take(service, processes, now);
+            (is_allowed, local.retries.account(service, processes, now), processes)
+        };
+        self.state.metrics.record_retry(service, is_allowed);
+        let RetryAccount { requests, sent, allowed } = account;
+        decision_log::write(&Record::Retry {
+            request: &self.id,
+            service,
+            state: if is_allowed { "allowed" } else { "denied" },
+            requests,
+            sent,
+            allowed,
+            processes,
+        });
+        is_allowed
     }
 
     /// Returns a carrier for one more attempt beside those at the servers `tried`, if one is free now and
@@ -103,7 +120,7 @@
     fn has_retry(&self) -> bool {
         let mut local = self.state.shared.local.lock();
         let processes = local.processes();
-        local.retries.remaining(&self.routed.service.name, processes, self.now()) >= 1.0
+        local.retries.account(&self.routed.service.name, processes, self.now()).left() >= 1.0
     }
 
     async fn decision(&self, pending: PendingRequest) -> Decision {
--- a/crates/front/tests/metrics.rs
+++ b/crates/front/tests/metrics.rs
@@ -16,3 +16,16 @@
     metrics.set_admitted_shares(std::iter::empty());
     assert!(!metrics.text().contains("samphire_admitted_share{"));
 }
+
+// Guards against retries that can't be added up over the fleet.
+#[test]
+fn retries_are_counted_by_service_whether_allowed_or_denied() {
+    let metrics = Metrics::new();
+    metrics.record_retry("assistant", true);
+    metrics.record_retry("assistant", false);
+    let text = metrics.text();
+    for state in ["allowed", "denied"] {
+        let line = format!(r#"samphire_retries_total{{service="assistant",state="{state}"}} 1"#);
+        assert!(text.contains(&line), "{text}");
+    }
+}
--- a/crates/pass/src/budget.rs
+++ b/crates/pass/src/budget.rs
@@ -49,6 +49,25 @@
     }
 }
 
+/// What a process has done and may do at one service, within the window.
+#[data]
+#[derive(Copy)]
+pub struct RetryAccount {
+    /// Requests for the service.
+    pub requests: u32,
+    /// Retries sent.
+    pub sent: u32,
+    /// Retries that may be sent.
+    pub allowed: f64,
+}
+
+impl RetryAccount {
+    /// Returns the number of retries left; below zero if fewer are allowed than were.
+    pub fn left(&self) -> f64 {
+        self.allowed - f64::from(self.sent)
+    }
+}
+
 /// The retry budget of one process, by service.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -71,7 +90,7 @@
     /// Takes one retry at `service`, with `processes` live processes; returns `false` if none is
     /// left.
     pub fn try_take(&mut self, service: &str, processes: usize, now: Mono) -> bool {
-        if self.remaining(service, processes, now) < 1.0 {
+        if self.account(service, processes, now).left() < 1.0 {
             return false;
         }
         let counts = self.counts.entry(service.into()).or_default();
@@ -79,14 +98,15 @@
         true
     }
 
-    /// Returns the number of retries left at `service`, with `processes` live processes.
-    pub fn remaining(&mut self, service: &str, processes: usize, now: Mono) -> f64 {
+    /// Returns the account of `service`, with `processes` live processes.
+    pub fn account(&mut self, service: &str, processes: usize, now: Mono) -> RetryAccount {
         let settings = self.settings;
         let counts = self.counts.entry(service.into()).or_default();
         counts.current_bucket(&settings, now);
         let requests: u32 = counts.buckets.iter().map(|(_, requests, _)| requests).sum();
-        let retries: u32 = counts.buckets.iter().map(|(_, _, retries)| retries).sum();
+        let sent: u32 = counts.buckets.iter().map(|(_, _, retries)| retries).sum();
         let slack = settings.slack / processes.max(1) as f64;
-        (f64::from(requests) * settings.ratio + slack) * SAFETY_FACTOR - f64::from(retries)
+        let allowed = (f64::from(requests) * settings.ratio + slack) * SAFETY_FACTOR;
+        RetryAccount { requests, sent, allowed }
     }
 }
