Retry: hubs grant the slack of the budget, no process takes a share by itself

Cause: an allowance of the whole fleet that each process divided by the number of processes that it believed in. It believed in 1 until its first exchange, in few after its hub was lost, since any process answers with those that it has heard of; and what a process had sent was forgotten with it, so whoever came in its place had a share again. Change: requests earn the ratio at the process that serves them, as before; the slack is divided among failure domains, whose number is a setting, and the hub of each grants its part (pass::retry_ledger). A grant is charged from when it is made until a window after its use, or after it must have lapsed, whatever becomes of the process or of the messages; a hub that may have had a predecessor waits until nothing granted before falls into the same window. No process needs to know how many others there are. Grants and reports travel with the exchanges that exist; processes of earlier versions, which send none, keep their part of the pool. Why it holds: what is charged never exceeds the pool, and every use within a window is charged at its end. Ruled out: the largest number lately seen (pass::warm_up) leaves out processes that start again and numbers that were never right; a share that begins after a window would leave processes that start without any.

--- a/crates/config/src/fields.rs
+++ b/crates/config/src/fields.rs
@@ -168,6 +168,12 @@
         self.list(name, "an IP address with port", |item| item.as_str()?.parse().ok())
     }
 
+    /// Reads a list of texts that are not empty.
+    pub fn texts(&mut self, name: &'static str) -> Vec<Box<str>> {
+        let text = |item: &Value| item.as_str().filter(|text| !text.is_empty()).map(Into::into);
+        self.list(name, "text that is not empty", text)
+    }
+
     /// Reads a list of credentials of at least `min_bytes` bytes each.
     pub fn secrets(&mut self, name: &'static str, min_bytes: usize) -> Vec<Secret> {
         let allowed = format!("a credential of at least {min_bytes} bytes");
--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -65,16 +65,17 @@
         after_ms: u64,
         retries_left: f64,
     },
-    /// The retry budget allowed or denied an attempt beyond the first of a request. Within the window,
-    /// this process has got so many `requests` for the service and `sent` so many retries out of
-    /// those `allowed`, as one of so many `processes`.
+    /// An attempt beyond the first of a request was paid for or denied. Within the window, `requests` for the
+    /// service earned this process `earned` retries, of which it sent `sent`; besides, `granted` ones are left
+    /// that its hub granted.
     Retry {
         request: &'a str,
         service: &'a str,
         state: &'a str,
-        requests: u32,
-        sent: u32,
-        allowed: f64,
+        requests: i64,
+        sent: i64,
+        earned: f64,
+        granted: u32,
         processes: usize,
     },
     /// A server has sent nothing for an attempt for longer than expected; `events` had come before, and
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -4,7 +4,9 @@
 //! [`pass`] and [`form`].
 //!
 //! - `waiting`: requests that wait for an endpoint.
+//! - `retries`: the retry budget, and the retries that a hub grants.
 
+mod retries;
 mod waiting;
 
 use std::collections::BTreeMap;
@@ -35,6 +37,7 @@
 use crate::load_reports::Loads;
 use crate::row_cache::RowCache;
 
+use retries::HubGrants;
 pub use waiting::WaitingRequest;
 
 /// How long this process reports to others that a server is leaving.
@@ -85,8 +88,10 @@
     pub endpoints: EndpointPool,
     /// The queue of waiting requests.
     pub dispatch: DispatchQueue,
-    /// This process's share of the retry budget.
-    pub retries: RetryBudget,
+    /// This process's part of the retry budget.
+    retries: RetryBudget,
+    /// The retries that this process grants others while it is a hub.
+    hub_grants: Option<HubGrants>,
     /// The processes that take requests over from this one.
     pub helpers: Helpers,
     /// Requests that crash backend servers.
@@ -122,7 +127,8 @@
             processes: 1,
             endpoints: EndpointPool::with_seed(random_id()),
             dispatch: DispatchQueue::default(),
-            retries: RetryBudget::new(retries),
+            retries: RetryBudget::new(retries, random_id()),
+            hub_grants: None,
             helpers: Helpers::default(),
             crash_reports: CrashReports::new(random_id()),
             store_up: false,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -4,6 +4,7 @@
 use http::StatusCode;
 use pass::admission::Shares;
 use pass::arrivals::Flow;
+use pass::prelude::*;
 use prometheus::Encoder;
 use prometheus::GaugeVec;
 use prometheus::Histogram;
@@ -25,6 +26,15 @@
 /// Upper bounds of the buckets of the ratio of observed to forecast times.
 const RATIO_BUCKETS: [f64; 8] = [0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0, 8.0];
 
+/// Returns what logs and metrics call an attempt beyond the first, by what pays for it.
+pub(crate) fn retry_state(source: Option<RetrySource>) -> &'static str {
+    match source {
+        Some(RetrySource::Requests) => "earned",
+        Some(RetrySource::Grant) => "granted",
+        None => "denied",
+    }
+}
+
 /// The metrics of one process. Clones share the same values.
 #[derive(Clone)]
 pub struct Metrics {
@@ -37,7 +47,7 @@
     first_event_ratio: Histogram,
     /// Attempts during which their server fell silent, by what made it count as silent.
     silences: IntCounterVec,
-    /// Attempts beyond the first of their request that the retry budget allowed or denied, by service.
+    /// Attempts beyond the first of their request, by service and by what paid for them.
     retries: IntCounterVec,
     /// Responses that were aborted after a part of them had been sent, by cause.
     broken_off: IntCounterVec,
@@ -117,7 +127,7 @@
         let response_seconds = HistogramVec::new(seconds, &["class"]).expect("the name is valid");
         let silences = Opts::new("samphire_silences_total", "Attempts whose server fell silent.");
         let silences = IntCounterVec::new(silences, &["because"]).expect("the name is valid");
-        let help = "Attempts beyond the first that the retry budget allowed or denied.";
+        let help = "Attempts beyond the first, by what the retry budget paid them with.";
         let retries = Opts::new("samphire_retries_total", help);
         let retries =
             IntCounterVec::new(retries, &["service", "state"]).expect("the name is valid");
@@ -267,10 +277,9 @@
         self.silences.with_label_values(&[because]).inc();
     }
 
-    /// Counts an attempt beyond the first of its request that the retry budget allowed or denied.
-    pub fn record_retry(&self, service: &str, is_allowed: bool) {
-        let state = if is_allowed { "allowed" } else { "denied" };
-        self.retries.with_label_values(&[service, state]).inc();
+    /// Counts an attempt beyond the first of its request, which was denied if nothing pays for it.
+    pub fn record_retry(&self, service: &str, source: Option<RetrySource>) {
+        self.retries.with_label_values(&[service, retry_state(source)]).inc();
     }
 
     /// Counts a response that was aborted after a part of it had been sent.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -27,6 +27,8 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use base::prelude::*;
 use form::prelude::*;
@@ -38,6 +40,7 @@
 use tokio_util::sync::CancellationToken;
 use web::prelude::*;
 
+use crate::clock;
 use crate::descriptors::DescriptorShares;
 use crate::integration::Integration;
 use crate::integration::PeerEntry;
@@ -59,7 +62,7 @@
 use messages::ExchangeRequest;
 
 /// How long a process stays the hub without renewal.
-const HUB_LEASE: Duration = Duration::from_secs(3);
+pub(crate) const HUB_LEASE: Duration = Duration::from_secs(3);
 /// Shortest time between two exchanges; also the time between two reports of a hub to the others.
 const MIN_EXCHANGE_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time between two exchanges.
@@ -222,14 +225,21 @@
         acquire_delay: MAX_HUB_ELECTION_DELAY.mul_f64((1.0 - state.settings.cores).clamp(0.0, 1.0)),
     };
     let (tx, mut rx) = watch::channel(None);
+    // Whether another hub may have been there before this one.
+    let has_predecessor = Arc::new(AtomicBool::new(!state.settings.first_start));
     let lock_state = {
         let (state, key, value) = (state.clone(), spec.key.clone(), spec.value.clone());
+        let has_predecessor = has_predecessor.clone();
         // With an empty cache the lock seems free; the conditional write then decides.
-        move || match state.shared.local.lock().row_cache.get(&key) {
-            None => LockState::Free,
-            // Only this process listens on its address.
-            Some(row) if row.value == value => LockState::OwnEarlier { revision: row.mod_revision },
-            Some(_) => LockState::Taken,
+        move || {
+            let local = state.shared.local.lock();
+            let Some(row) = local.row_cache.get(&key) else { return LockState::Free };
+            has_predecessor.store(true, Ordering::Relaxed);
+            match row.value == value {
+                // Only this process listens on its address.
+                true => LockState::OwnEarlier { revision: row.mod_revision },
+                false => LockState::Taken,
+            }
         }
     };
     let store = state.integration.store.clone();
@@ -237,7 +247,9 @@
         lease_lock::run(state.cx.clone(), store, spec, lock_state, Arc::new(Notify::new()), tx);
     let publishing = async {
         while rx.changed().await.is_ok() {
-            state.shared.local.lock().is_hub = rx.borrow().is_some();
+            let lock = *rx.borrow_and_update();
+            let is_first = !has_predecessor.swap(true, Ordering::Relaxed);
+            state.shared.local.lock().set_hub_lock(lock, is_first, &state.settings);
         }
         std::future::pending::<()>().await;
     };
@@ -245,7 +257,7 @@
         () = locking => {}
         () = publishing => {}
     }
-    state.shared.local.lock().is_hub = false;
+    state.shared.local.lock().set_hub_lock(None, false, &state.settings);
 }
 
 async fn exchange_periodically(state: Arc<State>) {
@@ -350,6 +362,7 @@
             loads: loads.clone(),
             domain_processes: Some(processes),
             have: None,
+            retries: None,
         };
         let reporting = report_to_hub(state.clone(), address, request, !is_fresh);
         // A panic over what one hub answers costs this report only; the next one follows soon.
@@ -382,6 +395,11 @@
     local.load_reports.expire(now);
     let (loads, processes) = local.load_reports.fleet_total(&Vec::new(), "", now);
     local.set_fleet(&loads, processes, now);
+    let (address, reported_at) = (state.settings.peers, clock::since_boot());
+    let report = local.report_retries(address, reported_at);
+    if let Some(grant) = local.grant_retries(state.cx.node(), &report) {
+        local.accept_retries(address, &grant, reported_at);
+    }
 }
 
 /// Calls the hubs, that of the own domain first, until one answers with fresh rows; returns whether
@@ -391,19 +409,28 @@
 async fn exchange_with_hub(state: &State) -> bool {
     let mut is_reported = false;
     for address in hubs(state) {
-        let loads = match is_reported {
-            true => Loads::new(),
-            false => state.shared.local.lock().own_loads(state.cx.now()),
+        let reported_at = clock::since_boot();
+        let (loads, retries) = {
+            let mut local = state.shared.local.lock();
+            let loads = match is_reported {
+                true => Loads::new(),
+                false => local.own_loads(state.cx.now()),
+            };
+            (loads, local.report_retries(address, reported_at))
         };
         let request = ExchangeRequest {
             node: state.cx.node().clone(),
             loads,
             domain_processes: None,
             have: None,
+            retries: Some(retries),
         };
         let Ok(hub) = exchange::exchange(state, address, request).await else { continue };
         let now = state.cx.now();
         let mut local = state.shared.local.lock();
+        if let Some(grant) = &hub.retries {
+            local.accept_retries(address, grant, reported_at);
+        }
         if !is_reported {
             is_reported = true;
             local.set_fleet(&hub.loads, hub.processes, now);
--- a/crates/front/src/peers/exchange.rs
+++ b/crates/front/src/peers/exchange.rs
@@ -12,6 +12,7 @@
 use base::prelude::*;
 use http::Method;
 use http::StatusCode;
+use pass::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use web::prelude::*;
@@ -40,6 +41,8 @@
     pub(super) processes: usize,
     /// Time until the next call.
     pub(super) pause: Duration,
+    /// The retries that the hub grants.
+    pub(super) retries: Option<RetryGrant>,
 }
 
 /// Sends loads to the hub at `address`, without asking for rows.
@@ -140,6 +143,7 @@
         loads: response.loads.clone(),
         processes: response.processes,
         pause: Duration::from_millis(response.pause_ms),
+        retries: response.retries.clone(),
     }
 }
 
--- a/crates/front/src/peers/hub.rs
+++ b/crates/front/src/peers/hub.rs
@@ -117,6 +117,14 @@
         None => local.load_reports.record_client(&exchange.node, exchange.loads, now),
     }
     local.load_reports.expire(now);
+    let retries = match (&exchange.retries, exchange.domain_processes) {
+        (Some(report), _) => local.grant_retries(&exchange.node, report),
+        (None, Some(_)) => None,
+        (None, None) => {
+            local.note_without_report(&exchange.node);
+            None
+        }
+    };
     let known = exchange.have.filter(|(boot, _)| *boot == local.row_cache.boot);
     let own = local.own_loads(now);
     let (loads, processes) = local.load_reports.fleet_total(&own, &exchange.node, now);
@@ -145,6 +153,7 @@
         loads,
         processes,
         pause_ms: decision_log::millis(exchange_interval(local.load_reports.client_count())),
+        retries,
     })
 }
 
--- a/crates/front/src/peers/messages.rs
+++ b/crates/front/src/peers/messages.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use kv::prelude::*;
+use pass::prelude::*;
 
 use crate::load_reports::Loads;
 use crate::row_cache::RowChange;
@@ -20,6 +21,9 @@
     /// The row cache that the sender knows, and the last change of it that it has; `None` asks for
     /// no rows.
     pub(super) have: Option<(BootId, u64)>,
+    /// The granted retries that the sender holds; `None` if it is a hub, or of an earlier version.
+    #[serde(default)]
+    pub(super) retries: Option<RetryReport>,
 }
 
 /// A hub's response.
@@ -42,6 +46,9 @@
     pub(super) processes: usize,
     /// Time until the sender should call again.
     pub(super) pause_ms: u64,
+    /// The retries that the hub grants the sender.
+    #[serde(default)]
+    pub(super) retries: Option<RetryGrant>,
 }
 
 /// Asks a hub whose row cache the sender doesn't know for the rows that the sender lacks.
--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -416,8 +416,7 @@
         carrier.record_failure(outcome);
         let retries_left = {
             let mut local = self.state.shared.local.lock();
-            let processes = local.processes();
-            local.retries.account(&self.routed.service.name, processes, self.now()).left()
+            local.retry_account(&self.routed.service.name).left()
         };
         decision_log::write(&Record::AttemptFailed {
             request: &self.id,
--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -291,7 +291,7 @@
         let now = self.now();
         let mut local = self.state.shared.local.lock();
         local.requests += 1;
-        local.retries.record_request(&self.routed.service.name, now);
+        local.count_request(&self.routed.service.name);
         if let (Some(engine), Some(generation)) =
             (&self.routed.service.engine, &self.metadata.generation)
         {
--- a/crates/front/src/serve/choice.rs
+++ b/crates/front/src/serve/choice.rs
@@ -25,6 +25,7 @@
 use crate::decision_log;
 use crate::decision_log::PartRefusalRecord;
 use crate::decision_log::Record;
+use crate::metrics::retry_state;
 
 /// Retry-After of requests that no other process can take over.
 const NO_HELPER_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -76,25 +77,25 @@
 
     /// Takes a retry from the budget; returns false if none is left.
     pub(super) fn take_retry(&self) -> bool {
-        let (service, now) = (&*self.routed.service.name, self.now());
-        let (is_allowed, account, processes) = {
+        let service = &*self.routed.service.name;
+        let (source, account, processes) = {
             let mut local = self.state.shared.local.lock();
-            let processes = local.processes();
-            let is_allowed = local.retries.try_take(service, processes, now);
-            (is_allowed, local.retries.account(service, processes, now), processes)
+            let source = local.take_retry(service);
+            (source, local.retry_account(service), local.processes())
         };
-        self.state.metrics.record_retry(service, is_allowed);
-        let RetryAccount { requests, sent, allowed } = account;
+        self.state.metrics.record_retry(service, source);
+        let RetryAccount { requests, sent, earned, granted } = account;
         decision_log::write(&Record::Retry {
             request: &self.id,
             service,
-            state: if is_allowed { "allowed" } else { "denied" },
+            state: retry_state(source),
             requests,
             sent,
-            allowed,
+            earned,
+            granted,
             processes,
         });
-        is_allowed
+        source.is_some()
     }
 
     /// Returns a carrier for one more attempt beside those at the servers `tried`, if one is free now and
@@ -119,8 +120,7 @@
 
     fn has_retry(&self) -> bool {
         let mut local = self.state.shared.local.lock();
-        let processes = local.processes();
-        local.retries.account(&self.routed.service.name, processes, self.now()).left() >= 1.0
+        local.retry_account(&self.routed.service.name).left() >= 1.0
     }
 
     async fn decision(&self, pending: PendingRequest) -> Decision {
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a pass-through process, with their defaults and bounds.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use base::prelude::*;
@@ -23,6 +24,8 @@
     pub node: NodeId,
     /// Its failure domain.
     pub failure_domain: FailureDomainId,
+    /// All failure domains, that one included.
+    pub failure_domains: BTreeSet<FailureDomainId>,
     /// The address for callers.
     pub callers: SocketAddr,
     /// The address of the readiness endpoint.
@@ -77,9 +80,12 @@
 
 fn read(value: &Value, findings: &mut Findings) -> Settings {
     let mut fields = Fields::new("$", Some(value), findings);
+    let failure_domain = fields.text("failure_domain", None);
+    let all_domains = fields.texts("failure_domains").into_iter();
     let settings = Settings {
         node: fields.text("node", None),
-        failure_domain: fields.text("failure_domain", None),
+        failure_domains: all_domains.chain([failure_domain.clone()]).collect(),
+        failure_domain,
         callers: fields.address("callers", "127.0.0.1:0"),
         readiness: fields.address("readiness", "127.0.0.1:0"),
         metrics: fields.optional_address("metrics"),
--- a/crates/front/tests/metrics.rs
+++ b/crates/front/tests/metrics.rs
@@ -2,6 +2,7 @@
 
 use front::metrics::Metrics;
 use pass::admission::Shares;
+use pass::prelude::*;
 
 // Guards against shares of flows that are gone, and against a gauge that hides the priority.
 #[test]
@@ -19,12 +20,13 @@
 
 // Guards against retries that can't be added up over the fleet.
 #[test]
-fn retries_are_counted_by_service_whether_allowed_or_denied() {
+fn retries_are_counted_by_service_and_by_what_pays_for_them() {
     let metrics = Metrics::new();
-    metrics.record_retry("assistant", true);
-    metrics.record_retry("assistant", false);
+    for source in [Some(RetrySource::Requests), Some(RetrySource::Grant), None] {
+        metrics.record_retry("assistant", source);
+    }
     let text = metrics.text();
-    for state in ["allowed", "denied"] {
+    for state in ["earned", "granted", "denied"] {
         let line = format!(r#"samphire_retries_total{{service="assistant",state="{state}"}} 1"#);
         assert!(text.contains(&line), "{text}");
     }
--- a/crates/front/tests/retry_fleet/mod.rs
+++ b/crates/front/tests/retry_fleet/mod.rs
@@ -136,6 +136,9 @@
     holder: Option<(usize, u64)>,
     /// Whether a process has held it before.
     has_been_held: bool,
+    /// A holder of whom the store doesn't know any more, and until when it relies on its lock.
+    forgotten: Option<(usize, u64)>,
+    relied_on_until: Mono,
     /// When the holder's lease ends, if the holder has.
     expires_at: Option<Mono>,
     /// When a process takes it, if it is free.
@@ -206,7 +209,6 @@
         for number in 0..self.slots.len() {
             self.exchange(number);
         }
-        self.report_to_hubs();
         self.send_requests();
     }
 
@@ -275,10 +277,8 @@
         for (number, slot) in self.slots.iter_mut().enumerate() {
             if slot.process.is_none() && now >= slot.starts_at {
                 slot.incarnation += 1;
-                let name = format!("p{number}").into();
-                let settings = self.scenario.settings;
-                slot.process =
-                    Some(Process::start(name, self.scenario.domains, settings, &mut self.rng));
+                let Scenario { domains, settings, .. } = self.scenario;
+                slot.process = Some(Process::start(number, domains, settings, &mut self.rng));
                 slot.next_exchange = now;
             }
         }
@@ -295,19 +295,22 @@
             self.set_hub_certain(domain, is_safe);
             return;
         }
-        if self.store_forgets && now < self.store_back_at + TICK {
+        if let Some((number, incarnation)) = lock.forgotten.take_if(|_| now >= lock.relied_on_until)
+            && let Some(process) = self.process_of(number, incarnation)
+        {
+            process.loses_hub();
+        }
+        let lock = &mut self.locks[domain];
+        if self.store_forgets && now < self.store_back_at + TICK && lock.holder.is_some() {
             lock.expires_at.get_or_insert(now);
+            lock.forgotten = lock.holder;
+            lock.relied_on_until = now + SAFE_LEASE;
         }
         if lock.expires_at.is_some_and(|at| now >= at) {
             let elected_after = self.rng.random_range(Duration::ZERO..ELECTION_TIME);
-            let holder = lock.holder.take();
+            lock.holder = None;
             lock.expires_at = None;
             lock.taken_at = now + elected_after;
-            if let Some((number, incarnation)) = holder
-                && let Some(process) = self.process_of(number, incarnation)
-            {
-                process.loses_hub();
-            }
             return;
         }
         self.set_hub_certain(domain, true);
@@ -326,7 +329,7 @@
         lock.holder = Some((number, self.slots[number].incarnation));
         let is_first = !std::mem::replace(&mut lock.has_been_held, true);
         if let Some(process) = &mut self.slots[number].process {
-            process.becomes_hub(is_first, now);
+            process.becomes_hub(is_first, now, &mut self.rng);
         }
     }
 
@@ -391,7 +394,7 @@
         let answer = match &mut self.slots[hub].process {
             Some(hub) if hub.name() != call.message.name() => {
                 let answer = hub.answer(&call.message, now);
-                answer.filter(|_| is_answered)
+                is_answered.then_some(answer)
             }
             _ => None,
         };
@@ -417,33 +420,11 @@
         // What is lost is lost with the answer or with the message.
         let arrives_at = now + takes;
         let Some(process) = &mut self.slots[number].process else { return };
-        let message = process.message(now);
+        let message = process.message(*hub, now);
         self.slots[number].call =
             Some(Call { sent_at: now, hubs, message, arrives_at, answer: None, is_lost });
     }
 
-    /// Lets hubs tell each other how many processes use them.
-    fn report_to_hubs(&mut self) {
-        let now = self.now;
-        let hubs: Vec<usize> = self.locks.iter().filter_map(|lock| Some(lock.holder?.0)).collect();
-        for from in &hubs {
-            if self.is_cut(*from) {
-                continue;
-            }
-            let Some(sender) = &mut self.slots[*from].process else { continue };
-            if !sender.is_hub() {
-                continue;
-            }
-            let (name, total) = (sender.name().clone(), sender.domain_total(now));
-            for to in hubs.iter().filter(|to| *to != from) {
-                let is_cut = self.is_cut(*to);
-                if let Some(hub) = self.slots[*to].process.as_mut().filter(|_| !is_cut) {
-                    hub.hear_hub(&name, total, now);
-                }
-            }
-        }
-    }
-
     /// Sends the requests that arrive in this tick, and retries those that fail.
     fn send_requests(&mut self) {
         let now = self.now;
--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -18,7 +18,8 @@
 //! - [`server_limit`]: the request rates that backend servers name.
 //! - [`warm_up`]: servers in warm-up, and the rate that they take.
 //! - [`dispatch`]: which requests are sent, queued or refused.
-//! - [`budget`]: this process's share of a fleet-wide retry budget.
+//! - [`budget`]: this process's part of a fleet-wide retry budget.
+//! - [`retry_ledger`]: the grants of retries that a hub gives out of that budget.
 //! - [`paths`]: which backend servers this process can connect to.
 //! - [`helpers`]: the other processes that take requests over from this one.
 //! - [`outcome`]: the outcome of an attempt, and whether it may be retried.
@@ -48,6 +49,7 @@
 pub mod paths;
 pub mod request;
 pub mod resumption;
+pub mod retry_ledger;
 pub mod routes;
 pub mod server_limit;
 pub mod server_notice;
@@ -56,6 +58,7 @@
 /// The common types of this crate.
 pub mod prelude {
     pub use crate::budget::RetryBudget;
+    pub use crate::budget::RetrySource;
     pub use crate::config::ExecutionPolicy;
     pub use crate::config::Limits;
     pub use crate::config::Route;
@@ -77,5 +80,8 @@
     pub use crate::request::RequestMetadata;
     pub use crate::resumption::StreamHead;
     pub use crate::resumption::StreamPosition;
+    pub use crate::retry_ledger::RetryGrant;
+    pub use crate::retry_ledger::RetryLedger;
+    pub use crate::retry_ledger::RetryReport;
     pub use crate::routes::RouteTable;
 }
--- a/crates/pass/tests/budget.rs
+++ b/crates/pass/tests/budget.rs
@@ -1,5 +1,9 @@
 //! The fleet-wide retry budget holds although each process counts only its own requests.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
 use base::prelude::*;
 use pass::budget::BudgetSettings;
 use pass::prelude::*;
@@ -8,21 +12,29 @@
 const SETTINGS: BudgetSettings =
     BudgetSettings { ratio: 0.2, slack: 130.0, window: Duration::from_secs(10) };
 
+const HUB: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7_000);
+
 #[test]
 fn retries_are_earned_by_requests_and_expire_with_the_window() {
-    let mut budget = RetryBudget::new(BudgetSettings { slack: 0.0, ..SETTINGS });
+    let mut budget = RetryBudget::new(BudgetSettings { slack: 0.0, ..SETTINGS }, 1);
     let now = Duration::from_secs(1);
-    assert!(!budget.try_take("desk", 6, now));
+    assert_eq!(budget.try_take("desk", now), None);
     for _ in 0..100 {
         budget.record_request("desk", now);
     }
-    let taken = (0..100).filter(|_| budget.try_take("desk", 6, now)).count();
+    let taken = (0..100).filter(|_| budget.try_take("desk", now).is_some()).count();
     assert_eq!(taken, 14, "0.7 of 0.2 of 100");
-    assert!(
-        !budget.try_take("desk", 6, Duration::from_secs(13)),
-        "the requests are outside the window"
-    );
-    assert!(!budget.try_take("other", 6, now), "each service has a budget of its own");
+    let later = Duration::from_secs(13);
+    assert_eq!(budget.try_take("desk", later), None, "the requests are outside the window");
+    assert_eq!(budget.try_take("other", now), None, "each service has a budget of its own");
+}
+
+/// Lets a process report to a hub and take what it grants.
+fn exchange(budget: &mut RetryBudget, ledger: &mut RetryLedger, node: &str, now: Mono) {
+    let report = budget.report(HUB, ["desk".into()].iter(), now);
+    if let Some(grant) = ledger.report(&node.into(), &report, now) {
+        budget.accept(HUB, &grant, now, now);
+    }
 }
 
 proptest! {
@@ -32,14 +44,17 @@
         wanted in 0_u32..400,
     ) {
         let now = Duration::from_secs(1);
-        let processes = requests.len();
+        let mut ledger = RetryLedger::new(1, &SETTINGS, 1, Duration::ZERO);
         let mut taken = 0;
-        for count in &requests {
-            let mut budget = RetryBudget::new(SETTINGS);
+        for (number, count) in (1..).zip(&requests) {
+            let mut budget = RetryBudget::new(SETTINGS, number);
             for _ in 0..*count {
                 budget.record_request("desk", now);
             }
-            taken += (0..wanted).filter(|_| budget.try_take("desk", processes, now)).count();
+            for _ in 0..wanted {
+                taken += usize::from(budget.try_take("desk", now).is_some());
+                exchange(&mut budget, &mut ledger, &format!("n{number}"), now);
+            }
         }
         let total: u32 = requests.iter().sum();
         prop_assert!(taken as f64 <= f64::from(total) * SETTINGS.ratio + SETTINGS.slack);
