Retry: a grant whose answer was lost is granted again

Callers lost retries: a hub counted a grant that never arrived as used for a window. Cause: the hub accepted a process's account only if the process held something of its ledger. Change: the account counts for any later report of the same process; what it held and neither holds nor has used is free again. Why it is safe: a process reports to one hub after the other, and takes no answer to an earlier report.

--- a/crates/pass/src/retry_ledger.rs
+++ b/crates/pass/src/retry_ledger.rs
@@ -192,12 +192,11 @@
     /// Takes what a process held before its report, and returns what it holds now.
     fn reported(&mut self, node: &NodeId, report: &RetryReport, now: Mono) -> Holder {
         let old = self.holders.remove(node);
-        let is_renewed =
-            old.as_ref().is_some_and(|old| old.boot == report.boot) && report.ledger == self.id;
+        let is_same_process = old.as_ref().is_some_and(|old| old.boot == report.boot);
         let mut before = old.map(|old| old.services).unwrap_or_default();
         let mut services = BTreeMap::new();
         for HeldRetries { service, held, used } in &report.services {
-            let old = before.get(service).filter(|_| is_renewed);
+            let old = before.get(service).filter(|_| is_same_process);
             let (was_held, was_used) = old.map_or((0, *used), |old| (old.held, old.used));
             let newly_used = used.saturating_sub(was_used).min(u64::from(was_held));
             let newly_used = u32::try_from(newly_used).unwrap_or(was_held);
@@ -205,7 +204,9 @@
                 self.used.entry(service.clone()).or_default().add(newly_used, now);
                 before.remove(service);
             }
-            let held = (*held).min(was_held - newly_used);
+            // A process that holds nothing of this ledger has lost the last grant, or let it lapse.
+            let held = if report.ledger == self.id { *held } else { 0 };
+            let held = held.min(was_held - newly_used);
             let row = HeldRetries { service: service.clone(), held, used: *used };
             services.insert(service.clone(), row);
         }
