--- a/crates/front/src/local_state/retries.rs
+++ b/crates/front/src/local_state/retries.rs
@@ -78,6 +78,11 @@
         self.retries.record_request(service, clock::since_boot());
     }
 
+    /// Takes back a request that earns retries at another process from now on.
+    pub(crate) fn take_back_request(&mut self, service: &str) {
+        self.retries.take_back_request(service, clock::since_boot());
+    }
+
     /// Takes one retry at `service`; returns what pays for it, or `None` if none is left.
     pub(crate) fn take_retry(&mut self, service: &str) -> Option<RetrySource> {
         self.retries.try_take(service, clock::since_boot())
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -40,6 +40,7 @@
 mod stream;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Instant;
 
 use base::prelude::*;
@@ -138,6 +139,8 @@
     deadline: Mono,
     /// How many attempts have begun.
     attempts: Mutex<AttemptCount>,
+    /// Whether it earns retries at this process.
+    earns: AtomicBool,
     /// The backend server that the last attempt was sent to.
     current_server: Mutex<Option<ServerId>>,
 }
@@ -324,6 +327,7 @@
         arrived,
         deadline,
         attempts: Mutex::new(attempts),
+        earns: AtomicBool::new(false),
         current_server: Mutex::default(),
     });
     let departure = DepartureGuard::new(active.clone());
--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -1,6 +1,7 @@
 //! The attempts of one request, until one gives the final response.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use base::prelude::*;
 use pass::prelude::*;
@@ -150,6 +151,8 @@
             Err(refused) => refused,
         };
         if is_declined(&refused) && self.tries.may_have_run == self.active.runs_elsewhere() {
+            // It earns again at the process that handed it over.
+            self.active.stop_earning();
             return Err(refused);
         }
         Err(self.last_unknown.as_ref().map_or(refused, |failed| self.active.fail(failed)))
@@ -289,9 +292,15 @@
 
     fn count_request(&self) {
         let now = self.now();
+        let earns_here = match &self.origin {
+            Origin::Caller => true,
+            Origin::Process(progress) => progress.earns,
+        };
+        if earns_here {
+            self.earn();
+        }
         let mut local = self.state.shared.local.lock();
         local.requests += 1;
-        local.count_request(&self.routed.service.name);
         if let (Some(engine), Some(generation)) =
             (&self.routed.service.engine, &self.metadata.generation)
         {
@@ -299,6 +308,21 @@
         }
     }
 
+    /// Lets the request earn retries at this process, and at no other.
+    pub(super) fn earn(&self) {
+        self.earns.store(true, Ordering::Relaxed);
+        self.state.shared.local.lock().count_request(&self.routed.service.name);
+    }
+
+    /// Ends that, so that it may earn at another process; returns false if it doesn't earn here.
+    pub(super) fn stop_earning(&self) -> bool {
+        let did_earn = self.earns.swap(false, Ordering::Relaxed);
+        if did_earn {
+            self.state.shared.local.lock().take_back_request(&self.routed.service.name);
+        }
+        did_earn
+    }
+
     /// Returns whether another attempt may follow the failed one, and takes it from the retry budget.
     pub(super) fn may_retry(&self, failed: &FailedAttempt) -> bool {
         let route = &self.routed.route;
--- a/crates/front/src/serve/hand_over.rs
+++ b/crates/front/src/serve/hand_over.rs
@@ -50,9 +50,12 @@
 const WAITED_MS: HeaderName = HeaderName::from_static("samphire-waited-ms");
 /// The version of the configuration that the sender knows.
 const VERSION: HeaderName = HeaderName::from_static("samphire-version");
+/// Whether the request earns retries at the receiver from now on: `1`, or else missing.
+const EARNS: HeaderName = HeaderName::from_static("samphire-earns");
 /// In responses: the request was declined, and why.
 const DECLINED: HeaderName = HeaderName::from_static("samphire-declined");
-const OWN_HEADERS: [HeaderName; 7] = [FROM, METHOD, TARGET, ATTEMPTS, REACHED, WAITED_MS, VERSION];
+const OWN_HEADERS: [HeaderName; 8] =
+    [FROM, METHOD, TARGET, ATTEMPTS, REACHED, WAITED_MS, VERSION, EARNS];
 
 /// Marks a response that declines a request in the process that generates it.
 #[derive(Clone, Copy, Debug)]
@@ -78,6 +81,8 @@
     pub(super) waited: Duration,
     /// The version of the configuration that it knows.
     version: Revision,
+    /// Whether the request earns retries here, and no more there.
+    pub(super) earns: bool,
 }
 
 /// A request at a helper. Dropping it releases the helper.
@@ -135,7 +140,15 @@
             waited_ms: decision_log::millis(active.now().saturating_sub(active.arrived)),
         });
         self.state.metrics.handed_over.inc();
-        let request = self.build(active, tries, after);
+        let earns_there = active.stop_earning();
+        let sent = self.send_to_helper(self.build(active, tries, after, earns_there)).await;
+        if earns_there && matches!(sent, Err(PoolError::NotSent { .. })) {
+            active.earn();
+        }
+        sent
+    }
+
+    async fn send_to_helper(&self, request: http::Request<Bytes>) -> Result<Response, PoolError> {
         let reuse = Reuse::IdleAtMost(MAX_IDLE_AT_MOST_ONCE);
         let response = self.state.peers.send(self.helper, request, reuse).await?;
         match response.headers().get(&DECLINED) {
@@ -154,6 +167,7 @@
         active: &ActiveRequest,
         tries: &Tries,
         after: Option<&str>,
+        earns_there: bool,
     ) -> http::Request<Bytes> {
         let outgoing = &active.outgoing;
         let mut headers = outgoing.headers.clone();
@@ -173,6 +187,9 @@
         set(&mut headers, &REACHED, &tries.reached.join(","));
         set(&mut headers, &WAITED_MS, &waited.to_string());
         set(&mut headers, &VERSION, &version.to_string());
+        if earns_there {
+            set(&mut headers, &EARNS, "1");
+        }
         let deadline_ms = &self.state.integration.header_names.deadline_ms;
         set(&mut headers, deadline_ms, &left.max(1).to_string());
         if let Some(after) = after {
@@ -269,6 +286,7 @@
         tries: Tries { may_have_run, servers: reached.clone(), reached },
         waited: Duration::from_millis(waited),
         version,
+        earns: headers.get(&EARNS).is_some_and(|value| value == "1"),
     };
     for name in OWN_HEADERS {
         message.headers.remove(name);
--- a/crates/front/tests/retry_fleet/process.rs
+++ b/crates/front/tests/retry_fleet/process.rs
@@ -140,7 +140,9 @@
         self.budget.record_request(SERVICE, now);
     }
 
-    pub(crate) fn hand_over(&mut self, _now: Mono) {}
+    pub(crate) fn hand_over(&mut self, now: Mono) {
+        self.budget.take_back_request(SERVICE, now);
+    }
 
     pub(crate) fn try_retry(&mut self, now: Mono) -> bool {
         self.budget.try_take(SERVICE, now).is_some()
--- a/crates/pass/src/budget.rs
+++ b/crates/pass/src/budget.rs
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 struct Bucket {
     started_at: Mono,
-    /// Requests that earn retries here.
+    /// Requests that earn retries here; below zero if more were handed over than arrived.
     requests: i64,
     /// Retries that requests earned.
     retries: i64,
@@ -178,6 +178,11 @@
         self.bucket(service, now).requests += 1;
     }
 
+    /// Takes a request back, which earns retries at another process from now on.
+    pub fn take_back_request(&mut self, service: &str, now: Mono) {
+        self.bucket(service, now).requests -= 1;
+    }
+
     fn bucket(&mut self, service: &str, now: Mono) -> &mut Bucket {
         self.counts.entry(service.into()).or_default().current_bucket(&self.settings, now)
     }
