Server limits: a process divides a limit by the largest fleet that it has seen lately

A server in need may get more requests than it takes: each process divides the rate that the server names by the last number of processes that a hub told it, which is too small just after a hub has begun. Change: the number that warm-ups divide by (the largest seen within a minute) serves both; it moves to pass::fleet_size. A process that has heard no number yet counts on 300. Unlike a warm-up, a limit isn't held at that for two seconds: a process that starts is excused by the rule, and a fleet of one would send next to nothing for a minute. Cost: after processes have gone for good, a limit is used only in part for a minute.

--- a/crates/pass/src/lib.rs
+++ b/crates/pass/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`routes`]: the table that finds the route and workspace of a request.
 //! - [`header_names`]: the names of the headers that callers and backend servers use.
 //! - [`request`]: the metadata in the headers of a request.
+//! - [`fleet_size`]: the number of processes among which rates are divided.
 //! - `flows`: the flows of requests, as this process sees them and as the others report them.
 //! - [`load`]: the load of an endpoint.
 //! - `endpoint`: one endpoint, and how long it is expected to take to respond.
@@ -41,6 +42,7 @@
 pub mod events;
 pub mod fair_share;
 pub mod fixed_time;
+pub mod fleet_size;
 mod flows;
 pub mod header_names;
 pub mod helpers;
--- a/crates/pass/src/server_limit.rs
+++ b/crates/pass/src/server_limit.rs
@@ -4,7 +4,8 @@
 //! together, and stops saying so when it needs the limit no more. So the latest response to any
 //! process counts; processes report their own observations to each other with their age.
 //!
-//! Algorithm: each process takes an equal part of the rate. A permit for one request becomes due at
+//! Algorithm: each process takes an equal part of the rate, as one of the largest number of processes that it
+//! has seen lately ([`fleet_size`](crate::fleet_size)). A permit for one request becomes due at
 //! that part of the rate, and lapses if it isn't used within [`PERMIT_TTL`]. In a token bucket, such
 //! as `route::bucket`, it would be kept, so that a fleet could send as many requests at once as it has
 //! processes, however low the rate is. Processes begin at random times between two permits, or all
@@ -19,6 +20,8 @@
 use base::prelude::*;
 use form::prelude::*;
 
+use crate::fleet_size::FleetSize;
+
 /// Requests per second.
 pub type RequestRate = f64;
 
@@ -144,15 +147,16 @@
 #[derive(Debug, Default)]
 pub struct ServerLimits {
     rows: HashMap<ServerId, ServerLimit>,
-    /// Number of processes that share the limits.
-    processes: usize,
+    /// The processes that share the limits.
+    fleet: FleetSize,
 }
 
 impl ServerLimits {
-    /// Sets the number of processes that share the limits, and drops limits that are not needed any
-    /// more.
+    /// Records the number of processes that are alive, this one included, and drops limits that are not
+    /// needed any more.
     pub fn set_processes(&mut self, processes: usize, now: Mono) {
-        self.processes = processes;
+        self.fleet.record(processes, now);
+        let processes = self.fleet.largest();
         self.rows.retain(|_, row| {
             let is_withdrawn = row.per_second.is_none() && now >= row.changed_at + WITHDRAWAL_TTL;
             !is_withdrawn && now < row.observed_at + UNUSED_TTL
@@ -214,7 +218,7 @@
         is_own: bool,
     ) -> bool {
         let LimitObservation { started_at_ms, per_second, age_ms } = observation;
-        let rate = own_rate(per_second, self.processes);
+        let rate = own_rate(per_second, self.fleet.largest());
         let known = self.row(server, started_at_ms);
         let is_same = known.is_some_and(|row| row.per_second == per_second);
         let changed_at = known.filter(|_| is_same).map_or(now, |row| row.changed_at);
--- a/crates/pass/src/warm_up.rs
+++ b/crates/pass/src/warm_up.rs
@@ -15,7 +15,6 @@
 //! variable, and [`used_rate`] is the largest rate up to `per_second` for which that bound holds.
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use base::hash::stable;
@@ -25,6 +24,8 @@
 
 use crate::config::ServiceSpec;
 use crate::endpoint::Endpoint;
+use crate::fleet_size::ASSUMED_PROCESSES;
+use crate::fleet_size::FleetSize;
 use crate::server_limit::Allowance;
 use crate::server_limit::Permits;
 use crate::server_limit::RequestRate;
@@ -36,14 +37,6 @@
 pub const EXCESS_PROBABILITY: f64 = 1e-5;
 /// The time to which a server's tolerance applies.
 const WINDOW: Duration = Duration::from_secs(1);
-/// How long a number of processes counts after it was seen. A fleet that is partitioned in halves
-/// doesn't send twice the rate for that long.
-const FLEET_RETENTION: Duration = Duration::from_secs(60);
-/// Number of processes that is assumed while the fleet isn't known.
-pub const ASSUMED_PROCESSES: usize = 300;
-/// Time from the first report of the fleet until it counts as known. A new hub hears of all processes
-/// of its domain within it.
-pub const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Expected time of a server at the start of its warm-up, relative to a warm one. It is an assumption,
 /// as reports tell only how long the warm-up lasts. A higher one would exclude idle servers by their
 /// expected time alone.
@@ -159,38 +152,6 @@
     sum
 }
 
-/// The number of processes that share the rates.
-#[derive(Debug, Default)]
-struct FleetSize {
-    first_seen_at: Option<Mono>,
-    /// Numbers that no later one exceeds, in the order in which they were seen.
-    peaks: VecDeque<(Mono, usize)>,
-}
-
-impl FleetSize {
-    fn record(&mut self, processes: usize, now: Mono) {
-        self.first_seen_at.get_or_insert(now);
-        while self.peaks.back().is_some_and(|(_, seen)| *seen <= processes) {
-            self.peaks.pop_back();
-        }
-        self.peaks.push_back((now, processes));
-        while self.peaks.front().is_some_and(|(at, _)| now >= *at + FLEET_RETENTION) {
-            self.peaks.pop_front();
-        }
-    }
-
-    /// Returns the largest number that was seen lately.
-    fn largest(&self, now: Mono) -> usize {
-        let largest = self.peaks.front().map_or(1, |(_, processes)| *processes);
-        // A process that sees only itself may be cut off from the others.
-        let settle_time = if largest > 1 { SETTLE_TIME } else { FLEET_RETENTION };
-        match self.first_seen_at {
-            Some(at) if now >= at + settle_time => largest,
-            _ => largest.max(ASSUMED_PROCESSES),
-        }
-    }
-}
-
 /// A server instance in warm-up.
 #[derive(Debug)]
 struct WarmingServer {
@@ -265,7 +226,7 @@
     pub fn set_processes(&mut self, processes: usize, now: Mono) {
         self.seen_at = now;
         self.fleet.record(processes.max(1), now);
-        let largest = self.fleet.largest(now);
+        let largest = self.fleet.settled(now);
         if largest != self.processes {
             self.processes = largest;
             self.update_rates();
--- a/crates/pass/tests/server_limit.rs
+++ b/crates/pass/tests/server_limit.rs
@@ -138,3 +138,35 @@
     assert_eq!(wait(&[SERVER, ("s2", 7)], 1), None);
     assert_eq!(wait(&[], 1), None);
 }
+
+/// Returns the requests that a process sends a server that takes `limit` a second, in ten seconds from
+/// `from` on.
+fn sent_in_ten_seconds(limits: &mut ServerLimits, limit: f64, from: Mono) -> usize {
+    limits.observe("a", 1, Some(limit), 0.0, from);
+    let steps = (0..1_000).map(|step| from + Duration::from_millis(10) * step);
+    let send = |now: Mono| {
+        let has_permit = limits.has_permit("a", 1, now);
+        if has_permit {
+            limits.take("a", 1, now);
+        }
+        has_permit
+    };
+    steps.map(send).filter(|is_sent| *is_sent).count()
+}
+
+// Guards against a process that takes a larger part of a limit when a hub that has just begun, or is cut off
+// from the others, knows only a few processes.
+#[test]
+fn a_new_hub_that_knows_few_processes_does_not_enlarge_the_part_of_any() {
+    let mut limits = ServerLimits::default();
+    limits.set_processes(80, seconds(1));
+    limits.set_processes(2, seconds(2));
+    assert!(sent_in_ten_seconds(&mut limits, 40.0, seconds(2)) <= 4, "0.35 a second");
+}
+
+// Guards against a process that takes the whole limit before it has heard of the others.
+#[test]
+fn a_process_that_knows_no_others_yet_assumes_many() {
+    let mut limits = ServerLimits::default();
+    assert!(sent_in_ten_seconds(&mut limits, 40.0, seconds(1)) <= 2, "0.1 a second");
+}
