--- a/crates/front/tests/retry_budget.rs
+++ b/crates/front/tests/retry_budget.rs
@@ -10,6 +10,9 @@
 use retry_fleet::Scenario;
 use retry_fleet::TICK;
 
+/// Part of the slack that hubs grant.
+const SLACK_USED: f64 = 0.7;
+
 fn settings(slack: f64) -> BudgetSettings {
     BudgetSettings { ratio: 0.2, slack, window: Duration::from_secs(10) }
 }
@@ -64,6 +67,8 @@
 fn check(scenario: Scenario) -> Result<(), TestCaseError> {
     let settings = scenario.settings;
     let record = Fleet::play(scenario);
+    let (granted, pools) = (record.most_granted(settings.window), settings.slack * SLACK_USED);
+    prop_assert!(granted as f64 <= pools, "{granted} granted retries, {pools} in all pools");
     if let Some((end, retries, allowed)) = record.worst_window(&settings) {
         prop_assert!(
             retries as f64 <= allowed,
--- a/crates/front/tests/retry_fleet/mod.rs
+++ b/crates/front/tests/retry_fleet/mod.rs
@@ -9,6 +9,7 @@
 
 use base::prelude::*;
 use pass::budget::BudgetSettings;
+use pass::prelude::*;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -73,6 +74,8 @@
 pub(crate) struct Record {
     requests: Vec<Mono>,
     retries: Vec<Mono>,
+    /// Those of the retries that hubs had granted.
+    granted: Vec<Mono>,
 }
 
 impl Record {
@@ -80,6 +83,12 @@
         self.retries.len()
     }
 
+    /// Returns the most granted retries in a window.
+    pub(crate) fn most_granted(&self, window: Duration) -> usize {
+        let windows = self.granted.iter().map(|end| count(&self.granted, *end, window));
+        windows.max().unwrap_or_default()
+    }
+
     /// Returns the window that has the most retries beyond those that it allows: its end, its retries, and
     /// how many are allowed.
     pub(crate) fn worst_window(&self, settings: &BudgetSettings) -> Option<(Mono, usize, f64)> {
@@ -479,8 +488,10 @@
                 return;
             }
             let Some(process) = &mut self.slots[number].process else { return };
-            if !process.try_retry(now) {
-                return;
+            match process.try_retry(now) {
+                None => return,
+                Some(RetrySource::Requests) => {}
+                Some(RetrySource::Grant) => self.record.granted.push(now),
             }
             self.record.retries.push(now);
         }
--- a/crates/front/tests/retry_fleet/process.rs
+++ b/crates/front/tests/retry_fleet/process.rs
@@ -144,8 +144,8 @@
         self.budget.take_back_request(SERVICE, now);
     }
 
-    pub(crate) fn try_retry(&mut self, now: Mono) -> bool {
-        self.budget.try_take(SERVICE, now).is_some()
+    pub(crate) fn try_retry(&mut self, now: Mono) -> Option<RetrySource> {
+        self.budget.try_take(SERVICE, now)
     }
 }
 
