Retry: a handed-over request earns by its age, at one process

Callers saw nothing of it: a stream that is resumed through another process earned a retry there though its request may have left the window; the process that took it back had nothing left to take. Change: what a request earns counts from its arrival at the caller's process, wherever it is served; the header says its age, and a request older than the window earns nothing any more. The simulated fleet hands over streams of up to 30 s as well.

--- a/crates/front/src/local_state/retries.rs
+++ b/crates/front/src/local_state/retries.rs
@@ -73,14 +73,16 @@
         self.retries.accept(hub, grant, reported_at, clock::since_boot());
     }
 
-    /// Counts a request for `service`, which earns retries here.
-    pub(crate) fn count_request(&mut self, service: &str) {
-        self.retries.record_request(service, clock::since_boot());
+    /// Counts a request for `service` that arrived `age` ago, at this process or another one, and earns retries
+    /// here from now on.
+    pub(crate) fn count_request(&mut self, service: &str, age: Duration) {
+        self.retries.record_request(service, age, clock::since_boot());
     }
 
-    /// Takes back a request that earns retries at another process from now on.
-    pub(crate) fn take_back_request(&mut self, service: &str) {
-        self.retries.take_back_request(service, clock::since_boot());
+    /// Takes back a request that arrived `age` ago, and earns retries at another process from now on; returns
+    /// false if it earns nothing any more.
+    pub(crate) fn take_back_request(&mut self, service: &str, age: Duration) -> bool {
+        self.retries.take_back_request(service, age, clock::since_boot())
     }
 
     /// Takes one retry at `service`; returns what pays for it, or `None` if none is left.
--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -294,7 +294,7 @@
         let now = self.now();
         let earns_here = match &self.origin {
             Origin::Caller => true,
-            Origin::Process(progress) => progress.earns,
+            Origin::Process(progress) => progress.earning_age.is_some(),
         };
         if earns_here {
             self.earn();
@@ -311,16 +311,30 @@
     /// Lets the request earn retries at this process, and at no other.
     pub(super) fn earn(&self) {
         self.earns.store(true, Ordering::Relaxed);
-        self.state.shared.local.lock().count_request(&self.routed.service.name);
+        let (service, age) = (&self.routed.service.name, self.age());
+        self.state.shared.local.lock().count_request(service, age);
     }
 
-    /// Ends that, so that it may earn at another process; returns false if it doesn't earn here.
-    pub(super) fn stop_earning(&self) -> bool {
+    /// Ends that, so that it may earn at another process; returns the time since the caller's request arrived,
+    /// or `None` if it earns nothing here.
+    pub(super) fn stop_earning(&self) -> Option<Duration> {
+        let (service, age) = (&self.routed.service.name, self.age());
         let did_earn = self.earns.swap(false, Ordering::Relaxed);
-        if did_earn {
-            self.state.shared.local.lock().take_back_request(&self.routed.service.name);
+        let is_taken = did_earn && self.state.shared.local.lock().take_back_request(service, age);
+        is_taken.then_some(age)
+    }
+
+    /// Returns the time since the caller's request arrived, wherever that was.
+    fn age(&self) -> Duration {
+        let age = self.now().saturating_sub(self.arrived);
+        match &self.origin {
+            Origin::Caller => age,
+            // That of a resumed stream counts from its interruption.
+            Origin::Process(progress) => {
+                let here = age.saturating_sub(progress.waited);
+                progress.earning_age.unwrap_or(progress.waited) + here
+            }
         }
-        did_earn
     }
 
     /// Returns whether another attempt may follow the failed one, and takes it from the retry budget.
--- a/crates/front/src/serve/hand_over.rs
+++ b/crates/front/src/serve/hand_over.rs
@@ -50,7 +50,7 @@
 const WAITED_MS: HeaderName = HeaderName::from_static("samphire-waited-ms");
 /// The version of the configuration that the sender knows.
 const VERSION: HeaderName = HeaderName::from_static("samphire-version");
-/// Whether the request earns retries at the receiver from now on: `1`, or else missing.
+/// Milliseconds since the caller's request arrived, if it earns retries at the receiver from now on.
 const EARNS: HeaderName = HeaderName::from_static("samphire-earns");
 /// In responses: the request was declined, and why.
 const DECLINED: HeaderName = HeaderName::from_static("samphire-declined");
@@ -81,8 +81,8 @@
     pub(super) waited: Duration,
     /// The version of the configuration that it knows.
     version: Revision,
-    /// Whether the request earns retries here, and no more there.
-    pub(super) earns: bool,
+    /// Time since the caller's request arrived, if it earns retries here and no more there.
+    pub(super) earning_age: Option<Duration>,
 }
 
 /// A request at a helper. Dropping it releases the helper.
@@ -140,9 +140,9 @@
             waited_ms: decision_log::millis(active.now().saturating_sub(active.arrived)),
         });
         self.state.metrics.handed_over.inc();
-        let earns_there = active.stop_earning();
-        let sent = self.send_to_helper(self.build(active, tries, after, earns_there)).await;
-        if earns_there && matches!(sent, Err(PoolError::NotSent { .. })) {
+        let earning_age = active.stop_earning();
+        let sent = self.send_to_helper(self.build(active, tries, after, earning_age)).await;
+        if earning_age.is_some() && matches!(sent, Err(PoolError::NotSent { .. })) {
             active.earn();
         }
         sent
@@ -167,7 +167,7 @@
         active: &ActiveRequest,
         tries: &Tries,
         after: Option<&str>,
-        earns_there: bool,
+        earning_age: Option<Duration>,
     ) -> http::Request<Bytes> {
         let outgoing = &active.outgoing;
         let mut headers = outgoing.headers.clone();
@@ -187,8 +187,8 @@
         set(&mut headers, &REACHED, &tries.reached.join(","));
         set(&mut headers, &WAITED_MS, &waited.to_string());
         set(&mut headers, &VERSION, &version.to_string());
-        if earns_there {
-            set(&mut headers, &EARNS, "1");
+        if let Some(age) = earning_age {
+            set(&mut headers, &EARNS, &decision_log::millis(age).to_string());
         }
         let deadline_ms = &self.state.integration.header_names.deadline_ms;
         set(&mut headers, deadline_ms, &left.max(1).to_string());
@@ -279,6 +279,8 @@
     let version = parsed(headers, &VERSION, &mut findings).unwrap_or_default();
     let reached: String = parsed(headers, &REACHED, &mut findings).unwrap_or_default();
     let from: String = parsed(headers, &FROM, &mut findings).unwrap_or_default();
+    let has_age = headers.contains_key(&EARNS);
+    let earning_age = has_age.then(|| parsed(headers, &EARNS, &mut findings)).flatten();
     let reached = reached.split(',').filter(|id| !id.is_empty()).map(Into::into);
     let reached: Vec<ServerId> = reached.collect();
     let progress = Progress {
@@ -286,7 +288,7 @@
         tries: Tries { may_have_run, servers: reached.clone(), reached },
         waited: Duration::from_millis(waited),
         version,
-        earns: headers.get(&EARNS).is_some_and(|value| value == "1"),
+        earning_age: earning_age.map(Duration::from_millis),
     };
     for name in OWN_HEADERS {
         message.headers.remove(name);
--- a/crates/front/tests/retry_fleet/mod.rs
+++ b/crates/front/tests/retry_fleet/mod.rs
@@ -32,6 +32,8 @@
 const LOSS: f64 = 0.02;
 /// Time after which a sender gives up.
 const TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a stream may take.
+const LONGEST_STREAM: Duration = Duration::from_secs(30);
 /// Most attempts of a request beyond the first.
 const MAX_RETRIES: u32 = 2;
 
@@ -124,6 +126,8 @@
     cut_from_processes_until: Mono,
     next_exchange: Mono,
     call: Option<Call>,
+    /// When the requests arrived that its process serves, or has served.
+    arrivals: Vec<Mono>,
 }
 
 /// A message of a process to a hub, and its answer.
@@ -182,6 +186,7 @@
                 cut_from_processes_until: Mono::ZERO,
                 next_exchange: Mono::ZERO,
                 call: None,
+                arrivals: Vec::new(),
             });
         }
         let locks = (0..scenario.domains).map(|_| HubLock::default()).collect();
@@ -244,6 +249,7 @@
             Event::CutFromServers { share, length } => {
                 for number in self.draw(share) {
                     self.slots[number].cut_from_servers_until = now + length;
+                    self.hand_over_streams(number);
                 }
             }
             Event::CutFromProcesses { share, length } => {
@@ -271,6 +277,7 @@
             return;
         }
         slot.call = None;
+        slot.arrivals.clear();
         let pause = self.rng.random_range(Duration::from_millis(200)..Duration::from_millis(1_000));
         slot.starts_at = self.now + pause;
         let lock = &mut self.locks[slot.domain];
@@ -451,8 +458,9 @@
             }
             let entry = alive[self.rng.random_range(0..alive.len())];
             if let Some(process) = &mut self.slots[entry].process {
-                process.record_request(now);
+                process.record_request(Duration::ZERO, now);
             }
+            self.slots[entry].arrivals.push(now);
             let is_cut = |number: &&usize| now < self.slots[**number].cut_from_servers_until;
             let server_of = match is_cut(&&entry) {
                 false => entry,
@@ -463,7 +471,7 @@
                         continue;
                     }
                     let helper = helpers[self.rng.random_range(0..helpers.len())];
-                    self.hand_over(entry, helper);
+                    self.hand_over(entry, helper, Duration::ZERO);
                     helper
                 }
             };
@@ -471,13 +479,27 @@
         }
     }
 
-    fn hand_over(&mut self, from: usize, to: usize) {
+    fn hand_over(&mut self, from: usize, to: usize, age: Duration) {
         let now = self.now;
-        if let Some(process) = &mut self.slots[from].process {
-            process.hand_over(now);
+        let from = self.slots[from].process.as_mut();
+        if from.is_some_and(|process| process.hand_over(age, now))
+            && let Some(helper) = &mut self.slots[to].process
+        {
+            helper.record_request(age, now);
         }
-        if let Some(process) = &mut self.slots[to].process {
-            process.record_request(now);
+    }
+
+    /// Hands over the streams of a process that goes on elsewhere with them, each to another process, where
+    /// they are resumed.
+    fn hand_over_streams(&mut self, from: usize) {
+        let now = self.now;
+        for arrived_at in std::mem::take(&mut self.slots[from].arrivals) {
+            let to = self.rng.random_range(0..self.slots.len());
+            if to == from || self.slots[to].process.is_none() || now > arrived_at + LONGEST_STREAM {
+                continue;
+            }
+            self.hand_over(from, to, now - arrived_at);
+            self.attempt(to);
         }
     }
 
--- a/crates/front/tests/retry_fleet/process.rs
+++ b/crates/front/tests/retry_fleet/process.rs
@@ -136,12 +136,14 @@
         }
     }
 
-    pub(crate) fn record_request(&mut self, now: Mono) {
-        self.budget.record_request(SERVICE, now);
+    /// Counts a request that arrived `age` ago, and earns retries here.
+    pub(crate) fn record_request(&mut self, age: Duration, now: Mono) {
+        self.budget.record_request(SERVICE, age, now);
     }
 
-    pub(crate) fn hand_over(&mut self, now: Mono) {
-        self.budget.take_back_request(SERVICE, now);
+    /// Hands over a request that arrived `age` ago; returns whether it earns retries at the helper.
+    pub(crate) fn hand_over(&mut self, age: Duration, now: Mono) -> bool {
+        self.budget.take_back_request(SERVICE, age, now)
     }
 
     pub(crate) fn try_retry(&mut self, now: Mono) -> Option<RetrySource> {
--- a/crates/pass/src/budget.rs
+++ b/crates/pass/src/budget.rs
@@ -67,6 +67,15 @@
         }
         self.buckets.back_mut().expect("a bucket was just added")
     }
+
+    /// Returns the bucket of what arrived at `arrived_at`.
+    fn bucket_of(&mut self, arrived_at: Mono) -> &mut Bucket {
+        let later = self.buckets.partition_point(|bucket| bucket.started_at <= arrived_at);
+        if later == 0 {
+            self.buckets.push_front(Bucket { started_at: arrived_at, requests: 0, retries: 0 });
+        }
+        &mut self.buckets[later.saturating_sub(1)]
+    }
 }
 
 /// What a process has done and may do at one service.
@@ -173,14 +182,26 @@
         &self.settings
     }
 
-    /// Counts a request for `service`, which earns retries here.
-    pub fn record_request(&mut self, service: &str, now: Mono) {
-        self.bucket(service, now).requests += 1;
+    /// Counts a request for `service` that arrived `age` ago, at this process or another one, and earns retries
+    /// here from now on.
+    pub fn record_request(&mut self, service: &str, age: Duration, now: Mono) {
+        self.add_request(service, 1, age, now);
     }
 
-    /// Takes a request back, which earns retries at another process from now on.
-    pub fn take_back_request(&mut self, service: &str, now: Mono) {
-        self.bucket(service, now).requests -= 1;
+    /// Takes a request back that arrived `age` ago, and earns retries at another process from now on; returns
+    /// false if it has left the window.
+    pub fn take_back_request(&mut self, service: &str, age: Duration, now: Mono) -> bool {
+        self.add_request(service, -1, age, now)
+    }
+
+    fn add_request(&mut self, service: &str, added: i64, age: Duration, now: Mono) -> bool {
+        let Some(arrived_at) = now.checked_sub(age).filter(|_| age <= self.settings.window) else {
+            return false;
+        };
+        self.bucket(service, now);
+        let counts = self.counts.entry(service.into()).or_default();
+        counts.bucket_of(arrived_at).requests += added;
+        true
     }
 
     fn bucket(&mut self, service: &str, now: Mono) -> &mut Bucket {
--- a/crates/pass/tests/budget.rs
+++ b/crates/pass/tests/budget.rs
@@ -20,7 +20,7 @@
     let now = Duration::from_secs(1);
     assert_eq!(budget.try_take("desk", now), None);
     for _ in 0..100 {
-        budget.record_request("desk", now);
+        budget.record_request("desk", Duration::ZERO, now);
     }
     let taken = (0..100).filter(|_| budget.try_take("desk", now).is_some()).count();
     assert_eq!(taken, 14, "0.7 of 0.2 of 100");
@@ -49,7 +49,7 @@
         for (number, count) in (1..).zip(&requests) {
             let mut budget = RetryBudget::new(SETTINGS, number);
             for _ in 0..*count {
-                budget.record_request("desk", now);
+                budget.record_request("desk", Duration::ZERO, now);
             }
             for _ in 0..wanted {
                 taken += usize::from(budget.try_take("desk", now).is_some());
@@ -60,3 +60,24 @@
         prop_assert!(taken as f64 <= f64::from(total) * SETTINGS.ratio + SETTINGS.slack);
     }
 }
+
+// Guards against streams that are resumed elsewhere and earn retries long after their requests arrived.
+#[test]
+fn a_request_that_is_handed_over_earns_until_it_leaves_the_window() {
+    let (mut first, mut helper) = (RetryBudget::new(SETTINGS, 1), RetryBudget::new(SETTINGS, 2));
+    let earned = |budget: &mut RetryBudget, now| budget.account("desk", now).earned;
+    let arrived_at = Duration::from_secs(20);
+    for _ in 0..100 {
+        first.record_request("desk", Duration::ZERO, arrived_at);
+    }
+    let age = Duration::from_secs(6);
+    for _ in 0..60 {
+        assert!(first.take_back_request("desk", age, arrived_at + age));
+        helper.record_request("desk", age, arrived_at + age);
+    }
+    let shares = (earned(&mut first, arrived_at + age), earned(&mut helper, arrived_at + age));
+    assert!((shares.0 - 5.6).abs() < 1e-9 && (shares.1 - 8.4).abs() < 1e-9, "{shares:?}");
+    let late = arrived_at + Duration::from_secs(12);
+    assert_eq!((earned(&mut first, late), earned(&mut helper, late)), (0.0, 0.0));
+    assert!(!first.take_back_request("desk", Duration::from_secs(12), late));
+}
