Hand-over: a header of the caller can't make a request earn retries

Found by reading the change; the header is removed before it may be set, as the others are always set.

--- a/crates/front/src/serve/hand_over.rs
+++ b/crates/front/src/serve/hand_over.rs
@@ -187,6 +187,8 @@
         set(&mut headers, &REACHED, &tries.reached.join(","));
         set(&mut headers, &WAITED_MS, &waited.to_string());
         set(&mut headers, &VERSION, &version.to_string());
+        // A caller's own header must not earn anything.
+        headers.remove(&EARNS);
         if let Some(age) = earning_age {
             set(&mut headers, &EARNS, &decision_log::millis(age).to_string());
         }
