--- a/crates/pass/src/retry_ledger.rs
+++ b/crates/pass/src/retry_ledger.rs
@@ -7,7 +7,7 @@
 //!
 //! Algorithm: a process reports to its hub, a few times a second, which granted retries it still holds
 //! and how many it has used. The hub grants as many as bring it up to an equal part of
-//! [`STOCK_SHARE`] of the pool, as long as the pool has retries left. Granted retries lapse
+//! `STOCK_SHARE` of the pool, as long as the pool has retries left. Granted retries lapse
 //! [`GRANT_TTL`] after the last report that was answered. A hub that knows of a predecessor, or may have
 //! had one, begins to grant once nothing that was granted before can fall into the same window.
 //!
