--- a/crates/front/src/serve/attempts.rs
+++ b/crates/front/src/serve/attempts.rs
@@ -143,7 +143,7 @@
             () = self.active.must_leave(), if may_leave => Err(self.active.leave()),
             waited = waiting => waited,
         };
-        let refused = match waited {
+        let mut refused = match waited {
             Ok(carrier) => {
                 self.begin(carrier);
                 return Ok(());
@@ -151,8 +151,8 @@
             Err(refused) => refused,
         };
         if is_declined(&refused) && self.tries.may_have_run == self.active.runs_elsewhere() {
-            // It earns again at the process that handed it over.
-            self.active.stop_earning();
+            let returns_request = self.active.stop_earning().is_some();
+            refused.extensions_mut().insert(Declined { returns_request });
             return Err(refused);
         }
         Err(self.last_unknown.as_ref().map_or(refused, |failed| self.active.fail(failed)))
@@ -316,11 +316,14 @@
     }
 
     /// Ends that, so that it may earn at another process; returns the time since the caller's request arrived,
-    /// or `None` if it earns nothing here.
+    /// or `None` if it earns nothing here, or has been used.
     pub(super) fn stop_earning(&self) -> Option<Duration> {
         let (service, age) = (&self.routed.service.name, self.age());
-        let did_earn = self.earns.swap(false, Ordering::Relaxed);
-        let is_taken = did_earn && self.state.shared.local.lock().take_back_request(service, age);
+        if !self.earns.load(Ordering::Relaxed) {
+            return None;
+        }
+        let is_taken = self.state.shared.local.lock().take_back_request(service, age);
+        self.earns.store(!is_taken, Ordering::Relaxed);
         is_taken.then_some(age)
     }
 
--- a/crates/front/src/serve/choice.rs
+++ b/crates/front/src/serve/choice.rs
@@ -232,7 +232,7 @@
         let mut response = responses::refused(retry_after);
         if reason == Refusal::CutOff && self.origin != Origin::Caller {
             // The process that wanted to hand it over asks another one.
-            response.extensions_mut().insert(Declined);
+            response.extensions_mut().insert(Declined { returns_request: false });
             return response;
         }
         let pending = self.pending_request(&[], self.arrived);
--- a/crates/front/src/serve/hand_over.rs
+++ b/crates/front/src/serve/hand_over.rs
@@ -50,7 +50,8 @@
 const WAITED_MS: HeaderName = HeaderName::from_static("samphire-waited-ms");
 /// The version of the configuration that the sender knows.
 const VERSION: HeaderName = HeaderName::from_static("samphire-version");
-/// Milliseconds since the caller's request arrived, if it earns retries at the receiver from now on.
+/// Milliseconds since the caller's request arrived, if it earns retries at the receiver from now on. In responses
+/// that decline it: it earns at the receiver again.
 const EARNS: HeaderName = HeaderName::from_static("samphire-earns");
 /// In responses: the request was declined, and why.
 const DECLINED: HeaderName = HeaderName::from_static("samphire-declined");
@@ -59,7 +60,10 @@
 
 /// Marks a response that declines a request in the process that generates it.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Declined;
+pub(super) struct Declined {
+    /// Whether the request earns retries again at the process that handed it over.
+    pub(super) returns_request: bool,
+}
 
 /// Where a request comes from.
 #[data]
@@ -141,16 +145,20 @@
         });
         self.state.metrics.handed_over.inc();
         let earning_age = active.stop_earning();
-        let sent = self.send_to_helper(self.build(active, tries, after, earning_age)).await;
-        if earning_age.is_some() && matches!(sent, Err(PoolError::NotSent { .. })) {
+        let request = self.build(active, tries, after, earning_age);
+        let reuse = Reuse::IdleAtMost(MAX_IDLE_AT_MOST_ONCE);
+        let sent = self.state.peers.send(self.helper, request, reuse).await;
+        let is_returned = match &sent {
+            Ok(response) => {
+                let headers = response.headers();
+                headers.contains_key(&DECLINED) && headers.contains_key(&EARNS)
+            }
+            Err(error) => matches!(error, PoolError::NotSent { .. }),
+        };
+        if earning_age.is_some() && is_returned {
             active.earn();
         }
-        sent
-    }
-
-    async fn send_to_helper(&self, request: http::Request<Bytes>) -> Result<Response, PoolError> {
-        let reuse = Reuse::IdleAtMost(MAX_IDLE_AT_MOST_ONCE);
-        let response = self.state.peers.send(self.helper, request, reuse).await?;
+        let response = sent?;
         match response.headers().get(&DECLINED) {
             None => Ok(response),
             Some(reason) => {
@@ -230,7 +238,7 @@
         let id: Box<str> = id.unwrap_or_default().into();
         let from = progress.from.clone();
         if let Some(reason) = self.reason_to_decline(&progress) {
-            return decline(&id, &from, reason);
+            return decline(&id, &from, reason, true);
         }
         state.metrics.taken_over.inc();
         decision_log::write(&Record::TakenOver {
@@ -242,14 +250,15 @@
         let in_flight = state.taken_over.begin();
         let may_have_run = progress.tries.may_have_run > 0;
         let mut response = super::respond(state, request, Origin::Process(progress)).await;
-        if response.extensions().get::<Declined>().is_some() {
-            return decline(&id, &from, "no server can be reached");
+        if let Some(Declined { returns_request }) = response.extensions().get() {
+            return decline(&id, &from, "no server can be reached", *returns_request);
         }
         if may_have_run && promises_not_run(response.status()) {
             response = responses::failed(&FailedAttempt::ELSEWHERE);
         }
         // Only this process itself may decline.
         response.headers_mut().remove(&DECLINED);
+        response.headers_mut().remove(&EARNS);
         response.extensions_mut().insert(AlsoInFlight::from(in_flight));
         response
     }
@@ -263,10 +272,15 @@
     }
 }
 
-fn decline(request: &str, from: &str, reason: &'static str) -> Response {
+/// Returns the response that declines a request. `returns_request` says whether it earns retries again at the
+/// process that handed it over.
+fn decline(request: &str, from: &str, reason: &'static str, returns_request: bool) -> Response {
     decision_log::write(&Record::Declined { request, from, reason });
     let mut response = reply::empty(StatusCode::SERVICE_UNAVAILABLE);
     response.headers_mut().insert(DECLINED, HeaderValue::from_static(reason));
+    if returns_request {
+        response.headers_mut().insert(EARNS, HeaderValue::from_static("0"));
+    }
     response
 }
 
--- a/crates/front/tests/retry_fleet/mod.rs
+++ b/crates/front/tests/retry_fleet/mod.rs
@@ -126,7 +126,7 @@
     cut_from_processes_until: Mono,
     next_exchange: Mono,
     call: Option<Call>,
-    /// When the requests arrived that its process serves, or has served.
+    /// When the requests arrived that earn retries at its process.
     arrivals: Vec<Mono>,
 }
 
@@ -460,10 +460,12 @@
             if let Some(process) = &mut self.slots[entry].process {
                 process.record_request(Duration::ZERO, now);
             }
-            self.slots[entry].arrivals.push(now);
             let is_cut = |number: &&usize| now < self.slots[**number].cut_from_servers_until;
             let server_of = match is_cut(&&entry) {
-                false => entry,
+                false => {
+                    self.slots[entry].arrivals.push(now);
+                    entry
+                }
                 true => {
                     let helpers: Vec<usize> =
                         alive.iter().filter(|number| !is_cut(number)).copied().collect();
@@ -481,12 +483,13 @@
 
     fn hand_over(&mut self, from: usize, to: usize, age: Duration) {
         let now = self.now;
-        let from = self.slots[from].process.as_mut();
-        if from.is_some_and(|process| process.hand_over(age, now))
-            && let Some(helper) = &mut self.slots[to].process
-        {
+        let process = self.slots[from].process.as_mut();
+        let earns_there = process.is_some_and(|process| process.hand_over(age, now));
+        let earner = if earns_there { to } else { from };
+        if let Some(helper) = self.slots[to].process.as_mut().filter(|_| earns_there) {
             helper.record_request(age, now);
         }
+        self.slots[earner].arrivals.push(now - age);
     }
 
     /// Hands over the streams of a process that goes on elsewhere with them, each to another process, where
--- a/crates/pass/src/budget.rs
+++ b/crates/pass/src/budget.rs
@@ -189,9 +189,11 @@
     }
 
     /// Takes a request back that arrived `age` ago, and earns retries at another process from now on; returns
-    /// false if it has left the window.
+    /// false if it has left the window, or if what it earned has been used here.
     pub fn take_back_request(&mut self, service: &str, age: Duration, now: Mono) -> bool {
-        self.add_request(service, -1, age, now)
+        let earned = self.settings.ratio * SAFETY_FACTOR;
+        self.account(service, now).earned_left() >= earned
+            && self.add_request(service, -1, age, now)
     }
 
     fn add_request(&mut self, service: &str, added: i64, age: Duration, now: Mono) -> bool {
--- a/crates/pass/tests/budget.rs
+++ b/crates/pass/tests/budget.rs
@@ -81,3 +81,18 @@
     assert_eq!((earned(&mut first, late), earned(&mut helper, late)), (0.0, 0.0));
     assert!(!first.take_back_request("desk", Duration::from_secs(12), late));
 }
+
+// Guards against a request that earns a retry at one process, which uses it, and another one at its helper.
+#[test]
+fn a_request_whose_retry_was_used_earns_nothing_elsewhere() {
+    let mut budget = RetryBudget::new(SETTINGS, 1);
+    let now = Duration::from_secs(20);
+    for _ in 0..100 {
+        budget.record_request("desk", Duration::ZERO, now);
+    }
+    for _ in 0..13 {
+        assert_eq!(budget.try_take("desk", now), Some(RetrySource::Requests));
+    }
+    let moved = (0..100).filter(|_| budget.take_back_request("desk", Duration::ZERO, now)).count();
+    assert_eq!(moved, 7, "one of 14 retries is left, for seven of the requests");
+}
