Rows: the decisions on replicated rows are a crate without I/O; logs say how old rows are, and who showed it

Who gets which rows from whom, and how old they count, lay in six files of front that use one another, so no test could run the decisions of a fleet. They are moved to crates/rows as they were: the cache, what a hub sends, what a process asks and what an answer tells it, when a process follows the store itself. The messages have the same form.

The log line of a request without a route now has the age of the rows and who showed it; that of a configuration in force its source and the time since the rows last matched the store without it, which is the most that it can be late; following and leaving the store have the age as well. Metrics: samphire_config_delay_seconds, samphire_rows_age_ms. No logic is changed.

--- a/crates/front/src/decision_log.rs
+++ b/crates/front/src/decision_log.rs
@@ -18,7 +18,17 @@
 #[serde(tag = "event", rename_all = "snake_case")]
 pub(crate) enum Record<'a> {
     /// No route matches a request, or its key is missing or unknown.
-    Unrouted { request: &'a str, host: &'a str, path: &'a str, version: Revision, status: u16 },
+    ///
+    /// The rows of the store that this process has matched it `rows_age_ms` before, as `source` showed.
+    Unrouted {
+        request: &'a str,
+        host: &'a str,
+        path: &'a str,
+        version: Revision,
+        status: u16,
+        rows_age_ms: Option<u64>,
+        source: &'a str,
+    },
     /// A request was refused and has not run.
     Refused {
         request: &'a str,
@@ -173,8 +183,18 @@
     CallerGone { request: &'a str, server: &'a str, after_ms: u64 },
     /// How many file descriptors the process may open, and how many connections each use may have.
     Descriptors { limit: usize, callers: usize, servers: usize, peers: usize },
-    /// A new configuration took effect; it has `bytes` in the store, and applying it took `took_ms`.
-    InForce { version: Revision, routes: usize, bytes: usize, took_ms: u64 },
+    /// A new configuration took effect; it has `bytes` in the store, and applying it took `took_ms`. It came
+    /// from `source`, and was written at most `delay_ms` before.
+    InForce {
+        version: Revision,
+        routes: usize,
+        bytes: usize,
+        took_ms: u64,
+        delay_ms: Option<u64>,
+        source: &'a str,
+    },
+    /// The process began to follow the store itself, or leaves that to a hub, while its rows were so old.
+    Store { state: &'a str, rows_age_ms: Option<u64> },
     /// A value of the store, or what a server says of itself, or invalid parts of it, were ignored.
     LeftOut { key: &'a str, findings: &'a Findings },
     /// The known state of a backend server changed.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,7 +9,6 @@
 //! - [`integration`]: what a deployment provides: store, decoders, order sender, header names.
 //! - [`left_out`]: logs each unusable entry of the store once.
 //! - [`local_state`]: what this process knows of the system, shared by its services.
-//! - [`row_cache`]: cached rows of the store, with numbered changes.
 //! - [`store_sync`]: keeps the local state up to date by watching the store while needed.
 //! - [`peers`]: exchanges rows and loads with the other processes, through one hub per failure
 //!   domain.
@@ -46,7 +45,6 @@
 pub mod peers;
 pub mod ready;
 mod resources;
-pub mod row_cache;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -27,6 +27,7 @@
 use pass::helpers::Helpers;
 use pass::load::Load;
 use pass::prelude::*;
+use rows::prelude::*;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -36,7 +37,6 @@
 use crate::left_out::LeftOut;
 use crate::load_reports::LoadReports;
 use crate::load_reports::Loads;
-use crate::row_cache::RowCache;
 
 use retries::HubGrants;
 pub use waiting::WaitingRequest;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -23,6 +23,9 @@
 /// Upper bounds of the buckets of the event loop's delay, in seconds.
 const DELAY_BUCKETS_S: [f64; 8] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0];
 
+/// Upper bounds of the buckets of the time until a configuration takes effect, in seconds.
+const CONFIG_DELAY_BUCKETS_S: [f64; 8] = [0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0];
+
 /// Upper bounds of the buckets of the ratio of observed to forecast times.
 const RATIO_BUCKETS: [f64; 8] = [0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0, 8.0];
 
@@ -55,6 +58,10 @@
     lost_connections: IntCounterVec,
     /// How late the process runs its tasks.
     pub loop_delay_seconds: Histogram,
+    /// Most seconds from the writing of a configuration until it took effect.
+    pub config_delay_seconds: Histogram,
+    /// Milliseconds since the rows last matched the store.
+    pub rows_age_ms: IntGauge,
     /// Bytes of the responses to other processes' exchanges.
     pub exchange_bytes: IntCounter,
     /// Exchanges whose response held the whole row cache.
@@ -142,6 +149,10 @@
         let delay = HistogramOpts::new("samphire_loop_delay_seconds", help)
             .buckets(DELAY_BUCKETS_S.to_vec());
         let loop_delay_seconds = Histogram::with_opts(delay).expect("the name is valid");
+        let help = "Most seconds from the writing of a configuration until it took effect.";
+        let delay = HistogramOpts::new("samphire_config_delay_seconds", help)
+            .buckets(CONFIG_DELAY_BUCKETS_S.to_vec());
+        let config_delay_seconds = Histogram::with_opts(delay).expect("the name is valid");
         let help = "Time to a stream's first event, relative to its forecast.";
         let ratio = HistogramOpts::new("samphire_first_event_forecast_ratio", help)
             .buckets(RATIO_BUCKETS.to_vec());
@@ -160,6 +171,7 @@
             Box::new(lost_connections.clone()),
             Box::new(first_event_ratio.clone()),
             Box::new(loop_delay_seconds.clone()),
+            Box::new(config_delay_seconds.clone()),
         ] {
             registry.register(collector).expect("each name is registered once");
         }
@@ -215,6 +227,11 @@
             broken_off,
             lost_connections,
             loop_delay_seconds,
+            config_delay_seconds,
+            rows_age_ms: gauge(
+                "samphire_rows_age_ms",
+                "Milliseconds since the rows last matched the store.",
+            ),
             admitted_share,
             waiting: gauge("samphire_waiting_requests", "Requests that wait for a place."),
             evacuating_domains: gauge(
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -8,14 +8,12 @@
 //! only while its own are stale, because the store doesn't respond to it.
 //!
 //! - `messages`: the messages of an exchange.
-//! - `exchange`: calls to a hub, and which rows a process asks for.
+//! - `exchange`: calls to a hub; [`rows`] decides what they ask for, and what a hub sends.
 //! - `hub`: what a hub answers.
 //! - `crashes`: spreads crash reports.
 //! - `reach`: finds out whether this process reaches backend servers.
 //! - `helpers`: which processes take requests over, and what others see of the paths to servers.
-//! - `bulk_limiter`: how many rows a hub sends.
 
-mod bulk_limiter;
 mod crashes;
 mod exchange;
 mod helpers;
@@ -35,6 +33,7 @@
 use futures::FutureExt;
 use kernel::prelude::*;
 use parking_lot::Mutex;
+use rows::prelude::*;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -53,11 +52,9 @@
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::names;
-use crate::row_cache::RowChange;
 use crate::settings::Settings;
-use crate::store_sync;
+use crate::store_sync::RowWriter;
 
-pub use bulk_limiter::BulkLimiter;
 use crashes::HubProgress;
 use messages::ExchangeRequest;
 
@@ -69,8 +66,6 @@
 const MAX_EXCHANGE_INTERVAL: Duration = Duration::from_millis(600);
 /// How long an exchange may take until the next part of the response arrives.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Age of rows up to which they count as the current content of the store.
-const MAX_FRESH_AGE: Duration = Duration::from_millis(400);
 /// How long a process waits before it takes a free hub lock, times the part of a processor core
 /// that it lacks. Processes with more processor become hubs first.
 const MAX_HUB_ELECTION_DELAY: Duration = Duration::from_millis(1_200);
@@ -97,8 +92,8 @@
     metrics: Metrics,
     /// What messages may hold.
     memory: Memory,
-    /// By hub: the id of its row cache, and the last change received from it.
-    known: Mutex<HashMap<SocketAddr, (BootId, u64)>>,
+    /// What is known of the row caches of hubs.
+    follower: Mutex<Follower>,
     /// The hubs from which this hub is getting rows.
     getting_rows_from: Mutex<HashSet<SocketAddr>>,
     /// Limits the rows that this process sends.
@@ -144,18 +139,17 @@
 }
 
 impl State {
-    /// Returns the id of the row cache of the hub at `address`, and the last change received from
-    /// it; `None` if that cache is not known.
-    fn last_change_of(&self, address: SocketAddr) -> Option<(BootId, u64)> {
-        self.known.lock().get(&address).copied()
+    /// Returns what applies rows that come from `source`.
+    fn writer(&self, source: RowSource) -> RowWriter<'_> {
+        RowWriter {
+            integration: &self.integration,
+            shared: &self.shared,
+            metrics: &self.metrics,
+            source,
+        }
     }
 }
 
-/// Returns whether rows that matched the store `age` ago count as its current content.
-fn is_fresh(age: Option<Duration>) -> bool {
-    age.is_some_and(|age| age < MAX_FRESH_AGE)
-}
-
 async fn run(cx: Context) -> Result<(), ServiceError> {
     let settings: Arc<Settings> = cx.registry().lookup(names::PROCESS)?;
     let state = Arc::new(State {
@@ -166,7 +160,7 @@
         client: Client::pooled(EXCHANGE_TIMEOUT),
         metrics: cx.registry().lookup(names::PROCESS)?,
         memory: cx.registry().lookup(names::PROCESS)?,
-        known: Mutex::default(),
+        follower: Mutex::default(),
         getting_rows_from: Mutex::default(),
         bulk_limiter: Mutex::new(BulkLimiter::new(settings.link_bytes_per_second)),
         crash_progress: Mutex::default(),
@@ -310,7 +304,7 @@
             for (key, value) in listed.rows {
                 let revision = listed.revision;
                 let change = RowChange { key, value: Some(value), revision };
-                store_sync::apply(&state.integration, &state.shared, change, now);
+                state.writer(RowSource::Store).apply(change, now);
             }
             if is_empty { HubListing::Empty } else { HubListing::Found }
         }
--- a/crates/front/src/peers/hub.rs
+++ b/crates/front/src/peers/hub.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use http::Method;
 use http::StatusCode;
+use rows::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use web::body;
@@ -11,18 +12,12 @@
 use super::MAX_EXCHANGE_INTERVAL;
 use super::MIN_EXCHANGE_INTERVAL;
 use super::State;
-use super::bulk_limiter::SMALL_BYTES;
 use super::crashes;
 use super::helpers;
-use super::is_fresh;
 use super::messages::ExchangeRequest;
 use super::messages::ExchangeResponse;
-use super::messages::Row;
-use super::messages::RowsRequest;
-use super::messages::RowsResponse;
 use crate::decision_log;
 use crate::names;
-use crate::row_cache::RowChange;
 use crate::serve::TAKE_OVER_PATH;
 use crate::serve::TakeOver;
 
@@ -47,7 +42,7 @@
             Err(refused) => *refused,
         },
         (&Method::POST, "/rows") => match read(request, grant()).await {
-            Ok(asked) => json_response(state, grant(), &rows_response(state, &asked)),
+            Ok(asked) => json_response(state, grant(), &rows_answer(state, &asked)),
             Err(refused) => *refused,
         },
         (&Method::POST, "/crashes") => match read(request, grant()).await {
@@ -125,31 +120,19 @@
             None
         }
     };
-    let known = exchange.have.filter(|(boot, _)| *boot == local.row_cache.boot);
     let own = local.own_loads(now);
     let (loads, processes) = local.load_reports.fleet_total(&own, &exchange.node, now);
-    let rows = match exchange.have {
-        None => Vec::new(),
-        Some(_) => local.row_cache.changes_since(known.map_or(0, |(_, number)| number)),
-    };
-    let is_whole = exchange.have.is_some() && known.is_none();
-    let (rows, is_complete) = limit_rows(state, rows);
-    if is_whole && !is_complete {
-        return None;
-    }
-    if is_whole {
+    let mut limiter = state.bulk_limiter.lock();
+    let answer = rows::hub::changes(&local.row_cache, &mut limiter, exchange.have, now)?;
+    if answer.whole_at.is_some() {
         state.metrics.whole_exchanges.inc();
     }
-    let number = match known {
-        Some((_, number)) if !is_complete => number,
-        _ => local.row_cache.last_change(),
-    };
     Some(ExchangeResponse {
-        boot: local.row_cache.boot,
-        number,
-        age_ms: local.row_cache.age(now).filter(|_| is_complete).map(decision_log::millis),
-        rows,
-        whole_at: is_whole.then(|| local.row_cache.revision()),
+        boot: answer.boot,
+        number: answer.number,
+        age_ms: answer.age_ms,
+        rows: answer.rows,
+        whole_at: answer.whole_at,
         loads,
         processes,
         pause_ms: decision_log::millis(exchange_interval(local.load_reports.client_count())),
@@ -157,37 +140,10 @@
     })
 }
 
-fn rows_response(state: &State, asked: &RowsRequest) -> RowsResponse {
-    let now = state.cx.now();
+fn rows_answer(state: &State, asked: &RowsRequest) -> Answer {
     let local = state.shared.local.lock();
-    let age = local.row_cache.age(now);
-    let rows = local.row_cache.difference(&asked.versions, is_fresh(age));
-    let (rows, is_complete) = limit_rows(state, rows);
-    RowsResponse {
-        boot: local.row_cache.boot,
-        number: local.row_cache.last_change(),
-        age_ms: age.filter(|_| is_complete).map(decision_log::millis),
-        rows,
-    }
-}
-
-/// Returns which of `rows` are sent now, and whether these are all. If the link can't take all of
-/// them, the first small ones are sent, so that a large row doesn't hold them back.
-fn limit_rows(state: &State, mut rows: Vec<RowChange>) -> (Vec<Row>, bool) {
     let mut limiter = state.bulk_limiter.lock();
-    let now = state.cx.now();
-    let is_complete = limiter.try_send(rows.iter().map(RowChange::size).sum(), now);
-    if !is_complete {
-        let mut bytes = 0;
-        rows.retain(|row| {
-            let fits = bytes + row.size() <= SMALL_BYTES;
-            bytes += if fits { row.size() } else { 0 };
-            fits
-        });
-        limiter.try_send(bytes, now);
-    }
-    // Only what is sent is copied.
-    (rows.into_iter().map(Row::from).collect(), is_complete)
+    rows::hub::difference(&local.row_cache, &mut limiter, asked, state.cx.now())
 }
 
 /// Returns the time between two exchanges of each of a hub's `clients`.
--- a/crates/front/src/ready.rs
+++ b/crates/front/src/ready.rs
@@ -101,6 +101,9 @@
     metrics.evacuating_domains.set(gauge(evacuating().count()));
     metrics.requests_in_evacuated_domains.set(i64::from(requests));
     metrics.store_up.set(i64::from(local.store_up));
+    if let Some(age) = local.row_cache.age(now) {
+        metrics.rows_age_ms.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+    }
     metrics.version.set(i64::try_from(local.routes.version()).unwrap_or(i64::MAX));
     resources::update(metrics);
     metrics.dropped_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -360,7 +360,11 @@
     request: &Request,
     metadata: &RequestMetadata,
 ) -> Result<RouteMatch, Box<Response>> {
-    let table = state.shared.local.lock().routes.clone();
+    let (table, rows_age, source) = {
+        let local = state.shared.local.lock();
+        let age = local.row_cache.age(state.cx.now());
+        (local.routes.clone(), age, local.row_cache.source())
+    };
     let id = metadata.attempt_id.as_deref().unwrap_or_default();
     if table.version() == 0 {
         return Err(Box::new(responses::refused(UNCONFIGURED_RETRY_AFTER)));
@@ -379,6 +383,8 @@
             path: &request.path,
             version: table.version(),
             status: response.status().as_u16(),
+            rows_age_ms: rows_age.map(decision_log::millis),
+            source: &source.map_or_else(String::new, |source| source.to_string()),
         });
         Box::new(response)
     })
--- a/crates/front/src/store_sync.rs
+++ b/crates/front/src/store_sync.rs
@@ -1,8 +1,6 @@
 //! Keeps the local state up to date by watching the store while that is needed.
 //!
-//! A process watches the store itself while it is a hub, and while no hub has sent it fresh rows.
-//! Otherwise it gets its rows from a hub ([`crate::peers`]), so that the load on the store grows
-//! with the number of failure domains instead of the number of processes.
+//! [`rows::source`] decides when that is; otherwise a process gets its rows from a hub ([`crate::peers`]).
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -10,23 +8,22 @@
 use base::prelude::*;
 use kernel::prelude::*;
 use kv::prelude::*;
+use rows::prelude::*;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 use crate::decision_log;
 use crate::decision_log::Record;
+use crate::decision_log::millis;
 use crate::integration::Integration;
 use crate::local_state::SharedState;
+use crate::metrics::Metrics;
 use crate::names;
-use crate::row_cache::RowChange;
 
 /// Capacity of the queue of changes that wait to be applied.
 const CHANGE_QUEUE_LEN: usize = 256;
 /// How often the process decides whether to watch the store.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
-/// How long a new process waits for rows from a hub before it watches the store itself, unless it
-/// finds out sooner that no hub has fresh rows.
-const FIRST_HUB_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Longest pause between a hub's attempts to watch a store that doesn't respond; no process gets a
 /// shorter limit.
 const HUB_MAX_RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -36,9 +33,6 @@
 /// Longest pause between the attempts of any process. It is below the time within which changes
 /// must take effect.
 const MAX_RETRY_PAUSE: Duration = Duration::from_secs(8);
-/// Age of the rows above which a process that is no hub watches the store itself.
-const STALE_AFTER: Duration = Duration::from_millis(700);
-
 /// Returns the service that synchronizes the local state with the store.
 pub fn service() -> Service {
     Service::new(names::STORE_SYNC, &[], run)
@@ -48,12 +42,10 @@
     cx: Context,
     integration: Integration,
     shared: Arc<SharedState>,
+    metrics: Metrics,
+    source: Source,
     mirror: Option<JoinHandle<()>>,
-    /// Whether the mirror was started with a hub's retry pause.
-    is_hub_mirror: bool,
     rx: mpsc::Receiver<MirrorEvent>,
-    /// Whether the mirror has read all rows and receives every change.
-    is_synced: bool,
 }
 
 async fn run(cx: Context) -> Result<(), ServiceError> {
@@ -64,10 +56,10 @@
         cx: cx.clone(),
         integration,
         shared,
+        metrics: cx.registry().lookup(names::PROCESS)?,
+        source: Source::default(),
         mirror: None,
-        is_hub_mirror: false,
         rx,
-        is_synced: false,
     };
     let mut check = cx.every(CHECK_PERIOD);
     cx.ready();
@@ -86,39 +78,31 @@
     /// Starts or stops the mirror, according to the role of this process and the age of its rows.
     fn check(&mut self) {
         let now = self.cx.now();
-        let (is_hub, age, pause, hubs_tried) = {
+        let (action, age) = {
             let mut local = self.shared.local.lock();
             local.expire_overwritten(now);
-            if self.is_synced {
-                local.row_cache.mark_current(now);
-            }
-            let age = local.row_cache.age(now);
-            (local.is_hub, age, local.exchange_interval, local.all_hubs_tried)
+            let situation = Situation {
+                is_hub: local.is_hub,
+                interval: local.exchange_interval,
+                all_hubs_tried: local.all_hubs_tried,
+                fresh_rows_at: local.fresh_rows_at,
+            };
+            let action = self.source.check(&situation, &mut local.row_cache, now);
+            (action, local.row_cache.age(now))
         };
-        let bound = STALE_AFTER + pause * 2;
-        // After a restart of the whole fleet no hub has rows, so waiting for one gains nothing.
-        let has_waited = now > FIRST_HUB_TIMEOUT || (hubs_tried && age.is_none());
-        let is_stale = age.is_none_or(|age| age > bound) && has_waited;
-        match &self.mirror {
-            None if is_hub || is_stale => self.start_mirror(),
-            Some(_) if !is_hub && self.is_fed_by_hub() => self.stop_mirror(),
-            // A process that has become a hub retries more often.
-            Some(_) if is_hub && !self.is_hub_mirror && !self.is_synced => {
+        match action {
+            StoreAction::Follow => self.start_mirror(age),
+            StoreAction::FollowAsHub => {
                 self.stop_mirror();
-                self.start_mirror();
+                self.start_mirror(age);
             }
-            _ => {}
+            StoreAction::Leave => self.stop_mirror(),
+            StoreAction::Keep => {}
         }
     }
 
-    /// Returns whether a hub keeps sending fresh rows to this process.
-    fn is_fed_by_hub(&self) -> bool {
-        let local = self.shared.local.lock();
-        let bound = STALE_AFTER / 2 + local.exchange_interval;
-        local.fresh_rows_at.is_some_and(|at| self.cx.now() <= at + bound)
-    }
-
-    fn start_mirror(&mut self) {
+    /// Starts the mirror; `age` is that of the rows.
+    fn start_mirror(&mut self, age: Option<Duration>) {
         let (tx, rx) = mpsc::channel(CHANGE_QUEUE_LEN);
         let keys = &self.integration.keys;
         // Evacuations come first, so that a process that starts knows them before it knows endpoints.
@@ -132,23 +116,19 @@
             let local = self.shared.local.lock();
             (local.row_cache.rows(), local.is_hub, local.processes())
         };
-        self.is_hub_mirror = is_hub;
         let pause = max_retry_pause(is_hub, processes);
         let mirror = kv::mirror::run(self.integration.store.clone(), prefixes, known, pause, tx);
         self.mirror = Some(self.cx.spawn("mirror of the store", mirror));
         self.rx = rx;
-        decision_log::write(&Record::Dependency { name: "store", state: "followed", problem: "" });
+        decision_log::write(&Record::Store { state: "followed", rows_age_ms: age.map(millis) });
     }
 
     fn stop_mirror(&mut self) {
         if let Some(mirror) = self.mirror.take() {
             mirror.abort();
-            self.is_synced = false;
-            decision_log::write(&Record::Dependency {
-                name: "store",
-                state: "left to a hub",
-                problem: "",
-            });
+            let age = self.shared.local.lock().row_cache.age(self.cx.now());
+            let rows_age_ms = age.map(millis);
+            decision_log::write(&Record::Store { state: "left to a hub", rows_age_ms });
         }
     }
 
@@ -169,21 +149,29 @@
             MirrorEvent::Row { key, value } => {
                 // The watch gives no revision for a deletion; it is later than all rows read so far.
                 let revision = self.shared.local.lock().row_cache.revision();
-                apply(&self.integration, &self.shared, RowChange { key, value, revision }, now);
+                self.writer().apply(RowChange { key, value, revision }, now);
             }
-            MirrorEvent::WatchEnded => self.is_synced = false,
+            MirrorEvent::WatchEnded => self.source.interrupted(),
             MirrorEvent::Synced => {
-                self.is_synced = true;
-                self.shared.local.lock().row_cache.mark_current(now);
+                self.source.synced(&mut self.shared.local.lock().row_cache, now);
                 self.log_store_state(true, "");
             }
             MirrorEvent::Unavailable(error) => {
-                self.is_synced = false;
+                self.source.interrupted();
                 self.log_store_state(false, &error.to_string());
             }
         }
     }
 
+    fn writer(&self) -> RowWriter<'_> {
+        RowWriter {
+            integration: &self.integration,
+            shared: &self.shared,
+            metrics: &self.metrics,
+            source: RowSource::Store,
+        }
+    }
+
     fn log_store_state(&self, up: bool, problem: &str) {
         let mut local = self.shared.local.lock();
         if local.store_up != up {
@@ -206,18 +194,61 @@
     RETRY_PAUSE_PER_PROCESS.saturating_mul(processes).clamp(HUB_MAX_RETRY_PAUSE, MAX_RETRY_PAUSE)
 }
 
-/// Applies one change, whether it comes from the store or from another process.
-pub(crate) fn apply(integration: &Integration, shared: &SharedState, change: RowChange, now: Mono) {
-    let RowChange { key, value, revision } = change;
-    if !shared.local.lock().row_cache.apply(&key, value.clone(), revision) {
-        return;
+/// Applies changes of rows, whether they come from the store or from another process.
+pub(crate) struct RowWriter<'a> {
+    pub(crate) integration: &'a Integration,
+    pub(crate) shared: &'a SharedState,
+    pub(crate) metrics: &'a Metrics,
+    /// Where the changes come from.
+    pub(crate) source: RowSource,
+}
+
+impl RowWriter<'_> {
+    pub(crate) fn apply(&self, change: RowChange, now: Mono) {
+        let RowChange { key, value, revision } = change;
+        let (integration, shared) = (self.integration, self.shared);
+        if !shared.local.lock().row_cache.apply(&key, value.clone(), revision) {
+            return;
+        }
+        if let Some(id) = key.strip_prefix(&*integration.keys.servers) {
+            apply_server_row(integration, shared, id, value.as_ref(), now);
+        } else if let Some(domain) = key.strip_prefix(&*integration.keys.evacuations) {
+            apply_evacuation_row(shared, &key, domain, value.as_ref(), revision, now);
+        } else if let Some(value) = value.filter(|_| key == integration.keys.config) {
+            self.apply_config_row(&value, now);
+        }
     }
-    if let Some(id) = key.strip_prefix(&*integration.keys.servers) {
-        apply_server_row(integration, shared, id, value.as_ref(), now);
-    } else if let Some(domain) = key.strip_prefix(&*integration.keys.evacuations) {
-        apply_evacuation_row(shared, &key, domain, value.as_ref(), revision, now);
-    } else if let Some(value) = value.filter(|_| key == integration.keys.config) {
-        apply_config_row(integration, shared, &value);
+
+    fn apply_config_row(&self, value: &Versioned, now: Mono) {
+        let key = &self.integration.keys.config;
+        let began = Instant::now();
+        let decoded = self.integration.decoder.decode_config(&value.value);
+        let mut local = self.shared.local.lock();
+        let (config, findings) = match decoded {
+            Ok(config) => config.checked(),
+            Err(findings) => return local.left_out.log(key, &value.value, &findings),
+        };
+        if !findings.is_empty() {
+            local.left_out.log(key, &value.value, &findings);
+        }
+        let (version, routes) = (config.version, config.routes.len());
+        if !local.set_config(config) {
+            return;
+        }
+        let took = began.elapsed();
+        // The rows matched the store without this version so long ago.
+        let delay = local.row_cache.age(now).map(|age| age + took);
+        if let Some(delay) = delay {
+            self.metrics.config_delay_seconds.observe(delay.as_secs_f64());
+        }
+        decision_log::write(&Record::InForce {
+            version,
+            routes,
+            bytes: value.value.len(),
+            took_ms: millis(took),
+            delay_ms: delay.map(millis),
+            source: &self.source.to_string(),
+        });
     }
 }
 
@@ -263,28 +294,3 @@
     }
     local.left_out.log(key, &value.value, &findings);
 }
-
-fn apply_config_row(integration: &Integration, shared: &SharedState, value: &Versioned) {
-    let key = &integration.keys.config;
-    let began = Instant::now();
-    let decoded = integration.decoder.decode_config(&value.value);
-    let mut local = shared.local.lock();
-    match decoded {
-        Ok(config) => {
-            let (config, findings) = config.checked();
-            if !findings.is_empty() {
-                local.left_out.log(key, &value.value, &findings);
-            }
-            let (version, routes) = (config.version, config.routes.len());
-            if local.set_config(config) {
-                decision_log::write(&Record::InForce {
-                    version,
-                    routes,
-                    bytes: value.value.len(),
-                    took_ms: decision_log::millis(began.elapsed()),
-                });
-            }
-        }
-        Err(findings) => local.left_out.log(key, &value.value, &findings),
-    }
-}
--- a/crates/front/src/row_cache.rs
+++ b/crates/rows/src/cache.rs
@@ -8,10 +8,31 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::fmt;
+use std::net::SocketAddr;
 
 use base::prelude::*;
 use kv::prelude::*;
 
+/// What showed that rows match the store.
+#[data]
+#[derive(Copy)]
+pub enum RowSource {
+    /// The store itself.
+    Store,
+    /// Another process.
+    Process(SocketAddr),
+}
+
+impl fmt::Display for RowSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RowSource::Store => f.write_str("store"),
+            RowSource::Process(address) => write!(f, "{address}"),
+        }
+    }
+}
+
 /// A row or, without a value, the tombstone of one.
 #[derive(Clone, Debug)]
 struct Row {
@@ -49,7 +70,8 @@
     rows: BTreeMap<Box<str>, Row>,
     number: u64,
     revision: u64,
-    confirmed_at: Option<Mono>,
+    /// When the cache last matched the store, and what showed it.
+    confirmed: Option<(Mono, RowSource)>,
 }
 
 impl Default for RowCache {
@@ -59,7 +81,7 @@
             rows: BTreeMap::new(),
             number: 0,
             revision: 0,
-            confirmed_at: None,
+            confirmed: None,
         }
     }
 }
@@ -132,14 +154,21 @@
         old.map(|(key, _)| key.clone()).collect()
     }
 
-    /// Records that the cache matched the store at time `at`.
-    pub fn mark_current(&mut self, at: Mono) {
-        self.confirmed_at = Some(self.confirmed_at.map_or(at, |last| last.max(at)));
+    /// Records that `source` showed that the cache matched the store at time `at`.
+    pub fn mark_current(&mut self, at: Mono, source: RowSource) {
+        if self.confirmed.is_none_or(|(last, _)| last <= at) {
+            self.confirmed = Some((at, source));
+        }
     }
 
     /// Returns how long ago the cache last matched the store; `None` if it never has.
     pub fn age(&self, now: Mono) -> Option<Duration> {
-        self.confirmed_at.map(|at| now.saturating_sub(at))
+        self.confirmed.map(|(at, _)| now.saturating_sub(at))
+    }
+
+    /// Returns what showed that the cache matches the store.
+    pub fn source(&self) -> Option<RowSource> {
+        self.confirmed.map(|(_, source)| source)
     }
 
     /// Applies a new version of a row, or its deletion; returns whether it changed the cache.
--- /dev/null
+++ b/crates/rows/src/follower.rs
@@ -0,0 +1,116 @@
+//! What a process asks of a hub, and what an answer tells it.
+//!
+//! Algorithm: a process asks a hub whose row cache it doesn't know for the rows that it lacks, by
+//! the versions of those that it has. From then on it asks for the changes after the last one that
+//! it has. It knows a row cache from when the hub's rows were fresh until a call to the hub fails, or
+//! until the hub can't send all of the rows.
+//!
+//! Invariant: rows that the process has are not sent again, whichever hub it asks.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+
+use crate::cache::RowCache;
+use crate::cache::RowChange;
+use crate::hub::is_fresh;
+use crate::message::Answer;
+use crate::message::RowsRequest;
+
+/// What a process asks of a hub.
+#[data]
+pub enum Ask {
+    /// The rows that it lacks.
+    Rows(RowsRequest),
+    /// What changed in a cache after a number.
+    Changes(BootId, u64),
+}
+
+/// What an answer tells a process.
+#[data]
+pub struct Answered {
+    /// What changes in its rows, in this order.
+    pub changes: Vec<RowChange>,
+    /// Once these changes are applied, its rows match the store as of then.
+    pub current_at: Option<Mono>,
+    /// Whether the hub's rows count as the current content of the store, and the process has got all of them.
+    pub is_fresh: bool,
+}
+
+/// What a process knows of the row caches of hubs.
+#[derive(Debug, Default)]
+pub struct Follower {
+    /// By hub: the id of its row cache, and the last change received from it.
+    known: HashMap<SocketAddr, (BootId, u64)>,
+}
+
+impl Follower {
+    /// Returns what to ask of `hub`.
+    pub fn ask(&self, hub: SocketAddr, cache: &RowCache) -> Ask {
+        match self.known.get(&hub) {
+            Some((boot, number)) => Ask::Changes(*boot, *number),
+            None => Ask::Rows(RowsRequest { versions: cache.versions() }),
+        }
+    }
+
+    /// Records that a call to `hub` failed.
+    pub fn failed(&mut self, hub: SocketAddr) {
+        self.known.remove(&hub);
+    }
+
+    /// Records that `hub` is of an earlier build, which sends its whole cache to those who don't know it.
+    pub fn set_earlier_build(&mut self, hub: SocketAddr) {
+        self.known.insert(hub, (0, 0));
+    }
+
+    /// Takes the answer of `hub` to [`Ask::Rows`], which was read at `now`.
+    pub fn take_rows(&mut self, hub: SocketAddr, answer: &Answer, now: Mono) -> Answered {
+        let age = answer.age_ms.map(Duration::from_millis);
+        // The changes of a hub that is still filling its cache are mostly rows that this process has.
+        if is_fresh(age) {
+            self.known.insert(hub, (answer.boot, answer.number));
+        }
+        answered(Vec::new(), answer, now)
+    }
+
+    /// Takes the answer of `hub` to [`Ask::Changes`], which was read at `now`.
+    pub fn take_changes(
+        &mut self,
+        cache: &RowCache,
+        hub: SocketAddr,
+        answer: &Answer,
+        now: Mono,
+    ) -> Answered {
+        let known = self.known.get(&hub).map(|(boot, _)| *boot);
+        let is_known = known == Some(answer.boot) || answer.whole_at.is_some();
+        if is_known && answer.age_ms.is_some() {
+            self.known.insert(hub, (answer.boot, answer.number));
+        } else {
+            self.known.remove(&hub);
+        }
+        answered(missing(cache, answer), answer, now)
+    }
+}
+
+fn answered(mut changes: Vec<RowChange>, answer: &Answer, now: Mono) -> Answered {
+    changes.extend(answer.rows.iter().map(RowChange::from));
+    let age = answer.age_ms.map(Duration::from_millis);
+    Answered {
+        changes,
+        current_at: age.map(|age| now.saturating_sub(age)),
+        is_fresh: is_fresh(age),
+    }
+}
+
+/// Returns the deletion of the rows that are missing from a hub's whole cache, if that cache is fresh.
+fn missing(cache: &RowCache, answer: &Answer) -> Vec<RowChange> {
+    let Some(revision) = answer.whole_at else { return Vec::new() };
+    if !is_fresh(answer.age_ms.map(Duration::from_millis)) {
+        return Vec::new();
+    }
+    let all_keys: BTreeSet<&str> = answer.rows.iter().map(|row| &*row.key).collect();
+    let missing = cache.missing_from(&all_keys, revision).into_iter();
+    missing.map(|key| RowChange { key, value: None, revision }).collect()
+}
--- /dev/null
+++ b/crates/rows/src/lib.rs
@@ -0,0 +1,35 @@
+//! Rows of the store that are replicated to all processes: what a process has, how old it may be, whom to ask for what.
+//!
+//! Decisions only, without I/O, so that a test can run those of a whole fleet in simulated time.
+//!
+//! - [`cache`]: the rows of one process, with numbered changes.
+//! - [`message`]: what processes ask and send each other.
+//! - [`limiter`]: how much a hub sends.
+//! - [`hub`]: what a hub sends.
+//! - [`follower`]: what a process asks of a hub, and what an answer tells it.
+//! - [`source`]: when a process follows the store itself.
+
+pub mod cache;
+pub mod follower;
+pub mod hub;
+pub mod limiter;
+pub mod message;
+pub mod source;
+
+/// The common types, for a glob import.
+pub mod prelude {
+    pub use crate::cache::RowCache;
+    pub use crate::cache::RowChange;
+    pub use crate::cache::RowSource;
+    pub use crate::follower::Answered;
+    pub use crate::follower::Ask;
+    pub use crate::follower::Follower;
+    pub use crate::hub::is_fresh;
+    pub use crate::limiter::BulkLimiter;
+    pub use crate::message::Answer;
+    pub use crate::message::Row;
+    pub use crate::message::RowsRequest;
+    pub use crate::source::Situation;
+    pub use crate::source::Source;
+    pub use crate::source::StoreAction;
+}
--- a/crates/front/src/peers/bulk_limiter.rs
+++ b/crates/rows/src/limiter.rs
@@ -16,7 +16,7 @@
 /// request waits behind rows.
 const BURST: Duration = Duration::from_millis(100);
 /// Size of the responses that are always sent.
-pub(super) const SMALL_BYTES: usize = 16 << 10;
+pub const SMALL_BYTES: usize = 16 << 10;
 
 /// The token bucket that limits a hub's responses.
 #[data]
--- a/crates/front/tests/row_cache.rs
+++ b/crates/rows/tests/cache.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeSet;
 
 use base::prelude::*;
-use front::row_cache::RowCache;
 use kv::prelude::*;
 use proptest::prelude::*;
+use rows::prelude::*;
 
 fn value(mod_revision: u64) -> Option<Versioned> {
     Some(Versioned { value: mod_revision.to_string().into_bytes().into(), mod_revision })
@@ -73,8 +73,8 @@
 fn age_counts_from_the_latest_match_with_the_store() {
     let mut row_cache = RowCache::default();
     assert_eq!(row_cache.age(Duration::from_secs(9)), None);
-    row_cache.mark_current(Duration::from_secs(5));
-    row_cache.mark_current(Duration::from_secs(4));
+    row_cache.mark_current(Duration::from_secs(5), RowSource::Store);
+    row_cache.mark_current(Duration::from_secs(4), RowSource::Store);
     assert_eq!(row_cache.age(Duration::from_secs(9)), Some(Duration::from_secs(4)));
 }
 
--- a/crates/front/tests/bulk_limiter.rs
+++ b/crates/rows/tests/limiter.rs
@@ -1,7 +1,7 @@
 //! The limit on the rows that a hub sends: what processes that ask at once leave of the link.
 
 use base::prelude::*;
-use front::peers::BulkLimiter;
+use rows::prelude::*;
 
 /// Link of a small VM: 20 Mbit/s.
 const LINK_BYTES_PER_SECOND: usize = 2_500_000;
