Rows: they count as current only by an answer, from when it was asked for

Callers were refused as only an older configuration allows, while processes took what they had for current and therefore did not follow the store.

Cause, one: a process that leaves the store to a hub had the last news of it in its queue. Among them was that all rows had been read; from then on every check marked the rows as current, without anything that followed the store, until a hub fed the process again or it became a hub itself.

Cause, two, of the same class: a process that follows the store counted as current at every check, however long ago the store had answered, so a hub that had stood still told all that asked it that its rows were of now. And the age in an answer counted from when it had been read, so each hop made rows younger by the time that they were on their way.

Change: only answers make rows current, as of the moment at which they were asked for. The watch says after its changes as of when it is complete, behind them in the same queue; what is queued by a mirror that was stopped is dropped. What hubs show is kept apart from what the store shows, and decides whether a process leaves the store. Ages are rounded up.

--- a/crates/daemon/src/config_sync.rs
+++ b/crates/daemon/src/config_sync.rs
@@ -355,7 +355,8 @@
         report(&found.value, outcomes).await;
     }
     let mut changes = store.watch(CATALOG_KEY, seen).await?;
-    while let Some(change) = changes.recv().await {
+    while let Some(watched) = changes.recv().await {
+        let Some(change) = watched.change() else { continue };
         if let Some(value) = change.value.filter(|_| &*change.key == CATALOG_KEY) {
             report(&value.value, outcomes).await;
         }
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -81,8 +81,6 @@
     /// Whether every hub that the store lists was asked for rows, and none had fresh ones, or the store
     /// lists none.
     pub all_hubs_tried: bool,
-    /// When a hub last answered with fresh rows.
-    pub fresh_rows_at: Option<Mono>,
     /// Number of processes that are alive, this one included, as far as is known.
     processes: usize,
     /// The endpoints that may get a request.
@@ -124,7 +122,6 @@
             is_owner: false,
             exchange_interval: Duration::ZERO,
             all_hubs_tried: false,
-            fresh_rows_at: None,
             processes: 1,
             endpoints: EndpointPool::with_seed(random_id()),
             dispatch: DispatchQueue::default(),
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -431,7 +431,6 @@
             local.exchange_interval = hub.pause.min(MAX_EXCHANGE_INTERVAL);
         }
         if hub.is_fresh {
-            local.fresh_rows_at = Some(now);
             return true;
         }
     }
--- a/crates/front/src/peers/exchange.rs
+++ b/crates/front/src/peers/exchange.rs
@@ -42,12 +42,12 @@
         return report(state, address, request).await;
     };
     request.have = Some((boot, number));
+    let asked_at = state.cx.now();
     let response: ExchangeResponse = call(state, address, "/exchange", &request).await?;
     let (answer, mut hub) = response.split();
     let answered = {
         let local = state.shared.local.lock();
-        let now = state.cx.now();
-        state.follower.lock().take_changes(&local.row_cache, address, &answer, now)
+        state.follower.lock().take_changes(&local.row_cache, address, &answer, asked_at)
     };
     hub.is_fresh = answered.is_fresh;
     take(state, address, answered);
@@ -65,6 +65,7 @@
     address: SocketAddr,
     asked: &RowsRequest,
 ) -> Result<(), ClientError> {
+    let asked_at = state.cx.now();
     let answer: Answer = match call(state, address, "/rows", asked).await {
         Ok(answer) => answer,
         Err(ClientError::Status { status, .. }) if status == StatusCode::NOT_FOUND.as_u16() => {
@@ -73,7 +74,7 @@
         }
         Err(error) => return Err(error),
     };
-    let answered = state.follower.lock().take_rows(address, &answer, state.cx.now());
+    let answered = state.follower.lock().take_rows(address, &answer, asked_at);
     take(state, address, answered);
     Ok(())
 }
--- a/crates/front/src/store_sync.rs
+++ b/crates/front/src/store_sync.rs
@@ -85,9 +85,8 @@
                 is_hub: local.is_hub,
                 interval: local.exchange_interval,
                 all_hubs_tried: local.all_hubs_tried,
-                fresh_rows_at: local.fresh_rows_at,
             };
-            let action = self.source.check(&situation, &mut local.row_cache, now);
+            let action = self.source.check(&situation, &local.row_cache, now);
             (action, local.row_cache.age(now))
         };
         match action {
@@ -126,6 +125,8 @@
     fn stop_mirror(&mut self) {
         if let Some(mirror) = self.mirror.take() {
             mirror.abort();
+            // What is queued is of a state that it no longer follows.
+            (_, self.rx) = mpsc::channel(1);
             let age = self.shared.local.lock().row_cache.age(self.cx.now());
             let rows_age_ms = age.map(millis);
             decision_log::write(&Record::Store { state: "left to a hub", rows_age_ms });
@@ -153,9 +154,13 @@
             }
             MirrorEvent::WatchEnded => self.source.interrupted(),
             MirrorEvent::Synced => {
-                self.source.synced(&mut self.shared.local.lock().row_cache, now);
+                self.source.synced();
                 self.log_store_state(true, "");
             }
+            MirrorEvent::Current { asked_at } => {
+                let at = now.saturating_sub(asked_at.elapsed());
+                self.shared.local.lock().row_cache.mark_current(at, RowSource::Store);
+            }
             MirrorEvent::Unavailable(error) => {
                 self.source.interrupted();
                 self.log_store_state(false, &error.to_string());
--- a/crates/kv/src/budgeted.rs
+++ b/crates/kv/src/budgeted.rs
@@ -19,7 +19,7 @@
 use crate::store::Store;
 use crate::store::StoreFuture;
 use crate::store::Versioned;
-use crate::store::WatchEvent;
+use crate::store::Watched;
 
 /// Calls by kind and outcome.
 #[wire]
@@ -161,7 +161,7 @@
         &'a self,
         prefix: &'a str,
         after: u64,
-    ) -> StoreFuture<'a, mpsc::Receiver<WatchEvent>> {
+    ) -> StoreFuture<'a, mpsc::Receiver<Watched>> {
         let call = self.shared.store.watch(prefix, after);
         Box::pin(self.execute(CallKind::Read, |counts| counts.watches += 1, call))
     }
--- a/crates/kv/src/etcd.rs
+++ b/crates/kv/src/etcd.rs
@@ -33,7 +33,7 @@
 use crate::store::Store;
 use crate::store::StoreFuture;
 use crate::store::Versioned;
-use crate::store::WatchEvent;
+use crate::store::Watched;
 
 /// Largest message that is decoded, in bytes. A list may hold many values of up to 1 MB.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 64 << 20;
@@ -359,7 +359,7 @@
         &'a self,
         prefix: &'a str,
         after: u64,
-    ) -> StoreFuture<'a, mpsc::Receiver<WatchEvent>> {
+    ) -> StoreFuture<'a, mpsc::Receiver<Watched>> {
         Box::pin(etcd_watch::open(self, prefix, after))
     }
 }
--- a/crates/kv/src/etcd_watch.rs
+++ b/crates/kv/src/etcd_watch.rs
@@ -23,6 +23,7 @@
 use crate::store::KvError;
 use crate::store::Store;
 use crate::store::WatchEvent;
+use crate::store::Watched;
 
 /// Capacity of a watch's channel; when it is full, the service is made to wait.
 const WATCH_DEPTH_CHANGES: usize = 1024;
@@ -39,7 +40,7 @@
     store: &EtcdStore,
     prefix: &str,
     after: u64,
-) -> Result<mpsc::Receiver<WatchEvent>, KvError> {
+) -> Result<mpsc::Receiver<Watched>, KvError> {
     let mut opened = create(store, prefix, after as i64 + 1).await?;
     let mut missed = Vec::new();
     if opened.first.canceled {
@@ -54,7 +55,8 @@
     let (tx, rx) = mpsc::channel(WATCH_DEPTH_CHANGES);
     tokio::spawn(async move {
         for (key, value) in missed {
-            if tx.send(WatchEvent { key, value: Some(value) }).await.is_err() {
+            let event = WatchEvent { key, value: Some(value) };
+            if tx.send(Watched::Change(event)).await.is_err() {
                 return;
             }
         }
@@ -90,7 +92,7 @@
     Ok(Opened { requests, responses, first })
 }
 
-async fn forward(mut opened: Opened, tx: &mpsc::Sender<WatchEvent>) {
+async fn forward(mut opened: Opened, tx: &mpsc::Sender<Watched>) {
     let mut next = Some(opened.first);
     while let Some(response) = next {
         if response.canceled {
@@ -98,7 +100,7 @@
         }
         for event in response.events {
             let Some(event) = read_event(event) else { return };
-            if tx.send(event).await.is_err() {
+            if tx.send(Watched::Change(event)).await.is_err() {
                 return;
             }
         }
--- a/crates/kv/src/lib.rs
+++ b/crates/kv/src/lib.rs
@@ -55,5 +55,6 @@
     pub use crate::store::Store;
     pub use crate::store::Versioned;
     pub use crate::store::WatchEvent;
+    pub use crate::store::Watched;
     pub use crate::update::Outcome;
 }
--- a/crates/kv/src/memory.rs
+++ b/crates/kv/src/memory.rs
@@ -17,6 +17,7 @@
 use crate::store::StoreFuture;
 use crate::store::Versioned;
 use crate::store::WatchEvent;
+use crate::store::Watched;
 
 /// Capacity of a watch's channel; a watch that falls further behind is closed.
 const WATCH_DEPTH_CHANGES: usize = 1024;
@@ -26,7 +27,7 @@
 
 struct Watch {
     prefix: Box<str>,
-    tx: mpsc::Sender<WatchEvent>,
+    tx: mpsc::Sender<Watched>,
 }
 
 #[derive(Default)]
@@ -94,19 +95,19 @@
                 state.deletions.pop_front();
             }
         }
-        let event = WatchEvent { key: key.into(), value: versioned };
+        let event = Watched::Change(WatchEvent { key: key.into(), value: versioned });
         state.watches.retain(|watch| {
             !key.starts_with(&*watch.prefix) || watch.tx.try_send(event.clone()).is_ok()
         });
         CasResult::Done { mod_revision }
     }
 
-    fn open_watch(&self, prefix: &str, after: u64) -> mpsc::Receiver<WatchEvent> {
+    fn open_watch(&self, prefix: &str, after: u64) -> mpsc::Receiver<Watched> {
         let (tx, rx) = mpsc::channel(WATCH_DEPTH_CHANGES);
         let mut state = self.state.lock();
         for event in state.missed(prefix, after) {
             // The channel is new and empty. If the changes exceed its capacity, the watch closes.
-            if tx.try_send(event).is_err() {
+            if tx.try_send(Watched::Change(event)).is_err() {
                 return rx;
             }
         }
@@ -147,7 +148,7 @@
         &'a self,
         prefix: &'a str,
         after: u64,
-    ) -> StoreFuture<'a, mpsc::Receiver<WatchEvent>> {
+    ) -> StoreFuture<'a, mpsc::Receiver<Watched>> {
         Box::pin(async move { Ok(self.open_watch(prefix, after)) })
     }
 }
--- a/crates/kv/src/mirror.rs
+++ b/crates/kv/src/mirror.rs
@@ -5,11 +5,14 @@
 //! again. A reader receives every change of a watch in order; after a gap between two watches it
 //! receives the difference between the copy and what was listed.
 //!
-//! Invariant: a row of the copy is never replaced by an older revision.
+//! Invariants:
+//! - A row of the copy is never replaced by an older revision.
+//! - A reader that has been told that the copy is current as of a time has got all that was written before.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::sync::mpsc;
 
@@ -18,6 +21,7 @@
 use crate::store::Store;
 use crate::store::Versioned;
 use crate::store::WatchEvent;
+use crate::store::Watched;
 
 /// Pause before the first retry after a failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
@@ -32,8 +36,13 @@
         /// Its new value.
         value: Option<Versioned>,
     },
-    /// All prefixes were listed, and the copy matches the store as of then.
+    /// All prefixes were listed, and every change is received from now on.
     Synced,
+    /// The copy holds all that was written until `asked_at`.
+    Current {
+        /// When the store was asked for it.
+        asked_at: Instant,
+    },
     /// The watch ended: the copy may miss changes until the next [`MirrorEvent::Synced`].
     WatchEnded,
     /// The store could not be read or watched; the copy is unchanged. Sent once per outage.
@@ -162,6 +171,7 @@
     backoff: &mut Duration,
 ) -> Result<(), KvError> {
     let mut from = u64::MAX;
+    let asked_at = Instant::now();
     for prefix in prefixes {
         let listed = store.list(prefix).await?;
         from = from.min(listed.revision);
@@ -173,9 +183,15 @@
     if tx.send(MirrorEvent::Synced).await.is_err() {
         return Ok(());
     }
-    while let Some(event) = watch.recv().await {
-        if prefixes.iter().any(|prefix| event.key.starts_with(&**prefix)) {
-            send_all(tx, rows.apply(event)).await;
+    send_current(tx, asked_at).await;
+    while let Some(watched) = watch.recv().await {
+        match watched {
+            Watched::Current { asked_at } => send_current(tx, asked_at).await,
+            Watched::Change(event) => {
+                if prefixes.iter().any(|prefix| event.key.starts_with(&**prefix)) {
+                    send_all(tx, rows.apply(event)).await;
+                }
+            }
         }
     }
     // If the reader has been dropped, the loop of `run` ends.
@@ -183,6 +199,11 @@
     Ok(())
 }
 
+async fn send_current(tx: &mpsc::Sender<MirrorEvent>, asked_at: Instant) {
+    // If the reader has been dropped, the loop of `run` ends.
+    let _ = tx.send(MirrorEvent::Current { asked_at }).await;
+}
+
 async fn send_all(tx: &mpsc::Sender<MirrorEvent>, events: impl IntoIterator<Item = WatchEvent>) {
     for WatchEvent { key, value } in events {
         // If the reader has been dropped, the loop of `run` ends.
--- a/crates/kv/src/store.rs
+++ b/crates/kv/src/store.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use displaydoc::Display;
 use tokio::sync::mpsc;
@@ -76,6 +77,29 @@
     pub value: Option<Versioned>,
 }
 
+/// What a watch reports.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Watched {
+    /// A change.
+    Change(WatchEvent),
+    /// All changes until `asked_at` have been reported. A store that isn't asked again and again reports
+    /// none.
+    Current {
+        /// When the store was asked for them.
+        asked_at: Instant,
+    },
+}
+
+impl Watched {
+    /// Returns the change, if this is one.
+    pub fn change(self) -> Option<WatchEvent> {
+        match self {
+            Watched::Change(event) => Some(event),
+            Watched::Current { .. } => None,
+        }
+    }
+}
+
 /// A key-value store.
 ///
 /// Every call counts against the rate limits of the service. A watch ends (its channel closes)
@@ -100,9 +124,6 @@
     fn delete<'a>(&'a self, key: &'a str, expected: u64) -> StoreFuture<'a, CasResult>;
 
     /// Watches all keys that begin with `prefix`, for changes after the store revision `after`.
-    fn watch<'a>(
-        &'a self,
-        prefix: &'a str,
-        after: u64,
-    ) -> StoreFuture<'a, mpsc::Receiver<WatchEvent>>;
+    fn watch<'a>(&'a self, prefix: &'a str, after: u64)
+    -> StoreFuture<'a, mpsc::Receiver<Watched>>;
 }
--- a/crates/kv/tests/memory.rs
+++ b/crates/kv/tests/memory.rs
@@ -23,7 +23,8 @@
     write(&store, "a/1", old).await;
     let mut watch = store.watch("a/", read).await.expect("a watch");
     let mut seen = Vec::new();
-    while let Ok(event) = watch.try_recv() {
+    while let Ok(watched) = watch.try_recv() {
+        let event = watched.change().expect("only changes");
         seen.push((event.key, event.value.is_some()));
     }
     assert_eq!(seen, [("a/2".into(), false), ("a/3".into(), true), ("a/1".into(), true)]);
--- a/crates/kv/tests/mirror.rs
+++ b/crates/kv/tests/mirror.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use kv::mirror;
 use kv::mirror::Rows;
@@ -44,6 +45,7 @@
         panic!("not written");
     };
     store.compare_and_swap("other/1", 0, bytes("x")).await.expect("written");
+    let began = Instant::now();
     let (tx, mut rx) = mpsc::channel(16);
     let gone = Versioned { value: bytes("old"), mod_revision: 0 };
     let known: Rows = [(Box::from("s/0"), gone)].into_iter().collect();
@@ -51,6 +53,8 @@
     assert_eq!(next_row(&mut rx).await, ("s/0".into(), false), "deleted before it started");
     assert_eq!(next_row(&mut rx).await, ("s/1".into(), true));
     assert_eq!(next(&mut rx).await, MirrorEvent::Synced);
+    let MirrorEvent::Current { asked_at } = next(&mut rx).await else { panic!("not current") };
+    assert!(asked_at >= began, "the copy holds what was written before");
     store.compare_and_swap("s/2", 0, bytes("two")).await.expect("written");
     assert_eq!(next_row(&mut rx).await, ("s/2".into(), true));
     store.close_watches();
--- a/crates/kv/tests/update.rs
+++ b/crates/kv/tests/update.rs
@@ -233,7 +233,7 @@
         &'a self,
         prefix: &'a str,
         after: u64,
-    ) -> StoreFuture<'a, mpsc::Receiver<WatchEvent>> {
+    ) -> StoreFuture<'a, mpsc::Receiver<Watched>> {
         self.inner.watch(prefix, after)
     }
 }
--- a/crates/lab/src/kv/watch.rs
+++ b/crates/lab/src/kv/watch.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use kv::store::Store;
-use kv::store::WatchEvent;
+use kv::store::Watched;
 use proto::etcdserverpb as pb;
 use proto::etcdserverpb::watch_request::RequestUnion;
 use proto::mvccpb;
@@ -120,13 +120,14 @@
     }
 }
 
-async fn send_all(service: &Service, mut events: mpsc::Receiver<WatchEvent>, tx: &Tx) {
+async fn send_all(service: &Service, mut events: mpsc::Receiver<Watched>, tx: &Tx) {
     let header = Service::header(service.store.revision());
     let created = pb::WatchResponse { header, created: true, ..Default::default() };
     if tx.send(Ok(created)).await.is_err() {
         return;
     }
-    while let Some(event) = events.recv().await {
+    while let Some(watched) = events.recv().await {
+        let Some(event) = watched.change() else { continue };
         let kind = match event.value {
             Some(_) => mvccpb::event::EventType::Put,
             None => mvccpb::event::EventType::Delete,
--- a/crates/lab/tests/kv_server.rs
+++ b/crates/lab/tests/kv_server.rs
@@ -69,10 +69,10 @@
     let first = write(&store, "w/1", 0, "one").await;
     let second = write(&store, "w/1", first, "two").await;
     let mut watch = store.watch("w/", first).await.expect("a watch");
-    let event = watch.recv().await.expect("an event");
+    let event = watch.recv().await.and_then(Watched::change).expect("an event");
     assert_eq!(event.value.map(|value| value.mod_revision), Some(second));
     store.delete("w/1", second).await.expect("deleted");
-    let event = watch.recv().await.expect("an event");
+    let event = watch.recv().await.and_then(Watched::change).expect("an event");
     assert_eq!((&*event.key, event.value), ("w/1", None));
     server.faults.apply(KvFaultUpdate { cut_watches: true, ..KvFaultUpdate::default() });
     assert_eq!(watch.recv().await, None);
--- a/crates/rows/src/cache.rs
+++ b/crates/rows/src/cache.rs
@@ -70,8 +70,12 @@
     rows: BTreeMap<Box<str>, Row>,
     number: u64,
     revision: u64,
-    /// When the cache last matched the store, and what showed it.
-    confirmed: Option<(Mono, RowSource)>,
+    /// When the cache last matched the store, as the store showed.
+    confirmed_by_store: Option<Mono>,
+    /// When the cache last matched the store, as other processes showed.
+    confirmed_by_processes: Option<Mono>,
+    /// The last of these processes.
+    last_process: Option<SocketAddr>,
 }
 
 impl Default for RowCache {
@@ -81,7 +85,9 @@
             rows: BTreeMap::new(),
             number: 0,
             revision: 0,
-            confirmed: None,
+            confirmed_by_store: None,
+            confirmed_by_processes: None,
+            last_process: None,
         }
     }
 }
@@ -156,19 +162,35 @@
 
     /// Records that `source` showed that the cache matched the store at time `at`.
     pub fn mark_current(&mut self, at: Mono, source: RowSource) {
-        if self.confirmed.is_none_or(|(last, _)| last <= at) {
-            self.confirmed = Some((at, source));
-        }
+        let confirmed = match source {
+            RowSource::Store => &mut self.confirmed_by_store,
+            RowSource::Process(address) => {
+                if self.confirmed_by_processes.is_none_or(|last| last <= at) {
+                    self.last_process = Some(address);
+                }
+                &mut self.confirmed_by_processes
+            }
+        };
+        *confirmed = (*confirmed).max(Some(at));
     }
 
     /// Returns how long ago the cache last matched the store; `None` if it never has.
     pub fn age(&self, now: Mono) -> Option<Duration> {
-        self.confirmed.map(|(at, _)| now.saturating_sub(at))
+        let confirmed = self.confirmed_by_store.max(self.confirmed_by_processes);
+        confirmed.map(|at| now.saturating_sub(at))
     }
 
-    /// Returns what showed that the cache matches the store.
+    /// Returns how long ago the cache last matched the store, as far as other processes show.
+    pub fn age_by_processes(&self, now: Mono) -> Option<Duration> {
+        self.confirmed_by_processes.map(|at| now.saturating_sub(at))
+    }
+
+    /// Returns what showed last that the cache matches the store.
     pub fn source(&self) -> Option<RowSource> {
-        self.confirmed.map(|(_, source)| source)
+        if self.confirmed_by_store > self.confirmed_by_processes {
+            return Some(RowSource::Store);
+        }
+        self.last_process.map(RowSource::Process)
     }
 
     /// Applies a new version of a row, or its deletion; returns whether it changed the cache.
--- a/crates/rows/src/follower.rs
+++ b/crates/rows/src/follower.rs
@@ -5,7 +5,10 @@
 //! it has. It knows a row cache from when the hub's rows were fresh until a call to the hub fails, or
 //! until the hub can't send all of the rows.
 //!
-//! Invariant: rows that the process has are not sent again, whichever hub it asks.
+//! Invariants:
+//! - Rows that the process has are not sent again, whichever hub it asks.
+//! - The age of rows counts from when they were asked for, so it never falls short by the time that they were on
+//!   their way.
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -65,23 +68,23 @@
         self.known.insert(hub, (0, 0));
     }
 
-    /// Takes the answer of `hub` to [`Ask::Rows`], which was read at `now`.
-    pub fn take_rows(&mut self, hub: SocketAddr, answer: &Answer, now: Mono) -> Answered {
+    /// Takes the answer of `hub` to [`Ask::Rows`], which was asked at `asked_at`.
+    pub fn take_rows(&mut self, hub: SocketAddr, answer: &Answer, asked_at: Mono) -> Answered {
         let age = answer.age_ms.map(Duration::from_millis);
         // The changes of a hub that is still filling its cache are mostly rows that this process has.
         if is_fresh(age) {
             self.known.insert(hub, (answer.boot, answer.number));
         }
-        answered(Vec::new(), answer, now)
+        answered(Vec::new(), answer, asked_at)
     }
 
-    /// Takes the answer of `hub` to [`Ask::Changes`], which was read at `now`.
+    /// Takes the answer of `hub` to [`Ask::Changes`], which was asked at `asked_at`.
     pub fn take_changes(
         &mut self,
         cache: &RowCache,
         hub: SocketAddr,
         answer: &Answer,
-        now: Mono,
+        asked_at: Mono,
     ) -> Answered {
         let known = self.known.get(&hub).map(|(boot, _)| *boot);
         let is_known = known == Some(answer.boot) || answer.whole_at.is_some();
@@ -90,16 +93,16 @@
         } else {
             self.known.remove(&hub);
         }
-        answered(missing(cache, answer), answer, now)
+        answered(missing(cache, answer), answer, asked_at)
     }
 }
 
-fn answered(mut changes: Vec<RowChange>, answer: &Answer, now: Mono) -> Answered {
+fn answered(mut changes: Vec<RowChange>, answer: &Answer, asked_at: Mono) -> Answered {
     changes.extend(answer.rows.iter().map(RowChange::from));
     let age = answer.age_ms.map(Duration::from_millis);
     Answered {
         changes,
-        current_at: age.map(|age| now.saturating_sub(age)),
+        current_at: age.map(|age| asked_at.saturating_sub(age)),
         is_fresh: is_fresh(age),
     }
 }
--- a/crates/rows/src/hub.rs
+++ b/crates/rows/src/hub.rs
@@ -11,7 +11,7 @@
 use crate::message::RowsRequest;
 
 /// Age of rows up to which they count as the current content of the store.
-const MAX_FRESH_AGE: Duration = Duration::from_millis(400);
+const MAX_FRESH_AGE: Duration = Duration::from_millis(800);
 
 /// Returns whether rows that matched the store `age` ago count as its current content.
 pub fn is_fresh(age: Option<Duration>) -> bool {
@@ -85,6 +85,7 @@
     (rows.into_iter().map(Row::from).collect(), is_complete)
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+/// Returns an age in milliseconds, rounded up, so that no row becomes younger on its way.
+fn millis(age: Duration) -> u64 {
+    u64::try_from(age.as_nanos().div_ceil(1_000_000)).unwrap_or(u64::MAX)
 }
--- a/crates/rows/src/source.rs
+++ b/crates/rows/src/source.rs
@@ -3,17 +3,22 @@
 //! A process follows the store while it is a hub, and while no hub has sent it fresh rows. Otherwise it gets
 //! its rows from a hub, so that the load on the store grows with the number of failure domains instead of the
 //! number of processes.
+//!
+//! Invariant: following the store shows nothing by itself; only its answers make rows current
+//! ([`RowCache::mark_current`]).
 
 use base::prelude::*;
 
 use crate::cache::RowCache;
-use crate::cache::RowSource;
 
 /// How long a new process waits for rows from a hub before it follows the store itself, unless it
 /// finds out sooner that no hub has fresh rows.
 const FIRST_HUB_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Age of the rows above which a process that is no hub follows the store itself.
-const STALE_AFTER: Duration = Duration::from_millis(700);
+/// Age of the rows above which a process that is no hub follows the store itself, besides the time between two
+/// calls to a hub.
+const STALE_AFTER: Duration = Duration::from_millis(900);
+/// Age of the rows that hubs send below which a process leaves the store to them, besides that time.
+const FED_BELOW: Duration = Duration::from_millis(600);
 
 /// What a process knows when it decides on its source.
 #[data]
@@ -24,8 +29,6 @@
     pub interval: Duration,
     /// Whether it has asked all hubs, and none had fresh rows.
     pub all_hubs_tried: bool,
-    /// When a hub last sent fresh rows.
-    pub fresh_rows_at: Option<Mono>,
 }
 
 /// What a process does about following the store.
@@ -54,17 +57,13 @@
 
 impl Source {
     /// Returns what to do, and records that it is done.
-    pub fn check(&mut self, cx: &Situation, cache: &mut RowCache, now: Mono) -> StoreAction {
-        if self.is_synced {
-            cache.mark_current(now, RowSource::Store);
-        }
+    pub fn check(&mut self, cx: &Situation, cache: &RowCache, now: Mono) -> StoreAction {
         let age = cache.age(now);
-        let bound = STALE_AFTER + cx.interval * 2;
         // After a restart of the whole fleet no hub has rows, so waiting for one gains nothing.
         let has_waited = now > FIRST_HUB_TIMEOUT || (cx.all_hubs_tried && age.is_none());
-        let is_stale = age.is_none_or(|age| age > bound) && has_waited;
-        let fed = STALE_AFTER / 2 + cx.interval;
-        let is_fed_by_hub = cx.fresh_rows_at.is_some_and(|at| now <= at + fed);
+        let is_stale = age.is_none_or(|age| age > STALE_AFTER + cx.interval) && has_waited;
+        let age_by_hubs = cache.age_by_processes(now);
+        let is_fed_by_hub = age_by_hubs.is_some_and(|age| age < FED_BELOW + cx.interval);
         let action = match self.is_following {
             false if cx.is_hub || is_stale => StoreAction::Follow,
             true if !cx.is_hub && is_fed_by_hub => StoreAction::Leave,
@@ -86,9 +85,8 @@
     }
 
     /// Records that the process has read all rows of the store, and receives every change from now on.
-    pub fn synced(&mut self, cache: &mut RowCache, now: Mono) {
+    pub fn synced(&mut self) {
         self.is_synced = true;
-        cache.mark_current(now, RowSource::Store);
     }
 
     /// Records that the process may miss changes from now on.
--- a/crates/rows/tests/fleet/mod.rs
+++ b/crates/rows/tests/fleet/mod.rs
@@ -117,7 +117,6 @@
     follower: Follower,
     limiter: BulkLimiter,
     source: Source,
-    fresh_rows_at: Option<Mono>,
     interval: Duration,
     clients: BTreeMap<SocketAddr, Mono>,
     /// The last configuration whose arrival was noted.
@@ -148,16 +147,36 @@
         at: usize,
         start: u64,
     },
+    Checked {
+        at: usize,
+        start: u64,
+    },
     /// A process calls the hub of this rank in its list.
     Call {
         at: usize,
         start: u64,
         rank: usize,
     },
+    Sent {
+        call: Call,
+    },
+    Called {
+        hub: usize,
+        call: Call,
+    },
     Serve {
         hub: usize,
         call: Call,
     },
+    Encoded {
+        hub: usize,
+        call: Call,
+        answer: Answer,
+    },
+    Arrived {
+        call: Call,
+        answer: Answer,
+    },
     Answered {
         call: Call,
         answer: Option<Answer>,
@@ -179,6 +198,12 @@
         after: u64,
         until: Mono,
     },
+    Brought {
+        at: usize,
+        watch: u64,
+        read: Read,
+        bytes: usize,
+    },
     Take {
         at: usize,
         watch: u64,
@@ -295,7 +320,6 @@
             follower: Follower::default(),
             limiter: BulkLimiter::new(link),
             source: Source::default(),
-            fresh_rows_at: None,
             interval: MIN_INTERVAL,
             clients: BTreeMap::new(),
             noted: 0,
@@ -328,15 +352,33 @@
             Event::Lapse { domain, address } => self.lapse(domain, address),
             Event::End { at, start } => self.end(at, start),
             Event::Start { at, is_new } => self.start(at, is_new),
-            Event::Check { at, start } => self.check(at, start),
+            Event::Check { at, start } => {
+                let runs = self.processes[at].machine.work(0, self.now);
+                self.at(runs, Event::Checked { at, start });
+            }
+            Event::Checked { at, start } => self.check(at, start),
             Event::Call { at, start, rank } => self.call(at, start, rank),
+            Event::Sent { call } => self.sent(call),
+            Event::Called { hub, call } => self.called(hub, call),
             Event::Serve { hub, call } => self.serve(hub, call),
+            Event::Encoded { hub, call, answer } => {
+                let arrives = self.send(hub, call.at, bytes_of(&answer), self.now);
+                self.at(arrives, Event::Arrived { call, answer });
+            }
+            Event::Arrived { call, answer } => {
+                let decoded = self.processes[call.at].machine.work(bytes_of(&answer), self.now);
+                self.at(decoded, Event::Answered { call, answer: Some(answer) });
+            }
             Event::Answered { call, answer } => self.answered(call, answer),
             Event::List { at, watch } => self.list(at, watch),
             Event::Poll { at, watch, after } => self.poll(at, watch, after),
             Event::Read { at, watch, sent_at, after, until } => {
                 self.read(at, watch, sent_at, after, until)
             }
+            Event::Brought { at, watch, read, bytes } => {
+                let decoded = self.processes[at].machine.work(bytes, self.now);
+                self.at(decoded, Event::Take { at, watch, read });
+            }
             Event::Take { at, watch, read } => self.take(at, watch, read),
         }
     }
@@ -455,6 +497,7 @@
         process.limiter = BulkLimiter::new(machine.link_bytes_per_second);
         process.disturbed_at = Some(self.now);
         (process.address, process.machine) = (address, machine);
+        process.machine.frozen_until = Mono::ZERO;
         (process.start, process.watch) = (start, watch);
         // It has asked the store for the hubs.
         for row in self.store.list().iter().filter(|row| row.key.starts_with("hub/")) {
@@ -470,17 +513,9 @@
         if process.start != start || !process.is_alive {
             return;
         }
-        if now < process.machine.frozen_until {
-            let until = process.machine.frozen_until;
-            return self.at(until, Event::Check { at, start });
-        }
-        let situation = Situation {
-            is_hub: process.is_hub,
-            interval: process.interval,
-            all_hubs_tried: true,
-            fresh_rows_at: process.fresh_rows_at,
-        };
-        match process.source.check(&situation, &mut process.cache, now) {
+        let situation =
+            Situation { is_hub: process.is_hub, interval: process.interval, all_hubs_tried: true };
+        match process.source.check(&situation, &process.cache, now) {
             StoreAction::Follow | StoreAction::FollowAsHub => {
                 process.watch += 1;
                 let watch = process.watch;
@@ -491,8 +526,7 @@
             StoreAction::Keep => {}
         }
         self.check_age(at);
-        let next = self.processes[at].machine.work(0, now + CHECK_PERIOD);
-        self.at(next, Event::Check { at, start });
+        self.after(CHECK_PERIOD, Event::Check { at, start });
     }
 
     /// Checks that a process doesn't believe its rows younger than they are.
@@ -532,14 +566,17 @@
         };
         let ask = process.follower.ask(hub, &process.cache);
         let call = Call { at, start, rank, hub, ask, sent_at };
-        let target = self.processes.iter().position(|other| other.address == hub);
+        self.at(sent_at, Event::Sent { call });
+    }
+
+    fn sent(&mut self, call: Call) {
+        let target = self.processes.iter().position(|other| other.address == call.hub);
         match target.filter(|hub| self.processes[*hub].is_alive) {
             Some(hub) => {
-                let arrives = self.send(at, hub, MESSAGE_BYTES, sent_at);
-                let begins = self.processes[hub].machine.work(MESSAGE_BYTES, arrives);
-                self.at(begins, Event::Serve { hub, call });
+                let arrives = self.send(call.at, hub, MESSAGE_BYTES, self.now);
+                self.at(arrives, Event::Called { hub, call });
             }
-            None => self.at(sent_at + EXCHANGE_TIMEOUT, Event::Answered { call, answer: None }),
+            None => self.time_out(call),
         }
     }
 
@@ -550,11 +587,18 @@
         arrives
     }
 
+    fn called(&mut self, hub: usize, call: Call) {
+        let begins = self.processes[hub].machine.work(MESSAGE_BYTES, self.now);
+        match begins < call.sent_at + EXCHANGE_TIMEOUT {
+            true => self.at(begins, Event::Serve { hub, call }),
+            false => self.time_out(call),
+        }
+    }
+
     fn serve(&mut self, hub: usize, call: Call) {
         let now = self.now;
-        let failed = Event::Answered { call: call.clone(), answer: None };
-        if now > call.sent_at + EXCHANGE_TIMEOUT || !self.processes[hub].is_alive {
-            return self.at(call.sent_at + EXCHANGE_TIMEOUT, failed);
+        if !self.processes[hub].is_alive {
+            return self.time_out(call);
         }
         let client = self.processes[call.at].address;
         self.processes[hub].clients.insert(client, now);
@@ -568,20 +612,23 @@
                 rows::hub::changes(&process.cache, &mut process.limiter, have, now)
             }
         };
-        let Some(answer) = answer else { return self.after(Duration::ZERO, failed) };
-        let bytes = MESSAGE_BYTES + size(&answer);
-        let encoded = process.machine.work(bytes, now);
-        if encoded > call.sent_at + EXCHANGE_TIMEOUT {
-            return self.at(call.sent_at + EXCHANGE_TIMEOUT, failed);
+        let Some(answer) = answer else {
+            return self.after(Duration::ZERO, Event::Answered { call, answer: None });
+        };
+        let encoded = process.machine.work(bytes_of(&answer), now);
+        match encoded < call.sent_at + EXCHANGE_TIMEOUT {
+            true => self.at(encoded, Event::Encoded { hub, call, answer }),
+            false => self.time_out(call),
         }
-        let arrives = self.send(hub, call.at, bytes, encoded);
-        let decoded = self.processes[call.at].machine.work(bytes, arrives);
-        self.at(decoded, Event::Answered { call, answer: Some(answer) });
+    }
+
+    /// The sender of a call gives up waiting for the first byte of its answer.
+    fn time_out(&mut self, call: Call) {
+        self.at(call.sent_at + EXCHANGE_TIMEOUT, Event::Answered { call, answer: None });
     }
 
     fn answered(&mut self, call: Call, answer: Option<Answer>) {
-        let now = self.now;
-        let Call { at, start, rank, hub, .. } = call;
+        let Call { at, start, rank, hub, sent_at, .. } = call;
         let clients = self.clients_of(hub);
         let process = &mut self.processes[at];
         if process.start != start || !process.is_alive {
@@ -592,8 +639,10 @@
             return self.after(Duration::ZERO, Event::Call { at, start, rank: rank + 1 });
         };
         let answered = match call.ask {
-            Ask::Rows(_) => process.follower.take_rows(hub, &answer, now),
-            Ask::Changes(..) => process.follower.take_changes(&process.cache, hub, &answer, now),
+            Ask::Rows(_) => process.follower.take_rows(hub, &answer, sent_at),
+            Ask::Changes(..) => {
+                process.follower.take_changes(&process.cache, hub, &answer, sent_at)
+            }
         };
         for change in answered.changes {
             process.cache.apply(&change.key, change.value, change.revision);
@@ -607,9 +656,6 @@
             true => Event::Call { at, start, rank: 0 },
             false => Event::Call { at, start, rank: rank + 1 },
         };
-        if answered.is_fresh {
-            process.fresh_rows_at = Some(now);
-        }
         self.check_age(at);
         self.note_config(at);
         self.after(if answered.is_fresh { pause } else { Duration::ZERO }, next);
@@ -653,10 +699,8 @@
     /// Sends what was read to the process.
     fn bring(&mut self, at: usize, watch: u64, read: Read, now: Mono) {
         let (bytes, sent) = self.store.send(&read.changes, read.is_list, now);
-        let machine = &mut self.processes[at].machine;
-        let arrives = machine.receive(bytes, sent);
-        let decoded = machine.work(bytes, arrives);
-        self.at(decoded, Event::Take { at, watch, read });
+        let arrives = self.processes[at].machine.receive(bytes, sent);
+        self.at(arrives, Event::Brought { at, watch, read, bytes });
     }
 
     fn poll(&mut self, at: usize, watch: u64, after: u64) {
@@ -683,7 +727,6 @@
     }
 
     fn take(&mut self, at: usize, watch: u64, read: Read) {
-        let now = self.now;
         let process = &mut self.processes[at];
         if process.watch != watch || !process.is_alive {
             return;
@@ -692,8 +735,9 @@
             process.cache.apply(&change.key, change.value, change.revision);
         }
         if read.is_list {
-            process.source.synced(&mut process.cache, now);
+            process.source.synced();
         }
+        process.cache.mark_current(read.sent_at, RowSource::Store);
         self.check_age(at);
         self.note_config(at);
         self.after(WATCH_GAP, Event::Poll { at, watch, after: read.revision });
@@ -723,9 +767,10 @@
     process.cache.get(CONFIG).map_or(0, |row| row.mod_revision)
 }
 
-fn size(answer: &Answer) -> usize {
+/// Returns how many bytes an answer takes.
+fn bytes_of(answer: &Answer) -> usize {
     let value = |row: &Row| row.value.as_ref().map_or(0, |(_, text)| text.len());
-    answer.rows.iter().map(|row| row.key.len() + value(row) + 20).sum()
+    MESSAGE_BYTES + answer.rows.iter().map(|row| row.key.len() + value(row) + 20).sum::<usize>()
 }
 
 /// Returns a configuration of about so many bytes, which differs in one route from the version before.
