Rows: large rows go to other processes as differences from the version that they have

A configuration is one row, and at each change of one route a hub sent all of it, whole and as an escaped JSON string, to each of thirty processes; the larger the configuration, the later the last process had it, and while a hub's link was taken, processes followed the store, which sent it whole as well.

Change: a process says which version of each large row (16 kB and more) it has, and gets a compressed frame whose prefix is that version (library zstd, long-distance matching, checksum); without a version in common it gets the whole row as a frame. A hub keeps the last four versions and makes each difference once. A frame that can't be read, or whose base is missing, makes nothing current: the process asks by its versions again, and follows the store when its rows grow old. What a process has got elsewhere isn't sent again. Values above 8 MB are sent whole, as before. Processes of an earlier build don't say what they have, and get whole rows; they ignore the new fields.

The simulated fleet found that the whole cache of a hub that had started again took its large rows for deleted, before this was committed (its own test). It now also counts the work of putting a configuration into force.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -96,8 +96,8 @@
     follower: Mutex<Follower>,
     /// The hubs from which this hub is getting rows.
     getting_rows_from: Mutex<HashSet<SocketAddr>>,
-    /// Limits the rows that this process sends.
-    bulk_limiter: Mutex<BulkLimiter>,
+    /// What this process sends of its rows.
+    feed: Mutex<Feed>,
     /// By hub: which crash reports it and this process have of each other.
     crash_progress: Mutex<HashMap<SocketAddr, HubProgress>>,
     /// The processes that have announced themselves here.
@@ -162,7 +162,7 @@
         memory: cx.registry().lookup(names::PROCESS)?,
         follower: Mutex::default(),
         getting_rows_from: Mutex::default(),
-        bulk_limiter: Mutex::new(BulkLimiter::new(settings.link_bytes_per_second)),
+        feed: Mutex::new(Feed::new(settings.link_bytes_per_second)),
         crash_progress: Mutex::default(),
         announcements: helpers::Announcements::default(),
     });
@@ -356,6 +356,7 @@
             loads: loads.clone(),
             domain_processes: Some(processes),
             have: None,
+            large: None,
             retries: None,
         };
         let reporting = report_to_hub(state.clone(), address, request, !is_fresh);
@@ -417,6 +418,7 @@
             loads,
             domain_processes: None,
             have: None,
+            large: None,
             retries: Some(retries),
         };
         let Ok(hub) = exchange::exchange(state, address, request).await else { continue };
--- a/crates/front/src/peers/exchange.rs
+++ b/crates/front/src/peers/exchange.rs
@@ -38,10 +38,11 @@
     if let Ask::Rows(asked) = ask(state, address) {
         fetch_missing_rows(state, address, &asked).await?;
     }
-    let Ask::Changes(boot, number) = ask(state, address) else {
+    let Ask::Changes(asked) = ask(state, address) else {
         return report(state, address, request).await;
     };
-    request.have = Some((boot, number));
+    request.have = Some((asked.boot, asked.number));
+    request.large = asked.large;
     let asked_at = state.cx.now();
     let response: ExchangeResponse = call(state, address, "/exchange", &request).await?;
     let (answer, mut hub) = response.split();
@@ -74,7 +75,10 @@
         }
         Err(error) => return Err(error),
     };
-    let answered = state.follower.lock().take_rows(address, &answer, asked_at);
+    let answered = {
+        let local = state.shared.local.lock();
+        state.follower.lock().take_rows(&local.row_cache, address, &answer, asked_at)
+    };
     take(state, address, answered);
     Ok(())
 }
@@ -117,6 +121,9 @@
 /// Applies what the hub at `address` answered.
 fn take(state: &State, address: SocketAddr, answered: Answered) {
     let now = state.cx.now();
+    for error in &answered.failed {
+        log::warn!("{address} sent a row that can't be read: {error}");
+    }
     let has_changes = !answered.changes.is_empty();
     let writer = state.writer(RowSource::Process(address));
     for change in answered.changes {
--- a/crates/front/src/peers/hub.rs
+++ b/crates/front/src/peers/hub.rs
@@ -122,8 +122,13 @@
     };
     let own = local.own_loads(now);
     let (loads, processes) = local.load_reports.fleet_total(&own, &exchange.node, now);
-    let mut limiter = state.bulk_limiter.lock();
-    let answer = rows::hub::changes(&local.row_cache, &mut limiter, exchange.have, now)?;
+    let answer = match exchange.have {
+        None => Feed::nothing(&local.row_cache, now),
+        Some((boot, number)) => {
+            let asked = ChangesRequest { boot, number, large: exchange.large };
+            state.feed.lock().changes(&local.row_cache, &asked, now)?
+        }
+    };
     if answer.whole_at.is_some() {
         state.metrics.whole_exchanges.inc();
     }
@@ -132,6 +137,7 @@
         number: answer.number,
         age_ms: answer.age_ms,
         rows: answer.rows,
+        patches: answer.patches,
         whole_at: answer.whole_at,
         loads,
         processes,
@@ -142,8 +148,7 @@
 
 fn rows_answer(state: &State, asked: &RowsRequest) -> Answer {
     let local = state.shared.local.lock();
-    let mut limiter = state.bulk_limiter.lock();
-    rows::hub::difference(&local.row_cache, &mut limiter, asked, state.cx.now())
+    state.feed.lock().difference(&local.row_cache, asked, state.cx.now())
 }
 
 /// Returns the time between two exchanges of each of a hub's `clients`.
--- a/crates/front/src/peers/messages.rs
+++ b/crates/front/src/peers/messages.rs
@@ -1,5 +1,7 @@
 //! The messages of the exchange between processes.
 
+use std::collections::BTreeMap;
+
 use base::prelude::*;
 use pass::prelude::*;
 use rows::prelude::*;
@@ -18,6 +20,10 @@
     /// The row cache that the sender knows, and the last change of it that it has; `None` asks for
     /// no rows.
     pub(super) have: Option<(BootId, u64)>,
+    /// The revision that wrote each large row that the sender has; `None` if it is of an earlier version, which
+    /// takes large rows only whole.
+    #[serde(default)]
+    pub(super) large: Option<BTreeMap<Box<str>, u64>>,
     /// The granted retries that the sender holds; `None` if it is a hub, or of an earlier version.
     #[serde(default)]
     pub(super) retries: Option<RetryReport>,
@@ -35,6 +41,9 @@
     /// all of the rows that the sender lacks are in the response.
     pub(super) age_ms: Option<u64>,
     pub(super) rows: Vec<Row>,
+    /// The large ones of the rows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) patches: Vec<Patch>,
     /// If `rows` is the hub's whole cache, the highest revision of the store that it has seen.
     pub(super) whole_at: Option<u64>,
     /// The load of the fleet without the sender's.
@@ -65,7 +74,7 @@
 impl ExchangeResponse {
     /// Returns what the response says of rows, and of the fleet.
     pub(super) fn split(self) -> (Answer, HubState) {
-        let ExchangeResponse { boot, number, age_ms, rows, whole_at, .. } = self;
+        let ExchangeResponse { boot, number, age_ms, rows, patches, whole_at, .. } = self;
         let fleet = HubState {
             is_fresh: false,
             loads: self.loads,
@@ -73,6 +82,6 @@
             pause: Duration::from_millis(self.pause_ms),
             retries: self.retries,
         };
-        (Answer { boot, number, age_ms, rows, whole_at }, fleet)
+        (Answer { boot, number, age_ms, rows, patches, whole_at }, fleet)
     }
 }
--- a/crates/rows/src/cache.rs
+++ b/crates/rows/src/cache.rs
@@ -8,12 +8,19 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::fmt;
 use std::net::SocketAddr;
 
 use base::prelude::*;
 use kv::prelude::*;
 
+use crate::patch::LARGE_BYTES;
+
+/// Most earlier versions that are kept of a large row, and their bytes.
+const MAX_EARLIER: usize = 4;
+const MAX_EARLIER_BYTES: usize = 8 << 20;
+
 /// What showed that rows match the store.
 #[data]
 #[derive(Copy)]
@@ -68,6 +75,8 @@
     /// one cache mean nothing in another.
     pub boot: BootId,
     rows: BTreeMap<Box<str>, Row>,
+    /// The last versions of large rows before the current ones, the newest last.
+    earlier: BTreeMap<Box<str>, VecDeque<Versioned>>,
     number: u64,
     revision: u64,
     /// When the cache last matched the store, as the store showed.
@@ -83,6 +92,7 @@
         RowCache {
             boot: random_id(),
             rows: BTreeMap::new(),
+            earlier: BTreeMap::new(),
             number: 0,
             revision: 0,
             confirmed_by_store: None,
@@ -214,11 +224,44 @@
                 Some(value) => value.mod_revision,
                 None => revision,
             };
-            self.rows.insert(key.into(), Row { number: self.number, value, revision });
+            let replaced =
+                self.rows.insert(key.into(), Row { number: self.number, value, revision });
+            if let Some(value) = replaced.and_then(|row| row.value) {
+                self.keep_earlier(key, value);
+            }
         }
         is_new
     }
 
+    /// Keeps an earlier version of a row, if it is large.
+    fn keep_earlier(&mut self, key: &str, value: Versioned) {
+        if value.value.len() < LARGE_BYTES {
+            return;
+        }
+        let earlier = self.earlier.entry(key.into()).or_default();
+        earlier.push_back(value);
+        let bytes = |earlier: &VecDeque<Versioned>| -> usize {
+            earlier.iter().map(|value| value.value.len()).sum()
+        };
+        while earlier.len() > MAX_EARLIER || bytes(earlier) > MAX_EARLIER_BYTES {
+            earlier.pop_front();
+        }
+    }
+
+    /// Returns the version of `key` that `mod_revision` wrote, if it is the current one, or a large one that is
+    /// still kept.
+    pub fn version(&self, key: &str, mod_revision: u64) -> Option<&Versioned> {
+        let earlier = self.earlier.get(key).into_iter().flatten();
+        self.get(key).into_iter().chain(earlier).find(|value| value.mod_revision == mod_revision)
+    }
+
+    /// Returns the revision that wrote each large row.
+    pub fn large_versions(&self) -> BTreeMap<Box<str>, u64> {
+        let values = self.rows.iter().filter_map(|(key, row)| Some((key, row.value.as_ref()?)));
+        let large = values.filter(|(_, value)| value.value.len() >= LARGE_BYTES);
+        large.map(|(key, value)| (key.clone(), value.mod_revision)).collect()
+    }
+
     /// Returns the highest revision of the store that the cache has seen.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/crates/rows/src/follower.rs
+++ b/crates/rows/src/follower.rs
@@ -20,15 +20,17 @@
 use crate::cache::RowChange;
 use crate::hub::is_fresh;
 use crate::message::Answer;
+use crate::message::ChangesRequest;
 use crate::message::RowsRequest;
+use crate::patch::PatchError;
 
 /// What a process asks of a hub.
 #[data]
 pub enum Ask {
     /// The rows that it lacks.
     Rows(RowsRequest),
-    /// What changed in a cache after a number.
-    Changes(BootId, u64),
+    /// What changed in its cache.
+    Changes(ChangesRequest),
 }
 
 /// What an answer tells a process.
@@ -40,6 +42,8 @@
     pub current_at: Option<Mono>,
     /// Whether the hub's rows count as the current content of the store, and the process has got all of them.
     pub is_fresh: bool,
+    /// The large rows that can't be read, so that the process hasn't got all.
+    pub failed: Vec<PatchError>,
 }
 
 /// What a process knows of the row caches of hubs.
@@ -53,8 +57,12 @@
     /// Returns what to ask of `hub`.
     pub fn ask(&self, hub: SocketAddr, cache: &RowCache) -> Ask {
         match self.known.get(&hub) {
-            Some((boot, number)) => Ask::Changes(*boot, *number),
-            None => Ask::Rows(RowsRequest { versions: cache.versions() }),
+            Some((boot, number)) => Ask::Changes(ChangesRequest {
+                boot: *boot,
+                number: *number,
+                large: Some(cache.large_versions()),
+            }),
+            None => Ask::Rows(RowsRequest { versions: cache.versions(), takes_patches: true }),
         }
     }
 
@@ -69,13 +77,19 @@
     }
 
     /// Takes the answer of `hub` to [`Ask::Rows`], which was asked at `asked_at`.
-    pub fn take_rows(&mut self, hub: SocketAddr, answer: &Answer, asked_at: Mono) -> Answered {
+    pub fn take_rows(
+        &mut self,
+        cache: &RowCache,
+        hub: SocketAddr,
+        answer: &Answer,
+        asked_at: Mono,
+    ) -> Answered {
         let age = answer.age_ms.map(Duration::from_millis);
         // The changes of a hub that is still filling its cache are mostly rows that this process has.
         if is_fresh(age) {
             self.known.insert(hub, (answer.boot, answer.number));
         }
-        answered(Vec::new(), answer, asked_at)
+        self.answered(cache, hub, Vec::new(), answer, asked_at)
     }
 
     /// Takes the answer of `hub` to [`Ask::Changes`], which was asked at `asked_at`.
@@ -93,17 +107,40 @@
         } else {
             self.known.remove(&hub);
         }
-        answered(missing(cache, answer), answer, asked_at)
+        self.answered(cache, hub, missing(cache, answer), answer, asked_at)
     }
-}
 
-fn answered(mut changes: Vec<RowChange>, answer: &Answer, asked_at: Mono) -> Answered {
-    changes.extend(answer.rows.iter().map(RowChange::from));
-    let age = answer.age_ms.map(Duration::from_millis);
-    Answered {
-        changes,
-        current_at: age.map(|age| asked_at.saturating_sub(age)),
-        is_fresh: is_fresh(age),
+    fn answered(
+        &mut self,
+        cache: &RowCache,
+        hub: SocketAddr,
+        mut changes: Vec<RowChange>,
+        answer: &Answer,
+        asked_at: Mono,
+    ) -> Answered {
+        changes.extend(answer.rows.iter().map(RowChange::from));
+        let mut failed = Vec::new();
+        for patch in &answer.patches {
+            let base = patch.base.and_then(|base| cache.version(&patch.key, base));
+            match patch.apply(base) {
+                Ok(value) => changes.push(RowChange {
+                    key: patch.key.clone(),
+                    value: Some(value),
+                    revision: patch.revision,
+                }),
+                Err(error) => failed.push(error),
+            }
+        }
+        if !failed.is_empty() {
+            self.known.remove(&hub);
+        }
+        let age = answer.age_ms.map(Duration::from_millis).filter(|_| failed.is_empty());
+        Answered {
+            changes,
+            current_at: age.map(|age| asked_at.saturating_sub(age)),
+            is_fresh: is_fresh(age),
+            failed,
+        }
     }
 }
 
@@ -113,7 +150,9 @@
     if !is_fresh(answer.age_ms.map(Duration::from_millis)) {
         return Vec::new();
     }
-    let all_keys: BTreeSet<&str> = answer.rows.iter().map(|row| &*row.key).collect();
+    let rows = answer.rows.iter().map(|row| &*row.key);
+    let all_keys: BTreeSet<&str> =
+        rows.chain(answer.patches.iter().map(|patch| &*patch.key)).collect();
     let missing = cache.missing_from(&all_keys, revision).into_iter();
     missing.map(|key| RowChange { key, value: None, revision }).collect()
 }
--- a/crates/rows/src/lib.rs
+++ b/crates/rows/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`cache`]: the rows of one process, with numbered changes.
 //! - [`message`]: what processes ask and send each other.
+//! - [`patch`]: large rows as differences from a version that the receiver has.
 //! - [`limiter`]: how much a hub sends.
 //! - [`hub`]: what a hub sends.
 //! - [`follower`]: what a process asks of a hub, and what an answer tells it.
@@ -14,6 +15,7 @@
 pub mod hub;
 pub mod limiter;
 pub mod message;
+pub mod patch;
 pub mod source;
 
 /// The common types, for a glob import.
@@ -24,11 +26,14 @@
     pub use crate::follower::Answered;
     pub use crate::follower::Ask;
     pub use crate::follower::Follower;
+    pub use crate::hub::Feed;
     pub use crate::hub::is_fresh;
     pub use crate::limiter::BulkLimiter;
     pub use crate::message::Answer;
+    pub use crate::message::ChangesRequest;
     pub use crate::message::Row;
     pub use crate::message::RowsRequest;
+    pub use crate::patch::Patch;
     pub use crate::source::Situation;
     pub use crate::source::Source;
     pub use crate::source::StoreAction;
--- a/crates/rows/src/message.rs
+++ b/crates/rows/src/message.rs
@@ -6,6 +6,7 @@
 use kv::prelude::*;
 
 use crate::cache::RowChange;
+use crate::patch::Patch;
 
 /// Asks a hub whose row cache the sender doesn't know for the rows that the sender lacks.
 #[data]
@@ -13,6 +14,21 @@
 pub struct RowsRequest {
     /// The revision that wrote each row that the sender has.
     pub versions: BTreeMap<Box<str>, u64>,
+    /// Whether it takes large rows as differences from these; earlier builds don't.
+    #[serde(default)]
+    pub takes_patches: bool,
+}
+
+/// Asks a hub for what changed in its row cache after a change that the sender has.
+#[data]
+pub struct ChangesRequest {
+    /// Identifies the row cache.
+    pub boot: BootId,
+    /// The last change that the sender has.
+    pub number: u64,
+    /// The revision that wrote each large row that the sender has; `None` if it is of an earlier build, which
+    /// takes no differences.
+    pub large: Option<BTreeMap<Box<str>, u64>>,
 }
 
 /// The rows that a hub sends.
@@ -28,6 +44,9 @@
     pub age_ms: Option<u64>,
     /// The rows of which the sender has no version, or an older one.
     pub rows: Vec<Row>,
+    /// Those of them that are large.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub patches: Vec<Patch>,
     /// If `rows` is the hub's whole cache, the highest revision of the store that it has seen.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub whole_at: Option<u64>,
--- a/crates/rows/tests/fleet/mod.rs
+++ b/crates/rows/tests/fleet/mod.rs
@@ -46,6 +46,8 @@
 const WATCH_GAP: Duration = Duration::from_millis(140);
 /// Pause after a call to a store that doesn't answer.
 const STORE_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+/// Work of putting a configuration into force, relative to that of decoding its bytes.
+const CONFIG_WORK: usize = 10;
 /// Bytes of a message besides rows.
 const MESSAGE_BYTES: usize = 400;
 /// How long the lock of a hub that was killed holds, and how long a free one stays so.
@@ -115,7 +117,7 @@
     watch: u64,
     cache: RowCache,
     follower: Follower,
-    limiter: BulkLimiter,
+    feed: Feed,
     source: Source,
     interval: Duration,
     clients: BTreeMap<SocketAddr, Mono>,
@@ -318,7 +320,7 @@
             watch: 0,
             cache: RowCache::default(),
             follower: Follower::default(),
-            limiter: BulkLimiter::new(link),
+            feed: Feed::new(link),
             source: Source::default(),
             interval: MIN_INTERVAL,
             clients: BTreeMap::new(),
@@ -366,7 +368,7 @@
                 self.at(arrives, Event::Arrived { call, answer });
             }
             Event::Arrived { call, answer } => {
-                let decoded = self.processes[call.at].machine.work(bytes_of(&answer), self.now);
+                let decoded = self.decode(call.at, bytes_of(&answer), config_bytes(&answer));
                 self.at(decoded, Event::Answered { call, answer: Some(answer) });
             }
             Event::Answered { call, answer } => self.answered(call, answer),
@@ -376,7 +378,7 @@
                 self.read(at, watch, sent_at, after, until)
             }
             Event::Brought { at, watch, read, bytes } => {
-                let decoded = self.processes[at].machine.work(bytes, self.now);
+                let decoded = self.decode(at, bytes, written_bytes(&read.changes));
                 self.at(decoded, Event::Take { at, watch, read });
             }
             Event::Take { at, watch, read } => self.take(at, watch, read),
@@ -494,7 +496,7 @@
         let old = &self.processes[at];
         let (machine, start, watch) = (old.machine.clone(), old.start + 1, old.watch + 1);
         let mut process = self.process(self.processes[at].domain);
-        process.limiter = BulkLimiter::new(machine.link_bytes_per_second);
+        process.feed = Feed::new(machine.link_bytes_per_second);
         process.disturbed_at = Some(self.now);
         (process.address, process.machine) = (address, machine);
         process.machine.frozen_until = Mono::ZERO;
@@ -595,6 +597,11 @@
         }
     }
 
+    /// Decodes a message, and puts the configurations in it into force; returns when that is done.
+    fn decode(&mut self, at: usize, bytes: usize, config_bytes: usize) -> Mono {
+        self.processes[at].machine.work(bytes + config_bytes * CONFIG_WORK, self.now)
+    }
+
     fn serve(&mut self, hub: usize, call: Call) {
         let now = self.now;
         if !self.processes[hub].is_alive {
@@ -604,13 +611,8 @@
         self.processes[hub].clients.insert(client, now);
         let process = &mut self.processes[hub];
         let answer = match &call.ask {
-            Ask::Rows(asked) => {
-                Some(rows::hub::difference(&process.cache, &mut process.limiter, asked, now))
-            }
-            Ask::Changes(boot, number) => {
-                let have = Some((*boot, *number));
-                rows::hub::changes(&process.cache, &mut process.limiter, have, now)
-            }
+            Ask::Rows(asked) => Some(process.feed.difference(&process.cache, asked, now)),
+            Ask::Changes(asked) => process.feed.changes(&process.cache, asked, now),
         };
         let Some(answer) = answer else {
             return self.after(Duration::ZERO, Event::Answered { call, answer: None });
@@ -639,7 +641,7 @@
             return self.after(Duration::ZERO, Event::Call { at, start, rank: rank + 1 });
         };
         let answered = match call.ask {
-            Ask::Rows(_) => process.follower.take_rows(hub, &answer, sent_at),
+            Ask::Rows(_) => process.follower.take_rows(&process.cache, hub, &answer, sent_at),
             Ask::Changes(..) => {
                 process.follower.take_changes(&process.cache, hub, &answer, sent_at)
             }
@@ -767,10 +769,26 @@
     process.cache.get(CONFIG).map_or(0, |row| row.mod_revision)
 }
 
+/// Returns the bytes of the configurations in an answer.
+fn config_bytes(answer: &Answer) -> usize {
+    let rows = answer.rows.iter().filter(|row| &*row.key == CONFIG);
+    let whole: usize = rows.filter_map(|row| Some(row.value.as_ref()?.1.len())).sum();
+    whole + answer.patches.iter().map(|patch| patch.bytes).sum::<usize>()
+}
+
+/// Returns the bytes of the configurations in what was read of the store.
+fn written_bytes(changes: &[RowChange]) -> usize {
+    let configs = changes.iter().filter(|change| &*change.key == CONFIG);
+    configs.map(RowChange::size).sum()
+}
+
 /// Returns how many bytes an answer takes.
 fn bytes_of(answer: &Answer) -> usize {
     let value = |row: &Row| row.value.as_ref().map_or(0, |(_, text)| text.len());
-    MESSAGE_BYTES + answer.rows.iter().map(|row| row.key.len() + value(row) + 20).sum::<usize>()
+    let patches: usize = answer.patches.iter().map(Patch::size).sum();
+    MESSAGE_BYTES
+        + patches
+        + answer.rows.iter().map(|row| row.key.len() + value(row) + 20).sum::<usize>()
 }
 
 /// Returns a configuration of about so many bytes, which differs in one route from the version before.
