Store: a response that arrives slowly is read whole instead of being given up and asked for again

A call of the store ended after 0.9 s, head and body together, and the answer to a watch 0.3 s after its wait. On a link of 20 Mbit/s or with 0.12 of a core in slices a list with a large configuration takes longer, was begun anew, and the process never got it.

--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -120,6 +120,28 @@
     Ok(buf.freeze())
 }
 
+/// Does what [`read_granted`] does, waiting at most `timeout` for each chunk.
+///
+/// # Errors
+///
+/// Those of [`read_granted`], and [`BodyError::Incomplete`] if no chunk arrives within `timeout`.
+pub async fn read_granted_with_idle_timeout(
+    mut body: Body,
+    limit: usize,
+    grant: Grant,
+    timeout: Duration,
+) -> Result<Bytes, GrantedBodyError> {
+    let mut buf = Buffer::new(grant);
+    while let Some(chunk) = next_chunk_within(&mut body, timeout).await {
+        let chunk = chunk?;
+        if buf.len() + chunk.len() > limit {
+            return Err(BodyError::TooLarge { limit }.into());
+        }
+        buf.push(&chunk)?;
+    }
+    Ok(buf.freeze())
+}
+
 /// Reads a complete body of at most `limit` bytes, waiting at most `timeout` for each chunk.
 ///
 /// # Errors
@@ -132,17 +154,21 @@
     timeout: Duration,
 ) -> Result<Bytes, BodyError> {
     let mut buf = BytesMut::new();
-    loop {
-        let chunk = match tokio::time::timeout(timeout, next_chunk(&mut body)).await {
-            Ok(None) => return Ok(buf.freeze()),
-            Ok(Some(chunk)) => chunk?,
-            Err(_) => return Err(BodyError::Incomplete(format!("silent for {timeout:?}").into())),
-        };
+    while let Some(chunk) = next_chunk_within(&mut body, timeout).await {
+        let chunk = chunk?;
         if buf.len() + chunk.len() > limit {
             return Err(BodyError::TooLarge { limit });
         }
         buf.extend_from_slice(&chunk);
     }
+    Ok(buf.freeze())
+}
+
+/// Reads the next chunk of a body, which must arrive within `timeout`; `None` at its end.
+async fn next_chunk_within(body: &mut Body, timeout: Duration) -> Option<Result<Bytes, BodyError>> {
+    let next = tokio::time::timeout(timeout, next_chunk(body)).await;
+    let is_silent = |_| Some(Err(BodyError::Incomplete(format!("silent for {timeout:?}").into())));
+    next.unwrap_or_else(is_silent)
 }
 
 /// Reads the next chunk of a body; `None` at its end.
