Serve: a route or key is denied only by rows that are young enough to know it

Callers were refused with 401, 403 or 404 from whatever table the process had, however old: what isn't known here was told as what isn't there. That is wrong whenever a process is late, for whichever reason.

Change: a request without a route, or with an unknown key, gets 401 or 404 while the rows have matched the store within two thirds of the time in which a configuration must be in force (setting config_ms, from the platform's bounds); else 503 with Retry-After 0.5 s. Since only answers make rows current, a denial is then never older than that. Requests that the process knows are served as before, also while the store is away.

--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -94,6 +94,11 @@
 /// Retry-After of requests that come before this process has a configuration, or while it has none of their
 /// service.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry-After of requests for which this process knows no route or key while it may lack a configuration.
+const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Share of the time within which a configuration must be in force up to which rows are young enough to say that a
+/// route or key isn't there.
+const DENIAL_AGE_SHARE: f64 = 2.0 / 3.0;
 /// Retry-After of requests that a stopping process can't finish; other processes can take them.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -119,6 +124,8 @@
     metrics: Metrics,
     /// What requests and responses may hold.
     memory: Memory,
+    /// Age of the rows of the store up to which a route or key that they lack isn't there.
+    max_denial_age: Duration,
 }
 
 /// A request that is being served.
@@ -162,6 +169,7 @@
         stop: StopState::new(settings.stop),
         metrics: cx.registry().lookup(names::PROCESS)?,
         memory: cx.registry().lookup(names::PROCESS)?,
+        max_denial_age: settings.config.mul_f64(DENIAL_AGE_SHARE),
     });
     let listener = bind(settings.callers);
     let listener =
@@ -355,6 +363,10 @@
     });
 }
 
+/// Returns the route of a request, or the response to one that has none.
+///
+/// What isn't known here may be in a configuration that this process lacks. So a route or key is denied only while the
+/// rows are so young that every configuration that must be in force is among them; else the caller may come back.
 fn route(
     state: &State,
     request: &Request,
@@ -372,7 +384,9 @@
     let host = request.header("host").unwrap_or_default();
     let found = table.find(host, &request.path, metadata.api_key.as_deref(), id.as_bytes());
     found.map_err(|problem| {
+        let is_current = rows_age.is_some_and(|age| age <= state.max_denial_age);
         let response = match problem {
+            _ if !is_current => responses::refused(OUTDATED_RETRY_AFTER),
             RouteError::Unknown => responses::not_found(),
             RouteError::Unauthorized => responses::unauthorized(),
             RouteError::NoService => responses::refused(UNCONFIGURED_RETRY_AFTER),
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -54,6 +54,8 @@
     pub max_descriptors: usize,
     /// Memory that the process may hold, in bytes.
     pub memory_bytes: f64,
+    /// Time from the store's acknowledgement of a configuration until it must be in force.
+    pub config: Duration,
     /// The shortest lease that the store grants.
     pub shortest_lease: Duration,
     /// Time from the store's acknowledgement of an evacuation until no new request may reach the
@@ -110,6 +112,7 @@
         link_bytes_per_second: fields.number("link_mbps", 1_000.0, 0.1..=1e6) * BYTES_PER_MEGABIT,
         max_descriptors: fields.size("max_descriptors", u64::MAX, 0..=u64::MAX),
         memory_bytes: fields.number("memory_mb", 160.0, 1.0..=1e6) * BYTES_PER_MEGABYTE,
+        config: fields.millis("config_ms", 2_000, 100..=MAX_MILLIS),
         evacuation: fields.optional_millis("evacuation_ms", 1..=MAX_MILLIS),
         shortest_lease: fields.millis("shortest_lease_ms", 1_000, 1..=MAX_MILLIS),
     };
