Peers: answers of other processes have a budget, and a hub that doesn't answer is left alone for half a second

A process read up to 64 MB of the answer of another process, several at once and outside any budget, on VMs of 160 MB; and it called a hub whose answers fail again at the next turn, 38 times a second in the test, each time up to its limit. A hub that stands still took 0.4 s of each turn likewise, before the process came to the next hub.

Change: the answers take their bytes from the budget for messages, by address; a call without an answer (not one that is declined) leaves the hub out for 0.5 s, for rows and for reports.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -152,14 +152,15 @@
 
 async fn run(cx: Context) -> Result<(), ServiceError> {
     let settings: Arc<Settings> = cx.registry().lookup(names::PROCESS)?;
+    let memory: Memory = cx.registry().lookup(names::PROCESS)?;
     let state = Arc::new(State {
         cx: cx.clone(),
         integration: cx.registry().lookup(names::PROCESS)?,
         settings: settings.clone(),
         shared: cx.registry().lookup(names::PROCESS)?,
-        client: Client::pooled(EXCHANGE_TIMEOUT),
+        client: Client::pooled(EXCHANGE_TIMEOUT).within(memory.messages.clone()),
         metrics: cx.registry().lookup(names::PROCESS)?,
-        memory: cx.registry().lookup(names::PROCESS)?,
+        memory,
         follower: Mutex::default(),
         getting_rows_from: Mutex::default(),
         feed: Mutex::new(Feed::new(settings.link_bytes_per_second)),
@@ -348,7 +349,7 @@
         (loads, processes, is_fresh(local.row_cache.age(now)))
     };
     for address in hubs(state) {
-        if address.ip() == state.settings.peers.ip() && address == state.settings.peers {
+        if address == state.settings.peers || !state.follower.lock().may_call(address, now) {
             continue;
         }
         let request = ExchangeRequest {
@@ -405,6 +406,9 @@
     let mut is_reported = false;
     for address in hubs(state) {
         let reported_at = clock::since_boot();
+        if !state.follower.lock().may_call(address, state.cx.now()) {
+            continue;
+        }
         let (loads, retries) = {
             let mut local = state.shared.local.lock();
             let loads = match is_reported {
--- a/crates/front/src/peers/exchange.rs
+++ b/crates/front/src/peers/exchange.rs
@@ -90,8 +90,11 @@
     message: &A,
 ) -> Result<B, ClientError> {
     let called = call_hub(state, address, path, message, EXCHANGE_TIMEOUT).await;
-    called.inspect_err(|_| {
-        state.follower.lock().failed(address);
+    called.inspect_err(|error| match error {
+        ClientError::NotSent { .. } | ClientError::Incomplete { .. } => {
+            state.follower.lock().failed(address, state.cx.now());
+        }
+        ClientError::Status { .. } => state.follower.lock().declined(address),
     })
 }
 
--- a/crates/rows/src/follower.rs
+++ b/crates/rows/src/follower.rs
@@ -24,6 +24,10 @@
 use crate::message::RowsRequest;
 use crate::patch::PatchError;
 
+/// How long a hub that could not be asked is left alone, so that one that stands still, or answers without end, takes
+/// little of the time and of the link that the others need.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+
 /// What a process asks of a hub.
 #[data]
 pub enum Ask {
@@ -51,6 +55,8 @@
 pub struct Follower {
     /// By hub: the id of its row cache, and the last change received from it.
     known: HashMap<SocketAddr, (BootId, u64)>,
+    /// When calls to hubs last failed.
+    failed_at: HashMap<SocketAddr, Mono>,
 }
 
 impl Follower {
@@ -66,11 +72,23 @@
         }
     }
 
-    /// Records that a call to `hub` failed.
-    pub fn failed(&mut self, hub: SocketAddr) {
+    /// Records that a call to `hub` got no answer.
+    pub fn failed(&mut self, hub: SocketAddr, now: Mono) {
+        self.known.remove(&hub);
+        self.failed_at.retain(|_, at| now < *at + FAILURE_PAUSE);
+        self.failed_at.insert(hub, now);
+    }
+
+    /// Records that `hub` declined a call.
+    pub fn declined(&mut self, hub: SocketAddr) {
         self.known.remove(&hub);
     }
 
+    /// Returns whether `hub` may be called, since the last call to it that failed is long ago.
+    pub fn may_call(&self, hub: SocketAddr, now: Mono) -> bool {
+        self.failed_at.get(&hub).is_none_or(|at| now >= *at + FAILURE_PAUSE)
+    }
+
     /// Records that `hub` is of an earlier build, which sends its whole cache to those who don't know it.
     pub fn set_earlier_build(&mut self, hub: SocketAddr) {
         self.known.insert(hub, (0, 0));
--- a/crates/rows/tests/fleet/mod.rs
+++ b/crates/rows/tests/fleet/mod.rs
@@ -543,6 +543,7 @@
     }
 
     fn call(&mut self, at: usize, start: u64, rank: usize) {
+        let now = self.now;
         let process = &mut self.processes[at];
         if process.start != start || !process.is_alive {
             return;
@@ -560,6 +561,7 @@
             .map(|(key, row)| (key != own, String::from_utf8_lossy(&row.value).parse()))
             .filter_map(|(is_other, address)| Some((is_other, address.ok()?)))
             .filter(|(_, address)| *address != process.address)
+            .filter(|(_, address)| process.follower.may_call(*address, now))
             .collect();
         hubs.sort();
         let Some((_, hub)) = hubs.get(rank).copied() else {
@@ -637,8 +639,9 @@
             return;
         }
         let Some(answer) = answer else {
-            process.follower.failed(hub);
-            return self.after(Duration::ZERO, Event::Call { at, start, rank: rank + 1 });
+            process.follower.failed(hub, self.now);
+            // It is not in the list for a while.
+            return self.after(Duration::ZERO, Event::Call { at, start, rank });
         };
         let answered = match call.ask {
             Ask::Rows(_) => process.follower.take_rows(&process.cache, hub, &answer, sent_at),
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -23,12 +23,16 @@
 use crate::body;
 use crate::causes::with_causes;
 use crate::framing::without_framing;
+use crate::memory::ByteBudget;
 use crate::reply::Response;
 
 /// Time for which an idle connection is kept for reuse.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Largest JSON response that is read, in bytes.
 const MAX_JSON_BYTES: usize = 64 << 20;
+/// Budget of the JSON responses of a client that are being read, unless it is given another one; an address gets half
+/// of it.
+const JSON_BUDGET_BYTES: usize = 3 * MAX_JSON_BYTES;
 
 /// Why a request failed.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
@@ -85,6 +89,8 @@
 pub struct Client {
     inner: volo_http::client::Client,
     connect_timeout: Duration,
+    /// What the JSON responses that are being read may hold; the holders are the addresses that send them.
+    memory: ByteBudget,
 }
 
 impl Client {
@@ -104,7 +110,12 @@
         builder.set_pool_idle_timeout(POOL_IDLE_TIMEOUT);
         builder.set_max_idle_per_host(idle_per_host);
         let inner = builder.build().expect("the client's settings are valid");
-        Client { inner, connect_timeout }
+        Client { inner, connect_timeout, memory: ByteBudget::new(JSON_BUDGET_BYTES) }
+    }
+
+    /// Returns the client with JSON responses that hold no more than `memory` has.
+    pub fn within(self, memory: ByteBudget) -> Self {
+        Client { memory, ..self }
     }
 
     /// Sends `call` and returns the response as soon as its headers have arrived, within `timeout`. It says
@@ -147,7 +158,8 @@
         let exchange = async {
             let response = self.send(address, json_call(method, path, value), timeout).await?;
             let status = response.status();
-            let read = body::read(response.into_body(), MAX_JSON_BYTES).await;
+            let grant = self.memory.grant(&address.ip().to_string());
+            let read = body::read_granted(response.into_body(), MAX_JSON_BYTES, grant).await;
             decode_json(address, status, read)
         };
         match tokio::time::timeout(timeout, exchange).await {
@@ -173,9 +185,10 @@
     ) -> Result<B, ClientError> {
         let response = self.send(address, json_call(method, path, value), idle_timeout).await?;
         let status = response.status();
-        let read =
-            body::read_with_idle_timeout(response.into_body(), MAX_JSON_BYTES, idle_timeout).await;
-        decode_json(address, status, read)
+        let (body, grant) = (response.into_body(), self.memory.grant(&address.ip().to_string()));
+        let reading =
+            body::read_granted_with_idle_timeout(body, MAX_JSON_BYTES, grant, idle_timeout);
+        decode_json(address, status, reading.await)
     }
 }
 
@@ -196,7 +209,7 @@
 fn decode_json<B: DeserializeOwned>(
     address: SocketAddr,
     status: http::StatusCode,
-    read: Result<bytes::Bytes, body::BodyError>,
+    read: Result<bytes::Bytes, body::GrantedBodyError>,
 ) -> Result<B, ClientError> {
     let incomplete = |problem: String| ClientError::Incomplete { address, problem: problem.into() };
     let bytes = read.map_err(|error| incomplete(error.to_string()))?;
