--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -316,7 +316,7 @@
             connections.accept_waiting(listener).into_iter().for_each(run);
         }
     };
-    tokio::spawn(start).await.map_err(|error| Box::from(error.to_string()))?;
+    tokio::spawn(start).await.map_err(|error| Box::<str>::from(error.to_string()))?;
     drain.idle().await;
     connections.all_closed().await;
     Ok(())
