--- a/review/stand/planned_work/fleet.rs
+++ b/review/stand/planned_work/fleet.rs
@@ -7,11 +7,13 @@
 //! - `scenario`: what happens, and when.
 //! - `configuration`: configurations that are large, or change what streams are using.
 //! - `report`: when and where requests were cut.
+//! - `versions`: how long configurations take until they are in force.
 
 mod configuration;
 mod process;
 mod report;
 mod scenario;
+mod versions;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -107,10 +109,17 @@
         let refused = crowd.refused();
         let outcomes = crowd.end();
         drop(quotas);
+        let late = versions::judge(record, &self.processes, &times);
         self.processes.iter().for_each(|process| process.end());
         report::write(record, &outcomes, &self.processes, refused, started);
         let logs = self.processes.iter().map(|process| process.log.clone()).collect();
-        judge::judge(record, &outcomes, &self.servers.journal(), &times, logs)
+        let verdict = judge::judge(record, &outcomes, &self.servers.journal(), &times, logs);
+        match verdict {
+            Verdict::Held(text) if late > 0 => {
+                Verdict::Broken(format!("CONFIG {late} late: {text}"))
+            }
+            verdict => verdict,
+        }
     }
 
     /// Takes a step, and notes what it was for the judge.
--- a/review/stand/planned_work/fleet/process.rs
+++ b/review/stand/planned_work/fleet/process.rs
@@ -59,6 +59,14 @@
     pub is_spread: bool,
 }
 
+/// Something that happens to an entry process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessEvent {
+    Started,
+    Signaled,
+    Ended,
+}
+
 /// An entry process.
 pub struct Process {
     pub name: String,
@@ -69,6 +77,8 @@
     /// Whether it isn't started again.
     pub is_removed: AtomicBool,
     pub peak_kb: AtomicU64,
+    /// What happened to it, and when, in seconds of the record.
+    pub events: Mutex<Vec<(f64, ProcessEvent)>>,
     /// When it ended by itself, in seconds of the record.
     pub own_ends: Mutex<Vec<f64>>,
     metrics: SocketAddr,
@@ -109,6 +119,7 @@
             program: world.program.clone(),
             is_removed: AtomicBool::new(false),
             peak_kb: AtomicU64::new(0),
+            events: Mutex::default(),
             own_ends: Mutex::default(),
             limits: limits.clone(),
             record: world.record.clone(),
@@ -136,7 +147,12 @@
         });
     }
 
+    fn note(&self, event: ProcessEvent) {
+        self.events.lock().unwrap().push((self.record.now(), event));
+    }
+
     fn spawn(&self, first_start: bool) {
+        self.note(ProcessEvent::Started);
         let settings = Settings {
             name: &self.name,
             domain: &self.domain,
@@ -197,6 +213,7 @@
             let id = child.id() as i32;
             if let Ok(Some(status)) = child.try_wait() {
                 running.child = None;
+                self.note(ProcessEvent::Ended);
                 if !running.is_ended {
                     self.record_own_end(status);
                 }
@@ -242,6 +259,7 @@
     /// Sends a signal that doesn't end the process, or one that ends it at once.
     pub fn signal(&self, signal: i32, name: &str) {
         self.record.write(&format!("{} gets {name}", self.name));
+        self.note(ProcessEvent::Signaled);
         let mut running = self.running.lock().unwrap();
         running.is_ended |= signal == KILL;
         if let Some(child) = &running.child {
