--- a/crates/rows/tests/currency.rs
+++ b/crates/rows/tests/currency.rs
@@ -76,6 +76,16 @@
     check(&scenario(300_000, &troubles));
 }
 
+// Guards against processes that wait for hubs none of which reaches the store, as on a day of vatuloa-tides-grown on which
+// the store turned 26 of 73 processes away.
+#[test]
+fn a_configuration_is_everywhere_in_time_while_the_store_turns_all_hubs_away() {
+    let cut = |at| (0..3).map(move |hub| (at, Trouble::CutHub(hub, seconds(8.0))));
+    let troubles: Vec<(f64, Trouble)> = cut(3.1).chain(cut(12.3)).collect();
+    let writes = (1..18).map(|at| seconds(f64::from(at))).collect();
+    check(&Scenario { writes, ..scenario(50_000, &troubles) });
+}
+
 fn trouble() -> impl Strategy<Value = Trouble> {
     let length = || (0.2..6.0_f64).prop_map(seconds);
     prop_oneof![
