Rows: the two followers have names that say whom they follow

HubFollower is what a process knows of the row caches of hubs, StoreFollower whether it follows the store itself; before, Follower and Source, beside RowSource. No logic is changed.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -93,7 +93,7 @@
     /// What messages may hold.
     memory: Memory,
     /// What is known of the row caches of hubs.
-    follower: Mutex<Follower>,
+    hub_follower: Mutex<HubFollower>,
     /// The hubs from which this hub is getting rows.
     getting_rows_from: Mutex<HashSet<SocketAddr>>,
     /// What this process sends of its rows.
@@ -161,7 +161,7 @@
         client: Client::pooled(EXCHANGE_TIMEOUT).within(memory.messages.clone()),
         metrics: cx.registry().lookup(names::PROCESS)?,
         memory,
-        follower: Mutex::default(),
+        hub_follower: Mutex::default(),
         getting_rows_from: Mutex::default(),
         feed: Mutex::new(Feed::new(settings.link_bytes_per_second)),
         crash_progress: Mutex::default(),
@@ -349,7 +349,7 @@
         (loads, processes, is_fresh(local.row_cache.age(now)))
     };
     for address in hubs(state) {
-        if address == state.settings.peers || !state.follower.lock().may_call(address, now) {
+        if address == state.settings.peers || !state.hub_follower.lock().may_call(address, now) {
             continue;
         }
         let request = ExchangeRequest {
@@ -406,7 +406,7 @@
     let mut is_reported = false;
     for address in hubs(state) {
         let reported_at = clock::since_boot();
-        if !state.follower.lock().may_call(address, state.cx.now()) {
+        if !state.hub_follower.lock().may_call(address, state.cx.now()) {
             continue;
         }
         let (loads, retries) = {
--- a/crates/front/src/peers/exchange.rs
+++ b/crates/front/src/peers/exchange.rs
@@ -48,7 +48,7 @@
     let (answer, mut hub) = response.split();
     let answered = {
         let local = state.shared.local.lock();
-        state.follower.lock().take_changes(&local.row_cache, address, &answer, asked_at)
+        state.hub_follower.lock().take_changes(&local.row_cache, address, &answer, asked_at)
     };
     hub.is_fresh = answered.is_fresh;
     take(state, address, answered);
@@ -57,7 +57,7 @@
 
 fn ask(state: &State, address: SocketAddr) -> Ask {
     let local = state.shared.local.lock();
-    state.follower.lock().ask(address, &local.row_cache)
+    state.hub_follower.lock().ask(address, &local.row_cache)
 }
 
 /// Gets the rows that this process lacks from a hub whose row cache it doesn't know.
@@ -70,14 +70,14 @@
     let answer: Answer = match call(state, address, "/rows", asked).await {
         Ok(answer) => answer,
         Err(ClientError::Status { status, .. }) if status == StatusCode::NOT_FOUND.as_u16() => {
-            state.follower.lock().set_earlier_build(address);
+            state.hub_follower.lock().set_earlier_build(address);
             return Ok(());
         }
         Err(error) => return Err(error),
     };
     let answered = {
         let local = state.shared.local.lock();
-        state.follower.lock().take_rows(&local.row_cache, address, &answer, asked_at)
+        state.hub_follower.lock().take_rows(&local.row_cache, address, &answer, asked_at)
     };
     take(state, address, answered);
     Ok(())
@@ -92,9 +92,9 @@
     let called = call_hub(state, address, path, message, EXCHANGE_TIMEOUT).await;
     called.inspect_err(|error| match error {
         ClientError::NotSent { .. } | ClientError::Incomplete { .. } => {
-            state.follower.lock().failed(address, state.cx.now());
+            state.hub_follower.lock().failed(address, state.cx.now());
         }
-        ClientError::Status { .. } => state.follower.lock().declined(address),
+        ClientError::Status { .. } => state.hub_follower.lock().declined(address),
     })
 }
 
--- a/crates/front/src/store_sync.rs
+++ b/crates/front/src/store_sync.rs
@@ -1,6 +1,6 @@
 //! Keeps the local state up to date by watching the store while that is needed.
 //!
-//! [`rows::source`] decides when that is; otherwise a process gets its rows from a hub ([`crate::peers`]).
+//! [`rows::store_follower`] decides when that is; otherwise a process gets its rows from a hub ([`crate::peers`]).
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -43,7 +43,7 @@
     integration: Integration,
     shared: Arc<SharedState>,
     metrics: Metrics,
-    source: Source,
+    store_follower: StoreFollower,
     mirror: Option<JoinHandle<()>>,
     rx: mpsc::Receiver<MirrorEvent>,
 }
@@ -57,7 +57,7 @@
         integration,
         shared,
         metrics: cx.registry().lookup(names::PROCESS)?,
-        source: Source::default(),
+        store_follower: StoreFollower::default(),
         mirror: None,
         rx,
     };
@@ -86,7 +86,7 @@
                 interval: local.exchange_interval,
                 all_hubs_tried: local.all_hubs_tried,
             };
-            let action = self.source.check(&situation, &local.row_cache, now);
+            let action = self.store_follower.check(&situation, &local.row_cache, now);
             (action, local.row_cache.age(now))
         };
         match action {
@@ -152,9 +152,9 @@
                 let revision = self.shared.local.lock().row_cache.revision();
                 self.writer().apply(RowChange { key, value, revision }, now);
             }
-            MirrorEvent::WatchEnded => self.source.interrupted(),
+            MirrorEvent::WatchEnded => self.store_follower.interrupted(),
             MirrorEvent::Synced => {
-                self.source.synced();
+                self.store_follower.synced();
                 self.log_store_state(true, "");
             }
             MirrorEvent::Current { asked_at } => {
@@ -162,7 +162,7 @@
                 self.shared.local.lock().row_cache.mark_current(at, RowSource::Store);
             }
             MirrorEvent::Unavailable(error) => {
-                self.source.interrupted();
+                self.store_follower.interrupted();
                 self.log_store_state(false, &error.to_string());
             }
         }
--- a/crates/rows/src/follower.rs
+++ b/crates/rows/src/hub_follower.rs
@@ -52,14 +52,14 @@
 
 /// What a process knows of the row caches of hubs.
 #[derive(Debug, Default)]
-pub struct Follower {
+pub struct HubFollower {
     /// By hub: the id of its row cache, and the last change received from it.
     known: HashMap<SocketAddr, (BootId, u64)>,
     /// When calls to hubs last failed.
     failed_at: HashMap<SocketAddr, Mono>,
 }
 
-impl Follower {
+impl HubFollower {
     /// Returns what to ask of `hub`.
     pub fn ask(&self, hub: SocketAddr, cache: &RowCache) -> Ask {
         match self.known.get(&hub) {
--- a/crates/rows/src/lib.rs
+++ b/crates/rows/src/lib.rs
@@ -7,34 +7,34 @@
 //! - [`patch`]: large rows as differences from a version that the receiver has.
 //! - [`limiter`]: how much a hub sends.
 //! - [`hub`]: what a hub sends.
-//! - [`follower`]: what a process asks of a hub, and what an answer tells it.
-//! - [`source`]: when a process follows the store itself.
+//! - [`hub_follower`]: what a process asks of a hub, and what an answer tells it.
+//! - [`store_follower`]: when a process follows the store itself.
 
 pub mod cache;
-pub mod follower;
 pub mod hub;
+pub mod hub_follower;
 pub mod limiter;
 pub mod message;
 pub mod patch;
-pub mod source;
+pub mod store_follower;
 
 /// The common types, for a glob import.
 pub mod prelude {
     pub use crate::cache::RowCache;
     pub use crate::cache::RowChange;
     pub use crate::cache::RowSource;
-    pub use crate::follower::Answered;
-    pub use crate::follower::Ask;
-    pub use crate::follower::Follower;
     pub use crate::hub::Feed;
     pub use crate::hub::is_fresh;
+    pub use crate::hub_follower::Answered;
+    pub use crate::hub_follower::Ask;
+    pub use crate::hub_follower::HubFollower;
     pub use crate::limiter::BulkLimiter;
     pub use crate::message::Answer;
     pub use crate::message::ChangesRequest;
     pub use crate::message::Row;
     pub use crate::message::RowsRequest;
     pub use crate::patch::Patch;
-    pub use crate::source::Situation;
-    pub use crate::source::Source;
-    pub use crate::source::StoreAction;
+    pub use crate::store_follower::Situation;
+    pub use crate::store_follower::StoreAction;
+    pub use crate::store_follower::StoreFollower;
 }
--- a/crates/rows/src/source.rs
+++ b/crates/rows/src/store_follower.rs
@@ -47,7 +47,7 @@
 /// Where a process's rows come from.
 #[data]
 #[derive(Default)]
-pub struct Source {
+pub struct StoreFollower {
     is_following: bool,
     /// Whether it began as a hub.
     is_hub: bool,
@@ -55,7 +55,7 @@
     is_synced: bool,
 }
 
-impl Source {
+impl StoreFollower {
     /// Returns what to do, and records that it is done.
     pub fn check(&mut self, cx: &Situation, cache: &RowCache, now: Mono) -> StoreAction {
         let age = cache.age(now);
@@ -77,9 +77,9 @@
     fn record(&mut self, action: StoreAction, is_hub: bool) {
         match action {
             StoreAction::Follow | StoreAction::FollowAsHub => {
-                *self = Source { is_following: true, is_hub, is_synced: false };
+                *self = StoreFollower { is_following: true, is_hub, is_synced: false };
             }
-            StoreAction::Leave => *self = Source::default(),
+            StoreAction::Leave => *self = StoreFollower::default(),
             StoreAction::Keep => {}
         }
     }
--- a/crates/rows/tests/fleet/mod.rs
+++ b/crates/rows/tests/fleet/mod.rs
@@ -116,9 +116,9 @@
     start: u64,
     watch: u64,
     cache: RowCache,
-    follower: Follower,
+    hub_follower: HubFollower,
     feed: Feed,
-    source: Source,
+    store_follower: StoreFollower,
     interval: Duration,
     clients: BTreeMap<SocketAddr, Mono>,
     /// The last configuration whose arrival was noted.
@@ -319,9 +319,9 @@
             start: 0,
             watch: 0,
             cache: RowCache::default(),
-            follower: Follower::default(),
+            hub_follower: HubFollower::default(),
             feed: Feed::new(link),
-            source: Source::default(),
+            store_follower: StoreFollower::default(),
             interval: MIN_INTERVAL,
             clients: BTreeMap::new(),
             noted: 0,
@@ -517,7 +517,7 @@
         }
         let situation =
             Situation { is_hub: process.is_hub, interval: process.interval, all_hubs_tried: true };
-        match process.source.check(&situation, &process.cache, now) {
+        match process.store_follower.check(&situation, &process.cache, now) {
             StoreAction::Follow | StoreAction::FollowAsHub => {
                 process.watch += 1;
                 let watch = process.watch;
@@ -561,14 +561,14 @@
             .map(|(key, row)| (key != own, String::from_utf8_lossy(&row.value).parse()))
             .filter_map(|(is_other, address)| Some((is_other, address.ok()?)))
             .filter(|(_, address)| *address != process.address)
-            .filter(|(_, address)| process.follower.may_call(*address, now))
+            .filter(|(_, address)| process.hub_follower.may_call(*address, now))
             .collect();
         hubs.sort();
         let Some((_, hub)) = hubs.get(rank).copied() else {
             let pause = process.interval;
             return self.after(pause, Event::Call { at, start, rank: 0 });
         };
-        let ask = process.follower.ask(hub, &process.cache);
+        let ask = process.hub_follower.ask(hub, &process.cache);
         let call = Call { at, start, rank, hub, ask, sent_at };
         self.at(sent_at, Event::Sent { call });
     }
@@ -639,14 +639,14 @@
             return;
         }
         let Some(answer) = answer else {
-            process.follower.failed(hub, self.now);
+            process.hub_follower.failed(hub, self.now);
             // It is not in the list for a while.
             return self.after(Duration::ZERO, Event::Call { at, start, rank });
         };
         let answered = match call.ask {
-            Ask::Rows(_) => process.follower.take_rows(&process.cache, hub, &answer, sent_at),
+            Ask::Rows(_) => process.hub_follower.take_rows(&process.cache, hub, &answer, sent_at),
             Ask::Changes(..) => {
-                process.follower.take_changes(&process.cache, hub, &answer, sent_at)
+                process.hub_follower.take_changes(&process.cache, hub, &answer, sent_at)
             }
         };
         for change in answered.changes {
@@ -684,7 +684,7 @@
     fn retry_store(&mut self, at: usize, watch: u64) {
         let process = &mut self.processes[at];
         if process.watch == watch && process.is_alive {
-            process.source.interrupted();
+            process.store_follower.interrupted();
             self.after(STORE_RETRY_PAUSE, Event::List { at, watch });
         }
     }
@@ -740,7 +740,7 @@
             process.cache.apply(&change.key, change.value, change.revision);
         }
         if read.is_list {
-            process.source.synced();
+            process.store_follower.synced();
         }
         process.cache.mark_current(read.sent_at, RowSource::Store);
         self.check_age(at);
--- a/crates/rows/tests/follower.rs
+++ b/crates/rows/tests/hub_follower.rs
@@ -13,7 +13,7 @@
 // others too late.
 #[test]
 fn a_hub_that_did_not_answer_is_left_alone_for_a_while() {
-    let mut follower = Follower::default();
+    let mut follower = HubFollower::default();
     let at = Duration::from_secs(3);
     follower.failed(hub(1), at);
     assert!(!follower.may_call(hub(1), at + Duration::from_millis(400)));
--- a/crates/rows/tests/patch.rs
+++ b/crates/rows/tests/patch.rs
@@ -104,7 +104,7 @@
 fn an_answer_with_a_row_that_can_not_be_read_makes_nothing_current() {
     let mut hub_cache = cache(&[(KEY, &configuration(900, "a"), 5)]);
     hub_cache.apply(KEY, Some(versioned(configuration(900, "b"), 6)), 6);
-    let mut follower = Follower::default();
+    let mut follower = HubFollower::default();
     let own = RowCache::default();
     let asked = RowsRequest { versions: [(KEY.into(), 5)].into(), takes_patches: true };
     let answer = Feed::new(LINK_BYTES_PER_SECOND).difference(&hub_cache, &asked, Mono::ZERO);
@@ -120,7 +120,7 @@
 fn a_large_row_of_a_whole_cache_is_not_taken_for_deleted() {
     let hub_cache = cache(&[(KEY, &configuration(900, "a"), 5), ("hub/0", b"x", 6)]);
     let own = cache(&[(KEY, &configuration(900, "a"), 5)]);
-    let mut follower = Follower::default();
+    let mut follower = HubFollower::default();
     follower.set_earlier_build(hub());
     let asked = changes_request(&own, 0, 0);
     let answer = Feed::new(LINK_BYTES_PER_SECOND).changes(&hub_cache, &asked, Mono::ZERO);
@@ -151,7 +151,7 @@
         let asked = RowsRequest { versions: own.versions(), takes_patches: true };
         let answer = Feed::new(LINK_BYTES_PER_SECOND).difference(&hub_cache, &asked, Mono::ZERO);
         let is_large = |value: &Versioned| value.value.len() >= LARGE_BYTES;
-        let answered = Follower::default().take_rows(&own, hub(), &answer, Mono::ZERO);
+        let answered = HubFollower::default().take_rows(&own, hub(), &answer, Mono::ZERO);
         for change in answered.changes {
             own.apply(&change.key, change.value, change.revision);
         }
--- a/crates/rows/tests/source.rs
+++ b/crates/rows/tests/store_follower.rs
@@ -23,7 +23,7 @@
 // current from then on, and didn't follow the store again for 3.6 s, although no hub fed it.
 #[test]
 fn a_process_that_left_the_store_follows_it_again_although_news_of_it_was_queued() {
-    let (mut source, mut cache) = (Source::default(), RowCache::default());
+    let (mut source, mut cache) = (StoreFollower::default(), RowCache::default());
     cache.mark_current(seconds(10.0), hub());
     assert_eq!(source.check(&situation(), &cache, seconds(12.0)), StoreAction::Follow);
     cache.mark_current(seconds(12.05), hub());
@@ -37,7 +37,7 @@
 // Guards against a process that follows the store and takes its rows for current though the store doesn't answer.
 #[test]
 fn rows_grow_old_while_the_store_that_is_followed_says_nothing() {
-    let (mut source, mut cache) = (Source::default(), RowCache::default());
+    let (mut source, mut cache) = (StoreFollower::default(), RowCache::default());
     let hub = Situation { is_hub: true, ..situation() };
     assert_eq!(source.check(&hub, &cache, seconds(1.0)), StoreAction::Follow);
     source.synced();
