Harness: a request that ended with the SIGKILL of its process isn't lost

The rule counts planned work only, and a kill is none. A request at another process, or more than 0.1 s from the kill, counts as before.

--- a/review/stand/planned_work/judge.rs
+++ b/review/stand/planned_work/judge.rs
@@ -18,6 +18,9 @@
 const LAST_SIXTH_S: f64 = GRACE_S * 5.0 / 6.0;
 /// When a stopping process ends its responses, about, in seconds.
 const TIME_UP_S: f64 = 7.2;
+/// Connections end within this time of the SIGKILL of their process, and the end may be seen before the signal is
+/// noted, in seconds.
+const KILL_SLACK_S: f64 = 0.1;
 /// The deadline of all requests, and the time-out of their routes at least, in seconds.
 const DEADLINE_S: f64 = 8.0;
 /// Most lost requests of a cause that are written to the record with their log lines.
@@ -29,6 +32,8 @@
     Lost,
     /// No planned work that touches the request.
     Outside,
+    /// Its process was killed while it was in progress.
+    Killed,
     /// The deadline that its client had given it was reached.
     Deadline,
     /// In the last sixth of the time to stop.
@@ -107,6 +112,15 @@
     if outcome.ended - outcome.sent >= DEADLINE_S {
         return Class::Deadline;
     }
+    let is_killed = times.iter().any(|(at, act)| {
+        let in_progress = outcome.sent..=outcome.ended + KILL_SLACK_S;
+        matches!(act, Act::Crash(entry) if *entry == outcome.entry)
+            && in_progress.contains(at)
+            && outcome.ended - at < KILL_SLACK_S
+    });
+    if is_killed {
+        return Class::Killed;
+    }
     if !is_touched {
         return Class::Outside;
     }
