--- a/crates/base/src/finding.rs
+++ b/crates/base/src/finding.rs
@@ -34,9 +34,9 @@
     }
 
     /// Adds the problem unless `ok` is true.
-    pub fn check(&mut self, ok: bool, place: impl fmt::Display, problem: impl FnOnce() -> String) {
+    pub fn check(&mut self, ok: bool, place: &str, problem: impl FnOnce() -> String) {
         if !ok {
-            self.add(place.to_string(), problem());
+            self.add(place, problem());
         }
     }
 
--- a/crates/pass/src/config.rs
+++ b/crates/pass/src/config.rs
@@ -147,7 +147,7 @@
         let attempts = self.max_attempts;
         findings.check(
             (1..=MAX_ATTEMPTS).contains(&attempts),
-            format_args!("{path}.max_attempts"),
+            &format!("{path}.max_attempts"),
             || format!("found {attempts}; allowed is 1 to {MAX_ATTEMPTS}"),
         );
         self.max_attempts = attempts.clamp(1, MAX_ATTEMPTS);
@@ -183,18 +183,18 @@
 
     fn verify_route(&self, route: &Route, path: &str, findings: &mut Findings) {
         let has_slashes = route.prefix.starts_with('/') && route.prefix.ends_with('/');
-        findings.check(has_slashes, format_args!("{path}.prefix"), || {
+        findings.check(has_slashes, &format!("{path}.prefix"), || {
             format!("found {:?}; a prefix begins and ends with a slash", route.prefix)
         });
-        findings.check(route.max_attempts > 0, format_args!("{path}.max_attempts"), || {
+        findings.check(route.max_attempts > 0, &format!("{path}.max_attempts"), || {
             "found 0; at least one attempt is needed".to_owned()
         });
-        findings.check(!route.targets.is_empty(), format_args!("{path}.targets"), || {
+        findings.check(!route.targets.is_empty(), &format!("{path}.targets"), || {
             "found none; a route needs a service".to_owned()
         });
         for (i, target) in route.targets.iter().enumerate() {
             let known = self.services.iter().any(|service| service.name == target.service);
-            findings.check(known, format_args!("{path}.targets[{i}]"), || {
+            findings.check(known, &format!("{path}.targets[{i}]"), || {
                 format!("service {:?} is not declared", target.service)
             });
         }
--- a/crates/rows/tests/fleet/store.rs
+++ b/crates/rows/tests/fleet/store.rs
@@ -47,13 +47,12 @@
 
     /// Returns all rows as changes.
     pub(crate) fn list(&self) -> Vec<RowChange> {
-        let rows = self.rows.iter();
-        let change = |(key, value): (&Box<str>, &Versioned)| RowChange {
+        let rows = self.rows.iter().map(|(key, value)| RowChange {
             key: key.clone(),
             value: Some(value.clone()),
             revision: self.revision(),
-        };
-        rows.map(change).collect()
+        });
+        rows.collect()
     }
 
     pub(crate) fn changes_since(&self, revision: u64) -> Vec<RowChange> {
