--- a/crates/rows/tests/currency.rs
+++ b/crates/rows/tests/currency.rs
@@ -86,6 +86,26 @@
     check(&Scenario { writes, ..scenario(50_000, &troubles) });
 }
 
+// Found by the property below with PROPTEST_RNG_SEED=6: a hub that loses the store and then stands still, under a process
+// that is slow itself.
+#[test]
+fn a_configuration_is_everywhere_in_time_while_a_hub_loses_the_store_and_then_stands_still() {
+    check(&Scenario {
+        domains: 3,
+        processes_per_domain: 14,
+        bytes: 540_322,
+        least_share: 0.12,
+        least_mbps: 20.0,
+        writes: vec![seconds(3.401_006_241), seconds(4.201_006_241)],
+        troubles: vec![
+            (seconds(2.047_708_002), Trouble::CutHub(2, seconds(2.030_345_588))),
+            (seconds(4.166_452_004), Trouble::FreezeHub(2, seconds(4.194_617_006))),
+        ],
+        length: seconds(8.201_006_241),
+        seed: 4_877_075_262_523_071_758,
+    });
+}
+
 fn trouble() -> impl Strategy<Value = Trouble> {
     let length = || (0.2..6.0_f64).prop_map(seconds);
     prop_oneof![
