--- a/crates/rows/tests/fleet/following.rs
+++ b/crates/rows/tests/fleet/following.rs
@@ -44,16 +44,22 @@
             return self.retry_store(at, watch);
         }
         let sent_at = self.processes[at].machine.work(MESSAGE_BYTES, self.now);
-        let changes = self.store.list();
-        let revision = self.store.revision();
-        // The store is read a moment after the call was sent, so this list is at least as old as that.
-        let read = Read { changes, revision, sent_at: self.now.min(sent_at), is_list: true };
-        self.bring(at, watch, read, sent_at);
+        self.at(sent_at, Event::ListSent { at, watch });
+    }
+
+    /// The store is read for a list.
+    pub(super) fn list_sent(&mut self, at: usize, watch: u64) {
+        if !self.reaches_store(at, watch) {
+            return self.retry_store(at, watch);
+        }
+        let (changes, revision) = (self.store.list(), self.store.revision());
+        let read = Read { changes, revision, sent_at: self.now, is_list: true };
+        self.bring(at, watch, read);
     }
 
     /// Sends what was read to the process.
-    pub(super) fn bring(&mut self, at: usize, watch: u64, read: Read, now: Mono) {
-        let (bytes, sent) = self.store.send(&read.changes, read.is_list, now);
+    pub(super) fn bring(&mut self, at: usize, watch: u64, read: Read) {
+        let (bytes, sent) = self.store.send(&read.changes, read.is_list, self.now);
         let arrives = self.processes[at].machine.receive(bytes, sent);
         self.at(arrives, Event::Brought { at, watch, read, bytes });
     }
@@ -78,7 +84,7 @@
         }
         let changes = self.store.changes_since(after);
         let read = Read { changes, revision: self.store.revision(), sent_at, is_list: false };
-        self.bring(at, watch, read, self.now);
+        self.bring(at, watch, read);
     }
 
     pub(super) fn take(&mut self, at: usize, watch: u64, read: Read) {
--- a/crates/rows/tests/fleet/mod.rs
+++ b/crates/rows/tests/fleet/mod.rs
@@ -191,6 +191,10 @@
         at: usize,
         watch: u64,
     },
+    ListSent {
+        at: usize,
+        watch: u64,
+    },
     Poll {
         at: usize,
         watch: u64,
@@ -376,6 +380,7 @@
             }
             Event::Answered { call, answer } => self.answered(call, answer),
             Event::List { at, watch } => self.list(at, watch),
+            Event::ListSent { at, watch } => self.list_sent(at, watch),
             Event::Poll { at, watch, after } => self.poll(at, watch, after),
             Event::Read { at, watch, sent_at, after, until } => {
                 self.read(at, watch, sent_at, after, until)
