Rows: an answer says its age in one place; tests name no key of the platform

Read as a newcomer: the age of an answer was decoded three times, and the tests of crates/rows named the platform's key of the configuration, which only platform/ does. Their key is now config; no logic and no assertion changes. Checked: all tests of crates/rows, and the formatter.

--- a/crates/rows/src/hub_follower.rs
+++ b/crates/rows/src/hub_follower.rs
@@ -102,7 +102,7 @@
         answer: &Answer,
         asked_at: Mono,
     ) -> Answered {
-        let age = answer.age_ms.map(Duration::from_millis);
+        let age = answer.age();
         // The changes of a hub that is still filling its cache are mostly rows that this process has.
         if is_fresh(age) {
             self.known.insert(hub, (answer.boot, answer.number));
@@ -152,7 +152,7 @@
         if !failed.is_empty() {
             self.known.remove(&hub);
         }
-        let age = answer.age_ms.map(Duration::from_millis).filter(|_| failed.is_empty());
+        let age = answer.age().filter(|_| failed.is_empty());
         Answered {
             changes,
             current_at: age.map(|age| asked_at.saturating_sub(age)),
@@ -165,7 +165,7 @@
 /// Returns the deletion of the rows that are missing from a hub's whole cache, if that cache is fresh.
 fn missing(cache: &RowCache, answer: &Answer) -> Vec<RowChange> {
     let Some(revision) = answer.whole_at else { return Vec::new() };
-    if !is_fresh(answer.age_ms.map(Duration::from_millis)) {
+    if !is_fresh(answer.age()) {
         return Vec::new();
     }
     let rows = answer.rows.iter().map(|row| &*row.key);
--- a/crates/rows/src/message.rs
+++ b/crates/rows/src/message.rs
@@ -52,6 +52,13 @@
     pub whole_at: Option<u64>,
 }
 
+impl Answer {
+    /// Returns how long before the answer the hub's rows matched the store, if the answer says so.
+    pub fn age(&self) -> Option<Duration> {
+        self.age_ms.map(Duration::from_millis)
+    }
+}
+
 /// A change of a row of the store.
 #[data]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/rows/tests/fleet/store.rs
+++ b/crates/rows/tests/fleet/store.rs
@@ -7,7 +7,7 @@
 use rows::prelude::*;
 
 /// The key of the configuration.
-pub(crate) const CONFIG: &str = "op/config";
+pub(crate) const CONFIG: &str = "config";
 /// Bytes of the rows of servers, which each list holds.
 const SERVER_BYTES: usize = 80_000;
 /// What the store's link carries.
--- a/crates/rows/tests/patch.rs
+++ b/crates/rows/tests/patch.rs
@@ -10,7 +10,7 @@
 use rows::patch::PatchError;
 use rows::prelude::*;
 
-const KEY: &str = "op/config";
+const KEY: &str = "config";
 /// A link that carries anything.
 const LINK_BYTES_PER_SECOND: f64 = 1e9;
 
