Review: after each kill of all processes a request crashes servers again (BUDGET)

Cause: the histories of crashes are in the memory of the processes only. Change: case 10 of the second review, a script; the program of the scripts kills and restarts processes.

--- a/review/stand-2/src/crash.rs
+++ b/review/stand-2/src/crash.rs
@@ -39,6 +39,13 @@
 const PLAY: Duration = Duration::from_secs(45);
 /// Pause between two times that the crashing request comes.
 const CRASHING_PERIOD: Duration = Duration::from_millis(1_500);
+/// When all processes are killed, from when clients begin.
+const HERD_KILLS: [Duration; 3] =
+    [Duration::from_secs(8), Duration::from_secs(20), Duration::from_secs(32)];
+/// When they start again after that.
+const HERD_DOWN: Duration = Duration::from_secs(2);
+/// Time after a start before which the crashing request doesn't come: then all machines are in touch.
+const UNTIL_IN_TOUCH: Duration = Duration::from_millis(3_500);
 /// Pause between two kills of servers.
 const KILL_PERIOD: Duration = Duration::from_secs(4);
 /// Pause between two sound requests at one process.
@@ -101,6 +108,8 @@
     pub crashing: Crashing,
     /// Parts of each prompt before the crashing one, for [`Crashing::Part`].
     pub turns: usize,
+    /// Whether all processes are killed now and then.
+    pub has_herd_kills: bool,
     pub has_trouble: bool,
     pub is_chunked: bool,
 }
@@ -195,6 +204,7 @@
         let options = self.options;
         let ended = Arc::new(AtomicBool::new(false));
         let number = Arc::new(AtomicU64::new(1));
+        let is_in_touch = Arc::new(AtomicBool::new(true));
         let mut threads = Vec::new();
         for entry in &self.entries {
             let (address, zone) = (entry.callers, entry.zone.clone());
@@ -218,11 +228,16 @@
             let entries: Vec<_> =
                 self.entries.iter().map(|e| (e.callers, e.zone.clone())).collect();
             let (record, ended, number) = (self.record.clone(), ended.clone(), number.clone());
+            let is_in_touch = is_in_touch.clone();
             std::thread::spawn(move || {
                 for (address, zone) in entries.iter().cycle() {
                     if ended.load(Ordering::Relaxed) || options.crashing == Crashing::Nothing {
                         break;
                     }
+                    if !is_in_touch.load(Ordering::Relaxed) {
+                        std::thread::sleep(Duration::from_millis(50));
+                        continue;
+                    }
                     let body = match options.crashing {
                         // The same path, caller and body each time, under a new id.
                         Crashing::Request => replica::CRASHING.to_owned(),
@@ -235,6 +250,8 @@
         };
         let began = Instant::now();
         let mut kill_at = KILL_PERIOD;
+        let mut herd_kills = HERD_KILLS.iter().filter(|_| options.has_herd_kills).peekable();
+        let (mut restart_at, mut touch_at) = (None, None);
         while began.elapsed() < PLAY {
             if began.elapsed() >= kill_at {
                 kill_at += KILL_PERIOD;
@@ -242,6 +259,21 @@
                     self.kill_head()?;
                 }
             }
+            if herd_kills.next_if(|at| began.elapsed() >= **at).is_some() {
+                is_in_touch.store(false, Ordering::Relaxed);
+                self.entries.iter_mut().try_for_each(Entry::kill)?;
+                self.record.write("all processes are killed");
+                restart_at = Some(Instant::now() + HERD_DOWN);
+            }
+            if restart_at.take_if(|at| Instant::now() >= *at).is_some() {
+                self.entries.iter_mut().try_for_each(Entry::restart)?;
+                self.record.write("all processes start again");
+                touch_at = Some(Instant::now() + UNTIL_IN_TOUCH);
+            }
+            if touch_at.take_if(|at| Instant::now() >= *at).is_some() {
+                self.record.write("all machines are in touch");
+                is_in_touch.store(true, Ordering::Relaxed);
+            }
             for server in &mut self.servers {
                 if server.restart_after(BACK_AFTER)? {
                     self.record.write(&format!("server {} is back", server.id));
--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -52,7 +52,10 @@
     pub zone: String,
     pub callers: SocketAddr,
     readiness: SocketAddr,
-    _process: Process,
+    settings: Json,
+    file: PathBuf,
+    log: PathBuf,
+    process: Process,
 }
 
 impl Entry {
@@ -87,14 +90,31 @@
             ("stop_ms", 8_000_u64.into()),
             ("shortest_lease_ms", 1_000_u64.into()),
         ]);
-        let path = dir.join(format!("{name}.json"));
-        std::fs::write(&path, settings.to_string())?;
-        let child = Command::new(PROGRAM)
-            .env("SAMPHIREPORT_NODE_FILE", &path)
-            .stdin(Stdio::null())
-            .stdout(File::create(dir.join(format!("{name}.log")))?)
-            .spawn()?;
-        Ok(Entry { zone: zone.into(), callers, readiness, _process: Process(child) })
+        let (file, log) = (dir.join(format!("{name}.json")), dir.join(format!("{name}.log")));
+        let process = Entry::spawn(&settings, &file, &log)?;
+        Ok(Entry { zone: zone.into(), callers, readiness, settings, file, log, process })
+    }
+
+    fn spawn(settings: &Json, file: &Path, log: &Path) -> io::Result<Process> {
+        std::fs::write(file, settings.to_string())?;
+        let log = File::options().create(true).append(true).open(log)?;
+        let mut command = Command::new(PROGRAM);
+        let command = command.env("SAMPHIREPORT_NODE_FILE", file);
+        command.stdin(Stdio::null()).stdout(log).spawn().map(Process)
+    }
+
+    /// Kills it.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.process.0.kill()
+    }
+
+    /// Starts it again. The system has started before.
+    pub fn restart(&mut self) -> io::Result<()> {
+        if let Json::Object(fields) = &mut self.settings {
+            fields.insert("first_start".into(), false.into());
+        }
+        self.process = Entry::spawn(&self.settings, &self.file, &self.log)?;
+        Ok(())
     }
 
     pub fn is_ready(&self) -> bool {
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -43,7 +43,7 @@
                 Err(_) => ExitCode::from(NOT_RUN),
             }
         }
-        [case @ ("crash" | "part" | "killed" | "heads"), record] => {
+        [case @ ("crash" | "part" | "killed" | "herd" | "heads"), record] => {
             let value = |name: &str| std::env::var(name).unwrap_or_default();
             let has_trouble = value("TROUBLE") != "0";
             let crashing = match *case {
@@ -51,9 +51,17 @@
                 "killed" => crash::Crashing::Nothing,
                 _ => crash::Crashing::Request,
             };
-            let is_chunked = *case == "part" || value("FRAMING") == "chunked";
+            let is_chunked = ["part", "herd"].contains(case) || value("FRAMING") == "chunked";
             let turns = value("TURNS").parse().unwrap_or(crash::TURNS);
-            let options = crash::Options { crashing, turns, has_trouble, is_chunked };
+            let is_herd = *case == "herd";
+            let options = crash::Options {
+                crashing,
+                turns,
+                has_herd_kills: is_herd && has_trouble,
+                // The request crashes servers without the kills as well.
+                has_trouble: is_herd || has_trouble,
+                is_chunked,
+            };
             let dir = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
             let record = Path::new(record);
             let ran = std::fs::create_dir_all(&dir).and_then(|()| match *case {
@@ -75,7 +83,7 @@
             }
         }
         _ => {
-            eprintln!("usage: review-stand-2 crash|part|killed|heads RECORD");
+            eprintln!("usage: review-stand-2 crash|part|killed|herd|heads RECORD");
             ExitCode::from(NOT_RUN)
         }
     }
