Review: case 7 within the largest share of unanswered orders

Cause: the claim said that 4 of 10 orders were left unanswered.

Change: 27 servers in three fabric domains of nine and groups of four, as on the sheet. Three heads are cut from the store, 0.11 of the servers; two of them answer their orders. The script counts the orders of those 5 s and exits with 2 if more than 0.35 are left unanswered. The claim names this limit.

--- a/review/stand-2/src/crash.rs
+++ b/review/stand-2/src/crash.rs
@@ -27,6 +27,8 @@
 
 const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 const SERVERS: usize = 12;
+/// Servers of a group.
+const GROUP_SIZE: u64 = 2;
 /// A crashed server is back after this.
 const BACK_AFTER: Duration = Duration::from_millis(2_500);
 /// `stability_window_ms` of the sheet.
@@ -144,7 +146,7 @@
             }
         };
         let (store, address) = Store::start(Box::new(sink))?;
-        store.put("op/config", &config(replica::LOAD, replica::WARM, replica::FORM));
+        store.put("op/config", &config(GROUP_SIZE, replica::LOAD, replica::WARM, replica::FORM));
         let mut servers = Vec::new();
         for i in 0..SERVERS {
             let id = format!("i-{i:02}");
--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -164,8 +164,8 @@
     }
 }
 
-/// Returns a configuration with one model service and one resumable streaming route.
-pub fn config(load: Duration, warm: Duration, form: Duration) -> Json {
+/// Returns a configuration with one model service, in groups of `size`, and one resumable streaming route.
+pub fn config(size: u64, load: Duration, warm: Duration, form: Duration) -> Json {
     let seconds = |time: Duration| Json::from(time.as_secs_f64());
     let route = object([
         ("name", "letters".into()),
@@ -184,7 +184,7 @@
     ]);
     let model = object([
         ("name", "m0".into()),
-        ("size", 2_u64.into()),
+        ("size", size.into()),
         ("share", 1.0.into()),
         ("pace", 1.0.into()),
         ("load_s", seconds(load)),
--- a/review/stand-2/src/heads.rs
+++ b/review/stand-2/src/heads.rs
@@ -1,4 +1,4 @@
-//! The head of an open group loses its path to the store, and leaves some orders unanswered meanwhile.
+//! Heads of open groups lose their path to the store, and one of them leaves some orders unanswered meanwhile.
 
 use std::io;
 use std::net::SocketAddr;
@@ -19,19 +19,31 @@
 use crate::store::Store;
 
 const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
-/// Servers, in two fabric domains: three groups of two and a spare in each.
-const SERVERS: usize = 14;
+/// Servers, in fabric domains of nine: two groups of four and a spare in each.
+const SERVERS: usize = 27;
+const DOMAINS: usize = 3;
+const GROUP_SIZE: u64 = 4;
 const GROUPS: usize = 6;
+/// Heads that lose their path to the store, one in each domain: 0.11 of the servers; `srv_cut` cuts 0.22 at most.
+const CUT_HEADS: usize = DOMAINS;
+/// The largest `x` of `applied_late` in the site file.
+const MAX_UNANSWERED_SHARE: f64 = 0.35;
 /// How long all groups may take to open.
 const START: Duration = Duration::from_secs(30);
-/// How long a head has no path to the store: `for_s` of `srv_cut`.
+/// How long heads have no path to the store: `for_s` of `srv_cut`.
 const CUT: Duration = Duration::from_secs(10);
-/// How long it leaves orders unanswered, from when its entry is gone.
+/// How long one of them leaves orders unanswered, from when its entry is gone; `applied_late` lasts 5.5 s at most.
 const UNANSWERED: Duration = Duration::from_secs(5);
 /// How long the case goes on after that.
 const AFTER: Duration = Duration::from_secs(3);
 const POLL: Duration = Duration::from_millis(20);
 
+/// An order that a server received.
+struct Order {
+    at: f64,
+    is_answered: bool,
+}
+
 struct Join {
     at: f64,
     server: String,
@@ -45,6 +57,8 @@
     id: String,
     address: SocketAddr,
     group: String,
+    /// The fabric domain.
+    domain: String,
 }
 
 /// Returns whether the rule held; `None` if the case couldn't run.
@@ -56,11 +70,17 @@
 ) -> io::Result<Option<bool>> {
     let record = Arc::new(Record::create(record)?);
     let joins = Arc::<Mutex<Vec<Join>>>::default();
+    let orders = Arc::<Mutex<Vec<Order>>>::default();
     let sink = {
-        let (record, joins) = (record.clone(), joins.clone());
+        let (record, joins, orders) = (record.clone(), joins.clone(), orders.clone());
         move |run: &Json| {
             let (server, what) = (run.get("server").text(), run.get("what").text());
             record.write(&format!("server {server}: {what}"));
+            let is_answered = what.starts_with("answers: ");
+            if is_answered || what.starts_with("leaves unanswered: ") {
+                let order = Order { at: record.seconds(), is_answered };
+                orders.lock().expect("the orders").push(order);
+            }
             let words: Vec<&str> = what.split(' ').collect();
             if let ["join", group, "after", before] = words.as_slice() {
                 let (group, before) = ((*group).to_owned(), (*before).to_owned());
@@ -70,17 +90,17 @@
         }
     };
     let (store, address) = Store::start(Box::new(sink))?;
-    store.put("op/config", &config(replica::LOAD, replica::WARM, replica::FORM));
+    store.put("op/config", &config(GROUP_SIZE, replica::LOAD, replica::WARM, replica::FORM));
     let mut servers = Vec::new();
     for i in 0..SERVERS {
         let id = format!("i-{i:02}");
-        let (fabric, own) = (format!("d{}", i % 2), free_address()?.to_string());
+        let (fabric, own) = (format!("d{}", i % DOMAINS), free_address()?.to_string());
         let store = address.to_string();
         let values = [
             "replica",
             &id,
             "assistant",
-            ZONES[i % 3],
+            ZONES[i / DOMAINS % ZONES.len()],
             &fabric,
             &own,
             &store,
@@ -103,26 +123,34 @@
     }
     // All machines are in touch after that.
     std::thread::sleep(Duration::from_secs(4));
-    let Some(head) = open_heads(&store).into_iter().next() else { return Ok(None) };
+    let heads = one_of_each_domain(open_heads(&store));
+    let [head, ..] = heads.as_slice() else { return Ok(None) };
+    if heads.len() != CUT_HEADS {
+        return Ok(None);
+    }
     record.write(&format!("the head {} of {} is open", head.id, head.group));
     let from = record.seconds();
     let cut_at = Instant::now();
     if has_trouble {
-        control(&head, true, false)?;
-        record.write(&format!("{} has no path to the store from now on", head.id));
+        for head in &heads {
+            control(head, true, false)?;
+            record.write(&format!("{} has no path to the store from now on", head.id));
+        }
     }
     let is_listed = || store.values("servers/").iter().any(|(key, _)| key.ends_with(&head.id));
     while has_trouble && is_listed() {
         std::thread::sleep(POLL);
     }
+    let late_from = record.seconds();
     let mut unanswered_until = None;
     if has_trouble && leaves_orders {
-        control(&head, true, true)?;
+        control(head, true, true)?;
         record.write(&format!("the entry of {} is gone; it leaves orders unanswered", head.id));
         unanswered_until = Some(Instant::now() + UNANSWERED);
     }
     // The times at which the head was seen to be open.
     let mut open_at = Vec::new();
+    let mut is_cut = has_trouble;
     while cut_at.elapsed() < CUT + AFTER {
         let report = http::call(head.address, "GET", "/report", &[], "", Duration::from_secs(1));
         let report = report.ok().and_then(|response| response.body);
@@ -133,14 +161,33 @@
         }
         if unanswered_until.is_some_and(|until| Instant::now() >= until) {
             unanswered_until = None;
-            control(&head, cut_at.elapsed() < CUT, false)?;
+            control(head, is_cut, false)?;
             record.write(&format!("{} answers orders again", head.id));
         }
-        if has_trouble && cut_at.elapsed() >= CUT {
-            control(&head, false, unanswered_until.is_some())?;
+        if is_cut && cut_at.elapsed() >= CUT {
+            is_cut = false;
+            for (i, other) in heads.iter().enumerate() {
+                control(other, false, i == 0 && unanswered_until.is_some())?;
+            }
+            record.write("all have their path to the store again");
         }
         std::thread::sleep(POLL);
     }
+    if has_trouble && leaves_orders {
+        let until = late_from + UNANSWERED.as_secs_f64();
+        let orders = orders.lock().expect("the orders");
+        let count = |is_counted: fn(&Order) -> bool| {
+            let in_time = |order: &&Order| (late_from..until).contains(&order.at);
+            orders.iter().filter(in_time).filter(|order| is_counted(order)).count()
+        };
+        let (unanswered, all) = (count(|order| !order.is_answered), count(|_| true));
+        record
+            .write(&format!("{unanswered} of the {all} orders of that time were left unanswered"));
+        if unanswered as f64 > MAX_UNANSWERED_SHARE * all as f64 {
+            record.write("more than the disruption may");
+            return Ok(None);
+        }
+    }
     let joins = joins.lock().expect("the joins");
     let is_open_around = |at: f64| {
         open_at.iter().any(|seen| *seen <= at && at - seen < 0.5)
@@ -175,11 +222,23 @@
             id: key.strip_prefix("servers/")?.into(),
             address: entry.get("address").text().parse().ok()?,
             group: entry.get("group").get("name").text().into(),
+            domain: entry.get("domain").text().into(),
         })
     });
     heads.collect()
 }
 
+/// Returns the first of `heads` in each domain.
+fn one_of_each_domain(heads: Vec<Head>) -> Vec<Head> {
+    let mut chosen: Vec<Head> = Vec::new();
+    for head in heads {
+        if chosen.iter().all(|other| other.domain != head.domain) {
+            chosen.push(head);
+        }
+    }
+    chosen
+}
+
 /// Sets what disturbs a head.
 fn control(head: &Head, is_cut: bool, is_late: bool) -> io::Result<()> {
     let target = format!("/stand/control?cut={}&late={}", u8::from(is_cut), u8::from(is_late));
