Review 3, case 12: a repeated answer is taken for that to an order (TWO)

Cause (KNOWN-RED.txt, 22): orders go over kept connections and their answers bear no id, so an additional answer to an earlier order counts as the answer to the order to leave a group; the owner lets its members join another one while the head is open. Change: review/12 with a script; the former cases 12 to 14 become 13 to 15, as the cases go gravest first.

--- a/review/stand-3/case_11.rs
+++ b/review/stand-3/case_11.rs
@@ -4,12 +4,13 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use crate::fleet::{Fleet, KEY, ZONES, signal};
 use crate::http;
 
-const CONFIG: &str = r#"{"version":7,"routes":[
+pub const CONFIG: &str = r#"{"version":7,"routes":[
  {"name":"r-s","host":"ficu95.example","prefix":"/stream/","kind":"streaming","timeout_ms":8000,
   "target_latency_ms":300,"priority":1,"service":"assistant","max_attempts":2,"public":false,
   "session_affinity":true,"resumable":true,"gap_aim_ms":300}],
@@ -22,8 +23,8 @@
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}"#;
 
-const FROM: &str = "some orders are left unanswered from now on, and carried out late";
-const OVER: &str = "all orders are answered again";
+pub const FROM: &str = "some orders are left unanswered from now on, and carried out late";
+pub const OVER: &str = "all orders are answered again";
 
 /// The added replicas whose orders come late, and others, whose don't.
 const LATE: [&str; 2] = ["i-h1", "i-h2"];
@@ -50,30 +51,7 @@
         fleet.record.note("driver", "the groups were not opened at the start");
         return 2;
     }
-    let stop = Arc::new(AtomicBool::new(false));
-    let traffic = {
-        let (stop, fronts) =
-            (stop.clone(), fleet.fronts.iter().map(|f| f.callers).collect::<Vec<_>>());
-        std::thread::spawn(move || {
-            let mut n = 0_usize;
-            while !stop.load(Ordering::SeqCst) {
-                n += 1;
-                let (id, key) = (format!("a{n:04}"), format!("Bearer {KEY}"));
-                let headers = [
-                    ("Host", "ficu95.example"),
-                    ("X-Samphireport-Attempt-Id", &*id),
-                    ("X-Samphireport-Deadline-Ms", "8000"),
-                    ("X-Samphireport-Model", "m0"),
-                    ("X-Samphireport-Token-Count", "700,200"),
-                    ("X-Samphireport-Prompt-Prefix", "5c1e07a2:40,91bd3f06:660"),
-                    ("Authorization", &*key),
-                ];
-                let front = fronts[n % fronts.len()];
-                http::send(front, "POST", "/stream/1", &headers, b"x", Duration::from_secs(2));
-                std::thread::sleep(Duration::from_millis(100));
-            }
-        })
-    };
+    let (stop, traffic) = send_traffic(&fleet);
     std::thread::sleep(Duration::from_secs(3));
     fleet.record.note("driver", "empty replicas are added");
     for (i, id) in PROMPT.iter().enumerate() {
@@ -112,6 +90,35 @@
     judge(&fleet, record)
 }
 
+/// Sends a stream every 100 ms until it is stopped.
+pub fn send_traffic(fleet: &Fleet) -> (Arc<AtomicBool>, JoinHandle<()>) {
+    let stop = Arc::new(AtomicBool::new(false));
+    let traffic = {
+        let (stop, fronts) =
+            (stop.clone(), fleet.fronts.iter().map(|f| f.callers).collect::<Vec<_>>());
+        std::thread::spawn(move || {
+            let mut n = 0_usize;
+            while !stop.load(Ordering::SeqCst) {
+                n += 1;
+                let (id, key) = (format!("a{n:04}"), format!("Bearer {KEY}"));
+                let headers = [
+                    ("Host", "ficu95.example"),
+                    ("X-Samphireport-Attempt-Id", &*id),
+                    ("X-Samphireport-Deadline-Ms", "8000"),
+                    ("X-Samphireport-Model", "m0"),
+                    ("X-Samphireport-Token-Count", "700,200"),
+                    ("X-Samphireport-Prompt-Prefix", "5c1e07a2:40,91bd3f06:660"),
+                    ("Authorization", &*key),
+                ];
+                let front = fronts[n % fronts.len()];
+                http::send(front, "POST", "/stream/1", &headers, b"x", Duration::from_secs(2));
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        })
+    };
+    (stop, traffic)
+}
+
 fn set_trouble(fleet: &Fleet, on: bool) {
     for replica in fleet.replicas.iter().filter(|replica| LATE.contains(&&*replica.id)) {
         let target = format!("/stand/trouble?on={}", u8::from(on));
@@ -119,15 +126,15 @@
     }
 }
 
-fn entry(fleet: &Fleet, id: &str) -> String {
+pub fn entry(fleet: &Fleet, id: &str) -> String {
     fleet.store.get(&format!("servers/{id}")).unwrap_or_default()
 }
 
-fn is_open(fleet: &Fleet, id: &str) -> bool {
+pub fn is_open(fleet: &Fleet, id: &str) -> bool {
     entry(fleet, id).contains("\"state\":\"open\"")
 }
 
-fn wait(fleet: &Fleet, seconds: u64, is_met: impl Fn(&Fleet) -> bool) -> bool {
+pub fn wait(fleet: &Fleet, seconds: u64, is_met: impl Fn(&Fleet) -> bool) -> bool {
     let until = Instant::now() + Duration::from_secs(seconds);
     while Instant::now() < until {
         if is_met(fleet) {
@@ -139,7 +146,7 @@
 }
 
 /// Replays the record: a join of another group, taken while the head of the group that is left is open or closing.
-fn judge(fleet: &Fleet, path: &str) -> i32 {
+pub fn judge(fleet: &Fleet, path: &str) -> i32 {
     let text = std::fs::read_to_string(path).unwrap_or_default();
     let mut groups: HashMap<String, (String, String)> = HashMap::new();
     let (mut broken, mut orders, mut late, mut is_on) = (Vec::new(), 0, 0, false);
--- a/review/stand-3/case_13.rs
+++ b/review/stand-3/case_13.rs
@@ -1,23 +1,28 @@
-//! A front stands still while a replica crashes and is back at its address: answers that have neither a length nor chunks
-//! are cut, and the front learns of the cut after the restart.
+//! A replica of a plain service leaves as planned, and exits in the middle of streams that have neither a length nor
+//! chunks.
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::fleet::{Fleet, KEY, ZONES, signal};
+use crate::fleet::{Fleet, KEY, Record, ZONES};
 use crate::http::{self, Answer};
 
-const PIECES: u64 = 60;
+const PIECES: u64 = 80;
 const GAP_MS: u64 = 60;
-/// How long the front stands still; clients wait 2.4 s for the next piece (eight times a pause of 300 ms).
-const FREEZE: Duration = Duration::from_millis(2_200);
-/// How long the replica is down.
-const DOWN: Duration = Duration::from_millis(1_500);
+
+pub const CONFIG: &str = r#"{"version":7,"routes":[
+ {"name":"r-stream","host":"ficu95.example","prefix":"/stream/","kind":"streaming","timeout_ms":8000,
+  "target_latency_ms":300,"priority":1,"service":"desk","max_attempts":2,"public":false,
+  "resumable":true,"gap_aim_ms":300}],
+ "services":[{"name":"desk","health_path":"/health","max_connections":464,"protocol":"h1","tls":false}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}"#;
 
 pub fn run(record: &str) -> i32 {
     let trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
+    let form = std::env::var("FORM").unwrap_or_else(|_| "leave".into());
     let mut fleet = Fleet::start(record);
-    fleet.store.write("op/config", crate::case_12::CONFIG);
+    fleet.store.write("op/config", CONFIG);
     for (i, zone) in ZONES.iter().enumerate() {
         fleet.add_replica(&format!("i-{i}a"), "desk", zone, 0);
     }
@@ -31,16 +36,16 @@
     std::thread::sleep(Duration::from_secs(2));
     let answers: Arc<Mutex<Vec<(String, u64, Answer)>>> = Arc::default();
     let began = Instant::now();
-    let (mut sent, mut threads, mut is_done) = (0, Vec::new(), false);
+    let (mut sent, mut threads, mut has_left) = (0, Vec::new(), false);
+    // One stream every 200 ms for 10 s; the replica is told to leave after 3 s.
     while began.elapsed() < Duration::from_secs(10) {
-        if trouble && !is_done && began.elapsed() >= Duration::from_secs(4) {
-            is_done = true;
-            disturb(&mut fleet);
+        if trouble && !has_left && began.elapsed() >= Duration::from_secs(3) {
+            has_left = true;
+            disturb(&mut fleet, &form);
         }
         sent += 1;
         let id = format!("a{sent:04}");
-        // Half of the clients are at the first front.
-        let front = fleet.fronts[[0, 1, 0, 2][sent % 4]].callers;
+        let front = fleet.fronts[sent % fleet.fronts.len()].callers;
         let (answers, record) = (answers.clone(), fleet.record.clone());
         threads.push(std::thread::spawn(move || {
             let target = format!("/stream/{id}?pieces={PIECES}&gap={GAP_MS}");
@@ -51,8 +56,7 @@
                 ("X-Samphireport-Deadline-Ms", "8000"),
                 ("Authorization", &*key),
             ];
-            let time = Duration::from_millis(2_400);
-            let answer = http::send(front, "POST", &target, &headers, b"x", time);
+            let answer = http::send(front, "POST", &target, &headers, b"x", Duration::from_secs(9));
             record.note(
                 "client",
                 &format!(
@@ -66,28 +70,69 @@
             );
             answers.lock().expect("the lock").push((id, PIECES, answer));
         }));
-        std::thread::sleep(Duration::from_millis(130));
+        std::thread::sleep(Duration::from_millis(200));
     }
     for thread in threads {
         let _ = thread.join();
     }
     let answers = answers.lock().expect("the lock");
-    crate::case_12::verdict(&fleet.record, &answers)
+    verdict(&fleet.record, &answers)
+}
+
+/// Notes what was seen, and returns the exit code.
+pub fn verdict(record: &Record, answers: &[(String, u64, Answer)]) -> i32 {
+    let served = answers.iter().filter(|(_, _, a)| a.status == 200 && a.is_whole).count();
+    let short: Vec<&str> = answers
+        .iter()
+        .filter(|(id, pieces, answer)| {
+            answer.status == 200 && answer.is_whole && answer.body != whole(id, *pieces)
+        })
+        .map(|(id, ..)| &**id)
+        .collect();
+    let broken_off = answers.iter().filter(|(_, _, a)| a.status == 200 && !a.is_whole).count();
+    let verdict = format!(
+        "{} streams, {served} complete, {broken_off} broken off, {} look complete and lack pieces: {short:?}",
+        answers.len(),
+        short.len()
+    );
+    record.note("driver", &verdict);
+    println!("{verdict}");
+    if served * 2 < answers.len() {
+        return 2;
+    }
+    i32::from(!short.is_empty())
+}
+
+fn disturb(fleet: &mut Fleet, form: &str) {
+    let replica = &fleet.replicas[0];
+    let (address, id) = (replica.address, replica.id.clone());
+    let headers = [("Host", "replica")];
+    match form {
+        // The planned exit.
+        "leave" => {
+            fleet.record.note("driver", &format!("{id} is told to leave"));
+            http::send(address, "POST", "/stand/leave", &headers, b"", Duration::from_secs(2));
+        }
+        // It doesn't reach the store, its entry is removed, and it crashes behind the cut.
+        _ => {
+            fleet.record.note("driver", &format!("{id} is cut off from the store"));
+            fleet.store.cut(&id, true);
+            let (store, record) = (fleet.store.clone(), fleet.record.clone());
+            let pid = replica.process.id().to_string();
+            std::thread::spawn(move || {
+                while store.get(&format!("servers/{id}")).is_some() {
+                    std::thread::sleep(Duration::from_millis(10));
+                }
+                record.note("driver", &format!("the entry of {id} is removed"));
+                std::thread::sleep(Duration::from_millis(1_000));
+                record.note("driver", &format!("{id} crashes"));
+                let _ = std::process::Command::new("kill").args(["-KILL", &pid]).status();
+            });
+        }
+    }
 }
 
-fn disturb(fleet: &mut Fleet) {
-    let (record, began) = (fleet.record.clone(), Instant::now());
-    record.note("driver", "front 1 stands still");
-    signal(&fleet.fronts[0].process, "STOP");
-    std::thread::sleep(Duration::from_millis(100));
-    record.note("driver", "i-0a crashes");
-    let port = fleet.replicas[0].address.port();
-    let _ = fleet.replicas[0].process.kill();
-    let _ = fleet.replicas[0].process.wait();
-    std::thread::sleep(DOWN);
-    fleet.add_replica("i-0b", "desk", ZONES[0], port);
-    record.note("driver", "i-0b has started at the address of i-0a");
-    std::thread::sleep(FREEZE.saturating_sub(began.elapsed()));
-    signal(&fleet.fronts[0].process, "CONT");
-    record.note("driver", "front 1 goes on");
+fn whole(id: &str, pieces: u64) -> Vec<u8> {
+    let pieces = (1..=pieces).map(|n| format!("id: {n}\ndata: {id}-{n}\n\n"));
+    pieces.collect::<String>().into_bytes()
 }
--- a/review/stand-3/engine.rs
+++ b/review/stand-3/engine.rs
@@ -41,6 +41,8 @@
     was_head: bool,
     /// Whether orders may be left unanswered now.
     troubled: bool,
+    /// Whether the next order to leave an open group meets an additional answer, and is carried out late.
+    doubles: bool,
 }
 
 struct Engine {
@@ -128,19 +130,29 @@
     fn serve(self: &Arc<Self>, mut stream: TcpStream) {
         let Ok(reading) = stream.try_clone() else { return };
         let mut reader = BufReader::new(reading);
+        // Orders that were answered on this connection.
+        let mut answered = 0;
         while let Ok(Some(request)) = http::read_request(&mut reader) {
-            if self.answer(&mut stream, &request).is_err() {
+            if self.answer(&mut stream, &request, &mut answered).is_err() {
                 return;
             }
         }
     }
 
-    fn answer(self: &Arc<Self>, stream: &mut TcpStream, request: &Request) -> std::io::Result<()> {
+    fn answer(
+        self: &Arc<Self>,
+        stream: &mut TcpStream,
+        request: &Request,
+        answered: &mut usize,
+    ) -> std::io::Result<()> {
         let own = ("X-Samphireport-Replica-Id", &*self.id);
         match request.path() {
             "/health" => return http::respond(stream, 200, &[own], b""),
             "/stand/trouble" => {
-                self.state.lock().expect("the lock").troubled = request.query("on") == "1";
+                let mut state = self.state.lock().expect("the lock");
+                state.troubled = request.query("on") == "1";
+                state.doubles = request.query("doubles") == "1";
+                drop(state);
                 return http::respond(stream, 200, &[], b"");
             }
             _ => {}
@@ -150,7 +162,15 @@
             return http::respond(stream, 421, &[own], b"");
         }
         if request.path() == "/order" {
-            return self.take_order(stream, &String::from_utf8_lossy(&request.body));
+            let text = String::from_utf8_lossy(&request.body);
+            if *answered > 0 && self.doubles_answer(&text) {
+                // The answer to the last order once more, where that to this one is expected.
+                http::respond(stream, 200, &[], b"")?;
+                self.leave_unanswered(&text, Duration::from_secs(8));
+                return Err(std::io::ErrorKind::TimedOut.into());
+            }
+            *answered += 1;
+            return self.take_order(stream, &text);
         }
         let attempt = request.header("X-Samphireport-Attempt-Id").to_owned();
         let is_open = {
@@ -175,6 +195,29 @@
         http::respond(stream, 200, &headers, body.as_bytes())
     }
 
+    /// Returns whether an order is to leave the open group of this head, and gets an additional answer.
+    fn doubles_answer(&self, text: &str) -> bool {
+        let order = Json::parse(text).unwrap_or(Json::Null);
+        let mut state = self.state.lock().expect("the lock");
+        let name = order.get("group").text();
+        let is_open = state.group.as_ref().is_some_and(|g| g.name == name && g.state == "open");
+        let doubles = state.doubles && is_open && order.get("op").text() == "leave";
+        state.doubles &= !doubles;
+        doubles
+    }
+
+    /// Carries an order out after the time `late`, and leaves it unanswered.
+    fn leave_unanswered(self: &Arc<Self>, text: &str, late: Duration) {
+        self.say(&format!("leaves unanswered for {late:?}: {text}"));
+        let (engine, order) = (self.clone(), Json::parse(text).unwrap_or(Json::Null));
+        std::thread::spawn(move || {
+            std::thread::sleep(late);
+            engine.apply(&order, "late ");
+        });
+        // The answer never comes.
+        std::thread::sleep(Duration::from_secs(3));
+    }
+
     /// Answers an order, or leaves it unanswered and carries it out late.
     fn take_order(self: &Arc<Self>, stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
         let order = Json::parse(text).unwrap_or(Json::Null);
@@ -184,14 +227,7 @@
                 http::respond(stream, status, &[], b"")
             }
             Some(late) => {
-                self.say(&format!("leaves unanswered for {late:?}: {text}"));
-                let engine = self.clone();
-                std::thread::spawn(move || {
-                    std::thread::sleep(late);
-                    engine.apply(&order, "late ");
-                });
-                // The answer never comes.
-                std::thread::sleep(Duration::from_secs(3));
+                self.leave_unanswered(text, late);
                 Err(std::io::ErrorKind::TimedOut.into())
             }
         }
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -4,6 +4,7 @@
 mod case_12;
 mod case_13;
 mod case_14;
+mod case_15;
 mod chaos;
 mod engine;
 mod fleet;
@@ -28,6 +29,7 @@
             engine::run(&args[1..]);
             0
         }
+        Some("case-15") => case_15::run(&args[1]),
         Some("case-14") => case_14::run(&args[1]),
         _ => 2,
     };
