--- a/review/stand-3/fleet.rs
+++ b/review/stand-3/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -55,9 +56,19 @@
     folder: PathBuf,
 }
 
+/// Returns a port that nothing listens on, and that is returned once: below the range from which the system takes ports by
+/// itself, and from another place in it for each script that runs at the same time.
 pub fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address").port()
+    static CHOSEN: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = std::process::id()
+            .wrapping_mul(211)
+            .wrapping_add(CHOSEN.fetch_add(1, Ordering::Relaxed));
+        let port = 12_000 + (number % 7_000) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 pub fn signal(process: &Child, name: &str) {
