--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -15,6 +15,10 @@
 //!   missing and no process has been able to connect to it for some time.
 //! - A group is not opened if an order to join went unanswered by its head: if that order and a
 //!   late order to open were carried out after the head has left the group, they would revive it.
+//! - A group is ordered to open only if no order that its members may still carry out, of a former owner or of this one, can
+//!   take one of them away or bring the head back once it has left ([`outstanding`]). So each member has replied to this owner's
+//!   order to join the group, or reports that it carried it out.
+//! - A new owner takes a server for free only if that is still true once its orders are the only ones that the server accepts.
 //! - The name of a group ends with the id and address of its head, so that every owner can reach
 //!   the head, including one that started after the head's report went missing.
 //! - Epochs increase with every group, across all owners: they start from the owner's fencing
@@ -24,6 +28,7 @@
 mod forming;
 mod free;
 mod groups;
+mod outstanding;
 mod rebalance;
 mod stage;
 mod stall;
@@ -47,6 +52,7 @@
 use crate::utility::Requirement;
 
 use forming::FormingGroups;
+use outstanding::OutstandingOrders;
 use rebalance::FabricEvaluation;
 use rebalance::Rebalance;
 use stall::ProbeRound;
@@ -109,6 +115,12 @@
     },
     /// Reply, without any effect.
     Probe,
+    /// Reply, without any effect, unless the server is in another group than this one. From then on it refuses the orders of
+    /// former owners.
+    Confirm {
+        /// The group in the server's report, if any.
+        group: Option<GroupKey>,
+    },
 }
 
 /// An order with its recipient.
@@ -208,6 +220,8 @@
 #[derive(Clone, Debug)]
 struct InFlight {
     server: ServerId,
+    /// The instance that the order is meant for; `None` if only the server's id and address are known.
+    instance: Option<InstanceId>,
     order: Order,
 }
 
@@ -232,6 +246,8 @@
     fencing_token: u64,
     started: Mono,
     next_group: u64,
+    /// The epoch of the last group.
+    last_epoch: Generation,
     next_order: OrderId,
     load_limiter: LoadLimiter,
     forming: FormingGroups,
@@ -244,6 +260,9 @@
     unanswered: BTreeMap<GroupKey, UnansweredOrders>,
     /// The last order to join sent to each server, whose report may be older than the order.
     last_joins: BTreeMap<InstanceId, JoinOrder>,
+    outstanding: OutstandingOrders,
+    /// Since when a group that another owner formed is being adopted.
+    adopting_since: BTreeMap<GroupKey, Mono>,
     /// When an incomplete group was first observed as such.
     incomplete_since: BTreeMap<GroupKey, Mono>,
     /// Groups that are being retired for others.
@@ -278,6 +297,7 @@
             fencing_token,
             started: now,
             next_group: 0,
+            last_epoch: 0,
             next_order: 0,
             load_limiter: LoadLimiter::new(now),
             forming: FormingGroups::default(),
@@ -286,6 +306,8 @@
             released: BTreeSet::new(),
             unanswered: BTreeMap::new(),
             last_joins: BTreeMap::new(),
+            outstanding: OutstandingOrders::default(),
+            adopting_since: BTreeMap::new(),
             incomplete_since: BTreeMap::new(),
             retiring_groups: BTreeSet::new(),
             rebalances: BTreeMap::new(),
@@ -315,6 +337,7 @@
         self.advance_forming(observed, &mut commands);
         self.maintain_groups(observed, &mut commands);
         self.check_stalled_groups(observed, &mut commands);
+        self.confirm_free(observed, &mut commands);
         let free = self.free_by_fabric(observed);
         self.rebalance(&free, observed);
         self.form_groups(free, observed, &mut commands);
@@ -324,7 +347,7 @@
 
     /// Processes the reply to order `id`; returns the order, for the log.
     pub fn handle_reply(&mut self, id: OrderId, reply: Reply, now: Mono) -> Option<Order> {
-        let InFlight { server, order } = self.in_flight.remove(&id)?;
+        let InFlight { server, instance, order } = self.in_flight.remove(&id)?;
         self.busy.remove(&server);
         let is_repeated = matches!(order, Order::Close { .. });
         let failed = match reply {
@@ -345,6 +368,11 @@
         match (&order, reply) {
             (_, Reply::Fenced) => self.fenced = true,
             (Order::Probe, _) => self.handle_probe_reply(&server, reply),
+            (Order::Confirm { .. }, Reply::Done | Reply::Begun) => {
+                if let Some(instance) = instance {
+                    self.outstanding.note_fenced(instance);
+                }
+            }
             (Order::Join { group, .. }, _) => self.handle_join_reply(group, &server, reply, now),
             (Order::Open { group, .. }, _) => self.handle_open_reply(group, reply, now),
             (Order::Leave { group, epoch }, Reply::Done | Reply::Begun) => {
@@ -388,6 +416,8 @@
         self.retiring_groups.retain(is_observed);
         self.closed_at.retain(|key, _| is_observed(key));
         self.incomplete_since.retain(|key, _| is_observed(key));
+        self.adopting_since.retain(|key, _| is_observed(key));
+        self.outstanding.forget(observed);
         let now = observed.now;
         self.staging.retain(|instance, (model, until)| {
             let server = observed
@@ -410,7 +440,9 @@
     /// Sends `order` to `server`, unless an order is in flight there or it must wait before the
     /// next.
     fn send_order(&mut self, server: &Server, order: Order, commands: &mut Vec<Command>) -> bool {
-        self.send_order_to(&server.id, server.address, order, commands)
+        let recipient =
+            InFlight { server: server.id.clone(), instance: Some(server.instance_id()), order };
+        self.send(recipient, server.address, commands)
     }
 
     /// Sends `order` to the server `id` at `address`, as [`Owner::send_order`] does.
@@ -421,14 +453,31 @@
         order: Order,
         commands: &mut Vec<Command>,
     ) -> bool {
-        if !self.accepts_orders(server) {
+        let recipient = InFlight { server: server.into(), instance: None, order };
+        self.send(recipient, address, commands)
+    }
+
+    fn send(
+        &mut self,
+        in_flight: InFlight,
+        address: SocketAddr,
+        commands: &mut Vec<Command>,
+    ) -> bool {
+        if !self.accepts_orders(&in_flight.server) {
             return false;
         }
+        let (server, order) = (in_flight.server.clone(), in_flight.order.clone());
+        match &order {
+            Order::Join { group, epoch, .. } => {
+                self.outstanding.note_join(&server, &(group.clone(), *epoch));
+            }
+            Order::Open { group, epoch } => self.outstanding.note_open((group.clone(), *epoch)),
+            _ => {}
+        }
         self.next_order += 1;
         let id = self.next_order;
-        let server: ServerId = server.into();
         self.busy.insert(server.clone());
-        self.in_flight.insert(id, InFlight { server: server.clone(), order: order.clone() });
+        self.in_flight.insert(id, in_flight);
         commands.push(Command { id, server, address, fencing_token: self.fencing_token, order });
         true
     }
@@ -461,7 +510,9 @@
         let own = (self.fencing_token << EPOCH_COUNT_BITS) + self.next_group;
         let epochs = groups.by_key.keys().map(|(_, epoch)| *epoch);
         let seen = epochs.filter(|epoch| *epoch < MAX_RELIED_EPOCH).max().unwrap_or(0);
-        own.max(seen + 1)
+        // An epoch that was seen may be out of sight again, with orders outstanding that carry it.
+        self.last_epoch = own.max(seen + 1).max(self.last_epoch + 1);
+        self.last_epoch
     }
 
     fn is_released(&self, group: &Group) -> bool {
@@ -474,13 +525,17 @@
     match order {
         Order::Open { .. } | Order::Leave { .. } | Order::Probe => Duration::from_millis(100),
         Order::Join { .. } | Order::Close { .. } => Duration::from_millis(250),
+        Order::Confirm { .. } => Duration::from_millis(300),
         Order::Stage { .. } => Duration::from_secs(1),
     }
 }
 
-/// Returns the name of a group with `head` at `epoch`.
-fn group_name(epoch: Generation, head: &Server) -> GroupId {
-    format!("g{epoch}-{}@{}", head.id, head.address).into()
+/// Returns the name of a group with `head` at `epoch`, formed by the owner with `fencing_token`.
+fn group_name(fencing_token: u64, epoch: Generation, head: &Server) -> GroupId {
+    // An epoch that was seen may be followed by the same one of another owner.
+    let is_own_epoch = epoch >> EPOCH_COUNT_BITS == fencing_token;
+    let owner = if is_own_epoch { String::new() } else { format!("o{fencing_token}") };
+    format!("g{epoch}{owner}-{}@{}", head.id, head.address).into()
 }
 
 /// Returns whether `server` is the head of the group `key`.
--- a/crates/form/src/owner/forming.rs
+++ b/crates/form/src/owner/forming.rs
@@ -70,6 +70,8 @@
     pub(super) opening: OpenProgress,
     /// Whether the group may have been ordered to open.
     pub(super) open_ordered: bool,
+    /// Whether another owner has formed it, so that what its members report shows nothing of this owner's orders.
+    pub(super) is_adopted: bool,
     /// Time at which forming the group is given up.
     pub(super) deadline: Mono,
 }
@@ -92,6 +94,7 @@
             join_times,
             opening: OpenProgress::Due,
             open_ordered: false,
+            is_adopted: false,
             deadline: now + longest * 2 + JOIN_GRACE,
         }
     }
@@ -108,14 +111,12 @@
         FormingGroup { opening: OpenProgress::Never, ..forming }
     }
 
-    /// Creates a group that another owner has formed and that only needs to be opened.
-    pub(super) fn adopted(group: &Group, members: Vec<InstanceId>, now: Mono) -> Self {
+    /// Creates a group that another owner has formed, which may have ordered it to open.
+    pub(super) fn adopted(group: &Group, members: Vec<InstanceId>, deadline: Mono) -> Self {
         let model = group.model.clone().unwrap_or_default();
         let join_times = vec![Duration::ZERO; members.len()];
-        let mut forming = FormingGroup::new(model, group.epoch, members, join_times, now);
-        forming.joins.fill(JoinProgress::Done);
-        forming.open_ordered = true;
-        forming
+        let forming = FormingGroup::new(model, group.epoch, members, join_times, deadline);
+        FormingGroup { open_ordered: true, is_adopted: true, deadline, ..forming }
     }
 
     fn is_joined(&self) -> bool {
@@ -229,7 +230,7 @@
     ) {
         for i in 0..forming.members.len() {
             let server = &observed.servers[&forming.members[i].0];
-            if has_joined(server, name, forming.epoch) {
+            if !forming.is_adopted && has_joined(server, name, forming.epoch) {
                 forming.joins[i] = JoinProgress::Done;
             }
             let due = match forming.joins[i] {
@@ -276,6 +277,9 @@
         let Some(forming) = self.forming.get_mut(group) else { return };
         let Some(i) = forming.members.iter().position(|(id, _)| &**id == server) else { return };
         let accepted = matches!(reply, Reply::Done | Reply::Begun);
+        if matches!(reply, Reply::Unanswered(_)) {
+            self.outstanding.note_unanswered_join(server, (group.clone(), forming.epoch));
+        }
         if accepted || matches!(reply, Reply::Unanswered(_)) {
             let joined = JoinOrder { key: (group.clone(), forming.epoch), accepted };
             self.last_joins.insert(forming.members[i].clone(), joined);
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -14,11 +14,11 @@
 use super::Command;
 use super::MAX_REPORT_AGE;
 use super::ObservedState;
+use super::Order;
 use super::Owner;
 use super::forming::FormingGroup;
 use super::group_name;
 use super::head_in_name;
-use super::is_head;
 use super::stage::ServedModels;
 use crate::compose;
 use crate::compose::Candidate;
@@ -91,13 +91,13 @@
             let name = model.name.clone();
             let forming =
                 FormingGroup::warm_spare(name, epoch, server.instance_id(), times, observed.now);
-            self.forming.insert(group_name(epoch, server), forming);
+            self.forming.insert(group_name(self.fencing_token, epoch, server), forming);
         }
     }
 
     fn form(&mut self, choice: &PlannedGroup, observed: &ObservedState<'_>, loads: StoreLoads) {
         let epoch = self.next_epoch(observed.groups);
-        let name = group_name(epoch, &observed.servers[&choice.members[0]]);
+        let name = group_name(self.fencing_token, epoch, &observed.servers[&choice.members[0]]);
         let model = &observed.engine.models[choice.model_index];
         let servers = || choice.members.iter().map(|id| &observed.servers[id]);
         let instances = servers().map(Server::instance_id).collect();
@@ -191,6 +191,11 @@
 
     /// Returns whether `server` may be ordered to join a group.
     pub(super) fn is_free(&self, server: &Server, observed: &ObservedState<'_>) -> bool {
+        self.seems_free(server, observed) && !self.needs_confirmation(server, observed)
+    }
+
+    /// Returns whether `server` may be ordered to join a group if its report is current.
+    fn seems_free(&self, server: &Server, observed: &ObservedState<'_>) -> bool {
         if server.state != ServerState::Ready || self.is_in_forming(&server.id) {
             return false;
         }
@@ -210,9 +215,6 @@
             return !joined.accepted
                 && (self.released.contains(key) || self.cannot_serve_again(key, observed));
         }
-        if self.may_have_joined(server, observed) {
-            return false;
-        }
         let Some(membership) = reported else { return true };
         let key = (membership.group.clone(), membership.epoch);
         if self.released.contains(&key) {
@@ -224,7 +226,9 @@
             Some(Phase::Broken) => true,
             Some(Phase::Open | Phase::Closing) => false,
             // The head can't serve its group any more once it has joined another.
-            Some(Phase::Joining | Phase::Ready) => is_head && group.members.len() < 2,
+            Some(Phase::Joining | Phase::Ready) => {
+                is_head && group.members.len() < 2 && self.outstanding.never_opens(&server.id, &key)
+            }
             None => self.is_head_gone(&key, observed),
         }
     }
@@ -239,19 +243,32 @@
         }
     }
 
-    /// Returns whether a server may have joined a group since its last report, as far as a new owner can tell: one that is
-    /// newer than the group in the report, and that lacks a member or is named after this head.
-    fn may_have_joined(&self, server: &Server, observed: &ObservedState<'_>) -> bool {
-        if observed.before_traffic || observed.now > self.started + MAX_REPORT_AGE {
-            return false;
+    /// Returns whether an order of a former owner may have changed `server` since its report. Reports go missing once they are
+    /// too old, so an owner that has seen them for long enough relies on them.
+    fn needs_confirmation(&self, server: &Server, observed: &ObservedState<'_>) -> bool {
+        let is_recent = observed.now <= self.started + MAX_REPORT_AGE;
+        is_recent && !observed.before_traffic && !self.outstanding.is_fenced(server)
+    }
+
+    /// Orders the servers that seem free to confirm their reports, where that is needed.
+    pub(super) fn confirm_free(
+        &mut self,
+        observed: &ObservedState<'_>,
+        commands: &mut Vec<Command>,
+    ) {
+        let servers = observed.servers.values().filter(|s| &*s.service == observed.service);
+        for server in servers.filter(|server| server.fabric.is_some()) {
+            if self.needs_confirmation(server, observed) && self.seems_free(server, observed) {
+                self.confirm(server, commands);
+            }
         }
-        let reported = server.membership.as_ref().map(|membership| membership.epoch);
-        let nearby = observed.groups.by_key.values().filter(|group| group.fabric == server.fabric);
-        let newer = nearby.filter(|group| reported.is_none_or(|epoch| group.epoch > epoch));
-        newer.filter(|group| !self.is_released(group)).any(|group| {
-            let open = matches!(group.head_phase, Some(Phase::Open | Phase::Closing));
-            is_head(&server.id, &group.key()) || (open && !group.is_serving(observed.engine))
-        })
+    }
+
+    /// Orders `server` to confirm its report.
+    fn confirm(&mut self, server: &Server, commands: &mut Vec<Command>) {
+        let membership = server.membership.as_ref();
+        let group = membership.map(|membership| (membership.group.clone(), membership.epoch));
+        self.send_order(server, Order::Confirm { group }, commands);
     }
 
     pub(super) fn is_in_forming(&self, server: &str) -> bool {
--- a/crates/form/src/owner/groups.rs
+++ b/crates/form/src/owner/groups.rs
@@ -5,8 +5,9 @@
 //!   open group that does not serve is dissolved.
 //! - A closing group is dissolved if a member no longer reports it or if its requests take too long
 //!   to finish.
-//! - A group whose members have all joined, but which this owner did not form, is adopted and
-//!   opened.
+//! - A group whose members have all joined, but which this owner did not form, is adopted: its members are ordered to join it
+//!   once more, and it is opened when all have replied. It is dissolved if they don't in time, or if an order of this owner may
+//!   still take one of them away.
 //! - A group that its head has given up needs no order: its members are free.
 //! - Any other group is incomplete, and is dissolved after a grace period. Groups of a single
 //!   server are exempt, since they are warm spares.
@@ -26,9 +27,12 @@
 use crate::observed_groups::Group;
 use crate::server::Phase;
 use crate::server::Server;
+use crate::server::ServerState;
 
 /// How long a closing group may take to finish its requests: a little less than a member that drains waits.
 const MAX_CLOSE_TIME: Duration = Duration::from_secs(9);
+/// How long the adoption of a group may take, with some orders that go unanswered.
+const ADOPTION_TIMEOUT: Duration = Duration::from_secs(4);
 
 impl Owner {
     /// Opens groups that are ready, closes those with a draining member, and dissolves incomplete
@@ -54,7 +58,9 @@
                 }
                 Some(Phase::Open) => self.dissolve(group, commands),
                 Some(Phase::Closing) => self.finish_closing(group, observed, commands),
-                Some(Phase::Ready) if is_adoptable(group, observed) => self.adopt(group, observed),
+                Some(Phase::Ready) if self.is_adoptable(group, observed) => {
+                    self.adopt(group, observed, commands);
+                }
                 Some(Phase::Joining | Phase::Ready) | None => {
                     self.dissolve_incomplete(group, head, observed, commands);
                 }
@@ -138,8 +144,8 @@
             false if is_head_unresponsive => Duration::ZERO,
             false => INCOMPLETE_GRACE,
         };
-        // A group with a single member is a spare that was warmed up.
-        if observed.now < since + grace || (head.is_some() && group.members.len() < 2) {
+        let is_kept = head.is_some_and(|head| self.keeps_spare(head, group, observed));
+        if observed.now < since + grace || is_kept {
             return;
         }
         // The head may serve although its report is old or missing: only its reply to the order
@@ -149,10 +155,29 @@
         }
     }
 
-    fn adopt(&mut self, group: &Group, observed: &ObservedState<'_>) {
+    /// Returns whether a group only needs to be opened, as far as orders of this owner are concerned.
+    fn is_adoptable(&self, group: &Group, observed: &ObservedState<'_>) -> bool {
+        has_all_members(group, observed) && !group.is_draining && !self.outstanding.can_split(group)
+    }
+
+    /// Returns whether a group is left to its head, a spare that was warmed up: no order to open it can be outstanding, or nobody
+    /// may use it.
+    fn keeps_spare(&self, head: &Server, group: &Group, observed: &ObservedState<'_>) -> bool {
+        let is_usable = head.state == ServerState::Ready && !observed.is_evacuated(head);
+        group.members.len() < 2
+            && (!is_usable || self.outstanding.never_opens(&head.id, &group.key()))
+    }
+
+    /// Orders the members of a group to join it once more, which shows that no order of a former owner can take one away.
+    fn adopt(&mut self, group: &Group, observed: &ObservedState<'_>, commands: &mut Vec<Command>) {
+        let since = *self.adopting_since.entry(group.key()).or_insert(observed.now);
+        let deadline = since + ADOPTION_TIMEOUT;
+        if observed.now >= deadline {
+            return self.dissolve(group, commands);
+        }
         let instances =
             group.members.values().map(|id| observed.servers[id].instance_id()).collect();
-        let forming = FormingGroup::adopted(group, instances, observed.now);
+        let forming = FormingGroup::adopted(group, instances, deadline);
         self.forming.insert(group.name.clone(), forming);
     }
 }
@@ -162,8 +187,3 @@
     let model = group.model.as_deref().and_then(|model| observed.engine.model(model));
     group.all_joined && model.is_some_and(|model| group.is_complete(model.group_size))
 }
-
-/// Returns whether a group only needs to be opened.
-fn is_adoptable(group: &Group, observed: &ObservedState<'_>) -> bool {
-    has_all_members(group, observed) && !group.is_draining
-}
--- /dev/null
+++ b/crates/form/src/owner/outstanding.rs
@@ -0,0 +1,117 @@
+//! Orders that servers may still carry out, although their senders have given up waiting for a reply.
+//!
+//! A report shows the past. A server may change after it by an order of a former owner, or by one of this owner that went
+//! unanswered. Two things rule that out:
+//!
+//! - Orders of former owners: the instance has replied to an order of this owner, so that it refuses lower fencing tokens. Such
+//!   a reply also has to show what the report shows, since the report may be older: an order to join says that the server is in
+//!   the group, and [`Order::Confirm`](super::Order::Confirm) that it is where its report shows it.
+//! - Joins of this owner: the instance has seen an epoch at least as high as that of each join that was sent to it, so that it
+//!   refuses the others. Only orders to join name other groups than the one that they affect.
+//!
+//! What was sent is remembered by server, and forgotten once the server's report has been missing for so long that the
+//! server is forgotten too. An order isn't carried out by a later instance, so what an instance has proved holds only for that
+//! instance.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use base::prelude::*;
+
+use super::ObservedState;
+use super::head_in_name;
+use crate::observed_groups::Group;
+use crate::observed_groups::GroupKey;
+use crate::server::InstanceId;
+use crate::server::Server;
+use crate::server::ServerId;
+
+/// The orders to join that this owner has sent to a server.
+#[data]
+#[derive(Default)]
+struct SentJoins {
+    /// The highest epoch among them, and the group that has it.
+    highest: (Generation, GroupId),
+    /// The groups of those that went unanswered.
+    unanswered: BTreeSet<GroupKey>,
+}
+
+/// What an owner knows of orders that servers may still carry out.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OutstandingOrders {
+    joins: BTreeMap<ServerId, SentJoins>,
+    /// The groups that were ordered to open.
+    opened: BTreeSet<GroupKey>,
+    /// The instances that have confirmed their reports, and refuse orders of former owners.
+    fenced: BTreeSet<InstanceId>,
+}
+
+impl OutstandingOrders {
+    /// Notes that an order to join `key` is sent to a server.
+    pub(super) fn note_join(&mut self, server: &str, key: &GroupKey) {
+        let joins = self.joins.entry(server.into()).or_default();
+        if key.1 > joins.highest.0 {
+            joins.highest = (key.1, key.0.clone());
+        }
+    }
+
+    /// Notes that an order to join `key` went unanswered.
+    pub(super) fn note_unanswered_join(&mut self, server: &str, key: GroupKey) {
+        self.joins.entry(server.into()).or_default().unanswered.insert(key);
+    }
+
+    /// Notes that a group is ordered to open.
+    pub(super) fn note_open(&mut self, key: GroupKey) {
+        self.opened.insert(key);
+    }
+
+    /// Notes that an instance has confirmed its report.
+    pub(super) fn note_fenced(&mut self, instance: InstanceId) {
+        self.fenced.insert(instance);
+    }
+
+    /// Returns whether no order of a former owner can change what `server`, a report, says.
+    pub(super) fn is_fenced(&self, server: &Server) -> bool {
+        self.fenced.contains(&server.instance_id())
+    }
+
+    /// Returns whether no order to open the group is outstanding, where its head is alone: this owner has formed it, and never
+    /// ordered it to open.
+    pub(super) fn never_opens(&self, head: &str, key: &GroupKey) -> bool {
+        let is_own = |joins: &SentJoins| joins.highest == (key.1, key.0.clone());
+        !self.opened.contains(key) && self.joins.get(head).is_some_and(is_own)
+    }
+
+    /// Returns whether an order of this owner may still take a member away from the group, or bring back its head once that has
+    /// left.
+    pub(super) fn can_split(&self, group: &Group) -> bool {
+        let takes_away =
+            |id: &ServerId| self.joins.get(id).is_some_and(|joins| joins.highest.0 > group.epoch);
+        let key = group.key();
+        let brings_back =
+            |id: &ServerId| self.joins.get(id).is_some_and(|joins| joins.unanswered.contains(&key));
+        group.members.values().any(takes_away) || group.head().is_some_and(brings_back)
+    }
+
+    /// Forgets servers whose reports have been missing for too long, and the proofs of instances that others have replaced.
+    pub(super) fn forget(&mut self, observed: &ObservedState<'_>) {
+        let epoch = |id: &str| {
+            let report = observed.latest_report(id)?;
+            Some(report.membership.as_ref().map_or(0, |membership| membership.epoch))
+        };
+        self.joins.retain(|id, joins| {
+            let reported = epoch(id);
+            joins.unanswered.retain(|key| reported.is_some_and(|reported| key.1 >= reported));
+            reported.is_some()
+        });
+        self.fenced.retain(|instance| {
+            observed
+                .latest_report(&instance.0)
+                .is_some_and(|server| server.instance_id() == *instance)
+        });
+        self.opened.retain(|key| {
+            let reported = head_in_name(&key.0).and_then(|(head, _)| epoch(head));
+            reported.is_some_and(|reported| key.1 >= reported)
+        });
+    }
+}
--- a/crates/form/src/server.rs
+++ b/crates/form/src/server.rs
@@ -16,8 +16,8 @@
 pub const MAX_WARM_UP: Duration = Duration::from_secs(3_600);
 /// Start times are below this, in Unix milliseconds; it is in the year 2109.
 const START_TIME_LIMIT_MS: u64 = 1 << 42;
-/// Numbers of accepted orders are below this.
-const ORDERS_LIMIT: u64 = 1 << 53;
+/// Numbers of reports are below this.
+const REPORT_NUMBER_LIMIT: u64 = 1 << 53;
 /// Ranks of members are below this.
 const RANK_LIMIT: usize = 1 << 16;
 /// Longest id or name, in bytes.
@@ -77,8 +77,8 @@
     pub id: ServerId,
     /// Start time of this instance in Unix milliseconds; zero if the server doesn't report it.
     pub started_at_ms: u64,
-    /// Number of orders that this instance has accepted.
-    pub accepted_orders: u64,
+    /// Number of the report: it rises with the reports of an instance.
+    pub report_number: u64,
     /// The service that the server belongs to.
     pub service: ServiceId,
     /// The address on which it listens.
@@ -150,7 +150,7 @@
             });
         };
         check_limit(self.started_at_ms, START_TIME_LIMIT_MS, "$.started_at_ms");
-        check_limit(self.accepted_orders, ORDERS_LIMIT, "$.accepted_orders");
+        check_limit(self.report_number, REPORT_NUMBER_LIMIT, "$.report_number");
         if let Some(membership) = &self.membership {
             check_limit(membership.epoch, EPOCH_LIMIT, "$.membership.epoch");
             check_limit(membership.rank as u64, RANK_LIMIT as u64, "$.membership.rank");
@@ -164,7 +164,7 @@
 
     /// Returns whether this report was made before `other`, a report of the same server.
     pub fn is_older_than(&self, other: &Server) -> bool {
-        (self.started_at_ms, self.accepted_orders) < (other.started_at_ms, other.accepted_orders)
+        (self.started_at_ms, self.report_number) < (other.started_at_ms, other.report_number)
     }
 
     /// Returns the server's membership if it is in `group` at `epoch`.
--- a/crates/form/tests/fleet/mod.rs
+++ b/crates/form/tests/fleet/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use base::prelude::*;
+use form::observed_groups::GroupKey;
 use form::owner::ObservedState;
 use form::prelude::*;
 
@@ -20,7 +21,7 @@
 const REPORT_TTL: Duration = Duration::from_millis(3_600);
 /// Time after which callers notice that a group is stalled.
 const STALL_DETECTION: Duration = Duration::from_millis(700);
-/// After how long an engine carries orders out that it always leaves unanswered.
+/// After how long an engine carries orders out that it always leaves unanswered, where a test says nothing else.
 const LONG_DELAY: Duration = Duration::from_secs(8);
 /// Time after which a head that lost a member gives up its group.
 const MEMBER_LOSS_TIMEOUT: Duration = Duration::from_secs(6);
@@ -39,11 +40,14 @@
     pub(crate) reachable: bool,
     /// Whether it leaves orders unanswered, and carries them out late.
     pub(crate) delays_orders: bool,
+    /// How late it carries them out.
+    pub(crate) order_delay: Duration,
     /// How long the requests take that it runs when it is told to close.
     pub(crate) closing_time: Duration,
     /// Whether it was told to leave while it finished its requests.
     pub(crate) has_aborted: bool,
     highest_epoch: u64,
+    highest_fencing_token: u64,
     joining_until: Mono,
     opening_until: Option<Mono>,
     closing_until: Option<Mono>,
@@ -78,6 +82,12 @@
     /// Processor time of each decision of the owner.
     pub(crate) decide_times: Vec<Duration>,
     delayed_orders: Vec<(Mono, Command)>,
+    /// How long reports take to reach the owner.
+    pub(crate) report_lag: Duration,
+    /// Reports on their way to the owner, and when they arrive.
+    reports_in_transit: Vec<(Mono, Server)>,
+    /// The members that have been ready in each group.
+    ready_members: BTreeSet<(GroupKey, ServerId)>,
     rng_state: u64,
     /// The failure domains that operators evacuate.
     pub(crate) evacuated: BTreeSet<FailureDomainId>,
@@ -109,6 +119,9 @@
             false_stalls: BTreeSet::new(),
             decide_times: Vec::new(),
             delayed_orders: Vec::new(),
+            report_lag: Duration::ZERO,
+            reports_in_transit: Vec::new(),
+            ready_members: BTreeSet::new(),
             rng_state: 1,
             evacuated: BTreeSet::new(),
             before_traffic: true,
@@ -170,6 +183,7 @@
             self.now += TICK;
             self.advance();
             self.update_reports();
+            self.receive_reports();
             for command in self.decide(owner) {
                 self.deliver(owner, command);
             }
@@ -231,7 +245,7 @@
         let always_delays = self.engines[&command.server].delays_orders;
         if is_delayed || always_delays {
             let delay = match always_delays {
-                true => LONG_DELAY,
+                true => self.engines[&command.server].order_delay,
                 false => Duration::from_millis(2_000 + self.random_below(10_000)),
             };
             let reply = Reply::Unanswered(self.seen_after(&command, Sight::Listening));
@@ -287,6 +301,35 @@
             let engine = self.engines.get_mut(&id).expect("an engine");
             engine.set_phase(Phase::Broken);
         }
+        self.check_open_groups();
+    }
+
+    /// Checks that each open group has only members that have been ready in it.
+    fn check_open_groups(&mut self) {
+        for engine in self.engines.values().filter(|engine| engine.alive) {
+            let Some(membership) = &engine.server.membership else { continue };
+            let key = (membership.group.clone(), membership.epoch);
+            match membership.phase {
+                Phase::Ready | Phase::Open => {
+                    self.ready_members.insert((key, engine.server.id.clone()));
+                }
+                Phase::Joining | Phase::Closing | Phase::Broken => {}
+            }
+        }
+        for engine in self.engines.values().filter(|engine| engine.alive) {
+            let Some(membership) = &engine.server.membership else { continue };
+            if membership.phase != Phase::Open {
+                continue;
+            }
+            let key = (membership.group.clone(), membership.epoch);
+            let mut members = engine.members.iter();
+            let never_ready =
+                members.find(|id| !self.ready_members.contains(&(key.clone(), (*id).clone())));
+            if let Some(id) = never_ready {
+                let problem = format!("{:?}: {} is open, but {id} never joined", self.now, key.0);
+                self.violations.push(problem);
+            }
+        }
     }
 
     /// Returns the id of `engine` if it is an open head that must give up its group, since it lost
@@ -309,8 +352,10 @@
         let now = self.now;
         for (id, engine) in &self.engines {
             if engine.alive && engine.reports {
-                self.servers.insert(id.clone(), engine.server.clone());
-                self.missing.remove(id);
+                let mut before = self.reports_in_transit.iter().filter(|(_, s)| s.id == *id);
+                let arrives = before.next_back().map_or(now, |(at, _)| *at);
+                let report = engine.server.clone();
+                self.reports_in_transit.push((arrives.max(now + self.report_lag), report));
                 continue;
             }
             let expired = engine.unreported_since.is_some_and(|at| now >= at + REPORT_TTL);
@@ -320,9 +365,21 @@
         }
     }
 
+    /// Records the reports that have arrived.
+    fn receive_reports(&mut self) {
+        let now = self.now;
+        for (_, report) in self.reports_in_transit.extract_if(.., |(at, _)| *at <= now) {
+            let last = self.servers.get(&report.id);
+            if last.is_none_or(|last| !report.is_older_than(last)) {
+                self.missing.remove(&report.id);
+                self.servers.insert(report.id.clone(), report);
+            }
+        }
+    }
+
     fn execute_order(&mut self, command: &Command) -> Reply {
         if let Order::Join { group, epoch, .. } = &command.order {
-            self.check_join(&command.server, group, *epoch);
+            self.check_join(&command.server, group, *epoch, command.fencing_token);
         }
         if let Order::Open { group, .. } = &command.order {
             self.check_open(&command.server, group);
@@ -330,14 +387,17 @@
         let (now, spec) = (self.now, self.spec.clone());
         let before_traffic = self.before_traffic;
         let engine = self.engines.get_mut(&command.server).expect("an engine");
-        engine.execute(&command.order, &spec, before_traffic, now)
+        engine.take_order(command, &spec, before_traffic, now)
     }
 
     /// Checks that no member joins another group while the head of its current group may serve that
     /// one.
-    fn check_join(&mut self, id: &str, group: &str, epoch: u64) {
+    fn check_join(&mut self, id: &str, group: &str, epoch: u64, fencing_token: u64) {
         let Some(membership) = self.engines[id].server.membership.clone() else { return };
-        if &*membership.group == group || epoch < self.engines[id].highest_epoch {
+        let engine = &self.engines[id];
+        let is_refused =
+            fencing_token < engine.highest_fencing_token || epoch < engine.highest_epoch;
+        if &*membership.group == group || is_refused {
             return;
         }
         let serving = self.engines.values().find(|head| {
@@ -421,7 +481,7 @@
         let server = Server {
             id: id.into(),
             started_at_ms,
-            accepted_orders: 0,
+            report_number: 0,
             service: SERVICE.into(),
             address: ([127, 0, 0, 1], 1).into(),
             failure_domain: "a".into(),
@@ -440,9 +500,11 @@
             reachable: true,
             listens: true,
             delays_orders: false,
+            order_delay: LONG_DELAY,
             closing_time: Duration::ZERO,
             has_aborted: false,
             highest_epoch: 0,
+            highest_fencing_token: 0,
             joining_until: Duration::ZERO,
             opening_until: None,
             closing_until: None,
@@ -459,6 +521,11 @@
         }
     }
 
+    fn group_key(&self) -> Option<GroupKey> {
+        let membership = self.server.membership.as_ref();
+        membership.map(|membership| (membership.group.clone(), membership.epoch))
+    }
+
     fn phase(&self) -> Option<Phase> {
         self.server.membership.as_ref().map(|membership| membership.phase)
     }
@@ -479,6 +546,25 @@
         }
     }
 
+    /// Carries out an order, unless the engine has seen a newer fencing token.
+    fn take_order(
+        &mut self,
+        command: &Command,
+        spec: &EngineSpec,
+        before_traffic: bool,
+        now: Mono,
+    ) -> Reply {
+        if command.fencing_token < self.highest_fencing_token {
+            return Reply::Fenced;
+        }
+        self.highest_fencing_token = command.fencing_token;
+        let before = (self.server.membership.clone(), self.opening_until, self.staging.clone());
+        let reply = self.execute(&command.order, spec, before_traffic, now);
+        let after = (self.server.membership.clone(), self.opening_until, self.staging.clone());
+        self.server.report_number += u64::from(before != after);
+        reply
+    }
+
     fn execute(
         &mut self,
         order: &Order,
@@ -507,7 +593,10 @@
                 self.server.membership = None;
                 Reply::Done
             }
-            Order::Close { .. } | Order::Leave { .. } | Order::Probe => Reply::Done,
+            Order::Confirm { group } if *group != self.group_key() => Reply::Rejected,
+            Order::Close { .. } | Order::Leave { .. } | Order::Probe | Order::Confirm { .. } => {
+                Reply::Done
+            }
             Order::Stage { model } => {
                 let load = spec.model(model).expect("a model").store_load_time;
                 let load = if before_traffic { load / 10 } else { load };
@@ -546,6 +635,9 @@
             return Reply::Fenced;
         }
         if let Some(membership) = self.server.membership_in(group, epoch) {
+            if self.members != members {
+                return Reply::Fenced;
+            }
             let joined = membership.phase != Phase::Joining;
             return if joined { Reply::Done } else { Reply::Begun };
         }
--- a/crates/form/tests/server_table.rs
+++ b/crates/form/tests/server_table.rs
@@ -10,11 +10,11 @@
 
 const SERVICE: &str = "assistant";
 
-fn server(id: &str, accepted_orders: u64, membership: Option<Membership>) -> Server {
+fn server(id: &str, report_number: u64, membership: Option<Membership>) -> Server {
     Server {
         id: id.into(),
         started_at_ms: 1,
-        accepted_orders,
+        report_number,
         service: SERVICE.into(),
         address: ([127, 0, 0, 1], 1).into(),
         failure_domain: "a".into(),
--- a/crates/front/src/local_state.rs
+++ b/crates/front/src/local_state.rs
@@ -221,7 +221,7 @@
             decision_log::write(&Record::Outdated {
                 server: &id,
                 born_ms: server.started_at_ms,
-                orders: server.accepted_orders,
+                orders: server.report_number,
             });
             return;
         }
--- a/crates/front/src/owner.rs
+++ b/crates/front/src/owner.rs
@@ -65,6 +65,8 @@
     resign: Arc<Notify>,
     /// The state of each service's groups, and the fencing token under which it was built.
     owners: (u64, Vec<(ServiceId, Owner)>),
+    /// The last fencing token that this process has given back: what it knew of the orders that it sent under it is gone.
+    resigned: Option<u64>,
     results: mpsc::Sender<OrderResult>,
     metrics: Metrics,
     /// The models that were overloaded at the last decision pass.
@@ -116,6 +118,7 @@
         lock,
         resign,
         owners,
+        resigned: None,
         results,
         metrics: cx.registry().lookup(names::PROCESS)?,
         overloaded: BTreeSet::new(),
@@ -142,10 +145,11 @@
 }
 
 impl Ownership {
-    /// Returns the fencing token, if this process certainly holds the lock.
+    /// Returns the fencing token, if this process certainly holds the lock and has not given it back: releasing it takes time.
     fn fencing_token(&self) -> Option<u64> {
         let lock = *self.lock.borrow();
-        lock.filter(HeldLock::is_valid).map(|lock| lock.revision)
+        let revision = lock.filter(HeldLock::is_valid)?.revision;
+        (Some(revision) != self.resigned).then_some(revision)
     }
 
     /// Runs a decision pass for each service with groups, and sends the resulting orders.
@@ -162,7 +166,7 @@
             Reach::Open => {}
             // What this process sees of the servers shows nothing.
             Reach::Checking => return,
-            Reach::CutOff => return self.resign_because("no server can be reached"),
+            Reach::CutOff => return self.resign(fencing_token, "no server can be reached"),
         }
         if self.owners.0 != fencing_token {
             self.owners = (fencing_token, Vec::new());
@@ -262,12 +266,14 @@
         let owner = owner_of(&mut self.owners.1, &service, revision, now);
         owner.handle_reply(command.id, reply, now);
         if owner.is_fenced() {
-            self.resign_because("a server reports a newer fencing token or epoch");
+            self.resign(revision, "a server reports a newer fencing token or epoch");
         }
     }
 
-    fn resign_because(&mut self, reason: &str) {
+    /// Gives the ownership under `fencing_token` back.
+    fn resign(&mut self, fencing_token: u64, reason: &str) {
         log::warn!("{reason}; releasing the ownership");
+        self.resigned = Some(fencing_token);
         self.owners = (0, Vec::new());
         self.resign.notify_one();
     }
@@ -333,5 +339,6 @@
         Order::Leave { group, epoch } => ("leave", group, *epoch),
         Order::Stage { model } => ("stage", model, 0),
         Order::Probe => ("probe", "", 0),
+        Order::Confirm { .. } => ("confirm", "", 0),
     }
 }
--- a/crates/front/tests/left_out.rs
+++ b/crates/front/tests/left_out.rs
@@ -35,7 +35,7 @@
     Server {
         id: "d0".into(),
         started_at_ms: 1,
-        accepted_orders: 0,
+        report_number: 0,
         service: service.into(),
         address: ([127, 0, 0, 1], 1).into(),
         failure_domain: "a".into(),
--- a/crates/front/tests/server_records.rs
+++ b/crates/front/tests/server_records.rs
@@ -50,7 +50,7 @@
     Server {
         id: id.into(),
         started_at_ms: 1,
-        accepted_orders: 0,
+        report_number: 0,
         service: service.into(),
         address: ([127, 0, 0, 1], 1).into(),
         failure_domain: "a".into(),
@@ -83,7 +83,7 @@
     let mut plain = server("d0", "desk");
     assert_eq!(report(&shared, &plain), 1, "a new endpoint");
     plain.warmup_remaining = Duration::from_secs(8);
-    plain.accepted_orders = 1;
+    plain.report_number = 1;
     assert_eq!(report(&shared, &plain), 0, "a shorter warm-up");
     plain.state = ServerState::Draining;
     assert_eq!(report(&shared, &plain), 1, "an endpoint that ends");
@@ -106,7 +106,7 @@
     let mut member = server("m0", "llm");
     assert_eq!(report(&shared, &member), 1, "a new server");
     member.warmup_remaining = Duration::from_secs(8);
-    member.accepted_orders = 1;
+    member.report_number = 1;
     assert_eq!(report(&shared, &member), 0, "nothing that the record shows");
     member.staged_models.push("large".into());
     assert_eq!(report(&shared, &member), 1, "a staged model");
