A spare of a former owner confirms its state and stays warm

Cause: a new owner ordered spares that it hadn't formed to leave their groups, so that no order to open them could be outstanding. They lose the loaded model with that, and groups formed from them take longer to join.

Change: they confirm their state, as servers that look free do. One that doesn't within 4 s is ordered to leave.

--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -26,6 +26,7 @@
 use crate::compose::PlannedGroup;
 use crate::compose::StoreLoads;
 use crate::observed_groups::GroupKey;
+use crate::server::Membership;
 use crate::server::Phase;
 use crate::server::Server;
 use crate::server::ServerState;
@@ -227,7 +228,7 @@
             Some(Phase::Open | Phase::Closing) => false,
             // The head can't serve its group any more once it has joined another.
             Some(Phase::Joining | Phase::Ready) => {
-                is_head && group.members.len() < 2 && self.outstanding.never_opens(&server.id, &key)
+                is_head && group.members.len() < 2 && !self.outstanding.is_opened(&key)
             }
             None => self.is_head_gone(&key, observed),
         }
@@ -243,11 +244,16 @@
         }
     }
 
-    /// Returns whether an order of a former owner may have changed `server` since its report. Reports go missing once they are
-    /// too old, so an owner that has seen them for long enough relies on them.
+    /// Returns whether an order of a former owner may have changed `server` since its report, or may still open its group.
+    ///
+    /// Reports go missing once they are too old, so an owner that has seen them for long enough relies on them, but for the
+    /// heads of groups that it hasn't formed.
     fn needs_confirmation(&self, server: &Server, observed: &ObservedState<'_>) -> bool {
-        let is_recent = observed.now <= self.started + MAX_REPORT_AGE;
-        is_recent && !observed.before_traffic && !self.outstanding.is_fenced(server)
+        let is_recent = observed.now <= self.started + MAX_REPORT_AGE && !observed.before_traffic;
+        let led = server.membership.as_ref().filter(|membership| membership.rank == 0);
+        let is_own =
+            |m: &Membership| self.outstanding.has_formed(&server.id, &(m.group.clone(), m.epoch));
+        (is_recent || led.is_some_and(|m| !is_own(m))) && !self.outstanding.is_fenced(server)
     }
 
     /// Orders the servers that seem free to confirm their reports, where that is needed.
--- a/crates/form/src/owner/groups.rs
+++ b/crates/form/src/owner/groups.rs
@@ -31,6 +31,8 @@
 
 /// How long a closing group may take to finish its requests: a little less than a member that drains waits.
 const MAX_CLOSE_TIME: Duration = Duration::from_secs(9);
+/// How long a spare that another owner has warmed up may take to confirm its state.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(4);
 /// How long the adoption of a group may take, with some orders that go unanswered.
 const ADOPTION_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -160,12 +162,18 @@
         has_all_members(group, observed) && !group.is_draining && !self.outstanding.can_split(group)
     }
 
-    /// Returns whether a group is left to its head, a spare that was warmed up: no order to open it can be outstanding, or nobody
-    /// may use it.
+    /// Returns whether a group is left to its head, a spare that was warmed up: this owner hasn't ordered it to open, and it
+    /// confirms in time that no former owner has.
     fn keeps_spare(&self, head: &Server, group: &Group, observed: &ObservedState<'_>) -> bool {
+        let key = group.key();
         let is_usable = head.state == ServerState::Ready && !observed.is_evacuated(head);
-        group.members.len() < 2
-            && (!is_usable || self.outstanding.never_opens(&head.id, &group.key()))
+        let since = self.incomplete_since.get(&key).copied().unwrap_or(observed.now);
+        let is_sure = || {
+            self.outstanding.has_formed(&head.id, &key)
+                || self.outstanding.is_fenced(head)
+                || observed.now < since + CONFIRM_TIMEOUT
+        };
+        group.members.len() < 2 && !self.outstanding.is_opened(&key) && (!is_usable || is_sure())
     }
 
     /// Orders the members of a group to join it once more, which shows that no order of a former owner can take one away.
--- a/crates/form/src/owner/outstanding.rs
+++ b/crates/form/src/owner/outstanding.rs
@@ -75,11 +75,15 @@
         self.fenced.contains(&server.instance_id())
     }
 
-    /// Returns whether no order to open the group is outstanding, where its head is alone: this owner has formed it, and never
-    /// ordered it to open.
-    pub(super) fn never_opens(&self, head: &str, key: &GroupKey) -> bool {
+    /// Returns whether an order to open the group was sent, which may still be carried out unless the head has left the group.
+    pub(super) fn is_opened(&self, key: &GroupKey) -> bool {
+        self.opened.contains(key)
+    }
+
+    /// Returns whether this owner has sent the head of a group the order to join it, so that no former owner knows the group.
+    pub(super) fn has_formed(&self, head: &str, key: &GroupKey) -> bool {
         let is_own = |joins: &SentJoins| joins.highest == (key.1, key.0.clone());
-        !self.opened.contains(key) && self.joins.get(head).is_some_and(is_own)
+        self.joins.get(head).is_some_and(is_own)
     }
 
     /// Returns whether an order of this owner may still take a member away from the group, or bring back its head once that has
