A spare that has been ordered to join a group isn't ordered to leave its old one

Cause: whether this owner had formed a spare's group followed from the last order to join that it had sent to the spare. With the order to join another group that was over before the report showed it. So the spare was ordered to leave the group in its old report, and with the reply the owner forgot the join.

Change: the groups that an owner has formed are remembered by themselves.

--- a/crates/form/src/owner.rs
+++ b/crates/form/src/owner.rs
@@ -16,7 +16,7 @@
 //! - A group is not opened if an order to join went unanswered by its head: if that order and a
 //!   late order to open were carried out after the head has left the group, they would revive it.
 //! - A group is ordered to open only if no order that its members may still carry out, of a former owner or of this one, can
-//!   take one of them away or bring the head back once it has left ([`outstanding`]). So each member has replied to this owner's
+//!   take one of them away or bring the head back once it has left (see `outstanding`). So each member has replied to this owner's
 //!   order to join the group, or reports that it carried it out.
 //! - A new owner takes a server for free only if that is still true once its orders are the only ones that the server accepts.
 //! - The name of a group ends with the id and address of its head, so that every owner can reach
@@ -370,7 +370,7 @@
             (Order::Probe, _) => self.handle_probe_reply(&server, reply),
             (Order::Confirm { .. }, Reply::Done | Reply::Begun) => {
                 if let Some(instance) = instance {
-                    self.outstanding.note_fenced(instance);
+                    self.outstanding.note_confirmed(instance);
                 }
             }
             (Order::Join { group, .. }, _) => self.handle_join_reply(group, &server, reply, now),
--- a/crates/form/src/owner/free.rs
+++ b/crates/form/src/owner/free.rs
@@ -251,9 +251,8 @@
     fn needs_confirmation(&self, server: &Server, observed: &ObservedState<'_>) -> bool {
         let is_recent = observed.now <= self.started + MAX_REPORT_AGE && !observed.before_traffic;
         let led = server.membership.as_ref().filter(|membership| membership.rank == 0);
-        let is_own =
-            |m: &Membership| self.outstanding.has_formed(&server.id, &(m.group.clone(), m.epoch));
-        (is_recent || led.is_some_and(|m| !is_own(m))) && !self.outstanding.is_fenced(server)
+        let is_own = |m: &Membership| self.outstanding.has_formed(&(m.group.clone(), m.epoch));
+        (is_recent || led.is_some_and(|m| !is_own(m))) && !self.outstanding.is_confirmed(server)
     }
 
     /// Orders the servers that seem free to confirm their reports, where that is needed.
--- a/crates/form/src/owner/groups.rs
+++ b/crates/form/src/owner/groups.rs
@@ -169,8 +169,8 @@
         let is_usable = head.state == ServerState::Ready && !observed.is_evacuated(head);
         let since = self.incomplete_since.get(&key).copied().unwrap_or(observed.now);
         let is_sure = || {
-            self.outstanding.has_formed(&head.id, &key)
-                || self.outstanding.is_fenced(head)
+            self.outstanding.has_formed(&key)
+                || self.outstanding.is_confirmed(head)
                 || observed.now < since + CONFIRM_TIMEOUT
         };
         group.members.len() < 2 && !self.outstanding.is_opened(&key) && (!is_usable || is_sure())
--- a/crates/form/src/owner/outstanding.rs
+++ b/crates/form/src/owner/outstanding.rs
@@ -20,6 +20,7 @@
 
 use super::ObservedState;
 use super::head_in_name;
+use super::is_head;
 use crate::observed_groups::Group;
 use crate::observed_groups::GroupKey;
 use crate::server::InstanceId;
@@ -30,8 +31,8 @@
 #[data]
 #[derive(Default)]
 struct SentJoins {
-    /// The highest epoch among them, and the group that has it.
-    highest: (Generation, GroupId),
+    /// The highest epoch among them.
+    highest_epoch: Generation,
     /// The groups of those that went unanswered.
     unanswered: BTreeSet<GroupKey>,
 }
@@ -40,18 +41,21 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct OutstandingOrders {
     joins: BTreeMap<ServerId, SentJoins>,
+    /// The groups whose heads were ordered to join them.
+    formed: BTreeSet<GroupKey>,
     /// The groups that were ordered to open.
     opened: BTreeSet<GroupKey>,
     /// The instances that have confirmed their reports, and refuse orders of former owners.
-    fenced: BTreeSet<InstanceId>,
+    confirmed: BTreeSet<InstanceId>,
 }
 
 impl OutstandingOrders {
     /// Notes that an order to join `key` is sent to a server.
     pub(super) fn note_join(&mut self, server: &str, key: &GroupKey) {
         let joins = self.joins.entry(server.into()).or_default();
-        if key.1 > joins.highest.0 {
-            joins.highest = (key.1, key.0.clone());
+        joins.highest_epoch = joins.highest_epoch.max(key.1);
+        if is_head(server, key) {
+            self.formed.insert(key.clone());
         }
     }
 
@@ -66,13 +70,13 @@
     }
 
     /// Notes that an instance has confirmed its report.
-    pub(super) fn note_fenced(&mut self, instance: InstanceId) {
-        self.fenced.insert(instance);
+    pub(super) fn note_confirmed(&mut self, instance: InstanceId) {
+        self.confirmed.insert(instance);
     }
 
     /// Returns whether no order of a former owner can change what `server`, a report, says.
-    pub(super) fn is_fenced(&self, server: &Server) -> bool {
-        self.fenced.contains(&server.instance_id())
+    pub(super) fn is_confirmed(&self, server: &Server) -> bool {
+        self.confirmed.contains(&server.instance_id())
     }
 
     /// Returns whether an order to open the group was sent, which may still be carried out unless the head has left the group.
@@ -81,16 +85,16 @@
     }
 
     /// Returns whether this owner has sent the head of a group the order to join it, so that no former owner knows the group.
-    pub(super) fn has_formed(&self, head: &str, key: &GroupKey) -> bool {
-        let is_own = |joins: &SentJoins| joins.highest == (key.1, key.0.clone());
-        self.joins.get(head).is_some_and(is_own)
+    pub(super) fn has_formed(&self, key: &GroupKey) -> bool {
+        self.formed.contains(key)
     }
 
     /// Returns whether an order of this owner may still take a member away from the group, or bring back its head once that has
     /// left.
     pub(super) fn can_split(&self, group: &Group) -> bool {
-        let takes_away =
-            |id: &ServerId| self.joins.get(id).is_some_and(|joins| joins.highest.0 > group.epoch);
+        let takes_away = |id: &ServerId| {
+            self.joins.get(id).is_some_and(|joins| joins.highest_epoch > group.epoch)
+        };
         let key = group.key();
         let brings_back =
             |id: &ServerId| self.joins.get(id).is_some_and(|joins| joins.unanswered.contains(&key));
@@ -108,14 +112,16 @@
             joins.unanswered.retain(|key| reported.is_some_and(|reported| key.1 >= reported));
             reported.is_some()
         });
-        self.fenced.retain(|instance| {
+        self.confirmed.retain(|instance| {
             observed
                 .latest_report(&instance.0)
                 .is_some_and(|server| server.instance_id() == *instance)
         });
-        self.opened.retain(|key| {
+        let may_be_led = |key: &GroupKey| {
             let reported = head_in_name(&key.0).and_then(|(head, _)| epoch(head));
             reported.is_some_and(|reported| key.1 >= reported)
-        });
+        };
+        self.formed.retain(may_be_led);
+        self.opened.retain(may_be_led);
     }
 }
--- a/crates/form/tests/fleet/mod.rs
+++ b/crates/form/tests/fleet/mod.rs
@@ -82,6 +82,8 @@
     /// Processor time of each decision of the owner.
     pub(crate) decide_times: Vec<Duration>,
     delayed_orders: Vec<(Mono, Command)>,
+    /// The engines that were ordered to leave a group.
+    pub(crate) leave_orders: Vec<ServerId>,
     /// How long reports take to reach the owner.
     pub(crate) report_lag: Duration,
     /// Reports on their way to the owner, and when they arrive.
@@ -119,6 +121,7 @@
             false_stalls: BTreeSet::new(),
             decide_times: Vec::new(),
             delayed_orders: Vec::new(),
+            leave_orders: Vec::new(),
             report_lag: Duration::ZERO,
             reports_in_transit: Vec::new(),
             ready_members: BTreeSet::new(),
@@ -226,6 +229,9 @@
 
     fn deliver(&mut self, owner: &mut Owner, command: Command) {
         let id = command.id;
+        if matches!(command.order, Order::Leave { .. }) {
+            self.leave_orders.push(command.server.clone());
+        }
         let is_work =
             matches!(command.order, Order::Join { .. } | Order::Open { .. } | Order::Stage { .. });
         if is_work && self.evacuated.contains(&self.engines[&command.server].server.failure_domain)
--- a/crates/form/tests/late_orders.rs
+++ b/crates/form/tests/late_orders.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use fleet::Fleet;
+use fleet::formed_fleet;
 use form::prelude::*;
 use proptest::prelude::*;
 
@@ -178,6 +179,27 @@
     assert_eq!(fleet.serving(), 1);
 }
 
+// Guards against an owner that orders a spare, which it has warmed up and just ordered to join a group, to leave the group in its
+// old report: with that it also forgot the join. Seen on the bench at salal-roster-grown, quiet-1.
+#[test]
+fn a_spare_that_joins_a_group_is_not_ordered_to_leave_its_old_one() {
+    let (mut fleet, mut owner) = formed_fleet(9);
+    fleet.run(&mut owner, 5 * SECOND);
+    fleet.report_lag = 5 * STEP;
+    fleet.run(&mut owner, SECOND);
+    let spare = |e: &&fleet::Engine| {
+        e.server.membership.as_ref().is_some_and(|m| m.rank == 0 && m.phase == Phase::Ready)
+    };
+    let spares: Vec<ServerId> =
+        fleet.engines.values().filter(spare).map(|e| e.server.id.clone()).collect();
+    assert!(!spares.is_empty());
+    let group = fleet.first_group();
+    fleet.kill(&group[1]);
+    fleet.run(&mut owner, 6 * SECOND);
+    let left = fleet.leave_orders.iter().filter(|id| spares.contains(id)).count();
+    assert_eq!((fleet.serving(), left), (2, 0));
+}
+
 /// What happens to the fleet between two stretches of time.
 #[derive(Clone, Debug)]
 enum Event {
