--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -30,6 +30,7 @@
 mod carrier;
 mod choice;
 mod hand_over;
+mod life;
 mod outgoing;
 mod race;
 mod relay;
@@ -79,6 +80,7 @@
 use hand_over::Origin;
 pub(crate) use hand_over::TAKE_OVER_PATH;
 pub(crate) use hand_over::TakeOver;
+use life::LifeWatches;
 use server_end::EndProbes;
 use stop::StopState;
 
@@ -122,6 +124,8 @@
     opinions: PeerOpinions,
     /// Connections that show whether servers have ended.
     end_probes: EndProbes,
+    /// Connections that show whether servers live on after their answers.
+    life_watches: LifeWatches,
     /// The requests that this process has taken over from others.
     taken_over: Drain,
     /// How far a stop of the process has got.
@@ -171,6 +175,7 @@
         pool,
         opinions: cx.registry().lookup(names::PEERS)?,
         end_probes: EndProbes::default(),
+        life_watches: LifeWatches::default(),
         taken_over: Drain::default(),
         stop: StopState::new(settings.stop),
         metrics: cx.registry().lookup(names::PROCESS)?,
--- a/crates/front/src/serve/attempt.rs
+++ b/crates/front/src/serve/attempt.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use http::StatusCode;
 use http::header;
+use parking_lot::Mutex;
 use pass::outcome::ends_request;
 use pass::outcome::promises_not_run;
 use pass::prelude::*;
@@ -31,6 +32,7 @@
 use super::stream::End;
 use super::stream::PlainResponse;
 use super::stream::Source;
+use crate::clock::since_boot;
 use crate::decision_log;
 use crate::decision_log::Record;
 
@@ -74,6 +76,8 @@
     pub(super) tries: Tries,
     /// Where it says that its server is silent.
     silence: watch::Sender<Option<Silence>>,
+    /// When what it waits for was last known not to have come, since the start of the VM.
+    outstanding_at: Mutex<Duration>,
 }
 
 impl Attempt {
@@ -84,7 +88,8 @@
         tries: Tries,
     ) -> Self {
         let (silence, _) = watch::channel(None);
-        Attempt { active, carrier, number, tries, silence }
+        let outstanding_at = Mutex::new(since_boot());
+        Attempt { active, carrier, number, tries, silence, outstanding_at }
     }
 
     /// Returns where the attempt says that its server is silent.
@@ -106,7 +111,12 @@
     pub(super) async fn send(&mut self, after: Option<&str>) -> Result<Response, FailedAttempt> {
         let sent = self.watched(Stage::Head, self.sent(after)).await;
         match sent {
-            Ok(response) => self.accept(response),
+            Ok(response) => {
+                let response = self.accept(response)?;
+                let delimiter = Delimiter::of(response.extensions());
+                self.carrier.watch_life(delimiter, *self.outstanding_at.lock());
+                Ok(response)
+            }
             Err(PoolError::NotSent { problem, cause, .. }) if !cause.is_evidence() => {
                 Err(self.fail(AttemptOutcome::NotTried, 0, &problem))
             }
@@ -141,6 +151,7 @@
         let mut next = std::pin::pin!(next);
         let since = self.active.now();
         loop {
+            *self.outstanding_at.lock() = since_boot();
             if let Ok(next) = tokio::time::timeout(CHECK_PERIOD, &mut next).await {
                 self.silence.send_replace(None);
                 return next;
@@ -277,10 +288,10 @@
         strip_connection_headers(&mut parts.headers);
         let body = match read {
             ReadBody::Whole(_)
-                if !delimiter.proves_whole() && self.carrier.check_end(&self.active).await =>
+                if !delimiter.proves_whole() && !self.carrier.is_whole(&self.active).await =>
             {
                 let status = parts.status.as_u16();
-                return Err(self.fail(AttemptOutcome::Unknown, status, stream::SERVER_ENDED));
+                return Err(self.fail(AttemptOutcome::Unknown, status, stream::MAY_BE_CUT));
             }
             ReadBody::Whole(bytes) => {
                 self.carrier.record_response(parts.status);
--- a/crates/front/src/serve/carrier.rs
+++ b/crates/front/src/serve/carrier.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use http::StatusCode;
 use pass::prelude::*;
+use web::prelude::*;
 
 use super::ActiveRequest;
 use super::ServerId;
@@ -127,13 +128,33 @@
         }
     }
 
-    /// Finds out whether the backend server ended, after its connection did, and returns whether it has.
+    /// Finds out whether the backend server ended, after its connection did, which is evidence against the request.
+    pub(crate) async fn check_end(&self, active: &ActiveRequest) {
+        if let Carrier::Server(reservation) = self {
+            server_end::check(active, reservation).await;
+        }
+    }
+
+    /// Prepares for a response whose end `delimiter` tells, and which was outstanding at the time `outstanding_at` since the start
+    /// of the VM.
+    pub(super) fn watch_life(&mut self, delimiter: Delimiter, outstanding_at: Duration) {
+        if let Carrier::Server(reservation) = self
+            && !delimiter.proves_whole()
+        {
+            reservation.watch_life(outstanding_at);
+        }
+    }
+
+    /// Returns whether a response is whole of which only its connection tells the end, once that has ended in order. If it
+    /// isn't, the end of the server is looked for.
     ///
     /// Another process says where its responses end, so one that doesn't has ended within this response.
-    pub(crate) async fn check_end(&self, active: &ActiveRequest) -> bool {
-        match self {
-            Carrier::Server(reservation) => server_end::check(active, reservation).await,
-            Carrier::Process(_) => true,
+    pub(crate) async fn is_whole(&self, active: &ActiveRequest) -> bool {
+        let Carrier::Server(reservation) = self else { return false };
+        let lives_on = reservation.lives_on().await;
+        if !lives_on {
+            server_end::check(active, reservation).await;
         }
+        lives_on
     }
 }
--- a/crates/front/src/serve/relay.rs
+++ b/crates/front/src/serve/relay.rs
@@ -38,7 +38,7 @@
 use super::silence::Stage;
 use super::stream::BreakOff;
 use super::stream::End;
-use super::stream::SERVER_ENDED;
+use super::stream::MAY_BE_CUT;
 use super::stream::Source;
 use crate::decision_log;
 use crate::decision_log::Record;
@@ -162,10 +162,10 @@
                     next = Some(event);
                 }
                 Step::Ended(End::Complete) => return Outcome::Complete,
-                Step::Ended(End::Closed) if !self.carrier.check_end(&self.active).await => {
+                Step::Ended(End::Closed) if self.carrier.is_whole(&self.active).await => {
                     return Outcome::Complete;
                 }
-                Step::Ended(End::Closed) => self.give_up_source(SERVER_ENDED.into()),
+                Step::Ended(End::Closed) => self.give_up_source(MAY_BE_CUT.into()),
                 Step::Ended(End::Broken(problem)) => {
                     self.carrier.check_end(&self.active).await;
                     self.give_up_source(problem);
--- a/crates/front/src/serve/reservation.rs
+++ b/crates/front/src/serve/reservation.rs
@@ -11,6 +11,7 @@
 
 use super::ActiveRequest;
 use super::State;
+use super::life::LifeWatch;
 use crate::clock::wall_millis;
 use crate::crash_reports::TrackedParts;
 
@@ -35,6 +36,9 @@
     parts: TrackedParts,
     /// Events of a stream that have come.
     events: u32,
+    /// What shows whether the server lives on after an answer of which only its connection tells the end, and when that answer
+    /// was outstanding.
+    life: Option<(Arc<LifeWatch>, Duration)>,
 }
 
 impl Reservation {
@@ -50,6 +54,21 @@
             fingerprint: active.fingerprint,
             parts: active.parts.clone(),
             events: 0,
+            life: None,
+        }
+    }
+
+    /// Watches the server, whose answer was outstanding at the time `outstanding_at` since the start of the VM.
+    pub(crate) fn watch_life(&mut self, outstanding_at: Duration) {
+        let watch = self.state.life_watches.watch(self.endpoint().address);
+        self.life = Some((watch, outstanding_at));
+    }
+
+    /// Returns whether the server lives on after the connection of its answer has ended.
+    pub(crate) async fn lives_on(&self) -> bool {
+        match &self.life {
+            Some((watch, outstanding_at)) => watch.lives_on(*outstanding_at).await,
+            None => false,
         }
     }
 
--- a/crates/front/src/serve/server_end.rs
+++ b/crates/front/src/serve/server_end.rs
@@ -1,4 +1,5 @@
-//! Finds out whether a backend server ended while it may have been running a request.
+//! Finds out whether a backend server ended while it may have been running a request, which is evidence against the request.
+//! Whether an answer is whole is another question, with another safe answer in doubt: see [`life`](super::life).
 //!
 //! A connection that breaks, or ends a body of which it alone tells the end, doesn't tell: the
 //! network may have reset it, or the server may have given up the request. That new connections are
@@ -82,27 +83,25 @@
     }
 }
 
-/// Checks whether the server of a reservation has ended, after a connection to it ended with the request on it; returns
-/// whether it has. An end is recorded against the request.
-pub(super) async fn check(active: &ActiveRequest, reservation: &Reservation) -> bool {
+/// Looks whether the server of a reservation has ended, after a connection to it ended with the request on it. An end is recorded
+/// against the request. In doubt there is none, so nothing else may be concluded from that.
+pub(super) async fn check(active: &ActiveRequest, reservation: &Reservation) {
     let endpoint = reservation.endpoint();
     if !is_serving(active, endpoint) {
-        return false;
+        return;
     }
     let shown = active.state.end_probes.probe(endpoint.address, &active.state.cx).await;
     if matches!(shown, Probe::Refused | Probe::NoAnswer) {
         active.state.shared.connect_failed(endpoint, active.now());
     }
     if shown != Probe::Refused {
-        return false;
+        return;
     }
     if is_reached_elsewhere(active, endpoint).await {
         let (request, server) = (&*active.id, &*endpoint.server);
-        decision_log::write(&Record::EndUnconfirmed { request, server });
-        return false;
+        return decision_log::write(&Record::EndUnconfirmed { request, server });
     }
     record(active, reservation);
-    true
 }
 
 /// Records that the server of a reservation ended while it may have been running the request.
--- a/crates/front/src/serve/stream.rs
+++ b/crates/front/src/serve/stream.rs
@@ -42,8 +42,8 @@
     }
 }
 
-/// The problem of a response of which only its connection tells the end, and whose server ended.
-pub(super) const SERVER_ENDED: &str = "the server ended within the response";
+/// The problem of a response of which only its connection tells the end, if nothing shows that its server lived on.
+pub(super) const MAY_BE_CUT: &str = "the server may have ended within the response";
 
 /// The source of a stream's events: a backend server's response.
 pub(super) struct Source {
@@ -56,8 +56,7 @@
 #[derive(Debug)]
 pub(super) enum End {
     Complete,
-    /// Its connection ended in order after an event, which is all that tells the end. It is complete unless its server
-    /// ended.
+    /// Its connection ended in order after an event, which is all that tells the end. It is complete if its server lives on.
     Closed,
     /// Truncated or invalid; says what went wrong.
     Broken(Box<str>),
@@ -179,8 +178,8 @@
                 carrier.check_end(active).await;
                 return Some(BreakOff::Broken(error.to_string().into()));
             }
-            None if !response.delimiter.proves_whole() && carrier.check_end(active).await => {
-                return Some(BreakOff::Broken(SERVER_ENDED.into()));
+            None if !response.delimiter.proves_whole() && !carrier.is_whole(active).await => {
+                return Some(BreakOff::Broken(MAY_BE_CUT.into()));
             }
             None => {
                 carrier.record_response(response.status);
