Tests of form: an engine in a file of its own, and one field for late orders

What would stop a newcomer: tests/fleet/mod.rs had 697 lines with two jobs, and whether an engine delays orders and by how much were two fields that had to agree. Change: fleet::engine holds the engine; order_delay says both; the check of open groups uses the engine's own key and phase. Checks, bounds and assertions are as they were.

--- a/crates/form/tests/fleet/mod.rs
+++ b/crates/form/tests/fleet/mod.rs
@@ -4,6 +4,8 @@
 //! owner observes), so that reports can be late, stale or missing. Every join is checked against
 //! the ground truth.
 
+mod engine;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Instant;
@@ -13,6 +15,8 @@
 use form::owner::ObservedState;
 use form::prelude::*;
 
+pub(crate) use engine::Engine;
+
 /// The service whose groups are formed.
 pub(crate) const SERVICE: &str = "assistant";
 /// Interval between two decisions of the owner.
@@ -21,42 +25,9 @@
 const REPORT_TTL: Duration = Duration::from_millis(3_600);
 /// Time after which callers notice that a group is stalled.
 const STALL_DETECTION: Duration = Duration::from_millis(700);
-/// After how long an engine carries orders out that it always leaves unanswered, where a test says nothing else.
-const LONG_DELAY: Duration = Duration::from_secs(8);
 /// Time after which a head that lost a member gives up its group.
 const MEMBER_LOSS_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// The actual state of one engine.
-pub(crate) struct Engine {
-    /// The report that it would make now.
-    pub(crate) server: Server,
-    /// Whether it is running.
-    pub(crate) alive: bool,
-    /// Whether its reports reach the store.
-    pub(crate) reports: bool,
-    /// Whether it listens; a draining engine stops listening before it stops serving.
-    pub(crate) listens: bool,
-    /// Whether the owner can reach it.
-    pub(crate) reachable: bool,
-    /// Whether it leaves orders unanswered, and carries them out late.
-    pub(crate) delays_orders: bool,
-    /// How late it carries them out.
-    pub(crate) order_delay: Duration,
-    /// How long the requests take that it runs when it is told to close.
-    pub(crate) closing_time: Duration,
-    /// Whether it was told to leave while it finished its requests.
-    pub(crate) has_aborted: bool,
-    highest_epoch: u64,
-    highest_fencing_token: u64,
-    joining_until: Mono,
-    opening_until: Option<Mono>,
-    closing_until: Option<Mono>,
-    staging: Option<(ModelId, Mono)>,
-    members: Vec<ServerId>,
-    unreported_since: Option<Mono>,
-    last_model: Option<ModelId>,
-}
-
 /// All engines, the reports that the owner observes, and orders that are executed late.
 pub(crate) struct Fleet {
     /// The engines.
@@ -248,12 +219,10 @@
             return;
         }
         let is_delayed = self.random_below(100) < self.delayed_percent;
-        let always_delays = self.engines[&command.server].delays_orders;
-        if is_delayed || always_delays {
-            let delay = match always_delays {
-                true => self.engines[&command.server].order_delay,
-                false => Duration::from_millis(2_000 + self.random_below(10_000)),
-            };
+        let order_delay = self.engines[&command.server].order_delay;
+        if is_delayed || order_delay.is_some() {
+            let delay = order_delay
+                .unwrap_or_else(|| Duration::from_millis(2_000 + self.random_below(10_000)));
             let reply = Reply::Unanswered(self.seen_after(&command, Sight::Listening));
             self.delayed_orders.push((self.now + delay, command));
             owner.handle_reply(id, reply, self.now);
@@ -312,22 +281,16 @@
 
     /// Checks that each open group has only members that have been ready in it.
     fn check_open_groups(&mut self) {
-        for engine in self.engines.values().filter(|engine| engine.alive) {
-            let Some(membership) = &engine.server.membership else { continue };
-            let key = (membership.group.clone(), membership.epoch);
-            match membership.phase {
-                Phase::Ready | Phase::Open => {
-                    self.ready_members.insert((key, engine.server.id.clone()));
-                }
-                Phase::Joining | Phase::Closing | Phase::Broken => {}
+        let alive = || self.engines.values().filter(|engine| engine.alive);
+        for engine in alive() {
+            if let (Some(key), Some(Phase::Ready | Phase::Open)) =
+                (engine.group_key(), engine.phase())
+            {
+                self.ready_members.insert((key, engine.server.id.clone()));
             }
         }
-        for engine in self.engines.values().filter(|engine| engine.alive) {
-            let Some(membership) = &engine.server.membership else { continue };
-            if membership.phase != Phase::Open {
-                continue;
-            }
-            let key = (membership.group.clone(), membership.epoch);
+        for engine in alive().filter(|engine| engine.phase() == Some(Phase::Open)) {
+            let Some(key) = engine.group_key() else { continue };
             let mut members = engine.members.iter();
             let never_ready =
                 members.find(|id| !self.ready_members.contains(&(key.clone(), (*id).clone())));
@@ -482,193 +445,6 @@
     }
 }
 
-impl Engine {
-    fn new(id: &str, started_at_ms: u64) -> Self {
-        let server = Server {
-            id: id.into(),
-            started_at_ms,
-            report_number: 0,
-            service: SERVICE.into(),
-            address: ([127, 0, 0, 1], 1).into(),
-            failure_domain: "a".into(),
-            fabric: Some("f".into()),
-            slots: 26,
-            state: ServerState::Ready,
-            warmup_remaining: Duration::ZERO,
-            model: None,
-            staged_models: Vec::new(),
-            membership: None,
-        };
-        Engine {
-            server,
-            alive: true,
-            reports: true,
-            reachable: true,
-            listens: true,
-            delays_orders: false,
-            order_delay: LONG_DELAY,
-            closing_time: Duration::ZERO,
-            has_aborted: false,
-            highest_epoch: 0,
-            highest_fencing_token: 0,
-            joining_until: Duration::ZERO,
-            opening_until: None,
-            closing_until: None,
-            staging: None,
-            members: Vec::new(),
-            unreported_since: None,
-            last_model: None,
-        }
-    }
-
-    fn set_phase(&mut self, phase: Phase) {
-        if let Some(membership) = &mut self.server.membership {
-            membership.phase = phase;
-        }
-    }
-
-    fn group_key(&self) -> Option<GroupKey> {
-        let membership = self.server.membership.as_ref();
-        membership.map(|membership| (membership.group.clone(), membership.epoch))
-    }
-
-    fn phase(&self) -> Option<Phase> {
-        self.server.membership.as_ref().map(|membership| membership.phase)
-    }
-
-    fn advance(&mut self, now: Mono) {
-        if let Some((model, _)) = self.staging.take_if(|(_, until)| *until <= now) {
-            self.server.staged_models = vec![model];
-        }
-        if self.phase() == Some(Phase::Joining) && now >= self.joining_until {
-            self.set_phase(Phase::Ready);
-            self.server.model.clone_from(&self.last_model);
-        }
-        if self.opening_until.take_if(|until| *until <= now).is_some() {
-            self.set_phase(Phase::Open);
-        }
-        if self.closing_until.take_if(|until| *until <= now).is_some() {
-            self.set_phase(Phase::Ready);
-        }
-    }
-
-    /// Carries out an order, unless the engine has seen a newer fencing token.
-    fn take_order(
-        &mut self,
-        command: &Command,
-        spec: &EngineSpec,
-        before_traffic: bool,
-        now: Mono,
-    ) -> Reply {
-        if command.fencing_token < self.highest_fencing_token {
-            return Reply::Fenced;
-        }
-        self.highest_fencing_token = command.fencing_token;
-        let before = (self.server.membership.clone(), self.opening_until, self.staging.clone());
-        let reply = self.execute(&command.order, spec, before_traffic, now);
-        let after = (self.server.membership.clone(), self.opening_until, self.staging.clone());
-        self.server.report_number += u64::from(before != after);
-        reply
-    }
-
-    fn execute(
-        &mut self,
-        order: &Order,
-        spec: &EngineSpec,
-        before_traffic: bool,
-        now: Mono,
-    ) -> Reply {
-        match order {
-            Order::Join { group, epoch, model, members } => {
-                self.join(group, *epoch, model, members, spec, before_traffic, now)
-            }
-            Order::Open { group, epoch } => self.open(group, *epoch, spec, now),
-            Order::Close { group, epoch } if self.server.membership_in(group, *epoch).is_some() => {
-                self.opening_until = None;
-                if self.closing_time.is_zero() {
-                    self.set_phase(Phase::Ready);
-                    return Reply::Done;
-                }
-                self.closing_until.get_or_insert(now + self.closing_time);
-                self.set_phase(Phase::Closing);
-                Reply::Begun
-            }
-            Order::Leave { group, epoch } if self.server.membership_in(group, *epoch).is_some() => {
-                self.opening_until = None;
-                self.has_aborted |= self.closing_until.take().is_some();
-                self.server.membership = None;
-                Reply::Done
-            }
-            Order::Confirm { group } if *group != self.group_key() => Reply::Rejected,
-            Order::Close { .. } | Order::Leave { .. } | Order::Probe | Order::Confirm { .. } => {
-                Reply::Done
-            }
-            Order::Stage { model } => {
-                let load = spec.model(model).expect("a model").store_load_time;
-                let load = if before_traffic { load / 10 } else { load };
-                self.staging = Some((model.clone(), now + load));
-                Reply::Begun
-            }
-        }
-    }
-
-    fn open(&mut self, group: &str, epoch: u64, spec: &EngineSpec, now: Mono) -> Reply {
-        let Some(membership) = self.server.membership_in(group, epoch) else {
-            return Reply::Rejected;
-        };
-        match membership.phase {
-            Phase::Open => Reply::Done,
-            Phase::Ready if membership.rank == 0 => {
-                self.opening_until = Some(now + spec.open_time);
-                Reply::Begun
-            }
-            _ => Reply::Rejected,
-        }
-    }
-
-    #[expect(clippy::too_many_arguments, reason = "the fields of one order")]
-    fn join(
-        &mut self,
-        group: &str,
-        epoch: u64,
-        model: &ModelId,
-        members: &[ServerId],
-        spec: &EngineSpec,
-        before_traffic: bool,
-        now: Mono,
-    ) -> Reply {
-        if epoch < self.highest_epoch {
-            return Reply::Fenced;
-        }
-        if let Some(membership) = self.server.membership_in(group, epoch) {
-            if self.members != members {
-                return Reply::Fenced;
-            }
-            let joined = membership.phase != Phase::Joining;
-            return if joined { Reply::Done } else { Reply::Begun };
-        }
-        let spec = spec.model(model).expect("a model");
-        let time = match (
-            self.last_model.as_ref() == Some(model),
-            self.server.staged_models.contains(model),
-        ) {
-            (true, _) => Duration::from_millis(200),
-            (_, true) => spec.host_load_time,
-            _ if before_traffic => spec.store_load_time / 10,
-            _ => spec.store_load_time,
-        };
-        self.highest_epoch = epoch;
-        self.opening_until = None;
-        self.joining_until = now + time;
-        self.last_model = Some(model.clone());
-        self.members = members.to_vec();
-        let rank = members.iter().position(|id| *id == self.server.id).expect("a member");
-        let group = group.into();
-        self.server.membership = Some(Membership { group, epoch, rank, phase: Phase::Joining });
-        Reply::Begun
-    }
-}
-
 fn spec() -> EngineSpec {
     let model = |name: &str, group_size, initial_demand_share, load: u64, host_load| ModelSpec {
         name: name.into(),
--- a/crates/form/tests/late_orders.rs
+++ b/crates/form/tests/late_orders.rs
@@ -35,8 +35,7 @@
 }
 
 fn delay_orders(fleet: &mut Fleet, id: &str, delay: Duration) {
-    let engine = fleet.engines.get_mut(id).expect("an engine");
-    (engine.delays_orders, engine.order_delay) = (true, delay);
+    fleet.engines.get_mut(id).expect("an engine").order_delay = Some(delay);
 }
 
 /// Returns a fleet and its owner: the head of the first group has left the order to join it unanswered, so that the group was
@@ -55,7 +54,7 @@
 
 fn end_delays(fleet: &mut Fleet) {
     for engine in fleet.engines.values_mut() {
-        engine.delays_orders = false;
+        engine.order_delay = None;
     }
 }
 
--- a/crates/form/tests/missing_heads.rs
+++ b/crates/form/tests/missing_heads.rs
@@ -17,10 +17,10 @@
     let (mut fleet, mut owner) = formed_fleet(9);
     let head = fleet.first_group()[0].clone();
     fleet.set_reports(&head, false);
-    fleet.engines.get_mut(&head).expect("an engine").delays_orders = true;
+    fleet.engines.get_mut(&head).expect("an engine").order_delay = Some(8 * SECOND);
     fleet.run(&mut owner, 14 * SECOND);
     assert!(fleet.violations.is_empty(), "{:?}", fleet.violations);
-    fleet.engines.get_mut(&head).expect("an engine").delays_orders = false;
+    fleet.engines.get_mut(&head).expect("an engine").order_delay = None;
     fleet.run(&mut owner, 10 * SECOND);
     assert_eq!(fleet.serving(), 2, "its members serve without it once it has answered");
 }
